Add the workspace and the decision core

The core takes events and the time and returns actions. Its folders, one a concern, and its types, one a file, are the shape that later parts fit into.

--- /dev/null
+++ b/azureway-core/src/cache/block_key.rs
@@ -0,0 +1,38 @@
+//! The identity of a cached block.
+
+use sha2::{Digest, Sha256};
+
+use super::Salt;
+
+/// The identity of a cached block: a digest of the salt and of all text up to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct BlockKey(u128);
+
+impl BlockKey {
+    /// Creates a key from its number.
+    pub const fn new(number: u128) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> u128 {
+        self.0
+    }
+
+    /// Derives the key of the first block of a chain.
+    pub fn first(salt: Salt, text: &[u8]) -> Self {
+        Self(salt.number()).then(text)
+    }
+
+    /// Derives the key of the block with `text` that follows this one.
+    #[must_use]
+    pub fn then(self, text: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(self.0.to_le_bytes());
+        hash.update(text);
+        let digest: [u8; 32] = hash.finalize().into();
+        let mut half = [0; 16];
+        half.copy_from_slice(&digest[..16]);
+        Self(u128::from_le_bytes(half))
+    }
+}
--- /dev/null
+++ b/azureway-core/src/cache/mod.rs
@@ -0,0 +1,19 @@
+//! The identity of cached blocks and what is known of where they are.
+
+mod block;
+mod block_chain;
+mod block_key;
+mod cache_op;
+mod cache_update;
+mod event_cursor;
+mod index;
+mod salt;
+
+pub use block::Block;
+pub use block_chain::BlockChain;
+pub use block_key::BlockKey;
+pub use cache_op::CacheOp;
+pub use cache_update::CacheUpdate;
+pub use event_cursor::EventCursor;
+pub use index::CacheIndex;
+pub use salt::Salt;
--- /dev/null
+++ b/azureway-core/src/domain/model_service.rs
@@ -0,0 +1,53 @@
+//! A service that callers ask for by name.
+
+use super::{PoolId, RequestKind, ServiceId, ServiceKind, WeightsVersion};
+
+/// A model service or a plain service, as the configuration gives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModelService {
+    /// The name that callers use.
+    pub id: ServiceId,
+    /// What stands behind it.
+    pub kind: ServiceKind,
+    /// The pool that serves it.
+    pub pool: PoolId,
+    /// The weights version that answers must come from.
+    pub weights: WeightsVersion,
+    /// Whether its calls may run more than once.
+    pub calls: RequestKind,
+}
+
+impl ModelService {
+    /// Creates a model service on `pool` whose calls are repeatable.
+    pub fn new(id: ServiceId, pool: PoolId) -> Self {
+        let weights = WeightsVersion::new(1);
+        Self {
+            id,
+            kind: ServiceKind::Model,
+            pool,
+            weights,
+            calls: RequestKind::Repeatable,
+        }
+    }
+
+    /// Sets what stands behind the service.
+    #[must_use]
+    pub fn with_kind(mut self, kind: ServiceKind) -> Self {
+        self.kind = kind;
+        self
+    }
+
+    /// Sets the weights version.
+    #[must_use]
+    pub fn with_weights(mut self, weights: WeightsVersion) -> Self {
+        self.weights = weights;
+        self
+    }
+
+    /// Sets whether its calls may run more than once.
+    #[must_use]
+    pub fn with_calls(mut self, calls: RequestKind) -> Self {
+        self.calls = calls;
+        self
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/prefix_key.rs
@@ -0,0 +1,17 @@
+//! The identity of a prompt prefix, by which equal prefixes are placed alike.
+
+/// The identity of a prompt prefix, salted like the blocks below it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PrefixKey(u128);
+
+impl PrefixKey {
+    /// Creates a key from its number.
+    pub const fn new(number: u128) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    pub const fn get(self) -> u128 {
+        self.0
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/refusal.rs
@@ -0,0 +1,47 @@
+//! An honest refusal.
+
+use std::time::Duration;
+
+use super::RefusalReason;
+
+/// A refusal, and whether the request may have run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Whether it is certain that no backend server has run the request.
+    pub not_run: bool,
+    /// When it is worth asking again.
+    pub retry_after: Option<Duration>,
+    /// What the caller can do about it.
+    pub detail: Box<str>,
+}
+
+impl Refusal {
+    /// Creates a refusal of a request that no backend server has run.
+    pub fn not_run(reason: RefusalReason, detail: &str) -> Self {
+        Self {
+            reason,
+            not_run: true,
+            retry_after: None,
+            detail: detail.into(),
+        }
+    }
+
+    /// Creates a refusal of a request that may have run, wholly or in part.
+    pub fn maybe_run(reason: RefusalReason, detail: &str) -> Self {
+        Self {
+            reason,
+            not_run: false,
+            retry_after: None,
+            detail: detail.into(),
+        }
+    }
+
+    /// Sets when it is worth asking again.
+    #[must_use]
+    pub fn with_retry(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/refusal_reason.rs
@@ -0,0 +1,82 @@
+//! Why a request was refused.
+
+/// Why a request was refused, with a stable code for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum RefusalReason {
+    /// The request does not follow the interface.
+    Malformed,
+    /// The API key is unknown.
+    Unauthorized,
+    /// The named service does not exist.
+    UnknownService,
+    /// The body is larger than the entry takes.
+    TooLarge,
+    /// The head is larger than the entry takes.
+    HeadTooLarge,
+    /// The request did not arrive in time.
+    TooSlow,
+    /// The deadline has passed or cannot be met.
+    Deadline,
+    /// The client account has used up its limit.
+    AccountLimit,
+    /// The entry holds as much work as it can.
+    Overloaded,
+    /// No backend server can take the request.
+    NoServer,
+    /// Requests like this one have crashed backend servers.
+    Quarantined,
+    /// The same idempotency key is being run or has been run.
+    Duplicate,
+    /// The platform cannot be asked whether the request has run before.
+    ClaimUnavailable,
+    /// The instance is shutting down.
+    Draining,
+    /// The backend server failed after it may have begun.
+    ServerFailed,
+    /// The stream broke and could not be resumed.
+    StreamBroken,
+}
+
+impl RefusalReason {
+    /// Every reason.
+    pub const ALL: [Self; 16] = [
+        Self::Malformed,
+        Self::Unauthorized,
+        Self::UnknownService,
+        Self::TooLarge,
+        Self::HeadTooLarge,
+        Self::TooSlow,
+        Self::Deadline,
+        Self::AccountLimit,
+        Self::Overloaded,
+        Self::NoServer,
+        Self::Quarantined,
+        Self::Duplicate,
+        Self::ClaimUnavailable,
+        Self::Draining,
+        Self::ServerFailed,
+        Self::StreamBroken,
+    ];
+
+    /// Returns the stable code.
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::Unauthorized => "unauthorized",
+            Self::UnknownService => "unknown_service",
+            Self::TooLarge => "too_large",
+            Self::HeadTooLarge => "head_too_large",
+            Self::TooSlow => "too_slow",
+            Self::Deadline => "deadline",
+            Self::AccountLimit => "account_limit",
+            Self::Overloaded => "overloaded",
+            Self::NoServer => "no_server",
+            Self::Quarantined => "quarantined",
+            Self::Duplicate => "duplicate",
+            Self::ClaimUnavailable => "claim_unavailable",
+            Self::Draining => "draining",
+            Self::ServerFailed => "server_failed",
+            Self::StreamBroken => "stream_broken",
+        }
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/request.rs
@@ -0,0 +1,45 @@
+//! A request as the decisions see it.
+
+use super::{
+    AccountId, Deadline, Fingerprint, IdempotencyKey, Rank, RequestId, RequestKind, ServiceId,
+    Timestamp, TokenCount, WeightsVersion, Worth,
+};
+use crate::cache::BlockChain;
+
+/// A request as the decisions see it: everything but its bytes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The identity.
+    pub id: RequestId,
+    /// The client account that asks.
+    pub account: AccountId,
+    /// The service that is asked for.
+    pub service: ServiceId,
+    /// The rank.
+    pub rank: Rank,
+    /// Whether it may run more than once.
+    pub kind: RequestKind,
+    /// What an answer in time is worth.
+    pub worth: Worth,
+    /// When the first token must have come.
+    pub deadline: Deadline,
+    /// When the request arrived.
+    pub arrived: Timestamp,
+    /// The weights version that the blocks are salted with and the answer must come from.
+    pub weights: WeightsVersion,
+    /// The blocks of the prompt.
+    pub chain: BlockChain,
+    /// The most tokens that the answer may have.
+    pub output: TokenCount,
+    /// The caller's idempotency key.
+    pub key: Option<IdempotencyKey>,
+    /// What it has in common with the same request sent again.
+    pub fingerprint: Fingerprint,
+}
+
+impl Request {
+    /// Returns the tokens that the request may cost: its prompt and its longest answer.
+    pub fn cost(&self) -> TokenCount {
+        self.chain.tokens() + self.output
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/request_kind.rs
@@ -0,0 +1,29 @@
+//! Whether a request may run more than once.
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum RequestKind {
+    /// Running it again does no harm.
+    Repeatable,
+    /// It runs at most once, such as an order or a deposit.
+    AtMostOnce,
+}
+
+impl RequestKind {
+    /// Returns the kind that `text` names.
+    pub fn parse(text: &str) -> Option<Self> {
+        match text {
+            "repeatable" => Some(Self::Repeatable),
+            "at-most-once" => Some(Self::AtMostOnce),
+            _ => None,
+        }
+    }
+
+    /// Returns the name of the kind.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Repeatable => "repeatable",
+            Self::AtMostOnce => "at-most-once",
+        }
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/timestamp.rs
@@ -0,0 +1,44 @@
+//! A point in time as the driver of the core sees it.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// A point on a monotonic clock, in microseconds since an origin that the driver chooses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The origin.
+    pub const ZERO: Self = Self(0);
+    /// A point that is never reached.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Creates the point `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Creates the point `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1000))
+    }
+
+    /// Returns the microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time from `earlier` to this point, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, time: Duration) -> Self {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/azureway-core/src/error/report.rs
@@ -0,0 +1,65 @@
+//! The error itself.
+
+use std::fmt;
+
+use super::{ErrorKind, Step};
+
+/// An error of the library.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    kind: ErrorKind,
+    step: Step,
+    peer: Option<Box<str>>,
+    detail: Box<str>,
+}
+
+impl Error {
+    /// Creates an error of `kind` that arose at `step`.
+    pub fn new(kind: ErrorKind, step: Step, detail: impl fmt::Display) -> Self {
+        Self {
+            kind,
+            step,
+            peer: None,
+            detail: detail.to_string().into(),
+        }
+    }
+
+    /// Names the peer with which the step was being done.
+    #[must_use]
+    pub fn with_peer(mut self, peer: impl fmt::Display) -> Self {
+        self.peer = Some(peer.to_string().into());
+        self
+    }
+
+    /// Returns the kind.
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+
+    /// Returns the step.
+    pub fn step(&self) -> Step {
+        self.step
+    }
+
+    /// Returns the peer, if one took part.
+    pub fn peer(&self) -> Option<&str> {
+        self.peer.as_deref()
+    }
+
+    /// Returns what was seen.
+    pub fn detail(&self) -> &str {
+        &self.detail
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.step)?;
+        if let Some(peer) = &self.peer {
+            write!(f, " with {peer}")?;
+        }
+        write!(f, ": {}", self.detail)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/azureway-core/src/event/action.rs
@@ -0,0 +1,17 @@
+//! What the router wants done.
+
+use super::Dispatch;
+use crate::domain::{Attempt, Refusal, RequestId, ServerId};
+
+/// What the router wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a request to a backend server.
+    Dispatch(Dispatch),
+    /// Tell the caller that the request is refused, or that its stream has ended early.
+    Refuse(RequestId, Refusal),
+    /// Stop a try.
+    Cancel(Attempt),
+    /// Ask a backend server for the whole content of its cache.
+    Resync(ServerId),
+}
--- /dev/null
+++ b/azureway-core/src/event/input.rs
@@ -0,0 +1,31 @@
+//! What the router is told.
+
+use super::{Failure, Finish};
+use crate::cache::CacheUpdate;
+use crate::domain::{Attempt, Request, RequestId};
+use crate::fleet::{Fleet, LoadReport};
+
+/// What the router is told.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// A request arrived.
+    Arrived(&'a Request),
+    /// The caller of a request hung up.
+    HungUp(RequestId),
+    /// A backend server began to answer a try.
+    Started(Attempt),
+    /// A try ended well.
+    Finished(&'a Finish),
+    /// A try failed.
+    Failed(&'a Failure),
+    /// A backend server told of its cache.
+    Cache(&'a CacheUpdate<'a>),
+    /// A backend server told of its load.
+    Load(&'a LoadReport),
+    /// A version of the configuration was read.
+    Configured(&'a Fleet),
+    /// The instance shuts down: nothing new is taken.
+    Draining,
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/azureway-core/src/event/mod.rs
@@ -0,0 +1,17 @@
+//! What goes into the decisions and what comes out of them.
+
+mod action;
+mod dispatch;
+mod failure;
+mod failure_kind;
+mod finish;
+mod input;
+mod send_state;
+
+pub use action::Action;
+pub use dispatch::Dispatch;
+pub use failure::Failure;
+pub use failure_kind::FailureKind;
+pub use finish::Finish;
+pub use input::Event;
+pub use send_state::SendState;
--- /dev/null
+++ b/azureway-core/src/fleet/configured.rs
@@ -0,0 +1,75 @@
+//! The fleet as one version of the configuration gives it.
+
+use std::collections::BTreeMap;
+
+use crate::domain::{
+    AccountId, BackendServer, BackendServerPool, ClientAccount, ConfigVersion, KeyHash,
+    ModelService, PoolId, RankRules, ServerId, ServiceId,
+};
+
+/// Everything that one version of the configuration defines.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fleet {
+    /// The version.
+    pub version: ConfigVersion,
+    /// The client accounts.
+    pub accounts: BTreeMap<AccountId, ClientAccount>,
+    /// The services.
+    pub services: BTreeMap<ServiceId, ModelService>,
+    /// The pools.
+    pub pools: BTreeMap<PoolId, BackendServerPool>,
+    /// The backend servers.
+    pub servers: BTreeMap<ServerId, BackendServer>,
+    /// The rules for the two ranks of work.
+    pub rules: RankRules,
+}
+
+impl Fleet {
+    /// Creates a fleet with nothing in it.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a client account.
+    #[must_use]
+    pub fn with_account(mut self, account: ClientAccount) -> Self {
+        self.accounts.insert(account.id.clone(), account);
+        self
+    }
+
+    /// Adds a service.
+    #[must_use]
+    pub fn with_service(mut self, service: ModelService) -> Self {
+        self.services.insert(service.id.clone(), service);
+        self
+    }
+
+    /// Adds a pool.
+    #[must_use]
+    pub fn with_pool(mut self, pool: BackendServerPool) -> Self {
+        self.pools.insert(pool.id.clone(), pool);
+        self
+    }
+
+    /// Adds a backend server.
+    #[must_use]
+    pub fn with_server(mut self, server: BackendServer) -> Self {
+        self.servers.insert(server.id.clone(), server);
+        self
+    }
+
+    /// Sets the version.
+    #[must_use]
+    pub fn with_version(mut self, version: ConfigVersion) -> Self {
+        self.version = version;
+        self
+    }
+
+    /// Returns the account that the digest of an API key belongs to.
+    pub fn account_of(&self, key: &KeyHash) -> Option<&ClientAccount> {
+        // All accounts are looked at, so that the time does not tell which one matched.
+        self.accounts
+            .values()
+            .fold(None, |found, a| if a.admits(key) { Some(a) } else { found })
+    }
+}
--- /dev/null
+++ b/azureway-core/src/fleet/health.rs
@@ -0,0 +1,13 @@
+//! Whether a backend server may be given work.
+
+/// Whether a backend server may be given work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Health {
+    /// Nothing speaks against it.
+    #[default]
+    Live,
+    /// It failed and may be tried again later.
+    Suspect,
+    /// It is leaving: requests in flight end there, and new ones go elsewhere.
+    Leaving,
+}
--- /dev/null
+++ b/azureway-core/src/lib.rs
@@ -0,0 +1,33 @@
+//! Decisions and state of azureway.
+//!
+//! This crate holds everything that azureway decides and nothing that it does: it has no
+//! I/O, no clock and no thread. [`router::Router`] takes an [`event::Event`] and the time
+//! at which it was seen, and appends [`event::Action`]s to a buffer. Whoever drives it,
+//! be it the entry daemon, a replay or a test, carries the actions out.
+//!
+//! # Example
+//!
+//! ```
+//! use azureway_core::prelude::*;
+//!
+//! let config = RouterConfig::new(ZoneId::new("kranj-a"));
+//! let mut router = Router::new(config, PrefixLoad::new());
+//! let mut actions = Vec::new();
+//! router.handle(Event::Tick, Timestamp::ZERO, &mut actions);
+//! assert!(actions.is_empty());
+//! ```
+
+#[macro_use]
+mod util;
+
+pub mod admit;
+pub mod cache;
+pub mod domain;
+pub mod error;
+pub mod event;
+pub mod fleet;
+pub mod prelude;
+pub mod retry;
+pub mod route;
+pub mod router;
+pub mod stream;
--- /dev/null
+++ b/azureway-core/src/prelude.rs
@@ -0,0 +1,14 @@
+//! The common types, for a glob import.
+
+pub use crate::admit::{Admission, FairQueue};
+pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
+pub use crate::domain::*;
+pub use crate::error::{Error, ErrorKind, Step};
+pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
+pub use crate::fleet::{Fleet, Health, LoadReport, ServerState, ServerTable};
+pub use crate::retry::{Backoff, RetryBudget};
+pub use crate::route::{
+    Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Rendezvous, RoundRobin,
+};
+pub use crate::router::{Router, RouterConfig};
+pub use crate::stream::{Delivery, StreamProgress};
--- /dev/null
+++ b/azureway-core/src/retry/backoff.rs
@@ -0,0 +1,49 @@
+//! The wait before a try, longer each time, with jitter and a cap.
+
+use std::time::Duration;
+
+/// A wait that doubles with each failure up to a cap, with jitter drawn from a seed.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    base: Duration,
+    cap: Duration,
+    failures: u32,
+    seed: u64,
+}
+
+impl Backoff {
+    /// Creates a wait that starts at `base`, ends at `cap` and draws its jitter from `seed`.
+    pub const fn new(base: Duration, cap: Duration, seed: u64) -> Self {
+        Self {
+            base,
+            cap,
+            failures: 0,
+            seed,
+        }
+    }
+
+    /// Notes a success: the next wait starts at the base again.
+    pub fn reset(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Notes a failure and returns the wait: between half of the full wait and all of it.
+    pub fn fail(&mut self) -> Duration {
+        let factor = 1u32.checked_shl(self.failures).unwrap_or(u32::MAX);
+        let full = self.base.saturating_mul(factor).min(self.cap);
+        self.failures = self.failures.saturating_add(1);
+        let half = full / 2;
+        half + half.mul_f64(self.draw())
+    }
+
+    /// Draws a number from 0 to 1 with a xorshift generator.
+    fn draw(&mut self) -> f64 {
+        // The generator stays at zero once it is there.
+        let mut x = self.seed | 1;
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        self.seed = x;
+        f64::from((x >> 40) as u32) / f64::from(1u32 << 24)
+    }
+}
--- /dev/null
+++ b/azureway-core/src/route/candidate.rs
@@ -0,0 +1,17 @@
+//! A backend server that could take a request.
+
+use std::time::Duration;
+
+use crate::domain::TokenCount;
+use crate::fleet::ServerState;
+
+/// A backend server that could take a request, and what is special to the two of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// The server.
+    pub state: &'a ServerState,
+    /// The tokens of the prompt that it is believed to hold.
+    pub cached: TokenCount,
+    /// The time one way over the link to it.
+    pub link: Duration,
+}
--- /dev/null
+++ b/azureway-core/src/route/job.rs
@@ -0,0 +1,14 @@
+//! What a policy is told of a request.
+
+use crate::domain::{PrefixKey, Rank, TokenCount};
+
+/// What a policy is told of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// The key of the shared prefix.
+    pub prefix: PrefixKey,
+    /// The rank.
+    pub rank: Rank,
+    /// The tokens of the prompt.
+    pub prompt: TokenCount,
+}
--- /dev/null
+++ b/azureway-core/src/route/least_loaded.rs
@@ -0,0 +1,26 @@
+//! The server with the least load.
+
+use super::{Candidate, Job, Policy};
+use crate::domain::Timestamp;
+
+/// Chooses the server that runs the fewest requests. A baseline.
+#[derive(Clone, Debug, Default)]
+pub struct LeastLoaded;
+
+impl LeastLoaded {
+    /// Creates the policy.
+    pub const fn new() -> Self {
+        Self
+    }
+}
+
+impl Policy for LeastLoaded {
+    const NAME: &'static str = "least-loaded";
+
+    fn choose(&mut self, _: Job, candidates: &[Candidate<'_>], _: Timestamp) -> Option<usize> {
+        let places = candidates.iter().enumerate();
+        places
+            .min_by_key(|(_, c)| c.state.load())
+            .map(|(place, _)| place)
+    }
+}
--- /dev/null
+++ b/azureway-core/src/route/mod.rs
@@ -0,0 +1,21 @@
+//! Where a request goes.
+
+mod candidate;
+mod estimate;
+mod job;
+mod least_loaded;
+mod policy;
+mod prefix_hash;
+mod prefix_load;
+mod rendezvous;
+mod round_robin;
+
+pub use candidate::Candidate;
+pub use estimate::Estimate;
+pub use job::Job;
+pub use least_loaded::LeastLoaded;
+pub use policy::Policy;
+pub use prefix_hash::PrefixHash;
+pub use prefix_load::PrefixLoad;
+pub use rendezvous::Rendezvous;
+pub use round_robin::RoundRobin;
--- /dev/null
+++ b/azureway-core/src/route/round_robin.rs
@@ -0,0 +1,27 @@
+//! Each server in its turn.
+
+use super::{Candidate, Job, Policy};
+use crate::domain::Timestamp;
+
+/// Gives each server its turn. A baseline.
+#[derive(Clone, Debug, Default)]
+pub struct RoundRobin {
+    turn: usize,
+}
+
+impl RoundRobin {
+    /// Creates the policy.
+    pub const fn new() -> Self {
+        Self { turn: 0 }
+    }
+}
+
+impl Policy for RoundRobin {
+    const NAME: &'static str = "round-robin";
+
+    fn choose(&mut self, _: Job, candidates: &[Candidate<'_>], _: Timestamp) -> Option<usize> {
+        let turn = self.turn.checked_rem(candidates.len())?;
+        self.turn = turn + 1;
+        Some(turn)
+    }
+}
--- /dev/null
+++ b/azureway-core/src/router/config.rs
@@ -0,0 +1,49 @@
+//! The bounds of a router.
+
+use std::time::Duration;
+
+use crate::domain::ZoneId;
+
+/// The bounds of a router.
+#[derive(Clone, Debug)]
+pub struct RouterConfig {
+    /// The availability zone that the router stands in.
+    pub zone: ZoneId,
+    /// The requests that wait for a pool at most.
+    pub queue: usize,
+    /// The tries of a request at most.
+    pub tries: u32,
+    /// The retries that are allowed, in percent of requests.
+    pub retries: u32,
+    /// The time one way over a link to another availability zone.
+    pub link: Duration,
+}
+
+/// The default bound of a queue.
+const DEFAULT_QUEUE: usize = 2_000;
+/// The default bound on the tries of a request.
+const DEFAULT_TRIES: u32 = 4;
+/// The default share of retries, in percent.
+const DEFAULT_RETRIES: u32 = 20;
+/// The default time one way to another availability zone.
+const DEFAULT_LINK: Duration = Duration::from_micros(1_500);
+
+impl RouterConfig {
+    /// Creates the default bounds for a router in `zone`.
+    pub const fn new(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            queue: DEFAULT_QUEUE,
+            tries: DEFAULT_TRIES,
+            retries: DEFAULT_RETRIES,
+            link: DEFAULT_LINK,
+        }
+    }
+
+    /// Sets the requests that wait for a pool at most.
+    #[must_use]
+    pub fn with_queue(mut self, queue: usize) -> Self {
+        self.queue = queue;
+        self
+    }
+}
--- /dev/null
+++ b/azureway-core/src/router/decider.rs
@@ -0,0 +1,250 @@
+//! The router itself.
+
+use super::{Flight, Flights, Intake, Placement, Plan, Queues, RouterConfig, Verdict};
+use crate::cache::{CacheIndex, CacheUpdate};
+use crate::domain::{
+    Attempt, Incarnation, PoolId, Refusal, RefusalReason, Request, RequestId, StreamPosition,
+    Timestamp,
+};
+use crate::event::{Action, Dispatch, Event, Failure, Finish};
+use crate::fleet::{Fleet, ServerTable};
+use crate::retry::RetryBudget;
+use crate::route::Policy;
+
+/// The decisions of one entry instance. Events and the time go in, actions come out.
+#[derive(Debug)]
+pub struct Router<P> {
+    config: RouterConfig,
+    policy: P,
+    fleet: Fleet,
+    servers: ServerTable,
+    index: CacheIndex,
+    queues: Queues,
+    flights: Flights,
+    retries: RetryBudget,
+    draining: bool,
+    seen: Timestamp,
+}
+
+impl<P: Policy> Router<P> {
+    /// Creates a router that knows no configuration yet.
+    pub fn new(config: RouterConfig, policy: P) -> Self {
+        Self {
+            retries: RetryBudget::new(config.retries),
+            config,
+            policy,
+            fleet: Fleet::new(),
+            servers: ServerTable::new(),
+            index: CacheIndex::new(),
+            queues: Queues::new(),
+            flights: Flights::new(),
+            draining: false,
+            seen: Timestamp::ZERO,
+        }
+    }
+
+    /// Takes in an event and appends what is to be done about it.
+    pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
+        self.seen = now;
+        match event {
+            Event::Arrived(request) => self.arrive(request, now, out),
+            Event::HungUp(id) => self.hang_up(id, out),
+            Event::Started(attempt) => self.start(attempt),
+            Event::Finished(finish) => self.finish(finish),
+            Event::Failed(failure) => self.fail(failure, now, out),
+            Event::Cache(update) => self.hear(update, out),
+            Event::Load(report) => drop(self.servers.report(report)),
+            Event::Configured(fleet) => self.configure(fleet),
+            Event::Draining => self.draining = true,
+            Event::Tick => {}
+        }
+        self.expire(now, out);
+        self.pump(now, out);
+    }
+
+    /// Returns when the router wants to be told of the time at the latest.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let deadline = self.queues.earliest()?;
+        // A server that is tried again can take what waits.
+        Some(
+            self.servers
+                .next_trial(self.seen)
+                .map_or(deadline, |t| t.min(deadline)),
+        )
+    }
+
+    /// Returns the number of requests that wait or are in flight.
+    pub fn active(&self) -> usize {
+        self.queues.len() + self.flights.len()
+    }
+
+    /// Returns the configuration in force.
+    pub const fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Returns what is known of the backend servers.
+    pub const fn servers(&self) -> &ServerTable {
+        &self.servers
+    }
+
+    fn arrive(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
+        let intake = Intake {
+            fleet: &self.fleet,
+            queues: &self.queues,
+            bound: self.config.queue,
+            draining: self.draining,
+        };
+        match intake.check(request, now) {
+            Ok((service, account)) => {
+                self.retries.earn();
+                self.queues
+                    .push(service.pool.clone(), request.clone(), account.weight);
+            }
+            Err(refusal) => out.push(Action::Refuse(request.id, refusal)),
+        }
+    }
+
+    fn hang_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(flight) = self.flights.remove(id) {
+            self.servers.release(&flight.server, flight.owed());
+            out.push(Action::Cancel(flight.attempt));
+        } else {
+            self.queues.remove(id);
+        }
+    }
+
+    fn start(&mut self, attempt: Attempt) {
+        if let Some(flight) = self.flights.current(attempt) {
+            self.servers.settle(&flight.server, flight.owed());
+            flight.started = true;
+        }
+    }
+
+    fn finish(&mut self, finish: &Finish) {
+        if let Some(flight) = self.flights.take(finish.attempt) {
+            self.servers.release(&flight.server, flight.owed());
+            self.servers.clear(&flight.server);
+        }
+    }
+
+    fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
+        let Some(flight) = self.flights.take(failure.attempt) else {
+            return;
+        };
+        self.servers.release(&flight.server, flight.owed());
+        self.servers.blame(&flight.server, failure.kind, now);
+        match Verdict::new(&flight, failure, self.config.tries, now) {
+            Verdict::Retry(position) => self.retry(flight, failure, position, now, out),
+            Verdict::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
+        }
+    }
+
+    fn retry(
+        &mut self,
+        flight: Flight,
+        failure: &Failure,
+        position: StreamPosition,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) {
+        let untouched = flight.untouched && failure.sent.is_not_run();
+        let attempt = Attempt::new(flight.attempt.id, flight.attempt.number + 1);
+        let plan = Plan {
+            attempt,
+            position,
+            untouched,
+        };
+        if self.retries.spend() && self.dispatch(&flight.request, plan, now, out) {
+            return;
+        }
+        let begun = position > StreamPosition::ZERO;
+        out.push(Action::Refuse(
+            attempt.id,
+            Verdict::give_up(begun, untouched),
+        ));
+    }
+
+    fn hear(&mut self, update: &CacheUpdate<'_>, out: &mut Vec<Action>) {
+        if self.index.update(update) {
+            out.push(Action::Resync(update.server.clone()));
+        }
+    }
+
+    fn configure(&mut self, fleet: &Fleet) {
+        // Versions only grow, so that a slow read or a late peer cannot bring an old one back.
+        if fleet.version <= self.fleet.version {
+            return;
+        }
+        self.fleet = fleet.clone();
+        self.servers.adopt(fleet);
+        self.queues.set_floor(fleet.rules.floor);
+    }
+
+    fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for request in self.queues.expire(now) {
+            let detail = "the deadline passed in the queue";
+            out.push(Action::Refuse(
+                request.id,
+                Refusal::not_run(RefusalReason::Deadline, detail),
+            ));
+        }
+    }
+
+    /// Sends requests that wait for as long as there is a server for the next one.
+    fn pump(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for pool in self.queues.pools() {
+            while let Some(queued) = self.queues.pop(&pool) {
+                let plan = Plan::first(queued.request.id);
+                if !self.dispatch(&queued.request, plan, now, out) {
+                    self.queues.restore(&pool, queued);
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Sends a request to the best server. Returns whether there was one.
+    fn dispatch(
+        &mut self,
+        request: &Request,
+        plan: Plan,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(service) = self.fleet.services.get(&request.service) else {
+            return false;
+        };
+        let placement = Placement {
+            servers: &self.servers,
+            index: &self.index,
+            zone: &self.config.zone,
+            link: self.config.link,
+        };
+        let Some(best) = placement.choose(&mut self.policy, request, service, now) else {
+            return false;
+        };
+        let order = Dispatch {
+            attempt: plan.attempt,
+            server: best.state.server.id.clone(),
+            address: best.state.server.address,
+            rank: request.rank,
+            salt: request.chain.salt(),
+            incarnation: Some(best.state.incarnation).filter(|i| *i > Incarnation::ZERO),
+            weights: request.weights,
+            position: plan.position,
+            cached: best.cached,
+        };
+        let pool = service.pool.clone();
+        self.take_off(request, pool, &order, plan.untouched);
+        out.push(Action::Dispatch(order));
+        true
+    }
+
+    /// Notes that a request is in flight.
+    fn take_off(&mut self, request: &Request, pool: PoolId, order: &Dispatch, untouched: bool) {
+        let flight = Flight::new(request, pool, order, untouched);
+        self.servers.begin(&flight.server, flight.owed());
+        self.flights.insert(flight);
+    }
+}
--- /dev/null
+++ b/azureway-core/src/router/flight.rs
@@ -0,0 +1,51 @@
+//! A request that a backend server is running.
+
+use crate::domain::{Attempt, PoolId, Request, ServerId, StreamPosition, TokenCount};
+use crate::event::Dispatch;
+
+/// A request that a backend server is running.
+#[derive(Clone, Debug)]
+pub struct Flight {
+    /// The request.
+    pub request: Request,
+    /// The pool.
+    pub pool: PoolId,
+    /// The current try.
+    pub attempt: Attempt,
+    /// The server.
+    pub server: ServerId,
+    /// The prompt tokens that the server is believed to have to compute.
+    pub prefill: TokenCount,
+    /// Whether the server has begun to answer.
+    pub started: bool,
+    /// Whether no earlier try can have run the request.
+    pub untouched: bool,
+    /// The position at which the current try was resumed.
+    pub position: StreamPosition,
+}
+
+impl Flight {
+    /// Creates the flight that an order begins. `untouched` tells whether no earlier try can
+    /// have run the request.
+    pub fn new(request: &Request, pool: PoolId, order: &Dispatch, untouched: bool) -> Self {
+        Self {
+            request: request.clone(),
+            pool,
+            attempt: order.attempt,
+            server: order.server.clone(),
+            prefill: request.chain.tokens().saturating_sub(order.cached),
+            started: false,
+            untouched,
+            position: order.position,
+        }
+    }
+
+    /// Returns the prompt tokens that the server still owes.
+    pub const fn owed(&self) -> TokenCount {
+        if self.started {
+            TokenCount::ZERO
+        } else {
+            self.prefill
+        }
+    }
+}
--- /dev/null
+++ b/azureway-core/src/router/mod.rs
@@ -0,0 +1,21 @@
+//! The decisions put together.
+
+mod config;
+mod decider;
+mod flight;
+mod flights;
+mod intake;
+mod placement;
+mod plan;
+mod queues;
+mod verdict;
+
+pub use config::RouterConfig;
+pub use decider::Router;
+pub use flight::Flight;
+pub use flights::Flights;
+pub use intake::Intake;
+pub use placement::Placement;
+pub use plan::Plan;
+pub use queues::Queues;
+pub use verdict::Verdict;
--- /dev/null
+++ b/azureway-core/src/router/verdict.rs
@@ -0,0 +1,49 @@
+//! What follows from a failed try.
+
+use super::Flight;
+use crate::domain::{Refusal, RefusalReason, RequestKind, StreamPosition, Timestamp};
+use crate::event::Failure;
+
+/// What follows from a failed try.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Try again from the position.
+    Retry(StreamPosition),
+    /// Refuse the request or end its stream.
+    Refuse(Refusal),
+}
+
+impl Verdict {
+    /// Judges a failure of `flight`. `tries` bounds the tries of a request.
+    pub fn new(flight: &Flight, failure: &Failure, tries: u32, now: Timestamp) -> Self {
+        let not_run = failure.sent.is_not_run();
+        if !not_run && flight.request.kind == RequestKind::AtMostOnce {
+            let detail = "the backend server failed after it may have run the request";
+            return Self::Refuse(Refusal::maybe_run(RefusalReason::ServerFailed, detail));
+        }
+        // The deadline is for the first token: a stream that has begun is finished.
+        let begun = failure.position > StreamPosition::ZERO;
+        let late = !begun && flight.request.deadline.is_past(now);
+        if !late && flight.attempt.number < tries {
+            return Self::Retry(failure.position);
+        }
+        Self::Refuse(Self::give_up(begun, not_run && flight.untouched))
+    }
+
+    /// Returns the refusal of a request that is not tried again.
+    pub fn give_up(begun: bool, not_run: bool) -> Refusal {
+        match (begun, not_run) {
+            (true, _) => Refusal::maybe_run(
+                RefusalReason::StreamBroken,
+                "the stream broke and could not be resumed",
+            ),
+            (false, true) => Refusal::not_run(
+                RefusalReason::NoServer,
+                "no backend server took the request",
+            ),
+            (false, false) => {
+                Refusal::maybe_run(RefusalReason::ServerFailed, "the backend servers failed")
+            }
+        }
+    }
+}
--- /dev/null
+++ b/azureway-core/tests/support/mod.rs
@@ -0,0 +1,109 @@
+//! What the core's tests share.
+#![expect(unreachable_pub, reason = "a test's module has no outside")]
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use azureway_core::prelude::*;
+
+/// A router of zone `a` with the product's policy, and its clock.
+pub struct Bench {
+    pub router: Router<PrefixLoad>,
+    pub now: Timestamp,
+    sequence: u64,
+}
+
+impl Bench {
+    /// Creates a router over `servers` engines in zone `a`, each with `slots` slots.
+    pub fn new(servers: usize, slots: u32) -> Self {
+        let config = RouterConfig::new(ZoneId::new("a"));
+        let mut bench = Self {
+            router: Router::new(config, PrefixLoad::new()),
+            now: Timestamp::from_millis(1),
+            sequence: 0,
+        };
+        let fleet = fleet(servers, slots);
+        bench.tell(Event::Configured(&fleet));
+        bench
+    }
+
+    /// Tells the router an event and returns what it wants done.
+    pub fn tell(&mut self, event: Event<'_>) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.router.handle(event, self.now, &mut out);
+        out
+    }
+
+    /// Lets time pass and returns what the router wants done then.
+    pub fn pass(&mut self, time: std::time::Duration) -> Vec<Action> {
+        self.now = self.now + time;
+        self.tell(Event::Tick)
+    }
+
+    /// Creates a request of `account` with a prompt of the given levels.
+    pub fn request(&mut self, account: &str, levels: &[&str]) -> Request {
+        self.sequence += 1;
+        let (account, service) = (AccountId::new(account), ServiceId::new("advice"));
+        let weights = WeightsVersion::new(1);
+        let salt = Salt::new(&account, &service, weights);
+        Request {
+            id: RequestId::new(1, self.sequence),
+            fingerprint: Fingerprint::of(account.as_str(), "advice", levels.concat().as_bytes()),
+            chain: BlockChain::new(salt, levels.iter().map(|l| l.as_bytes())),
+            account,
+            service,
+            rank: Rank::Urgent,
+            kind: RequestKind::Repeatable,
+            worth: Worth::new(1),
+            deadline: Deadline::new(self.now + std::time::Duration::from_secs(10)),
+            arrived: self.now,
+            weights,
+            output: TokenCount::new(100),
+            key: None,
+        }
+    }
+}
+
+/// A fleet of `servers` engines in zone `a` with two accounts.
+pub fn fleet(servers: usize, slots: u32) -> Fleet {
+    let pool = PoolId::new("engines");
+    let base = Fleet::new()
+        .with_version(ConfigVersion::new(1))
+        .with_pool(BackendServerPool::new(pool.clone()))
+        .with_service(ModelService::new(ServiceId::new("advice"), pool.clone()))
+        .with_account(ClientAccount::new(AccountId::new("small")))
+        .with_account(ClientAccount::new(AccountId::new("large")));
+    (1..=servers).fold(base, |fleet, number| {
+        let id = ServerId::new(&format!("engine-{number}"));
+        let port = u16::try_from(9_000 + number).expect("a port");
+        let address = ([127, 0, 0, 1], port).into();
+        let server = BackendServer::new(id, pool.clone(), ZoneId::new("a"), address);
+        fleet.with_server(server.with_slots(slots))
+    })
+}
+
+/// Returns the orders among actions.
+pub fn orders(actions: &[Action]) -> Vec<&Dispatch> {
+    let order = |a| match a {
+        Action::Dispatch(order) => Some(order),
+        _ => None,
+    };
+    actions.iter().filter_map(order).collect()
+}
+
+/// Returns the refusals among actions.
+pub fn refusals(actions: &[Action]) -> Vec<&Refusal> {
+    let refusal = |a| match a {
+        Action::Refuse(_, refusal) => Some(refusal),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+/// The failure of an order.
+pub fn failure(order: &Dispatch, kind: FailureKind, sent: SendState, position: u64) -> Failure {
+    Failure {
+        attempt: order.attempt,
+        kind,
+        sent,
+        position: StreamPosition::new(position),
+    }
+}
