Add settings, the document, messages and the platform's client

INI texts are read whole and every fault names its line. Messages are types of their own with conversions to the core's. The object API is a trait.

--- /dev/null
+++ b/azureway-config/src/document/mod.rs
@@ -0,0 +1,5 @@
+//! The operators' document.
+
+mod parse;
+
+pub use parse::parse;
--- /dev/null
+++ b/azureway-config/src/document/parse.rs
@@ -0,0 +1,168 @@
+//! From the document's text to the fleet that it defines.
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+
+use crate::ini::{self, Faults, Section, SectionReader};
+
+/// The kinds of sections.
+const KINDS: [&str; 5] = ["account", "service", "pool", "server", "ranks"];
+
+/// Parses the document that is stored as `version`.
+///
+/// # Errors
+///
+/// Returns every fault of the text, names that are used but not defined among them.
+pub fn parse(text: &str, version: ConfigVersion) -> Result<Fleet, Faults> {
+    let sections = ini::parse(text)?;
+    let mut faults = Faults::new();
+    let mut fleet = Fleet::new().with_version(version);
+    for section in &sections {
+        read(section, &mut fleet, &mut faults);
+    }
+    for section in &sections {
+        check_links(section, &fleet, &mut faults);
+    }
+    faults.into_result(fleet)
+}
+
+fn read(section: &Section<'_>, fleet: &mut Fleet, faults: &mut Faults) {
+    let (kind, name) = section.split();
+    let mut reader = SectionReader::new(section, faults);
+    reader.text("team");
+    if name.is_empty() != (kind == "ranks") && KINDS.contains(&kind) {
+        reader.reject(None, format!("expected a header such as [{kind} NAME]"));
+    }
+    let twice = match kind {
+        "account" => {
+            let account = account(name, &mut reader);
+            fleet.accounts.insert(account.id.clone(), account).is_some()
+        }
+        "service" => service(name, &mut reader)
+            .is_some_and(|s| fleet.services.insert(s.id.clone(), s).is_some()),
+        "pool" => {
+            let pool = pool(name, &mut reader);
+            fleet.pools.insert(pool.id.clone(), pool).is_some()
+        }
+        "server" => server(name, &mut reader)
+            .is_some_and(|s| fleet.servers.insert(s.id.clone(), s).is_some()),
+        "ranks" => {
+            fleet.rules = ranks(&mut reader);
+            false
+        }
+        _ => {
+            reader.reject(
+                None,
+                format!("unknown kind; expected one of {}", KINDS.join(", ")),
+            );
+            return;
+        }
+    };
+    if twice {
+        reader.reject(None, "defined twice".to_owned());
+    }
+    reader.finish();
+}
+
+fn account(name: &str, reader: &mut SectionReader<'_, '_>) -> ClientAccount {
+    let base = ClientAccount::new(AccountId::new(name));
+    let weight = reader.number("weight", base.weight, 1, 1_000, "shares");
+    let limit = reader.number(
+        "limit",
+        base.limit.get(),
+        1,
+        1_000_000_000,
+        "tokens a second",
+    );
+    let expected = "SHA-256 digests of 64 hexadecimal digits, split by commas";
+    let keys = reader.value("keys", Vec::new(), expected, |text| {
+        text.split(',').map(|k| KeyHash::parse(k.trim())).collect()
+    });
+    let account = base.with_weight(weight).with_limit(TokenRate::new(limit));
+    keys.into_iter().fold(account, ClientAccount::with_key)
+}
+
+fn service(name: &str, reader: &mut SectionReader<'_, '_>) -> Option<ModelService> {
+    let pool = reader.required("pool", "the name of a pool");
+    let kind = reader.value(
+        "kind",
+        ServiceKind::Model,
+        "`model` or `plain`",
+        ServiceKind::parse,
+    );
+    let weights = reader.number("weights", 1, 1, u64::MAX, "the weights version");
+    let expected = "`repeatable` or `at-most-once`";
+    let calls = reader.value(
+        "calls",
+        RequestKind::Repeatable,
+        expected,
+        RequestKind::parse,
+    );
+    let service = ModelService::new(ServiceId::new(name), PoolId::new(pool?));
+    Some(
+        service
+            .with_kind(kind)
+            .with_weights(WeightsVersion::new(weights))
+            .with_calls(calls),
+    )
+}
+
+fn pool(name: &str, reader: &mut SectionReader<'_, '_>) -> BackendServerPool {
+    let base = BackendServerPool::new(PoolId::new(name));
+    let loads = reader.number("loads", base.loads, 1, 100, "servers");
+    base.with_loads(loads)
+}
+
+fn server(name: &str, reader: &mut SectionReader<'_, '_>) -> Option<BackendServer> {
+    let pool = reader.required("pool", "the name of a pool");
+    let zone = reader.required("zone", "the name of an availability zone");
+    let expected = "an IP address and a port, such as 10.0.0.7:8000";
+    let address = reader.required_value("address", expected, |text| text.parse().ok());
+    let slots = reader.number("slots", 8, 1, 4_096, "requests");
+    let prefill = reader.number("prefill", 8_000, 1, 10_000_000, "tokens a second");
+    let (fenced, keyed) = (reader.flag("fenced", false), reader.flag("keyed", false));
+    let id = ServerId::new(name);
+    let mut server = BackendServer::new(id, PoolId::new(pool?), ZoneId::new(zone?), address?);
+    server.fenced = fenced;
+    server.keyed = keyed;
+    Some(
+        server
+            .with_slots(slots)
+            .with_prefill(TokenRate::new(prefill)),
+    )
+}
+
+fn ranks(reader: &mut SectionReader<'_, '_>) -> RankRules {
+    let base = RankRules::new();
+    let mut millis = |key, default: Duration| {
+        let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(reader.number(key, default, 1, 3_600_000, "milliseconds"))
+    };
+    let urgent = millis("urgent", base.urgent);
+    let drafting = millis("drafting", base.drafting);
+    let floor = reader.number("floor", base.floor, 0, 90, "percent");
+    RankRules {
+        floor,
+        urgent,
+        drafting,
+    }
+}
+
+/// Notes the names that a section uses and no section defines.
+fn check_links(section: &Section<'_>, fleet: &Fleet, faults: &mut Faults) {
+    let (kind, _) = section.split();
+    if kind != "service" && kind != "server" {
+        return;
+    }
+    let Some(entry) = section.get("pool") else {
+        return;
+    };
+    if !fleet.pools.contains_key(entry.value) {
+        let mut reader = SectionReader::new(section, faults);
+        reader.reject(
+            Some("pool"),
+            format!("no section [pool {}] exists", entry.value),
+        );
+    }
+}
--- /dev/null
+++ b/azureway-config/src/ini/faults.rs
@@ -0,0 +1,55 @@
+//! All that is wrong in an INI text.
+
+use std::fmt;
+
+use super::Fault;
+
+/// All that is wrong in an INI text, by line.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    faults: Vec<Fault>,
+}
+
+impl Faults {
+    /// Creates an empty list.
+    pub const fn new() -> Self {
+        Self { faults: Vec::new() }
+    }
+
+    /// Adds a fault.
+    pub fn push(&mut self, fault: Fault) {
+        self.faults.push(fault);
+    }
+
+    /// Returns the faults.
+    pub fn as_slice(&self) -> &[Fault] {
+        &self.faults
+    }
+
+    /// Returns `value` if there is no fault.
+    ///
+    /// # Errors
+    ///
+    /// Returns the faults, by line, if there are any.
+    pub fn into_result<T>(mut self, value: T) -> Result<T, Self> {
+        if self.faults.is_empty() {
+            return Ok(value);
+        }
+        self.faults.sort();
+        Err(self)
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (place, fault) in self.faults.iter().enumerate() {
+            if place > 0 {
+                writeln!(f)?;
+            }
+            fault.fmt(f)?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
--- /dev/null
+++ b/azureway-config/src/ini/mod.rs
@@ -0,0 +1,15 @@
+//! INI text as sections and entries with their lines.
+
+mod entry;
+mod fault;
+mod faults;
+mod parse;
+mod reader;
+mod section;
+
+pub use entry::Entry;
+pub use fault::Fault;
+pub use faults::Faults;
+pub use parse::parse;
+pub use reader::SectionReader;
+pub use section::Section;
--- /dev/null
+++ b/azureway-config/src/settings/mod.rs
@@ -0,0 +1,9 @@
+//! The settings of the entry daemon.
+
+mod bounds;
+mod entry_settings;
+mod parse;
+
+pub use bounds::Bounds;
+pub use entry_settings::EntrySettings;
+pub use parse::parse;
--- /dev/null
+++ b/azureway-config/src/settings/parse.rs
@@ -0,0 +1,105 @@
+//! From text to settings.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azureway_core::prelude::{Instance, InstanceId, ZoneId};
+
+use super::{Bounds, EntrySettings};
+use crate::ini::{self, Faults, Section, SectionReader};
+
+/// What an address looks like, for a fault's text.
+const ADDRESS: &str = "an IP address and a port, such as 10.0.0.7:8000";
+
+/// Parses the settings of an entry daemon.
+///
+/// # Errors
+///
+/// Returns every fault of the text.
+pub fn parse(text: &str) -> Result<EntrySettings, Faults> {
+    let sections = ini::parse(text)?;
+    let mut faults = Faults::new();
+    let (mut base, mut bounds, mut peers) = (None, Bounds::new(), Vec::new());
+    for section in &sections {
+        let mut reader = SectionReader::new(section, &mut faults);
+        match section.split() {
+            ("entry", "") => base = entry(&mut reader),
+            ("bounds", "") => bounds = read_bounds(&mut reader),
+            ("peer", name) if !name.is_empty() => peers.extend(peer(name, &mut reader)),
+            _ => {
+                reader.reject(
+                    None,
+                    "unknown section; expected entry, bounds or peer NAME".to_owned(),
+                );
+                continue;
+            }
+        }
+        reader.finish();
+    }
+    if !sections.iter().any(|s| s.name == "entry") {
+        let absent = Section {
+            line: 1,
+            name: "entry",
+            entries: Vec::new(),
+        };
+        SectionReader::new(&absent, &mut faults).reject(None, "missing section".to_owned());
+    }
+    let settings = faults.into_result(base)?;
+    // A missing or faulty entry section was noted as a fault, so there is one here.
+    let mut settings = settings.expect("the entry section was read");
+    settings.bounds = bounds;
+    settings.peers = peers;
+    Ok(settings)
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+fn entry(reader: &mut SectionReader<'_, '_>) -> Option<EntrySettings> {
+    let instance = reader.required("instance", "the name of the instance");
+    let zone = reader.required("zone", "the name of an availability zone");
+    let listen = reader.required_value("listen", ADDRESS, address);
+    let peer = reader.required_value("peer", ADDRESS, address);
+    let platform = reader.required_value("platform", ADDRESS, address);
+    let (instance, zone) = (InstanceId::new(instance?), ZoneId::new(zone?));
+    let mut settings = EntrySettings::new(instance, zone, platform?).with_listen(listen?);
+    settings.peer = peer?;
+    Some(settings)
+}
+
+fn peer(name: &str, reader: &mut SectionReader<'_, '_>) -> Option<Instance> {
+    let zone = reader.required("zone", "the name of an availability zone");
+    let address = reader.required_value("address", ADDRESS, address);
+    Some(Instance::new(
+        InstanceId::new(name),
+        ZoneId::new(zone?),
+        address?,
+    ))
+}
+
+fn read_bounds(reader: &mut SectionReader<'_, '_>) -> Bounds {
+    let base = Bounds::new();
+    let connections = reader.number("connections", base.connections, 1, 100_000, "connections");
+    let head = reader.number("head", base.head, 1_024, 1_048_576, "bytes");
+    let body = reader.number("body", base.body, 1_024, 67_108_864, "bytes");
+    let queue = reader.number("queue", base.queue, 1, 1_000_000, "requests");
+    let ring = reader.number("ring", base.ring, 1, 1_000_000, "messages");
+    let mut millis = |key, default: Duration| {
+        let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+        Duration::from_millis(reader.number(key, default, 1, 3_600_000, "milliseconds"))
+    };
+    let arrival = millis("arrival", base.arrival);
+    let gap = millis("gap", base.gap);
+    let connect = millis("connect", base.connect);
+    Bounds {
+        connections,
+        head,
+        body,
+        arrival,
+        gap,
+        connect,
+        queue,
+        ring,
+    }
+}
--- /dev/null
+++ b/azureway-config/tests/document.rs
@@ -0,0 +1,73 @@
+//! The document: what it defines and what is wrong with it.
+
+use azureway_config::{document, settings};
+use azureway_core::prelude::*;
+use googletest::prelude::*;
+
+const GOOD: &str = "
+[pool main]
+loads = 2
+[server kranj-1]
+pool = main
+zone = kranj-a
+address = 10.0.0.7:8000
+slots = 4
+[service advice]
+pool = main
+weights = 3
+[account wax-desk]
+team = retail
+weight = 2
+limit = 500
+[ranks]
+floor = 15
+urgent = 900
+";
+
+fn faults(text: &str) -> String {
+    let result = document::parse(text, ConfigVersion::new(1));
+    result.expect_err("the document is wrong").to_string()
+}
+
+#[gtest]
+fn a_document_defines_a_fleet() {
+    let fleet = document::parse(GOOD, ConfigVersion::new(7)).expect("the document is good");
+    expect_that!(fleet.version, eq(ConfigVersion::new(7)));
+    expect_that!(fleet.servers["kranj-1"].slots, eq(4));
+    expect_that!(fleet.services["advice"].weights, eq(WeightsVersion::new(3)));
+    expect_that!(fleet.accounts["wax-desk"].limit, eq(TokenRate::new(500)));
+    expect_that!(fleet.rules.floor, eq(15));
+}
+
+#[gtest]
+fn every_fault_is_named_with_its_line() {
+    let text =
+        "[pool main]\nlodes = 2\n[server s]\npool = other\nzone = a\naddress = here\n[thing]\n";
+    let faults = faults(text);
+    expect_that!(
+        faults,
+        contains_substring("line 2: [pool main] lodes: unknown key; did you mean `loads`?")
+    );
+    expect_that!(
+        faults,
+        contains_substring("line 4: [server s] pool: no section [pool other] exists")
+    );
+    expect_that!(
+        faults,
+        contains_substring("line 6: [server s] address: expected an IP address")
+    );
+    expect_that!(faults, contains_substring("line 7: [thing]: unknown kind"));
+}
+
+#[gtest]
+fn settings_that_are_not_understood_name_the_line() {
+    let text = "[entry]\ninstance = e1\nzone = a\nlisten = nowhere\n";
+    let faults = settings::parse(text)
+        .expect_err("the settings are wrong")
+        .to_string();
+    expect_that!(
+        faults,
+        contains_substring("line 4: [entry] listen: expected an IP address")
+    );
+    expect_that!(faults, contains_substring("[entry] platform: missing"));
+}
--- /dev/null
+++ b/azureway-platform/src/object_api.rs
@@ -0,0 +1,40 @@
+//! The interface of the platform's object API.
+
+use std::time::Duration;
+
+use azureway_core::prelude::Error;
+use azureway_wire::object::{ObjectBody, ObjectList};
+
+use super::Put;
+
+/// The platform's object API: versions, conditional updates and watches.
+pub trait ObjectApi {
+    /// Returns an object, or `None` if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be asked or limits the call.
+    fn get(&self, kind: &str, name: &str) -> Result<Option<ObjectBody>, Error>;
+
+    /// Returns all objects of a kind.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be asked or limits the call.
+    fn list(&self, kind: &str) -> Result<ObjectList, Error>;
+
+    /// Writes an object if it has the expected version, and returns the new version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of the kind `Conflict` if the object has another version. Any other
+    /// error leaves open whether the object was written.
+    fn put(&self, put: &Put<'_>) -> Result<u64, Error>;
+
+    /// Waits up to `wait` for changes of a kind after version `after`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the platform cannot be asked or limits the call.
+    fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<ObjectList, Error>;
+}
--- /dev/null
+++ b/azureway-platform/src/put.rs
@@ -0,0 +1,14 @@
+//! A conditional write.
+
+/// A conditional write of an object.
+#[derive(Clone, Copy, Debug)]
+pub struct Put<'a> {
+    /// The kind of the object.
+    pub kind: &'a str,
+    /// The name of the object.
+    pub name: &'a str,
+    /// The value.
+    pub value: &'a str,
+    /// The version that the object must have, or 0 if it must not exist.
+    pub expected: u64,
+}
--- /dev/null
+++ b/azureway-wire/src/error/error_body.rs
@@ -0,0 +1,21 @@
+//! The body of an error.
+
+use azureway_core::prelude::Refusal;
+use serde::{Deserialize, Serialize};
+
+use super::ErrorDetail;
+
+/// The body of an error.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct ErrorBody {
+    /// The error.
+    pub error: ErrorDetail,
+}
+
+impl From<&Refusal> for ErrorBody {
+    fn from(refusal: &Refusal) -> Self {
+        Self {
+            error: ErrorDetail::from(refusal),
+        }
+    }
+}
--- /dev/null
+++ b/azureway-wire/src/lib.rs
@@ -0,0 +1,9 @@
+//! Messages of azureway, each a type of its own, with conversions from and to the types of
+//! the core. Decisions never see these types.
+
+pub mod chat;
+pub mod engine;
+pub mod error;
+pub mod header;
+pub mod object;
+pub mod sse;
--- /dev/null
+++ b/azureway-wire/src/sse/mod.rs
@@ -0,0 +1,5 @@
+//! Server-sent events, line by line.
+
+mod line;
+
+pub use line::SseLine;
