--- /dev/null
+++ b/azureway-entry/src/admit/admitted.rs
@@ -0,0 +1,18 @@
+//! A request on its way to the decisions.
+
+use azureway_core::prelude::Request;
+use flume::Sender;
+
+use super::Errand;
+use crate::caller::Outcome;
+
+/// A request on its way to the decisions, with what the entry keeps of it.
+#[derive(Debug)]
+pub struct Admitted {
+    /// The request.
+    pub request: Request,
+    /// What a relay carries.
+    pub errand: Errand,
+    /// Where the outcome goes.
+    pub outcome: Sender<Outcome>,
+}
--- /dev/null
+++ b/azureway-entry/src/admit/admitter.rs
@@ -0,0 +1,78 @@
+//! The admitting duty.
+
+use std::sync::Arc;
+
+use azureway_core::prelude::*;
+use flume::{Receiver, Sender};
+
+use super::{AdmitNote, Admitted, Call, CallReader};
+use crate::caller::Outcome;
+use crate::decide::DecideNote;
+
+/// The admitting duty: tells who asks for what and derives the blocks of the prompt.
+#[derive(Debug)]
+pub struct Admitter {
+    notes: Receiver<AdmitNote>,
+    decide: Sender<DecideNote>,
+    fleet: Arc<Fleet>,
+    entry: u64,
+    sequence: u64,
+}
+
+impl Admitter {
+    /// Creates the duty. `entry` marks the identities of this process's requests.
+    pub fn new(notes: Receiver<AdmitNote>, decide: Sender<DecideNote>, entry: u64) -> Self {
+        Self {
+            notes,
+            decide,
+            fleet: Arc::new(Fleet::new()),
+            entry,
+            sequence: 0,
+        }
+    }
+
+    /// Runs until every sender of notes is gone.
+    pub fn run(mut self) {
+        while let Ok(note) = self.notes.recv() {
+            match note {
+                AdmitNote::Call(call) => self.admit(*call),
+                AdmitNote::Adopt(fleet) => self.adopt(fleet),
+            }
+        }
+    }
+
+    fn adopt(&mut self, fleet: Arc<Fleet>) {
+        if fleet.version > self.fleet.version {
+            self.fleet = fleet;
+        }
+    }
+
+    fn admit(&mut self, call: Call) {
+        self.sequence += 1;
+        let id = RequestId::new(self.entry, self.sequence);
+        match self.read(&call, id) {
+            Ok((request, errand)) => {
+                let admitted = Admitted {
+                    request,
+                    errand,
+                    outcome: call.outcome,
+                };
+                // Blocks while the decisions are behind, which fills this duty's own ring:
+                // connections then refuse at once.
+                let _ = self.decide.send(DecideNote::Arrived(Box::new(admitted)));
+            }
+            Err(refusal) => {
+                log::info!(request:% = id, step = "admit", code = refusal.reason.code(); "refused");
+                let _ = call.outcome.try_send(Outcome::Refused(id, refusal));
+            }
+        }
+    }
+
+    fn read(&self, call: &Call, id: RequestId) -> Result<(Request, super::Errand), Refusal> {
+        if self.fleet.version == ConfigVersion::ZERO {
+            let detail = "no configuration has been read yet";
+            return Err(Refusal::not_run(RefusalReason::NoServer, detail));
+        }
+        CallReader::new(&self.fleet, call).read(id)
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/admit/call.rs
@@ -0,0 +1,19 @@
+//! A call as it came from a caller.
+
+use azureway_core::prelude::Timestamp;
+use flume::Sender;
+
+use crate::caller::{Head, Outcome};
+
+/// A call as it came from a caller, whole and within its bounds.
+#[derive(Debug)]
+pub struct Call {
+    /// The head.
+    pub head: Head,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When it arrived.
+    pub arrived: Timestamp,
+    /// Where the outcome goes.
+    pub outcome: Sender<Outcome>,
+}
--- /dev/null
+++ b/azureway-entry/src/admit/errand.rs
@@ -0,0 +1,22 @@
+//! What a relay carries to a backend server.
+
+use std::sync::Arc;
+
+use azureway_core::prelude::{IdempotencyKey, ServiceKind};
+
+/// What a relay carries to a backend server: the bytes that the decisions never see.
+#[derive(Clone, Debug)]
+pub struct Errand {
+    /// What stands behind the service.
+    pub kind: ServiceKind,
+    /// The method.
+    pub method: Box<str>,
+    /// The path at the backend server.
+    pub path: Box<str>,
+    /// The type of the body.
+    pub media: Box<str>,
+    /// The idempotency key, which the backend server may check itself.
+    pub key: Option<IdempotencyKey>,
+    /// The body.
+    pub body: Arc<[u8]>,
+}
--- /dev/null
+++ b/azureway-entry/src/admit/mod.rs
@@ -0,0 +1,15 @@
+//! Who asks for what: from a call to a request that the decisions understand.
+
+mod admitted;
+mod admitter;
+mod call;
+mod errand;
+mod note;
+mod reader;
+
+pub use admitted::Admitted;
+pub use admitter::Admitter;
+pub use call::Call;
+pub use errand::Errand;
+pub use note::AdmitNote;
+pub use reader::CallReader;
--- /dev/null
+++ b/azureway-entry/src/admit/note.rs
@@ -0,0 +1,16 @@
+//! What the admitting duty is told.
+
+use std::sync::Arc;
+
+use azureway_core::prelude::Fleet;
+
+use super::Call;
+
+/// What the admitting duty is told.
+#[derive(Debug)]
+pub enum AdmitNote {
+    /// A call came.
+    Call(Box<Call>),
+    /// A version of the configuration was read.
+    Adopt(Arc<Fleet>),
+}
--- /dev/null
+++ b/azureway-entry/src/admit/reader.rs
@@ -0,0 +1,215 @@
+//! Reading a call.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_wire::chat::ChatRequest;
+use azureway_wire::header;
+
+use super::{Call, Errand};
+
+/// Reads a call against the configuration in force.
+#[derive(Debug)]
+pub struct CallReader<'a> {
+    fleet: &'a Fleet,
+    call: &'a Call,
+}
+
+/// The path of the chat-completions interface.
+const CHAT_PATH: &str = "/v1/chat/completions";
+/// What the paths of plain services begin with; the service's name follows.
+const PLAIN_PREFIX: &str = "/services/";
+/// The tokens that an answer is taken to have where the caller sets no bound.
+const DEFAULT_OUTPUT: TokenCount = TokenCount::new(512);
+
+impl<'a> CallReader<'a> {
+    /// Creates a reader of `call`.
+    pub const fn new(fleet: &'a Fleet, call: &'a Call) -> Self {
+        Self { fleet, call }
+    }
+
+    /// Returns the request with identity `id`, and what a relay carries of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that tells the caller what is wrong with the call.
+    pub fn read(&self, id: RequestId) -> Result<(Request, Errand), Refusal> {
+        let account = self.account()?;
+        match self.call.head.path.as_ref() {
+            CHAT_PATH => self.chat(id, account),
+            path => match path.strip_prefix(PLAIN_PREFIX) {
+                Some(rest) => self.plain(id, account, rest),
+                None => Err(Refusal::not_run(
+                    RefusalReason::UnknownService,
+                    "no such path",
+                )),
+            },
+        }
+    }
+
+    fn account(&self) -> Result<&'a ClientAccount, Refusal> {
+        let detail = "the Authorization header must be `Bearer` and a known API key";
+        let refusal = || Refusal::not_run(RefusalReason::Unauthorized, detail);
+        let value = self
+            .call
+            .head
+            .get(header::AUTHORIZATION)
+            .ok_or_else(refusal)?;
+        let key = value.strip_prefix("Bearer ").ok_or_else(refusal)?;
+        self.fleet
+            .account_of(&KeyHash::of(key.trim()))
+            .ok_or_else(refusal)
+    }
+
+    fn chat(&self, id: RequestId, account: &ClientAccount) -> Result<(Request, Errand), Refusal> {
+        if self.call.head.method.as_ref() != "POST" {
+            return Err(malformed("this path takes POST"));
+        }
+        let chat: ChatRequest<'_> = serde_json::from_slice(&self.call.body)
+            .map_err(|e| malformed(&format!("the body is no chat-completions request: {e}")))?;
+        let service = self.service(&chat.model, ServiceKind::Model)?;
+        let salt = Salt::new(&account.id, &service.id, service.weights);
+        let output = chat.max_tokens.map_or(DEFAULT_OUTPUT, TokenCount::new);
+        let request = self.request(id, account, service, chat.chain(salt), output)?;
+        let body = if chat.stream {
+            self.call.body.clone()
+        } else {
+            streamed(&self.call.body)?
+        };
+        Ok((request, self.errand(ServiceKind::Model, CHAT_PATH, body)))
+    }
+
+    fn plain(
+        &self,
+        id: RequestId,
+        account: &ClientAccount,
+        rest: &str,
+    ) -> Result<(Request, Errand), Refusal> {
+        let (name, _) = rest.split_once('/').unwrap_or((rest, ""));
+        let service = self.service(name, ServiceKind::Plain)?;
+        let salt = Salt::new(&account.id, &service.id, service.weights);
+        let chain = BlockChain::new(salt, []);
+        let request = self.request(id, account, service, chain, TokenCount::new(1))?;
+        let path = format!("/{}", &rest[name.len()..].trim_start_matches('/'));
+        Ok((
+            request,
+            self.errand(ServiceKind::Plain, &path, self.call.body.clone()),
+        ))
+    }
+
+    fn service(&self, name: &str, kind: ServiceKind) -> Result<&'a ModelService, Refusal> {
+        let service = self.fleet.services.get(name).filter(|s| s.kind == kind);
+        service.ok_or_else(|| {
+            let detail = format!("no service `{name}` is configured for this path");
+            Refusal::not_run(RefusalReason::UnknownService, &detail)
+        })
+    }
+
+    fn request(
+        &self,
+        id: RequestId,
+        account: &ClientAccount,
+        service: &ModelService,
+        chain: BlockChain,
+        output: TokenCount,
+    ) -> Result<Request, Refusal> {
+        let rank = self.header(header::RANK, "`urgent` or `drafting`", Rank::parse)?;
+        let rank = rank.unwrap_or(Rank::Drafting);
+        let worth = self.header(header::WORTH, "a whole number", |t| u64::from_str(t).ok())?;
+        let (account_name, service_name) = (account.id.as_str(), service.id.as_str());
+        Ok(Request {
+            id,
+            account: account.id.clone(),
+            service: service.id.clone(),
+            rank,
+            kind: self.kind(service)?,
+            worth: Worth::new(worth.unwrap_or(1)),
+            deadline: self.deadline(rank)?,
+            arrived: self.call.arrived,
+            weights: service.weights,
+            chain,
+            output,
+            key: self
+                .call
+                .head
+                .get(header::IDEMPOTENCY_KEY)
+                .map(IdempotencyKey::new),
+            fingerprint: Fingerprint::of(account_name, service_name, &self.call.body),
+        })
+    }
+
+    fn kind(&self, service: &ModelService) -> Result<RequestKind, Refusal> {
+        let expected = "`repeatable` or `at-most-once`";
+        let asked = self.header(header::KIND, expected, RequestKind::parse)?;
+        let reads = matches!(self.call.head.method.as_ref(), "GET" | "HEAD");
+        let configured = if reads {
+            RequestKind::Repeatable
+        } else {
+            service.calls
+        };
+        // A caller can only make the rule stricter than the operator's.
+        let strict = [asked, Some(configured)].contains(&Some(RequestKind::AtMostOnce));
+        Ok(if strict {
+            RequestKind::AtMostOnce
+        } else {
+            RequestKind::Repeatable
+        })
+    }
+
+    fn deadline(&self, rank: Rank) -> Result<Deadline, Refusal> {
+        let expected = "a whole number of milliseconds";
+        let millis = self.header(header::DEADLINE, expected, |t| i64::from_str(t).ok())?;
+        let patience = match millis.map(u64::try_from) {
+            None => self.fleet.rules.patience(rank),
+            Some(Ok(millis)) if millis > 0 => Duration::from_millis(millis),
+            Some(_) => {
+                let detail = "the deadline has passed";
+                return Err(Refusal::not_run(RefusalReason::Deadline, detail));
+            }
+        };
+        Ok(Deadline::new(self.call.arrived + patience))
+    }
+
+    fn header<T>(
+        &self,
+        name: &str,
+        expected: &str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Result<Option<T>, Refusal> {
+        let Some(text) = self.call.head.get(name) else {
+            return Ok(None);
+        };
+        match read(text.trim()) {
+            Some(value) => Ok(Some(value)),
+            None => Err(malformed(&format!("header {name}: expected {expected}"))),
+        }
+    }
+
+    fn errand(&self, kind: ServiceKind, path: &str, body: Vec<u8>) -> Errand {
+        let head = &self.call.head;
+        Errand {
+            kind,
+            method: head.method.clone(),
+            path: path.into(),
+            media: head
+                .get("content-type")
+                .unwrap_or("application/json")
+                .into(),
+            key: head.get(header::IDEMPOTENCY_KEY).map(IdempotencyKey::new),
+            body: body.into(),
+        }
+    }
+}
+
+fn malformed(detail: &str) -> Refusal {
+    Refusal::not_run(RefusalReason::Malformed, detail)
+}
+
+/// Returns the body with the answer asked for as a stream.
+fn streamed(body: &[u8]) -> Result<Vec<u8>, Refusal> {
+    let mut value: serde_json::Value =
+        serde_json::from_slice(body).map_err(|e| malformed(&e.to_string()))?;
+    value["stream"] = true.into();
+    serde_json::to_vec(&value).map_err(|e| malformed(&e.to_string()))
+}
--- /dev/null
+++ b/azureway-entry/src/caller/answer.rs
@@ -0,0 +1,144 @@
+//! The answer to one request.
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+
+use azureway_core::prelude::*;
+use azureway_wire::error::ErrorBody;
+use chunked_transfer::Encoder;
+use flume::Receiver;
+
+use super::{Outcome, Piece, Responder, WholeAnswer};
+
+/// The answer to one request, over all its tries: passed on as it comes or gathered whole.
+pub struct Answer<'a> {
+    stream: &'a TcpStream,
+    streamed: bool,
+    whole: WholeAnswer,
+    progress: Option<StreamProgress>,
+    writer: Option<Encoder<&'a TcpStream>>,
+    id: Option<RequestId>,
+}
+
+impl<'a> Answer<'a> {
+    /// Creates the answer to a caller that asked for a stream or not.
+    pub fn new(stream: &'a TcpStream, streamed: bool) -> Self {
+        let whole = WholeAnswer::new();
+        Self {
+            stream,
+            streamed,
+            whole,
+            progress: None,
+            writer: None,
+            id: None,
+        }
+    }
+
+    /// Returns the identity of the request, once it is known.
+    pub const fn id(&self) -> Option<RequestId> {
+        self.id
+    }
+
+    /// Writes the answer as the outcomes come.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller hangs up.
+    pub fn run(&mut self, outcomes: &Receiver<Outcome>) -> io::Result<()> {
+        loop {
+            match next(outcomes) {
+                Outcome::Refused(id, refusal) => return self.refuse(id, &refusal),
+                Outcome::Attached(attempt, position, pieces) => {
+                    self.attach(attempt, position);
+                    if self.pass_on(attempt, &pieces)? {
+                        return Ok(());
+                    }
+                }
+            }
+        }
+    }
+
+    fn attach(&mut self, attempt: Attempt, position: StreamPosition) {
+        self.id = Some(attempt.id);
+        let progress = self
+            .progress
+            .get_or_insert_with(|| StreamProgress::new(attempt));
+        progress.follow(attempt);
+        log::debug!(request:% = attempt.id, step = "attach", position:% = position; "a try begins");
+    }
+
+    /// Passes on the pieces of one try. Returns whether the answer is complete.
+    fn pass_on(&mut self, attempt: Attempt, pieces: &Receiver<Piece>) -> io::Result<bool> {
+        while let Ok(piece) = pieces.recv() {
+            match piece {
+                Piece::Event(position, data) => self.event(attempt, position, &data)?,
+                Piece::Whole(status, media, body) => {
+                    self.responder().whole(status, &media, &body)?;
+                    return Ok(true);
+                }
+                Piece::End => return self.end().map(|()| true),
+            }
+        }
+        Ok(false)
+    }
+
+    fn event(&mut self, attempt: Attempt, position: StreamPosition, data: &str) -> io::Result<()> {
+        let progress = self
+            .progress
+            .get_or_insert_with(|| StreamProgress::new(attempt));
+        match progress.accept(attempt, position) {
+            Delivery::Stale => Ok(()),
+            Delivery::Gap => Err(io::Error::other("events of the stream are missing")),
+            Delivery::Next if self.streamed => {
+                self.write(&format!("id: {position}\ndata: {data}\n\n"))
+            }
+            Delivery::Next => {
+                self.whole.push(data);
+                Ok(())
+            }
+        }
+    }
+
+    fn end(&mut self) -> io::Result<()> {
+        if self.streamed {
+            return self.write("");
+        }
+        let body = std::mem::take(&mut self.whole).into_body();
+        self.responder().whole(200, "application/json", &body)
+    }
+
+    fn refuse(&mut self, id: RequestId, refusal: &Refusal) -> io::Result<()> {
+        self.id = Some(id);
+        if self.writer.is_none() {
+            return self.responder().refuse(refusal);
+        }
+        let body = serde_json::to_string(&ErrorBody::from(refusal))?;
+        self.write(&format!("event: error\ndata: {body}\n\n"))
+    }
+
+    /// Writes text as one chunk, after the head if it is the first.
+    fn write(&mut self, text: &str) -> io::Result<()> {
+        if self.writer.is_none() {
+            self.writer = Some(self.responder().stream()?);
+        }
+        match &mut self.writer {
+            // The encoder takes an empty write for the end of the stream.
+            Some(writer) if !text.is_empty() => writer.write_all(text.as_bytes()),
+            _ => Ok(()),
+        }
+    }
+
+    fn responder(&self) -> Responder<'a> {
+        let responder = Responder::new(self.stream);
+        self.id
+            .map_or(responder, |id| Responder::new(self.stream).with_id(id))
+    }
+}
+
+/// Waits for an outcome. A request whose daemon is gone counts as refused.
+fn next(outcomes: &Receiver<Outcome>) -> Outcome {
+    outcomes.recv().unwrap_or_else(|_| {
+        let refusal = Refusal::maybe_run(RefusalReason::ServerFailed, "the instance has stopped");
+        Outcome::Refused(RequestId::new(0, 0), refusal)
+    })
+}
--- /dev/null
+++ b/azureway-entry/src/caller/connection.rs
@@ -0,0 +1,132 @@
+//! The duty of one caller's connection.
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use azureway_config::settings::Bounds;
+use azureway_core::prelude::{Refusal, RefusalReason};
+use azureway_wire::chat::ChatRequest;
+
+use super::{Answer, BadInput, BodyReader, Head, HeadReader, Responder, TimedStream};
+use crate::admit::{AdmitNote, Call};
+use crate::daemon::Doors;
+use crate::decide::DecideNote;
+use crate::meter::Measure;
+
+/// The duty of one caller's connection: reads one request and writes its answer.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    doors: Doors,
+    bounds: Bounds,
+}
+
+/// How long the answer to a bad request is kept from being lost to a reset.
+const LINGER: Duration = Duration::from_secs(1);
+/// How long a caller may take no byte of its answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
+/// The outcomes that a request can have before its connection takes one up.
+const OUTCOMES: usize = 16;
+
+impl Connection {
+    /// Creates the duty.
+    pub const fn new(stream: TcpStream, doors: Doors, bounds: Bounds) -> Self {
+        Self {
+            stream,
+            doors,
+            bounds,
+        }
+    }
+
+    /// Reads the request, answers it and closes the connection.
+    pub fn run(self) {
+        let _ = self.stream.set_nodelay(true);
+        let _ = self.stream.set_write_timeout(Some(WRITE_TIMEOUT));
+        let limit = Instant::now() + self.bounds.arrival;
+        match self.receive(limit) {
+            Ok((head, body)) => self.answer(head, body),
+            Err(BadInput::Closed) => {}
+            Err(input) => self.reject(input),
+        }
+    }
+
+    fn receive(&self, limit: Instant) -> Result<(Head, Vec<u8>), BadInput> {
+        let mut stream = TimedStream::new(&self.stream, limit);
+        let (head, early) = HeadReader::new(self.bounds.head).read(&mut stream)?;
+        let body = BodyReader::new(&head)?;
+        if head
+            .get("expect")
+            .is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
+        {
+            let _ = (&self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        let body = body.read(&early, &mut stream, self.bounds.body)?;
+        Ok((head, body))
+    }
+
+    fn reject(&self, input: BadInput) {
+        let responder = Responder::new(&self.stream);
+        let _ = responder.refuse(&Refusal::from(input));
+        responder.close();
+        // A close with unread bytes resets the connection, and the answer could be lost.
+        let mut rest = TimedStream::new(&self.stream, Instant::now() + LINGER);
+        let _ = io::copy(&mut rest, &mut io::sink());
+    }
+
+    fn answer(&self, head: Head, body: Vec<u8>) {
+        let responder = Responder::new(&self.stream);
+        let text = "text/plain; charset=utf-8";
+        let _ = match (head.method.as_ref(), head.path.as_ref()) {
+            ("GET", "/healthz") => responder.whole(200, text, b"ok\n"),
+            ("GET", "/readyz") if self.doors.is_ready() => responder.whole(200, text, b"ready\n"),
+            ("GET", "/readyz") => responder.whole(503, text, b"not ready\n"),
+            ("GET", "/metrics") => self.scrape(&responder),
+            _ => self.call(head, body),
+        };
+        responder.close();
+    }
+
+    fn scrape(&self, responder: &Responder<'_>) -> io::Result<()> {
+        let (reply, text) = flume::bounded(1);
+        let _ = self.doors.meter.send(Measure::Scrape(reply));
+        let text = text.recv().map_err(io::Error::other)?;
+        responder.whole(
+            200,
+            "application/openmetrics-text; version=1.0.0; charset=utf-8",
+            text.as_bytes(),
+        )
+    }
+
+    fn call(&self, head: Head, body: Vec<u8>) -> io::Result<()> {
+        let stream = head.path.starts_with("/v1/") && wants_stream(&body);
+        let (outcome, outcomes) = flume::bounded(OUTCOMES);
+        let call = Call {
+            head,
+            body,
+            arrived: self.doors.clock.now(),
+            outcome,
+        };
+        if self
+            .doors
+            .admit
+            .try_send(AdmitNote::Call(Box::new(call)))
+            .is_err()
+        {
+            let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
+            let refusal = refusal.with_retry(Duration::from_secs(1));
+            return Responder::new(&self.stream).refuse(&refusal);
+        }
+        let mut answer = Answer::new(&self.stream, stream);
+        let result = answer.run(&outcomes);
+        if let (Err(_), Some(id)) = (&result, answer.id()) {
+            let _ = self.doors.decide.send(DecideNote::HungUp(id));
+        }
+        result
+    }
+}
+
+fn wants_stream(body: &[u8]) -> bool {
+    let chat = serde_json::from_slice::<ChatRequest<'_>>(body);
+    chat.is_ok_and(|c| c.stream)
+}
--- /dev/null
+++ b/azureway-entry/src/caller/head.rs
@@ -0,0 +1,68 @@
+//! The head of a request.
+
+use super::BadInput;
+
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// The method.
+    pub method: Box<str>,
+    /// The path with its query.
+    pub path: Box<str>,
+    headers: Vec<(Box<str>, Box<str>)>,
+}
+
+/// The headers of a request at most.
+const HEADERS_MAX: usize = 64;
+
+impl Head {
+    /// Reads a head from the start of `bytes`. Returns it with its length, or `None` if it
+    /// is not complete yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no head of an HTTP/1.1 request.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, BadInput> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut request = httparse::Request::new(&mut headers);
+        let status = request.parse(bytes).map_err(|e| match e {
+            httparse::Error::TooManyHeaders => BadInput::HeadTooLarge,
+            _ => BadInput::BadHead,
+        })?;
+        let httparse::Status::Complete(length) = status else {
+            return Ok(None);
+        };
+        let method = request.method.ok_or(BadInput::BadHead)?;
+        let path = request.path.ok_or(BadInput::BadHead)?;
+        let headers = request
+            .headers
+            .iter()
+            .map(owned)
+            .collect::<Result<_, _>>()?;
+        Ok(Some((
+            Self {
+                method: method.into(),
+                path: path.into(),
+                headers,
+            },
+            length,
+        )))
+    }
+
+    /// Returns the first value of the header with the lower-case `name`.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let named = self.headers.iter().find(|(n, _)| n.as_ref() == name);
+        named.map(|(_, value)| value.as_ref())
+    }
+
+    /// Returns every value of the header with the lower-case `name`.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let named = self.headers.iter().filter(move |(n, _)| n.as_ref() == name);
+        named.map(|(_, value)| value.as_ref())
+    }
+}
+
+fn owned(header: &httparse::Header<'_>) -> Result<(Box<str>, Box<str>), BadInput> {
+    let value = std::str::from_utf8(header.value).map_err(|_| BadInput::BadHead)?;
+    Ok((header.name.to_ascii_lowercase().into(), value.trim().into()))
+}
--- /dev/null
+++ b/azureway-entry/src/caller/mod.rs
@@ -0,0 +1,27 @@
+//! The callers' side: connections, heads, bodies and answers.
+
+mod answer;
+mod bad_input;
+mod body_reader;
+mod connection;
+mod head;
+mod head_reader;
+mod listener;
+mod outcome;
+mod piece;
+mod responder;
+mod timed_stream;
+mod whole_answer;
+
+pub use answer::Answer;
+pub use bad_input::BadInput;
+pub use body_reader::BodyReader;
+pub use connection::Connection;
+pub use head::Head;
+pub use head_reader::HeadReader;
+pub use listener::Listener;
+pub use outcome::Outcome;
+pub use piece::Piece;
+pub use responder::Responder;
+pub use timed_stream::TimedStream;
+pub use whole_answer::WholeAnswer;
--- /dev/null
+++ b/azureway-entry/src/caller/piece.rs
@@ -0,0 +1,14 @@
+//! A piece of an answer.
+
+use azureway_core::prelude::StreamPosition;
+
+/// A piece of an answer, from a relay to a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Piece {
+    /// An event of a stream at its position.
+    Event(StreamPosition, Box<str>),
+    /// A whole answer: status, media type and body.
+    Whole(u16, Box<str>, Vec<u8>),
+    /// The answer is complete.
+    End,
+}
--- /dev/null
+++ b/azureway-entry/src/caller/responder.rs
@@ -0,0 +1,115 @@
+//! Writing answers.
+
+use std::fmt::Write as _;
+use std::io::{self, Write};
+use std::net::{Shutdown, TcpStream};
+
+use azureway_core::prelude::{Refusal, RequestId};
+use azureway_wire::error::{ErrorBody, status_of};
+use azureway_wire::header;
+use chunked_transfer::Encoder;
+
+/// Writes the answer to one request. Each answer ends its connection.
+#[derive(Debug)]
+pub struct Responder<'a> {
+    stream: &'a TcpStream,
+    id: Option<RequestId>,
+}
+
+/// The media type of JSON.
+const JSON: &str = "application/json";
+/// The media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
+impl<'a> Responder<'a> {
+    /// Creates a writer to `stream`.
+    pub const fn new(stream: &'a TcpStream) -> Self {
+        Self { stream, id: None }
+    }
+
+    /// Names the request on the answer.
+    #[must_use]
+    pub const fn with_id(mut self, id: RequestId) -> Self {
+        self.id = Some(id);
+        self
+    }
+
+    /// Writes a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller has hung up.
+    pub fn whole(&self, status: u16, media: &str, body: &[u8]) -> io::Result<()> {
+        self.send(status, media, body, "")
+    }
+
+    /// Writes a refusal.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller has hung up.
+    pub fn refuse(&self, refusal: &Refusal) -> io::Result<()> {
+        let body = serde_json::to_vec(&ErrorBody::from(refusal))?;
+        let after = refusal.retry_after.map(|t| t.as_millis().div_ceil(1000));
+        let retry = after
+            .map(|s| format!("retry-after: {s}\r\n"))
+            .unwrap_or_default();
+        self.send(status_of(refusal.reason), JSON, &body, &retry)
+    }
+
+    /// Writes the head of a stream and returns the writer of its events.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller has hung up.
+    pub fn stream(&self) -> io::Result<Encoder<&'a TcpStream>> {
+        let mut head = self.head(200, EVENT_STREAM);
+        head.push_str("cache-control: no-store\r\ntransfer-encoding: chunked\r\n\r\n");
+        let mut stream = self.stream;
+        stream.write_all(head.as_bytes())?;
+        Ok(Encoder::with_flush_after_write(stream))
+    }
+
+    /// Tells the caller that nothing more comes.
+    pub fn close(&self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
+    fn send(&self, status: u16, media: &str, body: &[u8], extra: &str) -> io::Result<()> {
+        let mut head = self.head(status, media);
+        let _ = write!(head, "content-length: {}\r\n{extra}\r\n", body.len());
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(body);
+        let mut stream = self.stream;
+        stream.write_all(&bytes)
+    }
+
+    fn head(&self, status: u16, media: &str) -> String {
+        let reason = reason(status);
+        let mut head =
+            format!("HTTP/1.1 {status} {reason}\r\nconnection: close\r\ncontent-type: {media}\r\n");
+        if let Some(id) = self.id {
+            let _ = write!(head, "{}: {id}\r\n", header::REQUEST_ID);
+        }
+        head
+    }
+}
+
+const fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/daemon/doors.rs
@@ -0,0 +1,35 @@
+//! What a connection reaches of the daemon.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use flume::Sender;
+
+use crate::admit::AdmitNote;
+use crate::clock::Clock;
+use crate::decide::DecideNote;
+use crate::meter::Measure;
+
+/// What a connection reaches of the daemon: the rings of the other duties.
+#[derive(Clone, Debug)]
+pub struct Doors {
+    /// The admitting duty.
+    pub admit: Sender<AdmitNote>,
+    /// The deciding duty.
+    pub decide: Sender<DecideNote>,
+    /// The measuring duty.
+    pub meter: Sender<Measure>,
+    /// The clock.
+    pub clock: Clock,
+    /// A ring that ends when the last connection does; nothing is ever sent on it.
+    pub guard: Sender<()>,
+    /// Whether the daemon serves.
+    pub ready: Arc<AtomicBool>,
+}
+
+impl Doors {
+    /// Tells whether the daemon serves: it has a configuration and is not shutting down.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/daemon/entry.rs
@@ -0,0 +1,125 @@
+//! One entry daemon.
+
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use azureway_config::settings::EntrySettings;
+use azureway_core::prelude::*;
+use azureway_platform::HttpObjects;
+use flume::{Receiver, Sender};
+
+use super::Rings;
+use crate::admit::Admitter;
+use crate::caller::Listener;
+use crate::decide::{DecideNote, Decider};
+use crate::hear::Hearers;
+use crate::meter::Meter;
+use crate::relay::Launcher;
+use crate::watch::Watcher;
+
+/// One entry daemon, running.
+#[derive(Debug)]
+pub struct Entry {
+    address: SocketAddr,
+    decide: Sender<DecideNote>,
+    watch: Sender<()>,
+    alive: Receiver<()>,
+    served: Receiver<()>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Entry {
+    /// Starts every duty.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound or a thread cannot be started.
+    pub fn start(settings: &EntrySettings) -> Result<Self, Error> {
+        let mark = process_mark(settings);
+        let (rings, bounds) = (Rings::new(settings.bounds.ring), &settings.bounds);
+        let stop = Arc::new(AtomicBool::new(false));
+        let listener = Listener::new(
+            settings.listen,
+            rings.doors(),
+            bounds.clone(),
+            Arc::clone(&stop),
+        )?;
+        let address = listener.address()?;
+        let decider = decider(settings, &rings);
+        let admitter = Admitter::new(rings.admit_notes, rings.decide.clone(), mark);
+        let api = HttpObjects::new(settings.platform);
+        let watcher = Watcher::new(api, rings.admit, rings.decide.clone(), rings.halt, mark);
+        let meter = Meter::new(rings.measures);
+        let threads = vec![
+            spawn("decide", move || decider.run())?,
+            spawn("accept", move || listener.run())?,
+        ];
+        // These hold nothing that has to be finished, and a watch may wait for some seconds:
+        // a shutdown leaves them to end by themselves.
+        spawn("meter", move || meter.run())?;
+        spawn("admit", move || admitter.run())?;
+        spawn("watch", move || watcher.run())?;
+        log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
+        Ok(Self {
+            address,
+            decide: rings.decide,
+            watch: rings.watch,
+            alive: rings.alive,
+            served: rings.served,
+            stop,
+            threads,
+        })
+    }
+
+    /// Returns the address that callers reach.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the first configuration is in force.
+    pub fn wait_ready(&self) {
+        let _ = self.served.recv();
+    }
+
+    /// Shuts down: refuses new requests, finishes every stream, then stops all duties.
+    pub fn drain(self) {
+        let (drained, done) = flume::bounded(1);
+        let _ = self.decide.send(DecideNote::Drain(drained));
+        let _ = done.recv();
+        self.stop.store(true, Ordering::Release);
+        // Wakes the accepting duty, which then sees that it has to stop.
+        let _ = TcpStream::connect(self.address);
+        let _ = self.watch.try_send(());
+        // The ring ends when the last connection has written its answer.
+        let _ = self.alive.recv();
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Returns the deciding duty.
+fn decider(settings: &EntrySettings, rings: &Rings) -> Decider<PrefixLoad> {
+    let config = RouterConfig::new(settings.zone.clone()).with_queue(settings.bounds.queue);
+    let router = Router::new(config, PrefixLoad::new());
+    let launcher = Launcher::new(rings.decide.clone(), settings.bounds.clone());
+    Decider::new(router, rings, launcher, Hearers::new(rings.decide.clone()))
+}
+
+fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Error> {
+    let thread = thread::Builder::new().name(name.to_owned()).spawn(duty);
+    thread.map_err(|e| Error::new(ErrorKind::System, Step::new("start thread"), e).with_peer(name))
+}
+
+/// Returns a number that differs between processes, to mark the identities of requests.
+fn process_mark(settings: &EntrySettings) -> u64 {
+    let start = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let seed = PrefixKey::new(start.as_nanos());
+    Rendezvous::new(seed).weight(&ServerId::new(settings.instance.as_str()))
+}
--- /dev/null
+++ b/azureway-entry/src/daemon/rings.rs
@@ -0,0 +1,85 @@
+//! The rings between the duties.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use flume::{Receiver, Sender};
+
+use super::Doors;
+use crate::admit::AdmitNote;
+use crate::clock::Clock;
+use crate::decide::DecideNote;
+use crate::meter::Measure;
+
+/// Both ends of every ring between the duties, and what the duties share.
+#[derive(Debug)]
+pub struct Rings {
+    /// To the admitting duty.
+    pub admit: Sender<AdmitNote>,
+    /// At the admitting duty.
+    pub admit_notes: Receiver<AdmitNote>,
+    /// To the deciding duty.
+    pub decide: Sender<DecideNote>,
+    /// At the deciding duty.
+    pub decide_notes: Receiver<DecideNote>,
+    /// To the measuring duty.
+    pub meter: Sender<Measure>,
+    /// At the measuring duty.
+    pub measures: Receiver<Measure>,
+    /// To the watching duty, to stop it.
+    pub watch: Sender<()>,
+    /// At the watching duty.
+    pub halt: Receiver<()>,
+    /// Held by every connection; nothing is sent on it.
+    pub guard: Sender<()>,
+    /// Ends when the last connection does.
+    pub alive: Receiver<()>,
+    /// Told when the first configuration is in force.
+    pub serve: Sender<()>,
+    /// Hears when the first configuration is in force.
+    pub served: Receiver<()>,
+    /// Whether the daemon serves.
+    pub ready: Arc<AtomicBool>,
+    /// The clock.
+    pub clock: Clock,
+}
+
+impl Rings {
+    /// Creates rings of `size` messages.
+    pub fn new(size: usize) -> Self {
+        let (admit, admit_notes) = flume::bounded(size);
+        let (decide, decide_notes) = flume::bounded(size);
+        let (meter, measures) = flume::bounded(size);
+        let (watch, halt) = flume::bounded(1);
+        let (guard, alive) = flume::bounded(0);
+        let (serve, served) = flume::bounded(1);
+        Self {
+            admit,
+            admit_notes,
+            decide,
+            decide_notes,
+            meter,
+            measures,
+            watch,
+            halt,
+            guard,
+            alive,
+            serve,
+            served,
+            ready: Arc::new(AtomicBool::new(false)),
+            clock: Clock::new(),
+        }
+    }
+
+    /// Returns what a connection reaches.
+    pub fn doors(&self) -> Doors {
+        Doors {
+            admit: self.admit.clone(),
+            decide: self.decide.clone(),
+            meter: self.meter.clone(),
+            clock: self.clock,
+            guard: self.guard.clone(),
+            ready: Arc::clone(&self.ready),
+        }
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/decide/callers.rs
@@ -0,0 +1,59 @@
+//! The callers whose requests are not finished.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use azureway_core::prelude::{Refusal, RequestId};
+
+use super::Caller;
+use crate::admit::Admitted;
+use crate::caller::Outcome;
+
+/// The callers whose requests are not finished.
+#[derive(Debug, Default)]
+pub struct Callers {
+    callers: HashMap<RequestId, Caller>,
+}
+
+impl Callers {
+    /// Creates an empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds the caller of an admitted request.
+    pub fn insert(&mut self, admitted: Admitted) {
+        let Admitted {
+            request,
+            errand,
+            outcome,
+        } = admitted;
+        let caller = Caller {
+            errand: Arc::new(errand),
+            outcome,
+            rank: request.rank,
+            arrived: request.arrived,
+            prompt: request.chain.tokens(),
+            begun: false,
+        };
+        self.callers.insert(request.id, caller);
+    }
+
+    /// Returns a caller.
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut Caller> {
+        self.callers.get_mut(&id)
+    }
+
+    /// Takes a caller out.
+    pub fn remove(&mut self, id: RequestId) -> Option<Caller> {
+        self.callers.remove(&id)
+    }
+
+    /// Tells a caller that its request is refused.
+    pub fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+        if let Some(caller) = self.remove(id) {
+            // A caller that hung up has no ring any more, and nothing is owed to it.
+            let _ = caller.outcome.try_send(Outcome::Refused(id, refusal));
+        }
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/decide/decider.rs
@@ -0,0 +1,187 @@
+//! The deciding duty.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use azureway_core::prelude::*;
+use flume::{Receiver, RecvTimeoutError, Sender};
+
+use super::{Callers, DecideNote};
+use crate::caller::Outcome;
+use crate::clock::Clock;
+use crate::daemon::Rings;
+use crate::hear::Hearers;
+use crate::meter::Measure;
+use crate::relay::Launcher;
+
+/// The deciding duty: tells the core what happened and carries out what it wants done.
+#[derive(Debug)]
+pub struct Decider<P> {
+    router: Router<P>,
+    notes: Receiver<DecideNote>,
+    clock: Clock,
+    callers: Callers,
+    launcher: Launcher,
+    hearers: Hearers,
+    meter: Sender<Measure>,
+    ready: Arc<AtomicBool>,
+    serve: Sender<()>,
+    actions: Vec<Action>,
+    drained: Option<Sender<()>>,
+}
+
+impl<P: Policy> Decider<P> {
+    /// Creates the duty.
+    pub fn new(router: Router<P>, rings: &Rings, launcher: Launcher, hearers: Hearers) -> Self {
+        Self {
+            router,
+            notes: rings.decide_notes.clone(),
+            clock: rings.clock,
+            callers: Callers::new(),
+            launcher,
+            hearers,
+            meter: rings.meter.clone(),
+            ready: Arc::clone(&rings.ready),
+            serve: rings.serve.clone(),
+            actions: Vec::new(),
+            drained: None,
+        }
+    }
+
+    /// Runs until the daemon has drained.
+    pub fn run(mut self) {
+        while !self.is_drained() {
+            match self.receive() {
+                Ok(note) => self.take(note),
+                Err(RecvTimeoutError::Timeout) => self.tell(Event::Tick),
+                Err(RecvTimeoutError::Disconnected) => break,
+            }
+            self.carry_out();
+        }
+        self.hearers.stop();
+        if let Some(drained) = self.drained {
+            let _ = drained.try_send(());
+        }
+    }
+
+    fn is_drained(&self) -> bool {
+        self.drained.is_some() && self.router.active() == 0
+    }
+
+    fn receive(&self) -> Result<DecideNote, RecvTimeoutError> {
+        match self.router.next_wakeup() {
+            Some(time) => self.notes.recv_deadline(self.clock.instant(time)),
+            None => self
+                .notes
+                .recv()
+                .map_err(|_| RecvTimeoutError::Disconnected),
+        }
+    }
+
+    fn tell(&mut self, event: Event<'_>) {
+        self.router
+            .handle(event, self.clock.now(), &mut self.actions);
+    }
+
+    fn take(&mut self, note: DecideNote) {
+        match note {
+            DecideNote::Arrived(admitted) => {
+                let request = admitted.request.clone();
+                self.callers.insert(*admitted);
+                self.tell(Event::Arrived(&request));
+            }
+            DecideNote::HungUp(id) => {
+                self.callers.remove(id);
+                self.tell(Event::HungUp(id));
+            }
+            DecideNote::Started(attempt) => {
+                self.note_start(attempt);
+                self.tell(Event::Started(attempt));
+            }
+            DecideNote::Finished(finish) => {
+                self.note_finish(&finish);
+                self.tell(Event::Finished(&finish));
+            }
+            DecideNote::Failed(failure) => {
+                log::warn!(request:% = failure.attempt.id, step = "relay", kind:? = failure.kind; "a try failed");
+                self.tell(Event::Failed(&failure));
+            }
+            DecideNote::Load(report) => self.tell(Event::Load(&report)),
+            DecideNote::Cache(run) => self.tell(Event::Cache(&run.view())),
+            DecideNote::Adopt(fleet) => self.adopt(&fleet),
+            DecideNote::Drain(drained) => {
+                self.ready.store(false, Ordering::Release);
+                self.drained = Some(drained);
+                self.tell(Event::Draining);
+            }
+        }
+    }
+
+    fn adopt(&mut self, fleet: &Fleet) {
+        if fleet.version <= self.router.fleet().version {
+            return;
+        }
+        self.tell(Event::Configured(fleet));
+        self.hearers.adopt(fleet);
+        self.measure(Measure::Configured(fleet.version));
+        self.ready.store(self.drained.is_none(), Ordering::Release);
+        // Only the first one finds a place; whoever waits needs no more.
+        let _ = self.serve.try_send(());
+        log::info!(step = "configure", version:% = fleet.version; "a configuration is in force");
+    }
+
+    fn carry_out(&mut self) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Dispatch(order) => self.dispatch(order),
+                Action::Refuse(id, refusal) => {
+                    log::info!(request:% = id, step = "decide", code = refusal.reason.code(); "refused");
+                    self.measure(Measure::Refused(refusal.reason));
+                    self.callers.refuse(id, refusal);
+                }
+                // The relay has lost its ring with the caller and stops by itself.
+                Action::Cancel(attempt) => self.measure(Measure::Cancelled(attempt)),
+                Action::Resync(server) => self.hearers.resync(&server),
+            }
+        }
+        self.actions = actions;
+    }
+
+    fn dispatch(&mut self, order: Dispatch) {
+        let id = order.attempt.id;
+        log::debug!(request:% = id, step = "dispatch", peer:% = order.server; "sent");
+        if order.attempt.number > 1 {
+            self.measure(Measure::Retried);
+        }
+        let Some(caller) = self.callers.get_mut(id) else {
+            return;
+        };
+        let (attempt, position) = (order.attempt, order.position);
+        let pieces = self.launcher.launch(order, Arc::clone(&caller.errand));
+        let _ = caller
+            .outcome
+            .try_send(Outcome::Attached(attempt, position, pieces));
+    }
+
+    fn note_start(&mut self, attempt: Attempt) {
+        let now = self.clock.now();
+        let Some(caller) = self.callers.get_mut(attempt.id).filter(|c| !c.begun) else {
+            return;
+        };
+        caller.begun = true;
+        let measure = Measure::Started(caller.rank, now.since(caller.arrived));
+        self.measure(measure);
+    }
+
+    fn note_finish(&mut self, finish: &Finish) {
+        if let Some(caller) = self.callers.remove(finish.attempt.id) {
+            self.measure(Measure::Finished(caller.rank, caller.prompt, finish.cached));
+        }
+    }
+
+    /// Passes a measure on. One that finds the ring full is lost: decisions do not wait.
+    fn measure(&self, measure: Measure) {
+        let _ = self.meter.try_send(measure);
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/decide/mod.rs
@@ -0,0 +1,13 @@
+//! The deciding duty: the core with its clock, its callers and its helpers.
+
+mod cache_run;
+mod caller;
+mod callers;
+mod decider;
+mod note;
+
+pub use cache_run::CacheRun;
+pub use caller::Caller;
+pub use callers::Callers;
+pub use decider::Decider;
+pub use note::DecideNote;
--- /dev/null
+++ b/azureway-entry/src/decide/note.rs
@@ -0,0 +1,32 @@
+//! What the deciding duty is told.
+
+use std::sync::Arc;
+
+use azureway_core::prelude::{Attempt, Failure, Finish, Fleet, LoadReport, RequestId};
+use flume::Sender;
+
+use super::CacheRun;
+use crate::admit::Admitted;
+
+/// What the deciding duty is told.
+#[derive(Debug)]
+pub enum DecideNote {
+    /// A request was admitted.
+    Arrived(Box<Admitted>),
+    /// The caller of a request hung up.
+    HungUp(RequestId),
+    /// A backend server began to answer.
+    Started(Attempt),
+    /// A try ended well.
+    Finished(Finish),
+    /// A try failed.
+    Failed(Failure),
+    /// A backend server told of its load.
+    Load(LoadReport),
+    /// A backend server told of its cache.
+    Cache(CacheRun),
+    /// A version of the configuration was read.
+    Adopt(Arc<Fleet>),
+    /// The daemon shuts down; the ring is told when nothing is left to do.
+    Drain(Sender<()>),
+}
--- /dev/null
+++ b/azureway-entry/src/hear/hearers.rs
@@ -0,0 +1,89 @@
+//! The hearing threads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::thread;
+
+use azureway_core::prelude::*;
+use flume::Sender;
+
+use super::{Hearer, Listening};
+use crate::decide::DecideNote;
+
+/// The hearing threads, one for each model engine of the configuration.
+#[derive(Debug)]
+pub struct Hearers {
+    decide: Sender<DecideNote>,
+    listening: BTreeMap<ServerId, Arc<Listening>>,
+}
+
+/// The stack of a hearing thread, in bytes.
+const STACK_SIZE: usize = 256 * 1024;
+
+impl Hearers {
+    /// Creates an empty set whose threads report to `decide`.
+    pub const fn new(decide: Sender<DecideNote>) -> Self {
+        Self {
+            decide,
+            listening: BTreeMap::new(),
+        }
+    }
+
+    /// Starts and stops threads so that each model engine of `fleet` is heard.
+    pub fn adopt(&mut self, fleet: &Fleet) {
+        let engines = engines(fleet);
+        self.listening.retain(|id, listening| {
+            let kept = engines
+                .iter()
+                .any(|s| s.id == *id && s.address == listening.address());
+            if !kept {
+                listening.stop();
+            }
+            kept
+        });
+        for server in engines {
+            if !self.listening.contains_key(&server.id) {
+                self.start(server);
+            }
+        }
+    }
+
+    /// Asks a server for the whole content of its cache.
+    pub fn resync(&self, server: &ServerId) {
+        if let Some(listening) = self.listening.get(server) {
+            listening.resync();
+        }
+    }
+
+    /// Stops every thread.
+    pub fn stop(&self) {
+        self.listening.values().for_each(|l| l.stop());
+    }
+
+    fn start(&mut self, server: &BackendServer) {
+        let listening = Arc::new(Listening::new(server.address));
+        let hearer = Hearer::new(
+            server.id.clone(),
+            Arc::clone(&listening),
+            self.decide.clone(),
+        );
+        let thread = thread::Builder::new()
+            .name("hear".to_owned())
+            .stack_size(STACK_SIZE);
+        match thread.spawn(move || hearer.run()) {
+            Ok(_) => {
+                self.listening.insert(server.id.clone(), listening);
+            }
+            Err(e) => log::error!(step = "hear", peer:% = server.id, error:% = e; "no thread"),
+        }
+    }
+}
+
+/// Returns the servers whose pool serves a model.
+fn engines(fleet: &Fleet) -> Vec<&BackendServer> {
+    let serves = |s: &&BackendServer| {
+        let of_pool = |m: &ModelService| m.pool == s.pool && m.kind == ServiceKind::Model;
+        fleet.services.values().any(of_pool)
+    };
+    fleet.servers.values().filter(serves).collect()
+}
--- /dev/null
+++ b/azureway-entry/src/lib.rs
@@ -0,0 +1,16 @@
+//! The entry daemon of azureway: it stands between callers and backend servers.
+//!
+//! Every duty has a thread of its own, and bounded rings join them. A request passes
+//! through `caller` (its connection), `admit` (who asks for what), `decide` (the core) and
+//! `relay` (the backend server), and its answer returns from the relay to the connection
+//! through a ring that belongs to the one try alone.
+
+pub mod admit;
+pub mod caller;
+pub mod clock;
+pub mod daemon;
+pub mod decide;
+pub mod hear;
+pub mod meter;
+pub mod relay;
+pub mod watch;
--- /dev/null
+++ b/azureway-entry/src/main.rs
@@ -0,0 +1,64 @@
+//! The entry daemon's program.
+
+use std::fs;
+
+use anyhow::{Context, Result};
+use azureway_config::settings;
+use azureway_entry::daemon::Entry;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+fn main() -> Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    run(&command().get_matches())
+}
+
+fn command() -> Command {
+    Command::new("azureway-entry")
+        .about("Stands between callers and backend servers")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .help("The settings, in INI"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Checks the settings and exits"),
+        )
+}
+
+fn run(matches: &ArgMatches) -> Result<()> {
+    let path: &String = matches
+        .get_one("settings")
+        .context("--settings is required")?;
+    let text = fs::read_to_string(path).with_context(|| format!("read settings {path}"))?;
+    let settings = settings::parse(&text).with_context(|| format!("check settings {path}"))?;
+    if matches.get_flag("check") {
+        println!("{path}: the settings are good");
+        return Ok(());
+    }
+    let mut signals = Signals::new([SIGINT, SIGTERM]).context("wait for signals")?;
+    let entry = Entry::start(&settings)?;
+    wait(&mut signals);
+    entry.drain();
+    log::info!(step = "stop"; "drained");
+    Ok(())
+}
+
+/// Waits for the first signal, and reports later ones while the daemon drains.
+fn wait(signals: &mut Signals) {
+    let first = signals.forever().next();
+    log::info!(step = "stop", signal:? = first; "draining");
+    if let Ok(mut more) = Signals::new([SIGINT, SIGTERM]) {
+        std::thread::spawn(move || {
+            for signal in more.forever() {
+                log::warn!(step = "stop", signal = signal; "still draining; streams are being finished");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/meter/reason_label.rs
@@ -0,0 +1,19 @@
+//! The label of a refusal.
+
+use azureway_core::prelude::RefusalReason;
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// The label of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// The stable code.
+    pub reason: &'static str,
+}
+
+impl From<RefusalReason> for ReasonLabel {
+    fn from(reason: RefusalReason) -> Self {
+        Self {
+            reason: reason.code(),
+        }
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/relay/launcher.rs
@@ -0,0 +1,67 @@
+//! Starting relays.
+
+use std::sync::Arc;
+use std::thread;
+
+use azureway_config::settings::Bounds;
+use azureway_core::prelude::*;
+use flume::{Receiver, Sender};
+
+use super::RelayTry;
+use crate::admit::Errand;
+use crate::caller::Piece;
+use crate::decide::DecideNote;
+
+/// Starts a relay for each try. The decisions bound how many there are by the slots of the
+/// backend servers.
+#[derive(Clone, Debug)]
+pub struct Launcher {
+    decide: Sender<DecideNote>,
+    bounds: Bounds,
+}
+
+/// The pieces that wait for a caller's connection; a relay that finds the ring full waits,
+/// and the backend server is held back by its connection.
+const PIECES: usize = 64;
+/// The stack of a relay's thread, in bytes.
+const STACK_SIZE: usize = 256 * 1024;
+
+impl Launcher {
+    /// Creates a launcher whose relays report to `decide`.
+    pub const fn new(decide: Sender<DecideNote>, bounds: Bounds) -> Self {
+        Self { decide, bounds }
+    }
+
+    /// Starts a relay and returns the ring of its answer.
+    pub fn launch(&self, order: Dispatch, errand: Arc<Errand>) -> Receiver<Piece> {
+        let (sender, pieces) = flume::bounded(PIECES);
+        let attempt = order.attempt;
+        let relay = RelayTry::new(
+            order,
+            errand,
+            self.bounds.clone(),
+            sender,
+            self.decide.clone(),
+        );
+        let thread = thread::Builder::new()
+            .name("relay".to_owned())
+            .stack_size(STACK_SIZE);
+        if let Err(e) = thread.spawn(move || relay.run()) {
+            log::error!(request:% = attempt.id, step = "relay", error:% = e; "no thread");
+            self.report_unsent(attempt);
+        }
+        pieces
+    }
+
+    fn report_unsent(&self, attempt: Attempt) {
+        let failure = Failure {
+            attempt,
+            kind: FailureKind::Unreachable,
+            sent: SendState::Unsent,
+            position: StreamPosition::ZERO,
+        };
+        // The deciding duty itself runs this and must not wait for its own ring. If the note
+        // is lost, the connection sees the ring of pieces end and the request's deadline ends it.
+        let _ = self.decide.try_send(DecideNote::Failed(failure));
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/relay/relay_try.rs
@@ -0,0 +1,213 @@
+//! One try at a backend server.
+
+use std::io::{BufRead, BufReader, Read};
+use std::sync::Arc;
+
+use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
+use azureway_config::settings::Bounds;
+use azureway_core::prelude::*;
+use azureway_wire::chat::UsageFrame;
+use azureway_wire::header;
+use azureway_wire::sse::SseLine;
+use flume::Sender;
+
+use super::Trouble;
+use crate::admit::Errand;
+use crate::caller::Piece;
+use crate::decide::DecideNote;
+
+/// One try at a backend server: sends the request and passes the answer on.
+#[derive(Debug)]
+pub struct RelayTry {
+    order: Dispatch,
+    errand: Arc<Errand>,
+    bounds: Bounds,
+    pieces: Sender<Piece>,
+    decide: Sender<DecideNote>,
+    next: StreamPosition,
+    cached: TokenCount,
+    output: TokenCount,
+}
+
+/// The bytes of a whole answer at most.
+const WHOLE_MAX: u64 = 16 * 1024 * 1024;
+/// The bytes of a line of a stream at most.
+const LINE_MAX: u64 = 1024 * 1024;
+
+impl RelayTry {
+    /// Creates a try.
+    pub fn new(
+        order: Dispatch,
+        errand: Arc<Errand>,
+        bounds: Bounds,
+        pieces: Sender<Piece>,
+        decide: Sender<DecideNote>,
+    ) -> Self {
+        let next = order.position;
+        let (cached, output) = (TokenCount::ZERO, TokenCount::ZERO);
+        Self {
+            order,
+            errand,
+            bounds,
+            pieces,
+            decide,
+            next,
+            cached,
+            output,
+        }
+    }
+
+    /// Runs the try and reports how it ended.
+    pub fn run(mut self) {
+        let attempt = self.order.attempt;
+        match self.serve() {
+            Ok(()) => {
+                let finish = Finish {
+                    attempt,
+                    cached: self.cached,
+                    output: self.output,
+                };
+                let _ = self.decide.send(DecideNote::Finished(finish));
+            }
+            // The connection itself has reported that its caller is gone.
+            Err(Trouble::Unwanted) => {}
+            Err(Trouble::Server(kind, sent)) => {
+                let failure = Failure {
+                    attempt,
+                    kind,
+                    sent,
+                    position: self.next,
+                };
+                let _ = self.decide.send(DecideNote::Failed(failure));
+            }
+        }
+    }
+
+    fn serve(&mut self) -> Result<(), Trouble> {
+        let answer = self.request()?.send().map_err(|e| Trouble::of_send(&e))?;
+        match self.errand.kind {
+            ServiceKind::Plain => self.pass_whole(answer),
+            ServiceKind::Model => match Trouble::of_status(answer.status().as_u16()) {
+                Some(trouble) => Err(trouble),
+                None if answer.is_success() => self.pass_stream(answer),
+                None => self.pass_whole(answer),
+            },
+        }
+    }
+
+    fn request(&self) -> Result<RequestBuilder<attohttpc::body::Bytes<Arc<[u8]>>>, Trouble> {
+        let faulty = Trouble::Server(FailureKind::Faulty, SendState::Unsent);
+        let method = Method::from_bytes(self.errand.method.as_bytes()).map_err(|_| faulty)?;
+        let url = format!("http://{}{}", self.order.address, self.errand.path);
+        let order = &self.order;
+        let request = RequestBuilder::try_new(method, url).map_err(|_| faulty)?;
+        let mut request = request
+            .connect_timeout(self.bounds.connect)
+            .read_timeout(self.bounds.gap)
+            .follow_redirects(false)
+            .proxy_settings(attohttpc::ProxySettings::builder().build())
+            .try_header("content-type", self.errand.media.as_ref())
+            .map_err(|_| faulty)?
+            .header(header::ATTEMPT, order.attempt.to_string())
+            .header(header::RANK, order.rank.as_str())
+            .header(header::SALT, order.salt.number().to_string())
+            .header(header::WEIGHTS, order.weights.to_string())
+            .header(header::RESUME, order.position.to_string());
+        if let Some(incarnation) = order.incarnation {
+            request = request.header(header::INCARNATION, incarnation.to_string());
+        }
+        if let Some(key) = &self.errand.key {
+            request = request
+                .try_header(header::IDEMPOTENCY_KEY, key.as_str())
+                .map_err(|_| faulty)?;
+        }
+        Ok(request.bytes(Arc::clone(&self.errand.body)))
+    }
+
+    fn pass_whole(&mut self, answer: Response) -> Result<(), Trouble> {
+        let (status, headers, reader) = answer.split();
+        let media = headers.get("content-type").and_then(|v| v.to_str().ok());
+        let media = media.unwrap_or("application/octet-stream").into();
+        let mut body = Vec::new();
+        reader
+            .take(WHOLE_MAX)
+            .read_to_end(&mut body)
+            .map_err(|e| Trouble::of_read(&e))?;
+        self.note_start();
+        self.pass(Piece::Whole(status.as_u16(), media, body))
+    }
+
+    fn pass_stream(&mut self, answer: Response) -> Result<(), Trouble> {
+        let (_, _, reader) = answer.split();
+        let mut reader = BufReader::new(reader);
+        let mut line = String::new();
+        let mut position = self.next;
+        let mut data = String::new();
+        loop {
+            read_line(&mut reader, &mut line)?;
+            match SseLine::parse(&line) {
+                SseLine::Id(id) => position = StreamPosition::new(id),
+                SseLine::Data(text) => data.push_str(text),
+                SseLine::End if data.is_empty() => {}
+                SseLine::End => {
+                    self.event(position, &data)?;
+                    if data == SseLine::DONE {
+                        return self.pass(Piece::End);
+                    }
+                    data.clear();
+                    position = self.next;
+                }
+                SseLine::Other => {}
+            }
+        }
+    }
+
+    fn event(&mut self, position: StreamPosition, data: &str) -> Result<(), Trouble> {
+        if position < self.next {
+            return Ok(());
+        }
+        if position > self.next {
+            // Events are missing: the stream is resumed where it stopped.
+            return Err(Trouble::Server(FailureKind::Broken, SendState::MaybeRun));
+        }
+        if self.next == self.order.position {
+            self.note_start();
+        }
+        self.note_usage(data);
+        self.pass(Piece::Event(position, data.into()))?;
+        self.next = position.next();
+        self.output += TokenCount::new(1);
+        Ok(())
+    }
+
+    fn note_start(&self) {
+        let _ = self.decide.send(DecideNote::Started(self.order.attempt));
+    }
+
+    fn note_usage(&mut self, data: &str) {
+        if !data.contains("\"usage\"") {
+            return;
+        }
+        let frame = serde_json::from_str::<UsageFrame>(data).unwrap_or_default();
+        if let Some(usage) = frame.usage {
+            self.cached = TokenCount::new(usage.prompt_details.cached_tokens);
+        }
+    }
+
+    fn pass(&self, piece: Piece) -> Result<(), Trouble> {
+        self.pieces.send(piece).map_err(|_| Trouble::Unwanted)
+    }
+}
+
+/// Reads one line. The end of the answer before its last event is a failure.
+fn read_line(reader: &mut BufReader<ResponseReader>, line: &mut String) -> Result<(), Trouble> {
+    line.clear();
+    let count = reader
+        .take(LINE_MAX)
+        .read_line(line)
+        .map_err(|e| Trouble::of_read(&e))?;
+    if count == 0 || !line.ends_with('\n') {
+        return Err(Trouble::Server(FailureKind::Broken, SendState::MaybeRun));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/azureway-entry/src/relay/trouble.rs
@@ -0,0 +1,52 @@
+//! Why a try did not end well.
+
+use std::io;
+
+use azureway_core::prelude::{FailureKind, SendState};
+
+/// Why a try did not end well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// The caller is gone, and nobody waits for the answer.
+    Unwanted,
+    /// The backend server failed or refused.
+    Server(FailureKind, SendState),
+}
+
+impl Trouble {
+    /// Reads the trouble of a request that could not be sent or whose head did not come.
+    pub fn of_send(error: &attohttpc::Error) -> Self {
+        match error.kind() {
+            // Only a refused connection proves that no byte has arrived.
+            attohttpc::ErrorKind::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                Self::Server(FailureKind::Unreachable, SendState::Unsent)
+            }
+            attohttpc::ErrorKind::Io(e) => Self::of_read(e),
+            _ => Self::Server(FailureKind::Faulty, SendState::MaybeRun),
+        }
+    }
+
+    /// Reads the trouble of an answer that broke off.
+    pub fn of_read(error: &io::Error) -> Self {
+        let silent = matches!(
+            error.kind(),
+            io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
+        );
+        let kind = if silent {
+            FailureKind::Silent
+        } else {
+            FailureKind::Broken
+        };
+        Self::Server(kind, SendState::MaybeRun)
+    }
+
+    /// Reads the trouble that a model engine's status tells, if it tells one.
+    pub const fn of_status(status: u16) -> Option<Self> {
+        match status {
+            409 => Some(Self::Server(FailureKind::Mismatch, SendState::Rejected)),
+            429 | 503 => Some(Self::Server(FailureKind::Busy, SendState::Rejected)),
+            500..=599 => Some(Self::Server(FailureKind::Faulty, SendState::MaybeRun)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/watch/mod.rs
@@ -0,0 +1,5 @@
+//! The watching duty: the configuration as the platform holds it.
+
+mod watcher;
+
+pub use watcher::Watcher;
