--- /dev/null
+++ b/azureway-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line of azureway.
--- /dev/null
+++ b/azureway-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
--- a/azureway-core/tests/support/mod.rs
+++ b/azureway-core/tests/support/mod.rs
@@ -82,20 +82,26 @@
 
 /// Returns the orders among actions.
 pub fn orders(actions: &[Action]) -> Vec<&Dispatch> {
-    let order = |a| match a {
-        Action::Dispatch(order) => Some(order),
-        _ => None,
-    };
-    actions.iter().filter_map(order).collect()
+    actions.iter().filter_map(as_order).collect()
 }
 
 /// Returns the refusals among actions.
 pub fn refusals(actions: &[Action]) -> Vec<&Refusal> {
-    let refusal = |a| match a {
+    actions.iter().filter_map(as_refusal).collect()
+}
+
+fn as_order(action: &Action) -> Option<&Dispatch> {
+    match action {
+        Action::Dispatch(order) => Some(order),
+        _ => None,
+    }
+}
+
+fn as_refusal(action: &Action) -> Option<&Refusal> {
+    match action {
         Action::Refuse(_, refusal) => Some(refusal),
         _ => None,
-    };
-    actions.iter().filter_map(refusal).collect()
+    }
 }
 
 /// The failure of an order.
--- /dev/null
+++ b/azureway-dev/src/engine/engine_config.rs
@@ -0,0 +1,46 @@
+//! The size and speed of an engine.
+
+use std::time::Duration;
+
+use azureway_core::prelude::{TokenRate, WeightsVersion};
+
+/// The size and speed of an engine.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// The weights version that it has loaded.
+    pub weights: WeightsVersion,
+    /// The requests that it runs at once.
+    pub slots: u32,
+    /// The speed at which it computes prompt tokens.
+    pub prefill: TokenRate,
+    /// The time between two tokens of an answer.
+    pub interval: Duration,
+    /// The blocks that its cache holds.
+    pub blocks: usize,
+}
+
+impl EngineConfig {
+    /// Creates an engine of 8 slots, 8,000 prompt tokens a second, 20 ms a token and 64 blocks.
+    pub const fn new() -> Self {
+        Self {
+            weights: WeightsVersion::new(1),
+            slots: 8,
+            prefill: TokenRate::new(8_000),
+            interval: Duration::from_millis(20),
+            blocks: 64,
+        }
+    }
+
+    /// Sets the time between two tokens.
+    #[must_use]
+    pub const fn with_interval(mut self, interval: Duration) -> Self {
+        self.interval = interval;
+        self
+    }
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/engine/event_log.rs
@@ -0,0 +1,52 @@
+//! The numbered cache events of an engine.
+
+use azureway_core::prelude::CacheOp;
+
+/// The numbered cache events of an engine, of which it keeps the last ones.
+#[derive(Clone, Debug, Default)]
+pub struct EventLog {
+    first: u64,
+    ops: Vec<CacheOp>,
+}
+
+/// The events that are kept.
+const KEPT: usize = 4_096;
+
+impl EventLog {
+    /// Creates an empty log.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of the next event.
+    pub fn next(&self) -> u64 {
+        self.first + self.ops.len() as u64
+    }
+
+    /// Adds events.
+    pub fn extend(&mut self, ops: Vec<CacheOp>) {
+        self.ops.extend(ops);
+        let surplus = self.ops.len().saturating_sub(KEPT);
+        self.lose(surplus);
+    }
+
+    /// Loses the `count` oldest events that are kept.
+    pub fn lose(&mut self, count: usize) {
+        let count = count.min(self.ops.len());
+        self.ops.drain(..count);
+        self.first += count as u64;
+    }
+
+    /// Returns the events from number `from` on, as far as they are kept, with the number
+    /// of the first one.
+    pub fn since(&self, from: u64) -> (u64, &[CacheOp]) {
+        let from = from.clamp(self.first, self.next());
+        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
+        (from, &self.ops[skip..])
+    }
+
+    /// Forgets everything and numbers from 0 again.
+    pub fn clear(&mut self) {
+        *self = Self::new();
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/engine/mod.rs
@@ -0,0 +1,17 @@
+//! A stand-in for a model engine.
+
+mod block_cache;
+mod chat_event;
+mod engine_config;
+mod engine_service;
+mod engine_state;
+mod event_log;
+mod generation;
+
+pub use block_cache::BlockCache;
+pub use chat_event::ChatEvent;
+pub use engine_config::EngineConfig;
+pub use engine_service::Engine;
+pub use engine_state::EngineState;
+pub use event_log::EventLog;
+pub use generation::Generation;
--- /dev/null
+++ b/azureway-dev/src/http/event_writer.rs
@@ -0,0 +1,49 @@
+//! Streams of events.
+
+use std::io::{self, Write};
+
+use tiny_http::Request;
+
+/// Writes a stream of events. The library hands out its connection as a boxed `dyn Write`,
+/// which this type keeps to itself.
+pub struct EventWriter {
+    out: Box<dyn Write + Send + 'static>,
+}
+
+impl EventWriter {
+    /// Takes over the connection of `request` and writes the head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller is gone.
+    pub fn new(request: Request) -> io::Result<Self> {
+        let mut out = request.into_writer();
+        out.write_all(
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\
+              transfer-encoding: chunked\r\n\r\n",
+        )?;
+        out.flush()?;
+        Ok(Self { out })
+    }
+
+    /// Writes one event with its position.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller is gone.
+    pub fn event(&mut self, position: u64, data: &str) -> io::Result<()> {
+        let text = format!("id: {position}\ndata: {data}\n\n");
+        write!(self.out, "{:x}\r\n{text}\r\n", text.len())?;
+        self.out.flush()
+    }
+
+    /// Ends the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller is gone.
+    pub fn end(mut self) -> io::Result<()> {
+        self.out.write_all(b"0\r\n\r\n")?;
+        self.out.flush()
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/http/reply.rs
@@ -0,0 +1,34 @@
+//! Whole answers.
+
+use serde::Serialize;
+use tiny_http::{Header, Request, Response};
+
+/// Writes whole answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Reply;
+
+impl Reply {
+    /// Answers with a value as JSON.
+    pub fn json(request: Request, status: u16, value: &impl Serialize) {
+        let body = serde_json::to_string(value).unwrap_or_default();
+        let media = Header::from_bytes("content-type", "application/json");
+        let response = Response::from_string(body).with_status_code(status);
+        let response = media.into_iter().fold(response, Response::with_header);
+        // A caller that is gone needs no answer.
+        let _ = request.respond(response);
+    }
+
+    /// Answers with a short text.
+    pub fn text(request: Request, status: u16, text: &str) {
+        let _ = request.respond(Response::from_string(text).with_status_code(status));
+    }
+
+    /// Returns the value of the header with the lower-case `name`.
+    pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+        let named = request
+            .headers()
+            .iter()
+            .find(|h| h.field.as_str().as_str().eq_ignore_ascii_case(name));
+        named.map(|h| h.value.as_str())
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/http/service.rs
@@ -0,0 +1,9 @@
+//! What a stand-in does with a request.
+
+use tiny_http::Request;
+
+/// What a stand-in does with a request.
+pub trait Service: Send + Sync + 'static {
+    /// Answers the request. Runs on a thread of its own.
+    fn answer(&self, request: Request);
+}
--- /dev/null
+++ b/azureway-dev/src/lib.rs
@@ -0,0 +1,7 @@
+//! Stand-ins for what azureway meets, for tests, trials and benches. No daemon links this.
+
+pub mod engine;
+pub mod http;
+pub mod plain;
+pub mod platform;
+pub mod serve;
--- /dev/null
+++ b/azureway-dev/src/main.rs
@@ -0,0 +1,59 @@
+//! The developers' program: stand-ins and trials on loopback.
+
+use anyhow::{Context, Result};
+use azureway_config::settings::Bounds;
+use azureway_dev::engine::EngineConfig;
+use azureway_dev::serve::{Layout, System};
+use clap::Command;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+fn main() -> Result<()> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    match command().get_matches().subcommand_name() {
+        Some("serve") => serve(),
+        _ => Ok(()),
+    }
+}
+
+fn command() -> Command {
+    Command::new("azureway-dev")
+        .about("Stand-ins and trials for developers of azureway")
+        .subcommand_required(true)
+        .subcommand(Command::new("serve").about("Runs a whole system on loopback until Ctrl-C"))
+}
+
+fn serve() -> Result<()> {
+    let mut signals = Signals::new([SIGINT, SIGTERM]).context("wait for signals")?;
+    let layout = Layout::new();
+    let system = System::start(&layout, &EngineConfig::new(), &Bounds::new())?;
+    describe(&layout, &system);
+    signals.forever().next();
+    println!("draining");
+    system.drain();
+    println!("drained");
+    Ok(())
+}
+
+fn describe(layout: &Layout, system: &System) {
+    println!("platform  {}", system.platform_address());
+    let zones = layout
+        .zones
+        .iter()
+        .flat_map(|z| std::iter::repeat_n(z, layout.entries));
+    for (zone, address) in zones.zip(system.addresses()) {
+        println!("entry     {address}  {zone}");
+    }
+    let (Some(address), Some((_, key))) =
+        (system.addresses().first().copied(), layout.accounts.first())
+    else {
+        return;
+    };
+    println!(
+        "\ncurl -N http://{address}/v1/chat/completions -H 'Authorization: Bearer {key}' \\\n  \
+         -H 'Azureway-Rank: urgent' -d '{{\"model\":\"advice\",\"stream\":true,\
+         \"messages\":[{{\"role\":\"system\",\"content\":\"House rules\"}},\
+         {{\"role\":\"user\",\"content\":\"Which wax tomorrow?\"}}]}}'\n"
+    );
+    println!("Ctrl-C drains and ends.");
+}
--- /dev/null
+++ b/azureway-dev/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! A stand-in for the platform's object API.
+
+mod faults;
+mod platform_service;
+mod store;
+
+pub use faults::PlatformFaults;
+pub use platform_service::Platform;
+pub use store::Store;
--- /dev/null
+++ b/azureway-dev/src/platform/platform_service.rs
@@ -0,0 +1,152 @@
+//! The object API over HTTP.
+
+use std::io::Read;
+use std::sync::{Condvar, Mutex, MutexGuard};
+use std::time::Duration;
+
+use azureway_wire::object::ObjectList;
+use tiny_http::{Method, Request};
+
+use super::{PlatformFaults, Store};
+use crate::http::{Query, Reply, Service};
+
+/// A stand-in for the platform's object API.
+#[derive(Debug, Default)]
+pub struct Platform {
+    state: Mutex<(Store, PlatformFaults, u64)>,
+    changed: Condvar,
+}
+
+/// The largest value of an object, in bytes.
+const VALUE_MAX: usize = 1024 * 1024;
+
+impl Platform {
+    /// Creates an empty platform.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Writes an object as an operator would, without fault.
+    pub fn seed(&self, kind: &str, name: &str, value: &str) -> u64 {
+        let mut state = self.lock();
+        let expected = state.0.get(kind, name).map_or(0, |o| o.version);
+        let object = state.0.put(kind, name, value.to_owned(), expected);
+        self.changed.notify_all();
+        object.map_or(0, |o| o.version)
+    }
+
+    /// Returns the value of an object.
+    pub fn value(&self, kind: &str, name: &str) -> Option<String> {
+        self.lock().0.get(kind, name).map(|o| o.value.clone())
+    }
+
+    /// Changes what the platform does wrong.
+    pub fn set_faults(&self, faults: PlatformFaults) {
+        self.lock().1 = faults;
+        self.changed.notify_all();
+    }
+
+    /// Returns the calls that were made, a waiting watch as one.
+    pub fn calls(&self) -> u64 {
+        self.lock().2
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (Store, PlatformFaults, u64)> {
+        // A thread that panicked while it held the lock has already failed its test.
+        self.state
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    fn charge(&self) -> Option<u16> {
+        let mut state = self.lock();
+        state.2 += 1;
+        state.1.charge()
+    }
+
+    fn get(&self, request: Request, kind: &str, name: &str) {
+        let object = self.lock().0.get(kind, name).cloned();
+        match object {
+            Some(object) => Reply::json(request, 200, &object),
+            None => Reply::text(request, 404, "no such object"),
+        }
+    }
+
+    fn put(&self, mut request: Request, kind: &str, name: &str, expected: u64) {
+        let mut value = String::new();
+        let limit = VALUE_MAX as u64 + 1;
+        let read = request.as_reader().take(limit).read_to_string(&mut value);
+        if read.is_err() || value.len() > VALUE_MAX {
+            return Reply::text(request, 413, "the value is no text of at most a megabyte");
+        }
+        let mut state = self.lock();
+        let written = state.0.put(kind, name, value, expected);
+        let lost = written.is_some() && state.1.lose();
+        drop(state);
+        self.finish_write(request, written, lost);
+    }
+
+    fn delete(&self, request: Request, kind: &str, name: &str, expected: u64) {
+        let mut state = self.lock();
+        let written = state.0.delete(kind, name, expected);
+        let lost = written.is_some() && state.1.lose();
+        drop(state);
+        self.finish_write(request, written, lost);
+    }
+
+    fn finish_write(
+        &self,
+        request: Request,
+        written: Option<azureway_wire::object::ObjectBody>,
+        lost: bool,
+    ) {
+        self.changed.notify_all();
+        match written {
+            // Dropping the writer closes the connection without an answer.
+            Some(_) if lost => drop(request.into_writer()),
+            Some(object) => Reply::json(request, 200, &object),
+            None => Reply::text(request, 409, "the object has another version"),
+        }
+    }
+
+    fn watch(&self, request: Request, kind: &str, after: u64, wait: Duration) {
+        let quiet = |s: &mut (Store, PlatformFaults, u64)| {
+            !s.1.outage && s.0.list(kind, after).objects.is_empty()
+        };
+        let state = self.lock();
+        let waited = self.changed.wait_timeout_while(state, wait, quiet);
+        let (state, _) = waited.unwrap_or_else(std::sync::PoisonError::into_inner);
+        let (outage, list): (bool, ObjectList) = (state.1.outage, state.0.list(kind, after));
+        drop(state);
+        if outage {
+            return Reply::text(request, 503, "the platform is out");
+        }
+        Reply::json(request, 200, &list);
+    }
+}
+
+impl Service for Platform {
+    fn answer(&self, request: Request) {
+        if let Some(status) = self.charge() {
+            return Reply::text(request, status, "the call failed");
+        }
+        let url = request.url().to_owned();
+        let query = Query::new(&url);
+        let expected = query.number("expected");
+        let parts: Vec<&str> = query.path.split('/').skip(1).collect();
+        match (request.method().clone(), parts.as_slice()) {
+            (Method::Get, ["objects", kind]) => {
+                let list = self.lock().0.list(kind, 0);
+                Reply::json(request, 200, &list);
+            }
+            (Method::Get, ["objects", kind, name]) => self.get(request, kind, name),
+            (Method::Put, ["objects", kind, name]) => self.put(request, kind, name, expected),
+            (Method::Delete, ["objects", kind, name]) => self.delete(request, kind, name, expected),
+            (Method::Get, ["watch", kind]) => {
+                let wait = Duration::from_millis(query.number("wait_ms"));
+                self.watch(request, kind, query.number("after"), wait);
+            }
+            _ => Reply::text(request, 404, "no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/platform/store.rs
@@ -0,0 +1,67 @@
+//! The objects.
+
+use std::collections::BTreeMap;
+
+use azureway_wire::object::{ObjectBody, ObjectList};
+
+/// The objects of the platform, with one version counter over all of them.
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    version: u64,
+    objects: BTreeMap<(String, String), ObjectBody>,
+}
+
+impl Store {
+    /// Creates an empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns an object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<&ObjectBody> {
+        self.objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .filter(|o| !o.deleted)
+    }
+
+    /// Returns the objects of a kind that changed after `after`; all for 0.
+    pub fn list(&self, kind: &str, after: u64) -> ObjectList {
+        let of_kind = self.objects.iter().filter(|((k, _), _)| k == kind);
+        let changed = of_kind.filter(|(_, o)| o.version > after && (after > 0 || !o.deleted));
+        ObjectList {
+            version: self.version,
+            objects: changed.map(|(_, o)| o.clone()).collect(),
+        }
+    }
+
+    /// Writes an object if it has the expected version; 0 stands for none.
+    pub fn put(
+        &mut self,
+        kind: &str,
+        name: &str,
+        value: String,
+        expected: u64,
+    ) -> Option<ObjectBody> {
+        let version = self.get(kind, name).map_or(0, |o| o.version);
+        (version == expected).then(|| self.write(kind, name, value, false))
+    }
+
+    /// Deletes an object if it has the expected version.
+    pub fn delete(&mut self, kind: &str, name: &str, expected: u64) -> Option<ObjectBody> {
+        let object = self.get(kind, name)?;
+        (object.version == expected).then(|| self.write(kind, name, String::new(), true))
+    }
+
+    fn write(&mut self, kind: &str, name: &str, value: String, deleted: bool) -> ObjectBody {
+        self.version += 1;
+        let object = ObjectBody {
+            name: name.to_owned(),
+            version: self.version,
+            value,
+            deleted,
+        };
+        self.objects
+            .insert((kind.to_owned(), name.to_owned()), object.clone());
+        object
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/serve/layout.rs
@@ -0,0 +1,71 @@
+//! What stands where.
+
+use azureway_core::prelude::KeyHash;
+
+/// What stands where: zones, and how many of each process in a zone.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// The availability zones.
+    pub zones: Vec<&'static str>,
+    /// The model engines of a zone.
+    pub engines: usize,
+    /// The entry instances of a zone.
+    pub entries: usize,
+    /// The client accounts with their API keys.
+    pub accounts: Vec<(&'static str, &'static str)>,
+}
+
+impl Layout {
+    /// Creates the layout of three zones with three engines and two entries each.
+    pub fn new() -> Self {
+        Self {
+            zones: vec!["kranj-a", "maribor-a", "koper-a"],
+            engines: 3,
+            entries: 2,
+            accounts: vec![
+                ("wax-desk", "wax-desk-key"),
+                ("shop-drafts", "shop-drafts-key"),
+            ],
+        }
+    }
+
+    /// Sets the model engines of a zone.
+    #[must_use]
+    pub const fn with_engines(mut self, engines: usize) -> Self {
+        self.engines = engines;
+        self
+    }
+
+    /// Sets the entry instances of a zone.
+    #[must_use]
+    pub const fn with_entries(mut self, entries: usize) -> Self {
+        self.entries = entries;
+        self
+    }
+
+    /// Sets the availability zones.
+    #[must_use]
+    pub fn with_zones(mut self, zones: &[&'static str]) -> Self {
+        self.zones = zones.to_vec();
+        self
+    }
+
+    /// Returns the part of the document that does not name addresses.
+    pub fn document_head(&self) -> String {
+        let mut text = String::from(
+            "[pool engines]\nloads = 2\n[pool tills]\n\
+             [service advice]\npool = engines\n\
+             [service orders]\nkind = plain\npool = tills\ncalls = at-most-once\n",
+        );
+        for (name, key) in &self.accounts {
+            text.push_str(&format!("[account {name}]\nkeys = {}\n", KeyHash::of(key)));
+        }
+        text
+    }
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/serve/system.rs
@@ -0,0 +1,115 @@
+//! The running system.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Result;
+use azureway_config::settings::{Bounds, EntrySettings};
+use azureway_core::prelude::{InstanceId, ZoneId};
+use azureway_entry::daemon::Entry;
+
+use super::Layout;
+use crate::engine::{Engine, EngineConfig};
+use crate::http::StandIn;
+use crate::plain::PlainService;
+use crate::platform::Platform;
+
+/// A whole system on loopback: a platform, engines, plain services and entry daemons.
+pub struct System {
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// The engines, by zone and number.
+    pub engines: Vec<Arc<Engine>>,
+    /// The plain services, one a zone.
+    pub plains: Vec<Arc<PlainService>>,
+    /// The document that the system was started with.
+    pub document: String,
+    platform_server: StandIn,
+    servers: Vec<StandIn>,
+    entries: Vec<Entry>,
+}
+
+impl System {
+    /// Starts the stand-ins, writes the document and starts the entry daemons.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a port cannot be bound or a thread cannot be started.
+    pub fn start(layout: &Layout, engine: &EngineConfig, bounds: &Bounds) -> Result<Self> {
+        let platform = Arc::new(Platform::new());
+        let platform_server = StandIn::start(Arc::clone(&platform))?;
+        let document = layout.document_head();
+        let mut system = Self {
+            platform,
+            engines: Vec::new(),
+            plains: Vec::new(),
+            document,
+            platform_server,
+            servers: Vec::new(),
+            entries: Vec::new(),
+        };
+        for zone in &layout.zones {
+            system.add_zone(zone, layout, engine)?;
+        }
+        system.platform.seed("config", "document", &system.document);
+        for zone in &layout.zones {
+            system.add_entries(zone, layout, bounds)?;
+        }
+        Ok(system)
+    }
+
+    /// Returns the addresses that callers reach.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(Entry::address).collect()
+    }
+
+    /// Waits until every entry daemon has a configuration in force.
+    pub fn wait_ready(&self) {
+        self.entries.iter().for_each(Entry::wait_ready);
+    }
+
+    /// Returns the address of the platform.
+    pub const fn platform_address(&self) -> SocketAddr {
+        self.platform_server.address()
+    }
+
+    /// Drains every entry daemon, then stops the stand-ins.
+    pub fn drain(self) {
+        self.entries.into_iter().for_each(Entry::drain);
+    }
+
+    fn add_zone(&mut self, zone: &str, layout: &Layout, config: &EngineConfig) -> Result<()> {
+        for number in 1..=layout.engines {
+            let engine = Arc::new(Engine::new(config.clone()));
+            let name = format!("{zone}-engine-{number}");
+            self.add_server(&name, "engines", zone, StandIn::start(Arc::clone(&engine))?);
+            self.engines.push(engine);
+        }
+        let plain = Arc::new(PlainService::new());
+        let name = format!("{zone}-till");
+        self.add_server(&name, "tills", zone, StandIn::start(Arc::clone(&plain))?);
+        self.plains.push(plain);
+        Ok(())
+    }
+
+    fn add_server(&mut self, name: &str, pool: &str, zone: &str, server: StandIn) {
+        let address = server.address();
+        // Writing to a string does not fail.
+        let _ = write!(
+            self.document,
+            "[server {name}]\npool = {pool}\nzone = {zone}\naddress = {address}\n"
+        );
+        self.servers.push(server);
+    }
+
+    fn add_entries(&mut self, zone: &str, layout: &Layout, bounds: &Bounds) -> Result<()> {
+        for number in 1..=layout.entries {
+            let instance = InstanceId::new(&format!("{zone}-entry-{number}"));
+            let settings = EntrySettings::new(instance, ZoneId::new(zone), self.platform_address());
+            self.entries
+                .push(Entry::start(&settings.with_bounds(bounds.clone()))?);
+        }
+        Ok(())
+    }
+}
