Run a request that may not repeat at most once

Cause: the same idempotency key sent through two entries ran twice, since nothing was shared between them.

A claim by conditional create in the platform now comes before sending. The decisions are in the core (claim/), the calls in a duty of their own.

Before: two runs for one key in two zones.

--- /dev/null
+++ b/azureway-core/src/claim/asking.rs
@@ -0,0 +1,67 @@
+//! The calls that create a claim.
+
+use super::{ClaimNews, ClaimNonce, ClaimReply, ClaimStep};
+use crate::domain::RequestId;
+
+/// The calls that create a claim. Each reply leads to the next call or to the end.
+///
+/// A lost answer is resolved by reading the object: the nonce tells whether it is ours.
+#[derive(Clone, Debug)]
+pub struct ClaimAsking {
+    id: RequestId,
+    nonce: ClaimNonce,
+    failures: u32,
+}
+
+/// The calls without a useful answer after which the platform counts as unavailable.
+const FAILURES_MAX: u32 = 4;
+
+impl ClaimAsking {
+    /// Creates the calls for the claim of a request.
+    pub fn new(id: RequestId) -> Self {
+        Self {
+            id,
+            nonce: ClaimNonce::of(id),
+            failures: 0,
+        }
+    }
+
+    /// Returns the first call.
+    pub const fn first(&self) -> ClaimStep {
+        ClaimStep::Write(0)
+    }
+
+    /// Returns what follows from the reply to the last call.
+    pub fn next(&mut self, reply: ClaimReply) -> ClaimStep {
+        match reply {
+            ClaimReply::Written(version) => self.granted(version),
+            ClaimReply::Found(version, record) if record.nonce == self.nonce => {
+                self.granted(version)
+            }
+            ClaimReply::Found(_, record) => ClaimStep::Done(ClaimNews::Held(self.id, record)),
+            ClaimReply::Conflict => ClaimStep::Read,
+            // The holder gave the claim back, or a lost write did not take effect.
+            ClaimReply::Absent => self.retry(ClaimStep::Write(0)),
+            ClaimReply::Lost => self.retry(ClaimStep::Read),
+            ClaimReply::Limited => self.retry(ClaimStep::Write(0)),
+        }
+    }
+
+    /// Returns the calls that have had no useful answer.
+    pub const fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    const fn granted(&self, version: u64) -> ClaimStep {
+        ClaimStep::Done(ClaimNews::Granted(self.id, version))
+    }
+
+    fn retry(&mut self, step: ClaimStep) -> ClaimStep {
+        self.failures += 1;
+        if self.failures < FAILURES_MAX {
+            step
+        } else {
+            ClaimStep::Done(ClaimNews::Unavailable(self.id))
+        }
+    }
+}
--- /dev/null
+++ b/azureway-core/src/claim/book.rs
@@ -0,0 +1,297 @@
+//! The claims of one entry.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{
+    ClaimAsk, ClaimCall, ClaimName, ClaimNews, ClaimRecord, ClaimState, ClaimTicket, ClaimVerdict,
+    HeldClaim,
+};
+use crate::domain::{
+    Attempt, Deadline, ModelService, Refusal, RefusalReason, Request, RequestId, Timestamp,
+};
+use crate::event::{Action, Failure};
+use crate::fleet::ServerTable;
+
+/// The claims of one entry, by request.
+///
+/// A claim is asked for before its request may wait for a server, finished when the request
+/// has run, and given back only when it is certain that the request has not run and will not.
+#[derive(Debug, Default)]
+pub struct ClaimBook {
+    claims: BTreeMap<RequestId, HeldClaim>,
+    names: BTreeMap<ClaimName, RequestId>,
+}
+
+/// How long the platform is waited for: a claim whose answer is lost once is still resolved.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a claim may be used: far shorter than claims are kept.
+const USE_TIME: Duration = Duration::from_secs(60 * 60);
+/// When it is worth asking again for a claim that another sending holds.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl ClaimBook {
+    /// Creates an empty book.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the claims whose platform calls have not ended.
+    pub fn pending(&self) -> usize {
+        self.claims.values().filter(|c| is_pending(c)).count()
+    }
+
+    /// Tells whether a request may be sent: it holds its claim, or it needs none because it may
+    /// repeat, has no key, or goes to servers that check keys themselves.
+    pub fn covers(&self, request: &Request, service: &ModelService, servers: &ServerTable) -> bool {
+        let claim = self.claims.get(&request.id);
+        !request.is_claimed()
+            || matches!(claim, Some(HeldClaim::Held(_) | HeldClaim::Sent(..)))
+            || servers.all_keyed(&service.pool)
+    }
+
+    /// Asks for the claim of a request, which waits in the book meanwhile, or refuses a request
+    /// whose key this entry is already working on.
+    pub fn ask(&mut self, request: &Request, now: Timestamp) -> Action {
+        let name = name_of(request);
+        if self.names.contains_key(&name) {
+            return Action::Refuse(request.id, running());
+        }
+        let until = request.deadline.point().min(now + PATIENCE);
+        let claim = HeldClaim::Asking(Box::new(request.clone()), until);
+        self.claims.insert(request.id, claim);
+        self.names.insert(name, request.id);
+        Action::Claim(ClaimCall::Ask(ClaimAsk {
+            id: request.id,
+            name,
+            fingerprint: request.fingerprint,
+            until,
+        }))
+    }
+
+    /// Takes in what became of a call. A claim that nobody needs any more is given back.
+    pub fn hear(
+        &mut self,
+        news: &ClaimNews,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) -> ClaimVerdict {
+        match news {
+            ClaimNews::Granted(id, version) => self.grant(*id, *version, now, out),
+            ClaimNews::Held(id, record) => self.held(*id, record),
+            ClaimNews::Unavailable(id) => self.unavailable(*id, out),
+            ClaimNews::Unasked(id) => match self.remove(*id) {
+                Some(HeldClaim::Asking(..)) => ClaimVerdict::Refuse(unavailable()),
+                _ => ClaimVerdict::Nothing,
+            },
+            ClaimNews::Settled(id) => {
+                self.remove(*id);
+                ClaimVerdict::Nothing
+            }
+        }
+    }
+
+    /// Notes that the caller of a request has left. `whole` tells whether a server that runs
+    /// the request answers all the same.
+    pub fn hang_up(&mut self, id: RequestId, whole: bool, out: &mut Vec<Action>) {
+        match self.claims.get_mut(&id) {
+            Some(claim @ HeldClaim::Asking(..)) => drop_claim(claim),
+            // The server may still answer, and the caller may ask for that answer again.
+            Some(HeldClaim::Sent(_, _, left)) if whole => *left = true,
+            Some(HeldClaim::Sent(..)) => drop(self.remove(id)),
+            Some(HeldClaim::Held(_)) => self.release(id, out),
+            _ => {}
+        }
+    }
+
+    /// Notes that a request has run to its end.
+    pub fn finish(&mut self, attempt: Attempt, out: &mut Vec<Action>) {
+        let Some(HeldClaim::Sent(ticket, sent, _)) = self.claims.get(&attempt.id) else {
+            return;
+        };
+        if *sent != attempt {
+            return;
+        }
+        let ticket = *ticket;
+        self.claims
+            .insert(attempt.id, HeldClaim::Settling(ticket.name));
+        out.push(Action::Claim(ClaimCall::Finish(ticket)));
+    }
+
+    /// Notes the failure of a try whose caller has left; nobody refuses the request then.
+    pub fn fail(&mut self, failure: &Failure, out: &mut Vec<Action>) {
+        let id = failure.attempt.id;
+        match self.claims.get(&id) {
+            Some(HeldClaim::Sent(_, sent, true)) if *sent == failure.attempt => {
+                self.end(id, failure.sent.is_not_run(), out);
+            }
+            _ => {}
+        }
+    }
+
+    /// Refuses the requests for which the platform was waited long enough.
+    pub fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        for (id, claim) in &mut self.claims {
+            if matches!(claim, HeldClaim::Asking(_, until) if *until < now) {
+                drop_claim(claim);
+                out.push(Action::Refuse(*id, unavailable()));
+            }
+        }
+    }
+
+    /// Returns when the next request has waited long enough for the platform.
+    pub fn earliest(&self) -> Option<Timestamp> {
+        let asking = self.claims.values().filter_map(|c| match c {
+            HeldClaim::Asking(_, until) => Some(*until),
+            _ => None,
+        });
+        asking.min()
+    }
+
+    /// Follows what the router has decided from place `start` of `out` on: a request that was
+    /// sent uses its claim, and one that was refused gives it back if it has not run.
+    pub fn follow(&mut self, start: usize, out: &mut Vec<Action>) {
+        if self.claims.is_empty() {
+            return;
+        }
+        for place in start..out.len() {
+            match &out[place] {
+                Action::Dispatch(order) => self.send(order.attempt),
+                Action::Refuse(id, refusal) => {
+                    let (id, not_run) = (*id, refusal.not_run);
+                    self.end(id, not_run, out);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn grant(
+        &mut self,
+        id: RequestId,
+        version: u64,
+        now: Timestamp,
+        out: &mut Vec<Action>,
+    ) -> ClaimVerdict {
+        match self.claims.get(&id).cloned() {
+            Some(HeldClaim::Asking(mut request, _)) => {
+                let claim = HeldClaim::Held(ticket(&request, version));
+                self.claims.insert(id, claim);
+                // After a long pause the claim could be gone: it is not used then.
+                let last = request.deadline.point().min(now + USE_TIME);
+                request.deadline = Deadline::new(last);
+                ClaimVerdict::Go(request)
+            }
+            Some(HeldClaim::Dropped(ticket)) => {
+                let ticket = ClaimTicket { version, ..ticket };
+                self.claims.insert(id, HeldClaim::Held(ticket));
+                self.release(id, out);
+                ClaimVerdict::Nothing
+            }
+            _ => ClaimVerdict::Nothing,
+        }
+    }
+
+    fn held(&mut self, id: RequestId, record: &ClaimRecord) -> ClaimVerdict {
+        match self.remove(id) {
+            Some(HeldClaim::Asking(request, _)) => judge(&request, record),
+            _ => ClaimVerdict::Nothing,
+        }
+    }
+
+    fn unavailable(&mut self, id: RequestId, out: &mut Vec<Action>) -> ClaimVerdict {
+        let (ticket, verdict) = match self.claims.get(&id) {
+            Some(HeldClaim::Asking(request, _)) => {
+                (ticket(request, 0), ClaimVerdict::Refuse(unavailable()))
+            }
+            Some(HeldClaim::Dropped(ticket)) => (*ticket, ClaimVerdict::Nothing),
+            _ => return ClaimVerdict::Nothing,
+        };
+        // The claim may have been written all the same.
+        self.claims.insert(id, HeldClaim::Held(ticket));
+        self.release(id, out);
+        verdict
+    }
+
+    fn send(&mut self, attempt: Attempt) {
+        let claim = self.claims.get_mut(&attempt.id);
+        if let Some(HeldClaim::Held(ticket) | HeldClaim::Sent(ticket, ..)) = claim {
+            let sent = HeldClaim::Sent(*ticket, attempt, false);
+            self.claims.insert(attempt.id, sent);
+        }
+    }
+
+    /// Ends a claim whose request is over. One that may have run stays in the platform.
+    fn end(&mut self, id: RequestId, not_run: bool, out: &mut Vec<Action>) {
+        match self.claims.get(&id) {
+            Some(HeldClaim::Held(_) | HeldClaim::Sent(..)) if not_run => self.release(id, out),
+            Some(HeldClaim::Held(_) | HeldClaim::Sent(..)) => drop(self.remove(id)),
+            _ => {}
+        }
+    }
+
+    fn release(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let claim = self.claims.get(&id);
+        if let Some(HeldClaim::Held(ticket) | HeldClaim::Sent(ticket, ..)) = claim {
+            let ticket = *ticket;
+            self.claims.insert(id, HeldClaim::Settling(ticket.name));
+            out.push(Action::Claim(ClaimCall::Release(ticket)));
+        }
+    }
+
+    fn remove(&mut self, id: RequestId) -> Option<HeldClaim> {
+        self.names.retain(|_, holder| *holder != id);
+        self.claims.remove(&id)
+    }
+}
+
+fn name_of(request: &Request) -> ClaimName {
+    let key = request.key.as_ref().expect("a claim is asked for a key");
+    ClaimName::of(&request.account, key)
+}
+
+fn ticket(request: &Request, version: u64) -> ClaimTicket {
+    ClaimTicket {
+        id: request.id,
+        name: name_of(request),
+        fingerprint: request.fingerprint,
+        version,
+    }
+}
+
+fn drop_claim(claim: &mut HeldClaim) {
+    if let HeldClaim::Asking(request, _) = claim {
+        *claim = HeldClaim::Dropped(ticket(request, 0));
+    }
+}
+
+const fn is_pending(claim: &HeldClaim) -> bool {
+    !matches!(claim, HeldClaim::Held(_) | HeldClaim::Sent(..))
+}
+
+/// Tells what a claim that another sending holds means for a request.
+fn judge(request: &Request, record: &ClaimRecord) -> ClaimVerdict {
+    if record.fingerprint != request.fingerprint {
+        let detail = "the idempotency key was used for another request";
+        return ClaimVerdict::Refuse(Refusal::maybe_run(RefusalReason::Duplicate, detail));
+    }
+    match &record.state {
+        ClaimState::Open => ClaimVerdict::Refuse(running()),
+        ClaimState::Finished(Some(answer)) => ClaimVerdict::Repeat(answer.clone()),
+        ClaimState::Finished(None) => {
+            let detail = "the request has run, and its answer was too long to be kept";
+            ClaimVerdict::Refuse(Refusal::maybe_run(RefusalReason::Duplicate, detail))
+        }
+    }
+}
+
+fn running() -> Refusal {
+    let detail = "an earlier sending with this key is running or has run; it is not run again";
+    Refusal::maybe_run(RefusalReason::Duplicate, detail).with_retry(RETRY_AFTER)
+}
+
+fn unavailable() -> Refusal {
+    let detail = "the platform cannot be asked whether the key has run before; this sending \
+                  was not run, an earlier one with the same key may have been";
+    Refusal::not_run(RefusalReason::ClaimUnavailable, detail).with_retry(RETRY_AFTER)
+}
--- a/azureway-core/src/domain/backend_server.rs
+++ b/azureway-core/src/domain/backend_server.rs
@@ -21,7 +21,8 @@
     pub prefill: TokenRate,
     /// Whether it refuses an order with an old fencing number.
     pub fenced: bool,
-    /// Whether it refuses a second call with the same idempotency key by itself.
+    /// Whether it refuses a second call with the same idempotency key by itself, whichever
+    /// server of its pool ran the first.
     pub keyed: bool,
 }
 
--- a/azureway-core/src/domain/request.rs
+++ b/azureway-core/src/domain/request.rs
@@ -38,6 +38,11 @@
 }
 
 impl Request {
+    /// Tells whether the request runs at most once and its caller may send it again.
+    pub fn is_claimed(&self) -> bool {
+        self.kind == RequestKind::AtMostOnce && self.key.is_some()
+    }
+
     /// Returns the tokens that the request may cost: its prompt and its longest answer.
     pub fn cost(&self) -> TokenCount {
         self.chain.tokens() + self.output
--- a/azureway-core/src/event/action.rs
+++ b/azureway-core/src/event/action.rs
@@ -1,6 +1,7 @@
 //! What the router wants done.
 
 use super::Dispatch;
+use crate::claim::{ClaimCall, ShortAnswer};
 use crate::domain::{Attempt, Refusal, RequestId, ServerId};
 
 /// What the router wants done.
@@ -10,6 +11,10 @@
     Dispatch(Dispatch),
     /// Tell the caller that the request is refused, or that its stream has ended early.
     Refuse(RequestId, Refusal),
+    /// Give the caller the answer of an earlier sending again.
+    Repeat(RequestId, ShortAnswer),
+    /// Ask the platform for a claim, or settle one. Each call must be followed by its news.
+    Claim(ClaimCall),
     /// Stop a try.
     Cancel(Attempt),
     /// Ask a backend server for the whole content of its cache.
--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -2,6 +2,7 @@
 
 use super::{Failure, Finish};
 use crate::cache::CacheUpdate;
+use crate::claim::ClaimNews;
 use crate::domain::{Attempt, Request, RequestId};
 use crate::fleet::{Fleet, LoadReport};
 
@@ -18,6 +19,8 @@
     Finished(&'a Finish),
     /// A try failed.
     Failed(&'a Failure),
+    /// A call for a claim ended.
+    Claim(&'a ClaimNews),
     /// A backend server told of its cache.
     Cache(&'a CacheUpdate<'a>),
     /// A backend server told of its load.
--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -4,7 +4,7 @@
 
 use crate::domain::{
     AccountId, BackendServer, BackendServerPool, ClientAccount, ConfigVersion, KeyHash,
-    ModelService, PoolId, RankRules, ServerId, ServiceId,
+    ModelService, PoolId, RankRules, ServerId, ServiceId, ServiceKind,
 };
 
 /// Everything that one version of the configuration defines.
@@ -65,6 +65,12 @@
         self
     }
 
+    /// Tells whether a plain service stands behind a name.
+    pub fn is_plain(&self, service: &ServiceId) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|s| s.kind == ServiceKind::Plain)
+    }
+
     /// Returns the account that the digest of an API key belongs to.
     pub fn account_of(&self, key: &KeyHash) -> Option<&ClientAccount> {
         // All accounts are looked at, so that the time does not tell which one matched.
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -93,6 +93,12 @@
             .filter(move |s| s.server.pool == *pool)
     }
 
+    /// Tells whether every server of a pool refuses a second call with the same key by itself.
+    pub fn all_keyed(&self, pool: &PoolId) -> bool {
+        let mut servers = self.of_pool(pool).peekable();
+        servers.peek().is_some() && servers.all(|s| s.server.keyed)
+    }
+
     fn change(&mut self, server: &ServerId, change: impl FnOnce(&mut ServerState)) {
         if let Some(state) = self.servers.get_mut(server) {
             change(state);
--- a/azureway-core/src/lib.rs
+++ b/azureway-core/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod admit;
 pub mod cache;
+pub mod claim;
 pub mod domain;
 pub mod error;
 pub mod event;
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -2,6 +2,11 @@
 
 pub use crate::admit::{Admission, FairQueue};
 pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
+pub use crate::claim::{
+    ClaimAsk, ClaimAsking, ClaimBook, ClaimCall, ClaimName, ClaimNews, ClaimNonce, ClaimRecord,
+    ClaimReply, ClaimRun, ClaimSettling, ClaimState, ClaimStep, ClaimTicket, ClaimVerdict,
+    ShortAnswer,
+};
 pub use crate::domain::*;
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -2,6 +2,7 @@
 
 use super::{Flight, Flights, Intake, Placement, Plan, Queues, RouterConfig, Verdict};
 use crate::cache::{CacheIndex, CacheUpdate};
+use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
 use crate::domain::{
     Attempt, Incarnation, PoolId, Refusal, RefusalReason, Request, RequestId, StreamPosition,
     Timestamp,
@@ -21,6 +22,7 @@
     index: CacheIndex,
     queues: Queues,
     flights: Flights,
+    claims: ClaimBook,
     retries: RetryBudget,
     draining: bool,
     seen: Timestamp,
@@ -38,6 +40,7 @@
             index: CacheIndex::new(),
             queues: Queues::new(),
             flights: Flights::new(),
+            claims: ClaimBook::new(),
             draining: false,
             seen: Timestamp::ZERO,
         }
@@ -46,12 +49,14 @@
     /// Takes in an event and appends what is to be done about it.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
         self.seen = now;
+        let start = out.len();
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
             Event::HungUp(id) => self.hang_up(id, out),
             Event::Started(attempt) => self.start(attempt),
-            Event::Finished(finish) => self.finish(finish),
+            Event::Finished(finish) => self.finish(finish, out),
             Event::Failed(failure) => self.fail(failure, now, out),
+            Event::Claim(news) => self.claimed(news, now, out),
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => drop(self.servers.report(report)),
             Event::Configured(fleet) => self.configure(fleet),
@@ -60,22 +65,21 @@
         }
         self.expire(now, out);
         self.pump(now, out);
+        self.claims.follow(start, out);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        let deadline = self.queues.earliest()?;
         // A server that is tried again can take what waits.
-        Some(
-            self.servers
-                .next_trial(self.seen)
-                .map_or(deadline, |t| t.min(deadline)),
-        )
+        let queued = self.queues.earliest();
+        let trial = queued.and_then(|_| self.servers.next_trial(self.seen));
+        let times = [queued, trial, self.claims.earliest()];
+        times.into_iter().flatten().min()
     }
 
-    /// Returns the number of requests that wait or are in flight.
+    /// Returns the number of requests that wait, are in flight or have a claim to settle.
     pub fn active(&self) -> usize {
-        self.queues.len() + self.flights.len()
+        self.queues.len() + self.flights.len() + self.claims.pending()
     }
 
     /// Returns the configuration in force.
@@ -95,23 +99,51 @@
             bound: self.config.queue,
             draining: self.draining,
         };
-        match intake.check(request, now) {
-            Ok((service, account)) => {
-                self.retries.earn();
-                self.queues
-                    .push(service.pool.clone(), request.clone(), account.weight);
+        let action = match intake.check(request, now) {
+            Err(refusal) => Action::Refuse(request.id, refusal),
+            Ok((service, _)) if self.claims.covers(request, service, &self.servers) => {
+                return self.enqueue(request, out);
             }
-            Err(refusal) => out.push(Action::Refuse(request.id, refusal)),
+            Ok(_) => self.claims.ask(request, now),
+        };
+        out.push(action);
+    }
+
+    /// Lets a request wait for a server.
+    fn enqueue(&mut self, request: &Request, out: &mut Vec<Action>) {
+        let service = self.fleet.services.get(&request.service);
+        let account = self.fleet.accounts.get(&request.account);
+        if let (Some(service), Some(account)) = (service, account) {
+            self.retries.earn();
+            self.queues
+                .push(service.pool.clone(), request.clone(), account.weight);
+        } else {
+            let detail = "the configuration no longer has the service or the client account";
+            let refusal = Refusal::not_run(RefusalReason::UnknownService, detail);
+            out.push(Action::Refuse(request.id, refusal));
+        }
+    }
+
+    fn claimed(&mut self, news: &ClaimNews, now: Timestamp, out: &mut Vec<Action>) {
+        match self.claims.hear(news, now, out) {
+            ClaimVerdict::Go(request) => self.enqueue(&request, out),
+            ClaimVerdict::Repeat(answer) => out.push(Action::Repeat(news.id(), answer)),
+            ClaimVerdict::Refuse(refusal) => out.push(Action::Refuse(news.id(), refusal)),
+            ClaimVerdict::Nothing => {}
         }
     }
 
     fn hang_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        // A whole answer still comes from the server, and is kept for the caller's return.
+        let mut whole = false;
         if let Some(flight) = self.flights.remove(id) {
+            whole = self.fleet.is_plain(&flight.request.service);
             self.servers.release(&flight.server, flight.owed());
             out.push(Action::Cancel(flight.attempt));
         } else {
             self.queues.remove(id);
         }
+        self.claims.hang_up(id, whole, out);
     }
 
     fn start(&mut self, attempt: Attempt) {
@@ -121,7 +153,8 @@
         }
     }
 
-    fn finish(&mut self, finish: &Finish) {
+    fn finish(&mut self, finish: &Finish, out: &mut Vec<Action>) {
+        self.claims.finish(finish.attempt, out);
         if let Some(flight) = self.flights.take(finish.attempt) {
             self.servers.release(&flight.server, flight.owed());
             self.servers.clear(&flight.server);
@@ -129,6 +162,7 @@
     }
 
     fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
+        self.claims.fail(failure, out);
         let Some(flight) = self.flights.take(failure.attempt) else {
             return;
         };
@@ -182,12 +216,9 @@
     }
 
     fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.claims.expire(now, out);
         for request in self.queues.expire(now) {
-            let detail = "the deadline passed in the queue";
-            out.push(Action::Refuse(
-                request.id,
-                Refusal::not_run(RefusalReason::Deadline, detail),
-            ));
+            out.push(Action::Refuse(request.id, Verdict::late()));
         }
     }
 
@@ -215,6 +246,9 @@
         let Some(service) = self.fleet.services.get(&request.service) else {
             return false;
         };
+        if !self.claims.covers(request, service, &self.servers) {
+            return false;
+        }
         let placement = Placement {
             servers: &self.servers,
             index: &self.index,
--- a/azureway-core/src/router/verdict.rs
+++ b/azureway-core/src/router/verdict.rs
@@ -30,6 +30,12 @@
         Self::Refuse(Self::give_up(begun, not_run && flight.untouched))
     }
 
+    /// Returns the refusal of a request that waited past its deadline.
+    pub fn late() -> Refusal {
+        let detail = "the deadline passed in the queue";
+        Refusal::not_run(RefusalReason::Deadline, detail)
+    }
+
     /// Returns the refusal of a request that is not tried again.
     pub fn give_up(begun: bool, not_run: bool) -> Refusal {
         match (begun, not_run) {
--- a/azureway-dev/src/serve/layout.rs
+++ b/azureway-dev/src/serve/layout.rs
@@ -13,6 +13,8 @@
     pub entries: usize,
     /// The client accounts with their API keys.
     pub accounts: Vec<(&'static str, &'static str)>,
+    /// Whether the plain services check keys themselves.
+    pub keyed: bool,
 }
 
 impl Layout {
@@ -26,6 +28,7 @@
                 ("wax-desk", "wax-desk-key"),
                 ("shop-drafts", "shop-drafts-key"),
             ],
+            keyed: false,
         }
     }
 
@@ -43,6 +46,13 @@
         self
     }
 
+    /// Lets the plain services check keys themselves.
+    #[must_use]
+    pub const fn with_keyed(mut self) -> Self {
+        self.keyed = true;
+        self
+    }
+
     /// Sets the availability zones.
     #[must_use]
     pub fn with_zones(mut self, zones: &[&'static str]) -> Self {
--- a/azureway-dev/src/serve/system.rs
+++ b/azureway-dev/src/serve/system.rs
@@ -89,6 +89,9 @@
         let plain = Arc::new(PlainService::new());
         let name = format!("{zone}-till");
         self.add_server(&name, "tills", zone, StandIn::start(Arc::clone(&plain))?);
+        if layout.keyed {
+            self.document.push_str("keyed = yes\n");
+        }
         self.plains.push(plain);
         Ok(())
     }
--- /dev/null
+++ b/azureway-dev/tests/once.rs
@@ -0,0 +1,134 @@
+//! At most once over sockets: entries of two zones, the platform and a plain service.
+
+use std::net::SocketAddr;
+use std::thread;
+
+use azureway_config::settings::Bounds;
+use azureway_dev::engine::EngineConfig;
+use azureway_dev::platform::PlatformFaults;
+use azureway_dev::serve::{Layout, System};
+use azureway_wire::error::{ErrorBody, ErrorDetail};
+use googletest::prelude::*;
+
+/// A guard against a hang, in seconds; no test's verdict depends on it.
+const GUARD: u64 = 60;
+
+fn layout() -> Layout {
+    Layout::new()
+        .with_zones(&["kranj-a", "koper-a"])
+        .with_engines(1)
+        .with_entries(1)
+}
+
+fn system(layout: &Layout) -> System {
+    let system = System::start(layout, &EngineConfig::new(), &Bounds::new()).expect("a system");
+    system.wait_ready();
+    system
+}
+
+fn order(address: SocketAddr, key: &str) -> minreq::Response {
+    let request = minreq::post(format!("http://{address}/services/orders/new"));
+    let request = request.with_timeout(GUARD).with_body("20 m2 of cork");
+    request
+        .with_header("authorization", "Bearer wax-desk-key")
+        .with_header("idempotency-key", key)
+        .send()
+        .expect("an answer")
+}
+
+fn error(answer: &minreq::Response) -> ErrorDetail {
+    let body: ErrorBody = serde_json::from_slice(answer.as_bytes()).expect("an error");
+    body.error
+}
+
+fn runs(system: &System, key: &str) -> u32 {
+    system.plains.iter().map(|p| p.ledger().runs(key)).sum()
+}
+
+#[gtest]
+fn an_order_sent_again_in_another_zone_gets_the_same_answer() {
+    let system = system(&layout());
+    let first = order(system.addresses()[0], "key-1");
+    expect_that!(first.status_code, eq(200));
+    // The claim is finished after the answer was written; until then it counts as running.
+    let mut again = order(system.addresses()[1], "key-1");
+    while again.status_code == 409 {
+        again = order(system.addresses()[1], "key-1");
+    }
+    expect_that!(again.status_code, eq(200));
+    expect_that!(again.as_bytes(), eq(first.as_bytes()));
+    expect_that!(runs(&system, "key-1"), eq(1));
+    system.drain();
+}
+
+#[gtest]
+fn an_order_whose_answer_was_lost_is_not_run_again_elsewhere() {
+    let system = system(&layout());
+    system.plains[0].lose(1);
+    let first = order(system.addresses()[0], "key-2");
+    expect_that!(error(&first).not_run, eq(false));
+    let again = order(system.addresses()[1], "key-2");
+    expect_that!(error(&again).code, eq("duplicate"));
+    expect_that!(error(&again).not_run, eq(false));
+    expect_that!(runs(&system, "key-2"), eq(1));
+    system.drain();
+}
+
+#[gtest]
+fn one_key_through_two_zones_at_the_same_time_runs_once() {
+    let system = system(&layout());
+    let addresses = system.addresses();
+    for round in 0..20 {
+        let key = format!("key-3-{round}");
+        thread::scope(|s| {
+            for address in &addresses {
+                s.spawn(|| order(*address, &key));
+            }
+        });
+        expect_that!(runs(&system, &key), eq(1));
+    }
+    system.drain();
+}
+
+#[gtest]
+fn a_claim_whose_answer_is_lost_is_known_again() {
+    let system = system(&layout());
+    system.platform.set_faults(PlatformFaults {
+        lost: 1,
+        ..PlatformFaults::new()
+    });
+    let answer = order(system.addresses()[0], "key-4");
+    expect_that!(answer.status_code, eq(200));
+    expect_that!(runs(&system, "key-4"), eq(1));
+    system.drain();
+}
+
+#[gtest]
+fn without_the_platform_an_order_is_refused_as_not_run() {
+    let system = system(&layout());
+    system.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::new()
+    });
+    let answer = order(system.addresses()[0], "key-5");
+    expect_that!(answer.status_code, eq(503));
+    expect_that!(error(&answer).code, eq("claim_unavailable"));
+    expect_that!(error(&answer).not_run, eq(true));
+    expect_that!(runs(&system, "key-5"), eq(0));
+    system.platform.set_faults(PlatformFaults::new());
+    expect_that!(order(system.addresses()[1], "key-5").status_code, eq(200));
+    system.drain();
+}
+
+#[gtest]
+fn a_service_that_checks_keys_itself_is_served_without_the_platform() {
+    let system = system(&layout().with_keyed());
+    system.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::new()
+    });
+    let answer = order(system.addresses()[0], "key-6");
+    expect_that!(answer.status_code, eq(200));
+    system.platform.set_faults(PlatformFaults::new());
+    system.drain();
+}
--- /dev/null
+++ b/azureway-entry/src/claim/claim_order.rs
@@ -0,0 +1,12 @@
+//! What the claiming duty is told.
+
+use azureway_core::prelude::{ClaimCall, ShortAnswer};
+
+/// What the claiming duty is told: a call, and the answer that a finished claim keeps.
+#[derive(Clone, Debug)]
+pub struct ClaimOrder {
+    /// The call.
+    pub call: ClaimCall,
+    /// The answer.
+    pub answer: Option<ShortAnswer>,
+}
--- /dev/null
+++ b/azureway-entry/src/claim/mod.rs
@@ -0,0 +1,11 @@
+//! The claiming duty: at most once, through the platform.
+
+mod claim_desk;
+mod claim_order;
+mod claim_rings;
+mod claimer;
+
+pub use claim_desk::ClaimDesk;
+pub use claim_order::ClaimOrder;
+pub use claim_rings::ClaimRings;
+pub use claimer::Claimer;
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -14,6 +14,7 @@
 use super::Rings;
 use crate::admit::Admitter;
 use crate::caller::Listener;
+use crate::claim::Claimer;
 use crate::decide::{DecideNote, Decider};
 use crate::hear::Hearers;
 use crate::meter::Meter;
@@ -32,6 +33,11 @@
     threads: Vec<JoinHandle<()>>,
 }
 
+/// The threads that make the calls of claims, so that a slow call does not hold up the others.
+const CLAIM_THREADS: u64 = 4;
+/// The limit of one call for a claim, in seconds; the platform answers in milliseconds.
+const CLAIM_TIMEOUT: u64 = 1;
+
 impl Entry {
     /// Starts every duty.
     ///
@@ -49,11 +55,13 @@
             Arc::clone(&stop),
         )?;
         let address = listener.address()?;
+        let api = HttpObjects::new(settings.platform);
+        let calls = api.calls().clone();
+        claim(&api, &rings, mark)?;
         let decider = decider(settings, &rings);
         let admitter = Admitter::new(rings.admit_notes, rings.decide.clone(), mark);
-        let api = HttpObjects::new(settings.platform);
         let watcher = Watcher::new(api, rings.admit, rings.decide.clone(), rings.halt, mark);
-        let meter = Meter::new(rings.measures);
+        let meter = Meter::new(rings.measures, calls);
         let threads = vec![
             spawn("decide", move || decider.run())?,
             spawn("accept", move || listener.run())?,
@@ -110,6 +118,19 @@
     Decider::new(router, rings, launcher, Hearers::new(rings.decide.clone()))
 }
 
+/// Starts the claiming threads. They end with the deciding duty, which waits for their news.
+fn claim(api: &HttpObjects, rings: &Rings, mark: u64) -> Result<(), Error> {
+    for thread in 0..CLAIM_THREADS {
+        let (api, decide) = (
+            api.clone().with_timeout(CLAIM_TIMEOUT),
+            rings.decide.clone(),
+        );
+        let claimer = Claimer::new(api, &rings.claims, decide, rings.clock, mark ^ thread);
+        spawn("claim", move || claimer.run())?;
+    }
+    Ok(())
+}
+
 fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Error> {
     let thread = thread::Builder::new().name(name.to_owned()).spawn(duty);
     thread.map_err(|e| Error::new(ErrorKind::System, Step::new("start thread"), e).with_peer(name))
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -7,6 +7,7 @@
 
 use super::Doors;
 use crate::admit::AdmitNote;
+use crate::claim::ClaimRings;
 use crate::clock::Clock;
 use crate::decide::DecideNote;
 use crate::meter::Measure;
@@ -22,6 +23,8 @@
     pub decide: Sender<DecideNote>,
     /// At the deciding duty.
     pub decide_notes: Receiver<DecideNote>,
+    /// Between the deciding duty and the claiming threads.
+    pub claims: ClaimRings,
     /// To the measuring duty.
     pub meter: Sender<Measure>,
     /// At the measuring duty.
@@ -58,6 +61,7 @@
             admit_notes,
             decide,
             decide_notes,
+            claims: ClaimRings::new(size),
             meter,
             measures,
             watch,
--- a/azureway-entry/src/decide/callers.rs
+++ b/azureway-entry/src/decide/callers.rs
@@ -3,11 +3,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use azureway_core::prelude::{Refusal, RequestId};
+use azureway_core::prelude::{Attempt, Refusal, RequestId, ShortAnswer, StreamPosition};
 
 use super::Caller;
 use crate::admit::Admitted;
-use crate::caller::Outcome;
+use crate::caller::{Outcome, Piece};
 
 /// The callers whose requests are not finished.
 #[derive(Debug, Default)]
@@ -49,6 +49,19 @@
         self.callers.remove(&id)
     }
 
+    /// Gives a caller the answer of an earlier sending.
+    pub fn repeat(&mut self, id: RequestId, answer: ShortAnswer) {
+        let Some(caller) = self.remove(id) else {
+            return;
+        };
+        let (sender, pieces) = flume::bounded(1);
+        let body = answer.body.as_bytes().to_vec();
+        let _ = sender.try_send(Piece::Whole(answer.status, answer.media, body));
+        let attempt = Attempt::new(id, 0);
+        let attached = Outcome::Attached(attempt, StreamPosition::ZERO, pieces);
+        let _ = caller.outcome.try_send(attached);
+    }
+
     /// Tells a caller that its request is refused.
     pub fn refuse(&mut self, id: RequestId, refusal: Refusal) {
         if let Some(caller) = self.remove(id) {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -8,6 +8,7 @@
 
 use super::{Callers, DecideNote};
 use crate::caller::Outcome;
+use crate::claim::ClaimDesk;
 use crate::clock::Clock;
 use crate::daemon::Rings;
 use crate::hear::Hearers;
@@ -21,6 +22,7 @@
     notes: Receiver<DecideNote>,
     clock: Clock,
     callers: Callers,
+    desk: ClaimDesk,
     launcher: Launcher,
     hearers: Hearers,
     meter: Sender<Measure>,
@@ -38,6 +40,7 @@
             notes: rings.decide_notes.clone(),
             clock: rings.clock,
             callers: Callers::new(),
+            desk: ClaimDesk::new(&rings.claims),
             launcher,
             hearers,
             meter: rings.meter.clone(),
@@ -98,10 +101,12 @@
                 self.note_start(attempt);
                 self.tell(Event::Started(attempt));
             }
-            DecideNote::Finished(finish) => {
-                self.note_finish(&finish);
-                self.tell(Event::Finished(&finish));
+            DecideNote::Finished(finish) => self.finish(&finish),
+            DecideNote::Answered(finish, answer) => {
+                self.desk.offer(finish.attempt.id, answer);
+                self.finish(&finish);
             }
+            DecideNote::Claim(news) => self.tell(Event::Claim(&news)),
             DecideNote::Failed(failure) => {
                 log::warn!(request:% = failure.attempt.id, step = "relay", kind:? = failure.kind; "a try failed");
                 self.tell(Event::Failed(&failure));
@@ -130,8 +135,14 @@
         log::info!(step = "configure", version:% = fleet.version; "a configuration is in force");
     }
 
+    fn finish(&mut self, finish: &Finish) {
+        self.note_finish(finish);
+        self.tell(Event::Finished(finish));
+    }
+
     fn carry_out(&mut self) {
         let mut actions = std::mem::take(&mut self.actions);
+        let mut unplaced = Vec::new();
         for action in actions.drain(..) {
             match action {
                 Action::Dispatch(order) => self.dispatch(order),
@@ -140,12 +151,20 @@
                     self.measure(Measure::Refused(refusal.reason));
                     self.callers.refuse(id, refusal);
                 }
+                Action::Repeat(id, answer) => self.callers.repeat(id, answer),
+                Action::Claim(call) => unplaced.extend(self.desk.place(call)),
                 // The relay has lost its ring with the caller and stops by itself.
                 Action::Cancel(attempt) => self.measure(Measure::Cancelled(attempt)),
                 Action::Resync(server) => self.hearers.resync(&server),
             }
         }
         self.actions = actions;
+        for news in &unplaced {
+            self.tell(Event::Claim(news));
+        }
+        if !self.actions.is_empty() {
+            self.carry_out();
+        }
     }
 
     fn dispatch(&mut self, order: Dispatch) {
--- a/azureway-entry/src/decide/note.rs
+++ b/azureway-entry/src/decide/note.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{Attempt, Failure, Finish, Fleet, LoadReport, RequestId};
+use azureway_core::prelude::{
+    Attempt, ClaimNews, Failure, Finish, Fleet, LoadReport, RequestId, ShortAnswer,
+};
 use flume::Sender;
 
 use super::CacheRun;
@@ -19,6 +21,10 @@
     Started(Attempt),
     /// A try ended well.
     Finished(Finish),
+    /// A try ended well, with an answer that is short enough to be kept.
+    Answered(Finish, ShortAnswer),
+    /// A call for a claim ended.
+    Claim(ClaimNews),
     /// A try failed.
     Failed(Failure),
     /// A backend server told of its load.
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub mod caller;
+pub mod claim;
 pub mod clock;
 pub mod daemon;
 pub mod decide;
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -1,5 +1,6 @@
 //! The measures and their duty.
 
+use azureway_platform::CallCounter;
 use flume::Receiver;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -23,14 +24,16 @@
     retries: Counter,
     cancelled: Counter,
     version: Gauge,
+    platform: Counter,
+    calls: CallCounter,
 }
 
 /// The upper bounds of the time to first token, in seconds; 1 s is the stated target.
 const FIRST_TOKEN_BOUNDS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
 
 impl Meter {
-    /// Creates the duty.
-    pub fn new(measures: Receiver<Measure>) -> Self {
+    /// Creates the duty. `calls` counts the calls to the platform.
+    pub fn new(measures: Receiver<Measure>, calls: CallCounter) -> Self {
         let bounds = || Histogram::new(FIRST_TOKEN_BOUNDS);
         let mut meter = Self {
             measures,
@@ -43,6 +46,8 @@
             retries: Counter::default(),
             cancelled: Counter::default(),
             version: Gauge::default(),
+            platform: Counter::default(),
+            calls,
         };
         meter.register();
         meter
@@ -84,6 +89,11 @@
             "Requests whose caller hung up",
             self.cancelled.clone(),
         );
+        r.register(
+            "platform_calls",
+            "Calls to the platform, a waiting watch as one",
+            self.platform.clone(),
+        );
         r.register(
             "config_version",
             "Version of the configuration in force",
@@ -117,6 +127,7 @@
                     .set(i64::try_from(version.get()).unwrap_or(i64::MAX));
             }
             Measure::Scrape(reply) => {
+                self.platform.inc_by(self.calls.get() - self.platform.get());
                 let mut text = String::new();
                 // Writing to a string does not fail.
                 let _ = encode(&mut text, &self.registry);
--- a/azureway-entry/src/relay/relay_try.rs
+++ b/azureway-entry/src/relay/relay_try.rs
@@ -27,6 +27,7 @@
     next: StreamPosition,
     cached: TokenCount,
     output: TokenCount,
+    kept: Option<ShortAnswer>,
 }
 
 /// The bytes of a whole answer at most.
@@ -54,6 +55,7 @@
             next,
             cached,
             output,
+            kept: None,
         }
     }
 
@@ -67,7 +69,10 @@
                     cached: self.cached,
                     output: self.output,
                 };
-                let _ = self.decide.send(DecideNote::Finished(finish));
+                let _ = self.decide.send(match self.kept {
+                    Some(answer) => DecideNote::Answered(finish, answer),
+                    None => DecideNote::Finished(finish),
+                });
             }
             // The connection itself has reported that its caller is gone.
             Err(Trouble::Unwanted) => {}
@@ -127,14 +132,23 @@
     fn pass_whole(&mut self, answer: Response) -> Result<(), Trouble> {
         let (status, headers, reader) = answer.split();
         let media = headers.get("content-type").and_then(|v| v.to_str().ok());
-        let media = media.unwrap_or("application/octet-stream").into();
+        let media = media.unwrap_or("application/octet-stream");
         let mut body = Vec::new();
         reader
             .take(WHOLE_MAX)
             .read_to_end(&mut body)
             .map_err(|e| Trouble::of_read(&e))?;
         self.note_start();
-        self.pass(Piece::Whole(status.as_u16(), media, body))
+        self.kept = self.keep(status.as_u16(), media, &body);
+        // The server has run the request to its end, also if the caller is gone.
+        let _ = self.pass(Piece::Whole(status.as_u16(), media.into(), body));
+        Ok(())
+    }
+
+    /// Returns the answer if its claim may keep it.
+    fn keep(&self, status: u16, media: &str, body: &[u8]) -> Option<ShortAnswer> {
+        self.errand.key.as_ref()?;
+        ShortAnswer::new(status, media, body)
     }
 
     fn pass_stream(&mut self, answer: Response) -> Result<(), Trouble> {
--- a/azureway-platform/src/http_objects.rs
+++ b/azureway-platform/src/http_objects.rs
@@ -1,21 +1,20 @@
 //! The object API over HTTP.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use azureway_core::prelude::{Error, ErrorKind, Step};
 use azureway_wire::object::{ObjectBody, ObjectList};
 use minreq::{Request, Response};
 
-use super::{ObjectApi, Put};
+use super::{CallCounter, ObjectApi, Put};
 
 /// The object API over HTTP. Each call takes a connection of its own.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct HttpObjects {
     address: SocketAddr,
     timeout: u64,
-    calls: AtomicU64,
+    calls: CallCounter,
 }
 
 /// The default limit of a call, in seconds.
@@ -23,17 +22,24 @@
 
 impl HttpObjects {
     /// Creates a client of the platform at `address` with a limit of 2 s a call.
-    pub const fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
             timeout: DEFAULT_TIMEOUT,
-            calls: AtomicU64::new(0),
+            calls: CallCounter::new(),
         }
     }
 
-    /// Returns the calls made so far; a waiting watch counts as one.
-    pub fn calls(&self) -> u64 {
-        self.calls.load(Ordering::Relaxed)
+    /// Sets the limit of a call, in seconds.
+    #[must_use]
+    pub const fn with_timeout(mut self, seconds: u64) -> Self {
+        self.timeout = seconds;
+        self
+    }
+
+    /// Returns the count of calls, which clones of this client share.
+    pub const fn calls(&self) -> &CallCounter {
+        &self.calls
     }
 
     fn url(&self, path: &str) -> String {
@@ -41,7 +47,7 @@
     }
 
     fn send(&self, step: Step, request: Request, wait: Duration) -> Result<Response, Error> {
-        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.calls.add();
         let answer = request.with_timeout(self.timeout + wait.as_secs()).send();
         let answer = answer.map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
         match answer.status_code {
@@ -96,6 +102,17 @@
         Ok(body.version)
     }
 
+    fn delete(&self, kind: &str, name: &str, expected: u64) -> Result<(), Error> {
+        const STEP: Step = Step::new("delete object");
+        let path = format!("objects/{kind}/{name}?expected={expected}");
+        let request = minreq::delete(self.url(&path));
+        let answer = self.send(STEP, request, Duration::ZERO)?;
+        match answer.status_code {
+            404 => Err(self.error(ErrorKind::Conflict, STEP, "the object does not exist")),
+            _ => Ok(()),
+        }
+    }
+
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<ObjectList, Error> {
         const STEP: Step = Step::new("watch objects");
         let path = format!("watch/{kind}?after={after}&wait_ms={}", wait.as_millis());
--- a/azureway-platform/src/lib.rs
+++ b/azureway-platform/src/lib.rs
@@ -6,10 +6,12 @@
 //! [`Unavailable`](azureway_core::prelude::ErrorKind::Unavailable) says nothing of whether
 //! the object was written.
 
+mod call_counter;
 mod http_objects;
 mod object_api;
 mod put;
 
+pub use call_counter::CallCounter;
 pub use http_objects::HttpObjects;
 pub use object_api::ObjectApi;
 pub use put::Put;
--- a/azureway-platform/src/object_api.rs
+++ b/azureway-platform/src/object_api.rs
@@ -31,6 +31,14 @@
     /// error leaves open whether the object was written.
     fn put(&self, put: &Put<'_>) -> Result<u64, Error>;
 
+    /// Deletes an object if it has the expected version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of the kind `Conflict` if the object has another version or does not
+    /// exist. Any other error leaves open whether the object was deleted.
+    fn delete(&self, kind: &str, name: &str, expected: u64) -> Result<(), Error>;
+
     /// Waits up to `wait` for changes of a kind after version `after`.
     ///
     /// # Errors
--- a/azureway-wire/src/lib.rs
+++ b/azureway-wire/src/lib.rs
@@ -2,6 +2,7 @@
 //! the core. Decisions never see these types.
 
 pub mod chat;
+pub mod claim;
 pub mod engine;
 pub mod error;
 pub mod header;
