Let retries wait for a server and for the budget

Cause: a retry that found no server at once was refused. Ruled out: the relay's positions; the pieces before the break were whole. Retries wait, urgent first, until the deadline or for 10 s once a stream has begun. A silent connection is no longer held against its server, and the server that failed a request is its last choice. The budget also refills by one retry a second, so that it cannot stay empty without traffic.

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -85,11 +85,12 @@
     pub fn blame(&mut self, kind: FailureKind, now: Timestamp) {
         match kind {
             FailureKind::Mismatch => self.incarnation = Incarnation::ZERO,
-            FailureKind::Busy => {}
-            FailureKind::Unreachable
-            | FailureKind::Broken
-            | FailureKind::Silent
-            | FailureKind::Faulty => self.suspect(now),
+            // A silent connection says nothing of the server: something between the two ends
+            // may have lost track of it while new connections work.
+            FailureKind::Busy | FailureKind::Silent => {}
+            FailureKind::Unreachable | FailureKind::Broken | FailureKind::Faulty => {
+                self.suspect(now);
+            }
         }
     }
 
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -1,10 +1,11 @@
 //! The router itself.
 
-use super::{Flight, Flights, Intake, Placement, Plan, Queues, RouterConfig, Verdict};
+use super::{
+    Flight, Flights, Intake, Placement, Plan, Queues, Retries, Retry, RouterConfig, Verdict,
+};
 use crate::cache::{CacheIndex, CacheUpdate};
 use crate::domain::{
-    Attempt, Incarnation, PoolId, Refusal, RefusalReason, Request, RequestId, StreamPosition,
-    Timestamp,
+    Attempt, Incarnation, PoolId, Refusal, RefusalReason, Request, RequestId, ServerId, Timestamp,
 };
 use crate::event::{Action, Dispatch, Event, Failure, Finish};
 use crate::fleet::{Fleet, ServerTable};
@@ -21,7 +22,8 @@
     index: CacheIndex,
     queues: Queues,
     flights: Flights,
-    retries: RetryBudget,
+    retries: Retries,
+    budget: RetryBudget,
     draining: bool,
     seen: Timestamp,
 }
@@ -30,7 +32,8 @@
     /// Creates a router that knows no configuration yet.
     pub fn new(config: RouterConfig, policy: P) -> Self {
         Self {
-            retries: RetryBudget::new(config.retries),
+            budget: RetryBudget::new(config.retries),
+            retries: Retries::new(),
             config,
             policy,
             fleet: Fleet::new(),
@@ -59,23 +62,22 @@
             Event::Tick => {}
         }
         self.expire(now, out);
+        self.try_again(now, out);
         self.pump(now, out);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        let deadline = self.queues.earliest()?;
-        // A server that is tried again can take what waits.
-        Some(
-            self.servers
-                .next_trial(self.seen)
-                .map_or(deadline, |t| t.min(deadline)),
-        )
+        let limits = [self.queues.earliest(), self.retries.earliest()];
+        let limit = limits.into_iter().flatten().min()?;
+        // A server that is tried again, or a refilled budget, can help what waits.
+        let chances = [self.servers.next_trial(self.seen), self.next_retry()];
+        chances.into_iter().flatten().chain([limit]).min()
     }
 
     /// Returns the number of requests that wait or are in flight.
     pub fn active(&self) -> usize {
-        self.queues.len() + self.flights.len()
+        self.queues.len() + self.retries.len() + self.flights.len()
     }
 
     /// Returns the configuration in force.
@@ -97,7 +99,7 @@
         };
         match intake.check(request, now) {
             Ok((service, account)) => {
-                self.retries.earn();
+                self.budget.earn();
                 self.queues
                     .push(service.pool.clone(), request.clone(), account.weight);
             }
@@ -109,7 +111,7 @@
         if let Some(flight) = self.flights.remove(id) {
             self.servers.release(&flight.server, flight.owed());
             out.push(Action::Cancel(flight.attempt));
-        } else {
+        } else if self.retries.remove(id).is_none() {
             self.queues.remove(id);
         }
     }
@@ -135,36 +137,11 @@
         self.servers.release(&flight.server, flight.owed());
         self.servers.blame(&flight.server, failure.kind, now);
         match Verdict::new(&flight, failure, self.config.tries, now) {
-            Verdict::Retry(position) => self.retry(flight, failure, position, now, out),
+            Verdict::Retry => self.retries.push(Retry::new(flight, failure, now)),
             Verdict::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
         }
     }
 
-    fn retry(
-        &mut self,
-        flight: Flight,
-        failure: &Failure,
-        position: StreamPosition,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let untouched = flight.untouched && failure.sent.is_not_run();
-        let attempt = Attempt::new(flight.attempt.id, flight.attempt.number + 1);
-        let plan = Plan {
-            attempt,
-            position,
-            untouched,
-        };
-        if self.retries.spend() && self.dispatch(&flight.request, plan, now, out) {
-            return;
-        }
-        let begun = position > StreamPosition::ZERO;
-        out.push(Action::Refuse(
-            attempt.id,
-            Verdict::give_up(begun, untouched),
-        ));
-    }
-
     fn hear(&mut self, update: &CacheUpdate<'_>, out: &mut Vec<Action>) {
         if self.index.update(update) {
             out.push(Action::Resync(update.server.clone()));
@@ -189,6 +166,31 @@
                 Refusal::not_run(RefusalReason::Deadline, detail),
             ));
         }
+        for retry in self.retries.expire(now) {
+            out.push(Action::Refuse(retry.request.id, retry.give_up()));
+        }
+    }
+
+    /// Returns when an empty retry budget has a retry again, if one waits for it.
+    fn next_retry(&self) -> Option<Timestamp> {
+        self.budget
+            .next_refill()
+            .filter(|_| !self.retries.is_empty())
+    }
+
+    /// Tries again what waits for it, as far as the budget and the servers allow.
+    fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.budget.refill(now);
+        for retry in self.retries.take() {
+            let failed = Some(&retry.failed);
+            let sent = self.budget.has_retry()
+                && self.dispatch(&retry.request, retry.plan, failed, now, out);
+            if sent {
+                self.budget.spend();
+            } else {
+                self.retries.push(retry);
+            }
+        }
     }
 
     /// Sends requests that wait for as long as there is a server for the next one.
@@ -196,7 +198,7 @@
         for pool in self.queues.pools() {
             while let Some(queued) = self.queues.pop(&pool) {
                 let plan = Plan::first(queued.request.id);
-                if !self.dispatch(&queued.request, plan, now, out) {
+                if !self.dispatch(&queued.request, plan, None, now, out) {
                     self.queues.restore(&pool, queued);
                     break;
                 }
@@ -204,11 +206,13 @@
         }
     }
 
-    /// Sends a request to the best server. Returns whether there was one.
+    /// Sends a request to the best server, but to the one that `failed` it only if there is no
+    /// other. Returns whether there was one.
     fn dispatch(
         &mut self,
         request: &Request,
         plan: Plan,
+        failed: Option<&ServerId>,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) -> bool {
@@ -220,6 +224,7 @@
             index: &self.index,
             zone: &self.config.zone,
             link: self.config.link,
+            failed,
         };
         let Some(best) = placement.choose(&mut self.policy, request, service, now) else {
             return false;
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -8,6 +8,8 @@
 mod placement;
 mod plan;
 mod queues;
+mod retries;
+mod retry;
 mod verdict;
 
 pub use config::RouterConfig;
@@ -18,4 +20,6 @@
 pub use placement::Placement;
 pub use plan::Plan;
 pub use queues::Queues;
+pub use retries::Retries;
+pub use retry::Retry;
 pub use verdict::Verdict;
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::cache::CacheIndex;
-use crate::domain::{ModelService, Request, ServiceKind, Timestamp, ZoneId};
+use crate::domain::{ModelService, Request, ServerId, ServiceKind, Timestamp, ZoneId};
 use crate::fleet::{ServerState, ServerTable};
 use crate::route::{Candidate, Job, Policy};
 
@@ -18,6 +18,8 @@
     pub zone: &'a ZoneId,
     /// The time one way over a link to another availability zone.
     pub link: Duration,
+    /// The server that failed the request last, which is taken only if there is no other.
+    pub failed: Option<&'a ServerId>,
 }
 
 impl<'a> Placement<'a> {
@@ -31,12 +33,8 @@
         let all = self.servers.of_pool(&service.pool);
         let fit = all.filter(|s| fits(s, request, service, now));
         let all: Vec<_> = fit.map(|s| self.candidate(s, request)).collect();
-        let local = |c: &Candidate<'_>| c.state.server.zone == *self.zone;
-        if all.iter().any(local) {
-            all.into_iter().filter(local).collect()
-        } else {
-            all
-        }
+        let other = prefer(all, |c| Some(&c.state.server.id) != self.failed);
+        prefer(other, |c| c.state.server.zone == *self.zone)
     }
 
     /// Chooses a server for the request.
@@ -77,3 +75,15 @@
         || state.weights.is_none_or(|loaded| loaded == request.weights);
     weights && state.accepts(now) && state.flights() < state.server.slots
 }
+
+/// Returns the candidates that are preferred, or all if none is.
+fn prefer<'a>(
+    all: Vec<Candidate<'a>>,
+    preferred: impl Fn(&Candidate<'_>) -> bool,
+) -> Vec<Candidate<'a>> {
+    if all.iter().any(&preferred) {
+        all.into_iter().filter(preferred).collect()
+    } else {
+        all
+    }
+}
--- /dev/null
+++ b/azureway-core/src/router/retry.rs
@@ -0,0 +1,55 @@
+//! A request that waits to be tried again.
+
+use std::time::Duration;
+
+use super::{Flight, Plan};
+use crate::domain::{Attempt, Refusal, Request, ServerId, StreamPosition, Timestamp};
+use crate::event::Failure;
+
+/// A request that waits to be tried again.
+#[derive(Clone, Debug)]
+pub struct Retry {
+    /// The request.
+    pub request: Request,
+    /// What is to be tried.
+    pub plan: Plan,
+    /// The server that failed it last.
+    pub failed: ServerId,
+    /// How long it waits at most.
+    pub until: Timestamp,
+}
+
+/// How long a stream that has begun waits for a server that resumes it.
+const RESUME_PATIENCE: Duration = Duration::from_secs(10);
+
+impl Retry {
+    /// Creates the retry that follows from a failure of `flight`.
+    pub fn new(flight: Flight, failure: &Failure, now: Timestamp) -> Self {
+        let id = flight.attempt.id;
+        let plan = Plan {
+            attempt: Attempt::new(id, flight.attempt.number + 1),
+            position: failure.position,
+            untouched: flight.untouched && failure.sent.is_not_run(),
+        };
+        let begun = plan.position > StreamPosition::ZERO;
+        // The deadline is for the first token; a stream that has begun has met it.
+        let deadline = flight.request.deadline.point();
+        let until = if begun {
+            now + RESUME_PATIENCE
+        } else {
+            deadline
+        };
+        Self {
+            request: flight.request,
+            plan,
+            failed: flight.server,
+            until,
+        }
+    }
+
+    /// Returns the refusal of the request if it is not tried again.
+    pub fn give_up(&self) -> Refusal {
+        let begun = self.plan.position > StreamPosition::ZERO;
+        super::Verdict::give_up(begun, self.plan.untouched)
+    }
+}
--- a/azureway-core/src/router/verdict.rs
+++ b/azureway-core/src/router/verdict.rs
@@ -7,8 +7,8 @@
 /// What follows from a failed try.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// Try again from the position.
-    Retry(StreamPosition),
+    /// Try again.
+    Retry,
     /// Refuse the request or end its stream.
     Refuse(Refusal),
 }
@@ -25,7 +25,7 @@
         let begun = failure.position > StreamPosition::ZERO;
         let late = !begun && flight.request.deadline.is_past(now);
         if !late && flight.attempt.number < tries {
-            return Self::Retry(failure.position);
+            return Self::Retry;
         }
         Self::Refuse(Self::give_up(begun, not_run && flight.untouched))
     }
--- a/azureway-dev/src/engine/engine_service.rs
+++ b/azureway-dev/src/engine/engine_service.rs
@@ -45,6 +45,17 @@
         self.change(|s| s.log.lose(count));
     }
 
+    /// Refuses new requests with an error, or takes them again.
+    pub fn close(&self, closed: bool) {
+        self.change(|s| s.closed = closed);
+    }
+
+    /// Waits until no request runs.
+    pub fn wait_idle(&self) {
+        let busy = |s: &mut EngineState| s.running > 0;
+        drop(self.changed.wait_while(self.lock(), busy));
+    }
+
     /// Begins to leave.
     pub fn leave(&self) {
         self.change(|s| s.leaving = true);
@@ -106,6 +117,9 @@
         };
         let salt = Salt::from_number(number(&request, header::SALT));
         let chain = chat.chain(salt);
+        if self.lock().closed {
+            return Reply::text(request, 500, "the engine is closed");
+        }
         let Some((life, opened, cached)) = self.begin(&request, &chain) else {
             return Reply::text(request, 409, "the incarnation or the weights are others");
         };
--- a/azureway-dev/src/engine/engine_state.rs
+++ b/azureway-dev/src/engine/engine_state.rs
@@ -22,6 +22,8 @@
     pub pending: TokenCount,
     /// Whether the engine is leaving.
     pub leaving: bool,
+    /// Whether new requests fail.
+    pub closed: bool,
     /// The connections opened before this number have gone silent.
     pub silent: u64,
     /// The connections opened so far.
@@ -39,6 +41,7 @@
             running: 0,
             pending: TokenCount::ZERO,
             leaving: false,
+            closed: false,
             silent: 0,
             opened: 0,
         }
