Give the engine's stand-in slots, ranks, import and lag

An engine now sends its head at once and a comment a second while a request waits or its prompt is computed, so a silent connection is told from a long prompt. Six contract tests pass; the one on ranks counts what is pending.

--- a/azureway-dev/src/engine/engine_config.rs
+++ b/azureway-dev/src/engine/engine_config.rs
@@ -15,22 +15,33 @@
     pub prefill: TokenRate,
     /// The time between two tokens of an answer.
     pub interval: Duration,
+    /// The time by which its reports and cache events are late.
+    pub lag: Duration,
     /// The blocks that its cache holds.
     pub blocks: usize,
 }
 
 impl EngineConfig {
-    /// Creates an engine of 8 slots, 8,000 prompt tokens a second, 20 ms a token and 64 blocks.
+    /// Creates an engine of 8 slots, 8,000 prompt tokens a second, 20 ms a token and 64 blocks
+    /// whose reports are 20 ms late.
     pub const fn new() -> Self {
         Self {
             weights: WeightsVersion::new(1),
             slots: 8,
             prefill: TokenRate::new(8_000),
             interval: Duration::from_millis(20),
+            lag: Duration::from_millis(20),
             blocks: 64,
         }
     }
 
+    /// Sets the requests that it runs at once.
+    #[must_use]
+    pub const fn with_slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self
+    }
+
     /// Sets the time between two tokens.
     #[must_use]
     pub const fn with_interval(mut self, interval: Duration) -> Self {
--- a/azureway-dev/src/engine/engine_service.rs
+++ b/azureway-dev/src/engine/engine_service.rs
@@ -1,14 +1,15 @@
 //! An engine over HTTP.
 
-use std::sync::{Condvar, Mutex, MutexGuard};
+use std::net::SocketAddr;
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use azureway_core::prelude::*;
-use azureway_wire::chat::{ChatRequest, Usage, UsageDetails};
-use azureway_wire::header;
+use azureway_wire::chat::ChatRequest;
+use azureway_wire::engine::KvBlocks;
 use tiny_http::{Method, Request};
 
-use super::{ChatEvent, EngineConfig, EngineState, Generation};
+use super::{ChatRun, EngineConfig, EngineState, Terms, Ticket};
 use crate::http::{EventWriter, Query, Reply, Service};
 
 /// A stand-in for a model engine.
@@ -19,6 +20,9 @@
     changed: Condvar,
 }
 
+/// The limit of an import from another engine, in seconds.
+const IMPORT_TIMEOUT: u64 = 5;
+
 impl Engine {
     /// Creates an engine.
     pub fn new(config: EngineConfig) -> Self {
@@ -30,6 +34,11 @@
         }
     }
 
+    /// Returns the size and speed.
+    pub const fn config(&self) -> &EngineConfig {
+        &self.config
+    }
+
     /// Crashes and comes back with an empty cache. Streams break.
     pub fn crash(&self) {
         self.change(EngineState::restart);
@@ -50,15 +59,19 @@
         self.change(|s| s.closed = closed);
     }
 
+    /// Begins to leave.
+    pub fn leave(&self) {
+        self.change(|s| s.leaving = true);
+    }
+
     /// Waits until no request runs.
     pub fn wait_idle(&self) {
-        let busy = |s: &mut EngineState| s.running > 0;
-        drop(self.changed.wait_while(self.lock(), busy));
+        self.wait_while(|s| s.running > 0);
     }
 
-    /// Begins to leave.
-    pub fn leave(&self) {
-        self.change(|s| s.leaving = true);
+    /// Returns the incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.lock().incarnation
     }
 
     /// Returns the number of requests that run.
@@ -71,39 +84,36 @@
         self.lock().opened
     }
 
-    fn change(&self, change: impl FnOnce(&mut EngineState)) {
-        change(&mut self.lock());
+    /// Changes the state and tells whoever waits for it.
+    pub fn change<T>(&self, change: impl FnOnce(&mut EngineState) -> T) -> T {
+        let result = change(&mut self.lock());
         self.changed.notify_all();
+        result
     }
 
-    fn lock(&self) -> MutexGuard<'_, EngineState> {
-        self.state
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    /// Waits while `holds`, and for `time` at most.
+    pub fn wait(&self, time: Duration, holds: impl FnMut(&mut EngineState) -> bool) {
+        drop(self.changed.wait_timeout_while(self.lock(), time, holds));
     }
 
-    /// Waits for `time` of the engine's work. Returns whether the connection still lives.
-    fn work(&self, life: Incarnation, opened: u64, time: Duration) -> bool {
-        let alive = |s: &mut EngineState| s.incarnation == life;
-        let wait = self.changed.wait_timeout_while(self.lock(), time, alive);
-        let (state, _) = wait.unwrap_or_else(std::sync::PoisonError::into_inner);
-        let silent = |s: &mut EngineState| s.incarnation == life && opened <= s.silent;
-        // A silent connection stays so until the engine restarts.
-        let state = self.changed.wait_while(state, silent);
-        state
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .incarnation
-            == life
+    /// Waits while `holds`.
+    pub fn wait_while(&self, holds: impl FnMut(&mut EngineState) -> bool) {
+        drop(self.changed.wait_while(self.lock(), holds));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        // A thread that panicked while it held the lock has already failed its test.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Answers with the load and the cache events, both as late as the engine reports them.
     fn news(&self, request: Request, query: &Query<'_>) {
         let (after, whole) = (query.number("after"), query.get("whole") == Some("true"));
         let wait = Duration::from_millis(query.number("wait_ms"));
-        let quiet = |s: &mut EngineState| !whole && s.log.next() <= after;
-        let waited = self.changed.wait_timeout_while(self.lock(), wait, quiet);
-        let (state, _) = waited.unwrap_or_else(std::sync::PoisonError::into_inner);
-        let news = state.news(after, whole);
-        drop(state);
+        self.wait(wait, |s| !whole && s.log.next() <= after);
+        let news = self.lock().news(after, whole);
+        let life = self.incarnation();
+        self.wait(self.config.lag, |s| s.incarnation == life);
         Reply::json(request, 200, &news);
     }
 
@@ -115,86 +125,55 @@
         let Ok(chat) = serde_json::from_slice::<ChatRequest<'_>>(&body) else {
             return Reply::text(request, 400, "the body is no chat-completions request");
         };
-        let salt = Salt::from_number(number(&request, header::SALT));
-        let chain = chat.chain(salt);
+        let terms = Terms::new(&request);
+        let chain = chat.chain(terms.salt);
         if self.lock().closed {
             return Reply::text(request, 500, "the engine is closed");
         }
-        let Some((life, opened, cached)) = self.begin(&request, &chain) else {
+        if let Some(from) = terms.import {
+            self.import(from, &chain, &terms);
+        }
+        let Some(ticket) = self.begin(&terms, &chain) else {
             return Reply::text(request, 409, "the incarnation or the weights are others");
         };
-        let generation = Generation::new(&chain, chat.max_tokens);
-        let resume = u64::try_from(number(&request, header::RESUME)).unwrap_or(0);
-        let id = Reply::header(&request, header::ATTEMPT)
-            .unwrap_or("")
-            .to_owned();
-        let event = ChatEvent {
-            id: &id,
-            model: &chat.model,
-        };
-        let uncached = chain.tokens().saturating_sub(cached);
-        if self.work(life, opened, self.config.prefill.time_for(uncached)) {
-            self.change(|s| store(s, &chain));
-            let usage = usage(&chain, cached, generation);
-            self.stream(request, event, generation, resume, (life, opened), usage);
+        match EventWriter::new(request) {
+            Ok(writer) => {
+                let run = ChatRun::new(self, writer, &terms, &chain, ticket);
+                run.run(&chat.model, chat.max_tokens);
+            }
+            Err(_) => self.change(|s| s.leave(&ticket, ticket.uncached)),
         }
-        self.change(|s| end(s, life, uncached));
     }
 
     /// Takes a request in if the engine is what the entry expects.
-    fn begin(
-        &self,
-        request: &Request,
-        chain: &BlockChain,
-    ) -> Option<(Incarnation, u64, TokenCount)> {
-        let weights = number(request, header::WEIGHTS);
-        let expected = Reply::header(request, header::INCARNATION).and_then(|v| v.parse().ok());
-        let mut state = self.lock();
-        let fits = u128::from(state.weights.get()) == weights
-            && expected.is_none_or(|e: u64| e == state.incarnation.get());
-        if !fits {
-            return None;
-        }
-        let cached = state.cache.held(chain.blocks());
-        state.running += 1;
-        state.opened += 1;
-        state.pending += chain.tokens().saturating_sub(cached);
-        Some((state.incarnation, state.opened, cached))
-    }
-
-    fn stream(
-        &self,
-        request: Request,
-        event: ChatEvent<'_>,
-        generation: Generation,
-        resume: u64,
-        (life, opened): (Incarnation, u64),
-        usage: Usage,
-    ) {
-        let Ok(mut writer) = EventWriter::new(request) else {
+    fn begin(&self, terms: &Terms, chain: &BlockChain) -> Option<Ticket> {
+        self.change(|s| s.fits(terms).then(|| s.enter(terms, chain)))
+    }
+
+    /// Answers with the blocks that are asked for and held.
+    fn export(&self, mut request: Request) {
+        let Ok(wanted) = serde_json::from_reader::<_, KvBlocks>(request.as_reader()) else {
+            return Reply::text(request, 400, "the body is no list of blocks");
+        };
+        Reply::json(request, 200, &self.lock().export(&wanted));
+    }
+
+    /// Fetches blocks from another engine. Without them the prompt is computed.
+    fn import(&self, from: SocketAddr, chain: &BlockChain, terms: &Terms) {
+        let wanted = KvBlocks::new(terms.weights, chain.blocks());
+        let Ok(body) = serde_json::to_string(&wanted) else {
             return;
         };
-        let mut position = resume;
-        while let Some(token) = generation.token(position) {
-            if writer.event(position, &event.token(&token)).is_err() {
-                return;
-            }
-            position += 1;
-            if !self.work(life, opened, self.config.interval) {
-                return;
-            }
-        }
-        let length = generation.length().get();
-        let last = [
-            (length, event.finish(usage)),
-            (length + 1, "[DONE]".to_owned()),
-        ];
-        let rest = last.iter().filter(|(at, _)| *at >= resume);
-        if rest
-            .into_iter()
-            .all(|(at, data)| writer.event(*at, data).is_ok())
-        {
-            let _ = writer.end();
+        let url = format!("http://{from}/v1/kv/export");
+        let answer = minreq::post(url)
+            .with_timeout(IMPORT_TIMEOUT)
+            .with_body(body)
+            .send();
+        let blocks = answer
+            .ok()
+            .and_then(|a| serde_json::from_slice(a.as_bytes()).ok());
+        if let Some(blocks) = blocks {
+            self.change(|s| s.import(&blocks, chain));
         }
     }
 }
@@ -206,36 +185,8 @@
         match (request.method().clone(), query.path) {
             (Method::Get, "/v1/news") => self.news(request, &query),
             (Method::Post, "/v1/chat/completions") => self.chat(request),
+            (Method::Post, "/v1/kv/export") => self.export(request),
             _ => Reply::text(request, 404, "no such path"),
         }
     }
 }
-
-fn number(request: &Request, name: &str) -> u128 {
-    Reply::header(request, name)
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(0)
-}
-
-fn store(state: &mut EngineState, chain: &BlockChain) {
-    let ops = state.cache.store(chain.blocks());
-    state.log.extend(ops);
-}
-
-fn end(state: &mut EngineState, life: Incarnation, uncached: TokenCount) {
-    // After a restart the counts are those of another life.
-    if state.incarnation == life {
-        state.running -= 1;
-        state.pending = state.pending.saturating_sub(uncached);
-    }
-}
-
-fn usage(chain: &BlockChain, cached: TokenCount, generation: Generation) -> Usage {
-    Usage {
-        prompt_tokens: chain.tokens().get(),
-        completion_tokens: generation.length().get(),
-        prompt_details: UsageDetails {
-            cached_tokens: cached.get(),
-        },
-    }
-}
--- a/azureway-dev/src/http/event_writer.rs
+++ b/azureway-dev/src/http/event_writer.rs
@@ -37,12 +37,22 @@
         self.out.flush()
     }
 
+    /// Writes a comment, which tells the caller that the connection lives.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller is gone.
+    pub fn comment(&mut self) -> io::Result<()> {
+        self.out.write_all(b"3\r\n:\n\n\r\n")?;
+        self.out.flush()
+    }
+
     /// Ends the stream.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller is gone.
-    pub fn end(mut self) -> io::Result<()> {
+    pub fn end(&mut self) -> io::Result<()> {
         self.out.write_all(b"0\r\n\r\n")?;
         self.out.flush()
     }
--- /dev/null
+++ b/azureway-dev/tests/engine.rs
@@ -0,0 +1,160 @@
+//! The contract that the entry relies on, shown by the engine's stand-in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_dev::engine::{Engine, EngineConfig};
+use azureway_dev::http::StandIn;
+use azureway_wire::engine::{EngineNews, KvBlocks};
+use azureway_wire::header;
+use googletest::prelude::*;
+
+const BODY: &str =
+    r#"{"model":"advice","max_tokens":3,"messages":[{"role":"system","content":"House rules"}]}"#;
+
+fn start(config: EngineConfig) -> (Arc<Engine>, StandIn) {
+    let engine = Arc::new(Engine::new(config.with_interval(Duration::ZERO)));
+    let server = StandIn::start(Arc::clone(&engine)).expect("a port");
+    (engine, server)
+}
+
+fn ask(server: &StandIn, headers: &[(&str, &str)]) -> minreq::Response {
+    let url = format!("http://{}/v1/chat/completions", server.address());
+    let defaults = [(header::WEIGHTS, "1"), (header::SALT, "7")];
+    let missing = defaults
+        .iter()
+        .filter(|(d, _)| headers.iter().all(|(name, _)| name != d));
+    let request = minreq::post(url).with_timeout(60).with_body(BODY);
+    let with = |r: minreq::Request, (name, value): &(&str, &str)| r.with_header(*name, *value);
+    missing
+        .chain(headers)
+        .fold(request, with)
+        .send()
+        .expect("an answer")
+}
+
+fn news(server: &StandIn, query: &str) -> EngineNews {
+    let url = format!("http://{}/v1/news?{query}", server.address());
+    let answer = minreq::get(url).with_timeout(60).send().expect("an answer");
+    serde_json::from_slice(answer.as_bytes()).expect("news")
+}
+
+fn cached(answer: &minreq::Response) -> String {
+    let text = answer.as_str().expect("text").to_owned();
+    let rest = text
+        .split("\"cached_tokens\":")
+        .nth(1)
+        .expect("usage")
+        .to_owned();
+    rest.split('}').next().expect("a number").to_owned()
+}
+
+#[gtest]
+fn a_request_with_other_expectations_is_refused_before_it_runs() {
+    let (engine, server) = start(EngineConfig::new());
+    expect_that!(ask(&server, &[(header::WEIGHTS, "2")]).status_code, eq(409));
+    expect_that!(
+        ask(&server, &[(header::INCARNATION, "9")]).status_code,
+        eq(409)
+    );
+    expect_that!(engine.opened(), eq(0));
+    expect_that!(
+        ask(&server, &[(header::INCARNATION, "1")]).status_code,
+        eq(200)
+    );
+}
+
+#[gtest]
+fn a_prompt_is_cached_for_its_salt_alone_and_until_a_crash() {
+    let (engine, server) = start(EngineConfig::new());
+    expect_that!(cached(&ask(&server, &[])), eq("0"));
+    expect_that!(cached(&ask(&server, &[])), eq("5"));
+    expect_that!(cached(&ask(&server, &[(header::SALT, "8")])), eq("0"));
+    engine.crash();
+    expect_that!(cached(&ask(&server, &[])), eq("0"));
+}
+
+#[gtest]
+fn an_answer_resumes_at_its_position() {
+    let (_engine, server) = start(EngineConfig::new());
+    let (whole, rest) = (ask(&server, &[]), ask(&server, &[(header::RESUME, "2")]));
+    let (whole, rest) = (whole.as_str().expect("text"), rest.as_str().expect("text"));
+    let tail = whole.find("id: 2\n").expect("the position");
+    // What the cache held differs, since the first answer stored it.
+    let content = |t: &str| {
+        t.split("\"content\":\"")
+            .skip(1)
+            .map(|c| c[..6].to_owned())
+            .collect()
+    };
+    let (expected, found): (Vec<String>, Vec<String>) = (content(&whole[tail..]), content(rest));
+    expect_that!(found, eq(&expected));
+    expect_that!(rest, starts_with("id: 2\n"));
+}
+
+#[gtest]
+fn blocks_are_imported_from_another_engine_with_the_same_weights() {
+    let ((_one, first), (_two, second)) = (start(EngineConfig::new()), start(EngineConfig::new()));
+    ask(&first, &[]);
+    let from = first.address().to_string();
+    expect_that!(cached(&ask(&second, &[(header::IMPORT, &from)])), eq("5"));
+    let wanted = KvBlocks {
+        weights: 2,
+        keys: vec!["1".to_owned()],
+    };
+    let body = serde_json::to_string(&wanted).expect("JSON");
+    let url = format!("http://{}/v1/kv/export", first.address());
+    let answer = minreq::post(url)
+        .with_body(body)
+        .with_timeout(60)
+        .send()
+        .expect("an answer");
+    let had: KvBlocks = serde_json::from_slice(answer.as_bytes()).expect("blocks");
+    expect_that!(had.keys, is_empty());
+}
+
+#[gtest]
+fn events_are_numbered_and_a_loss_shows_as_a_gap() {
+    let (engine, server) = start(EngineConfig::new());
+    ask(&server, &[]);
+    let first = news(&server, "after=0&wait_ms=0");
+    expect_that!(
+        (first.first, first.events.len(), first.next()),
+        eq((0, 1, 1))
+    );
+    ask(&server, &[(header::SALT, "8")]);
+    engine.lose_events(2);
+    ask(&server, &[(header::SALT, "9")]);
+    expect_that!(news(&server, "after=1&wait_ms=0").first, eq(2));
+    let whole = news(&server, "after=1&wait_ms=0&whole=true");
+    expect_that!(
+        (whole.whole, whole.first, whole.events.len()),
+        eq((true, 3, 3))
+    );
+}
+
+#[gtest]
+fn urgent_work_gets_the_next_slot() {
+    let config = EngineConfig::new();
+    let mut state = azureway_dev::engine::EngineState::new(&config.with_slots(1));
+    let salt = Salt::from_number(7);
+    let chain = BlockChain::new(salt, [b"house".as_slice()]);
+    let terms = |rank| azureway_dev::engine::Terms {
+        id: String::new(),
+        salt,
+        weights: WeightsVersion::new(1),
+        incarnation: None,
+        resume: 0,
+        rank,
+        import: None,
+    };
+    let drafting = state.enter(&terms(Rank::Drafting), &chain);
+    let waiting = state.enter(&terms(Rank::Drafting), &chain);
+    expect_true!(state.take_slot(&drafting));
+    let urgent = state.enter(&terms(Rank::Urgent), &chain);
+    state.leave(&drafting, drafting.uncached);
+    expect_false!(state.take_slot(&waiting));
+    expect_true!(state.take_slot(&urgent));
+    expect_that!(state.pending, eq(waiting.uncached + urgent.uncached));
+}
--- a/azureway-wire/src/header.rs
+++ b/azureway-wire/src/header.rs
@@ -24,3 +24,5 @@
 pub const WEIGHTS: &str = "azureway-weights";
 /// The position at which the server resumes the stream.
 pub const RESUME: &str = "azureway-resume";
+/// The address of an engine from which the server can fetch blocks.
+pub const IMPORT: &str = "azureway-import";
