Judge every answer of a backend server

A table of 18 answers, byte by byte, shows what the caller gets: a whole answer or an honest refusal, each event once and in order. Cause of the two changes: an answer to another try would have been passed on, and a whole answer shorter than declared, or above its bound, would have been taken for whole. Relays now compare the answer's try and length. A caller that hangs up while its request waits is noticed when its try begins, and one that hangs up during a long prompt at the engine's next comment. Refusals whose cause passes say when to ask again.

--- a/azureway-core/src/domain/refusal.rs
+++ b/azureway-core/src/domain/refusal.rs
@@ -20,20 +20,20 @@
 impl Refusal {
     /// Creates a refusal of a request that no backend server has run.
     pub fn not_run(reason: RefusalReason, detail: &str) -> Self {
-        Self {
-            reason,
-            not_run: true,
-            retry_after: None,
-            detail: detail.into(),
-        }
+        Self::new(reason, true, detail)
     }
 
     /// Creates a refusal of a request that may have run, wholly or in part.
     pub fn maybe_run(reason: RefusalReason, detail: &str) -> Self {
+        Self::new(reason, false, detail)
+    }
+
+    fn new(reason: RefusalReason, not_run: bool, detail: &str) -> Self {
+        let retry_after = reason.retry_after().filter(|_| not_run);
         Self {
             reason,
-            not_run: false,
-            retry_after: None,
+            not_run,
+            retry_after,
             detail: detail.into(),
         }
     }
--- a/azureway-core/src/domain/refusal_reason.rs
+++ b/azureway-core/src/domain/refusal_reason.rs
@@ -1,5 +1,10 @@
 //! Why a request was refused.
 
+use std::time::Duration;
+
+/// When to ask again after a refusal whose cause passes.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Why a request was refused, with a stable code for callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum RefusalReason {
@@ -58,6 +63,18 @@
         Self::StreamBroken,
     ];
 
+    /// Returns when it is worth asking again, if it is.
+    pub const fn retry_after(self) -> Option<Duration> {
+        match self {
+            Self::Overloaded
+            | Self::NoServer
+            | Self::AccountLimit
+            | Self::ClaimUnavailable
+            | Self::Draining => Some(RETRY_AFTER),
+            _ => None,
+        }
+    }
+
     /// Returns the stable code.
     pub const fn code(self) -> &'static str {
         match self {
--- a/azureway-dev/src/engine/engine_service.rs
+++ b/azureway-dev/src/engine/engine_service.rs
@@ -136,7 +136,7 @@
         let Some(ticket) = self.begin(&terms, &chain) else {
             return Reply::text(request, 409, "the incarnation or the weights are others");
         };
-        match EventWriter::new(request) {
+        match EventWriter::new(request, &terms.id) {
             Ok(writer) => {
                 let run = ChatRun::new(self, writer, &terms, &chain, ticket);
                 run.run(&chat.model, chat.max_tokens);
--- a/azureway-dev/src/http/event_writer.rs
+++ b/azureway-dev/src/http/event_writer.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 
+use azureway_wire::header;
 use tiny_http::Request;
 
 /// Writes a stream of events. The library hands out its connection as a boxed `dyn Write`,
@@ -11,16 +12,18 @@
 }
 
 impl EventWriter {
-    /// Takes over the connection of `request` and writes the head.
+    /// Takes over the connection of `request` and writes the head, which names the try.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller is gone.
-    pub fn new(request: Request) -> io::Result<Self> {
+    pub fn new(request: Request, attempt: &str) -> io::Result<Self> {
         let mut out = request.into_writer();
-        out.write_all(
-            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\
-              transfer-encoding: chunked\r\n\r\n",
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\
+             {}: {attempt}\r\ntransfer-encoding: chunked\r\n\r\n",
+            header::ATTEMPT
         )?;
         out.flush()?;
         Ok(Self { out })
--- /dev/null
+++ b/azureway-dev/tests/bad_backend.rs
@@ -0,0 +1,101 @@
+//! Whatever a backend server answers, the caller gets a whole answer or an honest refusal.
+
+mod support;
+
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use azureway_config::ini::{self, Section};
+use azureway_config::settings::EntrySettings;
+use azureway_core::prelude::*;
+use azureway_dev::http::StandIn;
+use azureway_dev::platform::Platform;
+use azureway_entry::daemon::Entry;
+use googletest::prelude::*;
+use support::{KEY, open_at, positions, raw_server, read_all};
+
+/// The cases; the file's head tells how to read it.
+const CASES: &str = include_str!("../testdata/bad_backend.ini");
+/// The servers of the pool: as many as a request has tries.
+const SERVERS: usize = 4;
+/// The head of a stream.
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
+
+/// A document whose pool holds `SERVERS` servers that give `answer`.
+fn document(answer: &[u8]) -> String {
+    let mut text = format!(
+        "[pool p]\n[service advice]\npool = p\n\
+         [service orders]\nkind = plain\npool = p\ncalls = at-most-once\n\
+         [account desk]\nkeys = {}\n",
+        KeyHash::of(KEY)
+    );
+    for number in 0..SERVERS {
+        let address = raw_server(answer);
+        write!(
+            text,
+            "[server s{number}]\npool = p\nzone = a\naddress = {address}\n"
+        )
+        .expect("text");
+    }
+    text
+}
+
+fn ask(entry: SocketAddr, service: &str) -> String {
+    let (path, body) = match service {
+        "advice" => (
+            "/v1/chat/completions",
+            r#"{"model":"advice","stream":true,"messages":[]}"#,
+        ),
+        _ => ("/services/orders/new", "an order"),
+    };
+    let mut stream = open_at(entry);
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nauthorization: Bearer {KEY}\r\nazureway-deadline-ms: 2000\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    read_all(&mut stream)
+}
+
+fn check(case: &Section<'_>) {
+    let text = |key| case.get(key).map_or("", |e| e.value);
+    let answer = text("answer")
+        .replace("HEAD", HEAD)
+        .replace("\\r", "\r")
+        .replace("\\n", "\n");
+    let platform = Arc::new(Platform::new());
+    let server = StandIn::start(Arc::clone(&platform)).expect("a port");
+    platform.seed("config", "document", &document(answer.as_bytes()));
+    let (instance, zone) = (InstanceId::new("entry-1"), ZoneId::new("a"));
+    let settings = EntrySettings::new(instance, zone, server.address());
+    let entry = Entry::start(&settings).expect("the entry starts");
+    entry.wait_ready();
+
+    let answer = ask(entry.address(), text("service"));
+    let status = format!("HTTP/1.1 {} ", text("status"));
+    expect_that!(answer, starts_with(status), "{}", case.name);
+    expect_that!(answer, contains_substring(text("holds")), "{}", case.name);
+    if let Some(lacks) = case.get("lacks") {
+        expect_that!(
+            answer,
+            not(contains_substring(lacks.value)),
+            "{}",
+            case.name
+        );
+    }
+    if let Some(events) = case.get("events") {
+        let expected: Vec<u64> = events.value.split(' ').flat_map(str::parse).collect();
+        expect_that!(positions(&answer), eq(&expected), "{}", case.name);
+    }
+    entry.drain();
+}
+
+#[gtest]
+fn each_bad_answer_gets_its_outcome() {
+    let cases = ini::parse(CASES).expect("the table is good");
+    expect_that!(cases.len(), ge(18));
+    cases.iter().for_each(check);
+}
--- a/azureway-dev/tests/support/mod.rs
+++ b/azureway-dev/tests/support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part of it")]
 
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use azureway_config::settings::Bounds;
@@ -49,7 +49,12 @@
 
 /// Opens a connection to the first entry instance.
 pub fn open(system: &System) -> TcpStream {
-    let stream = TcpStream::connect(system.addresses()[0]).expect("a connection");
+    open_at(system.addresses()[0])
+}
+
+/// Opens a connection to an address.
+pub fn open_at(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).expect("a connection");
     stream.set_read_timeout(Some(GUARD)).expect("a guard");
     stream
 }
@@ -100,6 +105,49 @@
     answer
 }
 
+/// Starts a backend server that gives every chat or plain request the same bytes for an
+/// answer and hangs up. It ends with the test.
+pub fn raw_server(answer: &[u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let answer = answer.to_vec();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            raw_answer(stream, &answer);
+        }
+    });
+    address
+}
+
+fn raw_answer(mut stream: TcpStream, answer: &[u8]) {
+    stream.set_read_timeout(Some(GUARD)).expect("a guard");
+    let mut request = Vec::new();
+    let mut buffer = [0; 4096];
+    while !is_whole(&request) {
+        match stream.read(&mut buffer) {
+            Ok(count @ 1..) => request.extend_from_slice(&buffer[..count]),
+            _ => return,
+        }
+    }
+    if request.starts_with(b"POST") {
+        let _ = stream.write_all(answer);
+    }
+}
+
+/// Tells whether a request's head and as much body as it declares have come.
+fn is_whole(request: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(request).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head
+        .split("content-length: ")
+        .nth(1)
+        .and_then(|r| r.lines().next());
+    let length: usize = length.and_then(|l| l.parse().ok()).unwrap_or(0);
+    body.len() >= length
+}
+
 /// Returns the positions of the events in an answer.
 pub fn positions(answer: &str) -> Vec<u64> {
     let ids = answer.lines().filter_map(|l| l.strip_prefix("id: "));
--- a/azureway-entry/src/caller/answer.rs
+++ b/azureway-entry/src/caller/answer.rs
@@ -50,6 +50,7 @@
                 Outcome::Refused(id, refusal) => return self.refuse(id, &refusal),
                 Outcome::Attached(attempt, position, pieces) => {
                     self.attach(attempt, position);
+                    self.check_caller()?;
                     if self.pass_on(attempt, &pieces)? {
                         return Ok(());
                     }
@@ -67,6 +68,19 @@
         log::debug!(request:% = attempt.id, step = "attach", position:% = position; "a try begins");
     }
 
+    /// Fails if the caller has hung up while its request waited.
+    fn check_caller(&self) -> io::Result<()> {
+        self.stream.set_nonblocking(true)?;
+        let seen = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false)?;
+        match seen {
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => Ok(()),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(e) => Err(e),
+        }
+    }
+
     /// Passes on the pieces of one try. Returns whether the answer is complete.
     fn pass_on(&mut self, attempt: Attempt, pieces: &Receiver<Piece>) -> io::Result<bool> {
         while let Ok(piece) = pieces.recv() {
--- a/azureway-entry/src/caller/connection.rs
+++ b/azureway-entry/src/caller/connection.rs
@@ -114,7 +114,6 @@
             .is_err()
         {
             let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
-            let refusal = refusal.with_retry(Duration::from_secs(1));
             return Responder::new(&self.stream).refuse(&refusal);
         }
         let mut answer = Answer::new(&self.stream, stream);
--- a/azureway-entry/src/relay/relay_try.rs
+++ b/azureway-entry/src/relay/relay_try.rs
@@ -129,22 +129,35 @@
         let media = headers.get("content-type").and_then(|v| v.to_str().ok());
         let media = media.unwrap_or("application/octet-stream").into();
         let mut body = Vec::new();
-        reader
-            .take(WHOLE_MAX)
-            .read_to_end(&mut body)
-            .map_err(|e| Trouble::of_read(&e))?;
+        let read = reader.take(WHOLE_MAX + 1).read_to_end(&mut body);
+        read.map_err(|e| Trouble::of_read(&e))?;
+        let length = headers.get("content-length").and_then(|v| v.to_str().ok());
+        let cut = length.is_some_and(|l| l.parse() != Ok(body.len()));
+        if cut || body.len() as u64 > WHOLE_MAX {
+            return Err(Trouble::Server(FailureKind::Broken, SendState::MaybeRun));
+        }
         self.note_start();
         self.pass(Piece::Whole(status.as_u16(), media, body))
     }
 
     fn pass_stream(&mut self, answer: Response) -> Result<(), Trouble> {
-        let (_, _, reader) = answer.split();
+        let (_, headers, reader) = answer.split();
+        // An answer to another request must not reach this caller.
+        if headers
+            .get(header::ATTEMPT)
+            .is_some_and(|a| *a != self.order.attempt.to_string())
+        {
+            return Err(Trouble::Server(FailureKind::Faulty, SendState::MaybeRun));
+        }
         let mut reader = BufReader::new(reader);
         let mut line = String::new();
         let mut position = self.next;
         let mut data = String::new();
         loop {
             read_line(&mut reader, &mut line)?;
+            if self.pieces.is_disconnected() {
+                return Err(Trouble::Unwanted);
+            }
             match SseLine::parse(&line) {
                 SseLine::Id(id) => position = StreamPosition::new(id),
                 SseLine::Data(text) => data.push_str(text),
