Add the replay, its engine model and the traces

Cause: routing, fairness and admission could not be measured. The replay drives one core with a recorded trace on a virtual clock; a small engine model batches continuously, caches prefixes, honours priorities and crashes, and its news reaches the core late and with gaps.

--- a/azureway-dev/src/lib.rs
+++ b/azureway-dev/src/lib.rs
@@ -1,7 +1,10 @@
 //! Stand-ins for what azureway meets, for tests, trials and benches. No daemon links this.
 
 pub mod engine;
+pub mod generate;
 pub mod http;
 pub mod plain;
 pub mod platform;
+pub mod replay;
 pub mod serve;
+pub mod trace;
--- a/azureway-dev/src/main.rs
+++ b/azureway-dev/src/main.rs
@@ -4,22 +4,32 @@
 use azureway_config::settings::Bounds;
 use azureway_dev::engine::EngineConfig;
 use azureway_dev::serve::{Layout, System};
+use azureway_dev::{generate, replay};
 use clap::Command;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 fn main() -> Result<()> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    match command().get_matches().subcommand_name() {
-        Some("serve") => serve(),
+    match command().get_matches().subcommand() {
+        Some(("serve", _)) => serve(),
+        Some(("generate", matches)) => generate::run(matches),
+        Some(("replay", matches)) => exit(replay::run(matches)?),
         _ => Ok(()),
     }
 }
 
+/// Ends the program with a status that tells whether all went well.
+fn exit(well: bool) -> ! {
+    std::process::exit(i32::from(!well))
+}
+
 fn command() -> Command {
     Command::new("azureway-dev")
         .about("Stand-ins and trials for developers of azureway")
         .subcommand_required(true)
+        .subcommand(generate::command())
+        .subcommand(replay::command())
         .subcommand(Command::new("serve").about("Runs a whole system on loopback until Ctrl-C"))
 }
 
--- /dev/null
+++ b/azureway-dev/src/replay/news.rs
@@ -0,0 +1,39 @@
+//! What an engine tells of itself.
+
+use azureway_core::prelude::{CacheOp, CacheUpdate, Incarnation, LoadReport, ServerId};
+
+/// What an engine tells of itself: its load and a run of cache events.
+#[derive(Clone, Debug)]
+pub struct News {
+    /// The load.
+    pub load: LoadReport,
+    /// The number of the first cache event.
+    pub first: u64,
+    /// Whether the events are the whole content of the cache.
+    pub whole: bool,
+    /// The cache events.
+    pub ops: Vec<CacheOp>,
+}
+
+impl News {
+    /// Returns the cache events as the core takes them.
+    pub fn update(&self) -> CacheUpdate<'_> {
+        CacheUpdate {
+            server: self.server(),
+            incarnation: self.incarnation(),
+            first: self.first,
+            whole: self.whole,
+            ops: &self.ops,
+        }
+    }
+
+    /// Returns the engine.
+    pub const fn server(&self) -> &ServerId {
+        &self.load.server
+    }
+
+    /// Returns the engine's incarnation.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.load.incarnation
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/replay/story.rs
@@ -0,0 +1,98 @@
+//! What became of a request.
+
+use std::time::Duration;
+
+use azureway_core::prelude::{Rank, Refusal, Timestamp};
+
+use super::Links;
+use crate::trace::{Ask, WorkKind};
+
+/// What became of a request, as its caller sees it.
+#[derive(Clone, Debug)]
+pub struct Story {
+    /// The client account.
+    pub account: String,
+    /// What it was for.
+    pub kind: WorkKind,
+    /// What an answer in time is worth.
+    pub worth: u64,
+    /// The tokens of prompt and answer.
+    pub cost: u64,
+    /// The tokens of the answer.
+    pub output: u64,
+    /// The time to first token that the caller allows.
+    pub patience: Duration,
+    /// When it arrived.
+    pub arrived: Timestamp,
+    /// The time to first token.
+    pub first: Option<Duration>,
+    /// The times between two tokens, in milliseconds.
+    pub gaps: Vec<u64>,
+    /// The tokens that the caller has.
+    pub received: u64,
+    /// Whether the answer ended well.
+    pub finished: bool,
+    /// The refusal, if there was one.
+    pub refused: Option<Refusal>,
+    /// Whether the entry restarted while it was under way.
+    pub dropped: bool,
+    /// The tries.
+    pub tries: u32,
+    /// The engines that took it.
+    pub runs: u32,
+    last: Timestamp,
+}
+
+impl Story {
+    /// Creates the story of a request that arrived at `now` with a prompt of `prompt` tokens.
+    pub fn new(ask: &Ask, prompt: u64, now: Timestamp) -> Self {
+        Self {
+            account: ask.account.clone(),
+            kind: ask.kind,
+            worth: ask.worth,
+            cost: prompt + ask.output,
+            output: ask.output,
+            patience: Duration::from_millis(ask.patience),
+            arrived: now,
+            first: None,
+            gaps: Vec::new(),
+            received: 0,
+            finished: false,
+            refused: None,
+            dropped: false,
+            tries: 0,
+            runs: 0,
+            last: now,
+        }
+    }
+
+    /// Notes the token at `position` of the answer, which reached the entry at `at`.
+    pub fn receive(&mut self, position: u64, at: Timestamp) {
+        if position != self.received + 1 {
+            return;
+        }
+        self.received = position;
+        if self.first.is_none() {
+            self.first = Some(at.since(self.arrived) + Links::CLIENT * 2);
+        } else {
+            let gap = at.since(self.last).as_millis();
+            self.gaps.push(u64::try_from(gap).unwrap_or(u64::MAX));
+        }
+        self.last = at;
+    }
+
+    /// Returns the rank.
+    pub const fn rank(&self) -> Rank {
+        self.kind.rank()
+    }
+
+    /// Tells whether the request was answered whole and its first token was in time.
+    pub fn is_on_time(&self) -> bool {
+        self.finished && self.first.is_some_and(|t| t <= self.patience)
+    }
+
+    /// Tells whether the request got an answer or a refusal.
+    pub const fn is_answered(&self) -> bool {
+        self.finished || self.refused.is_some() || self.dropped
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/replay/tally.rs
@@ -0,0 +1,38 @@
+//! What a replay counts.
+
+use std::collections::BTreeMap;
+
+use super::{Promises, Story};
+
+/// What a replay counts.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// What became of each request, by its sequence number.
+    pub stories: BTreeMap<u64, Story>,
+    /// The promises that were broken.
+    pub promises: Promises,
+    /// The prompt tokens of the tries that began.
+    pub prompt: u64,
+    /// The prompt tokens of these that were found in a cache.
+    pub cached: u64,
+    /// The prompt tokens that were computed while another engine held them.
+    pub wasted: u64,
+    /// The bytes that went to and came from another zone.
+    pub crossed: u64,
+    /// The engines that crashed by a request.
+    pub poisoned: u64,
+    /// The news that was lost on its way.
+    pub lost: u64,
+}
+
+impl Tally {
+    /// Creates an empty tally.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns what became of a request.
+    pub fn story(&mut self, sequence: u64) -> Option<&mut Story> {
+        self.stories.get_mut(&sequence)
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/trace/parse.rs
@@ -0,0 +1,96 @@
+//! Reading a trace from its text.
+
+use std::str::FromStr;
+
+use anyhow::{Context, Error, Result, bail};
+
+use super::{Ask, Incident, Other, Record, Trace, WorkKind};
+
+impl FromStr for Trace {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mut trace = Self::default();
+        for (number, line) in (1..).zip(text.lines()) {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let read = read_line(&mut trace, &words);
+            read.with_context(|| format!("line {number}: {line:?}"))?;
+        }
+        Ok(trace)
+    }
+}
+
+fn read_line(trace: &mut Trace, words: &[&str]) -> Result<()> {
+    let header = &mut trace.header;
+    match words {
+        [] | ["#", ..] => {}
+        ["seed", seed] => header.seed = seed.parse()?,
+        ["zones", zones @ ..] => header.zones = owned(zones),
+        ["engines", engines] => header.engines = engines.parse()?,
+        ["accounts", accounts @ ..] => header.accounts = owned(accounts),
+        ["blocks", blocks] => header.blocks = blocks.parse()?,
+        ["link", link] => header.link = link.parse()?,
+        ["level", name, tokens] => trace.levels.insert(name, tokens.parse()?),
+        [at, rest @ ..] => {
+            let record = read_record(trace, rest)?;
+            push_record(trace, at.parse()?, record)?;
+        }
+    }
+    Ok(())
+}
+
+fn push_record(trace: &mut Trace, at: u64, record: Record) -> Result<()> {
+    if trace.records.last().is_some_and(|(last, _)| *last > at) {
+        bail!("the time runs backwards");
+    }
+    trace.records.push((at, record));
+    Ok(())
+}
+
+fn read_record(trace: &Trace, words: &[&str]) -> Result<Record> {
+    match words {
+        ["ask", ask @ ..] => Ok(Record::Ask(read_ask(trace, ask)?)),
+        ["other", server, ask @ ..] => Ok(Record::Other(Other {
+            server: (*server).to_owned(),
+            ask: read_ask(trace, ask)?,
+        })),
+        _ => {
+            let incident = Incident::parse(words).context("no such record")?;
+            Ok(Record::Incident(incident))
+        }
+    }
+}
+
+fn read_ask(trace: &Trace, words: &[&str]) -> Result<Ask> {
+    let &[
+        account,
+        kind,
+        worth,
+        patience,
+        output,
+        levels,
+        question,
+        ref flags @ ..,
+    ] = words
+    else {
+        bail!("a request has seven words");
+    };
+    let levels = owned(&levels.split('/').collect::<Vec<_>>());
+    if let Some(level) = levels.iter().find(|l| !trace.levels.contains(l)) {
+        bail!("the level {level:?} is not defined");
+    }
+    Ok(Ask {
+        account: account.to_owned(),
+        kind: WorkKind::parse(kind).context("no such kind")?,
+        worth: worth.parse()?,
+        patience: patience.parse()?,
+        output: output.parse()?,
+        levels,
+        question: question.parse()?,
+        poison: flags.contains(&"poison"),
+    })
+}
+
+fn owned(words: &[&str]) -> Vec<String> {
+    words.iter().map(|w| (*w).to_owned()).collect()
+}
