Add the edit of the document as a state machine

Operators race each other's edits, and answers from the platform get lost after the write took effect. An edit is now a state machine without I/O: it rebases on other teams' changes, shows conflicts in its own sections, resolves a lost answer by the identity of the change, and archives the record that it replaces before it writes its own.

--- /dev/null
+++ b/azureway-core/src/config/history.rs
@@ -0,0 +1,41 @@
+//! The audit trail of changes.
+
+use std::collections::BTreeMap;
+
+use super::{AcceptedChange, Sections, Snapshot};
+use crate::domain::ConfigVersion;
+
+/// The audit trail: accepted changes by the version that they made.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct History {
+    changes: BTreeMap<ConfigVersion, AcceptedChange>,
+}
+
+impl History {
+    /// Creates an empty trail.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a change. The same one may be added twice, from the document and the archive.
+    pub fn insert(&mut self, change: AcceptedChange) {
+        self.changes.insert(change.version, change);
+    }
+
+    /// Returns the changes, the oldest first.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = &AcceptedChange> {
+        self.changes.values()
+    }
+
+    /// Returns the document as it was at version `base`, section for section, by taking back
+    /// every change since. Returns `None` where the trail does not reach back so far.
+    pub fn rewind(&self, current: &Snapshot, base: ConfigVersion) -> Option<String> {
+        let (mut text, mut version) = (current.text.to_string(), current.version);
+        while version > base {
+            let record = &self.changes.get(&version)?.record;
+            text = record.delta.inverse().apply(&Sections::parse(&text));
+            version = record.from;
+        }
+        (version == base).then_some(text)
+    }
+}
--- a/azureway-core/src/lib.rs
+++ b/azureway-core/src/lib.rs
@@ -22,6 +22,7 @@
 
 pub mod admit;
 pub mod cache;
+pub mod config;
 pub mod domain;
 pub mod error;
 pub mod event;
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -2,6 +2,9 @@
 
 pub use crate::admit::{Admission, FairQueue};
 pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
+pub use crate::config::{
+    ChangeId, ChangeNote, Edit, EditOutcome, EditReply, EditStep, Snapshot, TeamId, VersionGate,
+};
 pub use crate::domain::*;
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
--- /dev/null
+++ b/azureway-core/tests/support_config/race.rs
@@ -0,0 +1,199 @@
+//! Operators that race on one document.
+
+use std::collections::BTreeMap;
+
+use azureway_core::config::{EditPlan, Sections};
+use azureway_core::prelude::*;
+
+use super::{Check, Store, document, note};
+
+/// Operators that race on one document, with answers lost, writes delayed and writers dying.
+#[derive(Debug)]
+pub(crate) struct Race {
+    store: Store,
+    edits: Vec<Edit<Check>>,
+    ids: Vec<String>,
+    delayed: Vec<EditPlan>,
+    ends: BTreeMap<String, EditOutcome<()>>,
+    made: usize,
+    lost: usize,
+}
+
+/// The document at the start.
+const START: &str = "a:x:0 b:x:0 c:x:0";
+
+impl Race {
+    pub(crate) fn new(operators: usize) -> Self {
+        let mut race = Self {
+            store: Store::new(&document(START)),
+            edits: Vec::new(),
+            ids: Vec::new(),
+            delayed: Vec::new(),
+            ends: BTreeMap::new(),
+            made: 0,
+            lost: 0,
+        };
+        for place in 0..operators {
+            race.begin(place, place as u16);
+        }
+        race
+    }
+
+    pub(crate) fn accepted(&self) -> usize {
+        self.store.log.len()
+    }
+
+    pub(crate) fn lost(&self) -> usize {
+        self.lost
+    }
+
+    /// Starts a new edit of one section, or of two, at an operator's place.
+    fn begin(&mut self, place: usize, draw: u16) {
+        self.made += 1;
+        let id = format!("e{}", self.made);
+        let base = self.store.snapshot();
+        let names = ["a", "b", "c"];
+        let first = names[usize::from(draw) % 3];
+        let second = names[usize::from(draw / 3) % 3];
+        let mut text = String::new();
+        for section in Sections::parse(&base.text).iter() {
+            let chosen = section.name == first || section.name == second;
+            let value = section.text.rsplit(' ').next().expect("a value");
+            let value = if chosen { id.as_str() } else { value };
+            text.push_str(&document(&format!("{}:x:{value}", section.name)));
+        }
+        let edit = Edit::new(note(&id, "x"), &base, &text, Check);
+        if place < self.edits.len() {
+            self.edits[place] = edit;
+            self.ids[place] = id;
+        } else {
+            self.edits.push(edit);
+            self.ids.push(id);
+        }
+    }
+
+    /// Takes one step of one operator, with one fault, as `draw` says.
+    pub(crate) fn step(&mut self, draw: u16) {
+        let place = usize::from(draw) % self.edits.len();
+        let fault = (draw / 8) % 16;
+        if fault == 15 && !self.delayed.is_empty() {
+            let late = self.delayed.remove(0);
+            self.store.write(&late);
+            return;
+        }
+        if fault == 14 {
+            // The writer dies; what it had in flight stays so.
+            return self.begin(place, draw / 128);
+        }
+        let reply = self.reply(place, fault);
+        self.edits[place].handle(reply);
+        if let Some(outcome) = self.edits[place].outcome() {
+            self.ends.insert(self.ids[place].clone(), outcome.clone());
+            self.begin(place, draw / 128);
+        }
+    }
+
+    fn reply(&mut self, place: usize, fault: u16) -> EditReply {
+        match (self.edits[place].step(), fault) {
+            (EditStep::Write(plan), 10 | 11) => {
+                self.store.write(plan);
+                self.lost += 1;
+                EditReply::Unsure
+            }
+            (EditStep::Write(_), 12) => EditReply::Unsure,
+            (EditStep::Write(plan), 13) => {
+                self.delayed.push(plan.clone());
+                EditReply::Unsure
+            }
+            (EditStep::Write(plan), _) => self.store.write(plan),
+            (EditStep::Archive(change), 10 | 11) => {
+                self.store.archive(change);
+                EditReply::Failed
+            }
+            (EditStep::Read | EditStep::Archive(_) | EditStep::Find(_), 10..=13) => {
+                EditReply::Failed
+            }
+            (EditStep::Archive(change), _) => self.store.archive(change),
+            (EditStep::Find(note), _) => self.store.find(&note.id),
+            (EditStep::Read | EditStep::Done, _) => EditReply::Read(self.store.snapshot()),
+        }
+    }
+
+    /// Ends every edit without further faults, then lets every delayed write arrive.
+    pub(crate) fn finish(&mut self) {
+        for place in 0..self.edits.len() {
+            self.store.finish(&mut self.edits[place]);
+            let outcome = self.edits[place].outcome().expect("the edit is over");
+            self.ends.insert(self.ids[place].clone(), outcome.clone());
+        }
+        let delayed = std::mem::take(&mut self.delayed);
+        delayed.iter().for_each(|plan| drop(self.store.write(plan)));
+    }
+
+    /// Checks what must hold whatever happened.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        self.check_outcomes()?;
+        self.check_trail()?;
+        self.check_text()
+    }
+
+    fn check_outcomes(&self) -> Result<(), String> {
+        for (id, outcome) in &self.ends {
+            let writes = self
+                .store
+                .log
+                .iter()
+                .filter(|c| c.record.note.id.as_str() == id);
+            let versions: Vec<_> = writes.map(|c| c.version).collect();
+            let holds = match outcome {
+                EditOutcome::Accepted(version) => versions == [*version],
+                EditOutcome::Unknown => versions.len() <= 1,
+                _ => versions.is_empty(),
+            };
+            if !holds {
+                return Err(format!(
+                    "{id} ended {outcome:?} and was written as {versions:?}"
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn check_trail(&self) -> Result<(), String> {
+        let history = self.store.history();
+        let trail: Vec<_> = history.iter().cloned().collect();
+        if trail != self.store.log {
+            return Err(format!(
+                "the trail {trail:?} is not the log {:?}",
+                self.store.log
+            ));
+        }
+        let mut version = ConfigVersion::new(1);
+        for change in &trail {
+            if change.record.from != version {
+                return Err(format!("{change:?} does not follow {version}"));
+            }
+            version = change.version;
+        }
+        Ok(())
+    }
+
+    /// Replays the log section by section: a change that does not find what it replaces
+    /// would have lost somebody's accepted change.
+    fn check_text(&self) -> Result<(), String> {
+        let mut text = document(START);
+        for change in &self.store.log {
+            let sections = Sections::parse(&text);
+            let delta = change.record.delta.rebase(&sections);
+            if delta.as_ref() != Ok(&change.record.delta) {
+                return Err(format!("{change:?} does not apply to {text}"));
+            }
+            text = change.record.delta.apply(&sections);
+        }
+        let (replayed, stored) = (Sections::parse(&text), Sections::parse(self.store.text()));
+        if replayed.iter().eq(stored.iter()) {
+            return Ok(());
+        }
+        Err(format!("replayed {text}, stored {}", self.store.text()))
+    }
+}
--- /dev/null
+++ b/azureway-core/tests/support_config/store.rs
@@ -0,0 +1,103 @@
+//! A store in memory that loses answers.
+
+use std::collections::BTreeMap;
+
+use azureway_core::config::{AcceptedChange, DocumentCheck, EditPlan, History};
+use azureway_core::prelude::*;
+
+/// A store in memory with conditional writes, one version counter and lost answers.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    version: u64,
+    current: Snapshot,
+    archive: BTreeMap<String, AcceptedChange>,
+    /// Every accepted write, in order.
+    pub(crate) log: Vec<AcceptedChange>,
+    losing: bool,
+}
+
+impl Store {
+    /// Creates a store with a document that has no record; none if `text` is empty.
+    pub(crate) fn new(text: &str) -> Self {
+        let version = u64::from(!text.is_empty());
+        Self {
+            version,
+            current: Snapshot::new(ConfigVersion::new(version), text),
+            ..Self::default()
+        }
+    }
+
+    pub(crate) fn text(&self) -> &str {
+        &self.current.text
+    }
+
+    pub(crate) fn snapshot(&self) -> Snapshot {
+        self.current.clone()
+    }
+
+    /// Makes the next write take effect without an answer.
+    pub(crate) fn lose_next(&mut self) {
+        self.losing = true;
+    }
+
+    /// Returns the audit trail: what is archived and the document's own record.
+    pub(crate) fn history(&self) -> History {
+        let mut history = History::new();
+        self.archive
+            .values()
+            .cloned()
+            .for_each(|c| history.insert(c));
+        self.current
+            .accepted()
+            .into_iter()
+            .for_each(|c| history.insert(c));
+        history
+    }
+
+    pub(crate) fn write(&mut self, plan: &EditPlan) -> EditReply {
+        if plan.expected != self.current.version {
+            return EditReply::Raced;
+        }
+        self.version += 1;
+        let version = ConfigVersion::new(self.version);
+        let record = plan.record.clone();
+        self.current = Snapshot::new(version, &plan.text).with_record(Some(record.clone()));
+        self.log.push(AcceptedChange { version, record });
+        if std::mem::take(&mut self.losing) {
+            return EditReply::Unsure;
+        }
+        EditReply::Written(version)
+    }
+
+    pub(crate) fn archive(&mut self, change: &AcceptedChange) -> EditReply {
+        let name = change.record.note.id.to_string();
+        if !self.archive.contains_key(&name) {
+            self.version += 1;
+            self.archive.insert(name, change.clone());
+        }
+        EditReply::Archived
+    }
+
+    pub(crate) fn find(&self, id: &ChangeId) -> EditReply {
+        EditReply::Found(self.archive.get(id.as_str()).map(|c| c.version))
+    }
+
+    /// Carries out one step without fault.
+    pub(crate) fn carry_out<C: DocumentCheck>(&mut self, edit: &mut Edit<C>) {
+        let reply = match edit.step() {
+            EditStep::Read => EditReply::Read(self.snapshot()),
+            EditStep::Archive(change) => self.archive(change),
+            EditStep::Write(plan) => self.write(plan),
+            EditStep::Find(note) => self.find(&note.id),
+            EditStep::Done => return,
+        };
+        edit.handle(reply);
+    }
+
+    /// Carries out every step that is left.
+    pub(crate) fn finish<C: DocumentCheck>(&mut self, edit: &mut Edit<C>) {
+        while edit.outcome().is_none() {
+            self.carry_out(edit);
+        }
+    }
+}
