Keep the last good version, and record changes inside the document

A bad version used to be parsed and logged again after each failure of the watch, and an entry that started while the newest version was bad had none at all. The watch now judges each version once, reports a bad one as a measure, and at a start takes the last change back by the record that the document carries. API keys typed in the place of digests no longer show in faults; names are bounded, a key belongs to one account, and [ranks] stands once. A server marked leaving gets no new work.

--- /dev/null
+++ b/azureway-config/src/document/checker.rs
@@ -0,0 +1,26 @@
+//! The check of a whole document before it is written.
+
+use azureway_core::config::DocumentCheck;
+use azureway_core::prelude::ConfigVersion;
+
+use super::parse;
+use crate::ini::Faults;
+
+/// The check of a whole document before it is written: the same that every entry makes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Checker;
+
+impl Checker {
+    /// Creates the check.
+    pub const fn new() -> Self {
+        Self
+    }
+}
+
+impl DocumentCheck for Checker {
+    type Faults = Faults;
+
+    fn check(&self, text: &str) -> Result<(), Faults> {
+        parse(text, ConfigVersion::ZERO).map(drop)
+    }
+}
--- a/azureway-config/src/document/parse.rs
+++ b/azureway-config/src/document/parse.rs
@@ -4,6 +4,7 @@
 
 use azureway_core::prelude::*;
 
+use super::name::{NAME, is_name};
 use crate::ini::{self, Faults, Section, SectionReader};
 
 /// The kinds of sections.
@@ -21,8 +22,10 @@
     for section in &sections {
         read(section, &mut fleet, &mut faults);
     }
+    check_ranks(&sections, &mut faults);
     for section in &sections {
         check_links(section, &fleet, &mut faults);
+        check_keys(section, &fleet, &mut faults);
     }
     faults.into_result(fleet)
 }
@@ -30,7 +33,13 @@
 fn read(section: &Section<'_>, fleet: &mut Fleet, faults: &mut Faults) {
     let (kind, name) = section.split();
     let mut reader = SectionReader::new(section, faults);
-    reader.text("team");
+    let team = reader.text("team");
+    if team.is_some_and(|t| !is_name(t)) {
+        reader.reject(Some("team"), format!("expected {NAME}"));
+    }
+    if !name.is_empty() && !is_name(name) {
+        reader.reject(None, format!("expected a header with {NAME}"));
+    }
     if name.is_empty() != (kind == "ranks") && KINDS.contains(&kind) {
         reader.reject(None, format!("expected a header such as [{kind} NAME]"));
     }
@@ -76,7 +85,7 @@
         "tokens a second",
     );
     let expected = "SHA-256 digests of 64 hexadecimal digits, split by commas";
-    let keys = reader.value("keys", Vec::new(), expected, |text| {
+    let keys = reader.secret("keys", Vec::new(), expected, |text| {
         text.split(',').map(|k| KeyHash::parse(k.trim())).collect()
     });
     let account = base.with_weight(weight).with_limit(TokenRate::new(limit));
@@ -122,10 +131,12 @@
     let slots = reader.number("slots", 8, 1, 4_096, "requests");
     let prefill = reader.number("prefill", 8_000, 1, 10_000_000, "tokens a second");
     let (fenced, keyed) = (reader.flag("fenced", false), reader.flag("keyed", false));
+    let leaving = reader.flag("leaving", false);
     let id = ServerId::new(name);
     let mut server = BackendServer::new(id, PoolId::new(pool?), ZoneId::new(zone?), address?);
     server.fenced = fenced;
     server.keyed = keyed;
+    server.leaving = leaving;
     Some(
         server
             .with_slots(slots)
@@ -149,6 +160,28 @@
     }
 }
 
+/// Notes a second section with the rules of the ranks.
+fn check_ranks(sections: &[Section<'_>], faults: &mut Faults) {
+    for section in sections.iter().filter(|s| s.name == "ranks").skip(1) {
+        SectionReader::new(section, faults).reject(None, "defined twice".to_owned());
+    }
+}
+
+/// Notes the API keys that another account, earlier by name, has too.
+fn check_keys(section: &Section<'_>, fleet: &Fleet, faults: &mut Faults) {
+    let ("account", name) = section.split() else {
+        return;
+    };
+    let Some(account) = fleet.accounts.get(name) else {
+        return;
+    };
+    let others = fleet.accounts.values().take_while(|a| a.id.as_str() < name);
+    for other in others.filter(|o| account.keys.iter().any(|k| o.keys.contains(k))) {
+        let detail = format!("an API key is also one of [account {}]", other.id);
+        SectionReader::new(section, faults).reject(Some("keys"), detail);
+    }
+}
+
 /// Notes the names that a section uses and no section defines.
 fn check_links(section: &Section<'_>, fleet: &Fleet, faults: &mut Faults) {
     let (kind, _) = section.split();
--- a/azureway-config/src/ini/reader.rs
+++ b/azureway-config/src/ini/reader.rs
@@ -65,6 +65,24 @@
         self.understood(key, text, expected, read)
     }
 
+    /// Returns the value of `key` as `read` understands it, or `default`. A fault does not show
+    /// the text, which may be a secret that was entered by mistake.
+    pub fn secret<T>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        expected: &str,
+        read: impl Fn(&'a str) -> Option<T>,
+    ) -> T {
+        let Some(text) = self.text(key) else {
+            return default;
+        };
+        read(text).unwrap_or_else(|| {
+            self.reject(Some(key), format!("expected {expected}"));
+            default
+        })
+    }
+
     /// Returns the number of `key` if it lies from `low` to `high`, or `default`.
     pub fn number<T>(&mut self, key: &'static str, default: T, low: T, high: T, unit: &str) -> T
     where
--- a/azureway-core/src/domain/backend_server.rs
+++ b/azureway-core/src/domain/backend_server.rs
@@ -23,6 +23,8 @@
     pub fenced: bool,
     /// Whether it refuses a second call with the same idempotency key by itself.
     pub keyed: bool,
+    /// Whether operators take it out: it ends what it runs and gets no new work.
+    pub leaving: bool,
 }
 
 /// The slots of a server where the document names none.
@@ -43,6 +45,7 @@
             prefill,
             fenced: false,
             keyed: false,
+            leaving: false,
         }
     }
 
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -103,6 +103,9 @@
 
     /// Tells whether the server may be given new work at `now`.
     pub fn accepts(&self, now: Timestamp) -> bool {
+        if self.server.leaving {
+            return false;
+        }
         match self.health {
             Health::Live => true,
             Health::Suspect => now > self.trial,
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -109,6 +109,7 @@
             DecideNote::Load(report) => self.tell(Event::Load(&report)),
             DecideNote::Cache(run) => self.tell(Event::Cache(&run.view())),
             DecideNote::Adopt(fleet) => self.adopt(&fleet),
+            DecideNote::Rejected(version) => self.measure(Measure::Rejected(version)),
             DecideNote::Drain(drained) => {
                 self.ready.store(false, Ordering::Release);
                 self.drained = Some(drained);
--- a/azureway-entry/src/decide/note.rs
+++ b/azureway-entry/src/decide/note.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{Attempt, Failure, Finish, Fleet, LoadReport, RequestId};
+use azureway_core::prelude::{
+    Attempt, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId,
+};
 use flume::Sender;
 
 use super::CacheRun;
@@ -27,6 +29,8 @@
     Cache(CacheRun),
     /// A version of the configuration was read.
     Adopt(Arc<Fleet>),
+    /// A version of the configuration was read and is bad.
+    Rejected(ConfigVersion),
     /// The daemon shuts down; the ring is told when nothing is left to do.
     Drain(Sender<()>),
 }
--- a/azureway-entry/src/meter/measure.rs
+++ b/azureway-entry/src/meter/measure.rs
@@ -20,6 +20,8 @@
     Cancelled(Attempt),
     /// A configuration is in force.
     Configured(ConfigVersion),
+    /// A version of the configuration is bad, and the last good one stays in force.
+    Rejected(ConfigVersion),
     /// Somebody asks for all measures.
     Scrape(Sender<String>),
 }
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -1,5 +1,6 @@
 //! The measures and their duty.
 
+use azureway_core::prelude::ConfigVersion;
 use flume::Receiver;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -23,6 +24,7 @@
     retries: Counter,
     cancelled: Counter,
     version: Gauge,
+    rejected: Gauge,
 }
 
 /// The upper bounds of the time to first token, in seconds; 1 s is the stated target.
@@ -43,6 +45,7 @@
             retries: Counter::default(),
             cancelled: Counter::default(),
             version: Gauge::default(),
+            rejected: Gauge::default(),
         };
         meter.register();
         meter
@@ -89,6 +92,11 @@
             "Version of the configuration in force",
             self.version.clone(),
         );
+        r.register(
+            "config_rejected_version",
+            "Newest version of the configuration, while it is a bad one; 0 otherwise",
+            self.rejected.clone(),
+        );
     }
 
     fn take(&self, measure: Measure) {
@@ -113,8 +121,11 @@
                 self.cancelled.inc();
             }
             Measure::Configured(version) => {
-                self.version
-                    .set(i64::try_from(version.get()).unwrap_or(i64::MAX));
+                self.version.set(gauge(version));
+                self.rejected.set(0);
+            }
+            Measure::Rejected(version) => {
+                self.rejected.set(gauge(version));
             }
             Measure::Scrape(reply) => {
                 let mut text = String::new();
@@ -125,3 +136,7 @@
         }
     }
 }
+
+fn gauge(version: ConfigVersion) -> i64 {
+    i64::try_from(version.get()).unwrap_or(i64::MAX)
+}
--- a/azureway-entry/src/watch/watcher.rs
+++ b/azureway-entry/src/watch/watcher.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use azureway_config::document;
+use azureway_config::ini::Faults;
+use azureway_core::config::Sections;
 use azureway_core::prelude::*;
 use azureway_platform::ObjectApi;
+use azureway_wire::change::{DOCUMENT_KIND, DOCUMENT_NAME, StoredDocument};
 use azureway_wire::object::{ObjectBody, ObjectList};
 use flume::{Receiver, RecvTimeoutError, Sender};
 
@@ -20,12 +23,9 @@
     decide: Sender<DecideNote>,
     stop: Receiver<()>,
     backoff: Backoff,
+    gate: VersionGate,
 }
 
-/// The kind of the object that holds the document.
-const CONFIG_KIND: &str = "config";
-/// The name of the object that holds the document.
-const CONFIG_NAME: &str = "document";
 /// How long the platform keeps a watch that has no news.
 const WAIT: Duration = Duration::from_secs(5);
 /// The first wait after a failure.
@@ -49,6 +49,7 @@
             decide,
             stop,
             backoff,
+            gate: VersionGate::new(),
         }
     }
 
@@ -80,32 +81,65 @@
 
     fn ask(&self, after: Option<u64>) -> Result<ObjectList, Error> {
         match after {
-            None => self.api.list(CONFIG_KIND),
-            Some(version) => self.api.watch(CONFIG_KIND, version, WAIT),
+            None => self.api.list(DOCUMENT_KIND),
+            Some(version) => self.api.watch(DOCUMENT_KIND, version, WAIT),
         }
     }
 
-    fn pass_on(&self, list: &ObjectList) {
+    fn pass_on(&mut self, list: &ObjectList) {
         let named = list
             .objects
             .iter()
-            .filter(|o| o.name == CONFIG_NAME && !o.deleted);
+            .filter(|o| o.name == DOCUMENT_NAME && !o.deleted);
         if let Some(object) = named.max_by_key(|o| o.version) {
             self.adopt(object);
         }
     }
 
-    fn adopt(&self, object: &ObjectBody) {
-        match document::parse(&object.value, ConfigVersion::new(object.version)) {
-            Ok(fleet) => {
-                let fleet = Arc::new(fleet);
-                let _ = self.admit.send(AdmitNote::Adopt(Arc::clone(&fleet)));
-                let _ = self.decide.send(DecideNote::Adopt(fleet));
-            }
-            Err(faults) => {
-                let count = faults.as_slice().len();
-                log::error!(step = "read document", version = object.version, count = count; "{faults}");
-            }
+    fn adopt(&mut self, object: &ObjectBody) {
+        let version = ConfigVersion::new(object.version);
+        // A list after a failure brings the same version again, and a slow read an older one.
+        if !self.gate.is_news(version) {
+            return;
+        }
+        match document::parse(&object.value, version) {
+            Ok(fleet) => self.enforce(fleet),
+            Err(faults) => self.reject(object, &faults),
+        }
+    }
+
+    fn enforce(&mut self, fleet: Fleet) {
+        self.gate.accept(fleet.version);
+        let fleet = Arc::new(fleet);
+        let _ = self.admit.send(AdmitNote::Adopt(Arc::clone(&fleet)));
+        let _ = self.decide.send(DecideNote::Adopt(fleet));
+    }
+
+    fn reject(&mut self, object: &ObjectBody, faults: &Faults) {
+        let version = ConfigVersion::new(object.version);
+        self.gate.reject(version);
+        let (count, kept) = (faults.as_slice().len(), self.gate.accepted());
+        log::error!(step = "read document", version:% = version, kept:% = kept, count = count; "{faults}");
+        let _ = self.decide.send(DecideNote::Rejected(version));
+        if kept == ConfigVersion::ZERO {
+            self.step_back(object);
+        }
+    }
+
+    /// Takes the last change back, for a daemon that starts when the newest version is bad.
+    fn step_back(&mut self, object: &ObjectBody) {
+        let version = ConfigVersion::new(object.version);
+        let current = StoredDocument::parse(&object.value).snapshot(version);
+        let Some(record) = current.record else {
+            return;
+        };
+        let text = record
+            .delta
+            .inverse()
+            .apply(&Sections::parse(&current.text));
+        if let Ok(fleet) = document::parse(&text, record.from) {
+            log::warn!(step = "read document", version:% = record.from; "the version before is good");
+            self.enforce(fleet);
         }
     }
 }
--- /dev/null
+++ b/azureway-entry/tests/watch.rs
@@ -0,0 +1,108 @@
+//! The watching duty: which versions come into force, whatever the platform answers.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_entry::decide::DecideNote;
+use azureway_entry::watch::Watcher;
+use azureway_platform::{ObjectApi, Put};
+use azureway_wire::change::DOCUMENT_NAME;
+use azureway_wire::object::{ObjectBody, ObjectList};
+use flume::Sender;
+use googletest::prelude::*;
+
+/// Room for everything that one case sends.
+const RING: usize = 64;
+
+/// A bad document that holds the record of the change which made it bad.
+const AFTER: &str = "; azureway-change {\"id\":\"i\",\"from\":5,\"time\":0,\"author\":\"ana\",\
+    \"team\":\"operators\",\"reason\":\"\",\"sections\":[{\"name\":\"pool main\",\
+    \"before\":\"[pool main]\"}]}\n[pool main]\nlodes = 1\n";
+
+/// A platform that gives its answers in turn, then stops the duty.
+struct Script {
+    answers: Mutex<Vec<String>>,
+    stop: Sender<()>,
+}
+
+impl Script {
+    fn next(&self) -> std::result::Result<ObjectList, Error> {
+        let mut answers = self.answers.lock().expect("the lock");
+        if answers.is_empty() {
+            let _ = self.stop.try_send(());
+            return Ok(ObjectList::default());
+        }
+        let answer = answers.remove(0);
+        let (word, number) = answer.split_once(':').unwrap_or((&answer, "0"));
+        let version = number.parse().expect("a version");
+        let value = match word {
+            "good" => "; azureway-change {}\n[pool main]\n",
+            "bad" => "[pool main]\nlodes = 1\n",
+            "after" => AFTER,
+            "fail" => return Err(Error::new(ErrorKind::Unavailable, Step::new("list"), "out")),
+            _ => return Ok(ObjectList::default()),
+        };
+        let object = ObjectBody {
+            name: DOCUMENT_NAME.to_owned(),
+            version,
+            value: value.to_owned(),
+            deleted: false,
+        };
+        let objects = vec![object];
+        Ok(ObjectList { version, objects })
+    }
+}
+
+impl ObjectApi for Script {
+    fn get(&self, _: &str, _: &str) -> std::result::Result<Option<ObjectBody>, Error> {
+        unreachable!("the duty lists and watches")
+    }
+
+    fn list(&self, _: &str) -> std::result::Result<ObjectList, Error> {
+        self.next()
+    }
+
+    fn put(&self, _: &Put<'_>) -> std::result::Result<u64, Error> {
+        unreachable!("the duty writes nothing")
+    }
+
+    fn watch(&self, _: &str, _: u64, _: Duration) -> std::result::Result<ObjectList, Error> {
+        self.next()
+    }
+}
+
+/// Returns the versions that were adopted and rejected.
+fn run(answers: &str) -> (String, String) {
+    let (stop, halt) = flume::bounded(1);
+    let (admit, _admitted) = flume::bounded(RING);
+    let (decide, notes) = flume::bounded(RING);
+    let answers = answers.split_whitespace().map(str::to_owned).collect();
+    let script = Script {
+        answers: Mutex::new(answers),
+        stop,
+    };
+    Watcher::new(script, admit, decide, halt, 1).run();
+    let (mut adopted, mut rejected) = (Vec::new(), Vec::new());
+    for note in notes.drain() {
+        match note {
+            DecideNote::Adopt(fleet) => adopted.push(fleet.version.to_string()),
+            DecideNote::Rejected(version) => rejected.push(version.to_string()),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+    (adopted.join(" "), rejected.join(" "))
+}
+
+#[gtest]
+fn only_newer_good_versions_come_into_force() {
+    for line in include_str!("../testdata/watch.txt").lines() {
+        if line.starts_with('#') {
+            continue;
+        }
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let (adopted, rejected) = run(cells[0]);
+        expect_that!(adopted, eq(cells[1]), "{line}");
+        expect_that!(rejected, eq(cells[2].trim_matches('-')), "{line}");
+    }
+}
--- /dev/null
+++ b/azureway-wire/src/change/change_body.rs
@@ -0,0 +1,79 @@
+//! The record of a change.
+
+use azureway_core::config::{
+    AcceptedChange, ChangeId, ChangeNote, ChangeRecord, ChangeTime, Delta, TeamId,
+};
+use azureway_core::prelude::ConfigVersion;
+use serde::{Deserialize, Serialize};
+
+use super::SectionBody;
+
+/// The record of a change, as it is archived and shown.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct ChangeBody {
+    /// The identity of the change.
+    pub id: Box<str>,
+    /// The version that the change made; 0 in the document's own record.
+    #[serde(default)]
+    pub version: u64,
+    /// The version that the change was made to.
+    pub from: u64,
+    /// When the change was made, in seconds since 1970-01-01 UTC.
+    pub time: u64,
+    /// The person.
+    pub author: Box<str>,
+    /// The team that the person acted for.
+    pub team: Box<str>,
+    /// Why.
+    pub reason: Box<str>,
+    /// What it did.
+    pub sections: Vec<SectionBody>,
+}
+
+impl ChangeBody {
+    /// Creates the body of a record whose version is not known yet.
+    pub fn new(record: &ChangeRecord) -> Self {
+        let note = &record.note;
+        Self {
+            id: note.id.as_str().into(),
+            version: 0,
+            from: record.from.get(),
+            time: note.time.get(),
+            author: note.author.clone(),
+            team: note.team.as_str().into(),
+            reason: note.reason.clone(),
+            sections: record.delta.changes().iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<&AcceptedChange> for ChangeBody {
+    fn from(change: &AcceptedChange) -> Self {
+        let version = change.version.get();
+        Self {
+            version,
+            ..Self::new(&change.record)
+        }
+    }
+}
+
+impl From<ChangeBody> for ChangeRecord {
+    fn from(body: ChangeBody) -> Self {
+        let (id, team) = (ChangeId::new(&body.id), TeamId::new(&body.team));
+        let note = ChangeNote::new(id, &body.author, team, ChangeTime::new(body.time));
+        let changes = body.sections.into_iter().map(Into::into);
+        Self {
+            note: note.with_reason(&body.reason),
+            from: ConfigVersion::new(body.from),
+            delta: Delta::new(changes.collect()),
+        }
+    }
+}
+
+impl From<ChangeBody> for AcceptedChange {
+    fn from(body: ChangeBody) -> Self {
+        let version = ConfigVersion::new(body.version);
+        let record = body.into();
+        Self { version, record }
+    }
+}
--- /dev/null
+++ b/azureway-wire/src/change/mod.rs
@@ -0,0 +1,23 @@
+//! The operators' document and its audit trail as the platform holds them.
+
+mod change_body;
+mod section_body;
+mod stored_document;
+
+pub use change_body::ChangeBody;
+pub use section_body::SectionBody;
+pub use stored_document::StoredDocument;
+
+use azureway_core::config::ChangeTime;
+
+/// The kind of the object that holds the document.
+pub const DOCUMENT_KIND: &str = "config";
+/// The name of the object that holds the document.
+pub const DOCUMENT_NAME: &str = "document";
+/// The largest value of an object, in bytes.
+pub const VALUE_MAX: usize = 1024 * 1024;
+
+/// Returns the kind of the archived records of a day, whose names are the changes' identities.
+pub fn archive_kind(time: ChangeTime) -> String {
+    format!("change-{}", time.date())
+}
