Tell the router of its zone's live entries

The bound on an entry's share of slots needs the number of entries that share them. The event carries it, and the router keeps at least one: itself.

--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -24,6 +24,9 @@
     Load(&'a LoadReport),
     /// A version of the configuration was read.
     Configured(&'a Fleet),
+    /// The number of live entry instances of this availability zone changed; it counts
+    /// this one.
+    Peers(u32),
     /// The instance shuts down: nothing new is taken.
     Draining,
     /// Time passed.
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -23,6 +23,7 @@
     flights: Flights,
     retries: RetryBudget,
     draining: bool,
+    peers: u32,
     seen: Timestamp,
 }
 
@@ -39,6 +40,7 @@
             queues: Queues::new(),
             flights: Flights::new(),
             draining: false,
+            peers: 1,
             seen: Timestamp::ZERO,
         }
     }
@@ -55,6 +57,7 @@
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => drop(self.servers.report(report)),
             Event::Configured(fleet) => self.configure(fleet),
+            Event::Peers(count) => self.peers = count.max(1),
             Event::Draining => self.draining = true,
             Event::Tick => {}
         }
@@ -83,6 +86,11 @@
         &self.fleet
     }
 
+    /// Returns the number of live entry instances of the zone, with this one.
+    pub const fn peers(&self) -> u32 {
+        self.peers
+    }
+
     /// Returns what is known of the backend servers.
     pub const fn servers(&self) -> &ServerTable {
         &self.servers
