--- a/azureway-core/src/claim/book.rs
+++ b/azureway-core/src/claim/book.rs
@@ -91,15 +91,22 @@
         }
     }
 
-    /// Notes that the caller of a request has left. `whole` tells whether a server that runs
-    /// the request answers all the same.
-    pub fn hang_up(&mut self, id: RequestId, whole: bool, out: &mut Vec<Action>) {
+    /// Notes that the caller of a request in flight has left. `whole` tells whether the server
+    /// answers all the same; the caller may ask for that answer again.
+    pub fn hang_up(&mut self, id: RequestId, whole: bool) {
         match self.claims.get_mut(&id) {
-            Some(claim @ HeldClaim::Asking(..)) => drop_claim(claim),
-            // The server may still answer, and the caller may ask for that answer again.
             Some(HeldClaim::Sent(_, _, left)) if whole => *left = true,
             Some(HeldClaim::Sent(..)) => drop(self.remove(id)),
-            Some(HeldClaim::Held(_)) => self.release(id, out),
+            _ => {}
+        }
+    }
+
+    /// Notes that the caller of a request that is not in flight has left. Whatever was tried
+    /// before did not run, or the request would not wait for another try.
+    pub fn withdraw(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        match self.claims.get_mut(&id) {
+            Some(claim @ HeldClaim::Asking(..)) => drop_claim(claim),
+            Some(HeldClaim::Held(_) | HeldClaim::Sent(_, _, false)) => self.release(id, out),
             _ => {}
         }
     }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -7,6 +7,9 @@
     ClaimReply, ClaimRun, ClaimSettling, ClaimState, ClaimStep, ClaimTicket, ClaimVerdict,
     ShortAnswer,
 };
+pub use crate::config::{
+    ChangeId, ChangeNote, Edit, EditOutcome, EditReply, EditStep, Snapshot, TeamId, VersionGate,
+};
 pub use crate::domain::*;
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -1,11 +1,12 @@
 //! The router itself.
 
-use super::{Flight, Flights, Intake, Placement, Plan, Queues, RouterConfig, Verdict};
+use super::{
+    Flight, Flights, Intake, Placement, Plan, Queues, Retries, Retry, RouterConfig, Verdict,
+};
 use crate::cache::{CacheIndex, CacheUpdate};
 use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
 use crate::domain::{
-    Attempt, Incarnation, PoolId, Refusal, RefusalReason, Request, RequestId, StreamPosition,
-    Timestamp,
+    Attempt, PoolId, Refusal, RefusalReason, Request, RequestId, ServerId, Timestamp,
 };
 use crate::event::{Action, Dispatch, Event, Failure, Finish};
 use crate::fleet::{Fleet, ServerTable};
@@ -23,8 +24,10 @@
     queues: Queues,
     flights: Flights,
     claims: ClaimBook,
-    retries: RetryBudget,
+    retries: Retries,
+    budget: RetryBudget,
     draining: bool,
+    peers: u32,
     seen: Timestamp,
 }
 
@@ -32,7 +35,8 @@
     /// Creates a router that knows no configuration yet.
     pub fn new(config: RouterConfig, policy: P) -> Self {
         Self {
-            retries: RetryBudget::new(config.retries),
+            budget: RetryBudget::new(config.retries),
+            retries: Retries::new(),
             config,
             policy,
             fleet: Fleet::new(),
@@ -42,6 +46,7 @@
             flights: Flights::new(),
             claims: ClaimBook::new(),
             draining: false,
+            peers: 1,
             seen: Timestamp::ZERO,
         }
     }
@@ -60,26 +65,30 @@
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => drop(self.servers.report(report)),
             Event::Configured(fleet) => self.configure(fleet),
+            Event::Peers(count) => self.peers = count.max(1),
             Event::Draining => self.draining = true,
             Event::Tick => {}
         }
         self.expire(now, out);
+        self.try_again(now, out);
         self.pump(now, out);
         self.claims.follow(start, out);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        // A server that is tried again can take what waits.
-        let queued = self.queues.earliest();
-        let trial = queued.and_then(|_| self.servers.next_trial(self.seen));
-        let times = [queued, trial, self.claims.earliest()];
+        let limits = [self.queues.earliest(), self.retries.earliest()];
+        let limit = limits.into_iter().flatten().min();
+        // A server that is tried again, or a refilled budget, can help what waits.
+        let trial = limit.and_then(|_| self.servers.next_trial(self.seen));
+        let times = [limit, trial, self.next_retry(), self.claims.earliest()];
         times.into_iter().flatten().min()
     }
 
     /// Returns the number of requests that wait, are in flight or have a claim to settle.
     pub fn active(&self) -> usize {
-        self.queues.len() + self.flights.len() + self.claims.pending()
+        let claims = self.claims.pending();
+        self.queues.len() + self.retries.len() + self.flights.len() + claims
     }
 
     /// Returns the configuration in force.
@@ -87,6 +96,11 @@
         &self.fleet
     }
 
+    /// Returns the number of live entry instances of the zone, with this one.
+    pub const fn peers(&self) -> u32 {
+        self.peers
+    }
+
     /// Returns what is known of the backend servers.
     pub const fn servers(&self) -> &ServerTable {
         &self.servers
@@ -114,7 +128,7 @@
         let service = self.fleet.services.get(&request.service);
         let account = self.fleet.accounts.get(&request.account);
         if let (Some(service), Some(account)) = (service, account) {
-            self.retries.earn();
+            self.budget.earn();
             self.queues
                 .push(service.pool.clone(), request.clone(), account.weight);
         } else {
@@ -134,16 +148,17 @@
     }
 
     fn hang_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        // A whole answer still comes from the server, and is kept for the caller's return.
-        let mut whole = false;
         if let Some(flight) = self.flights.remove(id) {
-            whole = self.fleet.is_plain(&flight.request.service);
+            // A whole answer still comes from the server, and is kept for the caller's return.
+            let whole = self.fleet.is_plain(&flight.request.service);
+            self.claims.hang_up(id, whole);
             self.servers.release(&flight.server, flight.owed());
-            out.push(Action::Cancel(flight.attempt));
-        } else {
+            return out.push(Action::Cancel(flight.attempt));
+        }
+        if self.retries.remove(id).is_none() {
             self.queues.remove(id);
         }
-        self.claims.hang_up(id, whole, out);
+        self.claims.withdraw(id, out);
     }
 
     fn start(&mut self, attempt: Attempt) {
@@ -169,36 +184,11 @@
         self.servers.release(&flight.server, flight.owed());
         self.servers.blame(&flight.server, failure.kind, now);
         match Verdict::new(&flight, failure, self.config.tries, now) {
-            Verdict::Retry(position) => self.retry(flight, failure, position, now, out),
+            Verdict::Retry => self.retries.push(Retry::new(flight, failure, now)),
             Verdict::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
         }
     }
 
-    fn retry(
-        &mut self,
-        flight: Flight,
-        failure: &Failure,
-        position: StreamPosition,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let untouched = flight.untouched && failure.sent.is_not_run();
-        let attempt = Attempt::new(flight.attempt.id, flight.attempt.number + 1);
-        let plan = Plan {
-            attempt,
-            position,
-            untouched,
-        };
-        if self.retries.spend() && self.dispatch(&flight.request, plan, now, out) {
-            return;
-        }
-        let begun = position > StreamPosition::ZERO;
-        out.push(Action::Refuse(
-            attempt.id,
-            Verdict::give_up(begun, untouched),
-        ));
-    }
-
     fn hear(&mut self, update: &CacheUpdate<'_>, out: &mut Vec<Action>) {
         if self.index.update(update) {
             out.push(Action::Resync(update.server.clone()));
@@ -220,6 +210,31 @@
         for request in self.queues.expire(now) {
             out.push(Action::Refuse(request.id, Verdict::late()));
         }
+        for retry in self.retries.expire(now) {
+            out.push(Action::Refuse(retry.request.id, retry.give_up()));
+        }
+    }
+
+    /// Returns when an empty retry budget has a retry again, if one waits for it.
+    fn next_retry(&self) -> Option<Timestamp> {
+        self.budget
+            .next_refill()
+            .filter(|_| !self.retries.is_empty())
+    }
+
+    /// Tries again what waits for it, as far as the budget and the servers allow.
+    fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.budget.refill(now);
+        for retry in self.retries.take() {
+            let failed = Some(&retry.failed);
+            let sent = self.budget.has_retry()
+                && self.dispatch(&retry.request, retry.plan, failed, now, out);
+            if sent {
+                self.budget.spend();
+            } else {
+                self.retries.push(retry);
+            }
+        }
     }
 
     /// Sends requests that wait for as long as there is a server for the next one.
@@ -227,7 +242,7 @@
         for pool in self.queues.pools() {
             while let Some(queued) = self.queues.pop(&pool) {
                 let plan = Plan::first(queued.request.id);
-                if !self.dispatch(&queued.request, plan, now, out) {
+                if !self.dispatch(&queued.request, plan, None, now, out) {
                     self.queues.restore(&pool, queued);
                     break;
                 }
@@ -235,11 +250,13 @@
         }
     }
 
-    /// Sends a request to the best server. Returns whether there was one.
+    /// Sends a request to the best server, but to the one that `failed` it only if there is no
+    /// other. Returns whether there was one.
     fn dispatch(
         &mut self,
         request: &Request,
         plan: Plan,
+        failed: Option<&ServerId>,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) -> bool {
@@ -254,21 +271,12 @@
             index: &self.index,
             zone: &self.config.zone,
             link: self.config.link,
+            failed,
         };
         let Some(best) = placement.choose(&mut self.policy, request, service, now) else {
             return false;
         };
-        let order = Dispatch {
-            attempt: plan.attempt,
-            server: best.state.server.id.clone(),
-            address: best.state.server.address,
-            rank: request.rank,
-            salt: request.chain.salt(),
-            incarnation: Some(best.state.incarnation).filter(|i| *i > Incarnation::ZERO),
-            weights: request.weights,
-            position: plan.position,
-            cached: best.cached,
-        };
+        let order = plan.order(request, &best);
         let pool = service.pool.clone();
         self.take_off(request, pool, &order, plan.untouched);
         out.push(Action::Dispatch(order));
--- a/azureway-entry/src/decide/note.rs
+++ b/azureway-entry/src/decide/note.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, ClaimNews, Failure, Finish, Fleet, LoadReport, RequestId, ShortAnswer,
+    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId, ShortAnswer,
 };
 use flume::Sender;
 
@@ -33,6 +33,8 @@
     Cache(CacheRun),
     /// A version of the configuration was read.
     Adopt(Arc<Fleet>),
+    /// A version of the configuration was read and is bad.
+    Rejected(ConfigVersion),
     /// The daemon shuts down; the ring is told when nothing is left to do.
     Drain(Sender<()>),
 }
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -1,5 +1,6 @@
 //! The measures and their duty.
 
+use azureway_core::prelude::ConfigVersion;
 use azureway_platform::CallCounter;
 use flume::Receiver;
 use prometheus_client::encoding::text::encode;
@@ -24,6 +25,7 @@
     retries: Counter,
     cancelled: Counter,
     version: Gauge,
+    rejected: Gauge,
     platform: Counter,
     calls: CallCounter,
 }
@@ -46,6 +48,7 @@
             retries: Counter::default(),
             cancelled: Counter::default(),
             version: Gauge::default(),
+            rejected: Gauge::default(),
             platform: Counter::default(),
             calls,
         };
@@ -99,6 +102,11 @@
             "Version of the configuration in force",
             self.version.clone(),
         );
+        r.register(
+            "config_rejected_version",
+            "Newest version of the configuration, while it is a bad one; 0 otherwise",
+            self.rejected.clone(),
+        );
     }
 
     fn take(&self, measure: Measure) {
@@ -123,8 +131,11 @@
                 self.cancelled.inc();
             }
             Measure::Configured(version) => {
-                self.version
-                    .set(i64::try_from(version.get()).unwrap_or(i64::MAX));
+                self.version.set(gauge(version));
+                self.rejected.set(0);
+            }
+            Measure::Rejected(version) => {
+                self.rejected.set(gauge(version));
             }
             Measure::Scrape(reply) => {
                 self.platform.inc_by(self.calls.get() - self.platform.get());
@@ -136,3 +147,7 @@
         }
     }
 }
+
+fn gauge(version: ConfigVersion) -> i64 {
+    i64::try_from(version.get()).unwrap_or(i64::MAX)
+}
