Add the lease and the planning of orders

Cause: weights changed in the document were loaded by nobody.

Lease counts its holder's term from before the write was sent and the others' from after they saw it; at servers that ignore the fencing number the holder stops 5 s before the end. OrderPlanner returns one order at a time within the pool's bound and the weight store's rate and never takes the last warm replica.

--- /dev/null
+++ b/azureway-core/src/lease/config.rs
@@ -0,0 +1,47 @@
+//! The times of a lease.
+
+use std::time::Duration;
+
+/// The times of a lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseConfig {
+    /// How long a lease lasts after it was written.
+    pub term: Duration,
+    /// How long before the end the holder stops to order servers that check no fencing number.
+    pub margin: Duration,
+}
+
+/// The default term.
+const DEFAULT_TERM: Duration = Duration::from_secs(15);
+/// The default margin, far longer than an order takes.
+const DEFAULT_MARGIN: Duration = Duration::from_secs(5);
+/// The parts of a term after which it is renewed.
+const RENEWALS: u32 = 3;
+/// The part of a term that others wait longer, since clocks run at different speeds.
+const DRIFT_PART: u32 = 10;
+
+impl LeaseConfig {
+    /// Creates the default times.
+    pub const fn new() -> Self {
+        Self {
+            term: DEFAULT_TERM,
+            margin: DEFAULT_MARGIN,
+        }
+    }
+
+    /// Returns the time after which a lease is renewed, or looked at by others.
+    pub fn pace(&self) -> Duration {
+        self.term / RENEWALS
+    }
+
+    /// Returns how long an entry must have seen a lease unchanged before it takes it over.
+    pub fn patience(&self) -> Duration {
+        self.term + self.term / DRIFT_PART
+    }
+}
+
+impl Default for LeaseConfig {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/azureway-core/src/lease/mod.rs
@@ -0,0 +1,19 @@
+//! A lease that one entry holds through an object of the platform, without clocks in common.
+
+mod config;
+mod holder;
+mod record;
+mod reply;
+mod state;
+mod step;
+mod watch_choice;
+mod write;
+
+pub use config::LeaseConfig;
+pub use holder::Lease;
+pub use record::LeaseRecord;
+pub use reply::LeaseReply;
+pub use state::LeaseState;
+pub use step::LeaseStep;
+pub use watch_choice::WatchChoice;
+pub use write::LeaseWrite;
--- a/azureway-core/src/lib.rs
+++ b/azureway-core/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod error;
 pub mod event;
 pub mod fleet;
+pub mod lease;
+pub mod order;
 pub mod prelude;
 pub mod retry;
 pub mod route;
--- /dev/null
+++ b/azureway-core/src/order/config.rs
@@ -0,0 +1,40 @@
+//! The bounds of orders.
+
+use std::time::Duration;
+
+/// The bounds of orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderConfig {
+    /// The loads that the weight store takes in a second, over all pools.
+    pub store: u32,
+    /// How long a load counts as running if nothing is heard of its end.
+    pub limit: Duration,
+}
+
+/// The default rate of loads a second.
+const DEFAULT_STORE: u32 = 4;
+/// The default limit of a load.
+const DEFAULT_LIMIT: Duration = Duration::from_secs(10);
+
+impl OrderConfig {
+    /// Creates the default bounds.
+    pub const fn new() -> Self {
+        Self {
+            store: DEFAULT_STORE,
+            limit: DEFAULT_LIMIT,
+        }
+    }
+
+    /// Sets the loads that the weight store takes in a second.
+    #[must_use]
+    pub const fn with_store(mut self, store: u32) -> Self {
+        self.store = store;
+        self
+    }
+}
+
+impl Default for OrderConfig {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/azureway-core/src/order/load_order.rs
@@ -0,0 +1,21 @@
+//! An order to load weights.
+
+use std::net::SocketAddr;
+
+use crate::domain::{ConfigVersion, ServerId, WeightsVersion};
+
+/// An order to load weights. It states the desired end: a server that has the weights does
+/// nothing, so that a late or doubled order does no harm.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadOrder {
+    /// The server.
+    pub server: ServerId,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it refuses an order with an old fencing number.
+    pub fenced: bool,
+    /// The weights to have.
+    pub weights: WeightsVersion,
+    /// The version of the configuration that asks for them.
+    pub config: ConfigVersion,
+}
--- /dev/null
+++ b/azureway-core/src/order/mod.rs
@@ -0,0 +1,15 @@
+//! Orders to backend servers: which server loads which weights, and when.
+
+mod config;
+mod load;
+mod load_order;
+mod planner;
+mod pool_view;
+mod store_budget;
+
+pub use config::OrderConfig;
+pub use load::Load;
+pub use load_order::LoadOrder;
+pub use planner::OrderPlanner;
+pub use pool_view::PoolView;
+pub use store_budget::StoreBudget;
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -14,6 +14,10 @@
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
 pub use crate::fleet::{Fleet, Health, LoadReport, ServerState, ServerTable};
+pub use crate::lease::{
+    Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite, WatchChoice,
+};
+pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::retry::{Backoff, RetryBudget};
 pub use crate::route::{
     Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Rendezvous, RoundRobin,
--- /dev/null
+++ b/azureway-core/tests/orders/main.rs
@@ -0,0 +1,200 @@
+//! Orders to backend servers by whoever holds the lease: the table of faults, and drawn faults.
+
+mod cluster;
+#[path = "../support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use cluster::{Cluster, STEP};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// The loads of a pool at once at most, as the brief states it.
+const LOADS_MAX: usize = 2;
+/// The loads that the weight store takes in a second, by default.
+const STORE_RATE: usize = 4;
+
+fn apply(cluster: &mut Cluster, step: &str) {
+    let words: Vec<&str> = step.split_whitespace().collect();
+    let at = usize::from(words.get(1) == Some(&"b"));
+    match words[0] {
+        "run" => {
+            let millis: u64 = words[1].parse().expect("milliseconds");
+            let steps = Duration::from_millis(millis).as_millis() / STEP.as_millis();
+            for _ in 0..steps {
+                let before = cluster.warm();
+                cluster.step();
+                check(cluster, &before);
+            }
+        }
+        "wants" => {
+            let versions: Vec<u64> = words[1..].iter().flat_map(|w| w.parse()).collect();
+            cluster.want(&versions);
+        }
+        "pause" => cluster.candidates[at].paused = true,
+        "wake" => cluster.candidates[at].paused = false,
+        "cut" => cluster.candidates[at].cut = true,
+        "heal" => cluster.candidates[at].cut = false,
+        "lose" => cluster.candidates[at].lose = true,
+        "hold" => cluster.candidates[at].hold = true,
+        "servers" => cluster.keep(words[1].parse().expect("a number")),
+        "land" => cluster.land(),
+        "crash" => cluster.crash(usize::from(words[1].as_bytes()[1] - b'1')),
+        word => panic!("unknown step {word}"),
+    }
+}
+
+/// What must hold after every step of time.
+fn check(cluster: &Cluster, before: &std::collections::BTreeMap<WeightsVersion, usize>) {
+    let loading = cluster.servers.iter().filter(|s| s.loading.is_some());
+    assert!(loading.count() <= LOADS_MAX, "too many loads at once");
+    assert!(
+        !cluster.stale,
+        "an order of a holder that had been followed"
+    );
+    assert!(
+        !cluster.warm().is_empty() || before.is_empty(),
+        "no server answers"
+    );
+    for weights in before.keys().filter(|w| cluster.wants(**w)) {
+        let warm = cluster.warm().contains_key(weights);
+        assert!(warm, "the last warm replica of {weights} was taken");
+    }
+    let second = Duration::from_secs(1);
+    let recent = cluster.starts.iter().filter(|t| **t + second > cluster.now);
+    assert!(recent.count() <= STORE_RATE, "the weight store's rate");
+}
+
+#[gtest]
+fn every_row_of_the_table_holds() {
+    for row in include_str!("../../testdata/orders.txt").lines() {
+        if row.starts_with('#') {
+            continue;
+        }
+        let columns: Vec<&str> = row.split('|').map(str::trim).collect();
+        let mut cluster = Cluster::new();
+        for step in columns[2].split(';') {
+            apply(&mut cluster, step);
+        }
+        let weights: Vec<_> = cluster
+            .servers
+            .iter()
+            .map(|s| s.weights.to_string())
+            .collect();
+        expect_that!(weights.join(" "), eq(columns[3]), "{row}");
+        expect_that!(cluster.number().to_string(), eq(columns[4]), "{row}");
+    }
+}
+
+/// The steps that are drawn.
+const STEPS: [&str; 14] = [
+    "run 400",
+    "run 3000",
+    "run 9000",
+    "run 16000",
+    "pause a",
+    "pause b",
+    "wake a",
+    "wake b",
+    "cut a",
+    "cut b",
+    "heal a",
+    "heal b",
+    "lose a",
+    "lose b",
+];
+/// The configurations that are drawn.
+const WANTS: [&str; 4] = ["wants 1", "wants 2", "wants 1 2", "wants 3"];
+/// The seed of the drawn cases.
+const SEED: [u8; 32] = [23; 32];
+
+#[gtest]
+fn one_holder_orders_whatever_faults_come_and_the_wanted_end_is_reached() {
+    let config = Config {
+        cases: 400,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let faults = prop::collection::vec(prop::sample::select(&STEPS[..]), 2..16);
+    let wants = prop::collection::vec((0..16_usize, prop::sample::select(&WANTS[..])), 1..4);
+    let count = prop::sample::select(&["servers 2", "servers 3", "servers 4"][..]);
+    let cases = (count, faults, wants);
+    let result = TestRunner::new_with_rng(config, rng).run(&cases, |(count, mut steps, wants)| {
+        for (place, want) in wants {
+            steps.insert(place.min(steps.len()), want);
+        }
+        let mut cluster = Cluster::new();
+        apply(&mut cluster, count);
+        for step in steps {
+            apply(&mut cluster, step);
+        }
+        for step in [
+            "wake a",
+            "wake b",
+            "heal a",
+            "heal b",
+            "wants 2",
+            "run 60000",
+        ] {
+            apply(&mut cluster, step);
+        }
+        prop_assert!(
+            cluster
+                .servers
+                .iter()
+                .all(|s| s.weights == WeightsVersion::new(2))
+        );
+        Ok(())
+    });
+    expect_that!(result, ok(anything()));
+}
+
+#[gtest]
+fn a_holder_stops_early_at_servers_that_ignore_the_number() {
+    let config = LeaseConfig::new();
+    let mut lease = Lease::new(config, InstanceId::new("a"), 1);
+    let start = Timestamp::from_millis(100);
+    lease.hear(&LeaseReply::Absent, start);
+    expect_that!(
+        lease.next(start),
+        matches_pattern!(LeaseStep::Write(eq(&0), anything()))
+    );
+    // The answer is slow; the term counts from before the write was sent.
+    lease.hear(&LeaseReply::Written(1), start + config.margin);
+    let end = start + config.term;
+    let early = start + (config.term - config.margin);
+    let just = Duration::from_micros(1);
+    expect_that!(lease.allows(early, false), none());
+    expect_that!(
+        lease.allows(start + (config.term - config.margin - just), false),
+        some(anything())
+    );
+    expect_that!(lease.allows(early, true), some(eq(FencingNumber::new(1))));
+    expect_that!(lease.allows(end, true), none());
+}
+
+#[gtest]
+fn every_entry_makes_the_same_choice_and_a_death_moves_only_one_place() {
+    let live: Vec<InstanceId> = (0..9)
+        .map(|n| InstanceId::new(&format!("entry-{n}")))
+        .collect();
+    let choice = WatchChoice::new(2, 1);
+    let chosen = |live: &[InstanceId]| -> Vec<InstanceId> {
+        live.iter()
+            .filter(|id| choice.includes(id, live))
+            .cloned()
+            .collect()
+    };
+    let first = chosen(&live);
+    expect_that!(first.len(), eq(2));
+    let rest: Vec<_> = live.iter().filter(|id| **id != first[0]).cloned().collect();
+    let second = chosen(&rest);
+    expect_that!(second.len(), eq(2));
+    expect_that!(second, contains(eq(&first[1])));
+    let alone = [first[0].clone()];
+    expect_that!(choice.includes(&alone[0], &[]), eq(true));
+}
