Prove the daemon as a process of its own

Cause of the change: the handler of the first signal was dropped before that of the later ones was in place, so a signal between the two was lost. One duty now hears all signals. Shown: settings checked, a wrong line named, a stream of 100 tokens finished after two signals of which the second is reported.

--- a/azureway-entry/src/main.rs
+++ b/azureway-entry/src/main.rs
@@ -1,6 +1,7 @@
 //! The entry daemon's program.
 
 use std::fs;
+use std::thread;
 
 use anyhow::{Context, Result};
 use azureway_config::settings;
@@ -42,23 +43,31 @@
         println!("{path}: the settings are good");
         return Ok(());
     }
-    let mut signals = Signals::new([SIGINT, SIGTERM]).context("wait for signals")?;
+    let signals = Signals::new([SIGINT, SIGTERM]).context("wait for signals")?;
     let entry = Entry::start(&settings)?;
-    wait(&mut signals);
+    wait(signals)?;
     entry.drain();
     log::info!(step = "stop"; "drained");
     Ok(())
 }
 
-/// Waits for the first signal, and reports later ones while the daemon drains.
-fn wait(signals: &mut Signals) {
-    let first = signals.forever().next();
-    log::info!(step = "stop", signal:? = first; "draining");
-    if let Ok(mut more) = Signals::new([SIGINT, SIGTERM]) {
-        std::thread::spawn(move || {
-            for signal in more.forever() {
+/// Waits for the first signal. Later ones are reported while the daemon drains.
+fn wait(mut signals: Signals) -> Result<()> {
+    let (first, drain) = flume::bounded(1);
+    let duty = move || {
+        for signal in signals.forever() {
+            if first.try_send(signal).is_err() {
                 log::warn!(step = "stop", signal = signal; "still draining; streams are being finished");
             }
-        });
-    }
+        }
+    };
+    thread::Builder::new()
+        .name("signal".to_owned())
+        .spawn(duty)
+        .context("start thread signal")?;
+    let signal = drain.recv().context("wait for signals")?;
+    // From here on the ring is closed, and every further signal is reported.
+    drop(drain);
+    log::info!(step = "stop", signal = signal; "draining");
+    Ok(())
 }
--- /dev/null
+++ b/azureway-entry/tests/process.rs
@@ -0,0 +1,175 @@
+//! The daemon as a real process against stand-ins in another.
+
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Output, Stdio};
+use std::time::Duration;
+
+use azureway_config::settings::Bounds;
+use azureway_dev::engine::EngineConfig;
+use azureway_dev::serve::{Layout, System};
+use googletest::prelude::*;
+
+/// The daemon's program.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_azureway-entry");
+/// A guard against a hang; no test's verdict depends on it.
+const GUARD: Duration = Duration::from_secs(60);
+/// The tokens of an answer: enough for two signals to strike in its midst.
+const TOKENS: u64 = 100;
+
+/// Writes settings to a file that is named after the test.
+fn write_settings(test: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{test}.ini"));
+    fs::write(&path, text).expect("the settings are written");
+    path
+}
+
+fn settings(platform: SocketAddr) -> String {
+    format!(
+        "[entry]\ninstance = entry-1\nzone = kranj-a\nlisten = 127.0.0.1:0\n\
+         peer = 127.0.0.1:0\nplatform = {platform}\n"
+    )
+}
+
+fn check(test: &str, text: &str) -> Output {
+    let path = write_settings(test, text);
+    let mut command = Command::new(PROGRAM);
+    command
+        .arg("--settings")
+        .arg(path)
+        .arg("--check")
+        .output()
+        .expect("the program runs")
+}
+
+/// A daemon's process, which ends with the test.
+struct Daemon {
+    child: Child,
+    log: BufReader<ChildStderr>,
+}
+
+impl Daemon {
+    fn start(test: &str, platform: SocketAddr) -> Self {
+        let path = write_settings(test, &settings(platform));
+        let mut command = Command::new(PROGRAM);
+        command
+            .arg("--settings")
+            .arg(path)
+            .env("RUST_LOG", "info")
+            .stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the program runs");
+        let log = BufReader::new(child.stderr.take().expect("a log"));
+        Self { child, log }
+    }
+
+    /// Reads the log until a line holds `mark`, and returns the line.
+    fn read_until(&mut self, mark: &str) -> String {
+        loop {
+            let mut line = String::new();
+            let count = self.log.read_line(&mut line).expect("a log");
+            assert_ne!(count, 0, "the log ended before {mark:?}");
+            if line.contains(mark) {
+                return line;
+            }
+        }
+    }
+
+    /// Returns the address that the log names.
+    fn address(&mut self) -> SocketAddr {
+        let line = self.read_until("listening");
+        let rest = line.split("peer=").nth(1).expect("an address");
+        let address = rest.split_whitespace().next().expect("an address");
+        address.parse().expect("an address")
+    }
+
+    fn signal(&self) {
+        let kill = format!("kill -TERM {}", self.child.id());
+        let status = Command::new("sh")
+            .arg("-c")
+            .arg(kill)
+            .status()
+            .expect("a shell");
+        assert!(status.success());
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn open_chat(entry: SocketAddr) -> BufReader<TcpStream> {
+    let body = format!(
+        r#"{{"model":"advice","stream":true,"max_tokens":{TOKENS},
+            "messages":[{{"role":"user","content":"Which wax?"}}]}}"#
+    );
+    let mut stream = TcpStream::connect(entry).expect("a connection");
+    stream.set_read_timeout(Some(GUARD)).expect("a guard");
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nauthorization: Bearer wax-desk-key\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).expect("sent");
+    BufReader::new(stream)
+}
+
+#[gtest]
+fn good_settings_pass_the_check() {
+    let output = check(
+        "good",
+        &settings("127.0.0.1:1".parse().expect("an address")),
+    );
+    expect_true!(output.status.success());
+}
+
+#[gtest]
+fn a_wrong_line_is_named_and_nothing_starts() {
+    let output = check(
+        "wrong",
+        "[entry]\ninstance = e\nzone = a\nlisten = nowhere\nplatfrom = x\n",
+    );
+    expect_false!(output.status.success());
+    let text = String::from_utf8(output.stderr).expect("text");
+    expect_that!(
+        text,
+        contains_substring("line 4: [entry] listen: expected an IP address")
+    );
+    expect_that!(text, contains_substring("did you mean `platform`?"));
+}
+
+#[gtest]
+fn a_signal_drains_and_a_second_one_is_reported_not_obeyed() {
+    let layout = Layout::new()
+        .with_zones(&["kranj-a"])
+        .with_engines(1)
+        .with_entries(0);
+    let engine = EngineConfig::new().with_interval(Duration::from_millis(10));
+    let system = System::start(&layout, &engine, &Bounds::new()).expect("the stand-ins start");
+    let mut daemon = Daemon::start("drain", system.platform_address());
+    let address = daemon.address();
+    daemon.read_until("a configuration is in force");
+
+    let mut stream = open_chat(address);
+    let mut line = String::new();
+    while !line.contains("id: 2") {
+        line.clear();
+        stream.read_line(&mut line).expect("an event");
+    }
+    daemon.signal();
+    daemon.read_until("draining");
+    daemon.signal();
+    daemon.read_until("still draining");
+
+    let mut rest = String::new();
+    stream.read_to_string(&mut rest).expect("the rest");
+    expect_that!(rest, contains_substring(format!("id: {}\n", TOKENS + 1)));
+    expect_that!(rest, contains_substring("[DONE]"));
+    let status = daemon.child.wait().expect("the process ends");
+    expect_true!(status.success());
+    system.drain();
+}
