--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -4,8 +4,9 @@
     Flight, Flights, Intake, Placement, Plan, Queues, Retries, Retry, RouterConfig, Verdict,
 };
 use crate::cache::{CacheIndex, CacheUpdate};
+use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
 use crate::domain::{
-    Attempt, Incarnation, PoolId, Refusal, RefusalReason, Request, RequestId, ServerId, Timestamp,
+    Attempt, PoolId, Refusal, RefusalReason, Request, RequestId, ServerId, Timestamp,
 };
 use crate::event::{Action, Dispatch, Event, Failure, Finish};
 use crate::fleet::{Fleet, ServerTable};
@@ -22,6 +23,7 @@
     index: CacheIndex,
     queues: Queues,
     flights: Flights,
+    claims: ClaimBook,
     retries: Retries,
     budget: RetryBudget,
     draining: bool,
@@ -42,6 +44,7 @@
             index: CacheIndex::new(),
             queues: Queues::new(),
             flights: Flights::new(),
+            claims: ClaimBook::new(),
             draining: false,
             peers: 1,
             seen: Timestamp::ZERO,
@@ -51,12 +54,14 @@
     /// Takes in an event and appends what is to be done about it.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
         self.seen = now;
+        let start = out.len();
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
             Event::HungUp(id) => self.hang_up(id, out),
             Event::Started(attempt) => self.start(attempt),
-            Event::Finished(finish) => self.finish(finish),
+            Event::Finished(finish) => self.finish(finish, out),
             Event::Failed(failure) => self.fail(failure, now, out),
+            Event::Claim(news) => self.claimed(news, now, out),
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => drop(self.servers.report(report)),
             Event::Configured(fleet) => self.configure(fleet),
@@ -67,20 +72,23 @@
         self.expire(now, out);
         self.try_again(now, out);
         self.pump(now, out);
+        self.claims.follow(start, out);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let limits = [self.queues.earliest(), self.retries.earliest()];
-        let limit = limits.into_iter().flatten().min()?;
+        let limit = limits.into_iter().flatten().min();
         // A server that is tried again, or a refilled budget, can help what waits.
-        let chances = [self.servers.next_trial(self.seen), self.next_retry()];
-        chances.into_iter().flatten().chain([limit]).min()
+        let trial = limit.and_then(|_| self.servers.next_trial(self.seen));
+        let times = [limit, trial, self.next_retry(), self.claims.earliest()];
+        times.into_iter().flatten().min()
     }
 
-    /// Returns the number of requests that wait or are in flight.
+    /// Returns the number of requests that wait, are in flight or have a claim to settle.
     pub fn active(&self) -> usize {
-        self.queues.len() + self.retries.len() + self.flights.len()
+        let claims = self.claims.pending();
+        self.queues.len() + self.retries.len() + self.flights.len() + claims
     }
 
     /// Returns the configuration in force.
@@ -105,23 +113,52 @@
             bound: self.config.queue,
             draining: self.draining,
         };
-        match intake.check(request, now) {
-            Ok((service, account)) => {
-                self.budget.earn();
-                self.queues
-                    .push(service.pool.clone(), request.clone(), account.weight);
+        let action = match intake.check(request, now) {
+            Err(refusal) => Action::Refuse(request.id, refusal),
+            Ok((service, _)) if self.claims.covers(request, service, &self.servers) => {
+                return self.enqueue(request, out);
             }
-            Err(refusal) => out.push(Action::Refuse(request.id, refusal)),
+            Ok(_) => self.claims.ask(request, now),
+        };
+        out.push(action);
+    }
+
+    /// Lets a request wait for a server.
+    fn enqueue(&mut self, request: &Request, out: &mut Vec<Action>) {
+        let service = self.fleet.services.get(&request.service);
+        let account = self.fleet.accounts.get(&request.account);
+        if let (Some(service), Some(account)) = (service, account) {
+            self.budget.earn();
+            self.queues
+                .push(service.pool.clone(), request.clone(), account.weight);
+        } else {
+            let detail = "the configuration no longer has the service or the client account";
+            let refusal = Refusal::not_run(RefusalReason::UnknownService, detail);
+            out.push(Action::Refuse(request.id, refusal));
+        }
+    }
+
+    fn claimed(&mut self, news: &ClaimNews, now: Timestamp, out: &mut Vec<Action>) {
+        match self.claims.hear(news, now, out) {
+            ClaimVerdict::Go(request) => self.enqueue(&request, out),
+            ClaimVerdict::Repeat(answer) => out.push(Action::Repeat(news.id(), answer)),
+            ClaimVerdict::Refuse(refusal) => out.push(Action::Refuse(news.id(), refusal)),
+            ClaimVerdict::Nothing => {}
         }
     }
 
     fn hang_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(flight) = self.flights.remove(id) {
+            // A whole answer still comes from the server, and is kept for the caller's return.
+            let whole = self.fleet.is_plain(&flight.request.service);
+            self.claims.hang_up(id, whole);
             self.servers.release(&flight.server, flight.owed());
-            out.push(Action::Cancel(flight.attempt));
-        } else if self.retries.remove(id).is_none() {
+            return out.push(Action::Cancel(flight.attempt));
+        }
+        if self.retries.remove(id).is_none() {
             self.queues.remove(id);
         }
+        self.claims.withdraw(id, out);
     }
 
     fn start(&mut self, attempt: Attempt) {
@@ -131,7 +168,8 @@
         }
     }
 
-    fn finish(&mut self, finish: &Finish) {
+    fn finish(&mut self, finish: &Finish, out: &mut Vec<Action>) {
+        self.claims.finish(finish.attempt, out);
         if let Some(flight) = self.flights.take(finish.attempt) {
             self.servers.release(&flight.server, flight.owed());
             self.servers.clear(&flight.server);
@@ -139,6 +177,7 @@
     }
 
     fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
+        self.claims.fail(failure, out);
         let Some(flight) = self.flights.take(failure.attempt) else {
             return;
         };
@@ -167,12 +206,9 @@
     }
 
     fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.claims.expire(now, out);
         for request in self.queues.expire(now) {
-            let detail = "the deadline passed in the queue";
-            out.push(Action::Refuse(
-                request.id,
-                Refusal::not_run(RefusalReason::Deadline, detail),
-            ));
+            out.push(Action::Refuse(request.id, Verdict::late()));
         }
         for retry in self.retries.expire(now) {
             out.push(Action::Refuse(retry.request.id, retry.give_up()));
@@ -227,6 +263,9 @@
         let Some(service) = self.fleet.services.get(&request.service) else {
             return false;
         };
+        if !self.claims.covers(request, service, &self.servers) {
+            return false;
+        }
         let placement = Placement {
             servers: &self.servers,
             index: &self.index,
@@ -237,17 +276,7 @@
         let Some(best) = placement.choose(&mut self.policy, request, service, now) else {
             return false;
         };
-        let order = Dispatch {
-            attempt: plan.attempt,
-            server: best.state.server.id.clone(),
-            address: best.state.server.address,
-            rank: request.rank,
-            salt: request.chain.salt(),
-            incarnation: Some(best.state.incarnation).filter(|i| *i > Incarnation::ZERO),
-            weights: request.weights,
-            position: plan.position,
-            cached: best.cached,
-        };
+        let order = plan.order(request, &best);
         let pool = service.pool.clone();
         self.take_off(request, pool, &order, plan.untouched);
         out.push(Action::Dispatch(order));
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -1,6 +1,7 @@
 //! The measures and their duty.
 
 use azureway_core::prelude::ConfigVersion;
+use azureway_platform::CallCounter;
 use flume::Receiver;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -25,14 +26,16 @@
     cancelled: Counter,
     version: Gauge,
     rejected: Gauge,
+    platform: Counter,
+    calls: CallCounter,
 }
 
 /// The upper bounds of the time to first token, in seconds; 1 s is the stated target.
 const FIRST_TOKEN_BOUNDS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
 
 impl Meter {
-    /// Creates the duty.
-    pub fn new(measures: Receiver<Measure>) -> Self {
+    /// Creates the duty. `calls` counts the calls to the platform.
+    pub fn new(measures: Receiver<Measure>, calls: CallCounter) -> Self {
         let bounds = || Histogram::new(FIRST_TOKEN_BOUNDS);
         let mut meter = Self {
             measures,
@@ -46,6 +49,8 @@
             cancelled: Counter::default(),
             version: Gauge::default(),
             rejected: Gauge::default(),
+            platform: Counter::default(),
+            calls,
         };
         meter.register();
         meter
@@ -87,6 +92,11 @@
             "Requests whose caller hung up",
             self.cancelled.clone(),
         );
+        r.register(
+            "platform_calls",
+            "Calls to the platform, a waiting watch as one",
+            self.platform.clone(),
+        );
         r.register(
             "config_version",
             "Version of the configuration in force",
@@ -128,6 +138,7 @@
                 self.rejected.set(gauge(version));
             }
             Measure::Scrape(reply) => {
+                self.platform.inc_by(self.calls.get() - self.platform.get());
                 let mut text = String::new();
                 // Writing to a string does not fail.
                 let _ = encode(&mut text, &self.registry);
--- a/azureway-entry/tests/watch.rs
+++ b/azureway-entry/tests/watch.rs
@@ -67,6 +67,10 @@
         unreachable!("the duty writes nothing")
     }
 
+    fn delete(&self, _: &str, _: &str, _: u64) -> std::result::Result<(), Error> {
+        unreachable!("the duty deletes nothing")
+    }
+
     fn watch(&self, _: &str, _: u64, _: Duration) -> std::result::Result<ObjectList, Error> {
         self.next()
     }
