--- a/azureway-core/src/admit/admission.rs
+++ b/azureway-core/src/admit/admission.rs
@@ -1,18 +1,26 @@
 //! The order over both ranks for one pool.
 
-use super::{FairQueue, Queued};
+use std::time::Duration;
+
+use super::{Blocked, FairQueue, Pace, Queued};
 use crate::domain::{Rank, Request, RequestId, Timestamp};
 
 /// The requests that wait for one pool: urgent work first, with a floor for drafting.
+///
+/// A request is looked at with [`Admission::peek`] and leaves only with [`Admission::take`],
+/// once a backend server has been found, so that nothing has to be put back.
 #[derive(Debug, Default)]
 pub struct Admission {
     queues: [FairQueue; 2],
     floor: u8,
     credit: u64,
+    pace: Pace,
 }
 
 /// The whole, in percent.
 const WHOLE: u64 = 100;
+/// The most that drafting can be owed, in tokens, beyond its first request.
+const CREDIT_MAX: u64 = 100_000;
 
 impl Admission {
     /// Creates an empty order in which drafting keeps `floor` percent of the work.
@@ -21,6 +29,7 @@
             queues: Default::default(),
             floor: floor.min(99),
             credit: 0,
+            pace: Pace::new(),
         }
     }
 
@@ -44,41 +53,73 @@
         self.queues[rank.index()].len()
     }
 
-    /// Adds a request of an account with `weight`.
-    pub fn push(&mut self, request: Request, weight: u32) {
-        self.queues[request.rank.index()].push(request, weight);
+    /// Returns the tokens that go before `request` at least.
+    pub fn before(&self, request: &Request) -> u64 {
+        let own = self.queues[request.rank.index()].before(&request.account);
+        match request.rank {
+            Rank::Urgent => own,
+            Rank::Drafting => {
+                // Of what drafting waits for, urgent work is at most the rest of the floor.
+                let urgent = self.queues[Rank::Urgent.index()].backlog();
+                let floor = u64::from(self.floor);
+                let share = (own * (WHOLE - floor)).checked_div(floor);
+                own + share.map_or(urgent, |s| s.min(urgent))
+            }
+        }
     }
 
-    /// Puts a request back that was taken but could not be served yet.
-    pub fn restore(&mut self, queued: Queued) {
-        let cost = queued.request.cost().get();
-        match queued.request.rank {
-            Rank::Urgent => self.credit = self.credit.saturating_sub(self.earned(cost)),
-            Rank::Drafting => self.credit += cost,
+    /// Returns the time for which `request` would wait at least, if that is known.
+    pub fn wait(&self, request: &Request, now: Timestamp) -> Option<Duration> {
+        match self.before(request) {
+            0 => None,
+            tokens => self.pace.time_for(tokens, now),
+        }
+    }
+
+    /// Adds a request at `now`.
+    pub fn push(&mut self, mut queued: Queued, now: Timestamp) {
+        queued.since = now;
+        if self.is_empty() {
+            self.pace.begin(now);
         }
-        self.queues[queued.request.rank.index()].restore(queued);
+        self.queues[queued.request.rank.index()].push(queued);
     }
 
-    /// Takes the request that goes next.
-    pub fn pop(&mut self) -> Option<Queued> {
-        let rank = self.next_rank()?;
-        let queued = self.queues[rank.index()].pop()?;
+    /// Returns the request that goes next among the lanes that are not blocked.
+    pub fn peek(&self, blocked: &Blocked) -> Option<&Queued> {
+        let drafting = self.first(Rank::Drafting, blocked);
+        let owed = drafting.filter(|q| self.is_owed(&q.request));
+        owed.or_else(|| self.first(Rank::Urgent, blocked))
+            .or(drafting)
+    }
+
+    /// Tells whether the floor grants `request` its place, whatever urgent work waits.
+    pub fn is_owed(&self, request: &Request) -> bool {
+        request.rank == Rank::Drafting && self.credit >= request.cost().get()
+    }
+
+    /// Takes out a request that is served at `now`.
+    pub fn take(&mut self, id: RequestId, now: Timestamp) -> Option<Queued> {
+        let queued = self.queues.iter_mut().find_map(|q| q.take(id))?;
         let cost = queued.request.cost().get();
-        match rank {
-            Rank::Urgent if self.depth(Rank::Drafting) > 0 => self.credit += self.earned(cost),
+        if queued.since < now {
+            self.pace.take(cost, now);
+        }
+        match queued.request.rank {
+            Rank::Urgent if self.depth(Rank::Drafting) > 0 => self.earn(cost),
             Rank::Urgent => self.credit = 0,
             Rank::Drafting => self.credit = self.credit.saturating_sub(cost),
         }
         Some(queued)
     }
 
-    /// Takes a request out of the order.
-    pub fn remove(&mut self, id: RequestId) -> Option<Request> {
+    /// Takes out a request that is not served.
+    pub fn remove(&mut self, id: RequestId) -> Option<Queued> {
         self.queues.iter_mut().find_map(|q| q.remove(id))
     }
 
     /// Takes out every request whose deadline lies before `now`.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<Request> {
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Queued> {
         self.queues.iter_mut().flat_map(|q| q.expire(now)).collect()
     }
 
@@ -87,17 +128,16 @@
         self.queues.iter().filter_map(FairQueue::earliest).min()
     }
 
-    fn next_rank(&self) -> Option<Rank> {
-        let drafting = self.queues[Rank::Drafting.index()].peek();
-        if drafting.is_some_and(|r| self.credit >= r.cost().get()) {
-            return Some(Rank::Drafting);
-        }
-        Rank::ALL.into_iter().find(|r| self.depth(*r) > 0)
+    fn first(&self, rank: Rank, blocked: &Blocked) -> Option<&Queued> {
+        self.queues[rank.index()].peek(rank, blocked)
     }
 
-    /// Returns what drafting earns when urgent work of `cost` goes first.
-    fn earned(&self, cost: u64) -> u64 {
+    /// Notes what drafting is owed when urgent work of `cost` goes first.
+    fn earn(&mut self, cost: u64) {
         let floor = u64::from(self.floor);
-        cost * floor / (WHOLE - floor)
+        let earned = cost * floor / (WHOLE - floor);
+        let first = self.first(Rank::Drafting, &Blocked::new());
+        let bound = CREDIT_MAX.max(first.map_or(0, |q| q.request.cost().get()));
+        self.credit = (self.credit + earned).min(bound);
     }
 }
--- a/azureway-core/src/admit/fair_queue.rs
+++ b/azureway-core/src/admit/fair_queue.rs
@@ -1,20 +1,27 @@
 //! Requests of one rank in an order that is fair between client accounts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use super::Queued;
-use crate::domain::{AccountId, Request, RequestId, Timestamp};
+use super::{Blocked, Lane, Queued};
+use crate::domain::{AccountId, Rank, RequestId, Timestamp};
+
+/// The place of a request in its lane: its virtual start, then its identity.
+type Place = (u64, RequestId);
 
 /// Requests of one rank, in start-time fair order by their cost in tokens.
 ///
 /// Each account has a virtual clock that its requests push on by cost over weight. The
 /// request with the least virtual start goes first, so an account that asks for far more
-/// than the rest waits behind its own work and not before theirs.
+/// than the rest waits behind its own work and not before theirs. Each lane has an order of
+/// its own under the same clocks, so that a blocked lane is passed over in one step.
 #[derive(Debug, Default)]
 pub struct FairQueue {
     clock: u64,
     finish: HashMap<AccountId, u64>,
-    waiting: BTreeMap<(u64, RequestId), Queued>,
+    lanes: BTreeMap<Lane, BTreeMap<Place, Queued>>,
+    places: HashMap<RequestId, (Lane, u64)>,
+    deadlines: BTreeSet<(Timestamp, RequestId)>,
+    backlog: u64,
 }
 
 impl FairQueue {
@@ -25,76 +32,105 @@
 
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.places.len()
     }
 
     /// Tells whether no request waits.
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.places.is_empty()
+    }
+
+    /// Returns the cost of all requests that wait, in tokens.
+    pub const fn backlog(&self) -> u64 {
+        self.backlog
     }
 
-    /// Adds a request of an account with `weight`.
-    pub fn push(&mut self, request: Request, weight: u32) {
-        let last = self.finish.get(&request.account).copied().unwrap_or(0);
+    /// Returns the virtual start that a request of `account` would be given.
+    pub fn start_of(&self, account: &AccountId) -> u64 {
         // An account that was idle starts now: it saves up no claim on the past.
-        let start = last.max(self.clock);
-        let cost = request.cost().get() / u64::from(weight.max(1));
-        self.finish
-            .insert(request.account.clone(), start + cost.max(1));
-        self.waiting
-            .insert((start, request.id), Queued { start, request });
+        let last = self.finish.get(account).copied().unwrap_or(0);
+        last.max(self.clock)
+    }
+
+    /// Returns the tokens that go before a request of `account` at least: of each account,
+    /// what starts before it.
+    pub fn before(&self, account: &AccountId) -> u64 {
+        let start = self.start_of(account);
+        let ahead = |finish: &u64| (*finish).min(start).saturating_sub(self.clock);
+        let sum: u64 = self.finish.values().map(ahead).sum();
+        sum.min(self.backlog)
     }
 
-    /// Puts a request back that was taken but could not be served yet.
-    pub fn restore(&mut self, queued: Queued) {
-        self.waiting
-            .insert((queued.start, queued.request.id), queued);
+    /// Adds a request.
+    pub fn push(&mut self, mut queued: Queued) {
+        let account = queued.request.account.clone();
+        queued.start = self.start_of(&account);
+        self.finish.insert(account, queued.start + queued.charge());
+        self.backlog += queued.request.cost().get();
+        let (id, lane) = (queued.request.id, Lane::of(&queued.request));
+        self.deadlines.insert((queued.request.deadline.point(), id));
+        self.places.insert(id, (lane.clone(), queued.start));
+        let order = self.lanes.entry(lane).or_default();
+        order.insert((queued.start, id), queued);
     }
 
-    /// Returns the request that goes first.
-    pub fn peek(&self) -> Option<&Request> {
-        self.waiting.values().next().map(|q| &q.request)
+    /// Returns the request that goes first among the lanes that are not blocked.
+    pub fn peek(&self, rank: Rank, blocked: &Blocked) -> Option<&Queued> {
+        let open = self
+            .lanes
+            .iter()
+            .filter(|(l, _)| !blocked.contains(rank, l));
+        let heads = open.filter_map(|(_, order)| order.first_key_value());
+        heads.min_by_key(|(place, _)| **place).map(|(_, q)| q)
     }
 
-    /// Takes the request that goes first.
-    pub fn pop(&mut self) -> Option<Queued> {
-        let (_, queued) = self.waiting.pop_first()?;
+    /// Takes out a request that is served now.
+    pub fn take(&mut self, id: RequestId) -> Option<Queued> {
+        let queued = self.pull(id)?;
         self.clock = self.clock.max(queued.start);
-        if self.waiting.is_empty() {
+        if self.is_empty() {
             // Nothing waits, so no account is behind another: the clocks can be dropped.
             self.finish.retain(|_, finish| *finish > self.clock);
         }
         Some(queued)
     }
 
-    /// Takes a request out of the order, wherever it stands.
-    pub fn remove(&mut self, id: RequestId) -> Option<Request> {
-        let key = self
-            .waiting
-            .iter()
-            .find(|(k, _)| k.1 == id)
-            .map(|(k, _)| *k)?;
-        self.waiting.remove(&key).map(|q| q.request)
+    /// Takes out a request that is not served, and gives its account the charge back.
+    pub fn remove(&mut self, id: RequestId) -> Option<Queued> {
+        let queued = self.pull(id)?;
+        if let Some(finish) = self.finish.get_mut(&queued.request.account) {
+            *finish = finish.saturating_sub(queued.charge());
+        }
+        Some(queued)
     }
 
     /// Takes out every request whose deadline lies before `now`.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<Request> {
-        let late = self
-            .waiting
-            .iter()
-            .filter(|(_, q)| q.request.deadline.is_past(now));
-        let late: Vec<_> = late.map(|(key, _)| *key).collect();
-        late.iter()
-            .filter_map(|key| self.waiting.remove(key))
-            .map(|q| q.request)
-            .collect()
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Queued> {
+        let mut late = Vec::new();
+        while let Some(&(deadline, id)) = self.deadlines.first() {
+            if deadline >= now {
+                break;
+            }
+            late.extend(self.remove(id));
+        }
+        late
     }
 
     /// Returns the earliest deadline of the requests that wait.
     pub fn earliest(&self) -> Option<Timestamp> {
-        self.waiting
-            .values()
-            .map(|q| q.request.deadline.point())
-            .min()
+        self.deadlines.first().map(|(deadline, _)| *deadline)
+    }
+
+    fn pull(&mut self, id: RequestId) -> Option<Queued> {
+        let (lane, start) = self.places.remove(&id)?;
+        let order = self.lanes.get_mut(&lane)?;
+        let queued = order.remove(&(start, id))?;
+        if order.is_empty() {
+            self.lanes.remove(&lane);
+        }
+        self.backlog -= queued.request.cost().get();
+        self.deadlines
+            .remove(&(queued.request.deadline.point(), id));
+        Some(queued)
     }
 }
--- a/azureway-core/src/admit/mod.rs
+++ b/azureway-core/src/admit/mod.rs
@@ -1,9 +1,25 @@
 //! Which request is served next.
 
 mod admission;
+mod allowance;
+mod blocked;
+mod demand;
+mod demand_meter;
+mod demand_share;
 mod fair_queue;
+mod lane;
+mod limits;
+mod pace;
 mod queued;
 
 pub use admission::Admission;
+pub use allowance::Allowance;
+pub use blocked::Blocked;
+pub use demand::Demand;
+pub use demand_meter::DemandMeter;
+pub use demand_share::DemandShare;
 pub use fair_queue::FairQueue;
+pub use lane::Lane;
+pub use limits::Limits;
+pub use pace::Pace;
 pub use queued::Queued;
--- a/azureway-core/src/admit/queued.rs
+++ b/azureway-core/src/admit/queued.rs
@@ -1,12 +1,43 @@
 //! A request that waits.
 
-use crate::domain::Request;
+use crate::domain::{Request, Timestamp};
+use crate::router::Plan;
 
 /// A request that waits, with its place in the fair order.
 #[derive(Clone, Debug)]
 pub struct Queued {
     /// The virtual time at which the request starts, in weighted tokens.
     pub start: u64,
+    /// Since when it waits.
+    pub since: Timestamp,
+    /// The share of its account.
+    pub weight: u32,
+    /// What is to be tried next.
+    pub plan: Plan,
     /// The request.
     pub request: Request,
 }
+
+impl Queued {
+    /// Creates a request that waits for its first try.
+    pub fn new(request: Request, weight: u32) -> Self {
+        let plan = Plan::first(request.id);
+        Self::again(request, weight, plan)
+    }
+
+    /// Creates a request that waits for a later try.
+    pub fn again(request: Request, weight: u32, plan: Plan) -> Self {
+        Self {
+            start: 0,
+            since: Timestamp::ZERO,
+            weight: weight.max(1),
+            plan,
+            request,
+        }
+    }
+
+    /// Returns the cost of the request over the share of its account.
+    pub fn charge(&self) -> u64 {
+        (self.request.cost().get() / u64::from(self.weight)).max(1)
+    }
+}
--- a/azureway-core/src/cache/block_chain.rs
+++ b/azureway-core/src/cache/block_chain.rs
@@ -19,6 +19,7 @@
     salt: Salt,
     blocks: SmallVec<[Block; 6]>,
     prefix: PrefixKey,
+    shared: TokenCount,
 }
 
 impl BlockChain {
@@ -28,6 +29,7 @@
             salt,
             blocks: SmallVec::new(),
             prefix: PrefixKey::new(salt.number()),
+            shared: TokenCount::ZERO,
         };
         for (depth, level) in levels.into_iter().enumerate() {
             chain.push_level(level);
@@ -49,10 +51,12 @@
         let blocks: SmallVec<[Block; 6]> = blocks.into_iter().collect();
         let last = blocks.iter().take(placing).next_back();
         let prefix = PrefixKey::new(last.map_or(salt.number(), |b| b.key.get()));
+        let shared = blocks.iter().take(placing).map(|b| b.tokens).sum();
         Self {
             salt,
             blocks,
             prefix,
+            shared,
         }
     }
 
@@ -72,6 +76,7 @@
     fn mark_prefix(&mut self) {
         if let Some(last) = self.blocks.last() {
             self.prefix = PrefixKey::new(last.key.get());
+            self.shared = self.tokens();
         }
     }
 
@@ -90,6 +95,11 @@
         self.prefix
     }
 
+    /// Returns the tokens of the shared prefix that places the prompt.
+    pub const fn shared(&self) -> TokenCount {
+        self.shared
+    }
+
     /// Returns the tokens of the whole prompt.
     pub fn tokens(&self) -> TokenCount {
         self.blocks.iter().map(|b| b.tokens).sum()
--- a/azureway-core/src/cache/index.rs
+++ b/azureway-core/src/cache/index.rs
@@ -1,146 +1,198 @@
 //! Which backend servers are believed to hold which blocks.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
-use smallvec::SmallVec;
-
-use super::{Block, BlockKey, CacheOp, CacheUpdate, EventCursor};
+use super::{Block, BlockKey, CacheOp, CacheUpdate, Follower, Holder, Holders};
 use crate::domain::{Incarnation, ServerId, TokenCount};
 
-/// A server's place in the index: its slot and the incarnation that the entry holds for.
-type Holder = (u32, Incarnation);
+/// The blocks that an index keeps at most.
+const DEFAULT_BOUND: usize = 256 * 1024;
 
 /// Which backend servers are believed to hold which blocks.
 ///
 /// The index is a hint: an entry may be late or missing, and a request carries what was
-/// expected, so that the server can refuse it. An entry whose incarnation is not the
-/// server's current one is unreachable: [`CacheIndex::cached`] compares it on every look-up.
-#[derive(Debug, Default)]
+/// expected, so that the server can refuse it. An entry holds only under the generation and
+/// the incarnation of its server that it was made in; any other is unreachable.
+///
+/// The index is bounded. A sweep in the order of insertion drops blocks that were neither
+/// looked up nor stored since it last came by.
+#[derive(Debug)]
 pub struct CacheIndex {
-    slots: HashMap<ServerId, u32>,
-    cursors: Vec<EventCursor>,
-    holders: HashMap<BlockKey, SmallVec<[Holder; 2]>>,
+    places: HashMap<ServerId, u32>,
+    followers: Vec<Follower>,
+    blocks: HashMap<BlockKey, Holders>,
+    sweep: VecDeque<BlockKey>,
+    bound: usize,
+}
+
+impl Default for CacheIndex {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl CacheIndex {
-    /// Creates an empty index.
+    /// Creates an empty index with the default bound.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            places: HashMap::new(),
+            followers: Vec::new(),
+            blocks: HashMap::new(),
+            sweep: VecDeque::new(),
+            bound: DEFAULT_BOUND,
+        }
+    }
+
+    /// Sets the blocks that the index keeps at most.
+    #[must_use]
+    pub fn with_bound(mut self, bound: usize) -> Self {
+        self.bound = bound.max(1);
+        self
     }
 
-    /// Returns the number of blocks that some server is believed to hold.
+    /// Returns the number of blocks that the index keeps.
     pub fn len(&self) -> usize {
-        self.holders.len()
+        self.blocks.len()
     }
 
     /// Tells whether the index is empty.
     pub fn is_empty(&self) -> bool {
-        self.holders.is_empty()
+        self.blocks.is_empty()
     }
 
     /// Takes in a run of events. Returns whether events were lost, so that the caller
     /// must ask the server for its whole content.
     pub fn update(&mut self, update: &CacheUpdate<'_>) -> bool {
-        let slot = self.slot(update.server);
-        let cursor = &mut self.cursors[slot as usize];
-        if update.incarnation < cursor.incarnation() {
+        let place = self.place(update.server);
+        let follower = &mut self.followers[place as usize];
+        if update.incarnation < follower.cursor.incarnation() {
             return false;
         }
-        if update.whole || update.incarnation > cursor.incarnation() {
-            return self.restart(slot, update);
+        let len = update.ops.len() as u64;
+        if update.whole || update.incarnation > follower.cursor.incarnation() {
+            // A whole content is numbered by the next event to come after it.
+            let next = update.first + if update.whole { 0 } else { len };
+            let complete = update.whole || update.first == 0;
+            follower.restart(update.incarnation, next, complete);
+            self.apply(place, update.ops);
+            return !complete;
         }
-        let Some(known) = cursor.advance(update.first, update.ops.len() as u64) else {
+        let Some(known) = follower.cursor.advance(update.first, len) else {
             return true;
         };
-        let fresh = &update.ops[usize::try_from(known).unwrap_or(usize::MAX)..];
-        self.apply(slot, update.incarnation, fresh);
+        self.apply(
+            place,
+            &update.ops[usize::try_from(known).unwrap_or(usize::MAX)..],
+        );
         false
     }
 
+    /// Notes that a server computes or has computed `blocks`. The server's own events are
+    /// late, and until they come the next request would compute the blocks elsewhere again.
+    pub fn presume(&mut self, server: &ServerId, incarnation: Incarnation, blocks: &[Block]) {
+        let Some(holder) = self.holder(server, incarnation) else {
+            return;
+        };
+        for block in blocks {
+            self.store(block.key, holder);
+        }
+    }
+
     /// Returns how many tokens at the head of `blocks` the server is believed to hold.
     pub fn cached(
-        &self,
+        &mut self,
         server: &ServerId,
         incarnation: Incarnation,
         blocks: &[Block],
     ) -> TokenCount {
-        let Some(&slot) = self.slots.get(server) else {
+        let Some(holder) = self.holder(server, incarnation) else {
             return TokenCount::ZERO;
         };
-        let held = |b: &&Block| self.holds(b.key, (slot, incarnation));
-        blocks.iter().take_while(held).map(|b| b.tokens).sum()
+        let mut tokens = TokenCount::ZERO;
+        for block in blocks {
+            match self.blocks.get_mut(&block.key) {
+                Some(held) if held.list.contains(&holder) => held.used = true,
+                _ => break,
+            }
+            tokens += block.tokens;
+        }
+        tokens
+    }
+
+    /// Tells whether all that the server holds has been heard.
+    pub fn knows(&self, server: &ServerId, incarnation: Incarnation) -> bool {
+        let follower = self.places.get(server);
+        let follower = follower.map(|place| self.followers[*place as usize]);
+        follower.is_some_and(|f| f.complete && f.follows(incarnation))
     }
 
     /// Forgets everything that the server was believed to hold.
     pub fn forget(&mut self, server: &ServerId) {
-        if let Some(&slot) = self.slots.get(server) {
-            self.drop_slot(slot);
+        if let Some(&place) = self.places.get(server) {
+            self.followers[place as usize].restart(Incarnation::ZERO, 0, false);
         }
     }
 
-    fn holds(&self, key: BlockKey, holder: Holder) -> bool {
-        self.holders
-            .get(&key)
-            .is_some_and(|held| held.contains(&holder))
+    fn holder(&self, server: &ServerId, incarnation: Incarnation) -> Option<Holder> {
+        let &place = self.places.get(server)?;
+        let follower = self.followers[place as usize];
+        follower
+            .follows(incarnation)
+            .then_some((place, follower.generation))
     }
 
-    fn slot(&mut self, server: &ServerId) -> u32 {
-        if let Some(&slot) = self.slots.get(server) {
-            return slot;
+    fn place(&mut self, server: &ServerId) -> u32 {
+        if let Some(&place) = self.places.get(server) {
+            return place;
         }
-        let slot = u32::try_from(self.cursors.len()).unwrap_or(u32::MAX);
-        self.slots.insert(server.clone(), slot);
-        self.cursors.push(EventCursor::new());
-        slot
-    }
-
-    fn restart(&mut self, slot: u32, update: &CacheUpdate<'_>) -> bool {
-        self.drop_slot(slot);
-        let len = update.ops.len() as u64;
-        let cursor = &mut self.cursors[slot as usize];
-        let lost = !update.whole && update.first > 0;
-        // A whole content is numbered by the next event to come after it.
-        let next = if update.whole {
-            update.first
-        } else {
-            update.first + len
-        };
-        cursor.reset(update.incarnation, next);
-        self.apply(slot, update.incarnation, update.ops);
-        lost
+        let place = u32::try_from(self.followers.len()).unwrap_or(u32::MAX);
+        self.places.insert(server.clone(), place);
+        self.followers.push(Follower::new());
+        place
     }
 
-    fn apply(&mut self, slot: u32, incarnation: Incarnation, ops: &[CacheOp]) {
+    fn apply(&mut self, place: u32, ops: &[CacheOp]) {
+        let generation = self.followers[place as usize].generation;
         for op in ops {
             match *op {
-                CacheOp::Stored(key) => self.store(key, (slot, incarnation)),
-                CacheOp::Evicted(key) => self.evict(key, slot),
+                CacheOp::Stored(key) => self.store(key, (place, generation)),
+                CacheOp::Evicted(key) => {
+                    if let Some(held) = self.blocks.get_mut(&key) {
+                        held.remove(place);
+                    }
+                }
             }
         }
     }
 
     fn store(&mut self, key: BlockKey, holder: Holder) {
-        let held = self.holders.entry(key).or_default();
-        match held.iter_mut().find(|h| h.0 == holder.0) {
-            Some(old) => *old = holder,
-            None => held.push(holder),
-        }
-    }
-
-    fn evict(&mut self, key: BlockKey, slot: u32) {
-        let Some(held) = self.holders.get_mut(&key) else {
+        if let Some(held) = self.blocks.get_mut(&key) {
+            held.add(holder);
             return;
-        };
-        held.retain(|h| h.0 != slot);
-        if held.is_empty() {
-            self.holders.remove(&key);
         }
+        self.make_room();
+        let mut held = Holders::default();
+        held.add(holder);
+        self.blocks.insert(key, held);
+        self.sweep.push_back(key);
     }
 
-    fn drop_slot(&mut self, slot: u32) {
-        self.holders.retain(|_, held| {
-            held.retain(|h| h.0 != slot);
-            !held.is_empty()
-        });
+    fn make_room(&mut self) {
+        while self.blocks.len() >= self.bound {
+            let Some(key) = self.sweep.pop_front() else {
+                return;
+            };
+            let followers = &self.followers;
+            let keep = self.blocks.get_mut(&key).is_some_and(|held| {
+                held.list
+                    .retain(|h| followers[h.0 as usize].generation == h.1);
+                std::mem::take(&mut held.used) && !held.list.is_empty()
+            });
+            if keep {
+                self.sweep.push_back(key);
+            } else {
+                self.blocks.remove(&key);
+            }
+        }
     }
 }
--- a/azureway-core/src/cache/mod.rs
+++ b/azureway-core/src/cache/mod.rs
@@ -6,6 +6,8 @@
 mod cache_op;
 mod cache_update;
 mod event_cursor;
+mod follower;
+mod holders;
 mod index;
 mod salt;
 
@@ -15,5 +17,7 @@
 pub use cache_op::CacheOp;
 pub use cache_update::CacheUpdate;
 pub use event_cursor::EventCursor;
+pub use follower::Follower;
+pub use holders::{Holder, Holders};
 pub use index::CacheIndex;
 pub use salt::Salt;
--- a/azureway-core/src/domain/request_id.rs
+++ b/azureway-core/src/domain/request_id.rs
@@ -9,12 +9,20 @@
     sequence: u64,
 }
 
+/// An odd number near 2^64 over the golden ratio, which spreads successive numbers.
+const DRAW_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
 impl RequestId {
     /// Creates the identity of request `sequence` of the entry process `entry`.
     pub const fn new(entry: u64, sequence: u64) -> Self {
         Self { entry, sequence }
     }
 
+    /// Returns a number that differs between requests and between entries.
+    pub const fn draw(self) -> u64 {
+        self.entry ^ self.sequence.wrapping_mul(DRAW_STEP)
+    }
+
     /// Returns the sequence number.
     pub const fn sequence(self) -> u64 {
         self.sequence
--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -1,6 +1,7 @@
 //! What the router is told.
 
 use super::{Failure, Finish};
+use crate::admit::Demand;
 use crate::cache::CacheUpdate;
 use crate::domain::{Attempt, Request, RequestId};
 use crate::fleet::{Fleet, LoadReport};
@@ -24,6 +25,14 @@
     Load(&'a LoadReport),
     /// A version of the configuration was read.
     Configured(&'a Fleet),
+    /// The number of live entry instances of this availability zone changed; it counts
+    /// this one.
+    Peers(u32),
+    /// The number of entry instances of all availability zones that the platform lists
+    /// changed; it counts this one, and those that are not heard of.
+    Listed(u32),
+    /// Another entry instance told what client accounts ask for there.
+    Demand(&'a Demand),
     /// The instance shuts down: nothing new is taken.
     Draining,
     /// Time passed.
--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use crate::domain::{
-    AccountId, BackendServer, BackendServerPool, ClientAccount, ConfigVersion, KeyHash,
-    ModelService, PoolId, RankRules, ServerId, ServiceId,
+    AccountId, AvailabilityZone, BackendServer, BackendServerPool, ClientAccount, ConfigVersion,
+    KeyHash, ModelService, PoolId, RankRules, ServerId, ServiceId, ZoneId,
 };
 
 /// Everything that one version of the configuration defines.
@@ -20,6 +20,8 @@
     pub pools: BTreeMap<PoolId, BackendServerPool>,
     /// The backend servers.
     pub servers: BTreeMap<ServerId, BackendServer>,
+    /// The availability zones, with their regions.
+    pub zones: BTreeMap<ZoneId, AvailabilityZone>,
     /// The rules for the two ranks of work.
     pub rules: RankRules,
 }
@@ -58,6 +60,13 @@
         self
     }
 
+    /// Adds an availability zone.
+    #[must_use]
+    pub fn with_zone(mut self, zone: AvailabilityZone) -> Self {
+        self.zones.insert(zone.id.clone(), zone);
+        self
+    }
+
     /// Sets the version.
     #[must_use]
     pub fn with_version(mut self, version: ConfigVersion) -> Self {
@@ -65,6 +74,18 @@
         self
     }
 
+    /// Tells whether two availability zones stand in one region. Zones that the configuration
+    /// does not name stand in one region of their own.
+    pub fn share_region(&self, one: &ZoneId, other: &ZoneId) -> bool {
+        let region = |zone| self.zones.get(zone).map(|z| &z.region);
+        region(one) == region(other)
+    }
+
+    /// Tells whether the configuration names regions.
+    pub fn has_regions(&self) -> bool {
+        !self.zones.is_empty()
+    }
+
     /// Returns the account that the digest of an API key belongs to.
     pub fn account_of(&self, key: &KeyHash) -> Option<&ClientAccount> {
         // All accounts are looked at, so that the time does not tell which one matched.
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use super::{Health, LoadReport};
-use crate::domain::{BackendServer, Incarnation, Timestamp, TokenCount, WeightsVersion};
+use super::{Health, Ledger, LoadReport, SlotShare, Work};
+use crate::domain::{BackendServer, Incarnation, Rank, Timestamp, TokenCount, WeightsVersion};
 use crate::event::FailureKind;
 
 /// How long a failed server is left alone.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
+/// The share of a server's slots, in percent, that drafting leaves to urgent work.
+const URGENT_RESERVE: u32 = 25;
 
 /// What is known of one backend server: its configuration, its last report and the work
 /// that this entry has in flight there.
@@ -19,83 +21,99 @@
     pub incarnation: Incarnation,
     /// The weights version that it has loaded, once it is known.
     pub weights: Option<WeightsVersion>,
-    flights: u32,
-    pending: TokenCount,
-    running: u32,
-    queued: u32,
-    reported: TokenCount,
+    own: Ledger,
+    share: SlotShare,
+    reported: Work,
+    heard: Timestamp,
     health: Health,
     trial: Timestamp,
 }
 
 impl ServerState {
-    /// Creates the state of a server of which nothing was heard.
-    pub fn new(server: BackendServer) -> Self {
+    /// Creates the state of a server of which nothing was heard, shared by `entries` entries.
+    pub fn new(server: BackendServer, entries: u32) -> Self {
         Self {
+            share: SlotShare::new(server.slots, entries),
             server,
             incarnation: Incarnation::ZERO,
             weights: None,
-            flights: 0,
-            pending: TokenCount::ZERO,
-            running: 0,
-            queued: 0,
-            reported: TokenCount::ZERO,
+            own: Ledger::new(),
+            reported: Work::default(),
+            heard: Timestamp::ZERO,
             health: Health::Live,
             trial: Timestamp::ZERO,
         }
     }
 
-    /// Takes in a report. Returns whether the server has restarted under this entry's work.
-    pub fn report(&mut self, report: &LoadReport) -> bool {
+    /// Takes over a changed configuration or number of entries.
+    pub fn adopt(&mut self, server: &BackendServer, entries: u32) {
+        self.share.resize(server.slots, entries);
+        self.server = server.clone();
+    }
+
+    /// Takes in a report.
+    pub fn report(&mut self, report: &LoadReport, now: Timestamp) {
         if report.incarnation < self.incarnation {
-            return false;
+            return;
         }
-        let restarted = report.incarnation > self.incarnation;
         self.incarnation = report.incarnation;
         self.weights = Some(report.weights);
-        self.running = report.running;
-        self.queued = report.queued;
-        self.reported = report.pending;
-        self.health = if report.leaving {
-            Health::Leaving
-        } else {
-            self.health
+        self.own.roll(now);
+        self.heard = now;
+        self.reported = Work {
+            flights: report.running + report.queued,
+            pending: report.pending,
+        };
+        let (total, unseen) = (self.own.total(), self.own.unseen());
+        self.share.report(report, total, unseen, now);
+        self.health = match (self.health, report.leaving) {
+            (_, true) => Health::Leaving,
+            // A server that was leaving and says that it is not has been taken back.
+            (Health::Leaving, false) => Health::Live,
+            (health, false) => health,
         };
-        restarted && self.flights > 0
     }
 
-    /// Notes that a request with `owed` uncached prompt tokens is in flight here.
-    pub fn begin(&mut self, owed: TokenCount) {
-        self.flights += 1;
-        self.pending += owed;
+    /// Notes that a request with `owed` uncached prompt tokens is in flight here, and returns
+    /// the period that it is noted in.
+    pub fn begin(&mut self, owed: TokenCount) -> u64 {
+        self.own.begin(owed)
     }
 
-    /// Notes that `owed` prompt tokens were computed or will not be.
-    pub fn settle(&mut self, owed: TokenCount) {
-        self.pending = self.pending.saturating_sub(owed);
+    /// Notes that `owed` prompt tokens of a request were computed or will not be.
+    pub fn settle(&mut self, period: u64, owed: TokenCount) {
+        self.own.settle(period, owed);
     }
 
     /// Notes that a request that still owed some prompt tokens is no longer in flight here.
-    pub fn release(&mut self, owed: TokenCount) {
-        self.flights = self.flights.saturating_sub(1);
-        self.settle(owed);
+    pub fn release(&mut self, period: u64, owed: TokenCount) {
+        self.own.settle(period, owed);
+        self.own.end(period);
     }
 
-    /// Notes a failure at `now`.
-    pub fn blame(&mut self, kind: FailureKind, now: Timestamp) {
+    /// Notes a failure at `now`. Returns whether what is known of its cache no longer holds.
+    pub fn blame(&mut self, kind: FailureKind, now: Timestamp) -> bool {
         match kind {
-            FailureKind::Mismatch => self.incarnation = Incarnation::ZERO,
+            FailureKind::Mismatch => {
+                let known = self.incarnation > Incarnation::ZERO;
+                self.incarnation = Incarnation::ZERO;
+                return known;
+            }
+            FailureKind::Busy => self.share.refused(self.flights(), now),
             // A silent connection says nothing of the server: something between the two ends
             // may have lost track of it while new connections work.
-            FailureKind::Busy | FailureKind::Silent => {}
+            FailureKind::Silent => {}
             FailureKind::Unreachable | FailureKind::Broken | FailureKind::Faulty => {
                 self.suspect(now);
             }
         }
+        false
     }
 
     /// Notes an answer, which ends a suspicion.
-    pub fn clear(&mut self) {
+    pub fn clear(&mut self, now: Timestamp) {
+        let flights = self.flights();
+        self.share.answered(flights, now);
         if self.health == Health::Suspect {
             self.health = Health::Live;
         }
@@ -110,26 +128,56 @@
         }
     }
 
-    /// Returns when a suspected server is tried again.
+    /// Tells whether this entry may fill one more slot here. `owed` lets drafting have the
+    /// slots that it otherwise leaves to urgent work.
+    pub fn has_room(&self, rank: Rank, owed: bool, now: Timestamp) -> bool {
+        if !self.share.allows(self.flights(), now) {
+            return false;
+        }
+        let kept = match rank {
+            Rank::Drafting if !owed => self.server.slots * URGENT_RESERVE / 100,
+            Rank::Drafting | Rank::Urgent => 0,
+        };
+        kept == 0 || self.load() + kept < self.server.slots
+    }
+
+    /// Returns when a server that failed or refused is tried again.
     pub fn trial(&self) -> Option<Timestamp> {
-        (self.health == Health::Suspect).then_some(self.trial)
+        match self.health {
+            Health::Suspect => Some(self.trial),
+            Health::Live => self.share.paused(),
+            Health::Leaving => None,
+        }
     }
 
     /// Returns the requests of this entry in flight here.
-    pub const fn flights(&self) -> u32 {
-        self.flights
+    pub fn flights(&self) -> u32 {
+        self.own.total().flights
+    }
+
+    /// Returns the time of the last report.
+    pub const fn heard(&self) -> Timestamp {
+        self.heard
+    }
+
+    /// Returns the number of entries that share the server.
+    pub const fn entries(&self) -> u32 {
+        self.share.entries()
     }
 
     /// Returns the prompt tokens ahead of a new request, as far as they are known.
     pub fn ahead(&self) -> TokenCount {
-        // The report lags and may or may not hold this entry's own work: the larger of
-        // the two is a lower bound of the truth, and their sum would count work twice.
-        self.reported.max(self.pending)
+        let seen = self.reported.pending.max(self.own.seen().pending);
+        // What this entry sent since the report, the other entries are taken to have sent
+        // too: all choose by the same report, and must not all choose the same server.
+        let unseen = self.own.unseen().pending.get();
+        seen + TokenCount::new(unseen.saturating_mul(u64::from(self.share.entries())))
     }
 
     /// Returns the requests that the server runs or holds, as far as they are known.
     pub fn load(&self) -> u32 {
-        (self.running + self.queued).max(self.flights)
+        let seen = self.reported.flights.max(self.own.seen().flights);
+        seen + self.own.unseen().flights
     }
 
     fn suspect(&mut self, now: Timestamp) {
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -1,101 +1,107 @@
-//! The backend servers by name.
+//! The backend servers by pool and name.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::ops::Range;
 
 use super::{Fleet, LoadReport, ServerState};
-use crate::domain::{PoolId, ServerId, Timestamp, TokenCount};
-use crate::event::FailureKind;
+use crate::domain::{PoolId, ServerId, Timestamp};
 
-/// What is known of every backend server, in the order of their names.
+/// What is known of every backend server. The servers of a pool stand side by side, in the
+/// order of their names.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
-    servers: BTreeMap<ServerId, ServerState>,
+    servers: Vec<ServerState>,
+    places: HashMap<ServerId, usize>,
+    pools: HashMap<PoolId, Range<usize>>,
+    entries: u32,
 }
 
 impl ServerTable {
-    /// Creates an empty table.
+    /// Creates an empty table for a single entry.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            entries: 1,
+            ..Self::default()
+        }
     }
 
     /// Takes over the servers of a new configuration and keeps what is known of old ones.
-    pub fn adopt(&mut self, fleet: &Fleet) {
-        self.servers.retain(|id, s| {
-            // Another address means another process: nothing that was known holds for it.
-            fleet
-                .servers
-                .get(id)
-                .is_some_and(|new| new.address == s.server.address)
-        });
+    /// Returns the servers of which nothing holds any more.
+    pub fn adopt(&mut self, fleet: &Fleet) -> Vec<ServerId> {
+        let entries = self.entries;
+        let old = std::mem::take(&mut self.servers);
+        let mut old: HashMap<_, _> = old.into_iter().map(|s| (s.server.id.clone(), s)).collect();
+        let mut gone = Vec::new();
         for (id, server) in &fleet.servers {
-            match self.servers.get_mut(id) {
-                Some(state) => state.server = server.clone(),
-                None => drop(
-                    self.servers
-                        .insert(id.clone(), ServerState::new(server.clone())),
-                ),
-            }
+            // Another address means another process: nothing that was known holds for it.
+            let kept = old.remove(id);
+            let kept = kept.filter(|s| {
+                let same = s.server.address == server.address;
+                gone.extend((!same).then(|| id.clone()));
+                same
+            });
+            let mut state = kept.unwrap_or_else(|| ServerState::new(server.clone(), entries));
+            state.adopt(server, entries);
+            self.servers.push(state);
         }
+        gone.extend(old.into_keys());
+        self.arrange();
+        gone
     }
 
-    /// Takes in a report. Returns whether the server has restarted under this entry's work.
-    pub fn report(&mut self, report: &LoadReport) -> bool {
-        self.servers
-            .get_mut(&report.server)
-            .is_some_and(|s| s.report(report))
-    }
-
-    /// Notes that a request with `owed` uncached prompt tokens is in flight at a server.
-    pub fn begin(&mut self, server: &ServerId, owed: TokenCount) {
-        self.change(server, |s| s.begin(owed));
-    }
-
-    /// Notes that a server computed `owed` prompt tokens.
-    pub fn settle(&mut self, server: &ServerId, owed: TokenCount) {
-        self.change(server, |s| s.settle(owed));
-    }
-
-    /// Notes that a request is no longer in flight at a server.
-    pub fn release(&mut self, server: &ServerId, owed: TokenCount) {
-        self.change(server, |s| s.release(owed));
-    }
-
-    /// Notes a failure at a server.
-    pub fn blame(&mut self, server: &ServerId, kind: FailureKind, now: Timestamp) {
-        self.change(server, |s| s.blame(kind, now));
+    /// Sets the number of live entries that share the servers, with this one.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+        for state in &mut self.servers {
+            let server = state.server.clone();
+            state.adopt(&server, self.entries);
+        }
     }
 
-    /// Notes an answer of a server.
-    pub fn clear(&mut self, server: &ServerId) {
-        self.change(server, ServerState::clear);
+    /// Takes in a report. Returns the pool of the server.
+    pub fn report(&mut self, report: &LoadReport, now: Timestamp) -> Option<&PoolId> {
+        let state = self.get_mut(&report.server)?;
+        state.report(report, now);
+        Some(&state.server.pool)
     }
 
     /// Returns the time, not before `now`, at which the next suspected server is tried again.
     pub fn next_trial(&self, now: Timestamp) -> Option<Timestamp> {
-        let trials = self.servers.values().filter_map(ServerState::trial);
+        let trials = self.servers.iter().filter_map(ServerState::trial);
         trials.filter(|t| *t >= now).min()
     }
 
     /// Returns a server.
     pub fn get(&self, id: &ServerId) -> Option<&ServerState> {
-        self.servers.get(id)
+        self.places.get(id).map(|place| &self.servers[*place])
+    }
+
+    /// Returns a server, to be changed.
+    pub fn get_mut(&mut self, id: &ServerId) -> Option<&mut ServerState> {
+        self.places.get(id).map(|place| &mut self.servers[*place])
     }
 
     /// Returns all servers.
     pub fn iter(&self) -> impl Iterator<Item = &ServerState> {
-        self.servers.values()
+        self.servers.iter()
     }
 
-    /// Returns the servers of a pool.
-    pub fn of_pool<'a>(&'a self, pool: &'a PoolId) -> impl Iterator<Item = &'a ServerState> {
-        self.servers
-            .values()
-            .filter(move |s| s.server.pool == *pool)
+    /// Returns the servers of a pool in the order of their names.
+    pub fn of_pool(&self, pool: &PoolId) -> std::slice::Iter<'_, ServerState> {
+        let range = self.pools.get(pool).cloned().unwrap_or_default();
+        self.servers[range].iter()
     }
 
-    fn change(&mut self, server: &ServerId, change: impl FnOnce(&mut ServerState)) {
-        if let Some(state) = self.servers.get_mut(server) {
-            change(state);
+    fn arrange(&mut self) {
+        // The sort is stable, so that the names stay in order within a pool.
+        self.servers
+            .sort_by(|a, b| a.server.pool.cmp(&b.server.pool));
+        let names = self.servers.iter().map(|s| s.server.id.clone());
+        self.places = names.enumerate().map(|(place, id)| (id, place)).collect();
+        self.pools.clear();
+        for (place, state) in self.servers.iter().enumerate() {
+            let range = self.pools.entry(state.server.pool.clone());
+            range.or_insert(place..place).end = place + 1;
         }
     }
 }
--- a/azureway-core/src/lib.rs
+++ b/azureway-core/src/lib.rs
@@ -31,3 +31,4 @@
 pub mod route;
 pub mod router;
 pub mod stream;
+pub mod tally;
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The common types, for a glob import.
 
-pub use crate::admit::{Admission, FairQueue};
+pub use crate::admit::{Admission, Demand, DemandShare, FairQueue, Limits};
 pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
 pub use crate::domain::*;
 pub use crate::error::{Error, ErrorKind, Step};
@@ -8,7 +8,9 @@
 pub use crate::fleet::{Fleet, Health, LoadReport, ServerState, ServerTable};
 pub use crate::retry::{Backoff, RetryBudget};
 pub use crate::route::{
-    Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Rendezvous, RoundRobin,
+    Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
+    RoundRobin, Spread,
 };
 pub use crate::router::{Router, RouterConfig};
 pub use crate::stream::{Delivery, StreamProgress};
+pub use crate::tally::{Count, Outcome, Tally};
--- a/azureway-core/src/route/candidate.rs
+++ b/azureway-core/src/route/candidate.rs
@@ -14,4 +14,10 @@
     pub cached: TokenCount,
     /// The time one way over the link to it.
     pub link: Duration,
+    /// What the traffic to it costs, as time.
+    pub toll: Duration,
+    /// How strongly the prefix prefers it.
+    pub weight: u64,
+    /// Whether it is one of the servers that the prefix is kept on.
+    pub home: bool,
 }
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -13,6 +13,8 @@
     pub prefill: Duration,
     /// The time on the link, there and back.
     pub link: Duration,
+    /// What the traffic costs, as time.
+    pub toll: Duration,
 }
 
 impl Estimate {
@@ -25,13 +27,21 @@
                 .prefill
                 .time_for(job.prompt.saturating_sub(candidate.cached)),
             link: candidate.link * 2,
+            toll: candidate.toll,
         }
     }
 
-    /// Returns the sum of the parts.
+    /// Returns the estimated time to first token.
     pub const fn total(&self) -> Duration {
         self.wait
             .saturating_add(self.prefill)
             .saturating_add(self.link)
     }
+    /// Returns what the choice costs: the time to first token, the traffic, and once more
+    /// the time to compute, for which the requests behind wait too.
+    pub const fn cost(&self) -> Duration {
+        self.total()
+            .saturating_add(self.prefill)
+            .saturating_add(self.toll)
+    }
 }
--- a/azureway-core/src/route/job.rs
+++ b/azureway-core/src/route/job.rs
@@ -11,4 +11,6 @@
     pub rank: Rank,
     /// The tokens of the prompt.
     pub prompt: TokenCount,
+    /// A number that differs between requests, for choices that must not all be the same.
+    pub draw: u64,
 }
--- a/azureway-core/src/route/prefix_load.rs
+++ b/azureway-core/src/route/prefix_load.rs
@@ -1,15 +1,22 @@
 //! The product's policy: the least estimated time to first token.
 
-use std::cmp::Reverse;
+use std::time::Duration;
 
-use super::{Candidate, Estimate, Job, Policy, Rendezvous};
+use super::{Candidate, Estimate, Job, Policy, mix};
 use crate::domain::Timestamp;
 
-/// Chooses the server with the least estimated time to first token. Among equals it takes
-/// the one that the prefix prefers, so that entries which know nothing yet agree.
+/// Chooses the server with the least estimated time to first token, with what it costs the
+/// requests behind to compute the prompt.
+///
+/// Estimates that differ by less than the reports can tell count as equal. Among equals a
+/// server that the prefix is kept on goes first, and among these each request draws its
+/// own, so that entries which hold the same stale report do not all choose the same one.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixLoad;
 
+/// The difference between two estimates that still counts as none.
+const SLACK: Duration = Duration::from_millis(20);
+
 impl PrefixLoad {
     /// Creates the policy.
     pub const fn new() -> Self {
@@ -21,12 +28,16 @@
     const NAME: &'static str = "prefix-load";
 
     fn choose(&mut self, job: Job, candidates: &[Candidate<'_>], _: Timestamp) -> Option<usize> {
-        let order = Rendezvous::new(job.prefix);
-        let rank = |c: &Candidate<'_>| {
-            let time = Estimate::new(job, c).total();
-            (time, Reverse(order.weight(&c.state.server.id)))
+        let cost = |c: &Candidate<'_>| Estimate::new(job, c).cost();
+        let bound = candidates.iter().map(cost).min()? + SLACK;
+        let order = |c: &Candidate<'_>| match c.home {
+            true => (true, mix(c.weight ^ job.draw)),
+            false => (false, c.weight),
         };
         let places = candidates.iter().enumerate();
-        places.min_by_key(|(_, c)| rank(c)).map(|(place, _)| place)
+        places
+            .filter(|(_, c)| cost(c) <= bound)
+            .max_by_key(|(_, c)| order(c))
+            .map(|(place, _)| place)
     }
 }
--- a/azureway-core/src/route/rendezvous.rs
+++ b/azureway-core/src/route/rendezvous.rs
@@ -34,7 +34,7 @@
 }
 
 /// Spreads the last input bytes over all bits, which FNV-1a alone does not.
-const fn mix(sum: u64) -> u64 {
+pub(super) const fn mix(sum: u64) -> u64 {
     let sum = (sum ^ (sum >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     let sum = (sum ^ (sum >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     sum ^ (sum >> 33)
--- a/azureway-core/src/router/config.rs
+++ b/azureway-core/src/router/config.rs
@@ -17,6 +17,8 @@
     pub retries: u32,
     /// The time one way over a link to another availability zone.
     pub link: Duration,
+    /// The time one way over a link to another region.
+    pub far: Duration,
 }
 
 /// The default bound of a queue.
@@ -27,6 +29,8 @@
 const DEFAULT_RETRIES: u32 = 20;
 /// The default time one way to another availability zone.
 const DEFAULT_LINK: Duration = Duration::from_micros(1_500);
+/// The default time one way to another region.
+const DEFAULT_FAR: Duration = Duration::from_millis(8);
 
 impl RouterConfig {
     /// Creates the default bounds for a router in `zone`.
@@ -37,6 +41,7 @@
             tries: DEFAULT_TRIES,
             retries: DEFAULT_RETRIES,
             link: DEFAULT_LINK,
+            far: DEFAULT_FAR,
         }
     }
 
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -1,16 +1,19 @@
 //! The router itself.
 
+use super::placement::ABROAD_WAIT;
 use super::{
-    Flight, Flights, Intake, Placement, Plan, Queues, Retries, Retry, RouterConfig, Verdict,
+    Flight, Flights, Intake, Placement, Queues, Retries, Retry, RouterConfig, Verdict, Want,
 };
+use crate::admit::{Blocked, Demand, Limits, Queued};
 use crate::cache::{CacheIndex, CacheUpdate};
 use crate::domain::{
-    Attempt, Incarnation, PoolId, Refusal, RefusalReason, Request, RequestId, ServerId, Timestamp,
+    Attempt, InstanceId, PoolId, Refusal, RefusalReason, Request, RequestId, Timestamp,
 };
 use crate::event::{Action, Dispatch, Event, Failure, Finish};
-use crate::fleet::{Fleet, ServerTable};
+use crate::fleet::{Fleet, LoadReport, ServerTable};
 use crate::retry::RetryBudget;
-use crate::route::Policy;
+use crate::route::{Policy, Spread};
+use crate::tally::{Outcome, Tally};
 
 /// The decisions of one entry instance. Events and the time go in, actions come out.
 #[derive(Debug)]
@@ -20,10 +23,13 @@
     fleet: Fleet,
     servers: ServerTable,
     index: CacheIndex,
+    spread: Spread,
+    limits: Limits,
     queues: Queues,
     flights: Flights,
     retries: Retries,
     budget: RetryBudget,
+    tally: Tally,
     draining: bool,
     seen: Timestamp,
 }
@@ -39,8 +45,11 @@
             fleet: Fleet::new(),
             servers: ServerTable::new(),
             index: CacheIndex::new(),
+            spread: Spread::new(),
+            limits: Limits::new(),
             queues: Queues::new(),
             flights: Flights::new(),
+            tally: Tally::new(),
             draining: false,
             seen: Timestamp::ZERO,
         }
@@ -49,29 +58,37 @@
     /// Takes in an event and appends what is to be done about it.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
         self.seen = now;
+        let first = out.len();
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
-            Event::HungUp(id) => self.hang_up(id, out),
-            Event::Started(attempt) => self.start(attempt),
-            Event::Finished(finish) => self.finish(finish),
+            Event::HungUp(id) => self.hang_up(id, now, out),
+            Event::Started(attempt) => self.start(attempt, now),
+            Event::Finished(finish) => self.finish(finish, now),
             Event::Failed(failure) => self.fail(failure, now, out),
             Event::Cache(update) => self.hear(update, out),
-            Event::Load(report) => drop(self.servers.report(report)),
+            Event::Load(report) => self.report(report, now),
             Event::Configured(fleet) => self.configure(fleet),
+            Event::Peers(count) => self.servers.set_entries(count),
+            Event::Listed(count) => self.limits.share_mut().set_entries(count),
+            Event::Demand(demand) => self.limits.share_mut().hear(demand, now),
             Event::Draining => self.draining = true,
-            Event::Tick => {}
+            Event::Tick => self.queues.mark_all(),
         }
         self.expire(now, out);
         self.try_again(now, out);
         self.pump(now, out);
+        self.count_refusals(&out[first..]);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let limits = [self.queues.earliest(), self.retries.earliest()];
         let limit = limits.into_iter().flatten().min()?;
-        // A server that is tried again, or a refilled budget, can help what waits.
-        let chances = [self.servers.next_trial(self.seen), self.next_retry()];
+        // A server that is tried again, one abroad, or a refilled budget can help what waits.
+        let abroad = self.queues.oldest().map(|t| t + ABROAD_WAIT);
+        let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
+        let trial = self.servers.next_trial(self.seen);
+        let chances = [trial, abroad, self.next_retry()];
         chances.into_iter().flatten().chain([limit]).min()
     }
 
@@ -90,43 +107,63 @@
         &self.servers
     }
 
+    /// Returns how the requests ended.
+    pub const fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Returns what the accounts ask for here, as `instance` tells it to the other entries.
+    pub fn demand(&self, instance: InstanceId, now: Timestamp) -> Demand {
+        self.limits.demand(instance, now)
+    }
+
     fn arrive(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
-        let intake = Intake {
+        self.tally.open(request);
+        let mut intake = Intake {
             fleet: &self.fleet,
             queues: &self.queues,
+            limits: &mut self.limits,
             bound: self.config.queue,
             draining: self.draining,
         };
         match intake.check(request, now) {
             Ok((service, account)) => {
                 self.budget.earn();
-                self.queues
-                    .push(service.pool.clone(), request.clone(), account.weight);
+                let queued = Queued::new(request.clone(), account.weight);
+                self.queues.push(service.pool.clone(), queued, now);
             }
             Err(refusal) => out.push(Action::Refuse(request.id, refusal)),
         }
     }
 
-    fn hang_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    fn hang_up(&mut self, id: RequestId, now: Timestamp, out: &mut Vec<Action>) {
+        self.tally.close(id, Outcome::Abandoned);
         if let Some(flight) = self.flights.remove(id) {
-            self.servers.release(&flight.server, flight.owed());
+            self.land(&flight, now);
             out.push(Action::Cancel(flight.attempt));
         } else if self.retries.remove(id).is_none() {
             self.queues.remove(id);
         }
     }
 
-    fn start(&mut self, attempt: Attempt) {
-        if let Some(flight) = self.flights.current(attempt) {
-            self.servers.settle(&flight.server, flight.owed());
-            flight.started = true;
+    fn start(&mut self, attempt: Attempt, now: Timestamp) {
+        let Some(flight) = self.flights.current(attempt) else {
+            return;
+        };
+        self.tally.start(attempt.id, now);
+        if let Some(state) = self.servers.get_mut(&flight.server) {
+            state.settle(flight.period, flight.owed());
         }
+        flight.started = true;
     }
 
-    fn finish(&mut self, finish: &Finish) {
+    fn finish(&mut self, finish: &Finish, now: Timestamp) {
         if let Some(flight) = self.flights.take(finish.attempt) {
-            self.servers.release(&flight.server, flight.owed());
-            self.servers.clear(&flight.server);
+            self.tally.finish(finish.attempt.id, now);
+            self.land(&flight, now);
+            if let Some(state) = self.servers.get_mut(&flight.server) {
+                state.clear(now);
+            }
         }
     }
 
@@ -134,28 +171,61 @@
         let Some(flight) = self.flights.take(failure.attempt) else {
             return;
         };
-        self.servers.release(&flight.server, flight.owed());
-        self.servers.blame(&flight.server, failure.kind, now);
+        self.land(&flight, now);
+        let state = self.servers.get_mut(&flight.server);
+        if state.is_some_and(|s| s.blame(failure.kind, now)) {
+            self.index.forget(&flight.server);
+            out.push(Action::Resync(flight.server.clone()));
+        }
         match Verdict::new(&flight, failure, self.config.tries, now) {
             Verdict::Retry => self.retries.push(Retry::new(flight, failure, now)),
+            Verdict::Wait => self.wait(flight, now),
             Verdict::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
         }
     }
 
+    /// Lets a request that a server had no room for wait again.
+    fn wait(&mut self, flight: Flight, now: Timestamp) {
+        let weight = self.fleet.accounts.get(&flight.request.account);
+        let weight = weight.map_or(1, |a| a.weight);
+        let (pool, plan) = (flight.pool.clone(), flight.bounce());
+        let queued = Queued::again(flight.request, weight, plan);
+        self.queues.push(pool, queued, now);
+    }
+
+    /// Notes that a request is no longer in flight.
+    fn land(&mut self, flight: &Flight, now: Timestamp) {
+        if let Some(state) = self.servers.get_mut(&flight.server) {
+            state.release(flight.period, flight.owed());
+        }
+        self.spread.end(flight.request.chain.prefix(), now);
+        self.queues.mark(&flight.pool);
+    }
+
     fn hear(&mut self, update: &CacheUpdate<'_>, out: &mut Vec<Action>) {
-        if self.index.update(update) {
+        if self.servers.get(update.server).is_some() && self.index.update(update) {
             out.push(Action::Resync(update.server.clone()));
         }
     }
 
+    fn report(&mut self, report: &LoadReport, now: Timestamp) {
+        if let Some(pool) = self.servers.report(report, now) {
+            self.queues.mark(pool);
+        }
+    }
+
     fn configure(&mut self, fleet: &Fleet) {
         // Versions only grow, so that a slow read or a late peer cannot bring an old one back.
         if fleet.version <= self.fleet.version {
             return;
         }
         self.fleet = fleet.clone();
-        self.servers.adopt(fleet);
+        for gone in self.servers.adopt(fleet) {
+            self.index.forget(&gone);
+        }
+        self.limits.retain(|id| fleet.accounts.contains_key(id));
         self.queues.set_floor(fleet.rules.floor);
+        self.queues.mark_all();
     }
 
     fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -182,10 +252,8 @@
     fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.budget.refill(now);
         for retry in self.retries.take() {
-            let failed = Some(&retry.failed);
-            let sent = self.budget.has_retry()
-                && self.dispatch(&retry.request, retry.plan, failed, now, out);
-            if sent {
+            let want = Want::new(&retry.request, retry.plan, true).with_failed(&retry.failed);
+            if self.budget.has_retry() && self.dispatch(want, now, out) {
                 self.budget.spend();
             } else {
                 self.retries.push(retry);
@@ -193,63 +261,67 @@
         }
     }
 
-    /// Sends requests that wait for as long as there is a server for the next one.
+    /// Sends requests that wait, pool by pool, for as long as there is a server for the next.
     fn pump(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        for pool in self.queues.pools() {
-            while let Some(queued) = self.queues.pop(&pool) {
-                let plan = Plan::first(queued.request.id);
-                if !self.dispatch(&queued.request, plan, None, now, out) {
-                    self.queues.restore(&pool, queued);
-                    break;
+        while let Some(pool) = self.queues.next_marked() {
+            let mut blocked = Blocked::new();
+            while let Some((queued, owed)) = self.queues.peek(&pool, &blocked) {
+                let queued = queued.clone();
+                if self.dispatch(Want::new(&queued.request, queued.plan, owed), now, out) {
+                    self.queues.take(queued.request.id, now);
+                } else {
+                    blocked.add(&queued);
                 }
             }
         }
     }
 
-    /// Sends a request to the best server, but to the one that `failed` it only if there is no
-    /// other. Returns whether there was one.
-    fn dispatch(
-        &mut self,
-        request: &Request,
-        plan: Plan,
-        failed: Option<&ServerId>,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let Some(service) = self.fleet.services.get(&request.service) else {
+    /// Sends a request to the best server. Returns whether there was one.
+    fn dispatch(&mut self, want: Want<'_>, now: Timestamp, out: &mut Vec<Action>) -> bool {
+        let Some(service) = self.fleet.services.get(&want.request.service) else {
             return false;
         };
-        let placement = Placement {
+        let mut placement = Placement {
+            config: &self.config,
+            fleet: &self.fleet,
             servers: &self.servers,
-            index: &self.index,
-            zone: &self.config.zone,
-            link: self.config.link,
-            failed,
+            index: &mut self.index,
+            spread: &self.spread,
         };
-        let Some(best) = placement.choose(&mut self.policy, request, service, now) else {
+        let Some(best) = placement.choose(&mut self.policy, want, service, now) else {
             return false;
         };
-        let order = Dispatch {
-            attempt: plan.attempt,
-            server: best.state.server.id.clone(),
-            address: best.state.server.address,
-            rank: request.rank,
-            salt: request.chain.salt(),
-            incarnation: Some(best.state.incarnation).filter(|i| *i > Incarnation::ZERO),
-            weights: request.weights,
-            position: plan.position,
-            cached: best.cached,
-        };
+        let order = want.order(&best);
         let pool = service.pool.clone();
-        self.take_off(request, pool, &order, plan.untouched);
+        self.take_off(want, pool, &order, now);
         out.push(Action::Dispatch(order));
         true
     }
 
     /// Notes that a request is in flight.
-    fn take_off(&mut self, request: &Request, pool: PoolId, order: &Dispatch, untouched: bool) {
-        let flight = Flight::new(request, pool, order, untouched);
-        self.servers.begin(&flight.server, flight.owed());
+    fn take_off(&mut self, want: Want<'_>, pool: PoolId, order: &Dispatch, now: Timestamp) {
+        let mut flight = Flight::new(want.request, pool, order, want.plan);
+        if let Some(state) = self.servers.get_mut(&flight.server) {
+            flight.period = state.begin(flight.owed());
+            let blocks = want.request.chain.blocks();
+            self.index
+                .presume(&flight.server, state.incarnation, blocks);
+        }
+        self.spread.begin(want.request.chain.prefix(), now);
         self.flights.insert(flight);
     }
+
+    fn count_refusals(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Refuse(id, refusal) = action {
+                let broken = !refusal.not_run;
+                let outcome = if broken {
+                    Outcome::Broken
+                } else {
+                    Outcome::Refused
+                };
+                self.tally.close(*id, outcome);
+            }
+        }
+    }
 }
--- a/azureway-core/src/router/flight.rs
+++ b/azureway-core/src/router/flight.rs
@@ -1,5 +1,6 @@
 //! A request that a backend server is running.
 
+use super::Plan;
 use crate::domain::{Attempt, PoolId, Request, ServerId, StreamPosition, TokenCount};
 use crate::event::Dispatch;
 
@@ -20,14 +21,17 @@
     pub started: bool,
     /// Whether no earlier try can have run the request.
     pub untouched: bool,
+    /// The earlier tries that a server refused for lack of room.
+    pub bounced: u32,
+    /// The period in which the server's state notes the work.
+    pub period: u64,
     /// The position at which the current try was resumed.
     pub position: StreamPosition,
 }
 
 impl Flight {
-    /// Creates the flight that an order begins. `untouched` tells whether no earlier try can
-    /// have run the request.
-    pub fn new(request: &Request, pool: PoolId, order: &Dispatch, untouched: bool) -> Self {
+    /// Creates the flight that an order begins by `plan`.
+    pub fn new(request: &Request, pool: PoolId, order: &Dispatch, plan: Plan) -> Self {
         Self {
             request: request.clone(),
             pool,
@@ -35,7 +39,9 @@
             server: order.server.clone(),
             prefill: request.chain.tokens().saturating_sub(order.cached),
             started: false,
-            untouched,
+            untouched: plan.untouched,
+            bounced: plan.bounced,
+            period: 0,
             position: order.position,
         }
     }
@@ -48,4 +54,14 @@
             self.prefill
         }
     }
+
+    /// Returns the plan of the next try, after the server had no room for this one.
+    pub const fn bounce(&self) -> Plan {
+        Plan {
+            attempt: Attempt::new(self.attempt.id, self.attempt.number + 1),
+            position: self.position,
+            untouched: self.untouched,
+            bounced: self.bounced + 1,
+        }
+    }
 }
--- a/azureway-core/src/router/intake.rs
+++ b/azureway-core/src/router/intake.rs
@@ -1,16 +1,21 @@
 //! Whether a request may wait.
 
+use std::time::Duration;
+
 use super::Queues;
+use crate::admit::{Admission, Limits};
 use crate::domain::{ClientAccount, ModelService, Refusal, RefusalReason, Request, Timestamp};
 use crate::fleet::Fleet;
 
 /// What is looked at to tell whether a request may wait.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct Intake<'a> {
     /// The configuration in force.
     pub fleet: &'a Fleet,
     /// The requests that wait.
     pub queues: &'a Queues,
+    /// The limits of client accounts.
+    pub limits: &'a mut Limits,
     /// The requests that may wait for a pool.
     pub bound: usize,
     /// Whether the instance is shutting down.
@@ -18,13 +23,13 @@
 }
 
 impl<'a> Intake<'a> {
-    /// Returns the service and the account of a request that may wait.
+    /// Returns the service and the account of a request that may wait, and charges the account.
     ///
     /// # Errors
     ///
     /// Returns the refusal of a request that may not.
     pub fn check(
-        &self,
+        &mut self,
         request: &Request,
         now: Timestamp,
     ) -> Result<(&'a ModelService, &'a ClientAccount), Refusal> {
@@ -42,6 +47,9 @@
         if self.queues.len_of(&service.pool) >= self.bound {
             return Err(refusal(RefusalReason::Overloaded, "too many requests wait"));
         }
+        self.check_wait(service, request, now)?;
+        // The limit comes last: what is refused for another reason is not charged.
+        self.check_limit(account, request, now)?;
         Ok((service, account))
     }
 
@@ -54,6 +62,37 @@
         let account = self.fleet.accounts.get(&request.account);
         account.ok_or_else(|| refusal(RefusalReason::Unauthorized, "the client account is gone"))
     }
+
+    /// Refuses a request that would wait past its deadline at the pace of the work before it.
+    fn check_wait(
+        &self,
+        service: &ModelService,
+        request: &Request,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let order = self.queues.get(&service.pool);
+        let wait = order.and_then(|o: &Admission| o.wait(request, now));
+        match wait.filter(|w| !request.deadline.allows(now, *w)) {
+            None => Ok(()),
+            Some(wait) => {
+                let detail = "the work before it takes longer than the deadline allows";
+                Err(refusal(RefusalReason::Deadline, detail).with_retry(wait))
+            }
+        }
+    }
+
+    fn check_limit(
+        &mut self,
+        account: &ClientAccount,
+        request: &Request,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let charged = self.limits.charge(account, request.cost(), now);
+        charged.map_err(|wait: Duration| {
+            let detail = "the client account has used up its limit";
+            refusal(RefusalReason::AccountLimit, detail).with_retry(wait)
+        })
+    }
 }
 
 fn refusal(reason: RefusalReason, detail: &str) -> Refusal {
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod retries;
 mod retry;
 mod verdict;
+mod want;
 
 pub use config::RouterConfig;
 pub use decider::Router;
@@ -23,3 +24,4 @@
 pub use retries::Retries;
 pub use retry::Retry;
 pub use verdict::Verdict;
+pub use want::Want;
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -2,88 +2,183 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
+use super::{RouterConfig, Want};
 use crate::cache::CacheIndex;
-use crate::domain::{ModelService, Request, ServerId, ServiceKind, Timestamp, ZoneId};
-use crate::fleet::{ServerState, ServerTable};
-use crate::route::{Candidate, Job, Policy};
+use crate::domain::{ModelService, Request, ServiceKind, Timestamp, TokenCount, TokenRate};
+use crate::fleet::{Fleet, ServerState, ServerTable};
+use crate::route::{Candidate, Estimate, Job, Policy, Reach, Rendezvous, Spread};
 
 /// What is looked at to find a backend server for a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub struct Placement<'a> {
+    /// The bounds of the router.
+    pub config: &'a RouterConfig,
+    /// The configuration in force.
+    pub fleet: &'a Fleet,
     /// The servers.
     pub servers: &'a ServerTable,
     /// The index of cached blocks.
-    pub index: &'a CacheIndex,
-    /// The availability zone of the entry.
-    pub zone: &'a ZoneId,
-    /// The time one way over a link to another availability zone.
-    pub link: Duration,
-    /// The server that failed the request last, which is taken only if there is no other.
-    pub failed: Option<&'a ServerId>,
+    pub index: &'a mut CacheIndex,
+    /// Over how many replicas each prefix is spread.
+    pub spread: &'a Spread,
 }
 
-impl<'a> Placement<'a> {
-    /// Returns the servers that can take the request now, in the order of their names.
-    pub fn candidates(
-        &self,
-        request: &Request,
-        service: &'a ModelService,
-        now: Timestamp,
-    ) -> Vec<Candidate<'a>> {
-        let all = self.servers.of_pool(&service.pool);
-        let fit = all.filter(|s| fits(s, request, service, now));
-        let all: Vec<_> = fit.map(|s| self.candidate(s, request)).collect();
-        let other = prefer(all, |c| Some(&c.state.server.id) != self.failed);
-        prefer(other, |c| c.state.server.zone == *self.zone)
-    }
+/// A short list of candidates.
+type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
 
-    /// Chooses a server for the request.
+/// The time to first token above which the next reach is looked at too: half of the target.
+const SPILL: Duration = Duration::from_millis(500);
+/// How long a request waits before it may be sent to another region.
+pub(super) const ABROAD_WAIT: Duration = Duration::from_millis(500);
+/// What traffic to another region costs, as time: this many tokens weigh a second.
+const ABROAD_TOLL: TokenRate = TokenRate::new(20_000);
+
+impl<'a> Placement<'a> {
+    /// Chooses a server for a request.
     pub fn choose<P: Policy>(
-        &self,
+        &mut self,
         policy: &mut P,
-        request: &Request,
+        want: Want<'_>,
         service: &'a ModelService,
         now: Timestamp,
     ) -> Option<Candidate<'a>> {
-        let candidates = self.candidates(request, service, now);
         let job = Job {
-            prefix: request.chain.prefix(),
-            rank: request.rank,
-            prompt: request.chain.tokens(),
+            prefix: want.request.chain.prefix(),
+            rank: want.request.rank,
+            prompt: want.request.chain.tokens(),
+            draw: want.request.id.draw(),
         };
-        policy
-            .choose(job, &candidates, now)
-            .map(|place| candidates[place])
+        let found = self.candidates(job, want, service, now);
+        policy.choose(job, &found, now).map(|place| found[place])
+    }
+
+    /// Returns the servers that can take the request now, the nearest first and then in the
+    /// order of their names. Farther ones are looked at when the nearer ones are full or slow.
+    fn candidates(
+        &mut self,
+        job: Job,
+        want: Want<'_>,
+        service: &'a ModelService,
+        now: Timestamp,
+    ) -> Candidates<'a> {
+        let mut found = Candidates::new();
+        let mut alive = false;
+        for reach in Reach::ALL {
+            // Traffic to another region is paid: it is for a region without any server, and
+            // for requests that have waited.
+            let waited = now.since(want.request.arrived) >= ABROAD_WAIT;
+            if reach == Reach::Abroad && alive && !waited {
+                break;
+            }
+            alive |= self.survey(reach, want, service, now, &mut found);
+            let time = |c: &Candidate<'_>| Estimate::new(job, c).total();
+            if found.iter().any(|c| time(c) <= SPILL) {
+                break;
+            }
+        }
+        let other = |c: &Candidate<'_>| Some(&c.state.server.id) != want.failed;
+        if found.iter().any(other) {
+            found.retain(|c| other(c));
+        }
+        found
     }
 
-    fn candidate(&self, state: &'a ServerState, request: &Request) -> Candidate<'a> {
-        let cached = self
-            .index
-            .cached(&state.server.id, state.incarnation, request.chain.blocks());
-        let local = state.server.zone == *self.zone;
+    /// Adds the servers within one reach. Returns whether any could take the request at all.
+    fn survey(
+        &mut self,
+        reach: Reach,
+        want: Want<'_>,
+        service: &'a ModelService,
+        now: Timestamp,
+        found: &mut Candidates<'a>,
+    ) -> bool {
+        let order = Rendezvous::new(want.request.chain.prefix());
+        let near = self.servers.of_pool(&service.pool);
+        let near = near.filter(|s| self.reach(s) == reach && fits(s, want.request, service, now));
+        let mut fit: SmallVec<[(u64, &ServerState); 16]> =
+            near.map(|s| (order.weight(&s.server.id), s)).collect();
+        let bound = self.home_bound(want.request, &fit, now);
+        fit.retain(|(_, s)| has_room(s, want, now));
+        for (weight, state) in &fit {
+            let candidate = self.candidate(state, want.request, reach, (*weight, bound));
+            found.push(candidate);
+        }
+        bound < u64::MAX
+    }
+
+    /// Returns the least weight of the servers that the prefix is kept on. These are chosen
+    /// among all that are alive, with room or without, so that every entry finds the same.
+    fn home_bound(&self, request: &Request, fit: &[(u64, &ServerState)], now: Timestamp) -> u64 {
+        let Some((_, first)) = fit.first() else {
+            return u64::MAX;
+        };
+        let (slots, entries) = (first.server.slots, first.entries());
+        let prefix = request.chain.prefix();
+        let count = self.spread.replicas(prefix, slots, entries, now);
+        let mut weights: SmallVec<[u64; 16]> = fit.iter().map(|(w, _)| *w).collect();
+        weights.sort_unstable_by(|a, b| b.cmp(a));
+        weights[count.min(weights.len()) - 1]
+    }
+
+    fn candidate(
+        &mut self,
+        state: &'a ServerState,
+        request: &Request,
+        reach: Reach,
+        (weight, bound): (u64, u64),
+    ) -> Candidate<'a> {
+        let (id, incarnation) = (&state.server.id, state.incarnation);
+        let home = weight >= bound;
+        let mut cached = self.index.cached(id, incarnation, request.chain.blocks());
+        if home && !self.index.knows(id, incarnation) {
+            // An entry that has just started takes a prefix to be where it is kept.
+            cached = cached.max(request.chain.shared());
+        }
+        let (link, toll) = match reach {
+            Reach::Zone => (Duration::ZERO, Duration::ZERO),
+            Reach::Region => (self.config.link, Duration::ZERO),
+            Reach::Abroad => (self.config.far, toll(request.chain.tokens())),
+        };
         Candidate {
             state,
             cached,
-            link: if local { Duration::ZERO } else { self.link },
+            link,
+            toll,
+            weight,
+            home,
         }
     }
+
+    fn reach(&self, state: &ServerState) -> Reach {
+        let (own, zone) = (&self.config.zone, &state.server.zone);
+        if own == zone {
+            Reach::Zone
+        } else if self.fleet.share_region(own, zone) {
+            Reach::Region
+        } else {
+            Reach::Abroad
+        }
+    }
+}
+
+fn toll(prompt: TokenCount) -> Duration {
+    ABROAD_TOLL.time_for(prompt)
 }
 
-/// Tells whether a server can take a request to `service` now.
+/// Tells whether a server is alive and has what a request to `service` needs.
 fn fits(state: &ServerState, request: &Request, service: &ModelService, now: Timestamp) -> bool {
     let weights = service.kind == ServiceKind::Plain
         || state.weights.is_none_or(|loaded| loaded == request.weights);
-    weights && state.accepts(now) && state.flights() < state.server.slots
+    weights && state.accepts(now)
 }
 
-/// Returns the candidates that are preferred, or all if none is.
-fn prefer<'a>(
-    all: Vec<Candidate<'a>>,
-    preferred: impl Fn(&Candidate<'_>) -> bool,
-) -> Vec<Candidate<'a>> {
-    if all.iter().any(&preferred) {
-        all.into_iter().filter(preferred).collect()
+/// Tells whether a server has room. A stream that has begun may use any slot.
+fn has_room(state: &ServerState, want: Want<'_>, now: Timestamp) -> bool {
+    if want.is_begun() {
+        state.flights() < state.server.slots
     } else {
-        all
+        state.has_room(want.request.rank, want.owed, now)
     }
 }
--- a/azureway-core/src/router/plan.rs
+++ b/azureway-core/src/router/plan.rs
@@ -11,6 +11,8 @@
     pub position: StreamPosition,
     /// Whether no earlier try can have run the request.
     pub untouched: bool,
+    /// The earlier tries that a server refused for lack of room.
+    pub bounced: u32,
 }
 
 impl Plan {
@@ -20,6 +22,7 @@
             attempt: Attempt::new(id, 1),
             position: StreamPosition::ZERO,
             untouched: true,
+            bounced: 0,
         }
     }
 }
--- a/azureway-core/src/router/queues.rs
+++ b/azureway-core/src/router/queues.rs
@@ -1,14 +1,18 @@
 //! The requests that wait, by pool.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use crate::admit::{Admission, Queued};
+use crate::admit::{Admission, Blocked, Queued};
 use crate::domain::{PoolId, Request, RequestId, Timestamp};
 
 /// The requests that wait, in one order for each pool.
+///
+/// A pool is marked when something changed that may let a request of it go.
 #[derive(Debug, Default)]
 pub struct Queues {
     pools: BTreeMap<PoolId, Admission>,
+    pool_of: HashMap<RequestId, PoolId>,
+    marked: BTreeSet<PoolId>,
     floor: u8,
 }
 
@@ -24,9 +28,27 @@
         self.pools.values_mut().for_each(|q| q.set_floor(floor));
     }
 
-    /// Returns the pools for which a request has waited.
-    pub fn pools(&self) -> Vec<PoolId> {
-        self.pools.keys().cloned().collect()
+    /// Marks a pool, if a request waits for it.
+    pub fn mark(&mut self, pool: &PoolId) {
+        if self.len_of(pool) > 0 {
+            self.marked.insert(pool.clone());
+        }
+    }
+
+    /// Marks every pool for which a request waits.
+    pub fn mark_all(&mut self) {
+        let waiting = self.pools.iter().filter(|(_, q)| !q.is_empty());
+        self.marked.extend(waiting.map(|(p, _)| p.clone()));
+    }
+
+    /// Takes a marked pool.
+    pub fn next_marked(&mut self) -> Option<PoolId> {
+        self.marked.pop_first()
+    }
+
+    /// Returns the order of a pool.
+    pub fn get(&self, pool: &PoolId) -> Option<&Admission> {
+        self.pools.get(pool)
     }
 
     /// Returns the number of requests that wait for a pool.
@@ -36,51 +58,68 @@
 
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
-        self.pools.values().map(Admission::len).sum()
+        self.pool_of.len()
     }
 
     /// Tells whether no request waits.
     pub fn is_empty(&self) -> bool {
-        self.pools.values().all(Admission::is_empty)
+        self.pool_of.is_empty()
     }
 
-    /// Adds a request of an account with `weight`.
-    pub fn push(&mut self, pool: PoolId, request: Request, weight: u32) {
-        self.pool(pool).push(request, weight);
+    /// Adds a request at `now` and marks its pool.
+    pub fn push(&mut self, pool: PoolId, queued: Queued, now: Timestamp) {
+        let floor = self.floor;
+        self.pool_of.insert(queued.request.id, pool.clone());
+        self.marked.insert(pool.clone());
+        let order = self
+            .pools
+            .entry(pool)
+            .or_insert_with(|| Admission::new(floor));
+        order.push(queued, now);
     }
 
-    /// Takes the request that goes next at a pool.
-    pub fn pop(&mut self, pool: &PoolId) -> Option<Queued> {
-        self.pools.get_mut(pool)?.pop()
+    /// Returns the request that goes next at a pool, and whether the floor grants its place.
+    pub fn peek(&self, pool: &PoolId, blocked: &Blocked) -> Option<(&Queued, bool)> {
+        let order = self.pools.get(pool)?;
+        let queued = order.peek(blocked)?;
+        Some((queued, order.is_owed(&queued.request)))
     }
 
-    /// Puts a request back that was taken but could not be served yet.
-    pub fn restore(&mut self, pool: &PoolId, queued: Queued) {
-        self.pool(pool.clone()).restore(queued);
+    /// Takes out a request that is served at `now`.
+    pub fn take(&mut self, id: RequestId, now: Timestamp) -> Option<Queued> {
+        let pool = self.pool_of.remove(&id)?;
+        self.pools.get_mut(&pool)?.take(id, now)
     }
 
-    /// Takes a request out, wherever it waits.
+    /// Takes out a request that is not served.
     pub fn remove(&mut self, id: RequestId) -> Option<Request> {
-        self.pools.values_mut().find_map(|q| q.remove(id))
+        let pool = self.pool_of.remove(&id)?;
+        let queued = self.pools.get_mut(&pool)?.remove(id);
+        queued.map(|q| q.request)
     }
 
     /// Takes out every request whose deadline lies before `now`.
     pub fn expire(&mut self, now: Timestamp) -> Vec<Request> {
-        self.pools
+        let late: Vec<_> = self
+            .pools
             .values_mut()
             .flat_map(|q| q.expire(now))
+            .collect();
+        let requests = late.into_iter().map(|q| q.request);
+        requests
+            .inspect(|r| drop(self.pool_of.remove(&r.id)))
             .collect()
     }
 
+    /// Returns the earliest arrival of the requests that go next.
+    pub fn oldest(&self) -> Option<Timestamp> {
+        let open = Blocked::new();
+        let heads = self.pools.values().filter_map(|q| q.peek(&open));
+        heads.map(|q| q.request.arrived).min()
+    }
+
     /// Returns the earliest deadline of the requests that wait.
     pub fn earliest(&self) -> Option<Timestamp> {
         self.pools.values().filter_map(Admission::earliest).min()
     }
-
-    fn pool(&mut self, pool: PoolId) -> &mut Admission {
-        let floor = self.floor;
-        self.pools
-            .entry(pool)
-            .or_insert_with(|| Admission::new(floor))
-    }
 }
--- a/azureway-core/src/router/retry.rs
+++ b/azureway-core/src/router/retry.rs
@@ -30,6 +30,7 @@
             attempt: Attempt::new(id, flight.attempt.number + 1),
             position: failure.position,
             untouched: flight.untouched && failure.sent.is_not_run(),
+            bounced: flight.bounced,
         };
         let begun = plan.position > StreamPosition::ZERO;
         // The deadline is for the first token; a stream that has begun has met it.
--- a/azureway-core/src/router/verdict.rs
+++ b/azureway-core/src/router/verdict.rs
@@ -2,13 +2,15 @@
 
 use super::Flight;
 use crate::domain::{Refusal, RefusalReason, RequestKind, StreamPosition, Timestamp};
-use crate::event::Failure;
+use crate::event::{Failure, FailureKind};
 
 /// What follows from a failed try.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Try again.
     Retry,
+    /// Wait again for a server with room.
+    Wait,
     /// Refuse the request or end its stream.
     Refuse(Refusal),
 }
@@ -21,10 +23,13 @@
             let detail = "the backend server failed after it may have run the request";
             return Self::Refuse(Refusal::maybe_run(RefusalReason::ServerFailed, detail));
         }
+        if failure.kind == FailureKind::Busy && not_run && flight.untouched {
+            return Self::Wait;
+        }
         // The deadline is for the first token: a stream that has begun is finished.
         let begun = failure.position > StreamPosition::ZERO;
         let late = !begun && flight.request.deadline.is_past(now);
-        if !late && flight.attempt.number < tries {
+        if !late && flight.attempt.number - flight.bounced < tries {
             return Self::Retry;
         }
         Self::Refuse(Self::give_up(begun, not_run && flight.untouched))
--- /dev/null
+++ b/azureway-core/src/router/want.rs
@@ -0,0 +1,59 @@
+//! What is asked of a placement.
+
+use super::Plan;
+use crate::domain::{Incarnation, Request, ServerId, StreamPosition};
+use crate::event::Dispatch;
+use crate::route::Candidate;
+
+/// A request that wants a backend server now.
+#[derive(Clone, Copy, Debug)]
+pub struct Want<'a> {
+    /// The request.
+    pub request: &'a Request,
+    /// What is to be tried.
+    pub plan: Plan,
+    /// The server that failed it last, which is taken only if there is no other.
+    pub failed: Option<&'a ServerId>,
+    /// Whether the floor grants drafting the slots that are kept for urgent work.
+    pub owed: bool,
+}
+
+impl<'a> Want<'a> {
+    /// Creates the want of a request that has failed nowhere.
+    pub const fn new(request: &'a Request, plan: Plan, owed: bool) -> Self {
+        Self {
+            request,
+            plan,
+            failed: None,
+            owed,
+        }
+    }
+
+    /// Sets the server that failed the request last.
+    #[must_use]
+    pub const fn with_failed(mut self, failed: &'a ServerId) -> Self {
+        self.failed = Some(failed);
+        self
+    }
+
+    /// Tells whether a stream that has begun is to be resumed.
+    pub fn is_begun(&self) -> bool {
+        self.plan.position > StreamPosition::ZERO
+    }
+
+    /// Returns the order that sends the request to `best`.
+    pub fn order(&self, best: &Candidate<'_>) -> Dispatch {
+        let known = Some(best.state.incarnation);
+        Dispatch {
+            attempt: self.plan.attempt,
+            server: best.state.server.id.clone(),
+            address: best.state.server.address,
+            rank: self.request.rank,
+            salt: self.request.chain.salt(),
+            incarnation: known.filter(|i| *i > Incarnation::ZERO),
+            weights: self.request.weights,
+            position: self.plan.position,
+            cached: best.cached,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-core/src/tally/book.rs
@@ -0,0 +1,70 @@
+//! Every request, counted once.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::{Count, OpenRequest, Outcome};
+use crate::domain::{Rank, Request, RequestId, RequestKind, Timestamp};
+
+/// Every request, counted once by rank, kind and outcome, with its worth.
+///
+/// A request is opened when it arrives and counted when it is closed. Closing takes it out,
+/// so that a late or doubled end finds nothing to count.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    open: HashMap<RequestId, OpenRequest>,
+    counts: BTreeMap<(Rank, bool, Outcome), Count>,
+}
+
+impl Tally {
+    /// Creates an empty tally.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Notes that a request arrived.
+    pub fn open(&mut self, request: &Request) {
+        self.open.insert(request.id, request.into());
+    }
+
+    /// Notes that the first token of a request came at `now`.
+    pub fn start(&mut self, id: RequestId, now: Timestamp) {
+        if let Some(open) = self.open.get_mut(&id) {
+            open.first.get_or_insert(now);
+        }
+    }
+
+    /// Counts a request that was answered completely at `now`.
+    pub fn finish(&mut self, id: RequestId, now: Timestamp) {
+        let Some(open) = self.open.get(&id) else {
+            return;
+        };
+        let late = open.deadline.is_past(open.first.unwrap_or(now));
+        self.close(id, if late { Outcome::Late } else { Outcome::OnTime });
+    }
+
+    /// Counts a request.
+    pub fn close(&mut self, id: RequestId, outcome: Outcome) {
+        if let Some(open) = self.open.remove(&id) {
+            let once = open.kind == RequestKind::AtMostOnce;
+            let count = self.counts.entry((open.rank, once, outcome));
+            count.or_default().add(open.worth);
+        }
+    }
+
+    /// Returns the number of requests that are not counted yet.
+    pub fn pending(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Returns what was counted for a rank, a kind and an outcome.
+    pub fn count(&self, rank: Rank, kind: RequestKind, outcome: Outcome) -> Count {
+        let once = kind == RequestKind::AtMostOnce;
+        let count = self.counts.get(&(rank, once, outcome));
+        count.copied().unwrap_or_default()
+    }
+
+    /// Returns the number of requests that were counted.
+    pub fn total(&self) -> u64 {
+        self.counts.values().map(|c| c.requests).sum()
+    }
+}
--- /dev/null
+++ b/azureway-core/src/tally/count.rs
@@ -0,0 +1,20 @@
+//! A number of requests and their worth.
+
+use crate::domain::Worth;
+
+/// A number of requests and the sum of their worth.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// The requests.
+    pub requests: u64,
+    /// The sum of their worth.
+    pub worth: u64,
+}
+
+impl Count {
+    /// Adds a request.
+    pub fn add(&mut self, worth: Worth) {
+        self.requests += 1;
+        self.worth = self.worth.saturating_add(worth.get());
+    }
+}
