--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns the number of live entries that share the servers.
+    pub const fn entries(&self) -> u32 {
+        self.entries
+    }
+
     /// Takes in a report. Returns the pool of the server.
     pub fn report(&mut self, report: &LoadReport, now: Timestamp) -> Option<&PoolId> {
         let state = self.get_mut(&report.server)?;
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -1,32 +1,24 @@
 //! The router itself.
 
 use super::placement::ABROAD_WAIT;
-use super::{
-    Flight, Flights, Intake, Placement, Queues, Retries, Retry, RouterConfig, Verdict, Want,
-};
+use super::{Dispatcher, Flight, Intake, Queues, Retries, Retry, RouterConfig, Verdict, Want};
 use crate::admit::{Blocked, Demand, Limits, Queued};
-use crate::cache::{CacheIndex, CacheUpdate};
-use crate::domain::{
-    Attempt, InstanceId, PoolId, Refusal, RefusalReason, Request, RequestId, Timestamp,
-};
-use crate::event::{Action, Dispatch, Event, Failure, Finish};
+use crate::cache::CacheUpdate;
+use crate::domain::{Attempt, InstanceId, Refusal, RefusalReason, Request, RequestId, Timestamp};
+use crate::event::{Action, Event, Failure, Finish};
 use crate::fleet::{Fleet, LoadReport, ServerTable};
 use crate::retry::RetryBudget;
-use crate::route::{Policy, Spread};
+use crate::route::Policy;
 use crate::tally::{Outcome, Tally};
 
 /// The decisions of one entry instance. Events and the time go in, actions come out.
 #[derive(Debug)]
 pub struct Router<P> {
     config: RouterConfig,
-    policy: P,
     fleet: Fleet,
-    servers: ServerTable,
-    index: CacheIndex,
-    spread: Spread,
+    sender: Dispatcher<P>,
     limits: Limits,
     queues: Queues,
-    flights: Flights,
     retries: Retries,
     budget: RetryBudget,
     tally: Tally,
@@ -41,14 +33,10 @@
             budget: RetryBudget::new(config.retries),
             retries: Retries::new(),
             config,
-            policy,
             fleet: Fleet::new(),
-            servers: ServerTable::new(),
-            index: CacheIndex::new(),
-            spread: Spread::new(),
+            sender: Dispatcher::new(policy),
             limits: Limits::new(),
             queues: Queues::new(),
-            flights: Flights::new(),
             tally: Tally::new(),
             draining: false,
             seen: Timestamp::ZERO,
@@ -68,7 +56,7 @@
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => self.report(report, now),
             Event::Configured(fleet) => self.configure(fleet),
-            Event::Peers(count) => self.servers.set_entries(count),
+            Event::Peers(count) => self.sender.servers_mut().set_entries(count),
             Event::Listed(count) => self.limits.share_mut().set_entries(count),
             Event::Demand(demand) => self.limits.share_mut().hear(demand, now),
             Event::Draining => self.draining = true,
@@ -87,14 +75,14 @@
         // A server that is tried again, one abroad, or a refilled budget can help what waits.
         let abroad = self.queues.oldest().map(|t| t + ABROAD_WAIT);
         let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
-        let trial = self.servers.next_trial(self.seen);
+        let trial = self.sender.servers().next_trial(self.seen);
         let chances = [trial, abroad, self.next_retry()];
         chances.into_iter().flatten().chain([limit]).min()
     }
 
     /// Returns the number of requests that wait or are in flight.
     pub fn active(&self) -> usize {
-        self.queues.len() + self.retries.len() + self.flights.len()
+        self.queues.len() + self.retries.len() + self.sender.flights().len()
     }
 
     /// Returns the configuration in force.
@@ -102,9 +90,14 @@
         &self.fleet
     }
 
+    /// Returns the number of live entry instances of the zone, with this one.
+    pub const fn peers(&self) -> u32 {
+        self.sender.servers().entries()
+    }
+
     /// Returns what is known of the backend servers.
     pub const fn servers(&self) -> &ServerTable {
-        &self.servers
+        self.sender.servers()
     }
 
     /// Returns how the requests ended.
@@ -138,8 +131,8 @@
 
     fn hang_up(&mut self, id: RequestId, now: Timestamp, out: &mut Vec<Action>) {
         self.tally.close(id, Outcome::Abandoned);
-        if let Some(flight) = self.flights.remove(id) {
-            self.land(&flight, now);
+        if let Some(flight) = self.sender.remove(id, now) {
+            self.queues.mark(&flight.pool);
             out.push(Action::Cancel(flight.attempt));
         } else if self.retries.remove(id).is_none() {
             self.queues.remove(id);
@@ -147,34 +140,24 @@
     }
 
     fn start(&mut self, attempt: Attempt, now: Timestamp) {
-        let Some(flight) = self.flights.current(attempt) else {
-            return;
-        };
-        self.tally.start(attempt.id, now);
-        if let Some(state) = self.servers.get_mut(&flight.server) {
-            state.settle(flight.period, flight.owed());
+        if self.sender.start(attempt) {
+            self.tally.start(attempt.id, now);
         }
-        flight.started = true;
     }
 
     fn finish(&mut self, finish: &Finish, now: Timestamp) {
-        if let Some(flight) = self.flights.take(finish.attempt) {
+        if let Some(flight) = self.sender.finish(finish.attempt, now) {
             self.tally.finish(finish.attempt.id, now);
-            self.land(&flight, now);
-            if let Some(state) = self.servers.get_mut(&flight.server) {
-                state.clear(now);
-            }
+            self.queues.mark(&flight.pool);
         }
     }
 
     fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
-        let Some(flight) = self.flights.take(failure.attempt) else {
+        let Some((flight, unknown)) = self.sender.fail(failure, now) else {
             return;
         };
-        self.land(&flight, now);
-        let state = self.servers.get_mut(&flight.server);
-        if state.is_some_and(|s| s.blame(failure.kind, now)) {
-            self.index.forget(&flight.server);
+        self.queues.mark(&flight.pool);
+        if unknown {
             out.push(Action::Resync(flight.server.clone()));
         }
         match Verdict::new(&flight, failure, self.config.tries, now) {
@@ -193,23 +176,14 @@
         self.queues.push(pool, queued, now);
     }
 
-    /// Notes that a request is no longer in flight.
-    fn land(&mut self, flight: &Flight, now: Timestamp) {
-        if let Some(state) = self.servers.get_mut(&flight.server) {
-            state.release(flight.period, flight.owed());
-        }
-        self.spread.end(flight.request.chain.prefix(), now);
-        self.queues.mark(&flight.pool);
-    }
-
     fn hear(&mut self, update: &CacheUpdate<'_>, out: &mut Vec<Action>) {
-        if self.servers.get(update.server).is_some() && self.index.update(update) {
+        if self.sender.hear(update) {
             out.push(Action::Resync(update.server.clone()));
         }
     }
 
     fn report(&mut self, report: &LoadReport, now: Timestamp) {
-        if let Some(pool) = self.servers.report(report, now) {
+        if let Some(pool) = self.sender.servers_mut().report(report, now) {
             self.queues.mark(pool);
         }
     }
@@ -220,9 +194,7 @@
             return;
         }
         self.fleet = fleet.clone();
-        for gone in self.servers.adopt(fleet) {
-            self.index.forget(&gone);
-        }
+        self.sender.adopt(fleet);
         self.limits.retain(|id| fleet.accounts.contains_key(id));
         self.queues.set_floor(fleet.rules.floor);
         self.queues.mark_all();
@@ -278,37 +250,10 @@
 
     /// Sends a request to the best server. Returns whether there was one.
     fn dispatch(&mut self, want: Want<'_>, now: Timestamp, out: &mut Vec<Action>) -> bool {
-        let Some(service) = self.fleet.services.get(&want.request.service) else {
-            return false;
-        };
-        let mut placement = Placement {
-            config: &self.config,
-            fleet: &self.fleet,
-            servers: &self.servers,
-            index: &mut self.index,
-            spread: &self.spread,
-        };
-        let Some(best) = placement.choose(&mut self.policy, want, service, now) else {
-            return false;
-        };
-        let order = want.order(&best);
-        let pool = service.pool.clone();
-        self.take_off(want, pool, &order, now);
-        out.push(Action::Dispatch(order));
-        true
-    }
-
-    /// Notes that a request is in flight.
-    fn take_off(&mut self, want: Want<'_>, pool: PoolId, order: &Dispatch, now: Timestamp) {
-        let mut flight = Flight::new(want.request, pool, order, want.plan);
-        if let Some(state) = self.servers.get_mut(&flight.server) {
-            flight.period = state.begin(flight.owed());
-            let blocks = want.request.chain.blocks();
-            self.index
-                .presume(&flight.server, state.incarnation, blocks);
-        }
-        self.spread.begin(want.request.chain.prefix(), now);
-        self.flights.insert(flight);
+        let order = self.sender.send(want, &self.config, &self.fleet, now);
+        let sent = order.is_some();
+        out.extend(order.map(Action::Dispatch));
+        sent
     }
 
     fn count_refusals(&mut self, actions: &[Action]) {
--- /dev/null
+++ b/azureway-core/src/router/dispatcher.rs
@@ -0,0 +1,144 @@
+//! Sending requests to backend servers.
+
+use super::{Flight, Flights, Placement, RouterConfig, Want};
+use crate::cache::{CacheIndex, CacheUpdate};
+use crate::domain::{Attempt, PoolId, RequestId, Timestamp};
+use crate::event::{Dispatch, Failure};
+use crate::fleet::{Fleet, ServerTable};
+use crate::route::{Policy, Spread};
+
+/// Sends requests to backend servers, and keeps what that takes: the servers, the index of
+/// their caches and the requests in flight.
+#[derive(Debug)]
+pub struct Dispatcher<P> {
+    policy: P,
+    servers: ServerTable,
+    index: CacheIndex,
+    spread: Spread,
+    flights: Flights,
+}
+
+impl<P: Policy> Dispatcher<P> {
+    /// Creates a dispatcher that knows no server.
+    pub fn new(policy: P) -> Self {
+        Self {
+            policy,
+            servers: ServerTable::new(),
+            index: CacheIndex::new(),
+            spread: Spread::new(),
+            flights: Flights::new(),
+        }
+    }
+
+    /// Returns what is known of the backend servers.
+    pub const fn servers(&self) -> &ServerTable {
+        &self.servers
+    }
+
+    /// Returns what is known of the backend servers, to be changed.
+    pub fn servers_mut(&mut self) -> &mut ServerTable {
+        &mut self.servers
+    }
+
+    /// Returns the requests in flight.
+    pub const fn flights(&self) -> &Flights {
+        &self.flights
+    }
+
+    /// Takes over the servers of a new configuration.
+    pub fn adopt(&mut self, fleet: &Fleet) {
+        for gone in self.servers.adopt(fleet) {
+            self.index.forget(&gone);
+        }
+    }
+
+    /// Takes in a run of cache events. Returns whether some before it were lost.
+    pub fn hear(&mut self, update: &CacheUpdate<'_>) -> bool {
+        self.servers.get(update.server).is_some() && self.index.update(update)
+    }
+
+    /// Sends a request to the best server. Returns the order, if there was a server.
+    pub fn send(
+        &mut self,
+        want: Want<'_>,
+        config: &RouterConfig,
+        fleet: &Fleet,
+        now: Timestamp,
+    ) -> Option<Dispatch> {
+        let service = fleet.services.get(&want.request.service)?;
+        let mut placement = Placement {
+            config,
+            fleet,
+            servers: &self.servers,
+            index: &mut self.index,
+            spread: &self.spread,
+        };
+        let best = placement.choose(&mut self.policy, want, service, now)?;
+        let order = want.order(&best);
+        self.take_off(want, service.pool.clone(), &order, now);
+        Some(order)
+    }
+
+    /// Notes that a server began to answer. Returns whether the try is the current one.
+    pub fn start(&mut self, attempt: Attempt) -> bool {
+        let Some(flight) = self.flights.current(attempt) else {
+            return false;
+        };
+        if let Some(state) = self.servers.get_mut(&flight.server) {
+            state.settle(flight.period, flight.owed());
+        }
+        flight.started = true;
+        true
+    }
+
+    /// Takes a request that was answered out of flight, if the try is the current one.
+    pub fn finish(&mut self, attempt: Attempt, now: Timestamp) -> Option<Flight> {
+        let flight = self.flights.take(attempt)?;
+        self.land(&flight, now);
+        if let Some(state) = self.servers.get_mut(&flight.server) {
+            state.clear(now);
+        }
+        Some(flight)
+    }
+
+    /// Takes a request that failed out of flight, if the try is the current one. Returns also
+    /// whether the server's cache is no longer known.
+    pub fn fail(&mut self, failure: &Failure, now: Timestamp) -> Option<(Flight, bool)> {
+        let flight = self.flights.take(failure.attempt)?;
+        self.land(&flight, now);
+        let state = self.servers.get_mut(&flight.server);
+        let unknown = state.is_some_and(|s| s.blame(failure.kind, now));
+        if unknown {
+            self.index.forget(&flight.server);
+        }
+        Some((flight, unknown))
+    }
+
+    /// Takes a request out of flight, whatever its current try.
+    pub fn remove(&mut self, id: RequestId, now: Timestamp) -> Option<Flight> {
+        let flight = self.flights.remove(id)?;
+        self.land(&flight, now);
+        Some(flight)
+    }
+
+    /// Notes that a request is in flight.
+    fn take_off(&mut self, want: Want<'_>, pool: PoolId, order: &Dispatch, now: Timestamp) {
+        let mut flight = Flight::new(want.request, pool, order, want.plan);
+        if let Some(state) = self.servers.get_mut(&flight.server) {
+            flight.period = state.begin(flight.owed());
+            let blocks = want.request.chain.blocks();
+            self.index
+                .presume(&flight.server, state.incarnation, blocks);
+        }
+        self.spread.begin(want.request.chain.prefix(), now);
+        self.flights.insert(flight);
+    }
+
+    /// Gives back what a request in flight held.
+    fn land(&mut self, flight: &Flight, now: Timestamp) {
+        if let Some(state) = self.servers.get_mut(&flight.server) {
+            state.release(flight.period, flight.owed());
+        }
+        self.spread.end(flight.request.chain.prefix(), now);
+    }
+}
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod decider;
+mod dispatcher;
 mod flight;
 mod flights;
 mod intake;
@@ -15,6 +16,7 @@
 
 pub use config::RouterConfig;
 pub use decider::Router;
+pub use dispatcher::Dispatcher;
 pub use flight::Flight;
 pub use flights::Flights;
 pub use intake::Intake;
--- a/azureway-core/src/router/verdict.rs
+++ b/azureway-core/src/router/verdict.rs
@@ -15,6 +15,9 @@
     Refuse(Refusal),
 }
 
+/// The tries of a request that servers may refuse for lack of room before it is given up.
+const BOUNCES: u32 = 8;
+
 impl Verdict {
     /// Judges a failure of `flight`. `tries` bounds the tries of a request.
     pub fn new(flight: &Flight, failure: &Failure, tries: u32, now: Timestamp) -> Self {
@@ -24,7 +27,11 @@
             return Self::Refuse(Refusal::maybe_run(RefusalReason::ServerFailed, detail));
         }
         if failure.kind == FailureKind::Busy && not_run && flight.untouched {
-            return Self::Wait;
+            return if flight.bounced < BOUNCES {
+                Self::Wait
+            } else {
+                Self::Refuse(Self::give_up(false, true))
+            };
         }
         // The deadline is for the first token: a stream that has begun is finished.
         let begun = failure.position > StreamPosition::ZERO;
