--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The common types, for a glob import.
 
-pub use crate::admit::{Admission, FairQueue};
+pub use crate::admit::{Admission, Demand, DemandShare, FairQueue, Limits};
 pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
 pub use crate::claim::{
     ClaimAsk, ClaimAsking, ClaimBook, ClaimCall, ClaimName, ClaimNews, ClaimNonce, ClaimRecord,
@@ -20,7 +20,9 @@
 pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::retry::{Backoff, RetryBudget};
 pub use crate::route::{
-    Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Rendezvous, RoundRobin,
+    Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
+    RoundRobin, Spread,
 };
 pub use crate::router::{Router, RouterConfig};
 pub use crate::stream::{Delivery, StreamProgress};
+pub use crate::tally::{Count, Outcome, Tally};
