Add the command line's commands on the document and accounts

Operators had no client: a change was a raw write to the platform. azureway now has config check, get, edit, put, diff and history, account list, set, add-key, remove-key and remove, and completions, with exit codes of their own. put rebuilds the version that a file was made from out of the audit trail, and rebases on other teams' changes. Diffs show digests by their first digits.

--- /dev/null
+++ b/azureway-cli/src/app/mod.rs
@@ -0,0 +1,9 @@
+//! The commands and how they are reached.
+
+mod account_command;
+mod config_command;
+mod root_command;
+mod runner;
+
+pub use root_command::command;
+pub use runner::run;
--- /dev/null
+++ b/azureway-cli/src/app/root_command.rs
@@ -0,0 +1,79 @@
+//! The command line as a whole.
+
+use std::net::SocketAddr;
+
+use clap::{Arg, Command, value_parser};
+use clap_complete::Shell;
+
+use super::{account_command, config_command};
+
+/// What the help ends with.
+const EXIT_CODES: &str = "Exit codes:
+  0  done
+  1  a file, the platform or an entry could not be reached; nothing was written
+  2  the command line is wrong
+  3  the document has faults or is too large; nothing was written
+  4  somebody else changed the same sections; nothing was written
+  5  a changed section belongs to another team; nothing was written
+  6  no answer came, and the write may have taken effect
+  7  what the command names does not exist";
+
+/// Returns the whole command line.
+pub fn command() -> Command {
+    Command::new("azureway")
+        .about("Configures and inspects azureway")
+        .after_help(EXIT_CODES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .args(global())
+        .subcommand(config_command::command())
+        .subcommand(account_command::command())
+        .subcommand(completions())
+}
+
+fn global() -> [Arg; 4] {
+    [
+        text(
+            "platform",
+            "ADDRESS",
+            "The platform's object API, by IP address and port",
+        )
+        .env("AZUREWAY_PLATFORM")
+        .value_parser(value_parser!(SocketAddr)),
+        text(
+            "team",
+            "TEAM",
+            "The team that you act for [default: operators]",
+        )
+        .env("AZUREWAY_TEAM"),
+        text(
+            "author",
+            "NAME",
+            "Your name in the audit trail [default: the user's name]",
+        )
+        .env("AZUREWAY_AUTHOR"),
+        text("output", "FORMAT", "How to print")
+            .value_parser(["text", "json"])
+            .default_value("text"),
+    ]
+    .map(|arg| arg.global(true))
+}
+
+fn completions() -> Command {
+    let shell = Arg::new("shell")
+        .required(true)
+        .value_parser(value_parser!(Shell));
+    Command::new("completions")
+        .about("Prints the completions of a shell")
+        .arg(shell)
+}
+
+/// Returns an option that takes a value.
+pub(super) fn text(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+/// Returns the option that tells why a change is made.
+pub(super) fn reason() -> Arg {
+    text("reason", "TEXT", "Why, for the audit trail").required(true)
+}
--- /dev/null
+++ b/azureway-cli/src/config/base.rs
@@ -0,0 +1,38 @@
+//! The version that an edited document was made from.
+
+use anyhow::Result;
+use azureway_core::config::{History, Snapshot};
+use azureway_core::prelude::ConfigVersion;
+
+use crate::session::{Session, now};
+use crate::{Exit, Failure};
+
+/// The days that are searched for the changes since an old version.
+const DAYS_MAX: u32 = 31;
+
+/// Returns the document as it was at `version`, out of the one in force and the audit trail.
+pub(super) fn at(session: &Session, current: &Snapshot, version: u64) -> Result<Snapshot> {
+    let (version, store) = (ConfigVersion::new(version), session.store());
+    let (mut history, mut day) = (History::new(), now());
+    current
+        .accepted()
+        .into_iter()
+        .for_each(|c| history.insert(c));
+    let days = if version > current.version {
+        0
+    } else {
+        DAYS_MAX
+    };
+    for _ in 0..days {
+        if let Some(text) = history.rewind(current, version) {
+            return Ok(Snapshot::new(version, &text));
+        }
+        store.add_day(day, &mut history)?;
+        day = day.day_before();
+    }
+    let detail = format!(
+        "version {version} cannot be rebuilt from the audit trail of {DAYS_MAX} days; get the \
+         document again and repeat the edit"
+    );
+    Err(Failure::new(Exit::NotFound, detail).into())
+}
--- /dev/null
+++ b/azureway-cli/src/config/edit.rs
@@ -0,0 +1,55 @@
+//! `config edit`.
+
+use std::io::Write;
+
+use anyhow::{Context, Result};
+use azureway_config::document::SectionEdit;
+use azureway_core::config::{Delta, SectionChange, Sections};
+use clap::ArgMatches;
+
+use super::change;
+use crate::session::Session;
+use crate::shell::Shell;
+use crate::{Exit, Failure};
+
+/// Changes one section.
+pub(super) fn run<W: Write>(matches: &ArgMatches, mut shell: Shell<W>) -> Result<Exit> {
+    let session = Session::new(matches)?;
+    let base = session.store().read()?;
+    let name: &String = matches.get_one("section").context("name a section")?;
+    let sections = Sections::parse(&base.text);
+    let before = sections.get(name).map(|s| s.text);
+    let after = if matches.get_flag("remove") {
+        before.with_context(|| format!("no section [{name}] exists"))?;
+        None
+    } else {
+        Some(edited(name, before, &session, matches)?)
+    };
+    let delta = Delta::new(vec![SectionChange::new(name, before, after.as_deref())]);
+    change(
+        &session,
+        matches,
+        &base,
+        &delta.apply(&sections),
+        &mut shell,
+    )
+}
+
+fn edited(
+    name: &str,
+    before: Option<&str>,
+    session: &Session,
+    matches: &ArgMatches,
+) -> Result<String> {
+    let empty = SectionEdit::empty(name).with_entry("team", session.team().as_str());
+    let mut edit = before.map_or(empty, SectionEdit::new);
+    for entry in matches.get_many::<String>("set").unwrap_or_default() {
+        let usage = || Failure::new(Exit::Usage, format!("expected KEY=VALUE, found `{entry}`"));
+        let (key, value) = entry.split_once('=').ok_or_else(usage)?;
+        edit = edit.with_entry(key.trim(), value.trim());
+    }
+    for key in matches.get_many::<String>("unset").unwrap_or_default() {
+        edit = edit.without_entry(key);
+    }
+    Ok(edit.text())
+}
--- /dev/null
+++ b/azureway-cli/src/failure.rs
@@ -0,0 +1,33 @@
+//! A failure with an exit code of its own.
+
+use std::fmt;
+
+use crate::Exit;
+
+/// A failure with an exit code of its own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    exit: Exit,
+    detail: Box<str>,
+}
+
+impl Failure {
+    /// Creates a failure.
+    pub fn new(exit: Exit, detail: impl fmt::Display) -> Self {
+        let detail = detail.to_string().into();
+        Self { exit, detail }
+    }
+
+    /// Returns the exit code.
+    pub const fn exit(&self) -> Exit {
+        self.exit
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.detail)
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/azureway-cli/src/report/check_report.rs
@@ -0,0 +1,44 @@
+//! What is wrong with a document.
+
+use std::fmt;
+
+use azureway_config::ini::Faults;
+use serde::Serialize;
+
+use super::FaultBody;
+
+/// What is wrong with a document.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct CheckReport {
+    good: bool,
+    faults: Vec<FaultBody>,
+    #[serde(skip)]
+    text: String,
+}
+
+impl CheckReport {
+    pub(crate) fn good() -> Self {
+        let (faults, text) = (Vec::new(), "the document is good\n".to_owned());
+        Self {
+            good: true,
+            faults,
+            text,
+        }
+    }
+
+    pub(crate) fn bad(faults: &Faults) -> Self {
+        let bodies: Vec<FaultBody> = faults.as_slice().iter().map(Into::into).collect();
+        let text = format!("{faults}\n{} faults\n", bodies.len());
+        Self {
+            good: false,
+            faults: bodies,
+            text,
+        }
+    }
+}
+
+impl fmt::Display for CheckReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
--- /dev/null
+++ b/azureway-cli/src/report/diff_report.rs
@@ -0,0 +1,38 @@
+//! The difference between two documents.
+
+use std::fmt;
+
+use azureway_core::config::SectionChange;
+use azureway_wire::change::SectionBody;
+use serde::Serialize;
+
+use super::line_diff::LineDiff;
+use super::secret::shorten;
+
+/// The difference between two documents, section by section, without whole digests.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct DiffReport {
+    sections: Vec<SectionBody>,
+}
+
+impl DiffReport {
+    pub(crate) fn new(changes: &[SectionChange]) -> Self {
+        let mut sections: Vec<SectionBody> = changes.iter().map(Into::into).collect();
+        for section in &mut sections {
+            section.before = section.before.as_deref().map(shorten);
+            section.after = section.after.as_deref().map(shorten);
+        }
+        Self { sections }
+    }
+}
+
+impl fmt::Display for DiffReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for section in &self.sections {
+            let before = section.before.as_deref().unwrap_or_default();
+            let after = section.after.as_deref().unwrap_or_default();
+            write!(f, "{}", LineDiff::new(before, after))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/azureway-cli/src/report/document_report.rs
@@ -0,0 +1,38 @@
+//! The document for an operator to edit.
+
+use std::fmt;
+
+use azureway_core::config::Snapshot;
+use serde::Serialize;
+
+/// The document for an operator to edit. Its first line names the version that it is.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct DocumentReport<'a> {
+    version: u64,
+    text: &'a str,
+}
+
+/// What the first line begins with.
+const VERSION_PREFIX: &str = "; azureway-version ";
+
+impl<'a> DocumentReport<'a> {
+    pub(crate) fn new(snapshot: &'a Snapshot) -> Self {
+        let (version, text) = (snapshot.version.get(), &*snapshot.text);
+        Self { version, text }
+    }
+
+    /// Splits an edited document into the version that it was made from and its text.
+    pub(crate) fn split(document: &str) -> (Option<u64>, &str) {
+        let split = document.strip_prefix(VERSION_PREFIX);
+        let Some((version, text)) = split.and_then(|d| d.split_once('\n')) else {
+            return (None, document);
+        };
+        (version.trim().parse().ok(), text)
+    }
+}
+
+impl fmt::Display for DocumentReport<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{VERSION_PREFIX}{}\n{}", self.version, self.text)
+    }
+}
--- /dev/null
+++ b/azureway-cli/src/report/fault_body.rs
@@ -0,0 +1,30 @@
+//! A fault of a document.
+
+use azureway_config::ini::Fault;
+use serde::Serialize;
+
+/// A fault of a document.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct FaultBody {
+    line: u32,
+    section: Box<str>,
+    key: Option<Box<str>>,
+    detail: Box<str>,
+}
+
+impl From<&Fault> for FaultBody {
+    fn from(fault: &Fault) -> Self {
+        let Fault {
+            line,
+            section,
+            key,
+            detail,
+        } = fault.clone();
+        Self {
+            line,
+            section,
+            key,
+            detail,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-cli/src/report/list.rs
@@ -0,0 +1,16 @@
+//! Several reports.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// Several reports, one after the other.
+#[derive(Clone, Debug, Serialize)]
+#[serde(transparent)]
+pub(crate) struct List<T>(pub(crate) Vec<T>);
+
+impl<T: fmt::Display> fmt::Display for List<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|report| report.fmt(f))
+    }
+}
--- /dev/null
+++ b/azureway-cli/src/report/mod.rs
@@ -0,0 +1,23 @@
+//! What the commands print, as text and as JSON.
+
+mod account_report;
+mod check_report;
+mod diff_report;
+mod document_report;
+mod edit_report;
+mod fault_body;
+mod history_report;
+mod key_report;
+mod line_diff;
+mod list;
+mod secret;
+
+pub(crate) use account_report::AccountReport;
+pub(crate) use check_report::CheckReport;
+pub(crate) use diff_report::DiffReport;
+pub(crate) use document_report::DocumentReport;
+pub(crate) use edit_report::EditReport;
+pub(crate) use fault_body::FaultBody;
+pub(crate) use history_report::HistoryReport;
+pub(crate) use key_report::KeyReport;
+pub(crate) use list::List;
--- /dev/null
+++ b/azureway-cli/src/shell.rs
@@ -0,0 +1,30 @@
+//! Where and how a command prints.
+
+use std::fmt::Display;
+use std::io::Write;
+
+use anyhow::{Context, Result};
+use serde::Serialize;
+
+/// Where a command prints, and whether it does so for people or for programs.
+#[derive(Debug)]
+pub(crate) struct Shell<W> {
+    out: W,
+    json: bool,
+}
+
+impl<W: Write> Shell<W> {
+    pub(crate) const fn new(out: W, json: bool) -> Self {
+        Self { out, json }
+    }
+
+    /// Prints a report as text or as JSON.
+    pub(crate) fn print(&mut self, report: &(impl Display + Serialize)) -> Result<()> {
+        if self.json {
+            serde_json::to_writer_pretty(&mut self.out, report)?;
+            writeln!(self.out).context("print")
+        } else {
+            write!(self.out, "{report}").context("print")
+        }
+    }
+}
--- /dev/null
+++ b/azureway-cli/src/store/document_store.rs
@@ -0,0 +1,87 @@
+//! The document and its audit trail as objects.
+
+use azureway_core::config::{
+    AcceptedChange, ChangeNote, ChangeTime, EditPlan, EditReply, History, Snapshot,
+};
+use azureway_core::prelude::{ConfigVersion, Error, ErrorKind, Step};
+use azureway_platform::{ObjectApi, Put};
+use azureway_wire::change::{
+    ChangeBody, DOCUMENT_KIND, DOCUMENT_NAME, StoredDocument, VALUE_MAX, archive_kind,
+};
+
+/// The document and its audit trail as objects of the platform.
+#[derive(Debug)]
+pub(crate) struct DocumentStore<A> {
+    api: A,
+}
+
+impl<A: ObjectApi> DocumentStore<A> {
+    pub(crate) const fn new(api: A) -> Self {
+        Self { api }
+    }
+
+    /// Reads the document; the empty snapshot stands for none.
+    pub(crate) fn read(&self) -> Result<Snapshot, Error> {
+        let object = self.api.get(DOCUMENT_KIND, DOCUMENT_NAME)?;
+        Ok(object.map_or_else(Snapshot::default, |o| {
+            StoredDocument::parse(&o.value).snapshot(ConfigVersion::new(o.version))
+        }))
+    }
+
+    /// Creates the archived record of a change unless it exists.
+    pub(crate) fn archive(&self, change: &AcceptedChange) -> Result<(), Error> {
+        let note = &change.record.note;
+        let value = serde_json::to_string(&ChangeBody::from(change));
+        let value = value.map_err(|e| Error::new(ErrorKind::Invalid, Step::new("archive"), e))?;
+        let written = self.api.put(&Put {
+            kind: &archive_kind(note.time),
+            name: note.id.as_str(),
+            value: &value,
+            expected: 0,
+        });
+        match written {
+            Err(e) if e.kind() != ErrorKind::Conflict => Err(e),
+            _ => Ok(()),
+        }
+    }
+
+    /// Carries out a write.
+    pub(crate) fn write(&self, plan: &EditPlan) -> EditReply {
+        let value = StoredDocument::encode(&plan.record, &plan.text);
+        if value.len() > VALUE_MAX {
+            return EditReply::TooLarge(value.len());
+        }
+        let written = self.api.put(&Put {
+            kind: DOCUMENT_KIND,
+            name: DOCUMENT_NAME,
+            value: &value,
+            expected: plan.expected.get(),
+        });
+        match written {
+            Ok(version) => EditReply::Written(ConfigVersion::new(version)),
+            Err(e) if e.kind() == ErrorKind::Conflict => EditReply::Raced,
+            Err(_) => EditReply::Unsure,
+        }
+    }
+
+    /// Returns the version that an archived change made.
+    pub(crate) fn find(&self, note: &ChangeNote) -> Result<Option<ConfigVersion>, Error> {
+        let object = self.api.get(&archive_kind(note.time), note.id.as_str())?;
+        let change = object.map(|o| decode(&o.value)).transpose()?;
+        Ok(change.map(|c| c.version))
+    }
+
+    /// Adds the archived changes of the day of `time`.
+    pub(crate) fn add_day(&self, time: ChangeTime, history: &mut History) -> Result<(), Error> {
+        for object in self.api.list(&archive_kind(time))?.objects {
+            history.insert(decode(&object.value)?);
+        }
+        Ok(())
+    }
+}
+
+fn decode(value: &str) -> Result<AcceptedChange, Error> {
+    let body: ChangeBody = serde_json::from_str(value)
+        .map_err(|e| Error::new(ErrorKind::Protocol, Step::new("read change"), e))?;
+    Ok(body.into())
+}
--- /dev/null
+++ b/azureway-cli/src/store/driver.rs
@@ -0,0 +1,66 @@
+//! Carrying out edits.
+
+use std::thread;
+use std::time::Duration;
+
+use azureway_config::document::Checker;
+use azureway_config::ini::Faults;
+use azureway_core::config::{Edit, EditOutcome, EditReply, EditStep};
+use azureway_core::prelude::{Backoff, Error};
+use azureway_platform::ObjectApi;
+
+use super::DocumentStore;
+
+/// Carries out the steps of an edit until it is over.
+#[derive(Debug)]
+pub(crate) struct Driver<'a, A> {
+    store: &'a DocumentStore<A>,
+    backoff: Backoff,
+    /// The last error, for the report of an edit that gave up.
+    pub(crate) error: Option<Error>,
+}
+
+/// The first wait after a failed step.
+const BACKOFF_BASE: Duration = Duration::from_millis(50);
+/// The longest wait after a failed step.
+const BACKOFF_CAP: Duration = Duration::from_secs(2);
+
+impl<'a, A: ObjectApi> Driver<'a, A> {
+    /// Creates a driver. `seed` spreads the retries of operators that fail together.
+    pub(crate) const fn new(store: &'a DocumentStore<A>, seed: u64) -> Self {
+        let backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed);
+        Self {
+            store,
+            backoff,
+            error: None,
+        }
+    }
+
+    /// Runs an edit to its end.
+    pub(crate) fn run(&mut self, mut edit: Edit<Checker>) -> EditOutcome<Faults> {
+        loop {
+            if let Some(outcome) = edit.outcome() {
+                return outcome.clone();
+            }
+            let reply = self.carry_out(edit.step());
+            if matches!(reply, EditReply::Failed | EditReply::Unsure) {
+                thread::park_timeout(self.backoff.fail());
+            }
+            edit.handle(reply);
+        }
+    }
+
+    fn carry_out(&mut self, step: EditStep<'_>) -> EditReply {
+        let reply = match step {
+            EditStep::Read => self.store.read().map(EditReply::Read),
+            EditStep::Archive(change) => self.store.archive(change).map(|()| EditReply::Archived),
+            EditStep::Write(plan) => Ok(self.store.write(plan)),
+            EditStep::Find(note) => self.store.find(note).map(EditReply::Found),
+            EditStep::Done => Ok(EditReply::Failed),
+        };
+        reply.unwrap_or_else(|e| {
+            self.error = Some(e);
+            EditReply::Failed
+        })
+    }
+}
--- /dev/null
+++ b/azureway-cli/tests/support/mod.rs
@@ -0,0 +1,113 @@
+//! An operator's desk for the tests.
+
+use std::fmt::Write as _;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use azureway_cli::{Exit, Failure, command, run};
+use azureway_dev::http::StandIn;
+use azureway_dev::platform::Platform;
+
+/// A platform that holds a document, and the program that talks to it.
+pub(crate) struct Desk {
+    pub(crate) platform: Arc<Platform>,
+    server: StandIn,
+}
+
+/// The folder of the tables.
+const DATA: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/testdata");
+
+impl Desk {
+    pub(crate) fn new() -> Self {
+        let platform = Arc::new(Platform::new());
+        let server = StandIn::start(Arc::clone(&platform)).expect("a free port");
+        platform.seed(
+            "config",
+            "document",
+            include_str!("../../testdata/document.ini"),
+        );
+        Self { platform, server }
+    }
+
+    /// Runs a command line and returns its exit code and what it printed.
+    pub(crate) fn run(&self, words: &[String]) -> (Exit, String) {
+        let address = self.server.address().to_string();
+        let mut line = vec!["azureway".to_owned(), format!("--platform={address}")];
+        line.extend(words.iter().map(|w| match w.as_str() {
+            "FILE" => format!("{DATA}/document.ini"),
+            "BAD" => format!("{DATA}/bad.ini"),
+            word => word.to_owned(),
+        }));
+        let matches = match command().try_get_matches_from(line) {
+            Ok(matches) => matches,
+            Err(e) => return (Exit::Usage, e.to_string()),
+        };
+        let mut out = Vec::new();
+        match run(&matches, &mut out) {
+            Ok(exit) => (exit, String::from_utf8(out).expect("text")),
+            Err(e) => {
+                let exit = e.downcast_ref::<Failure>().map(Failure::exit);
+                (exit.unwrap_or(Exit::Failed), format!("{e:#}"))
+            }
+        }
+    }
+
+    /// Gets the document into a file, edited.
+    pub(crate) fn get(&self, name: &str, edit: impl Fn(&str) -> String) -> String {
+        let (_, text) = self.run(&words("config get"));
+        save(name, &edit(&text))
+    }
+
+    /// Adds accounts and servers to the document, in a file; returns its size in bytes.
+    pub(crate) fn plan(&self, accounts: u32, servers: u32, name: &str) -> (String, u64) {
+        let digest = "0123456789abcdef".repeat(4);
+        let file = self.get(name, |text| {
+            let mut text = text.to_owned();
+            for number in 0..23 {
+                let _ = write!(
+                    text,
+                    "\n[service model-{number:02}]\npool = engines\nweights = 7\n"
+                );
+            }
+            for number in 0..servers {
+                let _ = write!(
+                    text,
+                    "\n[server kranj-a-engine-{number:05}]\npool = engines\nzone = kranj-a\n\
+                     address = 10.0.{}.{}:8000\nslots = 16\nprefill = 12000\nfenced = yes\n",
+                    number / 250,
+                    number % 250
+                );
+            }
+            for number in 0..accounts {
+                let key = format!("{number:04x}{}", &digest[4..]);
+                let _ = write!(
+                    text,
+                    "\n; who to ask: the desk of client {number}\n[account client-{number:03}]\n\
+                     team = operators\nlimit = 20000\nweight = 3\nkeys = {key}\n"
+                );
+            }
+            text
+        });
+        let bytes = std::fs::metadata(&file).expect("a file").len();
+        (file, bytes)
+    }
+}
+
+fn save(name: &str, text: &str) -> String {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a file");
+    path.to_str().expect("text").to_owned()
+}
+
+/// Splits a command line into words; single quotes hold one together.
+pub(crate) fn words(line: &str) -> Vec<String> {
+    let mut words = Vec::new();
+    for (place, part) in line.split('\'').enumerate() {
+        if place % 2 == 1 {
+            words.push(part.to_owned());
+        } else {
+            words.extend(part.split_whitespace().map(str::to_owned));
+        }
+    }
+    words
+}
--- a/azureway-core/src/config/delta.rs
+++ b/azureway-core/src/config/delta.rs
@@ -1,5 +1,7 @@
 //! The difference between two documents.
 
+use std::collections::HashMap;
+
 use super::{SectionChange, Sections, TeamId};
 
 /// The difference between two documents, section by section.
@@ -78,10 +80,11 @@
 
     /// Returns the text of `current` with the changes made; new sections go to its end.
     pub fn apply(&self, current: &Sections<'_>) -> String {
-        let change_of = |name: &str| self.changes.iter().find(|c| *c.name == *name);
+        let changes = self.changes.iter().map(|c| (&*c.name, c));
+        let changes: HashMap<&str, &SectionChange> = changes.collect();
         let mut texts: Vec<&str> = Vec::new();
         for section in current.iter() {
-            match change_of(section.name) {
+            match changes.get(section.name) {
                 Some(change) => texts.extend(change.after.as_deref()),
                 None => texts.push(section.text),
             }
--- a/azureway-core/src/config/sections.rs
+++ b/azureway-core/src/config/sections.rs
@@ -1,11 +1,14 @@
 //! The document split into its sections.
 
+use std::collections::HashMap;
+
 use super::SectionView;
 
 /// The document split into its sections, in order. The text is not checked.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Sections<'a> {
     sections: Vec<SectionView<'a>>,
+    places: HashMap<&'a str, usize>,
 }
 
 impl<'a> Sections<'a> {
@@ -31,14 +34,16 @@
             SectionView { name, text }
         });
         let stands = |s: &SectionView<'_>| !s.name.is_empty() || !s.text.trim().is_empty();
-        Self {
-            sections: sections.filter(stands).collect(),
-        }
+        let sections: Vec<_> = sections.filter(stands).collect();
+        // Of two sections with one name, which the check refuses, the first one counts.
+        let places = sections.iter().enumerate().rev();
+        let places = places.map(|(place, s)| (s.name, place)).collect();
+        Self { sections, places }
     }
 
     /// Returns the section with `name`.
     pub fn get(&self, name: &str) -> Option<SectionView<'a>> {
-        self.sections.iter().find(|s| s.name == name).copied()
+        self.places.get(name).map(|place| self.sections[*place])
     }
 
     /// Returns the sections in order.
