--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -2,6 +2,7 @@
 
 use super::{Failure, Finish};
 use crate::cache::CacheUpdate;
+use crate::claim::ClaimNews;
 use crate::domain::{Attempt, Request, RequestId};
 use crate::fleet::{Fleet, LoadReport};
 
@@ -18,12 +19,17 @@
     Finished(&'a Finish),
     /// A try failed.
     Failed(&'a Failure),
+    /// A call for a claim ended.
+    Claim(&'a ClaimNews),
     /// A backend server told of its cache.
     Cache(&'a CacheUpdate<'a>),
     /// A backend server told of its load.
     Load(&'a LoadReport),
     /// A version of the configuration was read.
     Configured(&'a Fleet),
+    /// The number of live entry instances of this availability zone changed; it counts
+    /// this one.
+    Peers(u32),
     /// The instance shuts down: nothing new is taken.
     Draining,
     /// Time passed.
--- a/azureway-entry/src/decide/note.rs
+++ b/azureway-entry/src/decide/note.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId,
+    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId, ShortAnswer,
 };
 use flume::Sender;
 
@@ -21,6 +21,10 @@
     Started(Attempt),
     /// A try ended well.
     Finished(Finish),
+    /// A try ended well, with an answer that is short enough to be kept.
+    Answered(Finish, ShortAnswer),
+    /// A call for a claim ended.
+    Claim(ClaimNews),
     /// A try failed.
     Failed(Failure),
     /// A backend server told of its load.
--- a/azureway-wire/src/lib.rs
+++ b/azureway-wire/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod change;
 pub mod chat;
+pub mod claim;
 pub mod engine;
 pub mod error;
 pub mod header;
