--- a/azureway-config/src/document/parse.rs
+++ b/azureway-config/src/document/parse.rs
@@ -33,16 +33,7 @@
 fn read(section: &Section<'_>, fleet: &mut Fleet, faults: &mut Faults) {
     let (kind, name) = section.split();
     let mut reader = SectionReader::new(section, faults);
-    let team = reader.text("team");
-    if team.is_some_and(|t| !is_name(t)) {
-        reader.reject(Some("team"), format!("expected {NAME}"));
-    }
-    if !name.is_empty() && !is_name(name) {
-        reader.reject(None, format!("expected a header with {NAME}"));
-    }
-    if name.is_empty() != (kind == "ranks") && KINDS.contains(&kind) {
-        reader.reject(None, format!("expected a header such as [{kind} NAME]"));
-    }
+    check_names(kind, name, &mut reader);
     let twice = match kind {
         "account" => {
             let account = account(name, &mut reader);
@@ -74,6 +65,20 @@
     reader.finish();
 }
 
+/// Notes what is wrong with the names of a section and its team.
+fn check_names(kind: &str, name: &str, reader: &mut SectionReader<'_, '_>) {
+    let team = reader.text("team");
+    if team.is_some_and(|t| !is_name(t)) {
+        reader.reject(Some("team"), format!("expected {NAME}"));
+    }
+    if !name.is_empty() && !is_name(name) {
+        reader.reject(None, format!("expected a header with {NAME}"));
+    }
+    if name.is_empty() != (kind == "ranks") && KINDS.contains(&kind) {
+        reader.reject(None, format!("expected a header such as [{kind} NAME]"));
+    }
+}
+
 fn account(name: &str, reader: &mut SectionReader<'_, '_>) -> ClientAccount {
     let base = ClientAccount::new(AccountId::new(name));
     let weight = reader.number("weight", base.weight, 1, 1_000, "shares");
