State each setting with its unit, default and range

The settings had no page, took a section twice in silence and had no address for operators. They now refuse a second section, name the nearest known section, and have admin and operator: beyond loopback the operators' key must be set, by its digest, which no fault shows.

Seen: 15 changes of good settings lead to the stated faults; the page's 8 bounds are accepted at both ends of their range and refused one beyond.

--- a/azureway-config/src/settings/entry_settings.rs
+++ b/azureway-config/src/settings/entry_settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use azureway_core::prelude::{Instance, InstanceId, ZoneId};
+use azureway_core::prelude::{Instance, InstanceId, KeyHash, ZoneId};
 
 use super::Bounds;
 
@@ -17,6 +17,10 @@
     pub listen: SocketAddr,
     /// The address that peers reach.
     pub peer: SocketAddr,
+    /// The address that operators reach.
+    pub admin: SocketAddr,
+    /// The digest of the operators' key, where the entry asks for one.
+    pub operator: Option<KeyHash>,
     /// The address of the platform's object API.
     pub platform: SocketAddr,
     /// The other entry instances.
@@ -35,6 +39,8 @@
             zone,
             listen: any,
             peer: any,
+            admin: any,
+            operator: None,
             platform,
             peers: Vec::new(),
             bounds,
@@ -48,6 +54,20 @@
         self
     }
 
+    /// Sets the address that operators reach.
+    #[must_use]
+    pub fn with_admin(mut self, admin: SocketAddr) -> Self {
+        self.admin = admin;
+        self
+    }
+
+    /// Sets the digest of the operators' key.
+    #[must_use]
+    pub fn with_operator(mut self, operator: KeyHash) -> Self {
+        self.operator = Some(operator);
+        self
+    }
+
     /// Sets the bounds.
     #[must_use]
     pub fn with_bounds(mut self, bounds: Bounds) -> Self {
--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -1,15 +1,24 @@
 //! From text to settings.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use azureway_core::prelude::{Instance, InstanceId, ZoneId};
+use azureway_core::prelude::{Instance, InstanceId, KeyHash, ZoneId};
 
 use super::{Bounds, EntrySettings};
 use crate::ini::{self, Faults, Section, SectionReader};
+use crate::util::nearest;
 
 /// What an address looks like, for a fault's text.
 const ADDRESS: &str = "an IP address and a port, such as 10.0.0.7:8000";
+/// What a digest looks like, for a fault's text.
+const DIGEST: &str = "the SHA-256 digest of the operators' key, 64 hexadecimal digits";
+/// What the sections are, for a fault's text.
+const SECTIONS: &str = "expected [entry], [bounds] or [peer NAME]";
+/// The kinds of sections.
+const KINDS: [&str; 3] = ["entry", "bounds", "peer"];
+/// Where operators reach the entry if the settings name no address.
+const DEFAULT_ADMIN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8082);
 
 /// Parses the settings of an entry daemon.
 ///
@@ -20,17 +29,19 @@
     let sections = ini::parse(text)?;
     let mut faults = Faults::new();
     let (mut base, mut bounds, mut peers) = (None, Bounds::new(), Vec::new());
-    for section in &sections {
+    for (place, section) in sections.iter().enumerate() {
         let mut reader = SectionReader::new(section, &mut faults);
+        if sections[..place].iter().any(|s| s.name == section.name) {
+            reader.reject(None, "defined twice".to_owned());
+        }
         match section.split() {
             ("entry", "") => base = entry(&mut reader),
             ("bounds", "") => bounds = read_bounds(&mut reader),
             ("peer", name) if !name.is_empty() => peers.extend(peer(name, &mut reader)),
-            _ => {
-                reader.reject(
-                    None,
-                    "unknown section; expected entry, bounds or peer NAME".to_owned(),
-                );
+            (kind, _) => {
+                let hint = nearest(kind, &KINDS).map(|k| format!("; did you mean `{k}`?"));
+                let hint = hint.unwrap_or_default();
+                reader.reject(None, format!("unknown section{hint}; {SECTIONS}"));
                 continue;
             }
         }
@@ -62,9 +73,17 @@
     let listen = reader.required_value("listen", ADDRESS, address);
     let peer = reader.required_value("peer", ADDRESS, address);
     let platform = reader.required_value("platform", ADDRESS, address);
+    let admin = reader.value("admin", DEFAULT_ADMIN, ADDRESS, address);
+    let operator = reader.secret("operator", None, DIGEST, |t| KeyHash::parse(t).map(Some));
+    if operator.is_none() && !admin.ip().is_loopback() {
+        let detail = "an address beyond loopback needs the `operator` key".to_owned();
+        reader.reject(Some("admin"), detail);
+    }
     let (instance, zone) = (InstanceId::new(instance?), ZoneId::new(zone?));
     let mut settings = EntrySettings::new(instance, zone, platform?).with_listen(listen?);
     settings.peer = peer?;
+    settings.admin = admin;
+    settings.operator = operator;
     Some(settings)
 }
 
--- /dev/null
+++ b/azureway-config/tests/settings.rs
@@ -0,0 +1,89 @@
+//! The settings of a daemon: faults, and the table of the operators' page.
+
+use azureway_config::document::SectionEdit;
+use azureway_config::settings;
+use googletest::prelude::*;
+
+/// Good settings; the line numbers of the table count from here.
+const GOOD: [&str; 2] = [
+    "[entry]\ninstance = kranj-a-1\nzone = kranj-a\nlisten = 10.0.0.4:8080\n\
+     peer = 10.0.0.4:8081\nplatform = 10.0.0.1:7000",
+    "[bounds]\nring = 64",
+];
+
+/// Returns the good settings with one change of the table's form.
+fn changed(change: &str) -> String {
+    let mut sections = GOOD.map(SectionEdit::new);
+    let place = |section: &str| usize::from(section.trim_start_matches('-') != "entry");
+    if let Some(header) = change.strip_prefix('+') {
+        return format!("{}\n{header}\n", GOOD.join("\n"));
+    }
+    let (section, entry) = change.split_once('.').expect("a section and a key");
+    let edit = sections[place(section)].clone();
+    sections[place(section)] = match entry.split_once(" = ") {
+        Some((key, value)) => edit.with_entry(key, value),
+        None => edit.without_entry(entry),
+    };
+    sections.map(|s| s.text()).join("\n")
+}
+
+fn faults(text: &str) -> String {
+    settings::parse(text).map_or_else(|faults| faults.to_string(), |_| "good".to_owned())
+}
+
+#[gtest]
+fn faults_are_named_as_the_table_says() {
+    for line in include_str!("../testdata/settings.txt").lines() {
+        if line.starts_with('#') {
+            continue;
+        }
+        let (change, expected) = line.split_once(" | ").expect("two cells");
+        expect_that!(
+            faults(&changed(change)),
+            contains_substring(expected),
+            "{line}"
+        );
+    }
+}
+
+#[gtest]
+fn a_secret_does_not_show_in_a_fault() {
+    let text = changed("entry.operator = sekrit");
+    expect_that!(faults(&text), not(contains_substring("sekrit")));
+}
+
+/// The page's rows read `| key | unit | default | lowest | highest | meaning |`.
+#[gtest]
+fn the_operators_page_states_the_bounds_as_they_are() {
+    let page = include_str!("../../docs/OPERATIONS.md");
+    let (_, table) = page
+        .split_once("| key | unit |")
+        .expect("the table of bounds");
+    let rows = table.lines().skip(2).take_while(|l| l.starts_with('|'));
+    let mut count = 0;
+    for row in rows {
+        let cells: Vec<&str> = row.split('|').map(|c| c.trim().trim_matches('`')).collect();
+        let parse =
+            |value: i128| settings::parse(&changed(&format!("bounds.{} = {value}", cells[1])));
+        let number = |cell: usize| {
+            cells[cell]
+                .replace(' ', "")
+                .parse::<i128>()
+                .expect("a number")
+        };
+        expect_that!(parse(number(4)).is_ok(), eq(true), "{row}");
+        expect_that!(parse(number(5)).is_ok(), eq(true), "{row}");
+        expect_that!(parse(number(4) - 1).is_ok(), eq(false), "{row}");
+        expect_that!(parse(number(5) + 1).is_ok(), eq(false), "{row}");
+        // Stating the default changes nothing.
+        let (stated, plain) = (parse(number(3)), settings::parse(&changed("-bounds.none")));
+        if cells[1] != "ring" {
+            expect_that!(stated.expect("good"), eq(&plain.expect("good")), "{row}");
+        }
+        count += 1;
+    }
+    expect_that!(count, eq(BOUNDS));
+}
+
+/// The keys of the section.
+const BOUNDS: usize = 8;
