--- a/azureway-core/src/event/failure.rs
+++ b/azureway-core/src/event/failure.rs
@@ -15,3 +15,10 @@
     /// The position up to which the caller has the stream.
     pub position: StreamPosition,
 }
+
+impl Failure {
+    /// Tells whether the server itself said that it has no room.
+    pub fn is_full(&self) -> bool {
+        self.kind == FailureKind::Busy && self.sent == SendState::Rejected
+    }
+}
--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -3,6 +3,7 @@
 use super::{Failure, Finish};
 use crate::admit::Demand;
 use crate::cache::CacheUpdate;
+use crate::claim::ClaimNews;
 use crate::domain::{Attempt, Request, RequestId};
 use crate::fleet::{Fleet, LoadReport};
 
@@ -19,6 +20,8 @@
     Finished(&'a Finish),
     /// A try failed.
     Failed(&'a Failure),
+    /// A call for a claim ended.
+    Claim(&'a ClaimNews),
     /// A backend server told of its cache.
     Cache(&'a CacheUpdate<'a>),
     /// A backend server told of its load.
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -97,6 +97,12 @@
         self.servers[range].iter()
     }
 
+    /// Tells whether every server of a pool refuses a second call with the same key by itself.
+    pub fn all_keyed(&self, pool: &PoolId) -> bool {
+        let mut servers = self.of_pool(pool).peekable();
+        servers.peek().is_some() && servers.all(|s| s.server.keyed)
+    }
+
     fn arrange(&mut self) {
         // The sort is stable, so that the names stay in order within a pool.
         self.servers
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -4,6 +4,7 @@
 use super::{Dispatcher, Flight, Intake, Queues, Retries, Retry, RouterConfig, Verdict, Want};
 use crate::admit::{Blocked, Demand, Limits, Queued};
 use crate::cache::CacheUpdate;
+use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
 use crate::domain::{Attempt, InstanceId, Refusal, RefusalReason, Request, RequestId, Timestamp};
 use crate::event::{Action, Event, Failure, Finish};
 use crate::fleet::{Fleet, LoadReport, ServerTable};
@@ -19,6 +20,7 @@
     sender: Dispatcher<P>,
     limits: Limits,
     queues: Queues,
+    claims: ClaimBook,
     retries: Retries,
     budget: RetryBudget,
     tally: Tally,
@@ -37,6 +39,7 @@
             sender: Dispatcher::new(policy),
             limits: Limits::new(),
             queues: Queues::new(),
+            claims: ClaimBook::new(),
             tally: Tally::new(),
             draining: false,
             seen: Timestamp::ZERO,
@@ -46,13 +49,14 @@
     /// Takes in an event and appends what is to be done about it.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
         self.seen = now;
-        let first = out.len();
+        let start = out.len();
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
             Event::HungUp(id) => self.hang_up(id, now, out),
             Event::Started(attempt) => self.start(attempt, now),
-            Event::Finished(finish) => self.finish(finish, now),
+            Event::Finished(finish) => self.finish(finish, now, out),
             Event::Failed(failure) => self.fail(failure, now, out),
+            Event::Claim(news) => self.claimed(news, now, out),
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => self.report(report, now),
             Event::Configured(fleet) => self.configure(fleet),
@@ -65,24 +69,29 @@
         self.expire(now, out);
         self.try_again(now, out);
         self.pump(now, out);
-        self.count_refusals(&out[first..]);
+        self.claims.follow(start, out);
+        self.tally.follow(&out[start..], now);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let limits = [self.queues.earliest(), self.retries.earliest()];
-        let limit = limits.into_iter().flatten().min()?;
+        let limit = limits.into_iter().flatten().min();
         // A server that is tried again, one abroad, or a refilled budget can help what waits.
         let abroad = self.queues.oldest().map(|t| t + ABROAD_WAIT);
         let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
-        let trial = self.sender.servers().next_trial(self.seen);
-        let chances = [trial, abroad, self.next_retry()];
-        chances.into_iter().flatten().chain([limit]).min()
+        let trial = limit.and_then(|_| self.sender.servers().next_trial(self.seen));
+        let claims = self.claims.earliest();
+        let refill = self.budget.next_refill();
+        let refill = refill.filter(|_| !self.retries.is_empty());
+        let times = [limit, trial, abroad, refill, claims];
+        times.into_iter().flatten().min()
     }
 
-    /// Returns the number of requests that wait or are in flight.
+    /// Returns the number of requests that wait, are in flight or have a claim to settle.
     pub fn active(&self) -> usize {
-        self.queues.len() + self.retries.len() + self.sender.flights().len()
+        let claims = self.claims.pending();
+        self.queues.len() + self.retries.len() + self.sender.flights().len() + claims
     }
 
     /// Returns the configuration in force.
@@ -119,24 +128,54 @@
             bound: self.config.queue,
             draining: self.draining,
         };
-        match intake.check(request, now) {
-            Ok((service, account)) => {
-                self.budget.earn();
-                let queued = Queued::new(request.clone(), account.weight);
-                self.queues.push(service.pool.clone(), queued, now);
+        let servers = self.sender.servers();
+        let action = match intake.check(request, now) {
+            Err(refusal) => Action::Refuse(request.id, refusal),
+            Ok((service, _)) if self.claims.covers(request, service, servers) => {
+                return self.enqueue(request, now, out);
             }
-            Err(refusal) => out.push(Action::Refuse(request.id, refusal)),
+            Ok(_) => self.claims.ask(request, now),
+        };
+        out.push(action);
+    }
+
+    /// Lets a request wait for a server.
+    fn enqueue(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
+        let service = self.fleet.services.get(&request.service);
+        let account = self.fleet.accounts.get(&request.account);
+        if let (Some(service), Some(account)) = (service, account) {
+            self.budget.earn();
+            let queued = Queued::new(request.clone(), account.weight);
+            self.queues.push(service.pool.clone(), queued, now);
+        } else {
+            let detail = "the configuration no longer has the service or the client account";
+            let refusal = Refusal::not_run(RefusalReason::UnknownService, detail);
+            out.push(Action::Refuse(request.id, refusal));
+        }
+    }
+
+    fn claimed(&mut self, news: &ClaimNews, now: Timestamp, out: &mut Vec<Action>) {
+        match self.claims.hear(news, now, out) {
+            ClaimVerdict::Go(request) => self.enqueue(&request, now, out),
+            ClaimVerdict::Repeat(answer) => out.push(Action::Repeat(news.id(), answer)),
+            ClaimVerdict::Refuse(refusal) => out.push(Action::Refuse(news.id(), refusal)),
+            ClaimVerdict::Nothing => {}
         }
     }
 
     fn hang_up(&mut self, id: RequestId, now: Timestamp, out: &mut Vec<Action>) {
         self.tally.close(id, Outcome::Abandoned);
         if let Some(flight) = self.sender.remove(id, now) {
+            // A whole answer still comes from the server, and is kept for the caller's return.
+            let whole = self.fleet.is_plain(&flight.request.service);
+            self.claims.hang_up(id, whole);
             self.queues.mark(&flight.pool);
-            out.push(Action::Cancel(flight.attempt));
-        } else if self.retries.remove(id).is_none() {
+            return out.push(Action::Cancel(flight.attempt));
+        }
+        if self.retries.remove(id).is_none() {
             self.queues.remove(id);
         }
+        self.claims.withdraw(id, out);
     }
 
     fn start(&mut self, attempt: Attempt, now: Timestamp) {
@@ -145,7 +184,8 @@
         }
     }
 
-    fn finish(&mut self, finish: &Finish, now: Timestamp) {
+    fn finish(&mut self, finish: &Finish, now: Timestamp, out: &mut Vec<Action>) {
+        self.claims.finish(finish.attempt, out);
         if let Some(flight) = self.sender.finish(finish.attempt, now) {
             self.tally.finish(finish.attempt.id, now);
             self.queues.mark(&flight.pool);
@@ -153,6 +193,7 @@
     }
 
     fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
+        self.claims.fail(failure, out);
         let Some((flight, unknown)) = self.sender.fail(failure, now) else {
             return;
         };
@@ -169,8 +210,8 @@
 
     /// Lets a request that a server had no room for wait again.
     fn wait(&mut self, flight: Flight, now: Timestamp) {
-        let weight = self.fleet.accounts.get(&flight.request.account);
-        let weight = weight.map_or(1, |a| a.weight);
+        let account = self.fleet.accounts.get(&flight.request.account);
+        let weight = account.map_or(1, |a| a.weight);
         let (pool, plan) = (flight.pool.clone(), flight.bounce());
         let queued = Queued::again(flight.request, weight, plan);
         self.queues.push(pool, queued, now);
@@ -201,25 +242,15 @@
     }
 
     fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.claims.expire(now, out);
         for request in self.queues.expire(now) {
-            let detail = "the deadline passed in the queue";
-            out.push(Action::Refuse(
-                request.id,
-                Refusal::not_run(RefusalReason::Deadline, detail),
-            ));
+            out.push(Action::Refuse(request.id, Verdict::late()));
         }
         for retry in self.retries.expire(now) {
             out.push(Action::Refuse(retry.request.id, retry.give_up()));
         }
     }
 
-    /// Returns when an empty retry budget has a retry again, if one waits for it.
-    fn next_retry(&self) -> Option<Timestamp> {
-        self.budget
-            .next_refill()
-            .filter(|_| !self.retries.is_empty())
-    }
-
     /// Tries again what waits for it, as far as the budget and the servers allow.
     fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.budget.refill(now);
@@ -250,23 +281,14 @@
 
     /// Sends a request to the best server. Returns whether there was one.
     fn dispatch(&mut self, want: Want<'_>, now: Timestamp, out: &mut Vec<Action>) -> bool {
+        let service = self.fleet.services.get(&want.request.service);
+        let servers = self.sender.servers();
+        if !service.is_some_and(|s| self.claims.covers(want.request, s, servers)) {
+            return false;
+        }
         let order = self.sender.send(want, &self.config, &self.fleet, now);
         let sent = order.is_some();
         out.extend(order.map(Action::Dispatch));
         sent
     }
-
-    fn count_refusals(&mut self, actions: &[Action]) {
-        for action in actions {
-            if let Action::Refuse(id, refusal) = action {
-                let broken = !refusal.not_run;
-                let outcome = if broken {
-                    Outcome::Broken
-                } else {
-                    Outcome::Refused
-                };
-                self.tally.close(*id, outcome);
-            }
-        }
-    }
 }
--- a/azureway-core/src/router/plan.rs
+++ b/azureway-core/src/router/plan.rs
@@ -1,6 +1,8 @@
 //! What is to be tried next.
 
-use crate::domain::{Attempt, RequestId, StreamPosition};
+use crate::domain::{Attempt, Incarnation, Request, RequestId, StreamPosition};
+use crate::event::Dispatch;
+use crate::route::Candidate;
 
 /// What is to be tried next for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,4 +27,20 @@
             bounced: 0,
         }
     }
+
+    /// Returns the order that sends `request` to the chosen server.
+    pub fn order(&self, request: &Request, best: &Candidate<'_>) -> Dispatch {
+        let known = best.state.incarnation > Incarnation::ZERO;
+        Dispatch {
+            attempt: self.attempt,
+            server: best.state.server.id.clone(),
+            address: best.state.server.address,
+            rank: request.rank,
+            salt: request.chain.salt(),
+            incarnation: known.then_some(best.state.incarnation),
+            weights: request.weights,
+            position: self.position,
+            cached: best.cached,
+        }
+    }
 }
--- a/azureway-core/src/tally/book.rs
+++ b/azureway-core/src/tally/book.rs
@@ -4,6 +4,7 @@
 
 use super::{Count, OpenRequest, Outcome};
 use crate::domain::{Rank, Request, RequestId, RequestKind, Timestamp};
+use crate::event::Action;
 
 /// Every request, counted once by rank, kind and outcome, with its worth.
 ///
@@ -51,6 +52,18 @@
         }
     }
 
+    /// Counts the requests that `actions` end.
+    pub fn follow(&mut self, actions: &[Action], now: Timestamp) {
+        for action in actions {
+            match action {
+                Action::Refuse(id, refusal) if refusal.not_run => self.close(*id, Outcome::Refused),
+                Action::Refuse(id, _) => self.close(*id, Outcome::Broken),
+                Action::Repeat(id, _) => self.finish(*id, now),
+                _ => {}
+            }
+        }
+    }
+
     /// Returns the number of requests that are not counted yet.
     pub fn pending(&self) -> usize {
         self.open.len()
--- a/azureway-dev/src/replay/player.rs
+++ b/azureway-dev/src/replay/player.rs
@@ -253,6 +253,8 @@
                     self.scene.engines.at_mut(flight.engine).cancel(attempt);
                 }
             }
+            // The traces carry no keys, so nothing is claimed.
+            Action::Claim(_) | Action::Repeat(..) => {}
             Action::Resync(server) => {
                 if let Some(place) = self.scene.engines.place(server.as_str()) {
                     let delay = self.scene.delay(place);
