--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -74,7 +74,7 @@
             spread: &self.spread,
         };
         let best = placement.choose(&mut self.policy, want, service, now)?;
-        let order = want.order(&best);
+        let order = want.plan.order(want.request, &best);
         self.take_off(want, service.pool.clone(), &order, now);
         Some(order)
     }
@@ -107,7 +107,7 @@
         let flight = self.flights.take(failure.attempt)?;
         self.land(&flight, now);
         let state = self.servers.get_mut(&flight.server);
-        let unknown = state.is_some_and(|s| s.blame(failure.kind, now));
+        let unknown = state.is_some_and(|s| s.blame(failure, now));
         if unknown {
             self.index.forget(&flight.server);
         }
--- a/azureway-core/src/router/verdict.rs
+++ b/azureway-core/src/router/verdict.rs
@@ -2,7 +2,7 @@
 
 use super::Flight;
 use crate::domain::{Refusal, RefusalReason, RequestKind, StreamPosition, Timestamp};
-use crate::event::{Failure, FailureKind};
+use crate::event::Failure;
 
 /// What follows from a failed try.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,7 +26,7 @@
             let detail = "the backend server failed after it may have run the request";
             return Self::Refuse(Refusal::maybe_run(RefusalReason::ServerFailed, detail));
         }
-        if failure.kind == FailureKind::Busy && not_run && flight.untouched {
+        if failure.is_full() && flight.untouched {
             return if flight.bounced < BOUNCES {
                 Self::Wait
             } else {
