--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -114,7 +114,11 @@
 fn decider(settings: &EntrySettings, rings: &Rings) -> Decider<PrefixLoad> {
     let config = RouterConfig::new(settings.zone.clone()).with_queue(settings.bounds.queue);
     let router = Router::new(config, PrefixLoad::new());
-    let launcher = Launcher::new(rings.decide.clone(), settings.bounds.clone());
+    let launcher = Launcher::new(
+        rings.decide.clone(),
+        rings.meter.clone(),
+        settings.bounds.clone(),
+    );
     Decider::new(router, rings, launcher, Hearers::new(rings.decide.clone()))
 }
 
--- a/azureway-entry/src/meter/measure.rs
+++ b/azureway-entry/src/meter/measure.rs
@@ -10,6 +10,8 @@
 pub enum Measure {
     /// The first token of an answer came after this time.
     Started(Rank, Duration),
+    /// These times passed between events of a stream.
+    Gaps(Rank, Vec<Duration>),
     /// An answer is complete: its prompt tokens, and those of them that were cached.
     Finished(Rank, TokenCount, TokenCount),
     /// A request was refused.
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -18,6 +18,7 @@
     measures: Receiver<Measure>,
     registry: Registry,
     first: Family<RankLabel, Histogram>,
+    gaps: Family<RankLabel, Histogram>,
     finished: Family<RankLabel, Counter>,
     refused: Family<ReasonLabel, Counter>,
     prompt: Counter,
@@ -33,14 +34,19 @@
 /// The upper bounds of the time to first token, in seconds; 1 s is the stated target.
 const FIRST_TOKEN_BOUNDS: [f64; 9] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0];
 
+/// The upper bounds of the time between tokens, in seconds; 68 ms is the stated target.
+const GAP_BOUNDS: [f64; 8] = [0.005, 0.01, 0.02, 0.04, 0.068, 0.15, 0.5, 2.0];
+
 impl Meter {
     /// Creates the duty. `calls` counts the calls to the platform.
     pub fn new(measures: Receiver<Measure>, calls: CallCounter) -> Self {
         let bounds = || Histogram::new(FIRST_TOKEN_BOUNDS);
+        let gaps = || Histogram::new(GAP_BOUNDS);
         let mut meter = Self {
             measures,
             registry: Registry::with_prefix("azureway"),
             first: Family::new_with_constructor(bounds),
+            gaps: Family::new_with_constructor(gaps),
             finished: Family::default(),
             refused: Family::default(),
             prompt: Counter::default(),
@@ -70,6 +76,11 @@
             "Time from arrival to the first token",
             self.first.clone(),
         );
+        r.register(
+            "time_between_tokens_seconds",
+            "Time between two events of a stream",
+            self.gaps.clone(),
+        );
         r.register(
             "requests_finished",
             "Requests answered completely",
@@ -116,6 +127,10 @@
                     .get_or_create(&rank.into())
                     .observe(time.as_secs_f64());
             }
+            Measure::Gaps(rank, gaps) => {
+                let histogram = self.gaps.get_or_create(&rank.into());
+                gaps.iter().for_each(|g| histogram.observe(g.as_secs_f64()));
+            }
             Measure::Finished(rank, prompt, cached) => {
                 self.finished.get_or_create(&rank.into()).inc();
                 self.prompt.inc_by(prompt.get());
--- a/azureway-entry/src/relay/launcher.rs
+++ b/azureway-entry/src/relay/launcher.rs
@@ -7,16 +7,18 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::RelayTry;
+use super::{Pace, RelayTry};
 use crate::admit::Errand;
 use crate::caller::Piece;
 use crate::decide::DecideNote;
+use crate::meter::Measure;
 
 /// Starts a relay for each try. The decisions bound how many there are by the slots of the
 /// backend servers.
 #[derive(Clone, Debug)]
 pub struct Launcher {
     decide: Sender<DecideNote>,
+    meter: Sender<Measure>,
     bounds: Bounds,
 }
 
@@ -27,22 +29,22 @@
 const STACK_SIZE: usize = 256 * 1024;
 
 impl Launcher {
-    /// Creates a launcher whose relays report to `decide`.
-    pub const fn new(decide: Sender<DecideNote>, bounds: Bounds) -> Self {
-        Self { decide, bounds }
+    /// Creates a launcher whose relays report to `decide` and measure to `meter`.
+    pub const fn new(decide: Sender<DecideNote>, meter: Sender<Measure>, bounds: Bounds) -> Self {
+        Self {
+            decide,
+            meter,
+            bounds,
+        }
     }
 
     /// Starts a relay and returns the ring of its answer.
     pub fn launch(&self, order: Dispatch, errand: Arc<Errand>) -> Receiver<Piece> {
         let (sender, pieces) = flume::bounded(PIECES);
         let attempt = order.attempt;
-        let relay = RelayTry::new(
-            order,
-            errand,
-            self.bounds.clone(),
-            sender,
-            self.decide.clone(),
-        );
+        let pace = Pace::new(order.rank, self.meter.clone());
+        let (bounds, decide) = (self.bounds.clone(), self.decide.clone());
+        let relay = RelayTry::new(order, errand, bounds, sender, decide, pace);
         let thread = thread::Builder::new()
             .name("relay".to_owned())
             .stack_size(STACK_SIZE);
--- a/azureway-entry/src/relay/relay_try.rs
+++ b/azureway-entry/src/relay/relay_try.rs
@@ -11,7 +11,7 @@
 use azureway_wire::sse::SseLine;
 use flume::Sender;
 
-use super::Trouble;
+use super::{Pace, Trouble};
 use crate::admit::Errand;
 use crate::caller::Piece;
 use crate::decide::DecideNote;
@@ -24,6 +24,7 @@
     bounds: Bounds,
     pieces: Sender<Piece>,
     decide: Sender<DecideNote>,
+    pace: Pace,
     next: StreamPosition,
     cached: TokenCount,
     output: TokenCount,
@@ -43,6 +44,7 @@
         bounds: Bounds,
         pieces: Sender<Piece>,
         decide: Sender<DecideNote>,
+        pace: Pace,
     ) -> Self {
         let next = order.position;
         let (cached, output) = (TokenCount::ZERO, TokenCount::ZERO);
@@ -52,6 +54,7 @@
             bounds,
             pieces,
             decide,
+            pace,
             next,
             cached,
             output,
@@ -200,6 +203,7 @@
         if self.next == self.order.position {
             self.note_start();
         }
+        self.pace.tick();
         self.note_usage(data);
         self.pass(Piece::Event(position, data.into()))?;
         self.next = position.next();
