Let the holder of a lease order engines to load weights

Cause: the planning of orders had no duty that carries it out.

The ordering duty contends for lease/orders and sends POST /v1/orders; the stand-in engine takes them with or without a check of the fencing number, loads in 0.6 s and reports weights 0 meanwhile. Over sockets a new version in the document reaches all four engines of two zones under one fencing number, and requests are then served from it. Before: they were refused until somebody loaded the weights by hand.

--- a/azureway-dev/src/engine/engine_config.rs
+++ b/azureway-dev/src/engine/engine_config.rs
@@ -19,6 +19,10 @@
     pub lag: Duration,
     /// The blocks that its cache holds.
     pub blocks: usize,
+    /// The time that weights take to load.
+    pub load: Duration,
+    /// Whether it refuses an order with an old fencing number.
+    pub fenced: bool,
 }
 
 impl EngineConfig {
@@ -32,6 +36,8 @@
             interval: Duration::from_millis(20),
             lag: Duration::from_millis(20),
             blocks: 64,
+            load: Duration::from_millis(600),
+            fenced: false,
         }
     }
 
@@ -42,6 +48,20 @@
         self
     }
 
+    /// Sets the time that weights take to load.
+    #[must_use]
+    pub const fn with_load(mut self, load: Duration) -> Self {
+        self.load = load;
+        self
+    }
+
+    /// Lets it refuse orders with an old fencing number.
+    #[must_use]
+    pub const fn with_fencing(mut self) -> Self {
+        self.fenced = true;
+        self
+    }
+
     /// Sets the time between two tokens.
     #[must_use]
     pub const fn with_interval(mut self, interval: Duration) -> Self {
--- a/azureway-dev/src/engine/engine_service.rs
+++ b/azureway-dev/src/engine/engine_service.rs
@@ -9,7 +9,7 @@
 use azureway_wire::engine::KvBlocks;
 use tiny_http::{Method, Request};
 
-use super::{ChatRun, EngineConfig, EngineState, Terms, Ticket};
+use super::{ChatRun, EngineConfig, EngineState, LoadRun, Terms, Ticket};
 use crate::http::{EventWriter, Query, Reply, Service};
 
 /// A stand-in for a model engine.
@@ -186,6 +186,7 @@
             (Method::Get, "/v1/news") => self.news(request, &query),
             (Method::Post, "/v1/chat/completions") => self.chat(request),
             (Method::Post, "/v1/kv/export") => self.export(request),
+            (Method::Post, "/v1/orders") => LoadRun::new(self).run(request),
             _ => Reply::text(request, 404, "no such path"),
         }
     }
--- a/azureway-dev/src/engine/engine_state.rs
+++ b/azureway-dev/src/engine/engine_state.rs
@@ -5,7 +5,7 @@
 use azureway_core::prelude::*;
 use azureway_wire::engine::{CacheEvent, EngineNews, KvBlocks};
 
-use super::{BlockCache, EngineConfig, EventLog, Terms, Ticket};
+use super::{BlockCache, EngineConfig, EventLog, OrderBook, Terms, Ticket};
 
 /// What an engine is doing.
 #[derive(Clone, Debug)]
@@ -14,6 +14,8 @@
     pub incarnation: Incarnation,
     /// The weights version that is loaded.
     pub weights: WeightsVersion,
+    /// The orders that it took.
+    pub orders: OrderBook,
     /// The cache.
     pub cache: BlockCache,
     /// The events of the cache.
@@ -42,6 +44,7 @@
         Self {
             incarnation: Incarnation::new(1),
             weights: config.weights,
+            orders: OrderBook::new(config.fenced),
             cache: BlockCache::new(config.blocks),
             log: EventLog::new(),
             slots: config.slots,
@@ -84,6 +87,7 @@
     /// Starts anew with an empty cache, as after a crash.
     pub fn restart(&mut self) {
         self.incarnation = self.incarnation.next();
+        self.weights = self.orders.had(self.weights);
         self.cache.clear();
         self.log.clear();
         self.running = 0;
@@ -91,6 +95,22 @@
         self.pending = TokenCount::ZERO;
     }
 
+    /// Begins to load weights. Nothing is served meanwhile, and the old blocks are gone.
+    pub fn unload(&mut self) {
+        self.orders.begin(self.weights);
+        self.weights = WeightsVersion::ZERO;
+        let evicted = self.cache.keys().iter().map(|k| CacheOp::Evicted(*k));
+        let evicted = evicted.collect();
+        self.cache.clear();
+        self.log.extend(evicted);
+    }
+
+    /// Has the weights that were loaded.
+    pub fn load(&mut self, weights: WeightsVersion) {
+        self.orders.end();
+        self.weights = weights;
+    }
+
     /// Tells whether the engine is what a request expects.
     pub fn fits(&self, terms: &Terms) -> bool {
         let life = terms.incarnation.is_none_or(|i| i == self.incarnation);
--- a/azureway-dev/src/engine/mod.rs
+++ b/azureway-dev/src/engine/mod.rs
@@ -8,6 +8,8 @@
 mod engine_state;
 mod event_log;
 mod generation;
+mod load_run;
+mod order_book;
 mod terms;
 mod ticket;
 
@@ -19,5 +21,7 @@
 pub use engine_state::EngineState;
 pub use event_log::EventLog;
 pub use generation::Generation;
+pub use load_run::LoadRun;
+pub use order_book::OrderBook;
 pub use terms::Terms;
 pub use ticket::Ticket;
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -18,6 +18,7 @@
 use crate::decide::{DecideNote, Decider};
 use crate::hear::Hearers;
 use crate::meter::Meter;
+use crate::order::{HttpOrders, Orderer};
 use crate::relay::Launcher;
 use crate::watch::Watcher;
 
@@ -58,6 +59,7 @@
         let api = HttpObjects::new(settings.platform);
         let calls = api.calls().clone();
         claim(&api, &rings, mark)?;
+        let orderer = orderer(settings, &rings, api.clone(), mark);
         let decider = decider(settings, &rings);
         let admitter = Admitter::new(rings.admit_notes, rings.decide.clone(), mark);
         let watcher = Watcher::new(api, rings.admit, rings.decide.clone(), rings.halt, mark);
@@ -71,6 +73,7 @@
         spawn("meter", move || meter.run())?;
         spawn("admit", move || admitter.run())?;
         spawn("watch", move || watcher.run())?;
+        spawn("order", move || orderer.run())?;
         log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         Ok(Self {
             address,
@@ -118,6 +121,17 @@
     Decider::new(router, rings, launcher, Hearers::new(rings.decide.clone()))
 }
 
+/// Returns the ordering duty, which ends with the deciding duty.
+fn orderer(
+    settings: &EntrySettings,
+    rings: &Rings,
+    api: HttpObjects,
+    mark: u64,
+) -> Orderer<HttpObjects, HttpOrders> {
+    let (notes, me) = (rings.order_notes.clone(), settings.instance.clone());
+    Orderer::new(api, HttpOrders::new(), notes, rings.clock, me, mark)
+}
+
 /// Starts the claiming threads. They end with the deciding duty, which waits for their news.
 fn claim(api: &HttpObjects, rings: &Rings, mark: u64) -> Result<(), Error> {
     for thread in 0..CLAIM_THREADS {
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::decide::DecideNote;
 use crate::meter::Measure;
+use crate::order::OrderNote;
 
 /// Both ends of every ring between the duties, and what the duties share.
 #[derive(Debug)]
@@ -25,6 +26,10 @@
     pub decide_notes: Receiver<DecideNote>,
     /// Between the deciding duty and the claiming threads.
     pub claims: ClaimRings,
+    /// To the ordering duty.
+    pub order: Sender<OrderNote>,
+    /// At the ordering duty.
+    pub order_notes: Receiver<OrderNote>,
     /// To the measuring duty.
     pub meter: Sender<Measure>,
     /// At the measuring duty.
@@ -52,6 +57,7 @@
     pub fn new(size: usize) -> Self {
         let (admit, admit_notes) = flume::bounded(size);
         let (decide, decide_notes) = flume::bounded(size);
+        let (order, order_notes) = flume::bounded(size);
         let (meter, measures) = flume::bounded(size);
         let (watch, halt) = flume::bounded(1);
         let (guard, alive) = flume::bounded(0);
@@ -62,6 +68,8 @@
             decide,
             decide_notes,
             claims: ClaimRings::new(size),
+            order,
+            order_notes,
             meter,
             measures,
             watch,
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -13,6 +13,7 @@
 use crate::daemon::Rings;
 use crate::hear::Hearers;
 use crate::meter::Measure;
+use crate::order::OrderDesk;
 use crate::relay::Launcher;
 
 /// The deciding duty: tells the core what happened and carries out what it wants done.
@@ -23,6 +24,7 @@
     clock: Clock,
     callers: Callers,
     desk: ClaimDesk,
+    orders: OrderDesk,
     launcher: Launcher,
     hearers: Hearers,
     meter: Sender<Measure>,
@@ -41,6 +43,7 @@
             clock: rings.clock,
             callers: Callers::new(),
             desk: ClaimDesk::new(&rings.claims),
+            orders: OrderDesk::new(rings.order.clone()),
             launcher,
             hearers,
             meter: rings.meter.clone(),
@@ -111,7 +114,10 @@
                 log::warn!(request:% = failure.attempt.id, step = "relay", kind:? = failure.kind; "a try failed");
                 self.tell(Event::Failed(&failure));
             }
-            DecideNote::Load(report) => self.tell(Event::Load(&report)),
+            DecideNote::Load(report) => {
+                self.orders.report(&report);
+                self.tell(Event::Load(&report));
+            }
             DecideNote::Cache(run) => self.tell(Event::Cache(&run.view())),
             DecideNote::Adopt(fleet) => self.adopt(&fleet),
             DecideNote::Rejected(version) => self.measure(Measure::Rejected(version)),
@@ -123,12 +129,13 @@
         }
     }
 
-    fn adopt(&mut self, fleet: &Fleet) {
+    fn adopt(&mut self, fleet: &Arc<Fleet>) {
         if fleet.version <= self.router.fleet().version {
             return;
         }
         self.tell(Event::Configured(fleet));
         self.hearers.adopt(fleet);
+        self.orders.adopt(fleet);
         self.measure(Measure::Configured(fleet.version));
         self.ready.store(self.drained.is_none(), Ordering::Release);
         // Only the first one finds a place; whoever waits needs no more.
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod decide;
 pub mod hear;
 pub mod meter;
+pub mod order;
 pub mod relay;
 pub mod watch;
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -92,6 +92,11 @@
             "Requests whose caller hung up",
             self.cancelled.clone(),
         );
+        self.register_platform();
+    }
+
+    fn register_platform(&mut self) {
+        let r = &mut self.registry;
         r.register(
             "platform_calls",
             "Calls to the platform, a waiting watch as one",
--- /dev/null
+++ b/azureway-entry/src/order/order_link.rs
@@ -0,0 +1,11 @@
+//! The way of an order to a backend server.
+
+use azureway_core::prelude::{FencingNumber, LoadOrder};
+
+use super::OrderAnswer;
+
+/// The way of an order to a backend server.
+pub trait OrderLink {
+    /// Sends an order and waits for the answer, for far less than the margin of a lease.
+    fn send(&self, order: &LoadOrder, number: FencingNumber) -> OrderAnswer;
+}
--- /dev/null
+++ b/azureway-entry/src/order/orderer.rs
@@ -0,0 +1,128 @@
+//! The ordering duty.
+
+use azureway_core::prelude::*;
+use azureway_platform::ObjectApi;
+use flume::{Receiver, RecvTimeoutError};
+
+use super::{LeaseCalls, OrderAnswer, OrderLink, OrderNote};
+use crate::clock::Clock;
+
+/// The ordering duty: contends for the lease and, while it holds it, sends orders.
+#[derive(Debug)]
+pub struct Orderer<A, L> {
+    calls: LeaseCalls<A>,
+    link: L,
+    notes: Receiver<OrderNote>,
+    clock: Clock,
+    me: InstanceId,
+    lease: Lease,
+    planner: OrderPlanner,
+    chosen: bool,
+    wake: Timestamp,
+}
+
+/// The entries of a zone that contend for the lease.
+const CANDIDATES: WatchChoice = WatchChoice::new(2, u128::from_be_bytes(*b"lease candidates"));
+/// The wake-up of an entry that only waits for notes.
+const IDLE: Timestamp = Timestamp::MAX;
+
+impl<A: ObjectApi, L: OrderLink> Orderer<A, L> {
+    /// Creates the duty of instance `me`, whose process has the mark `mark`.
+    pub fn new(
+        api: A,
+        link: L,
+        notes: Receiver<OrderNote>,
+        clock: Clock,
+        me: InstanceId,
+        mark: u64,
+    ) -> Self {
+        let lease = Lease::new(LeaseConfig::new(), me.clone(), mark);
+        Self {
+            calls: LeaseCalls::new(api),
+            link,
+            notes,
+            clock,
+            me,
+            lease,
+            planner: OrderPlanner::new(OrderConfig::new()),
+            chosen: true,
+            wake: Timestamp::ZERO,
+        }
+    }
+
+    /// Runs until every sender of notes is gone.
+    pub fn run(mut self) {
+        loop {
+            match self.receive() {
+                Ok(note) => self.take(note),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.drive();
+        }
+    }
+
+    fn receive(&self) -> Result<OrderNote, RecvTimeoutError> {
+        if self.wake == IDLE {
+            return self
+                .notes
+                .recv()
+                .map_err(|_| RecvTimeoutError::Disconnected);
+        }
+        self.notes.recv_deadline(self.clock.instant(self.wake))
+    }
+
+    fn take(&mut self, note: OrderNote) {
+        match note {
+            OrderNote::Adopt(fleet) => self.planner.adopt(&fleet),
+            OrderNote::Report(report) => self.planner.report(&report, self.clock.now()),
+            OrderNote::Live(live) => self.chosen = CANDIDATES.includes(&self.me, &live),
+        }
+    }
+
+    /// Renews the lease and sends what is to be sent.
+    fn drive(&mut self) {
+        self.wake = IDLE;
+        // An entry that is no longer chosen lets its lease lapse, and gives orders until then.
+        if !self.chosen && self.lease.allows(self.clock.now(), false).is_none() {
+            return;
+        }
+        self.renew();
+        while self.lease.allows(self.clock.now(), false).is_some() {
+            let Some(order) = self.planner.next(self.clock.now()) else {
+                break;
+            };
+            self.send(&order);
+            self.renew();
+        }
+        let now = self.clock.now();
+        let planned = self.planner.next_wakeup(now);
+        self.wake = planned.map_or(self.wake, |t| t.min(self.wake));
+    }
+
+    fn renew(&mut self) {
+        loop {
+            let reply = match self.lease.next(self.clock.now()) {
+                LeaseStep::Wait(until) => {
+                    self.wake = until;
+                    return;
+                }
+                LeaseStep::Read => self.calls.read(),
+                LeaseStep::Write(expected, record) => self.calls.write(expected, &record),
+            };
+            self.lease.hear(&reply, self.clock.now());
+        }
+    }
+
+    fn send(&mut self, order: &LoadOrder) {
+        // Looked at once more: this thread may have been paused since the order was planned.
+        let Some(number) = self.lease.allows(self.clock.now(), order.fenced) else {
+            return;
+        };
+        let answer = self.link.send(order, number);
+        log::info!(step = "order", peer:% = order.server, weights:% = order.weights, number:% = number, answer:? = answer; "ordered");
+        if answer == OrderAnswer::Fenced {
+            self.lease.step_down(self.clock.now());
+        }
+    }
+}
--- a/azureway-wire/src/lib.rs
+++ b/azureway-wire/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod error;
 pub mod header;
 pub mod object;
+pub mod order;
 pub mod sse;
--- /dev/null
+++ b/azureway-wire/src/order/mod.rs
@@ -0,0 +1,7 @@
+//! Orders to backend servers, and the lease of whoever gives them.
+
+mod lease_body;
+mod order_body;
+
+pub use lease_body::LeaseBody;
+pub use order_body::OrderBody;
