State the outcomes of each trace and judge every replay by them

Cause: a replay printed measures and gave no verdict.

A thirteenth trace puts the zones into three regions, whose links are paid; in the others the zones are of one region, so traffic between them is not bounded. Orders carry keys and are claimed; with the platform away they are refused, and the time to first token leaves such requests out, since no policy can serve them.

'rounds' pools many seeds, since one trace of some 250 requests is a small sample for a 99th percentile.

--- a/azureway-dev/src/generate/case.rs
+++ b/azureway-dev/src/generate/case.rs
@@ -29,11 +29,13 @@
     Cut,
     /// The platform is away for the whole trace, and the entry restarts.
     PlatformAway,
+    /// The other zones stand in other regions, and some urgent work comes on top.
+    Regions,
 }
 
 impl Case {
     /// All cases.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::PlainMorning,
         Self::SnowReport,
         Self::Eviction,
@@ -46,6 +48,7 @@
         Self::Poison,
         Self::Cut,
         Self::PlatformAway,
+        Self::Regions,
     ];
 
     /// Returns the case that `text` names.
@@ -68,6 +71,7 @@
             Self::Poison => "poison",
             Self::Cut => "cut",
             Self::PlatformAway => "platform-away",
+            Self::Regions => "regions",
         }
     }
 
--- a/azureway-dev/src/generate/generator.rs
+++ b/azureway-dev/src/generate/generator.rs
@@ -21,8 +21,6 @@
 const ZONES: [&str; 3] = ["kranj-a", "maribor-a", "koper-a"];
 /// The engines of a zone.
 const ENGINES: usize = 3;
-/// The microseconds one way to another zone.
-const LINK_MICROS: u64 = 1_500;
 /// The share of the other entries' requests that go elsewhere than their prefix prefers.
 const STRAY: f64 = 0.2;
 /// The milliseconds of a second.
@@ -38,7 +36,7 @@
             engines: ENGINES,
             accounts: Population::accounts(),
             blocks: shape.blocks,
-            link: LINK_MICROS,
+            link: shape.link,
         };
         Self {
             population: Population::new(&shape),
--- a/azureway-dev/src/generate/shape.rs
+++ b/azureway-dev/src/generate/shape.rs
@@ -14,6 +14,8 @@
     pub home: f64,
     /// The requests a second that other entries send to the engines of another zone.
     pub away: f64,
+    /// The microseconds one way to another zone.
+    pub link: u64,
     /// The blocks that an engine's cache holds.
     pub blocks: usize,
     /// The shops of a large account.
@@ -34,6 +36,7 @@
             own: 4.0,
             home: 0.8,
             away: 3.0,
+            link: 1_500,
             blocks: 32,
             shops: 6,
             waves: Vec::new(),
@@ -58,10 +61,17 @@
             Case::Poison => shape.poison = vec![15_000, 25_000, 35_000, 45_000],
             Case::Cut => shape.incidents = cuts(),
             Case::PlatformAway => shape.incidents = platform_away(),
+            Case::Regions => shape = shape.with_regions(),
         }
         shape
     }
 
+    fn with_regions(mut self) -> Self {
+        self.link = 8_000;
+        self.waves = vec![Wave::new(20.0..40.0, 2.0).with_kind(WorkKind::Advice)];
+        self
+    }
+
     fn with_pressure(mut self) -> Self {
         self.blocks = 14;
         self.shops = 14;
--- a/azureway-dev/src/lib.rs
+++ b/azureway-dev/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod engine;
 pub mod generate;
 pub mod http;
+pub mod outcome;
 pub mod plain;
 pub mod platform;
 pub mod replay;
--- a/azureway-dev/src/main.rs
+++ b/azureway-dev/src/main.rs
@@ -14,6 +14,7 @@
     match command().get_matches().subcommand() {
         Some(("serve", _)) => serve(),
         Some(("generate", matches)) => generate::run(matches),
+        Some(("rounds", matches)) => replay::rounds::run(matches),
         Some(("replay", matches)) => exit(replay::run(matches)?),
         _ => Ok(()),
     }
@@ -30,6 +31,7 @@
         .subcommand_required(true)
         .subcommand(generate::command())
         .subcommand(replay::command())
+        .subcommand(replay::rounds::command())
         .subcommand(Command::new("serve").about("Runs a whole system on loopback until Ctrl-C"))
 }
 
--- /dev/null
+++ b/azureway-dev/src/outcome/known_red.rs
@@ -0,0 +1,35 @@
+//! The shortfalls that KNOWN-RED.txt lists.
+
+use super::{Measure, Shortfall};
+
+/// The shortfalls of one trace that KNOWN-RED.txt lists.
+///
+/// An entry starts with a line `replay NAME: MEASURE...`; what follows it is for readers.
+#[derive(Clone, Debug, Default)]
+pub struct KnownRed {
+    measures: Vec<Measure>,
+}
+
+impl KnownRed {
+    /// Reads the entry of the trace `name`.
+    pub fn of(name: &str, text: &str) -> Self {
+        let head = format!("replay {name}:");
+        let lines = text.lines().filter_map(|l| l.strip_prefix(&head));
+        let words = lines.flat_map(str::split_whitespace);
+        Self {
+            measures: words.filter_map(Measure::parse).collect(),
+        }
+    }
+
+    /// Tells whether a shortfall is listed.
+    pub fn holds(&self, shortfall: &Shortfall) -> bool {
+        self.measures.contains(&shortfall.measure)
+    }
+
+    /// Returns the measures that are listed although the replay does not fall short of them.
+    pub fn mended(&self, shortfalls: &[Shortfall]) -> Vec<Measure> {
+        let red = |m: &Measure| shortfalls.iter().any(|s| s.measure == *m);
+        let measures = self.measures.iter().copied();
+        measures.filter(|m| !red(m)).collect()
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/outcome/measure.rs
@@ -0,0 +1,153 @@
+//! A measure that a bound can be stated for.
+
+use std::fmt;
+
+use crate::replay::Summary;
+
+/// A measure that a bound can be stated for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Measure {
+    /// The share of prompt tokens that were found in a cache.
+    Hit,
+    /// The prompt tokens that were computed while another engine held them.
+    Wasted,
+    /// The median time to first token of urgent work.
+    UrgentP50,
+    /// The 95th percentile of the time to first token of urgent work.
+    UrgentP95,
+    /// The 99th percentile of the time to first token of urgent work.
+    UrgentP99,
+    /// The median time to first token of drafting.
+    DraftingP50,
+    /// The 95th percentile of the time to first token of drafting.
+    DraftingP95,
+    /// The 99th percentile of the time to first token of drafting.
+    DraftingP99,
+    /// The 95th percentile of the time between tokens.
+    GapP95,
+    /// The share of urgent requests on time.
+    UrgentOnTime,
+    /// The share of drafting requests on time.
+    DraftingOnTime,
+    /// The share of the worth on time.
+    WorthOnTime,
+    /// The share of drafting in the tokens that were served.
+    DraftingKept,
+    /// The share on time of the account that asks for the most.
+    LargeOnTime,
+    /// The least share on time of a small account.
+    SmallOnTime,
+    /// The kilobytes across zones.
+    Crossed,
+    /// The retries.
+    Retries,
+    /// The refusals.
+    Refusals,
+    /// The engines that crashed by a request.
+    Poisoned,
+    /// The promises that were broken.
+    Promises,
+    /// The weighted loss of Smučarski Vosek.
+    VosekLoss,
+    /// The weighted loss of Corchos.
+    CorchosLoss,
+}
+
+/// A time that was never reached, in milliseconds.
+const NEVER: f64 = f64::INFINITY;
+
+impl Measure {
+    /// All measures.
+    pub const ALL: [Self; 22] = [
+        Self::Hit,
+        Self::Wasted,
+        Self::UrgentP50,
+        Self::UrgentP95,
+        Self::UrgentP99,
+        Self::DraftingP50,
+        Self::DraftingP95,
+        Self::DraftingP99,
+        Self::GapP95,
+        Self::UrgentOnTime,
+        Self::DraftingOnTime,
+        Self::WorthOnTime,
+        Self::DraftingKept,
+        Self::LargeOnTime,
+        Self::SmallOnTime,
+        Self::Crossed,
+        Self::Retries,
+        Self::Refusals,
+        Self::Poisoned,
+        Self::Promises,
+        Self::VosekLoss,
+        Self::CorchosLoss,
+    ];
+
+    /// Returns the measure that `text` names.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|m| m.as_str() == text)
+    }
+
+    /// Returns the name.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Hit => "hit",
+            Self::Wasted => "wasted",
+            Self::UrgentP50 => "urgent-p50",
+            Self::UrgentP95 => "urgent-p95",
+            Self::UrgentP99 => "urgent-p99",
+            Self::DraftingP50 => "drafting-p50",
+            Self::DraftingP95 => "drafting-p95",
+            Self::DraftingP99 => "drafting-p99",
+            Self::GapP95 => "gap-p95",
+            Self::UrgentOnTime => "urgent-on-time",
+            Self::DraftingOnTime => "drafting-on-time",
+            Self::WorthOnTime => "worth-on-time",
+            Self::DraftingKept => "drafting-kept",
+            Self::LargeOnTime => "large-on-time",
+            Self::SmallOnTime => "small-on-time",
+            Self::Crossed => "crossed",
+            Self::Retries => "retries",
+            Self::Refusals => "refusals",
+            Self::Poisoned => "poisoned",
+            Self::Promises => "promises",
+            Self::VosekLoss => "vosek-loss",
+            Self::CorchosLoss => "corchos-loss",
+        }
+    }
+
+    /// Returns the value in a replay.
+    pub fn value(self, summary: &Summary) -> f64 {
+        let time = |t: Option<u64>| t.map_or(NEVER, |t| t as f64);
+        match self {
+            Self::Hit => summary.hit,
+            Self::Wasted => summary.wasted as f64,
+            Self::UrgentP50 => time(summary.urgent[0]),
+            Self::UrgentP95 => time(summary.urgent[1]),
+            Self::UrgentP99 => time(summary.urgent[2]),
+            Self::DraftingP50 => time(summary.drafting[0]),
+            Self::DraftingP95 => time(summary.drafting[1]),
+            Self::DraftingP99 => time(summary.drafting[2]),
+            Self::GapP95 => summary.gap as f64,
+            Self::UrgentOnTime => summary.timely,
+            Self::DraftingOnTime => summary.drafted,
+            Self::WorthOnTime => summary.worth,
+            Self::DraftingKept => summary.kept,
+            Self::LargeOnTime => summary.largest,
+            Self::SmallOnTime => summary.smallest,
+            Self::Crossed => summary.crossed as f64,
+            Self::Retries => summary.retries as f64,
+            Self::Refusals => summary.refusals as f64,
+            Self::Poisoned => summary.poisoned as f64,
+            Self::Promises => summary.promises.broken() as f64,
+            Self::VosekLoss => summary.vosek,
+            Self::CorchosLoss => summary.corchos,
+        }
+    }
+}
+
+impl fmt::Display for Measure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/outcome/mod.rs
@@ -0,0 +1,17 @@
+//! Stated outcomes of a trace, and whether they hold.
+
+mod bound;
+mod known_red;
+mod limit;
+mod measure;
+mod outcomes;
+mod relation;
+mod shortfall;
+
+pub use bound::Bound;
+pub use known_red::KnownRed;
+pub use limit::Limit;
+pub use measure::Measure;
+pub use outcomes::Outcomes;
+pub use relation::Relation;
+pub use shortfall::Shortfall;
--- a/azureway-dev/src/replay/command.rs
+++ b/azureway-dev/src/replay/command.rs
@@ -1,68 +1,74 @@
 //! The subcommand that replays traces.
 
 use std::fs;
-use std::io::{IsTerminal, stderr};
+use std::path::Path;
 
 use anyhow::{Context, Result};
-use azureway_core::prelude::{LeastLoaded, Policy, PrefixHash, PrefixLoad, RoundRobin};
 use clap::{Arg, ArgMatches, Command};
 
-use super::{Player, Summary, Table};
+use super::{Report, compare};
+use crate::outcome::{KnownRed, Outcomes};
 use crate::trace::Trace;
 
-/// The records between two lines of progress.
-const PROGRESS: usize = 500;
-
 /// Returns the subcommand's arguments.
 pub fn command() -> Command {
     let output = Arg::new("output").long("output").default_value("text");
+    let known = Arg::new("known").long("known").value_name("FILE");
     Command::new("replay")
-        .about("Replays a trace under each policy and judges it by its stated outcomes")
-        .arg(Arg::new("FILE").required(true).help("The trace"))
-        .arg(output.value_parser(["text", "json"]))
+        .about("Replays traces under each policy and judges them by their stated outcomes")
+        .arg(
+            Arg::new("FILE")
+                .required(true)
+                .num_args(1..)
+                .help("The traces"),
+        )
+        .arg(output.value_parser(["text", "json", "verdict"]))
+        .arg(known.help("The list of shortfalls that do not fail the run"))
 }
 
-/// Replays a trace. Returns whether its stated outcomes hold.
+/// Replays traces. Returns whether their stated outcomes hold.
 ///
 /// # Errors
 ///
-/// Returns an error if the trace cannot be read.
+/// Returns an error if a file cannot be read.
 pub fn run(matches: &ArgMatches) -> Result<bool> {
-    let file: &String = matches.get_one("FILE").context("no file")?;
-    let text = fs::read_to_string(file).with_context(|| format!("read {file}"))?;
-    let trace: Trace = text.parse().with_context(|| format!("read {file}"))?;
-    let summaries = compare(&trace);
-    let output = matches.get_one::<String>("output");
-    if output.is_some_and(|o| o == "json") {
-        println!("{}", serde_json::to_string_pretty(&summaries)?);
-    } else {
-        print!(
-            "{file}, seed {}\n\n{}",
-            trace.header.seed,
-            Table::new(&summaries)
-        );
+    let known = match matches.get_one::<String>("known") {
+        Some(file) => fs::read_to_string(file).with_context(|| format!("read {file}"))?,
+        None => String::new(),
+    };
+    let output = matches.get_one::<String>("output").context("no output")?;
+    let mut well = true;
+    for file in matches.get_many::<String>("FILE").context("no file")? {
+        let report = judge(file, &known)?;
+        match output.as_str() {
+            "json" => println!("{}", report.json()?),
+            "verdict" => print!("{}", report.verdict()),
+            _ => print!("{report}{}", report.verdict()),
+        }
+        well &= report.is_well();
     }
-    Ok(true)
+    Ok(well)
 }
 
-/// Replays a trace under the product's policy and each baseline.
-pub(super) fn compare(trace: &Trace) -> Vec<Summary> {
-    vec![
-        play::<PrefixLoad>(trace),
-        play::<RoundRobin>(trace),
-        play::<LeastLoaded>(trace),
-        play::<PrefixHash>(trace),
-    ]
-}
-
-fn play<P: Policy + Default>(trace: &Trace) -> Summary {
-    let shown = stderr().is_terminal();
-    let all = trace.records.len();
-    let tell = |number: usize| {
-        if shown && number.is_multiple_of(PROGRESS) {
-            eprintln!("{}: record {number} of {all}", P::NAME);
-        }
-    };
-    let tally = Player::<P>::new(trace).play(tell);
-    Summary::new(P::NAME, &tally)
+/// Replays the trace in a file and holds it against the outcomes beside it.
+fn judge(file: &str, known: &str) -> Result<Report> {
+    let path = Path::new(file);
+    let name = path
+        .file_stem()
+        .map_or_else(String::new, |n| n.to_string_lossy().into_owned());
+    let text = fs::read_to_string(path).with_context(|| format!("read {file}"))?;
+    let trace: Trace = text.parse().with_context(|| format!("read {file}"))?;
+    let beside = path.with_extension("outcomes");
+    let stated = fs::read_to_string(&beside);
+    let stated = stated.with_context(|| format!("read {}", beside.display()))?;
+    let outcomes: Outcomes = stated.parse()?;
+    let summaries = compare(std::slice::from_ref(&trace));
+    Ok(Report {
+        shortfalls: outcomes.check(&summaries),
+        bounds: outcomes.len(),
+        known: KnownRed::of(&name, known),
+        seed: trace.header.seed,
+        name,
+        summaries,
+    })
 }
--- /dev/null
+++ b/azureway-dev/src/replay/contenders.rs
@@ -0,0 +1,42 @@
+//! The policies that a replay compares.
+
+use std::io::{IsTerminal, stderr};
+
+use azureway_core::prelude::{LeastLoaded, Policy, PrefixHash, PrefixLoad, RoundRobin};
+
+use super::{Player, Summary, Tally};
+use crate::trace::Trace;
+
+/// The records between two lines of progress.
+const PROGRESS: usize = 500;
+
+/// Replays traces under the product's policy, which comes first, and each baseline. The
+/// counts of all traces are added up.
+pub fn compare(traces: &[Trace]) -> Vec<Summary> {
+    vec![
+        summary::<PrefixLoad>(traces),
+        summary::<RoundRobin>(traces),
+        summary::<LeastLoaded>(traces),
+        summary::<PrefixHash>(traces),
+    ]
+}
+
+/// Replays a trace under a policy and shows how far it is.
+pub fn play<P: Policy + Default>(trace: &Trace) -> Tally {
+    let shown = stderr().is_terminal();
+    let all = trace.records.len();
+    let tell = |number: usize| {
+        if shown && number.is_multiple_of(PROGRESS) {
+            eprintln!("{}: record {number} of {all}", P::NAME);
+        }
+    };
+    Player::<P>::new(trace).play(tell)
+}
+
+fn summary<P: Policy + Default>(traces: &[Trace]) -> Summary {
+    let mut whole = Tally::new();
+    for trace in traces {
+        whole.merge(play::<P>(trace));
+    }
+    Summary::new(P::NAME, &whole)
+}
--- a/azureway-dev/src/replay/happening.rs
+++ b/azureway-dev/src/replay/happening.rs
@@ -1,5 +1,6 @@
 //! Something that happens in a replay.
 
+use azureway_core::claim::ClaimNews;
 use azureway_core::prelude::{
     Attempt, FailureKind, Finish, Incarnation, SendState, WeightsVersion,
 };
@@ -27,6 +28,8 @@
     Content(usize),
     /// An engine's news reaches the entry.
     Hear(Box<News>),
+    /// A call for a claim ends.
+    Claim(ClaimNews),
     /// An engine comes back from a crash.
     Return(usize),
     /// An engine's incarnation has loaded weights.
--- a/azureway-dev/src/replay/player.rs
+++ b/azureway-dev/src/replay/player.rs
@@ -82,6 +82,7 @@
             Happening::Tell(place) => self.collect(place),
             Happening::Content(place) => self.scene.tell(place, true),
             Happening::Hear(news) => self.hear(&news),
+            Happening::Claim(news) => self.tell_core(Event::Claim(&news)),
             Happening::Return(place) => self.scene.engines.at_mut(place).up = true,
             Happening::Loaded(place, incarnation, weights) => {
                 let engine = self.scene.engines.at_mut(place);
@@ -153,8 +154,8 @@
             Incident::Restart => self.restart(),
             Incident::Cut(zone) => self.scene.cut(&ZoneId::new(zone)),
             Incident::Heal(zone) => self.scene.links.heal(&ZoneId::new(zone)),
-            // The core asks nothing of the platform while it holds a configuration.
-            Incident::PlatformDown | Incident::PlatformUp => {}
+            Incident::PlatformDown => self.scene.away = true,
+            Incident::PlatformUp => self.scene.away = false,
         }
     }
 
@@ -253,8 +254,9 @@
                     self.scene.engines.at_mut(flight.engine).cancel(attempt);
                 }
             }
-            // The traces carry no keys, so nothing is claimed.
-            Action::Claim(_) | Action::Repeat(..) => {}
+            Action::Claim(call) => self.scene.claim(&call),
+            // No request of a trace is sent again with its key.
+            Action::Repeat(..) => {}
             Action::Resync(server) => {
                 if let Some(place) = self.scene.engines.place(server.as_str()) {
                     let delay = self.scene.delay(place);
--- a/azureway-dev/src/replay/promises.rs
+++ b/azureway-dev/src/replay/promises.rs
@@ -20,6 +20,16 @@
 }
 
 impl Promises {
+    /// Adds the counts of another replay.
+    pub const fn merge(&mut self, other: &Self) {
+        self.doubled += other.doubled;
+        self.untrue += other.untrue;
+        self.holes += other.holes;
+        self.unanswered += other.unanswered;
+        self.mixed += other.mixed;
+        self.leaving += other.leaving;
+    }
+
     /// Returns the sum of the counts.
     pub const fn broken(&self) -> u64 {
         self.doubled + self.untrue + self.holes + self.unanswered + self.mixed + self.leaving
--- a/azureway-dev/src/replay/requests.rs
+++ b/azureway-dev/src/replay/requests.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use azureway_core::prelude::{
-    AccountId, BlockChain, Deadline, Dispatch, Fingerprint, Request, RequestId, Salt, Timestamp,
-    TokenCount, WeightsVersion, Worth,
+    AccountId, BlockChain, Deadline, Dispatch, Fingerprint, IdempotencyKey, Request, RequestId,
+    RequestKind, Salt, Timestamp, TokenCount, WeightsVersion, Worth,
 };
 
 use super::{Owner, Task};
@@ -35,6 +35,7 @@
         let chain = self.chain(ask, sequence);
         self.chains.insert(sequence, chain.clone());
         let own = own_name(ask, sequence);
+        let once = ask.kind.calls() == RequestKind::AtMostOnce;
         Request {
             id: RequestId::new(epoch, sequence),
             account: AccountId::new(&ask.account),
@@ -48,7 +49,7 @@
             fingerprint: Fingerprint::of(&ask.account, ask.kind.as_str(), own.as_bytes()),
             chain,
             output: TokenCount::new(ask.output),
-            key: None,
+            key: once.then(|| IdempotencyKey::new(&own)),
         }
     }
 
--- /dev/null
+++ b/azureway-dev/src/replay/rounds.rs
@@ -0,0 +1,42 @@
+//! The subcommand that compares the policies over many seeds.
+
+use anyhow::{Context, Result};
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use super::{Table, compare};
+use crate::generate::{Case, Generator};
+use crate::trace::Trace;
+
+/// The seed before the first one of a comparison; committed traces have smaller ones.
+const BASE_SEED: u64 = 1_000;
+
+/// Returns the subcommand's arguments.
+pub fn command() -> Command {
+    let seeds = Arg::new("seeds").long("seeds").default_value("10");
+    let names = Case::ALL.map(Case::as_str);
+    Command::new("rounds")
+        .about("Compares the policies over many generated traces of each case")
+        .arg(seeds.value_parser(value_parser!(u64)))
+        .arg(Arg::new("case").long("case").value_parser(names))
+}
+
+/// Prints a table for each case.
+///
+/// # Errors
+///
+/// Returns an error if the number of seeds is missing.
+pub fn run(matches: &ArgMatches) -> Result<()> {
+    let seeds: u64 = *matches.get_one("seeds").context("no seeds")?;
+    let one = matches.get_one::<String>("case");
+    let chosen = |case: &Case| one.is_none_or(|o| o == case.as_str());
+    for case in Case::ALL.into_iter().filter(chosen) {
+        let range = BASE_SEED + 1..=BASE_SEED + seeds;
+        let traces: Vec<Trace> = range
+            .clone()
+            .map(|seed| Generator::new(case, seed).generate())
+            .collect();
+        println!("{case}, seeds {} to {}", range.start(), range.end());
+        println!("{}", Table::new(&compare(&traces)));
+    }
+    Ok(())
+}
--- a/azureway-dev/src/replay/story.rs
+++ b/azureway-dev/src/replay/story.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azureway_core::prelude::{Rank, Refusal, Timestamp};
+use azureway_core::prelude::{Rank, Refusal, RefusalReason, Timestamp};
 
 use super::Links;
 use crate::trace::{Ask, WorkKind};
@@ -91,6 +91,13 @@
         self.finished && self.first.is_some_and(|t| t <= self.patience)
     }
 
+    /// Tells whether the request was refused, truly, since the platform could not be asked
+    /// whether it has run before. No policy can serve such a request.
+    pub fn is_unclaimed(&self) -> bool {
+        let refused = self.refused.as_ref();
+        refused.is_some_and(|r| r.not_run && r.reason == RefusalReason::ClaimUnavailable)
+    }
+
     /// Tells whether the request got an answer or a refusal.
     pub const fn is_answered(&self) -> bool {
         self.finished || self.refused.is_some() || self.dropped
--- a/azureway-dev/src/replay/summary.rs
+++ b/azureway-dev/src/replay/summary.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::Rank;
 use serde::Serialize;
 
-use super::{Promises, Story, Tally};
+use super::{Loss, Promises, Story, Tally};
 
 /// The measures of a replay. Shares are in percent, and times in milliseconds; a time that
 /// is `None` was never reached, since the request of that place got no token.
@@ -50,6 +50,10 @@
     pub poisoned: u64,
     /// The promises that were broken.
     pub promises: Promises,
+    /// The weighted loss of Smučarski Vosek.
+    pub vosek: f64,
+    /// The weighted loss of Corchos.
+    pub corchos: f64,
 }
 
 /// The whole, in percent.
@@ -66,7 +70,7 @@
         let of_rank = |rank| stories.iter().copied().filter(move |s| s.rank() == rank);
         let all = || stories.iter().copied();
         let (largest, smallest) = accounts(&stories);
-        Self {
+        let mut summary = Self {
             policy,
             requests: stories.len() as u64,
             hit: share(tally.cached, tally.prompt),
@@ -86,7 +90,12 @@
             refusals: all().filter(|s| s.refused.is_some()).count() as u64,
             poisoned: tally.poisoned,
             promises: tally.promises,
-        }
+            vosek: 0.0,
+            corchos: 0.0,
+        };
+        summary.vosek = Loss::new(&summary).vosek();
+        summary.corchos = Loss::new(&summary).corchos();
+        summary
     }
 }
 
@@ -109,10 +118,12 @@
     share(good, all)
 }
 
-/// Returns the percentiles of the time to first token; a request without one counts as worst.
+/// Returns the percentiles of the time to first token; a request without one counts as worst,
+/// unless the platform's absence alone kept it from being run.
 fn first_tokens<'a>(stories: impl Iterator<Item = &'a Story>) -> [Option<u64>; 3] {
     let millis = |t: Duration| u64::try_from(t.as_millis()).unwrap_or(u64::MAX);
-    let mut times: Vec<u64> = stories.map(|s| s.first.map_or(u64::MAX, millis)).collect();
+    let able = stories.filter(|s| !s.is_unclaimed());
+    let mut times: Vec<u64> = able.map(|s| s.first.map_or(u64::MAX, millis)).collect();
     times.sort_unstable();
     PERCENTILES.map(|p| percentile(&times, p).filter(|t| *t < u64::MAX))
 }
--- a/azureway-dev/src/replay/table.rs
+++ b/azureway-dev/src/replay/table.rs
@@ -76,7 +76,9 @@
         self.row(f, "engines crashed by a request", |s| {
             s.poisoned.to_string()
         })?;
-        self.row(f, "promises broken", |s| s.promises.broken().to_string())
+        self.row(f, "promises broken", |s| s.promises.broken().to_string())?;
+        self.row(f, "loss Smučarski Vosek", |s| percent(s.vosek))?;
+        self.row(f, "loss Corchos", |s| percent(s.corchos))
     }
 }
 
--- a/azureway-dev/src/replay/tally.rs
+++ b/azureway-dev/src/replay/tally.rs
@@ -31,6 +31,24 @@
         Self::default()
     }
 
+    /// Adds the counts of another replay.
+    pub fn merge(&mut self, other: Self) {
+        let first = self
+            .stories
+            .last_key_value()
+            .map_or(0, |(last, _)| last + 1);
+        let stories = other.stories.into_iter();
+        self.stories
+            .extend(stories.map(|(number, s)| (first + number, s)));
+        self.promises.merge(&other.promises);
+        self.prompt += other.prompt;
+        self.cached += other.cached;
+        self.wasted += other.wasted;
+        self.crossed += other.crossed;
+        self.poisoned += other.poisoned;
+        self.lost += other.lost;
+    }
+
     /// Returns what became of a request.
     pub fn story(&mut self, sequence: u64) -> Option<&mut Story> {
         self.stories.get_mut(&sequence)
--- /dev/null
+++ b/azureway-dev/tests/outcome.rs
@@ -0,0 +1,98 @@
+//! Stated outcomes and what falls short of them.
+
+use azureway_core::prelude::{LeastLoaded, Policy, PrefixHash, RoundRobin};
+use azureway_dev::outcome::{KnownRed, Outcomes};
+use azureway_dev::replay::{Promises, Summary, Tally};
+use googletest::prelude::*;
+
+/// A product that is better than one baseline and worse than another.
+fn summaries() -> Vec<Summary> {
+    let summary = |policy, hit, retries| Summary {
+        hit,
+        retries,
+        ..Summary::new(policy, &Tally::new())
+    };
+    vec![
+        summary("product", 50.0, 3),
+        summary(RoundRobin::NAME, 40.0, 3),
+        summary(PrefixHash::NAME, 60.0, 4),
+    ]
+}
+
+#[gtest]
+fn a_bound_is_held_against_numbers_baselines_and_measures() {
+    let cases: [(&str, &[&str]); 6] = [
+        ("hit >= 50", &[]),
+        ("hit >= 50.5", &["hit is 50.0, not >= 50.5 (the bound)"]),
+        (
+            "hit >= baselines",
+            &["hit is 50.0, not >= 60.0 (prefix-hash)"],
+        ),
+        ("retries <= baselines", &[]),
+        (
+            "retries < baselines",
+            &["retries is 3.0, not < 3.0 (round-robin)"],
+        ),
+        (
+            "hit <= retries # reason",
+            &["hit is 50.0, not <= 3.0 (retries)"],
+        ),
+    ];
+    for (stated, short) in cases {
+        let outcomes: Outcomes = stated.parse().expect(stated);
+        let found = outcomes.check(&summaries());
+        let found: Vec<String> = found.iter().map(ToString::to_string).collect();
+        expect_that!(found, eq(short), "{stated}");
+    }
+}
+
+#[gtest]
+fn a_line_that_is_no_bound_is_a_fault() {
+    for stated in ["hit", "hit >= often", "luck >= 1", "hit = 1", "hit >= 1 2"] {
+        let outcomes: anyhow::Result<Outcomes> = stated.parse();
+        expect_that!(outcomes.is_err(), eq(true), "{stated}");
+    }
+}
+
+#[gtest]
+fn only_listed_shortfalls_of_the_same_trace_are_known() {
+    let listed = "replay crash: hit wasted\n  seen: hit 50\nreplay cut: retries\n";
+    let outcomes: Outcomes = "hit >= 51\nretries < 3".parse().expect("bounds");
+    let short = outcomes.check(&summaries());
+    let known = KnownRed::of("crash", listed);
+    expect_that!(
+        short.iter().map(|s| known.holds(s)).collect::<Vec<_>>(),
+        eq(&vec![true, false])
+    );
+    let mended: Vec<String> = known
+        .mended(&short)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    expect_that!(mended, eq(&vec!["wasted".to_owned()]));
+}
+
+#[gtest]
+fn every_broken_promise_counts() {
+    let mut all = Promises {
+        doubled: 1,
+        untrue: 1,
+        holes: 1,
+        unanswered: 1,
+        mixed: 1,
+        leaving: 1,
+    };
+    expect_that!(all.broken(), eq(6));
+    all.merge(&all.clone());
+    expect_that!(all.broken(), eq(12));
+}
+
+#[gtest]
+fn a_request_that_got_no_token_is_the_slowest() {
+    let text = "seed 1\nzones a\nengines 1\naccounts x\nblocks 4\nlink 1\nlevel h 100\n0 crash a-engine-1 900000\n1 ask x advice 1 1000 5 h 10\n";
+    let trace = text.parse().expect("a trace");
+    let tally = azureway_dev::replay::play::<LeastLoaded>(&trace);
+    let summary = Summary::new("p", &tally);
+    expect_that!(summary.urgent, eq([None, None, None]));
+    expect_that!(summary.refusals, eq(1));
+}
