Print the entries of KNOWN-RED.txt, and give the platform's model its own file

Cause: a change of policy moves many measures, and the list of what is red had to be written by hand.

--- a/azureway-dev/src/replay/command.rs
+++ b/azureway-dev/src/replay/command.rs
@@ -22,7 +22,7 @@
                 .num_args(1..)
                 .help("The traces"),
         )
-        .arg(output.value_parser(["text", "json", "verdict"]))
+        .arg(output.value_parser(["text", "json", "verdict", "known"]))
         .arg(known.help("The list of shortfalls that do not fail the run"))
 }
 
@@ -42,6 +42,7 @@
         let report = judge(file, &known)?;
         match output.as_str() {
             "json" => println!("{}", report.json()?),
+            "known" => print!("{}", report.entry()),
             "verdict" => print!("{}", report.verdict()),
             _ => print!("{report}{}", report.verdict()),
         }
--- a/azureway-dev/src/replay/player.rs
+++ b/azureway-dev/src/replay/player.rs
@@ -154,8 +154,8 @@
             Incident::Restart => self.restart(),
             Incident::Cut(zone) => self.scene.cut(&ZoneId::new(zone)),
             Incident::Heal(zone) => self.scene.links.heal(&ZoneId::new(zone)),
-            Incident::PlatformDown => self.scene.away = true,
-            Incident::PlatformUp => self.scene.away = false,
+            Incident::PlatformDown => self.scene.platform.away = true,
+            Incident::PlatformUp => self.scene.platform.away = false,
         }
     }
 
@@ -254,7 +254,10 @@
                     self.scene.engines.at_mut(flight.engine).cancel(attempt);
                 }
             }
-            Action::Claim(call) => self.scene.claim(&call),
+            Action::Claim(call) => {
+                let (time, news) = self.scene.platform.answer(&call);
+                self.scene.after(time, Happening::Claim(news));
+            }
             // No request of a trace is sent again with its key.
             Action::Repeat(..) => {}
             Action::Resync(server) => {
--- a/azureway-dev/src/replay/report.rs
+++ b/azureway-dev/src/replay/report.rs
@@ -53,6 +53,29 @@
         text
     }
 
+    /// Returns the entry for KNOWN-RED.txt, or nothing if the outcomes hold.
+    pub fn entry(&self) -> String {
+        let mut worst: Vec<&Shortfall> = Vec::new();
+        for shortfall in &self.shortfalls {
+            if worst.iter().all(|w| w.measure != shortfall.measure) {
+                worst.push(shortfall);
+            }
+        }
+        if worst.is_empty() {
+            return String::new();
+        }
+        let measures: Vec<&str> = worst.iter().map(|s| s.measure.as_str()).collect();
+        let seen: Vec<String> = worst.iter().map(ToString::to_string).collect();
+        let Self { name, seed, .. } = self;
+        format!(
+            "replay {name}: {}\n  \
+             command: cargo run --release -p azureway-dev -- replay testdata/traces/{name}.trace\n  \
+             seed: {seed}; issue: 6\n  seen: {}\n\n",
+            measures.join(" "),
+            seen.join("; ")
+        )
+    }
+
     /// Returns everything in JSON.
     ///
     /// # Errors
--- a/azureway-dev/src/replay/scene.rs
+++ b/azureway-dev/src/replay/scene.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use azureway_core::claim::{ClaimCall, ClaimNews};
 use azureway_core::prelude::{
     Attempt, Dispatch, FailureKind, Finish, Incarnation, RequestId, RequestKind, SendState,
     Timestamp, TokenCount, WeightsVersion, ZoneId,
@@ -11,7 +10,8 @@
 use fastrand::Rng;
 
 use super::{
-    Agenda, Cargo, Engines, FlightView, Happening, Links, News, Owner, Progress, Tally, Task,
+    Agenda, Cargo, Engines, FlightView, Happening, Links, News, Owner, PlatformModel, Progress,
+    Tally, Task,
 };
 use crate::trace::Header;
 
@@ -30,18 +30,14 @@
     pub flights: BTreeMap<RequestId, FlightView>,
     /// What is counted.
     pub tally: Tally,
-    /// Whether the platform does not answer.
-    pub away: bool,
+    /// The platform.
+    pub platform: PlatformModel,
     lags: Vec<Duration>,
     rng: Rng,
 }
 
 /// The bytes of a token on a link.
 const TOKEN_BYTES: u64 = 4;
-/// The time in which the platform answers.
-const PLATFORM_TIME: Duration = Duration::from_millis(4);
-/// The time after which a call of the platform is given up.
-const PLATFORM_LIMIT: Duration = Duration::from_secs(1);
 /// The time that a crashed engine stays away after a request crashed it.
 const RESTART: Duration = Duration::from_secs(5);
 /// The least time by which an engine's news is late.
@@ -68,7 +64,7 @@
             links: Links::new(ZoneId::new(home), Duration::from_micros(header.link)),
             flights: BTreeMap::new(),
             tally: Tally::new(),
-            away: false,
+            platform: PlatformModel::new(),
             lags,
             rng,
         }
@@ -193,17 +189,6 @@
         self.after(time, Happening::Loaded(place, incarnation, weights));
     }
 
-    /// Makes a call for a claim at the platform.
-    pub fn claim(&mut self, call: &ClaimCall) {
-        let id = call.id();
-        let (time, news) = match call {
-            ClaimCall::Ask(_) if self.away => (PLATFORM_LIMIT, ClaimNews::Unavailable(id)),
-            ClaimCall::Ask(_) => (PLATFORM_TIME, ClaimNews::Granted(id, 1)),
-            ClaimCall::Finish(_) | ClaimCall::Release(_) => (PLATFORM_TIME, ClaimNews::Settled(id)),
-        };
-        self.after(time, Happening::Claim(news));
-    }
-
     /// Cuts a zone off: the connections to it go silent.
     pub fn cut(&mut self, zone: &ZoneId) {
         self.links.cut(zone.clone());
