--- a/azureway-dev/tests/outcome.rs
+++ b/azureway-dev/tests/outcome.rs
@@ -21,7 +21,7 @@
 
 #[gtest]
 fn a_bound_is_held_against_numbers_baselines_and_measures() {
-    let cases: [(&str, &[&str]); 6] = [
+    let cases: [(&str, &[&str]); 8] = [
         ("hit >= 50", &[]),
         ("hit >= 50.5", &["hit is 50.0, not >= 50.5 (the bound)"]),
         (
@@ -48,7 +48,14 @@
 
 #[gtest]
 fn a_line_that_is_no_bound_is_a_fault() {
-    for stated in ["hit", "hit >= often", "luck >= 1", "hit = 1", "hit >= 1 2"] {
+    for stated in [
+        "hit",
+        "hit >= often",
+        "luck >= 1",
+        "hit = 1",
+        "hit >= 1 2",
+        "hit >= 1 or",
+    ] {
         let outcomes: anyhow::Result<Outcomes> = stated.parse();
         expect_that!(outcomes.is_err(), eq(true), "{stated}");
     }
