--- a/azureway-dev/tests/outcome.rs
+++ b/azureway-dev/tests/outcome.rs
@@ -33,6 +33,11 @@
             "retries < baselines",
             &["retries is 3.0, not < 3.0 (round-robin)"],
         ),
+        ("hit >= 51 or 50", &[]),
+        (
+            "hit >= 51 or 50.5",
+            &["hit is 50.0, not >= 51.0 (the bound)"],
+        ),
         (
             "hit <= retries # reason",
             &["hit is 50.0, not <= 3.0 (retries)"],
