--- a/azureway-dev/src/outcome/bound.rs
+++ b/azureway-dev/src/outcome/bound.rs
@@ -4,6 +4,8 @@
 use crate::replay::Summary;
 
 /// One stated outcome: a measure and what it is held against.
+///
+/// A bound with a number after `or` holds as well if the measure keeps to the number.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
     /// The measure.
@@ -12,18 +14,24 @@
     pub relation: Relation,
     /// The limit.
     pub limit: Limit,
+    /// The number that is enough as well.
+    pub enough: Option<f64>,
 }
 
 impl Bound {
     /// Reads a bound from its words.
     pub fn parse(words: &[&str]) -> Option<Self> {
-        let &[measure, relation, limit] = words else {
-            return None;
+        let (&[measure, relation, limit], rest) = words.split_first_chunk()?;
+        let enough = match rest {
+            [] => None,
+            ["or", number] => Some(number.parse().ok()?),
+            _ => return None,
         };
         Some(Self {
             measure: Measure::parse(measure)?,
             relation: Relation::parse(relation)?,
             limit: Limit::parse(limit)?,
+            enough,
         })
     }
 
@@ -44,7 +52,8 @@
 
     fn hold(&self, product: &Summary, limit: f64, against: &'static str) -> Vec<Shortfall> {
         let value = self.measure.value(product);
-        if self.relation.holds(value, limit) {
+        let kept = |limit: f64| self.relation.holds(value, limit);
+        if kept(limit) || self.enough.is_some_and(kept) {
             return Vec::new();
         }
         vec![Shortfall {
