Measure service, prompts, rings and control by the field's names

The metrics lacked the time between tokens, recomputed tokens, queue time, ring depth and wait, client accounts and the processor time of duties; refusals of the admitting duty were not counted, failed tries were logged without their server, and a bad document was logged over many lines.

--- a/azureway-entry/src/admit/admitter.rs
+++ b/azureway-entry/src/admit/admitter.rs
@@ -8,12 +8,14 @@
 use super::{AdmitNote, Admitted, Call, CallReader};
 use crate::caller::Outcome;
 use crate::decide::DecideNote;
+use crate::meter::Measure;
 
 /// The admitting duty: tells who asks for what and derives the blocks of the prompt.
 #[derive(Debug)]
 pub struct Admitter {
     notes: Receiver<AdmitNote>,
     decide: Sender<DecideNote>,
+    meter: Sender<Measure>,
     fleet: Arc<Fleet>,
     entry: u64,
     sequence: u64,
@@ -21,10 +23,16 @@
 
 impl Admitter {
     /// Creates the duty. `entry` marks the identities of this process's requests.
-    pub fn new(notes: Receiver<AdmitNote>, decide: Sender<DecideNote>, entry: u64) -> Self {
+    pub fn new(
+        notes: Receiver<AdmitNote>,
+        decide: Sender<DecideNote>,
+        meter: Sender<Measure>,
+        entry: u64,
+    ) -> Self {
         Self {
             notes,
             decide,
+            meter,
             fleet: Arc::new(Fleet::new()),
             entry,
             sequence: 0,
@@ -63,6 +71,7 @@
             }
             Err(refusal) => {
                 log::info!(request:% = id, step = "admit", code = refusal.reason.code(); "refused");
+                let _ = self.meter.try_send(Measure::Refused(refusal.reason));
                 let _ = call.outcome.try_send(Outcome::Refused(id, refusal));
             }
         }
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -58,10 +58,11 @@
         let api = HttpObjects::new(settings.platform);
         let calls = api.calls().clone();
         claim(&api, &rings, mark)?;
+        let views = rings.views();
         let decider = decider(settings, &rings);
-        let admitter = Admitter::new(rings.admit_notes, rings.decide.clone(), mark);
+        let admitter = Admitter::new(rings.admit_notes, rings.decide.clone(), rings.meter, mark);
         let watcher = Watcher::new(api, rings.admit, rings.decide.clone(), rings.halt, mark);
-        let meter = Meter::new(rings.measures, calls);
+        let meter = Meter::new(rings.measures, views, calls);
         let threads = vec![
             spawn("decide", move || decider.run())?,
             spawn("accept", move || listener.run())?,
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -10,7 +10,7 @@
 use crate::claim::ClaimRings;
 use crate::clock::Clock;
 use crate::decide::DecideNote;
-use crate::meter::Measure;
+use crate::meter::{Measure, RingViews};
 
 /// Both ends of every ring between the duties, and what the duties share.
 #[derive(Debug)]
@@ -75,6 +75,14 @@
         }
     }
 
+    /// Returns how full the rings are, for the measuring duty.
+    pub fn views(&self) -> RingViews {
+        RingViews {
+            admit: self.admit.downgrade(),
+            decide: self.decide.downgrade(),
+        }
+    }
+
     /// Returns what a connection reaches.
     pub fn doors(&self) -> Doors {
         Doors {
--- a/azureway-entry/src/decide/caller.rs
+++ b/azureway-entry/src/decide/caller.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{Rank, Timestamp, TokenCount};
+use azureway_core::prelude::{AccountId, Finish, Rank, ServerId, Timestamp, TokenCount};
 use flume::Sender;
 
 use crate::admit::Errand;
 use crate::caller::Outcome;
+use crate::meter::Served;
 
 /// What the deciding duty keeps of a caller: bytes and rings, which the core never sees.
 #[derive(Clone, Debug)]
@@ -21,6 +22,32 @@
     pub arrived: Timestamp,
     /// The tokens of the prompt.
     pub prompt: TokenCount,
-    /// Whether a token has come.
-    pub begun: bool,
+    /// The client account.
+    pub account: AccountId,
+    /// The prompt tokens that the server of the last try was believed to hold.
+    pub believed: TokenCount,
+    /// The server of the last try.
+    pub server: Option<ServerId>,
+    /// When the first token came.
+    pub first: Option<Timestamp>,
+}
+
+impl Caller {
+    /// Returns the name of the server of the last try, for logs.
+    pub fn peer(&self) -> &str {
+        self.server.as_ref().map_or("", ServerId::as_str)
+    }
+
+    /// Returns the measure of a whole answer that ended at `now`.
+    pub fn served(self, finish: &Finish, now: Timestamp) -> Served {
+        Served {
+            account: self.account,
+            rank: self.rank,
+            prompt: self.prompt,
+            cached: finish.cached,
+            believed: self.believed,
+            output: finish.output,
+            streaming: now.since(self.first.unwrap_or(now)),
+        }
+    }
 }
--- a/azureway-entry/src/decide/callers.rs
+++ b/azureway-entry/src/decide/callers.rs
@@ -3,7 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use azureway_core::prelude::{Attempt, Refusal, RequestId, ShortAnswer, StreamPosition};
+use azureway_core::prelude::{
+    Attempt, Refusal, RequestId, ShortAnswer, StreamPosition, TokenCount,
+};
 
 use super::Caller;
 use crate::admit::Admitted;
@@ -34,7 +36,10 @@
             rank: request.rank,
             arrived: request.arrived,
             prompt: request.chain.tokens(),
-            begun: false,
+            account: request.account,
+            believed: TokenCount::ZERO,
+            server: None,
+            first: None,
         };
         self.callers.insert(request.id, caller);
     }
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -90,6 +90,8 @@
         match note {
             DecideNote::Arrived(admitted) => {
                 let request = admitted.request.clone();
+                let wait = self.clock.now().since(request.arrived);
+                self.measure(Measure::Crossed(wait));
                 self.callers.insert(*admitted);
                 self.tell(Event::Arrived(&request));
             }
@@ -108,7 +110,9 @@
             }
             DecideNote::Claim(news) => self.tell(Event::Claim(&news)),
             DecideNote::Failed(failure) => {
-                log::warn!(request:% = failure.attempt.id, step = "relay", kind:? = failure.kind; "a try failed");
+                let caller = self.callers.get_mut(failure.attempt.id);
+                let peer = caller.as_ref().map_or("", |c| c.peer());
+                log::warn!(request:% = failure.attempt.id, step = "relay", peer = peer, kind:? = failure.kind; "a try failed");
                 self.tell(Event::Failed(&failure));
             }
             DecideNote::Load(report) => self.tell(Event::Load(&report)),
@@ -171,33 +175,52 @@
     fn dispatch(&mut self, order: Dispatch) {
         let id = order.attempt.id;
         log::debug!(request:% = id, step = "dispatch", peer:% = order.server; "sent");
-        if order.attempt.number > 1 {
-            self.measure(Measure::Retried);
-        }
+        let now = self.clock.now();
         let Some(caller) = self.callers.get_mut(id) else {
             return;
         };
+        caller.believed = order.cached;
+        caller.server = Some(order.server.clone());
+        let measure = match order.attempt.number {
+            1 => Measure::Sent(caller.rank, now.since(caller.arrived)),
+            _ => Measure::Retried,
+        };
         let (attempt, position) = (order.attempt, order.position);
         let pieces = self.launcher.launch(order, Arc::clone(&caller.errand));
         let _ = caller
             .outcome
             .try_send(Outcome::Attached(attempt, position, pieces));
+        self.measure(measure);
     }
 
     fn note_start(&mut self, attempt: Attempt) {
         let now = self.clock.now();
-        let Some(caller) = self.callers.get_mut(attempt.id).filter(|c| !c.begun) else {
+        let Some(caller) = self
+            .callers
+            .get_mut(attempt.id)
+            .filter(|c| c.first.is_none())
+        else {
             return;
         };
-        caller.begun = true;
+        caller.first = Some(now);
         let measure = Measure::Started(caller.rank, now.since(caller.arrived));
         self.measure(measure);
     }
 
     fn note_finish(&mut self, finish: &Finish) {
-        if let Some(caller) = self.callers.remove(finish.attempt.id) {
-            self.measure(Measure::Finished(caller.rank, caller.prompt, finish.cached));
-        }
+        let id = finish.attempt.id;
+        let Some(caller) = self.callers.remove(id) else {
+            return;
+        };
+        log::info!(
+            request:% = id, step = "finish", peer = caller.peer(), account:% = caller.account,
+            rank = caller.rank.as_str(), tries = finish.attempt.number,
+            prompt = caller.prompt.get(), cached = finish.cached.get(),
+            output = finish.output.get();
+            "answered"
+        );
+        let served = caller.served(finish, self.clock.now());
+        self.measure(Measure::Finished(Box::new(served)));
     }
 
     /// Passes a measure on. One that finds the ring full is lost: decisions do not wait.
--- /dev/null
+++ b/azureway-entry/src/meter/account_label.rs
@@ -0,0 +1,26 @@
+//! The label of a client account.
+
+use azureway_core::prelude::AccountId;
+use prometheus_client::encoding::EncodeLabelSet;
+
+/// The label of a client account.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AccountLabel {
+    /// The name of the account, or `other`.
+    pub account: String,
+}
+
+impl AccountLabel {
+    /// Creates the label that accounts beyond the bound share.
+    pub fn other() -> Self {
+        let account = "other".to_owned();
+        Self { account }
+    }
+}
+
+impl From<&AccountId> for AccountLabel {
+    fn from(id: &AccountId) -> Self {
+        let account = id.as_str().to_owned();
+        Self { account }
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/meter/duty_costs.rs
@@ -0,0 +1,47 @@
+//! What the duties cost.
+
+use std::fs;
+
+/// The processor time of the process's duties, as the kernel counts it by thread.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DutyCosts;
+
+/// The duties whose threads last as long as the daemon.
+const DUTIES: [&str; 8] = [
+    "accept", "admit", "admin", "claim", "decide", "hear", "meter", "watch",
+];
+/// Where the kernel lists the threads of this process.
+const THREADS: &str = "/proc/self/task";
+/// The ticks in which the kernel counts processor time, a second.
+const TICKS: f64 = 100.0;
+/// The place of the time in user mode after the thread's name in its status line.
+const USER_PLACE: usize = 11;
+
+impl DutyCosts {
+    /// Returns the processor time of each duty so far, in seconds.
+    pub fn read() -> Vec<(&'static str, f64)> {
+        let mut costs: Vec<_> = DUTIES.iter().map(|duty| (*duty, 0.0)).collect();
+        let threads = fs::read_dir(THREADS).into_iter().flatten().flatten();
+        for thread in threads {
+            // A thread that has just ended has no status any more.
+            let status = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            if let Some((name, time)) = parse(&status)
+                && let Some(cost) = costs.iter_mut().find(|(duty, _)| *duty == name)
+            {
+                cost.1 += time;
+            }
+        }
+        costs
+    }
+}
+
+/// Returns the name of a thread and its processor time in seconds.
+fn parse(status: &str) -> Option<(&str, f64)> {
+    let (name, rest) = status.split_once('(')?.1.rsplit_once(')')?;
+    let mut times = rest
+        .split_whitespace()
+        .skip(USER_PLACE)
+        .map(str::parse::<u32>);
+    let (user, system) = (times.next()?.ok()?, times.next()?.ok()?);
+    Some((name, f64::from(user + system) / TICKS))
+}
--- a/azureway-entry/src/meter/measure.rs
+++ b/azureway-entry/src/meter/measure.rs
@@ -2,16 +2,22 @@
 
 use std::time::Duration;
 
-use azureway_core::prelude::{Attempt, ConfigVersion, Rank, RefusalReason, TokenCount};
+use azureway_core::prelude::{Attempt, ConfigVersion, Rank, RefusalReason};
 use flume::Sender;
 
+use super::Served;
+
 /// What the measuring duty is told.
 #[derive(Clone, Debug)]
 pub enum Measure {
+    /// A request took this time through the rings to its decision.
+    Crossed(Duration),
+    /// A request was sent to a backend server for the first time, this time after its arrival.
+    Sent(Rank, Duration),
     /// The first token of an answer came after this time.
     Started(Rank, Duration),
-    /// An answer is complete: its prompt tokens, and those of them that were cached.
-    Finished(Rank, TokenCount, TokenCount),
+    /// An answer is complete.
+    Finished(Box<Served>),
     /// A request was refused.
     Refused(RefusalReason),
     /// A request was tried again.
--- a/azureway-entry/src/watch/watcher.rs
+++ b/azureway-entry/src/watch/watcher.rs
@@ -33,6 +33,9 @@
 /// The longest wait after a failure: half of the time in which a change is in force.
 const BACKOFF_CAP: Duration = Duration::from_secs(5);
 
+/// The faults of a bad document that are logged, each on a line of its own.
+const FAULTS_LOGGED: usize = 20;
+
 impl<A: ObjectApi> Watcher<A> {
     /// Creates the duty. `seed` spreads the retries of instances that fail together.
     pub fn new(
@@ -119,7 +122,10 @@
         let version = ConfigVersion::new(object.version);
         self.gate.reject(version);
         let (count, kept) = (faults.as_slice().len(), self.gate.accepted());
-        log::error!(step = "read document", version:% = version, kept:% = kept, count = count; "{faults}");
+        log::error!(step = "read document", version:% = version, kept:% = kept, count = count; "the document is bad");
+        for fault in faults.as_slice().iter().take(FAULTS_LOGGED) {
+            log::error!(step = "read document", version:% = version; "{fault}");
+        }
         let _ = self.decide.send(DecideNote::Rejected(version));
         if kept == ConfigVersion::ZERO {
             self.step_back(object);
--- /dev/null
+++ b/azureway-entry/tests/meter.rs
@@ -0,0 +1,84 @@
+//! The measuring duty: names, values and bounded labels.
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_entry::meter::{ACCOUNTS_MAX, Measure, Meter, RingViews, Served};
+use azureway_platform::CallCounter;
+use googletest::prelude::*;
+
+/// Runs the duty over some measures and returns what it writes out.
+fn scrape(measures: Vec<Measure>) -> String {
+    let (admit, _at_admit) = flume::bounded(1);
+    let (decide, _at_decide) = flume::bounded(1);
+    let rings = RingViews {
+        admit: admit.downgrade(),
+        decide: decide.downgrade(),
+    };
+    let (sender, receiver) = flume::bounded(measures.len() + 1);
+    let (reply, text) = flume::bounded(1);
+    for measure in measures.into_iter().chain([Measure::Scrape(reply)]) {
+        sender.send(measure).expect("room");
+    }
+    drop(sender);
+    Meter::new(receiver, rings, CallCounter::default()).run();
+    text.recv().expect("an answer")
+}
+
+fn served(account: &str, streaming: u64) -> Measure {
+    Measure::Finished(Box::new(Served {
+        account: AccountId::new(account),
+        rank: Rank::Urgent,
+        prompt: TokenCount::new(2_000),
+        cached: TokenCount::new(1_250),
+        believed: TokenCount::new(1_500),
+        output: TokenCount::new(22),
+        streaming: Duration::from_millis(streaming),
+    }))
+}
+
+#[gtest]
+fn the_metrics_say_what_happened() {
+    let id = RequestId::new(1, 1);
+    let text = scrape(vec![
+        Measure::Crossed(Duration::from_micros(300)),
+        Measure::Sent(Rank::Urgent, Duration::from_millis(3)),
+        Measure::Started(Rank::Drafting, Duration::from_millis(900)),
+        served("wax-desk", 1_050),
+        served("wax-desk", 2_100),
+        Measure::Refused(RefusalReason::Overloaded),
+        Measure::Retried,
+        Measure::Cancelled(Attempt::new(id, 1)),
+        Measure::Rejected(ConfigVersion::new(6)),
+        Measure::Configured(ConfigVersion::new(7)),
+    ]);
+    let expected = include_str!("../testdata/metrics.txt").lines().skip(1);
+    for line in expected {
+        expect_that!(text.lines().any(|l| l == line), eq(true), "{line}\n{text}");
+    }
+}
+
+#[gtest]
+fn a_newer_bad_version_shows() {
+    let text = scrape(vec![
+        Measure::Configured(ConfigVersion::new(7)),
+        Measure::Rejected(ConfigVersion::new(9)),
+    ]);
+    expect_that!(text, contains_substring("azureway_config_version 7\n"));
+    expect_that!(
+        text,
+        contains_substring("azureway_config_rejected_version 9\n")
+    );
+}
+
+#[gtest]
+fn accounts_beyond_the_bound_share_a_label() {
+    let names = (0..ACCOUNTS_MAX + 50).map(|n| format!("account-{n}"));
+    let text = scrape(names.map(|name| served(&name, 100)).collect());
+    let series = text
+        .lines()
+        .filter(|l| l.starts_with("azureway_account_requests_total"));
+    expect_that!(series.count(), eq(ACCOUNTS_MAX + 1));
+    let other = "azureway_account_requests_total{account=\"other\"} 50\n";
+    expect_that!(text, contains_substring(other));
+}
