--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -1,6 +1,6 @@
 //! The common types, for a glob import.
 
-pub use crate::admit::{Admission, FairQueue};
+pub use crate::admit::{Admission, Demand, DemandShare, FairQueue, Limits};
 pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
 pub use crate::claim::{
     ClaimAsk, ClaimAsking, ClaimBook, ClaimCall, ClaimName, ClaimNews, ClaimNonce, ClaimRecord,
@@ -14,9 +14,15 @@
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
 pub use crate::fleet::{Fleet, Health, LoadReport, ServerState, ServerTable};
+pub use crate::lease::{
+    Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite, WatchChoice,
+};
+pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::retry::{Backoff, RetryBudget};
 pub use crate::route::{
-    Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Rendezvous, RoundRobin,
+    Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
+    RoundRobin, Spread,
 };
 pub use crate::router::{Router, RouterConfig};
 pub use crate::stream::{Delivery, StreamProgress};
+pub use crate::tally::{Count, Outcome, Tally};
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -1,33 +1,30 @@
 //! The router itself.
 
-use super::{
-    Flight, Flights, Intake, Placement, Plan, Queues, Retries, Retry, RouterConfig, Verdict,
-};
-use crate::cache::{CacheIndex, CacheUpdate};
+use super::placement::ABROAD_WAIT;
+use super::{Dispatcher, Flight, Intake, Queues, Retries, Retry, RouterConfig, Verdict, Want};
+use crate::admit::{Blocked, Demand, Limits, Queued};
+use crate::cache::CacheUpdate;
 use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
-use crate::domain::{
-    Attempt, PoolId, Refusal, RefusalReason, Request, RequestId, ServerId, Timestamp,
-};
-use crate::event::{Action, Dispatch, Event, Failure, Finish};
-use crate::fleet::{Fleet, ServerTable};
+use crate::domain::{Attempt, InstanceId, Refusal, RefusalReason, Request, RequestId, Timestamp};
+use crate::event::{Action, Event, Failure, Finish};
+use crate::fleet::{Fleet, LoadReport, ServerTable};
 use crate::retry::RetryBudget;
 use crate::route::Policy;
+use crate::tally::{Outcome, Tally};
 
 /// The decisions of one entry instance. Events and the time go in, actions come out.
 #[derive(Debug)]
 pub struct Router<P> {
     config: RouterConfig,
-    policy: P,
     fleet: Fleet,
-    servers: ServerTable,
-    index: CacheIndex,
+    sender: Dispatcher<P>,
+    limits: Limits,
     queues: Queues,
-    flights: Flights,
     claims: ClaimBook,
     retries: Retries,
     budget: RetryBudget,
+    tally: Tally,
     draining: bool,
-    peers: u32,
     seen: Timestamp,
 }
 
@@ -38,15 +35,13 @@
             budget: RetryBudget::new(config.retries),
             retries: Retries::new(),
             config,
-            policy,
             fleet: Fleet::new(),
-            servers: ServerTable::new(),
-            index: CacheIndex::new(),
+            sender: Dispatcher::new(policy),
+            limits: Limits::new(),
             queues: Queues::new(),
-            flights: Flights::new(),
             claims: ClaimBook::new(),
+            tally: Tally::new(),
             draining: false,
-            peers: 1,
             seen: Timestamp::ZERO,
         }
     }
@@ -54,41 +49,52 @@
     /// Takes in an event and appends what is to be done about it.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
         self.seen = now;
-        let start = out.len();
+        let first = out.len();
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
-            Event::HungUp(id) => self.hang_up(id, out),
-            Event::Started(attempt) => self.start(attempt),
-            Event::Finished(finish) => self.finish(finish, out),
+            Event::HungUp(id) => self.hang_up(id, now, out),
+            Event::Started(attempt) => self.start(attempt, now),
+            Event::Finished(finish) => self.finish(finish, now, out),
             Event::Failed(failure) => self.fail(failure, now, out),
             Event::Claim(news) => self.claimed(news, now, out),
             Event::Cache(update) => self.hear(update, out),
-            Event::Load(report) => drop(self.servers.report(report)),
+            Event::Load(report) => self.report(report, now),
             Event::Configured(fleet) => self.configure(fleet),
-            Event::Peers(count) => self.peers = count.max(1),
+            Event::Peers(count) => self.sender.servers_mut().set_entries(count),
+            Event::Listed(count) => self.limits.share_mut().set_entries(count),
+            Event::Demand(demand) => self.limits.share_mut().hear(demand, now),
             Event::Draining => self.draining = true,
-            Event::Tick => {}
+            Event::Tick => self.queues.mark_all(),
         }
         self.expire(now, out);
         self.try_again(now, out);
         self.pump(now, out);
-        self.claims.follow(start, out);
+        self.claims.follow(first, out);
+        self.count_refusals(&out[first..]);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
         let limits = [self.queues.earliest(), self.retries.earliest()];
         let limit = limits.into_iter().flatten().min();
-        // A server that is tried again, or a refilled budget, can help what waits.
-        let trial = limit.and_then(|_| self.servers.next_trial(self.seen));
-        let times = [limit, trial, self.next_retry(), self.claims.earliest()];
+        // A server that is tried again, one abroad, or a refilled budget can help what waits.
+        let abroad = self.queues.oldest().map(|t| t + ABROAD_WAIT);
+        let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
+        let trial = limit.and_then(|_| self.sender.servers().next_trial(self.seen));
+        let times = [
+            limit,
+            trial,
+            abroad,
+            self.next_retry(),
+            self.claims.earliest(),
+        ];
         times.into_iter().flatten().min()
     }
 
     /// Returns the number of requests that wait, are in flight or have a claim to settle.
     pub fn active(&self) -> usize {
-        let claims = self.claims.pending();
-        self.queues.len() + self.retries.len() + self.flights.len() + claims
+        let waiting = self.queues.len() + self.retries.len();
+        waiting + self.sender.flights().len() + self.claims.pending()
     }
 
     /// Returns the configuration in force.
@@ -98,25 +104,38 @@
 
     /// Returns the number of live entry instances of the zone, with this one.
     pub const fn peers(&self) -> u32 {
-        self.peers
+        self.sender.servers().entries()
     }
 
     /// Returns what is known of the backend servers.
     pub const fn servers(&self) -> &ServerTable {
-        &self.servers
+        self.sender.servers()
+    }
+
+    /// Returns how the requests ended.
+    pub const fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Returns what the accounts ask for here, as `instance` tells it to the other entries.
+    pub fn demand(&self, instance: InstanceId, now: Timestamp) -> Demand {
+        self.limits.demand(instance, now)
     }
 
     fn arrive(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
-        let intake = Intake {
+        self.tally.open(request);
+        let mut intake = Intake {
             fleet: &self.fleet,
             queues: &self.queues,
+            limits: &mut self.limits,
             bound: self.config.queue,
             draining: self.draining,
         };
+        let servers = self.sender.servers();
         let action = match intake.check(request, now) {
             Err(refusal) => Action::Refuse(request.id, refusal),
-            Ok((service, _)) if self.claims.covers(request, service, &self.servers) => {
-                return self.enqueue(request, out);
+            Ok((service, _)) if self.claims.covers(request, service, servers) => {
+                return self.enqueue(request, now, out);
             }
             Ok(_) => self.claims.ask(request, now),
         };
@@ -124,13 +143,13 @@
     }
 
     /// Lets a request wait for a server.
-    fn enqueue(&mut self, request: &Request, out: &mut Vec<Action>) {
+    fn enqueue(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
         let service = self.fleet.services.get(&request.service);
         let account = self.fleet.accounts.get(&request.account);
         if let (Some(service), Some(account)) = (service, account) {
             self.budget.earn();
-            self.queues
-                .push(service.pool.clone(), request.clone(), account.weight);
+            let queued = Queued::new(request.clone(), account.weight);
+            self.queues.push(service.pool.clone(), queued, now);
         } else {
             let detail = "the configuration no longer has the service or the client account";
             let refusal = Refusal::not_run(RefusalReason::UnknownService, detail);
@@ -140,19 +159,23 @@
 
     fn claimed(&mut self, news: &ClaimNews, now: Timestamp, out: &mut Vec<Action>) {
         match self.claims.hear(news, now, out) {
-            ClaimVerdict::Go(request) => self.enqueue(&request, out),
-            ClaimVerdict::Repeat(answer) => out.push(Action::Repeat(news.id(), answer)),
+            ClaimVerdict::Go(request) => self.enqueue(&request, now, out),
+            ClaimVerdict::Repeat(answer) => {
+                self.tally.finish(news.id(), now);
+                out.push(Action::Repeat(news.id(), answer));
+            }
             ClaimVerdict::Refuse(refusal) => out.push(Action::Refuse(news.id(), refusal)),
             ClaimVerdict::Nothing => {}
         }
     }
 
-    fn hang_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(flight) = self.flights.remove(id) {
+    fn hang_up(&mut self, id: RequestId, now: Timestamp, out: &mut Vec<Action>) {
+        self.tally.close(id, Outcome::Abandoned);
+        if let Some(flight) = self.sender.remove(id, now) {
+            self.queues.mark(&flight.pool);
             // A whole answer still comes from the server, and is kept for the caller's return.
             let whole = self.fleet.is_plain(&flight.request.service);
             self.claims.hang_up(id, whole);
-            self.servers.release(&flight.server, flight.owed());
             return out.push(Action::Cancel(flight.attempt));
         }
         if self.retries.remove(id).is_none() {
@@ -161,48 +184,67 @@
         self.claims.withdraw(id, out);
     }
 
-    fn start(&mut self, attempt: Attempt) {
-        if let Some(flight) = self.flights.current(attempt) {
-            self.servers.settle(&flight.server, flight.owed());
-            flight.started = true;
+    fn start(&mut self, attempt: Attempt, now: Timestamp) {
+        if self.sender.start(attempt) {
+            self.tally.start(attempt.id, now);
         }
     }
 
-    fn finish(&mut self, finish: &Finish, out: &mut Vec<Action>) {
+    fn finish(&mut self, finish: &Finish, now: Timestamp, out: &mut Vec<Action>) {
         self.claims.finish(finish.attempt, out);
-        if let Some(flight) = self.flights.take(finish.attempt) {
-            self.servers.release(&flight.server, flight.owed());
-            self.servers.clear(&flight.server);
+        if let Some(flight) = self.sender.finish(finish.attempt, now) {
+            self.tally.finish(finish.attempt.id, now);
+            self.queues.mark(&flight.pool);
         }
     }
 
     fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
         self.claims.fail(failure, out);
-        let Some(flight) = self.flights.take(failure.attempt) else {
+        let Some((flight, unknown)) = self.sender.fail(failure, now) else {
             return;
         };
-        self.servers.release(&flight.server, flight.owed());
-        self.servers.blame(&flight.server, failure.kind, now);
+        self.queues.mark(&flight.pool);
+        if unknown {
+            out.push(Action::Resync(flight.server.clone()));
+        }
         match Verdict::new(&flight, failure, self.config.tries, now) {
             Verdict::Retry => self.retries.push(Retry::new(flight, failure, now)),
+            Verdict::Wait => self.wait(flight, now),
             Verdict::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
         }
     }
 
+    /// Lets a request that a server had no room for wait again.
+    fn wait(&mut self, flight: Flight, now: Timestamp) {
+        let weight = self.fleet.accounts.get(&flight.request.account);
+        let weight = weight.map_or(1, |a| a.weight);
+        let (pool, plan) = (flight.pool.clone(), flight.bounce());
+        let queued = Queued::again(flight.request, weight, plan);
+        self.queues.push(pool, queued, now);
+    }
+
     fn hear(&mut self, update: &CacheUpdate<'_>, out: &mut Vec<Action>) {
-        if self.index.update(update) {
+        if self.sender.hear(update) {
             out.push(Action::Resync(update.server.clone()));
         }
     }
 
+    fn report(&mut self, report: &LoadReport, now: Timestamp) {
+        if let Some(pool) = self.sender.servers_mut().report(report, now) {
+            self.queues.mark(pool);
+        }
+    }
+
     fn configure(&mut self, fleet: &Fleet) {
         // Versions only grow, so that a slow read or a late peer cannot bring an old one back.
         if fleet.version <= self.fleet.version {
             return;
         }
         self.fleet = fleet.clone();
-        self.servers.adopt(fleet);
+        self.sender.adopt(fleet);
+        self.limits.retain(|id| fleet.accounts.contains_key(id));
         self.queues.set_floor(fleet.rules.floor);
+        self.queues.mark_all();
     }
 
     fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
@@ -226,10 +268,8 @@
     fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.budget.refill(now);
         for retry in self.retries.take() {
-            let failed = Some(&retry.failed);
-            let sent = self.budget.has_retry()
-                && self.dispatch(&retry.request, retry.plan, failed, now, out);
-            if sent {
+            let want = Want::new(&retry.request, retry.plan, true).with_failed(&retry.failed);
+            if self.budget.has_retry() && self.dispatch(want, now, out) {
                 self.budget.spend();
             } else {
                 self.retries.push(retry);
@@ -237,56 +277,46 @@
         }
     }
 
-    /// Sends requests that wait for as long as there is a server for the next one.
+    /// Sends requests that wait, pool by pool, for as long as there is a server for the next.
     fn pump(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        for pool in self.queues.pools() {
-            while let Some(queued) = self.queues.pop(&pool) {
-                let plan = Plan::first(queued.request.id);
-                if !self.dispatch(&queued.request, plan, None, now, out) {
-                    self.queues.restore(&pool, queued);
-                    break;
+        while let Some(pool) = self.queues.next_marked() {
+            let mut blocked = Blocked::new();
+            while let Some((queued, owed)) = self.queues.peek(&pool, &blocked) {
+                let queued = queued.clone();
+                if self.dispatch(Want::new(&queued.request, queued.plan, owed), now, out) {
+                    self.queues.take(queued.request.id, now);
+                } else {
+                    blocked.add(&queued);
                 }
             }
         }
     }
 
-    /// Sends a request to the best server, but to the one that `failed` it only if there is no
-    /// other. Returns whether there was one.
-    fn dispatch(
-        &mut self,
-        request: &Request,
-        plan: Plan,
-        failed: Option<&ServerId>,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let Some(service) = self.fleet.services.get(&request.service) else {
-            return false;
-        };
-        if !self.claims.covers(request, service, &self.servers) {
+    /// Sends a request to the best server. Returns whether there was one.
+    fn dispatch(&mut self, want: Want<'_>, now: Timestamp, out: &mut Vec<Action>) -> bool {
+        let service = self.fleet.services.get(&want.request.service);
+        let servers = self.sender.servers();
+        // Claims may have become due since the request began to wait.
+        if !service.is_some_and(|s| self.claims.covers(want.request, s, servers)) {
             return false;
         }
-        let placement = Placement {
-            servers: &self.servers,
-            index: &self.index,
-            zone: &self.config.zone,
-            link: self.config.link,
-            failed,
-        };
-        let Some(best) = placement.choose(&mut self.policy, request, service, now) else {
-            return false;
-        };
-        let order = plan.order(request, &best);
-        let pool = service.pool.clone();
-        self.take_off(request, pool, &order, plan.untouched);
-        out.push(Action::Dispatch(order));
-        true
+        let order = self.sender.send(want, &self.config, &self.fleet, now);
+        let sent = order.is_some();
+        out.extend(order.map(Action::Dispatch));
+        sent
     }
 
-    /// Notes that a request is in flight.
-    fn take_off(&mut self, request: &Request, pool: PoolId, order: &Dispatch, untouched: bool) {
-        let flight = Flight::new(request, pool, order, untouched);
-        self.servers.begin(&flight.server, flight.owed());
-        self.flights.insert(flight);
+    fn count_refusals(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Refuse(id, refusal) = action {
+                let broken = !refusal.not_run;
+                let outcome = if broken {
+                    Outcome::Broken
+                } else {
+                    Outcome::Refused
+                };
+                self.tally.close(*id, outcome);
+            }
+        }
     }
 }
