--- a/azureway-core/tests/claims/world.rs
+++ b/azureway-core/tests/claims/world.rs
@@ -134,9 +134,14 @@
             };
             return self.tell(at, Event::Finished(&finish));
         };
+        let kind = if sent == SendState::Unsent {
+            FailureKind::Unreachable
+        } else {
+            FailureKind::Silent
+        };
         let failure = Failure {
             attempt,
-            kind: FailureKind::Busy,
+            kind,
             sent,
             position: StreamPosition::ZERO,
         };
