--- a/azureway-entry/tests/process.rs
+++ b/azureway-entry/tests/process.rs
@@ -84,8 +84,8 @@
         address.parse().expect("an address")
     }
 
-    fn signal(&self) {
-        let kill = format!("kill -TERM {}", self.child.id());
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
         let status = Command::new("sh")
             .arg("-c")
             .arg(kill)
@@ -142,27 +142,76 @@
     expect_that!(text, contains_substring("did you mean `platform`?"));
 }
 
-#[gtest]
-fn a_signal_drains_and_a_second_one_is_reported_not_obeyed() {
+/// Starts one engine without an entry.
+fn stand_ins() -> System {
     let layout = Layout::new()
         .with_zones(&["kranj-a"])
         .with_engines(1)
         .with_entries(0);
     let engine = EngineConfig::new().with_interval(Duration::from_millis(10));
-    let system = System::start(&layout, &engine, &Bounds::new()).expect("the stand-ins start");
-    let mut daemon = Daemon::start("drain", system.platform_address());
-    let address = daemon.address();
-    daemon.read_until("a configuration is in force");
+    System::start(&layout, &engine, &Bounds::new()).expect("the stand-ins start")
+}
 
-    let mut stream = open_chat(address);
+/// Reads a stream until a few of its events have come.
+fn read_events(stream: &mut BufReader<TcpStream>) {
     let mut line = String::new();
     while !line.contains("id: 2") {
         line.clear();
         stream.read_line(&mut line).expect("an event");
     }
-    daemon.signal();
+}
+
+#[gtest]
+fn a_killed_daemon_leaves_no_answer_that_looks_whole_and_no_work_at_the_engine() {
+    let system = stand_ins();
+    let mut daemon = Daemon::start("killed", system.platform_address());
+    let address = daemon.address();
+    daemon.read_until("a configuration is in force");
+    let mut stream = open_chat(address);
+    read_events(&mut stream);
+    daemon.signal("KILL");
+    let mut rest = String::new();
+    let _ = stream.read_to_string(&mut rest);
+    expect_that!(rest, not(contains_substring("[DONE]")));
+    expect_that!(rest, not(ends_with("0\r\n\r\n")));
+    // Returns once the engine has stopped; the test would hang otherwise.
+    system.engines[0].wait_idle();
+    expect_that!(system.engines[0].running(), eq(0));
+    system.drain();
+}
+
+#[gtest]
+fn a_paused_daemon_finishes_its_stream_when_it_goes_on() {
+    let system = stand_ins();
+    let mut daemon = Daemon::start("paused", system.platform_address());
+    let address = daemon.address();
+    daemon.read_until("a configuration is in force");
+    let mut stream = open_chat(address);
+    read_events(&mut stream);
+    daemon.signal("STOP");
+    // The engine streams into the connection meanwhile; the guard is no part of the verdict.
+    std::thread::park_timeout(Duration::from_millis(300));
+    daemon.signal("CONT");
+    let mut rest = String::new();
+    stream.read_to_string(&mut rest).expect("the rest");
+    let ids = rest.lines().filter_map(|l| l.strip_prefix("id: "));
+    let ids: Vec<u64> = ids.map(|id| id.parse().expect("a position")).collect();
+    expect_that!(ids, eq(&(3..TOKENS + 2).collect::<Vec<_>>()));
+    system.drain();
+}
+
+#[gtest]
+fn a_signal_drains_and_a_second_one_is_reported_not_obeyed() {
+    let system = stand_ins();
+    let mut daemon = Daemon::start("drain", system.platform_address());
+    let address = daemon.address();
+    daemon.read_until("a configuration is in force");
+
+    let mut stream = open_chat(address);
+    read_events(&mut stream);
+    daemon.signal("TERM");
     daemon.read_until("draining");
-    daemon.signal();
+    daemon.signal("TERM");
     daemon.read_until("still draining");
 
     let mut rest = String::new();
