--- a/azureway-core/src/lease/mod.rs
+++ b/azureway-core/src/lease/mod.rs
@@ -6,7 +6,6 @@
 mod reply;
 mod state;
 mod step;
-mod watch_choice;
 mod write;
 
 pub use config::LeaseConfig;
@@ -15,5 +14,4 @@
 pub use reply::LeaseReply;
 pub use state::LeaseState;
 pub use step::LeaseStep;
-pub use watch_choice::WatchChoice;
 pub use write::LeaseWrite;
--- a/azureway-core/src/lib.rs
+++ b/azureway-core/src/lib.rs
@@ -36,3 +36,4 @@
 pub mod router;
 pub mod stream;
 pub mod tally;
+pub mod watch;
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -15,7 +15,7 @@
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
 pub use crate::fleet::{Fleet, Health, LoadReport, ServerState, ServerTable};
 pub use crate::lease::{
-    Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite, WatchChoice,
+    Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
 };
 pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::retry::{Backoff, RetryBudget};
@@ -26,3 +26,4 @@
 pub use crate::router::{Router, RouterConfig};
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Count, Outcome, Tally};
+pub use crate::watch::{WatchChoice, WatchPlan, WatchStep};
--- /dev/null
+++ b/azureway-core/src/watch/watch_plan.rs
@@ -0,0 +1,90 @@
+//! When an entry asks the platform.
+
+use std::time::Duration;
+
+use super::WatchStep;
+use crate::domain::Timestamp;
+use crate::error::ErrorKind;
+use crate::retry::Backoff;
+
+/// When an entry asks the platform for the configuration.
+///
+/// A chosen entry keeps a watch. Another one asks once when it starts, so that it serves at
+/// once, then hears from its peers and only checks now and then that it has missed nothing.
+#[derive(Clone, Debug)]
+pub struct WatchPlan {
+    chosen: bool,
+    after: Option<u64>,
+    due: Timestamp,
+    backoff: Backoff,
+    checks: Backoff,
+}
+
+/// How long the platform keeps a watch that has no news.
+const WAIT: Duration = Duration::from_secs(5);
+/// The first wait after a failure.
+const BACKOFF_BASE: Duration = Duration::from_millis(100);
+/// The longest wait after a failure: half of the time in which a change is in force.
+const BACKOFF_CAP: Duration = Duration::from_secs(5);
+/// The longest time between two checks of an entry that does not watch.
+const CHECK_TIME: Duration = Duration::from_secs(60);
+
+impl WatchPlan {
+    /// Creates the plan of an entry that is chosen until it hears otherwise. `seed` spreads
+    /// entries that fail together.
+    pub const fn new(seed: u64) -> Self {
+        Self {
+            chosen: true,
+            after: None,
+            due: Timestamp::ZERO,
+            backoff: Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed),
+            checks: Backoff::new(CHECK_TIME, CHECK_TIME, seed),
+        }
+    }
+
+    /// Notes whether the entry is chosen to watch.
+    pub fn choose(&mut self, chosen: bool, now: Timestamp) {
+        if chosen && !self.chosen {
+            self.due = self.due.min(now);
+        }
+        self.chosen = chosen;
+    }
+
+    /// Returns what is to be asked at `now`.
+    pub fn next(&self, now: Timestamp) -> WatchStep {
+        if now < self.due {
+            return WatchStep::Wait(self.due);
+        }
+        match self.after {
+            None => WatchStep::List,
+            Some(version) if self.chosen => WatchStep::Watch(version, WAIT),
+            Some(version) => WatchStep::Watch(version, Duration::ZERO),
+        }
+    }
+
+    /// Notes an answer that is complete up to `version`.
+    pub fn answered(&mut self, version: u64, now: Timestamp) {
+        self.backoff.reset();
+        self.after = Some(version);
+        self.due = if self.chosen {
+            now
+        } else {
+            now + self.checks.fail()
+        };
+    }
+
+    /// Notes a failure. A platform that does not understand the version is asked for all.
+    pub fn failed(&mut self, kind: ErrorKind, now: Timestamp) {
+        if !matches!(kind, ErrorKind::Unavailable | ErrorKind::Limited) {
+            self.after = None;
+        }
+        // Who only checks leaves the platform to those who watch.
+        let checks = !self.chosen && self.after.is_some();
+        let wait = if checks {
+            self.checks.fail()
+        } else {
+            self.backoff.fail()
+        };
+        self.due = now + wait;
+    }
+}
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -20,14 +20,14 @@
 use crate::meter::Meter;
 use crate::order::{HttpOrders, Orderer};
 use crate::relay::Launcher;
-use crate::watch::Watcher;
+use crate::watch::{WatchNote, Watcher};
 
 /// One entry daemon, running.
 #[derive(Debug)]
 pub struct Entry {
     address: SocketAddr,
     decide: Sender<DecideNote>,
-    watch: Sender<()>,
+    watch: Sender<WatchNote>,
     alive: Receiver<()>,
     served: Receiver<()>,
     stop: Arc<AtomicBool>,
@@ -104,7 +104,7 @@
         self.stop.store(true, Ordering::Release);
         // Wakes the accepting duty, which then sees that it has to stop.
         let _ = TcpStream::connect(self.address);
-        let _ = self.watch.try_send(());
+        let _ = self.watch.try_send(WatchNote::Stop);
         // The ring ends when the last connection has written its answer.
         let _ = self.alive.recv();
         for thread in self.threads {
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -12,6 +12,7 @@
 use crate::decide::DecideNote;
 use crate::meter::Measure;
 use crate::order::OrderNote;
+use crate::watch::WatchNote;
 
 /// Both ends of every ring between the duties, and what the duties share.
 #[derive(Debug)]
@@ -34,10 +35,10 @@
     pub meter: Sender<Measure>,
     /// At the measuring duty.
     pub measures: Receiver<Measure>,
-    /// To the watching duty, to stop it.
-    pub watch: Sender<()>,
+    /// To the watching duty.
+    pub watch: Sender<WatchNote>,
     /// At the watching duty.
-    pub halt: Receiver<()>,
+    pub halt: Receiver<WatchNote>,
     /// Held by every connection; nothing is sent on it.
     pub guard: Sender<()>,
     /// Ends when the last connection does.
@@ -52,6 +53,9 @@
     pub clock: Clock,
 }
 
+/// The notes to the watching duty that wait; a watch holds them up for some seconds.
+const WATCH_NOTES: usize = 8;
+
 impl Rings {
     /// Creates rings of `size` messages.
     pub fn new(size: usize) -> Self {
@@ -59,7 +63,7 @@
         let (decide, decide_notes) = flume::bounded(size);
         let (order, order_notes) = flume::bounded(size);
         let (meter, measures) = flume::bounded(size);
-        let (watch, halt) = flume::bounded(1);
+        let (watch, halt) = flume::bounded(WATCH_NOTES);
         let (guard, alive) = flume::bounded(0);
         let (serve, served) = flume::bounded(1);
         Self {
--- a/azureway-entry/src/order/order_note.rs
+++ b/azureway-entry/src/order/order_note.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{Fleet, InstanceId, LoadReport};
+use azureway_core::prelude::{Fleet, LoadReport};
 
 /// What the ordering duty is told.
 #[derive(Clone, Debug)]
@@ -11,6 +11,6 @@
     Adopt(Arc<Fleet>),
     /// A backend server told of its load and its weights.
     Report(LoadReport),
-    /// These entry instances of the zone are alive.
-    Live(Vec<InstanceId>),
+    /// Whether this entry is one of the few of its zone that contend for the lease.
+    Chosen(bool),
 }
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -14,15 +14,12 @@
     link: L,
     notes: Receiver<OrderNote>,
     clock: Clock,
-    me: InstanceId,
     lease: Lease,
     planner: OrderPlanner,
     chosen: bool,
     wake: Timestamp,
 }
 
-/// The entries of a zone that contend for the lease.
-const CANDIDATES: WatchChoice = WatchChoice::new(2, u128::from_be_bytes(*b"lease candidates"));
 /// The wake-up of an entry that only waits for notes.
 const IDLE: Timestamp = Timestamp::MAX;
 
@@ -36,13 +33,12 @@
         me: InstanceId,
         mark: u64,
     ) -> Self {
-        let lease = Lease::new(LeaseConfig::new(), me.clone(), mark);
+        let lease = Lease::new(LeaseConfig::new(), me, mark);
         Self {
             calls: LeaseCalls::new(api),
             link,
             notes,
             clock,
-            me,
             lease,
             planner: OrderPlanner::new(OrderConfig::new()),
             chosen: true,
@@ -76,7 +72,7 @@
         match note {
             OrderNote::Adopt(fleet) => self.planner.adopt(&fleet),
             OrderNote::Report(report) => self.planner.report(&report, self.clock.now()),
-            OrderNote::Live(live) => self.chosen = CANDIDATES.includes(&self.me, &live),
+            OrderNote::Chosen(chosen) => self.chosen = chosen,
         }
     }
 
--- /dev/null
+++ b/azureway-entry/src/watch/choice_desk.rs
@@ -0,0 +1,37 @@
+//! Telling the duties whether this entry is chosen.
+
+use azureway_core::prelude::{InstanceId, WatchChoice};
+use flume::Sender;
+
+use super::WatchNote;
+use crate::order::OrderNote;
+
+/// Tells the watching and the ordering duty whether this entry is one of the few of its zone
+/// that do their work. Whoever knows which entries are alive tells this desk.
+#[derive(Clone, Debug)]
+pub struct ChoiceDesk {
+    me: InstanceId,
+    watch: Sender<WatchNote>,
+    order: Sender<OrderNote>,
+}
+
+/// The entries of a zone that watch.
+const WATCHERS: WatchChoice = WatchChoice::new(2, u128::from_be_bytes(*b"config watchers."));
+/// The entries of a zone that contend for the lease of orders.
+const CANDIDATES: WatchChoice = WatchChoice::new(2, u128::from_be_bytes(*b"lease candidates"));
+
+impl ChoiceDesk {
+    /// Creates the desk of instance `me`.
+    pub const fn new(me: InstanceId, watch: Sender<WatchNote>, order: Sender<OrderNote>) -> Self {
+        Self { me, watch, order }
+    }
+
+    /// Takes in which entries of the zone are alive. A note that finds its ring full is lost;
+    /// the desk is to be told again from time to time.
+    pub fn tell(&self, live: &[InstanceId]) {
+        let watches = WATCHERS.includes(&self.me, live);
+        let contends = CANDIDATES.includes(&self.me, live);
+        let _ = self.watch.try_send(WatchNote::Chosen(watches));
+        let _ = self.order.try_send(OrderNote::Chosen(contends));
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/watch/watch_note.rs
@@ -0,0 +1,10 @@
+//! What the watching duty is told.
+
+/// What the watching duty is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchNote {
+    /// Whether this entry is one of the few of its zone that watch.
+    Chosen(bool),
+    /// The daemon stops.
+    Stop,
+}
--- a/azureway-entry/src/watch/watcher.rs
+++ b/azureway-entry/src/watch/watcher.rs
@@ -1,7 +1,6 @@
 //! Watching the configuration.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use azureway_config::document;
 use azureway_config::ini::Faults;
@@ -12,7 +11,9 @@
 use azureway_wire::object::{ObjectBody, ObjectList};
 use flume::{Receiver, RecvTimeoutError, Sender};
 
+use super::WatchNote;
 use crate::admit::AdmitNote;
+use crate::clock::Clock;
 use crate::decide::DecideNote;
 
 /// Watches the configuration document and passes each good version on.
@@ -21,68 +22,72 @@
     api: A,
     admit: Sender<AdmitNote>,
     decide: Sender<DecideNote>,
-    stop: Receiver<()>,
-    backoff: Backoff,
+    notes: Receiver<WatchNote>,
+    clock: Clock,
+    plan: WatchPlan,
     gate: VersionGate,
 }
 
-/// How long the platform keeps a watch that has no news.
-const WAIT: Duration = Duration::from_secs(5);
-/// The first wait after a failure.
-const BACKOFF_BASE: Duration = Duration::from_millis(100);
-/// The longest wait after a failure: half of the time in which a change is in force.
-const BACKOFF_CAP: Duration = Duration::from_secs(5);
-
 impl<A: ObjectApi> Watcher<A> {
     /// Creates the duty. `seed` spreads the retries of instances that fail together.
     pub fn new(
         api: A,
         admit: Sender<AdmitNote>,
         decide: Sender<DecideNote>,
-        stop: Receiver<()>,
+        notes: Receiver<WatchNote>,
         seed: u64,
     ) -> Self {
-        let backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed);
         Self {
             api,
             admit,
             decide,
-            stop,
-            backoff,
+            notes,
+            clock: Clock::new(),
+            plan: WatchPlan::new(seed),
             gate: VersionGate::new(),
         }
     }
 
     /// Runs until the daemon stops.
     pub fn run(mut self) {
-        let mut after = None;
-        while !self.is_stopped(Duration::ZERO) {
-            match self.ask(after) {
-                Ok(list) => {
-                    self.backoff.reset();
-                    after = Some(list.version);
-                    self.pass_on(&list);
-                }
-                Err(e) => {
-                    log::warn!(step = e.step().as_str(), error:% = e; "the platform does not answer");
-                    after = None;
-                    let wait = self.backoff.fail();
-                    if self.is_stopped(wait) {
-                        break;
-                    }
+        let mut until = self.clock.now();
+        while self.heed(until) {
+            let now = self.clock.now();
+            let answer = match self.plan.next(now) {
+                WatchStep::List => self.api.list(DOCUMENT_KIND),
+                WatchStep::Watch(after, wait) => self.api.watch(DOCUMENT_KIND, after, wait),
+                WatchStep::Wait(time) => {
+                    until = time;
+                    continue;
                 }
-            }
+            };
+            until = self.clock.now();
+            self.take(answer, until);
         }
     }
 
-    fn is_stopped(&self, wait: Duration) -> bool {
-        !matches!(self.stop.recv_timeout(wait), Err(RecvTimeoutError::Timeout))
+    /// Waits until a time or the next note. Returns whether the daemon goes on.
+    fn heed(&mut self, until: Timestamp) -> bool {
+        match self.notes.recv_deadline(self.clock.instant(until)) {
+            Ok(WatchNote::Chosen(chosen)) => {
+                self.plan.choose(chosen, self.clock.now());
+                true
+            }
+            Ok(WatchNote::Stop) | Err(RecvTimeoutError::Disconnected) => false,
+            Err(RecvTimeoutError::Timeout) => true,
+        }
     }
 
-    fn ask(&self, after: Option<u64>) -> Result<ObjectList, Error> {
-        match after {
-            None => self.api.list(DOCUMENT_KIND),
-            Some(version) => self.api.watch(DOCUMENT_KIND, version, WAIT),
+    fn take(&mut self, answer: Result<ObjectList, Error>, now: Timestamp) {
+        match answer {
+            Ok(list) => {
+                self.plan.answered(list.version, now);
+                self.pass_on(&list);
+            }
+            Err(e) => {
+                log::warn!(step = e.step().as_str(), error:% = e; "the platform does not answer");
+                self.plan.failed(e.kind(), now);
+            }
         }
     }
 
--- a/azureway-entry/tests/watch.rs
+++ b/azureway-entry/tests/watch.rs
@@ -5,7 +5,7 @@
 
 use azureway_core::prelude::*;
 use azureway_entry::decide::DecideNote;
-use azureway_entry::watch::Watcher;
+use azureway_entry::watch::{WatchNote, Watcher};
 use azureway_platform::{ObjectApi, Put};
 use azureway_wire::change::DOCUMENT_NAME;
 use azureway_wire::object::{ObjectBody, ObjectList};
@@ -23,14 +23,14 @@
 /// A platform that gives its answers in turn, then stops the duty.
 struct Script {
     answers: Mutex<Vec<String>>,
-    stop: Sender<()>,
+    stop: Sender<WatchNote>,
 }
 
 impl Script {
     fn next(&self) -> std::result::Result<ObjectList, Error> {
         let mut answers = self.answers.lock().expect("the lock");
         if answers.is_empty() {
-            let _ = self.stop.try_send(());
+            let _ = self.stop.try_send(WatchNote::Stop);
             return Ok(ObjectList::default());
         }
         let answer = answers.remove(0);
