--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -74,12 +74,6 @@
         self
     }
 
-    /// Tells whether a plain service stands behind a name.
-    pub fn is_plain(&self, service: &ServiceId) -> bool {
-        let service = self.services.get(service);
-        service.is_some_and(|s| s.kind == ServiceKind::Plain)
-    }
-
     /// Tells whether two availability zones stand in one region. Zones that the configuration
     /// does not name stand in one region of their own.
     pub fn share_region(&self, one: &ZoneId, other: &ZoneId) -> bool {
@@ -92,6 +86,12 @@
         !self.zones.is_empty()
     }
 
+    /// Tells whether a plain service stands behind a name.
+    pub fn is_plain(&self, service: &ServiceId) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|s| s.kind == ServiceKind::Plain)
+    }
+
     /// Returns the account that the digest of an API key belongs to.
     pub fn account_of(&self, key: &KeyHash) -> Option<&ClientAccount> {
         // All accounts are looked at, so that the time does not tell which one matched.
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -49,7 +49,7 @@
     /// Takes in an event and appends what is to be done about it.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
         self.seen = now;
-        let first = out.len();
+        let start = out.len();
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
             Event::HungUp(id) => self.hang_up(id, now, out),
@@ -69,8 +69,8 @@
         self.expire(now, out);
         self.try_again(now, out);
         self.pump(now, out);
-        self.claims.follow(first, out);
-        self.count_refusals(&out[first..]);
+        self.claims.follow(start, out);
+        self.tally.follow(&out[start..], now);
     }
 
     /// Returns when the router wants to be told of the time at the latest.
@@ -81,20 +81,17 @@
         let abroad = self.queues.oldest().map(|t| t + ABROAD_WAIT);
         let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
         let trial = limit.and_then(|_| self.sender.servers().next_trial(self.seen));
-        let times = [
-            limit,
-            trial,
-            abroad,
-            self.next_retry(),
-            self.claims.earliest(),
-        ];
+        let claims = self.claims.earliest();
+        let refill = self.budget.next_refill();
+        let refill = refill.filter(|_| !self.retries.is_empty());
+        let times = [limit, trial, abroad, refill, claims];
         times.into_iter().flatten().min()
     }
 
     /// Returns the number of requests that wait, are in flight or have a claim to settle.
     pub fn active(&self) -> usize {
-        let waiting = self.queues.len() + self.retries.len();
-        waiting + self.sender.flights().len() + self.claims.pending()
+        let claims = self.claims.pending();
+        self.queues.len() + self.retries.len() + self.sender.flights().len() + claims
     }
 
     /// Returns the configuration in force.
@@ -160,10 +157,7 @@
     fn claimed(&mut self, news: &ClaimNews, now: Timestamp, out: &mut Vec<Action>) {
         match self.claims.hear(news, now, out) {
             ClaimVerdict::Go(request) => self.enqueue(&request, now, out),
-            ClaimVerdict::Repeat(answer) => {
-                self.tally.finish(news.id(), now);
-                out.push(Action::Repeat(news.id(), answer));
-            }
+            ClaimVerdict::Repeat(answer) => out.push(Action::Repeat(news.id(), answer)),
             ClaimVerdict::Refuse(refusal) => out.push(Action::Refuse(news.id(), refusal)),
             ClaimVerdict::Nothing => {}
         }
@@ -172,10 +166,10 @@
     fn hang_up(&mut self, id: RequestId, now: Timestamp, out: &mut Vec<Action>) {
         self.tally.close(id, Outcome::Abandoned);
         if let Some(flight) = self.sender.remove(id, now) {
-            self.queues.mark(&flight.pool);
             // A whole answer still comes from the server, and is kept for the caller's return.
             let whole = self.fleet.is_plain(&flight.request.service);
             self.claims.hang_up(id, whole);
+            self.queues.mark(&flight.pool);
             return out.push(Action::Cancel(flight.attempt));
         }
         if self.retries.remove(id).is_none() {
@@ -216,8 +210,8 @@
 
     /// Lets a request that a server had no room for wait again.
     fn wait(&mut self, flight: Flight, now: Timestamp) {
-        let weight = self.fleet.accounts.get(&flight.request.account);
-        let weight = weight.map_or(1, |a| a.weight);
+        let account = self.fleet.accounts.get(&flight.request.account);
+        let weight = account.map_or(1, |a| a.weight);
         let (pool, plan) = (flight.pool.clone(), flight.bounce());
         let queued = Queued::again(flight.request, weight, plan);
         self.queues.push(pool, queued, now);
@@ -257,13 +251,6 @@
         }
     }
 
-    /// Returns when an empty retry budget has a retry again, if one waits for it.
-    fn next_retry(&self) -> Option<Timestamp> {
-        self.budget
-            .next_refill()
-            .filter(|_| !self.retries.is_empty())
-    }
-
     /// Tries again what waits for it, as far as the budget and the servers allow.
     fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.budget.refill(now);
@@ -296,7 +283,6 @@
     fn dispatch(&mut self, want: Want<'_>, now: Timestamp, out: &mut Vec<Action>) -> bool {
         let service = self.fleet.services.get(&want.request.service);
         let servers = self.sender.servers();
-        // Claims may have become due since the request began to wait.
         if !service.is_some_and(|s| self.claims.covers(want.request, s, servers)) {
             return false;
         }
@@ -305,18 +291,4 @@
         out.extend(order.map(Action::Dispatch));
         sent
     }
-
-    fn count_refusals(&mut self, actions: &[Action]) {
-        for action in actions {
-            if let Action::Refuse(id, refusal) = action {
-                let broken = !refusal.not_run;
-                let outcome = if broken {
-                    Outcome::Broken
-                } else {
-                    Outcome::Refused
-                };
-                self.tally.close(*id, outcome);
-            }
-        }
-    }
 }
--- a/azureway-core/src/router/want.rs
+++ b/azureway-core/src/router/want.rs
@@ -1,9 +1,7 @@
 //! What is asked of a placement.
 
 use super::Plan;
-use crate::domain::{Incarnation, Request, ServerId, StreamPosition};
-use crate::event::Dispatch;
-use crate::route::Candidate;
+use crate::domain::{Request, ServerId, StreamPosition};
 
 /// A request that wants a backend server now.
 #[derive(Clone, Copy, Debug)]
@@ -40,20 +38,4 @@
     pub fn is_begun(&self) -> bool {
         self.plan.position > StreamPosition::ZERO
     }
-
-    /// Returns the order that sends the request to `best`.
-    pub fn order(&self, best: &Candidate<'_>) -> Dispatch {
-        let known = Some(best.state.incarnation);
-        Dispatch {
-            attempt: self.plan.attempt,
-            server: best.state.server.id.clone(),
-            address: best.state.server.address,
-            rank: self.request.rank,
-            salt: self.request.chain.salt(),
-            incarnation: known.filter(|i| *i > Incarnation::ZERO),
-            weights: self.request.weights,
-            position: self.plan.position,
-            cached: best.cached,
-        }
-    }
 }
--- a/azureway-dev/src/replay/scene.rs
+++ b/azureway-dev/src/replay/scene.rs
@@ -10,7 +10,8 @@
 use fastrand::Rng;
 
 use super::{
-    Agenda, Cargo, Engines, FlightView, Happening, Links, News, Owner, Progress, Tally, Task,
+    Agenda, Cargo, Engines, FlightView, Happening, Links, News, Owner, PlatformModel, Progress,
+    Tally, Task,
 };
 use crate::trace::Header;
 
@@ -29,6 +30,8 @@
     pub flights: BTreeMap<RequestId, FlightView>,
     /// What is counted.
     pub tally: Tally,
+    /// The platform.
+    pub platform: PlatformModel,
     lags: Vec<Duration>,
     rng: Rng,
 }
@@ -61,6 +64,7 @@
             links: Links::new(ZoneId::new(home), Duration::from_micros(header.link)),
             flights: BTreeMap::new(),
             tally: Tally::new(),
+            platform: PlatformModel::new(),
             lags,
             rng,
         }
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -10,7 +10,7 @@
 use crate::claim::ClaimRings;
 use crate::clock::Clock;
 use crate::decide::DecideNote;
-use crate::meter::Measure;
+use crate::meter::{Measure, RingViews};
 use crate::order::OrderNote;
 use crate::watch::WatchNote;
 
@@ -87,6 +87,14 @@
         }
     }
 
+    /// Returns how full the rings are, for the measuring duty.
+    pub fn views(&self) -> RingViews {
+        RingViews {
+            admit: self.admit.downgrade(),
+            decide: self.decide.downgrade(),
+        }
+    }
+
     /// Returns what a connection reaches.
     pub fn doors(&self) -> Doors {
         Doors {
