--- a/azureway-core/src/claim/mod.rs
+++ b/azureway-core/src/claim/mod.rs
@@ -19,6 +19,7 @@
 mod short_answer;
 mod state;
 mod step;
+mod sweep;
 mod ticket;
 mod verdict;
 
@@ -37,5 +38,6 @@
 pub use short_answer::ShortAnswer;
 pub use state::ClaimState;
 pub use step::ClaimStep;
+pub use sweep::ClaimSweep;
 pub use ticket::ClaimTicket;
 pub use verdict::ClaimVerdict;
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -4,8 +4,8 @@
 pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
 pub use crate::claim::{
     ClaimAsk, ClaimAsking, ClaimBook, ClaimCall, ClaimName, ClaimNews, ClaimNonce, ClaimRecord,
-    ClaimReply, ClaimRun, ClaimSettling, ClaimState, ClaimStep, ClaimTicket, ClaimVerdict,
-    ShortAnswer,
+    ClaimReply, ClaimRun, ClaimSettling, ClaimState, ClaimStep, ClaimSweep, ClaimTicket,
+    ClaimVerdict, ShortAnswer,
 };
 pub use crate::config::{
     ChangeId, ChangeNote, Edit, EditOutcome, EditReply, EditStep, Snapshot, TeamId, VersionGate,
--- a/azureway-entry/src/claim/claimer.rs
+++ b/azureway-entry/src/claim/claimer.rs
@@ -1,6 +1,6 @@
 //! The claiming duty.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use azureway_core::prelude::*;
 use azureway_platform::{ObjectApi, Put};
@@ -8,6 +8,7 @@
 use azureway_wire::object::ObjectBody;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
+use super::kind::kind_of;
 use super::{ClaimOrder, ClaimRings};
 use crate::clock::Clock;
 use crate::decide::DecideNote;
@@ -119,7 +120,7 @@
         record: &ClaimRecord,
         expected: u64,
     ) -> Result<ClaimReply, Error> {
-        let body = ClaimBody::new(record, unix_seconds());
+        let body = ClaimBody::new(record, Clock::unix());
         let value = serde_json::to_string(&body)
             .map_err(|e| Error::new(ErrorKind::Invalid, Step::new("write claim"), e))?;
         let put = Put {
@@ -132,11 +133,6 @@
     }
 }
 
-/// Returns the kind of the objects that hold the claims of a shard.
-fn kind_of(shard: u8) -> String {
-    format!("claim-{shard:02x}")
-}
-
 fn read(object: Option<ObjectBody>) -> Result<ClaimReply, Error> {
     let Some(object) = object else {
         return Ok(ClaimReply::Absent);
@@ -157,8 +153,3 @@
         }
     }
 }
-
-fn unix_seconds() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |t| t.as_secs())
-}
--- a/azureway-entry/src/claim/mod.rs
+++ b/azureway-entry/src/claim/mod.rs
@@ -4,8 +4,11 @@
 mod claim_order;
 mod claim_rings;
 mod claimer;
+mod kind;
+mod sweeper;
 
 pub use claim_desk::ClaimDesk;
 pub use claim_order::ClaimOrder;
 pub use claim_rings::ClaimRings;
 pub use claimer::Claimer;
+pub use sweeper::Sweeper;
--- /dev/null
+++ b/azureway-entry/src/claim/sweeper.rs
@@ -0,0 +1,58 @@
+//! Deleting old claims.
+
+use azureway_core::prelude::*;
+use azureway_platform::ObjectApi;
+use azureway_wire::claim::ClaimBody;
+use azureway_wire::object::ObjectBody;
+
+use super::kind::kind_of;
+
+/// Deletes old claims, one call at a time, for whoever holds the lease of orders.
+#[derive(Debug)]
+pub struct Sweeper<A> {
+    api: A,
+    sweep: ClaimSweep,
+    old: Vec<(String, u64)>,
+}
+
+impl<A: ObjectApi> Sweeper<A> {
+    /// Creates a sweeper. Entries begin at different shards, by `seed`.
+    pub fn new(api: A, seed: u64) -> Self {
+        let [first, ..] = seed.to_le_bytes();
+        Self {
+            api,
+            sweep: ClaimSweep::new(first, Timestamp::ZERO),
+            old: Vec::new(),
+        }
+    }
+
+    /// Returns when the next call may be made.
+    pub const fn due(&self) -> Timestamp {
+        self.sweep.due()
+    }
+
+    /// Makes the next call, if it is due at `now`. `unix` is the time of day, in seconds of the
+    /// Unix epoch.
+    pub fn step(&mut self, now: Timestamp, unix: u64) {
+        if now < self.sweep.due() {
+            return;
+        }
+        let kind = kind_of(self.sweep.shard());
+        if let Some((name, version)) = self.old.pop() {
+            // A claim that changed meanwhile is not deleted, and the next sweep sees it again.
+            let _ = self.api.delete(&kind, &name, version);
+            self.sweep.deleted(now);
+        } else if let Ok(list) = self.api.list(&kind) {
+            let old = list.objects.into_iter().filter(|o| is_old(o, unix));
+            self.old = old.map(|o| (o.name, o.version)).collect();
+        }
+        if self.old.is_empty() {
+            self.sweep.finish(now);
+        }
+    }
+}
+
+fn is_old(object: &ObjectBody, unix: u64) -> bool {
+    let body = serde_json::from_str::<ClaimBody>(&object.value);
+    !object.deleted && body.is_ok_and(|b| ClaimSweep::is_old(b.made, unix))
+}
--- a/azureway-entry/src/clock.rs
+++ b/azureway-entry/src/clock.rs
@@ -1,6 +1,6 @@
 //! The clock of the daemon.
 
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use azureway_core::prelude::Timestamp;
 
@@ -24,6 +24,12 @@
         Timestamp::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
+    /// Returns the time of day, in seconds of the Unix epoch. Only the age of claims uses it.
+    pub fn unix() -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        since.map_or(0, |t| t.as_secs())
+    }
+
     /// Returns the system's own form of a time, just after it.
     pub fn instant(&self, time: Timestamp) -> Instant {
         // A deadline is past only after its microsecond, so the wake-up lies one later.
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -125,14 +125,16 @@
             DecideNote::Cache(run) => self.tell(Event::Cache(&run.view())),
             DecideNote::Adopt(fleet) => self.adopt(&fleet),
             DecideNote::Rejected(version) => self.measure(Measure::Rejected(version)),
-            DecideNote::Drain(drained) => {
-                self.ready.store(false, Ordering::Release);
-                self.drained = Some(drained);
-                self.tell(Event::Draining);
-            }
+            DecideNote::Drain(drained) => self.drain(drained),
         }
     }
 
+    fn drain(&mut self, drained: Sender<()>) {
+        self.ready.store(false, Ordering::Release);
+        self.drained = Some(drained);
+        self.tell(Event::Draining);
+    }
+
     fn adopt(&mut self, fleet: &Arc<Fleet>) {
         if fleet.version <= self.router.fleet().version {
             return;
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -5,9 +5,11 @@
 use flume::{Receiver, RecvTimeoutError};
 
 use super::{LeaseCalls, OrderAnswer, OrderLink, OrderNote};
+use crate::claim::Sweeper;
 use crate::clock::Clock;
 
-/// The ordering duty: contends for the lease and, while it holds it, sends orders.
+/// The ordering duty: contends for the lease and, while it holds it, sends orders and deletes
+/// old claims.
 #[derive(Debug)]
 pub struct Orderer<A, L> {
     calls: LeaseCalls<A>,
@@ -16,6 +18,7 @@
     clock: Clock,
     lease: Lease,
     planner: OrderPlanner,
+    sweeper: Sweeper<A>,
     chosen: bool,
     wake: Timestamp,
 }
@@ -23,7 +26,7 @@
 /// The wake-up of an entry that only waits for notes.
 const IDLE: Timestamp = Timestamp::MAX;
 
-impl<A: ObjectApi, L: OrderLink> Orderer<A, L> {
+impl<A: ObjectApi + Clone, L: OrderLink> Orderer<A, L> {
     /// Creates the duty of instance `me`, whose process has the mark `mark`.
     pub fn new(
         api: A,
@@ -35,6 +38,7 @@
     ) -> Self {
         let lease = Lease::new(LeaseConfig::new(), me, mark);
         Self {
+            sweeper: Sweeper::new(api.clone(), mark),
             calls: LeaseCalls::new(api),
             link,
             notes,
@@ -93,7 +97,16 @@
         }
         let now = self.clock.now();
         let planned = self.planner.next_wakeup(now);
-        self.wake = planned.map_or(self.wake, |t| t.min(self.wake));
+        let swept = self.sweep(now);
+        let wakes = [planned, swept].into_iter().flatten();
+        self.wake = wakes.fold(self.wake, Timestamp::min);
+    }
+
+    /// Deletes an old claim if one is due. Returns when the next call is due, for the holder.
+    fn sweep(&mut self, now: Timestamp) -> Option<Timestamp> {
+        self.lease.allows(now, false)?;
+        self.sweeper.step(now, Clock::unix());
+        Some(self.sweeper.due())
     }
 
     fn renew(&mut self) {
