Name the regions of a trace, and count the traffic between regions only

Cause: the traces did not tell the core their regions, so that it could not know which links are paid, and the replay counted traffic between zones of one region.

--- a/azureway-dev/src/generate/generator.rs
+++ b/azureway-dev/src/generate/generator.rs
@@ -33,6 +33,7 @@
         let header = Header {
             seed,
             zones: ZONES.map(str::to_owned).to_vec(),
+            regions: shape.regions.map(str::to_owned).to_vec(),
             engines: ENGINES,
             accounts: Population::accounts(),
             blocks: shape.blocks,
--- a/azureway-dev/src/generate/shape.rs
+++ b/azureway-dev/src/generate/shape.rs
@@ -14,6 +14,8 @@
     pub home: f64,
     /// The requests a second that other entries send to the engines of another zone.
     pub away: f64,
+    /// The regions that the zones stand in.
+    pub regions: [&'static str; 3],
     /// The microseconds one way to another zone.
     pub link: u64,
     /// The blocks that an engine's cache holds.
@@ -36,6 +38,7 @@
             own: 4.0,
             home: 0.8,
             away: 3.0,
+            regions: ["slovenia"; 3],
             link: 1_500,
             blocks: 32,
             shops: 6,
@@ -67,6 +70,7 @@
     }
 
     fn with_regions(mut self) -> Self {
+        self.regions = ["gorenjska", "podravska", "primorska"];
         self.link = 8_000;
         self.waves = vec![Wave::new(20.0..40.0, 2.0).with_kind(WorkKind::Advice)];
         self
--- a/azureway-dev/src/outcome/measure.rs
+++ b/azureway-dev/src/outcome/measure.rs
@@ -37,7 +37,7 @@
     LargeOnTime,
     /// The least share on time of a small account.
     SmallOnTime,
-    /// The kilobytes across zones.
+    /// The kilobytes across regions.
     Crossed,
     /// The retries.
     Retries,
--- a/azureway-dev/src/replay/scene.rs
+++ b/azureway-dev/src/replay/scene.rs
@@ -32,6 +32,7 @@
     pub tally: Tally,
     /// The platform.
     pub platform: PlatformModel,
+    paid: bool,
     lags: Vec<Duration>,
     rng: Rng,
 }
@@ -65,6 +66,7 @@
             flights: BTreeMap::new(),
             tally: Tally::new(),
             platform: PlatformModel::new(),
+            paid: !header.is_one_region(),
             lags,
             rng,
         }
@@ -282,7 +284,7 @@
         let engine = self.engines.at(place);
         let held = engine.cache.held(blocks);
         let best = self.engines.best_held(blocks, task.weights);
-        let across = !self.links.is_home(&engine.zone);
+        let across = self.paid && !self.links.is_home(&engine.zone);
         let tally = &mut self.tally;
         tally.prompt += prompt;
         tally.wasted += best.saturating_sub(held).get();
--- a/azureway-dev/src/replay/summary.rs
+++ b/azureway-dev/src/replay/summary.rs
@@ -40,7 +40,7 @@
     pub largest: f64,
     /// The least share answered on time of an account that asks for less than an even part.
     pub smallest: f64,
-    /// The kilobytes that crossed to or from another zone.
+    /// The kilobytes that went to and came from another region.
     pub crossed: u64,
     /// The retries.
     pub retries: u64,
--- a/azureway-dev/src/replay/table.rs
+++ b/azureway-dev/src/replay/table.rs
@@ -70,7 +70,7 @@
         self.row(f, "drafting of served tokens %", |s| percent(s.kept))?;
         self.row(f, "on time largest account %", |s| percent(s.largest))?;
         self.row(f, "on time worst small account %", |s| percent(s.smallest))?;
-        self.row(f, "across zones kB", |s| s.crossed.to_string())?;
+        self.row(f, "across regions kB", |s| s.crossed.to_string())?;
         self.row(f, "retries", |s| s.retries.to_string())?;
         self.row(f, "refusals", |s| s.refusals.to_string())?;
         self.row(f, "engines crashed by a request", |s| {
--- a/azureway-dev/src/replay/tally.rs
+++ b/azureway-dev/src/replay/tally.rs
@@ -17,7 +17,7 @@
     pub cached: u64,
     /// The prompt tokens that were computed while another engine held them.
     pub wasted: u64,
-    /// The bytes that went to and came from another zone.
+    /// The bytes that went to and came from another region.
     pub crossed: u64,
     /// The engines that crashed by a request.
     pub poisoned: u64,
--- a/azureway-dev/src/trace/header.rs
+++ b/azureway-dev/src/trace/header.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use azureway_core::prelude::{
-    AccountId, BackendServer, BackendServerPool, ClientAccount, ConfigVersion, Fleet, ModelService,
-    PoolId, RequestKind, RouterConfig, ServerId, ServiceId, TokenRate, WeightsVersion, ZoneId,
+    AccountId, AvailabilityZone, BackendServer, BackendServerPool, ClientAccount, ConfigVersion,
+    Fleet, ModelService, PoolId, RequestKind, RouterConfig, ServerId, ServiceId, TokenRate,
+    WeightsVersion, ZoneId,
 };
 
 use super::WorkKind;
@@ -17,6 +18,8 @@
     pub seed: u64,
     /// The availability zones; the entry stands in the first.
     pub zones: Vec<String>,
+    /// The regions that the zones stand in.
+    pub regions: Vec<String>,
     /// The engines of a zone.
     pub engines: usize,
     /// The client accounts.
@@ -67,17 +70,31 @@
     pub fn router(&self) -> RouterConfig {
         let zone = self.zones.first().map_or("", String::as_str);
         let mut config = RouterConfig::new(ZoneId::new(zone));
-        config.link = Duration::from_micros(self.link);
+        let link = Duration::from_micros(self.link);
+        if self.is_one_region() {
+            config.link = link;
+        } else {
+            config.far = link;
+        }
         config
     }
 
+    /// Tells whether all zones stand in one region, so that traffic between them is not paid.
+    pub fn is_one_region(&self) -> bool {
+        self.regions.windows(2).all(|pair| pair[0] == pair[1])
+    }
+
     /// Returns the configuration that an entry of this fleet has in force.
     pub fn fleet(&self, version: u64, weights: WeightsVersion) -> Fleet {
         let pool = PoolId::new(POOL);
         let base = Fleet::new()
             .with_version(ConfigVersion::new(version))
             .with_pool(BackendServerPool::new(pool.clone()));
-        let services = WorkKind::ALL.into_iter().fold(base, |fleet, kind| {
+        let places = self.zones.iter().zip(&self.regions);
+        let zoned = places.fold(base, |fleet, (zone, region)| {
+            fleet.with_zone(AvailabilityZone::new(ZoneId::new(zone), region))
+        });
+        let services = WorkKind::ALL.into_iter().fold(zoned, |fleet, kind| {
             let service = ModelService::new(Self::service(kind), pool.clone());
             let service = service.with_weights(weights).with_calls(kind.calls());
             fleet.with_service(service)
@@ -99,6 +116,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "seed {}", self.seed)?;
         writeln!(f, "zones {}", self.zones.join(" "))?;
+        writeln!(f, "regions {}", self.regions.join(" "))?;
         writeln!(f, "engines {}", self.engines)?;
         writeln!(f, "accounts {}", self.accounts.join(" "))?;
         writeln!(f, "blocks {}", self.blocks)?;
--- a/azureway-dev/src/trace/parse.rs
+++ b/azureway-dev/src/trace/parse.rs
@@ -26,6 +26,7 @@
         [] | ["#", ..] => {}
         ["seed", seed] => header.seed = seed.parse()?,
         ["zones", zones @ ..] => header.zones = owned(zones),
+        ["regions", regions @ ..] => header.regions = owned(regions),
         ["engines", engines] => header.engines = engines.parse()?,
         ["accounts", accounts @ ..] => header.accounts = owned(accounts),
         ["blocks", blocks] => header.blocks = blocks.parse()?,
