Measure slopes, and bench the hot decisions

Cause: nothing told how state, messages and processor time grow. 'slopes' fits the growth by replicas, accounts, requests, blocks, events, peers and changes; the benches time routing, admission, the index, the document and messages.

--- /dev/null
+++ b/azureway-dev/benches/decisions.rs
@@ -0,0 +1,145 @@
+//! The hot decisions.
+
+use azureway_core::admit::{Demand, DemandShare};
+use azureway_core::prelude::*;
+use azureway_dev::bench::{Size, World};
+use azureway_dev::slopes::BlockProbe;
+use azureway_wire::engine::{CacheEvent, EngineNews};
+use divan::{Bencher, black_box};
+
+/// The slots of a replica.
+const SLOTS: u32 = 16;
+/// The events of a run.
+const RUN: u64 = 100;
+
+fn main() {
+    divan::main();
+}
+
+/// Routes and finishes a request among the replicas of one zone and pool.
+#[divan::bench(args = [9, 100, 1_600])]
+fn route(bencher: Bencher<'_, '_>, replicas: usize) {
+    let mut world = World::new(Size::new(replicas), SLOTS);
+    bencher.bench_local(|| {
+        let order = world.arrive().expect("a free slot");
+        world.finish(&order)
+    });
+}
+
+/// Routes and finishes a request in the fleet that is designed for.
+#[divan::bench]
+fn route_at_design_size(bencher: Bencher<'_, '_>) {
+    let mut world = World::new(Size::DESIGN, SLOTS);
+    bencher.bench_local(|| {
+        let order = world.arrive().expect("a free slot");
+        world.finish(&order)
+    });
+}
+
+/// Admits a request and takes the next one while 1,000 of 350 accounts wait.
+#[divan::bench]
+fn admit(bencher: Bencher<'_, '_>) {
+    let mut world = World::new(Size::new(1).with_accounts(350), 1);
+    let mut running = world.arrive();
+    for _ in 0..1_000 {
+        world.arrive();
+    }
+    bencher.bench_local(|| {
+        running = running.take().and_then(|order| world.finish(&order));
+        world.arrive()
+    });
+}
+
+/// Takes in a run of 100 cache events.
+#[divan::bench(args = [10_000, 100_000, 1_000_000])]
+fn index_update(bencher: Bencher<'_, '_>, blocks: u64) {
+    let mut index = BlockProbe::index(blocks);
+    let server = World::server(0);
+    let mut first = blocks;
+    bencher.bench_local(|| {
+        let keys = (first..first + RUN).map(|n| BlockKey::new(u128::from(n)));
+        let ops: Vec<CacheOp> = keys.map(CacheOp::Stored).collect();
+        let update = CacheUpdate {
+            server: &server,
+            incarnation: Incarnation::new(1),
+            first,
+            whole: false,
+            ops: &ops,
+        };
+        first += RUN;
+        index.update(&update)
+    });
+}
+
+/// Looks a prompt of 6 blocks up at one replica.
+#[divan::bench(args = [10_000, 100_000, 1_000_000])]
+fn index_lookup(bencher: Bencher<'_, '_>, blocks: u64) {
+    let mut index = BlockProbe::index(blocks);
+    let server = World::server(0);
+    let mut first = 0;
+    bencher.bench_local(|| {
+        first = (first + 7_919) % blocks;
+        let prompt: [Block; 6] = std::array::from_fn(|n| Block {
+            key: BlockKey::new(u128::from(first + n as u64)),
+            tokens: TokenCount::new(1),
+        });
+        index.cached(&server, Incarnation::new(1), &prompt)
+    });
+}
+
+/// Parses the document of the fleet that is designed for.
+#[divan::bench]
+fn document_parse(bencher: Bencher<'_, '_>) {
+    let text = Size::DESIGN.document();
+    bencher.bench_local(|| azureway_config::document::parse(&text, ConfigVersion::new(2)).is_ok());
+}
+
+/// Adopts the fleet that is designed for.
+#[divan::bench]
+fn document_adopt(bencher: Bencher<'_, '_>) {
+    let mut world = World::new(Size::DESIGN, SLOTS);
+    let mut version = 1;
+    bencher.bench_local(|| {
+        version += 1;
+        world.tell(Event::Configured(&Size::DESIGN.fleet(version, SLOTS)))
+    });
+}
+
+/// Takes in what a peer tells of 350 accounts.
+#[divan::bench]
+fn peer_demand(bencher: Bencher<'_, '_>) {
+    let accounts = (0..350).map(World::account);
+    let demand = Demand {
+        instance: InstanceId::new("entry-1"),
+        rates: accounts.map(|a| (a, TokenRate::new(1_000))).collect(),
+    };
+    let mut share = DemandShare::new();
+    bencher.bench_local(|| share.hear(&demand, Timestamp::from_millis(1)));
+}
+
+/// Writes an engine's news of 100 events.
+#[divan::bench]
+fn news_encode(bencher: Bencher<'_, '_>) {
+    let news = news();
+    bencher.bench_local(|| serde_json::to_string(black_box(&news)));
+}
+
+/// Reads an engine's news of 100 events.
+#[divan::bench]
+fn news_decode(bencher: Bencher<'_, '_>) {
+    let text = serde_json::to_string(&news()).expect("news");
+    bencher.bench_local(|| {
+        let read: EngineNews = serde_json::from_str(black_box(&text)).expect("news");
+        read.ops().map(|ops| ops.len())
+    });
+}
+
+fn news() -> EngineNews {
+    let keys = (0..RUN).map(|n| BlockKey::new(u128::MAX - u128::from(n)));
+    EngineNews {
+        incarnation: 1,
+        weights: 1,
+        events: keys.map(|k| CacheEvent::from(CacheOp::Stored(k))).collect(),
+        ..EngineNews::default()
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/bench/world.rs
@@ -0,0 +1,122 @@
+//! A router with its clock.
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+
+use super::Size;
+use super::size::{account, server, service};
+
+/// A router of the first zone of a fleet, with its clock.
+#[derive(Debug)]
+pub struct World {
+    /// The router.
+    pub router: Router<PrefixLoad>,
+    size: Size,
+    now: Timestamp,
+    sequence: u64,
+    out: Vec<Action>,
+}
+
+/// The time between two events.
+const TICK: Duration = Duration::from_millis(1);
+/// The time that callers allow.
+const PATIENCE: Duration = Duration::from_secs(86_400);
+/// The prompt tokens of a block.
+const BLOCK_TOKENS: u64 = 2_000;
+/// The blocks of a prompt.
+const PROMPT_BLOCKS: u64 = 3;
+/// The prefixes that requests draw from.
+const PREFIXES: u64 = 64;
+
+impl World {
+    /// Creates a router that has the fleet of `size` in force.
+    pub fn new(size: Size, slots: u32) -> Self {
+        let config = RouterConfig::new(ZoneId::new("zone-0")).with_queue(usize::MAX);
+        let mut world = Self {
+            router: Router::new(config, PrefixLoad::new()),
+            size,
+            now: Timestamp::from_millis(1),
+            sequence: 0,
+            out: Vec::new(),
+        };
+        let fleet = size.fleet(1, slots);
+        world.tell(Event::Configured(&fleet));
+        world
+    }
+
+    /// Tells the router an event and returns the first order among what it wants done.
+    pub fn tell(&mut self, event: Event<'_>) -> Option<Dispatch> {
+        self.now = self.now + TICK;
+        self.router.handle(event, self.now, &mut self.out);
+        let mut orders = self.out.drain(..).filter_map(as_order);
+        orders.next()
+    }
+
+    /// Lets the next request arrive and returns the order that follows from it.
+    pub fn arrive(&mut self) -> Option<Dispatch> {
+        let request = self.request();
+        self.tell(Event::Arrived(&request))
+    }
+
+    /// Ends a try well and returns the order that follows from it.
+    pub fn finish(&mut self, order: &Dispatch) -> Option<Dispatch> {
+        self.tell(Event::Started(order.attempt));
+        self.tell(Event::Finished(&Finish {
+            attempt: order.attempt,
+            cached: order.cached,
+            output: TokenCount::new(1),
+        }))
+    }
+
+    /// Returns the next request, whose account and prefix follow from its number.
+    pub fn request(&mut self) -> Request {
+        self.sequence += 1;
+        let number = usize::try_from(self.sequence).unwrap_or(usize::MAX);
+        let account = account(number % self.size.accounts);
+        let service = service(number % self.size.models);
+        let weights = WeightsVersion::new(1);
+        let salt = Salt::new(&account, &service, weights);
+        let prefix = self.sequence % PREFIXES;
+        Request {
+            id: RequestId::new(1, self.sequence),
+            account,
+            service,
+            rank: Rank::Urgent,
+            kind: RequestKind::Repeatable,
+            worth: Worth::new(1),
+            deadline: Deadline::new(self.now + PATIENCE),
+            arrived: self.now,
+            weights,
+            chain: BlockChain::from_blocks(salt, blocks(prefix * PROMPT_BLOCKS), 2),
+            output: TokenCount::new(100),
+            key: None,
+            fingerprint: Fingerprint::from_bytes(u128::from(self.sequence).to_be_bytes()),
+        }
+    }
+
+    /// Returns the name of a server.
+    pub fn server(number: usize) -> ServerId {
+        server(number)
+    }
+
+    /// Returns the name of an account.
+    pub fn account(number: usize) -> AccountId {
+        account(number)
+    }
+}
+
+/// Returns the blocks of a prompt from number `first` on.
+fn blocks(first: u64) -> impl Iterator<Item = Block> {
+    (first..first + PROMPT_BLOCKS).map(|number| Block {
+        key: BlockKey::new(u128::from(number)),
+        tokens: TokenCount::new(BLOCK_TOKENS),
+    })
+}
+
+fn as_order(action: Action) -> Option<Dispatch> {
+    match action {
+        Action::Dispatch(order) => Some(order),
+        _ => None,
+    }
+}
--- a/azureway-dev/src/lib.rs
+++ b/azureway-dev/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what azureway meets, for tests, trials and benches. No daemon links this.
 
+pub mod bench;
 pub mod engine;
 pub mod generate;
 pub mod http;
@@ -8,4 +9,5 @@
 pub mod platform;
 pub mod replay;
 pub mod serve;
+pub mod slopes;
 pub mod trace;
--- a/azureway-dev/src/main.rs
+++ b/azureway-dev/src/main.rs
@@ -4,7 +4,7 @@
 use azureway_config::settings::Bounds;
 use azureway_dev::engine::EngineConfig;
 use azureway_dev::serve::{Layout, System};
-use azureway_dev::{generate, replay};
+use azureway_dev::{generate, replay, slopes};
 use clap::Command;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -15,6 +15,10 @@
         Some(("serve", _)) => serve(),
         Some(("generate", matches)) => generate::run(matches),
         Some(("rounds", matches)) => replay::rounds::run(matches),
+        Some(("slopes", matches)) => {
+            slopes::run(matches);
+            Ok(())
+        }
         Some(("replay", matches)) => exit(replay::run(matches)?),
         _ => Ok(()),
     }
@@ -32,6 +36,7 @@
         .subcommand(generate::command())
         .subcommand(replay::command())
         .subcommand(replay::rounds::command())
+        .subcommand(slopes::command())
         .subcommand(Command::new("serve").about("Runs a whole system on loopback until Ctrl-C"))
 }
 
--- /dev/null
+++ b/azureway-dev/src/slopes/account_probe.rs
@@ -0,0 +1,41 @@
+//! Growth by client accounts.
+
+use super::probe::{Probe, time_of};
+use super::{Heap, Sample};
+use crate::bench::{Size, World};
+
+/// Growth by client accounts: what an entry keeps of each once it has asked.
+#[derive(Clone, Copy, Debug)]
+pub struct AccountProbe;
+
+/// The requests whose routing is timed.
+const REQUESTS: u32 = 500;
+
+impl Probe for AccountProbe {
+    const UNIT: &'static str = "client account";
+    const OPERATION: &'static str = "route and finish a request";
+    const SIZES: [u64; 3] = [35, 350, 3_500];
+
+    fn measure(size: u64) -> Sample {
+        let heap = Heap::now();
+        let accounts = usize::try_from(size).unwrap_or(0);
+        let mut world = World::new(Size::new(9).with_accounts(accounts), 16);
+        for _ in 0..accounts {
+            if let Some(order) = world.arrive() {
+                world.finish(&order);
+            }
+        }
+        let memory = heap.grown();
+        let time = time_of(REQUESTS, |_| {
+            if let Some(order) = world.arrive() {
+                world.finish(&order);
+            }
+        });
+        Sample {
+            size,
+            memory,
+            message: 0,
+            time,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/slopes/change_probe.rs
@@ -0,0 +1,47 @@
+//! Growth by sections of the operators' document.
+
+use azureway_core::prelude::*;
+
+use super::probe::{Probe, time_of};
+use super::{Heap, Sample};
+use crate::bench::{Size, World};
+
+/// Growth by replicas in the operators' document, beside 350 accounts and 23 models: its
+/// text, the fleet that it defines, and reading and adopting a change of it.
+#[derive(Clone, Copy, Debug)]
+pub struct ChangeProbe;
+
+/// The changes that are timed.
+const CHANGES: u32 = 10;
+
+impl Probe for ChangeProbe {
+    const UNIT: &'static str = "replica in the document";
+    const OPERATION: &'static str = "parse and adopt a changed document";
+    const SIZES: [u64; 3] = [100, 400, 1_600];
+
+    fn measure(size: u64) -> Sample {
+        let replicas = usize::try_from(size).unwrap_or(0);
+        let size_of = Size {
+            replicas,
+            ..Size::DESIGN
+        };
+        let text = size_of.document();
+        let heap = Heap::now();
+        let parsed = azureway_config::document::parse(&text, ConfigVersion::new(2)).ok();
+        let memory = heap.grown();
+        drop(parsed);
+        let mut world = World::new(size_of, 16);
+        let time = time_of(CHANGES, |n| {
+            let version = ConfigVersion::new(u64::from(n) + 2);
+            if let Ok(fleet) = azureway_config::document::parse(&text, version) {
+                world.tell(Event::Configured(&fleet));
+            }
+        });
+        Sample {
+            size,
+            memory,
+            message: text.len() as u64,
+            time,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/slopes/command.rs
@@ -0,0 +1,48 @@
+//! The subcommand that prints the slopes.
+
+use clap::{ArgMatches, Command};
+
+use super::{
+    AccountProbe, BlockProbe, ChangeProbe, EventProbe, FlightProbe, LookupProbe, PeerProbe, Probe,
+    ReplicaProbe, Slope, WaitProbe,
+};
+
+/// The nanoseconds of a microsecond.
+const MICRO: f64 = 1_000.0;
+
+/// Returns the subcommand's arguments.
+pub fn command() -> Command {
+    Command::new("slopes")
+        .about("Measures how state, messages, processor time and memory grow, as a table")
+}
+
+/// Measures and prints the slopes.
+pub fn run(_: &ArgMatches) {
+    println!(
+        "| by | sizes | memory B a unit | message B a unit | operation | time, us, at each size |"
+    );
+    println!("|---|---|---:|---:|---|---|");
+    print::<ReplicaProbe>();
+    print::<AccountProbe>();
+    print::<WaitProbe>();
+    print::<FlightProbe>();
+    print::<BlockProbe>();
+    print::<LookupProbe>();
+    print::<EventProbe>();
+    print::<PeerProbe>();
+    print::<ChangeProbe>();
+}
+
+fn print<P: Probe>() {
+    let samples = P::measure_all();
+    let slope = Slope::new(&samples);
+    let sizes = P::SIZES.map(|s| s.to_string()).join(", ");
+    let times = samples.map(|s| format!("{:.2}", s.time / MICRO)).join(", ");
+    println!(
+        "| {} | {sizes} | {:.0} | {:.0} | {} | {times} |",
+        P::UNIT,
+        slope.memory,
+        slope.message,
+        P::OPERATION,
+    );
+}
--- /dev/null
+++ b/azureway-dev/src/slopes/flight_probe.rs
@@ -0,0 +1,40 @@
+//! Growth by requests in flight.
+
+use super::probe::{Probe, time_of};
+use super::{Heap, Sample};
+use crate::bench::{Size, World};
+
+/// Growth by requests in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct FlightProbe;
+
+/// The requests whose routing is timed.
+const REQUESTS: u32 = 500;
+/// The slots of a replica, more than are taken.
+const SLOTS: u32 = 100_000;
+
+impl Probe for FlightProbe {
+    const UNIT: &'static str = "request in flight";
+    const OPERATION: &'static str = "route and finish a request";
+    const SIZES: [u64; 3] = [100, 1_000, 10_000];
+
+    fn measure(size: u64) -> Sample {
+        let mut world = World::new(Size::new(9), SLOTS);
+        let heap = Heap::now();
+        for _ in 0..size {
+            world.arrive();
+        }
+        let memory = heap.grown();
+        let time = time_of(REQUESTS, |_| {
+            if let Some(order) = world.arrive() {
+                world.finish(&order);
+            }
+        });
+        Sample {
+            size,
+            memory,
+            message: 0,
+            time,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/slopes/lookup_probe.rs
@@ -0,0 +1,45 @@
+//! The time of a look-up by cached blocks.
+
+use std::hint::black_box;
+
+use azureway_core::prelude::*;
+
+use super::probe::{Probe, time_of};
+use super::{BlockProbe, Sample};
+use crate::bench::World;
+
+/// The time of a look-up of a prompt's blocks by the blocks of the index.
+#[derive(Clone, Copy, Debug)]
+pub struct LookupProbe;
+
+/// The look-ups that are timed.
+const LOOKUPS: u32 = 10_000;
+/// The blocks of a prompt.
+const PROMPT_BLOCKS: u64 = 6;
+/// The blocks from the start of one prompt to that of the next.
+const STRIDE: u64 = 7_919;
+
+impl Probe for LookupProbe {
+    const UNIT: &'static str = "cached block";
+    const OPERATION: &'static str = "look a prompt of 6 blocks up at one replica";
+    const SIZES: [u64; 3] = [10_000, 100_000, 1_000_000];
+
+    fn measure(size: u64) -> Sample {
+        let mut index = BlockProbe::index(size);
+        let server = World::server(0);
+        let time = time_of(LOOKUPS, |number| {
+            let first = u64::from(number) * STRIDE % size;
+            let blocks: [Block; PROMPT_BLOCKS as usize] = std::array::from_fn(|n| Block {
+                key: BlockKey::new(u128::from(first + n as u64)),
+                tokens: TokenCount::new(1),
+            });
+            black_box(index.cached(&server, Incarnation::new(1), &blocks));
+        });
+        Sample {
+            size,
+            memory: 0,
+            message: 0,
+            time,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/slopes/peer_probe.rs
@@ -0,0 +1,50 @@
+//! Growth by peers.
+
+use azureway_core::admit::{Demand, DemandShare};
+use azureway_core::prelude::*;
+
+use super::probe::{Probe, time_of};
+use super::{Heap, Sample};
+use crate::bench::World;
+
+/// Growth by peers that each tell what 350 client accounts ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerProbe;
+
+/// The client accounts.
+const ACCOUNTS: usize = 350;
+/// The messages that are timed.
+const MESSAGES: u32 = 50;
+
+impl Probe for PeerProbe {
+    const UNIT: &'static str = "peer that tells of 350 accounts";
+    const OPERATION: &'static str = "take in one peer's demand";
+    const SIZES: [u64; 3] = [8, 60, 360];
+
+    fn measure(size: u64) -> Sample {
+        let demands: Vec<Demand> = (0..size).map(demand).collect();
+        let heap = Heap::now();
+        let mut share = DemandShare::new();
+        let now = Timestamp::from_millis(1);
+        demands.iter().for_each(|d| share.hear(d, now));
+        let memory = heap.grown();
+        let time = time_of(MESSAGES, |n| {
+            let place = n as usize % demands.len();
+            share.hear(&demands[place], now);
+        });
+        Sample {
+            size,
+            memory,
+            message: 0,
+            time,
+        }
+    }
+}
+
+fn demand(peer: u64) -> Demand {
+    let accounts = (0..ACCOUNTS).map(World::account);
+    Demand {
+        instance: InstanceId::new(&format!("entry-{peer:03}")),
+        rates: accounts.map(|a| (a, TokenRate::new(1_000))).collect(),
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/slopes/replica_probe.rs
@@ -0,0 +1,37 @@
+//! Growth by replicas.
+
+use super::probe::{Probe, time_of};
+use super::{Heap, Sample};
+use crate::bench::{Size, World};
+
+/// Growth by replicas: what an entry keeps of each, and a decision among all of them.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplicaProbe;
+
+/// The requests whose routing is timed.
+const REQUESTS: u32 = 500;
+/// The slots of a replica.
+const SLOTS: u32 = 16;
+
+impl Probe for ReplicaProbe {
+    const UNIT: &'static str = "replica of one zone and pool";
+    const OPERATION: &'static str = "route and finish a request";
+    const SIZES: [u64; 3] = [9, 100, 1_600];
+
+    fn measure(size: u64) -> Sample {
+        let heap = Heap::now();
+        let mut world = World::new(Size::new(usize::try_from(size).unwrap_or(0)), SLOTS);
+        let memory = heap.grown();
+        let time = time_of(REQUESTS, |_| {
+            if let Some(order) = world.arrive() {
+                world.finish(&order);
+            }
+        });
+        Sample {
+            size,
+            memory,
+            message: 0,
+            time,
+        }
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/slopes/wait_probe.rs
@@ -0,0 +1,40 @@
+//! Growth by requests that wait.
+
+use super::probe::{Probe, time_of};
+use super::{Heap, Sample};
+use crate::bench::{Size, World};
+
+/// Growth by requests that wait: what the queue keeps, and taking the next one.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitProbe;
+
+/// The requests that are taken from the queue.
+const TAKEN: u32 = 200;
+/// The client accounts.
+const ACCOUNTS: usize = 350;
+
+impl Probe for WaitProbe {
+    const UNIT: &'static str = "request that waits";
+    const OPERATION: &'static str = "admit one and take the next";
+    const SIZES: [u64; 3] = [400, 1_000, 2_000];
+
+    fn measure(size: u64) -> Sample {
+        let mut world = World::new(Size::new(1).with_accounts(ACCOUNTS), 1);
+        let mut running = world.arrive();
+        let heap = Heap::now();
+        for _ in 0..size {
+            world.arrive();
+        }
+        let memory = heap.grown();
+        let time = time_of(TAKEN, |_| {
+            running = running.take().and_then(|order| world.finish(&order));
+            world.arrive();
+        });
+        Sample {
+            size,
+            memory,
+            message: 0,
+            time,
+        }
+    }
+}
