--- /dev/null
+++ b/azureway-cli/src/admin/mod.rs
@@ -0,0 +1,39 @@
+//! The commands on entry instances and backend servers.
+
+mod drain;
+mod entry_client;
+mod explain;
+mod status;
+
+pub(crate) use entry_client::EntryClient;
+
+use std::io::Write;
+
+use anyhow::Result;
+use clap::ArgMatches;
+
+use crate::shell::Shell;
+use crate::{Exit, Failure};
+
+/// Runs a command on entry instances and backend servers.
+pub(crate) fn run<W: Write>(name: &str, matches: &ArgMatches, shell: Shell<W>) -> Result<Exit> {
+    match name {
+        "status" => status::run(matches, shell),
+        "explain" => explain::run(matches, shell),
+        _ => drain::run(matches, shell),
+    }
+}
+
+/// Returns the clients of the instances that the command names.
+fn clients(matches: &ArgMatches) -> Result<Vec<EntryClient>> {
+    let key = matches.get_one::<String>("operator-key");
+    let addresses = matches.get_many("entry").unwrap_or_default();
+    let clients: Vec<_> = addresses
+        .map(|a| EntryClient::new(*a, key.cloned()))
+        .collect();
+    if clients.is_empty() {
+        let detail = "name an entry instance with --entry or AZUREWAY_ENTRY";
+        return Err(Failure::new(Exit::Usage, detail).into());
+    }
+    Ok(clients)
+}
--- a/azureway-cli/src/app/mod.rs
+++ b/azureway-cli/src/app/mod.rs
@@ -1,6 +1,7 @@
 //! The commands and how they are reached.
 
 mod account_command;
+mod admin_command;
 mod config_command;
 mod root_command;
 mod runner;
--- a/azureway-cli/src/app/root_command.rs
+++ b/azureway-cli/src/app/root_command.rs
@@ -5,7 +5,7 @@
 use clap::{Arg, Command, value_parser};
 use clap_complete::Shell;
 
-use super::{account_command, config_command};
+use super::{account_command, admin_command, config_command};
 
 /// What the help ends with.
 const EXIT_CODES: &str = "Exit codes:
@@ -28,6 +28,7 @@
         .args(global())
         .subcommand(config_command::command())
         .subcommand(account_command::command())
+        .subcommands(admin_command::commands())
         .subcommand(completions())
 }
 
--- a/azureway-cli/src/app/runner.rs
+++ b/azureway-cli/src/app/runner.rs
@@ -7,7 +7,7 @@
 
 use super::command;
 use crate::shell::Shell;
-use crate::{Exit, account, config};
+use crate::{Exit, account, admin, config};
 
 /// Runs a command line and prints to `out`.
 ///
@@ -27,6 +27,7 @@
     let shell = Shell::new(out, json);
     match name {
         "config" => config::run(sub, shell),
-        _ => account::run(sub, shell),
+        "account" => account::run(sub, shell),
+        _ => admin::run(name, sub, shell),
     }
 }
--- a/azureway-cli/src/lib.rs
+++ b/azureway-cli/src/lib.rs
@@ -4,6 +4,7 @@
 //! the commands as the program does. [`Exit`] lists the exit codes.
 
 mod account;
+mod admin;
 mod app;
 mod config;
 mod exit;
--- /dev/null
+++ b/azureway-cli/src/report/drain_report.rs
@@ -0,0 +1,30 @@
+//! An instance that shuts down.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+/// An instance that shuts down.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct DrainReport {
+    entry: SocketAddr,
+    draining: bool,
+}
+
+impl DrainReport {
+    pub(crate) const fn new(entry: SocketAddr) -> Self {
+        let draining = true;
+        Self { entry, draining }
+    }
+}
+
+impl fmt::Display for DrainReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "entry {} drains: it ends what it runs and takes nothing new",
+            self.entry
+        )
+    }
+}
--- /dev/null
+++ b/azureway-cli/src/report/explain_report.rs
@@ -0,0 +1,56 @@
+//! Why a request would go where.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use azureway_wire::admin::ExplainBody;
+use serde::Serialize;
+
+/// Why a request would go where it would go from one entry instance.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct ExplainReport {
+    entry: SocketAddr,
+    #[serde(flatten)]
+    answer: ExplainBody,
+}
+
+/// The microseconds of a millisecond.
+const MILLI: f64 = 1_000.0;
+
+impl ExplainReport {
+    pub(crate) const fn new(entry: SocketAddr, answer: ExplainBody) -> Self {
+        Self { entry, answer }
+    }
+}
+
+impl fmt::Display for ExplainReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let answer = &self.answer;
+        writeln!(
+            f,
+            "from {}: {} request of {} to {}, {} prompt tokens",
+            self.entry, answer.rank, answer.account, answer.service, answer.prompt
+        )?;
+        if !answer.options.iter().any(|o| o.chosen) {
+            writeln!(f, "no backend server would take it now; it would wait")?;
+        }
+        for option in &answer.options {
+            let state = option.obstacle.as_deref().unwrap_or("chosen");
+            let home = if option.home { ", kept here" } else { "" };
+            let millis = |micros: u64| micros as f64 / MILLI;
+            writeln!(
+                f,
+                "  {state:8} {}  zone {}  first token in {:.1} ms = wait {:.1} + compute {:.1} + \
+                 link {:.1}; {} tokens cached{home}",
+                option.server,
+                option.zone,
+                millis(option.total),
+                millis(option.wait),
+                millis(option.prefill),
+                millis(option.link),
+                option.cached
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/azureway-cli/tests/commands.rs
+++ b/azureway-cli/tests/commands.rs
@@ -1,11 +1,13 @@
 //! The operators' interface: commands against a platform over loopback.
 
+mod program;
 mod support;
 
 use azureway_cli::Exit;
 use azureway_dev::platform::PlatformFaults;
 use googletest::prelude::*;
-use support::{Desk, words};
+use program::words;
+use support::Desk;
 
 #[gtest]
 fn commands_answer_as_the_table_says() {
--- /dev/null
+++ b/azureway-cli/tests/entries.rs
@@ -0,0 +1,127 @@
+//! The operators' interface of an entry: commands against a running system over loopback.
+
+mod program;
+
+use azureway_cli::Exit;
+use azureway_config::settings::{Bounds, EntrySettings};
+use azureway_core::prelude::*;
+use azureway_dev::engine::EngineConfig;
+use azureway_dev::serve::{EntrySlot, Layout, System};
+use googletest::prelude::*;
+use program::{execute, words};
+
+/// A guard against a hang, in seconds; no test's verdict depends on it.
+const GUARD: u64 = 60;
+
+fn system() -> System {
+    let layout = Layout::new()
+        .with_zones(&["kranj-a"])
+        .with_engines(2)
+        .with_entries(1);
+    let system = System::start(&layout, &EngineConfig::new(), &Bounds::new());
+    let system = system.expect("the system starts");
+    system.wait_ready();
+    system
+}
+
+/// Runs a command line against a system, as an operator would with its exports.
+fn operate(system: &System, line: &str) -> (Exit, String) {
+    let mut all = vec!["azureway".to_owned()];
+    all.push(format!("--platform={}", system.platform_address()));
+    all.extend(words(line));
+    let takes_entry = !line.starts_with("config") && !line.contains("--entry");
+    if takes_entry {
+        all.push(format!("--entry={}", system.admin_addresses()[0]));
+    }
+    execute(all)
+}
+
+/// Waits until every entry has the version in force that a command printed.
+fn wait_for(system: &System, printed: &str) {
+    let version = printed.split_whitespace().nth(3).expect("a version");
+    let version = version.trim_end_matches(',').parse().expect("a number");
+    system.wait_version(ConfigVersion::new(version));
+}
+
+#[gtest]
+fn commands_answer_as_the_table_says() {
+    let system = system();
+    for line in include_str!("../testdata/entry.txt").lines() {
+        if line.starts_with('#') {
+            continue;
+        }
+        let cells: Vec<&str> = line.split(" |").map(str::trim).collect();
+        let (exit, printed) = operate(&system, cells[0]);
+        expect_that!((exit as u8).to_string(), eq(cells[1]), "{line}\n{printed}");
+        expect_that!(printed, contains_substring(cells[2]), "{line}");
+    }
+    system.drain();
+}
+
+#[gtest]
+fn a_changed_limit_comes_into_force_and_into_the_trail() {
+    let system = system();
+    let edit = "config edit 'account wax-desk' --set limit=500 --reason thaw";
+    let (exit, printed) = operate(&system, edit);
+    expect_that!(exit, eq(Exit::Done), "{printed}");
+    wait_for(&system, &printed);
+    let (_, history) = operate(&system, "config history --diff");
+    expect_that!(history, contains_substring("[account wax-desk]  thaw"));
+    expect_that!(history, contains_substring("+ limit = 500"));
+    system.drain();
+}
+
+#[gtest]
+fn a_server_that_is_taken_out_gets_no_new_work() {
+    let system = system();
+    let out = "drain --server kranj-a-engine-1 --reason repair";
+    let (exit, printed) = operate(&system, out);
+    expect_that!(exit, eq(Exit::Done), "{printed}");
+    wait_for(&system, &printed);
+    let ask = "explain --account wax-desk --service advice --message 'House rules'";
+    let (_, explained) = operate(&system, ask);
+    expect_that!(explained, contains_substring("leaving  kranj-a-engine-1"));
+    expect_that!(explained, contains_substring("chosen   kranj-a-engine-2"));
+    let (_, printed) = operate(&system, &format!("{out} --undo"));
+    wait_for(&system, &printed);
+    let (_, status) = operate(&system, "status");
+    expect_that!(status, contains_substring("3 of 3 live"));
+    system.drain();
+}
+
+#[gtest]
+fn an_entry_that_is_drained_ends_and_the_rest_serves() {
+    let layout = Layout::new().with_zones(&["kranj-a"]).with_entries(2);
+    let system = System::start(&layout, &EngineConfig::new(), &Bounds::new());
+    let system = system.expect("the system starts");
+    system.wait_ready();
+    let (exit, printed) = operate(&system, "drain");
+    expect_that!(exit, eq(Exit::Done), "{printed}");
+    // Returns once the drained entry is gone too.
+    let url = format!("http://{}/readyz", system.addresses()[1]);
+    let ready = minreq::get(url).with_timeout(GUARD).send();
+    expect_that!(ready.expect("an answer").status_code, eq(200));
+    system.drain();
+}
+
+#[gtest]
+fn the_operators_key_opens_the_interface() {
+    let system = system();
+    let (name, zone) = (InstanceId::new("keyed"), ZoneId::new("kranj-a"));
+    let settings = EntrySettings::new(name, zone, system.platform_address());
+    let slot = EntrySlot::start(&settings.with_operator(KeyHash::of("sesame")));
+    let slot = slot.expect("the entry starts");
+    let admin = slot.admin_address().expect("an address");
+    for (key, exit) in [
+        ("", 1),
+        ("--operator-key wrong", 1),
+        ("--operator-key sesame", 0),
+    ] {
+        let line = format!("status --entry {admin} {key}");
+        let (ended, printed) = operate(&system, &line);
+        expect_that!(ended as u8, eq(exit), "{line}\n{printed}");
+        expect_that!(printed.contains("sesame"), eq(false));
+    }
+    slot.drain();
+    system.drain();
+}
--- a/azureway-cli/tests/support/mod.rs
+++ b/azureway-cli/tests/support/mod.rs
@@ -4,10 +4,12 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use azureway_cli::{Exit, Failure, command, run};
+use azureway_cli::Exit;
 use azureway_dev::http::StandIn;
 use azureway_dev::platform::Platform;
 
+use crate::program::{execute, words};
+
 /// A platform that holds a document, and the program that talks to it.
 pub(crate) struct Desk {
     pub(crate) platform: Arc<Platform>,
@@ -38,18 +40,7 @@
             "BAD" => format!("{DATA}/bad.ini"),
             word => word.to_owned(),
         }));
-        let matches = match command().try_get_matches_from(line) {
-            Ok(matches) => matches,
-            Err(e) => return (Exit::Usage, e.to_string()),
-        };
-        let mut out = Vec::new();
-        match run(&matches, &mut out) {
-            Ok(exit) => (exit, String::from_utf8(out).expect("text")),
-            Err(e) => {
-                let exit = e.downcast_ref::<Failure>().map(Failure::exit);
-                (exit.unwrap_or(Exit::Failed), format!("{e:#}"))
-            }
-        }
+        execute(line)
     }
 
     /// Gets the document into a file, edited.
@@ -98,16 +89,3 @@
     std::fs::write(&path, text).expect("a file");
     path.to_str().expect("text").to_owned()
 }
-
-/// Splits a command line into words; single quotes hold one together.
-pub(crate) fn words(line: &str) -> Vec<String> {
-    let mut words = Vec::new();
-    for (place, part) in line.split('\'').enumerate() {
-        if place % 2 == 1 {
-            words.push(part.to_owned());
-        } else {
-            words.extend(part.split_whitespace().map(str::to_owned));
-        }
-    }
-    words
-}
--- a/azureway-core/src/fleet/health.rs
+++ b/azureway-core/src/fleet/health.rs
@@ -11,3 +11,14 @@
     /// It is leaving: requests in flight end there, and new ones go elsewhere.
     Leaving,
 }
+
+impl Health {
+    /// Returns the name of the state.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Live => "live",
+            Self::Suspect => "suspect",
+            Self::Leaving => "leaving",
+        }
+    }
+}
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -119,12 +119,17 @@
         }
     }
 
+    /// Returns whether the server may be given work, as far as that is known.
+    pub const fn health(&self) -> Health {
+        match self.server.leaving {
+            true => Health::Leaving,
+            false => self.health,
+        }
+    }
+
     /// Tells whether the server may be given new work at `now`.
     pub fn accepts(&self, now: Timestamp) -> bool {
-        if self.server.leaving {
-            return false;
-        }
-        match self.health {
+        match self.health() {
             Health::Live => true,
             Health::Suspect => now > self.trial,
             Health::Leaving => false,
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -23,6 +23,6 @@
     Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
     RoundRobin, Spread,
 };
-pub use crate::router::{Router, RouterConfig};
+pub use crate::router::{Obstacle, Overview, RouteOption, Router, RouterConfig};
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Count, Outcome, Tally};
--- a/azureway-core/src/retry/budget.rs
+++ b/azureway-core/src/retry/budget.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns the retries that are left.
+    pub const fn left(&self) -> u64 {
+        self.saved / RETRY_COST
+    }
+
     /// Tells whether there is a retry in the budget.
     pub const fn has_retry(&self) -> bool {
         self.saved >= RETRY_COST
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -15,16 +15,16 @@
 /// The decisions of one entry instance. Events and the time go in, actions come out.
 #[derive(Debug)]
 pub struct Router<P> {
-    config: RouterConfig,
-    fleet: Fleet,
-    sender: Dispatcher<P>,
+    pub(super) config: RouterConfig,
+    pub(super) fleet: Fleet,
+    pub(super) sender: Dispatcher<P>,
     limits: Limits,
-    queues: Queues,
-    claims: ClaimBook,
-    retries: Retries,
-    budget: RetryBudget,
-    tally: Tally,
-    draining: bool,
+    pub(super) queues: Queues,
+    pub(super) claims: ClaimBook,
+    pub(super) retries: Retries,
+    pub(super) budget: RetryBudget,
+    pub(super) tally: Tally,
+    pub(super) draining: bool,
     seen: Timestamp,
 }
 
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -1,6 +1,6 @@
 //! Sending requests to backend servers.
 
-use super::{Flight, Flights, Placement, RouterConfig, Want};
+use super::{Flight, Flights, Placement, RouteOption, RouterConfig, Want};
 use crate::cache::{CacheIndex, CacheUpdate};
 use crate::domain::{Attempt, PoolId, RequestId, Timestamp};
 use crate::event::{Dispatch, Failure};
@@ -79,6 +79,25 @@
         Some(order)
     }
 
+    /// Tells of every server of the service's pool whether the request would go there.
+    pub fn explain(
+        &mut self,
+        want: Want<'_>,
+        config: &RouterConfig,
+        fleet: &Fleet,
+        now: Timestamp,
+    ) -> Option<Vec<RouteOption>> {
+        let service = fleet.services.get(&want.request.service)?;
+        let mut placement = Placement {
+            config,
+            fleet,
+            servers: &self.servers,
+            index: &mut self.index,
+            spread: &self.spread,
+        };
+        Some(placement.explain(&mut self.policy, want, service, now))
+    }
+
     /// Notes that a server began to answer. Returns whether the try is the current one.
     pub fn start(&mut self, attempt: Attempt) -> bool {
         let Some(flight) = self.flights.current(attempt) else {
--- /dev/null
+++ b/azureway-core/src/router/overview.rs
@@ -0,0 +1,27 @@
+//! The state of a router at a glance.
+
+use crate::domain::{ConfigVersion, Rank, RequestKind};
+use crate::tally::{Count, Outcome};
+
+/// The state of a router at a glance.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Overview {
+    /// The configuration in force.
+    pub version: ConfigVersion,
+    /// Whether the instance is shutting down.
+    pub draining: bool,
+    /// The entry instances that share the zone's servers, with this one.
+    pub entries: u32,
+    /// The requests of each rank that wait for a server, by [`Rank::index`].
+    pub queued: [usize; 2],
+    /// The requests in flight.
+    pub flights: usize,
+    /// The requests that wait to be tried again.
+    pub retries: usize,
+    /// The retries that are left in the budget.
+    pub budget: u64,
+    /// The claims that are asked for, held or being settled.
+    pub claims: usize,
+    /// How the requests ended.
+    pub counts: Vec<(Rank, RequestKind, Outcome, Count)>,
+}
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -4,10 +4,10 @@
 
 use smallvec::SmallVec;
 
-use super::{RouterConfig, Want};
+use super::{Obstacle, RouteOption, RouterConfig, Want};
 use crate::cache::CacheIndex;
 use crate::domain::{ModelService, Request, ServiceKind, Timestamp, TokenCount, TokenRate};
-use crate::fleet::{Fleet, ServerState, ServerTable};
+use crate::fleet::{Fleet, Health, ServerState, ServerTable};
 use crate::route::{Candidate, Estimate, Job, Policy, Reach, Rendezvous, Spread};
 
 /// What is looked at to find a backend server for a request.
@@ -44,16 +44,60 @@
         service: &'a ModelService,
         now: Timestamp,
     ) -> Option<Candidate<'a>> {
-        let job = Job {
-            prefix: want.request.chain.prefix(),
-            rank: want.request.rank,
-            prompt: want.request.chain.tokens(),
-            draw: want.request.id.draw(),
-        };
+        let job = want.job();
         let found = self.candidates(job, want, service, now);
         policy.choose(job, &found, now).map(|place| found[place])
     }
 
+    /// Tells of every server of the pool whether the request would go there, and why not.
+    pub fn explain<P: Policy>(
+        &mut self,
+        policy: &mut P,
+        want: Want<'_>,
+        service: &'a ModelService,
+        now: Timestamp,
+    ) -> Vec<RouteOption> {
+        let job = want.job();
+        let found = self.candidates(job, want, service, now);
+        let best = policy.choose(job, &found, now).map(|place| found[place]);
+        let of_pool = self.servers.of_pool(&service.pool);
+        let order = Rendezvous::new(job.prefix);
+        let options = of_pool.map(|state| {
+            let candidate = self.find(&found, state, want.request, &order);
+            let chosen = best.is_some_and(|b| b.state.server.id == state.server.id);
+            let listed = found.iter().any(|c| c.state.server.id == state.server.id);
+            let obstacle = || match listed {
+                true => Obstacle::Behind,
+                false => obstacle(state, want, service, now),
+            };
+            RouteOption {
+                server: state.server.id.clone(),
+                zone: state.server.zone.clone(),
+                cached: candidate.cached,
+                estimate: Estimate::new(job, &candidate),
+                home: candidate.home,
+                obstacle: (!chosen).then(obstacle),
+            }
+        });
+        options.collect()
+    }
+
+    /// Returns the candidate of a server, made up where the server is none.
+    fn find(
+        &mut self,
+        found: &[Candidate<'a>],
+        state: &'a ServerState,
+        request: &Request,
+        order: &Rendezvous,
+    ) -> Candidate<'a> {
+        let listed = found.iter().find(|c| c.state.server.id == state.server.id);
+        let weights = (order.weight(&state.server.id), u64::MAX);
+        let reach = self.reach(state);
+        listed
+            .copied()
+            .unwrap_or_else(|| self.candidate(state, request, reach, weights))
+    }
+
     /// Returns the servers that can take the request now, the nearest first and then in the
     /// order of their names. Farther ones are looked at when the nearer ones are full or slow.
     fn candidates(
@@ -174,6 +218,29 @@
     weights && state.accepts(now)
 }
 
+/// Returns why a server is no candidate.
+fn obstacle(
+    state: &ServerState,
+    want: Want<'_>,
+    service: &ModelService,
+    now: Timestamp,
+) -> Obstacle {
+    if !state.accepts(now) {
+        return match state.health() {
+            Health::Leaving => Obstacle::Leaving,
+            Health::Live | Health::Suspect => Obstacle::Suspect,
+        };
+    }
+    if !fits(state, want.request, service, now) {
+        return Obstacle::Weights;
+    }
+    if has_room(state, want, now) {
+        Obstacle::Far
+    } else {
+        Obstacle::Full
+    }
+}
+
 /// Tells whether a server has room. A stream that has begun may use any slot.
 fn has_room(state: &ServerState, want: Want<'_>, now: Timestamp) -> bool {
     if want.is_begun() {
--- a/azureway-core/src/router/queues.rs
+++ b/azureway-core/src/router/queues.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::admit::{Admission, Blocked, Queued};
-use crate::domain::{PoolId, Request, RequestId, Timestamp};
+use crate::domain::{PoolId, Rank, Request, RequestId, Timestamp};
 
 /// The requests that wait, in one order for each pool.
 ///
@@ -61,6 +61,11 @@
         self.pool_of.len()
     }
 
+    /// Returns the number of requests of `rank` that wait.
+    pub fn depth(&self, rank: Rank) -> usize {
+        self.pools.values().map(|q| q.depth(rank)).sum()
+    }
+
     /// Tells whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.pool_of.is_empty()
--- /dev/null
+++ b/azureway-core/src/router/views.rs
@@ -0,0 +1,40 @@
+//! What a router shows of itself.
+
+use super::{Overview, Plan, RouteOption, Router, Want};
+use crate::domain::{Rank, Request, RequestKind, Timestamp};
+use crate::route::Policy;
+use crate::tally::{Count, Outcome};
+
+impl<P: Policy> Router<P> {
+    /// Returns the state at a glance.
+    pub fn overview(&self) -> Overview {
+        Overview {
+            version: self.fleet.version,
+            draining: self.draining,
+            entries: self.peers(),
+            queued: Rank::ALL.map(|rank| self.queues.depth(rank)),
+            flights: self.sender.flights().len(),
+            retries: self.retries.len(),
+            budget: self.budget.left(),
+            claims: self.claims.pending(),
+            counts: self.counts(),
+        }
+    }
+
+    /// Tells where `request` would go now and why, without sending it: every server of the
+    /// service's pool, in the order of their names. Returns `None` for an unknown service.
+    pub fn explain(&mut self, request: &Request, now: Timestamp) -> Option<Vec<RouteOption>> {
+        let want = Want::new(request, Plan::first(request.id), false);
+        self.sender.explain(want, &self.config, &self.fleet, now)
+    }
+
+    fn counts(&self) -> Vec<(Rank, RequestKind, Outcome, Count)> {
+        let kinds = [RequestKind::Repeatable, RequestKind::AtMostOnce];
+        let mut counts = Vec::new();
+        for (rank, kind) in Rank::ALL.iter().flat_map(|r| kinds.map(|k| (*r, k))) {
+            let of = |outcome| (rank, kind, outcome, self.tally.count(rank, kind, outcome));
+            counts.extend(Outcome::ALL.map(of));
+        }
+        counts
+    }
+}
--- a/azureway-core/src/router/want.rs
+++ b/azureway-core/src/router/want.rs
@@ -3,7 +3,7 @@
 use super::Plan;
 use crate::domain::{Incarnation, Request, ServerId, StreamPosition};
 use crate::event::Dispatch;
-use crate::route::Candidate;
+use crate::route::{Candidate, Job};
 
 /// A request that wants a backend server now.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +36,16 @@
         self
     }
 
+    /// Returns what a policy is told of the request.
+    pub fn job(&self) -> Job {
+        Job {
+            prefix: self.request.chain.prefix(),
+            rank: self.request.rank,
+            prompt: self.request.chain.tokens(),
+            draw: self.request.id.draw(),
+        }
+    }
+
     /// Tells whether a stream that has begun is to be resumed.
     pub fn is_begun(&self) -> bool {
         self.plan.position > StreamPosition::ZERO
--- a/azureway-dev/src/main.rs
+++ b/azureway-dev/src/main.rs
@@ -53,8 +53,13 @@
         .zones
         .iter()
         .flat_map(|z| std::iter::repeat_n(z, layout.entries));
-    for (zone, address) in zones.zip(system.addresses()) {
-        println!("entry     {address}  {zone}");
+    let addresses = system.addresses().into_iter().zip(system.admin_addresses());
+    for (zone, (address, admin)) in zones.zip(addresses) {
+        println!("entry     {address}  {zone}  operators {admin}");
+    }
+    println!("\nexport AZUREWAY_PLATFORM={}", system.platform_address());
+    if let Some(admin) = system.admin_addresses().first() {
+        println!("export AZUREWAY_ENTRY={admin}");
     }
     let (Some(address), Some((_, key))) =
         (system.addresses().first().copied(), layout.accounts.first())
--- a/azureway-dev/src/serve/system.rs
+++ b/azureway-dev/src/serve/system.rs
@@ -6,10 +6,9 @@
 
 use anyhow::Result;
 use azureway_config::settings::{Bounds, EntrySettings};
-use azureway_core::prelude::{InstanceId, ZoneId};
-use azureway_entry::daemon::Entry;
+use azureway_core::prelude::{ConfigVersion, InstanceId, ZoneId};
 
-use super::Layout;
+use super::{EntrySlot, Layout};
 use crate::engine::{Engine, EngineConfig};
 use crate::http::StandIn;
 use crate::plain::PlainService;
@@ -27,7 +26,7 @@
     pub document: String,
     platform_server: StandIn,
     servers: Vec<StandIn>,
-    entries: Vec<Entry>,
+    entries: Vec<EntrySlot>,
 }
 
 impl System {
@@ -61,12 +60,23 @@
 
     /// Returns the addresses that callers reach.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.entries.iter().map(Entry::address).collect()
+        self.entries.iter().map(EntrySlot::address).collect()
+    }
+
+    /// Returns the addresses that operators reach.
+    pub fn admin_addresses(&self) -> Vec<SocketAddr> {
+        let entries = self.entries.iter();
+        entries.filter_map(EntrySlot::admin_address).collect()
     }
 
     /// Waits until every entry daemon has a configuration in force.
     pub fn wait_ready(&self) {
-        self.entries.iter().for_each(Entry::wait_ready);
+        self.entries.iter().for_each(EntrySlot::wait_ready);
+    }
+
+    /// Waits until every entry daemon has a version of the configuration in force.
+    pub fn wait_version(&self, version: ConfigVersion) {
+        self.entries.iter().for_each(|e| e.wait_version(version));
     }
 
     /// Returns the address of the platform.
@@ -76,7 +86,7 @@
 
     /// Drains every entry daemon, then stops the stand-ins.
     pub fn drain(self) {
-        self.entries.into_iter().for_each(Entry::drain);
+        self.entries.iter().for_each(EntrySlot::drain);
     }
 
     fn add_zone(&mut self, zone: &str, layout: &Layout, config: &EngineConfig) -> Result<()> {
@@ -111,7 +121,7 @@
             let instance = InstanceId::new(&format!("{zone}-entry-{number}"));
             let settings = EntrySettings::new(instance, ZoneId::new(zone), self.platform_address());
             self.entries
-                .push(Entry::start(&settings.with_bounds(bounds.clone()))?);
+                .push(EntrySlot::start(&settings.with_bounds(bounds.clone()))?);
         }
         Ok(())
     }
--- /dev/null
+++ b/azureway-entry/src/admin/admin_duty.rs
@@ -0,0 +1,143 @@
+//! The duty itself.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use azureway_core::prelude::{Error, ErrorKind, KeyHash, Rank, Step};
+use azureway_wire::admin::{DRAIN_PATH, EXPLAIN_PATH, STATUS_PATH, StatusBody};
+use flume::TrySendError;
+use serde::Serialize;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use super::{AdminDoors, AdminError, Explainer};
+use crate::decide::{DecideNote, Question};
+
+/// The operators' duty: answers one request after the other.
+pub struct AdminDuty {
+    server: Arc<Server>,
+    doors: AdminDoors,
+}
+
+/// How long the other duties may take to answer.
+const LIMIT: Duration = Duration::from_secs(2);
+/// The bytes of a request's body at most.
+const BODY_MAX: u64 = 4 * 1024 * 1024;
+
+impl AdminDuty {
+    /// Creates the duty and binds its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn new(address: SocketAddr, doors: AdminDoors) -> Result<Self, Error> {
+        const STEP: Step = Step::new("listen for operators");
+        let server = Server::http(address);
+        let server =
+            server.map_err(|e| Error::new(ErrorKind::System, STEP, e).with_peer(address))?;
+        let server = Arc::new(server);
+        Ok(Self { server, doors })
+    }
+
+    /// Returns the server, through which the duty is stopped.
+    pub fn server(&self) -> Arc<Server> {
+        Arc::clone(&self.server)
+    }
+
+    /// Runs until the server is unblocked.
+    pub fn run(self) {
+        while let Ok(mut request) = self.server.recv() {
+            match self.answer(&mut request) {
+                Ok(body) => reply(request, 200, &body),
+                Err(e) => {
+                    log::warn!(step = "admin", status = e.status(), error:% = e; "refused an operator");
+                    reply(
+                        request,
+                        e.status(),
+                        &serde_json::json!({ "error": e.to_string() }),
+                    );
+                }
+            }
+        }
+    }
+
+    fn answer(&self, request: &mut Request) -> Result<serde_json::Value, AdminError> {
+        if !self.is_allowed(request) {
+            return Err(AdminError::Unauthorized);
+        }
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        match (request.method(), path) {
+            (Method::Get, STATUS_PATH) => value(&self.status()?),
+            (Method::Post, EXPLAIN_PATH) => self.explain(request, query),
+            (Method::Post, DRAIN_PATH) => self.drain(),
+            _ => Err(AdminError::NotFound),
+        }
+    }
+
+    fn drain(&self) -> Result<serde_json::Value, AdminError> {
+        // A second request finds the ring full, and the daemon drains already.
+        if let Err(TrySendError::Disconnected(())) = self.doors.stopper.try_send(()) {
+            return Err(AdminError::Embedded);
+        }
+        log::info!(step = "admin"; "an operator drains this instance");
+        Ok(serde_json::json!({ "draining": true }))
+    }
+
+    fn is_allowed(&self, request: &Request) -> bool {
+        let Some(operator) = &self.doors.operator else {
+            return true;
+        };
+        let headers = request.headers().iter();
+        let mut named = headers.filter(|h| h.field.equiv("authorization"));
+        let key = named
+            .next()
+            .and_then(|h| h.value.as_str().strip_prefix("Bearer "));
+        key.is_some_and(|k| operator.matches(&KeyHash::of(k.trim())))
+    }
+
+    fn status(&self) -> Result<StatusBody, AdminError> {
+        let (reply, answer) = flume::bounded(1);
+        let sent = self
+            .doors
+            .decide
+            .send_timeout(DecideNote::Ask(Question::Standing(reply)), LIMIT);
+        sent.map_err(|_| AdminError::Busy)?;
+        let standing = answer.recv_timeout(LIMIT).map_err(|_| AdminError::Busy)?;
+        Ok(StatusBody {
+            instance: self.doors.instance.as_str().into(),
+            zone: self.doors.zone.as_str().into(),
+            rejected: standing.rejected.map(|v| v.get()),
+            servers: standing.servers.iter().map(Into::into).collect(),
+            ..standing.overview.into()
+        })
+    }
+
+    fn explain(&self, request: &mut Request, query: &str) -> Result<serde_json::Value, AdminError> {
+        let get = |key: &str| {
+            let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+            pairs.find(|(k, _)| *k == key).map(|(_, v)| v)
+        };
+        let invalid = |detail: &str| AdminError::Invalid(detail.into());
+        let account = get("account").ok_or_else(|| invalid("name the account"))?;
+        let rank = Rank::parse(get("rank").unwrap_or(Rank::Urgent.as_str()));
+        let rank = rank.ok_or_else(|| invalid("the rank is `urgent` or `drafting`"))?;
+        let mut body = Vec::new();
+        let read = request.as_reader().take(BODY_MAX).read_to_end(&mut body);
+        read.map_err(|_| invalid("the body did not arrive"))?;
+        value(&Explainer::new(&self.doors, LIMIT).explain(account, rank, body)?)
+    }
+}
+
+fn value(body: &impl Serialize) -> Result<serde_json::Value, AdminError> {
+    serde_json::to_value(body).map_err(|e| AdminError::Invalid(e.to_string().into()))
+}
+
+fn reply(request: Request, status: u16, body: &serde_json::Value) {
+    let media = Header::from_bytes("content-type", "application/json");
+    let response = Response::from_string(body.to_string()).with_status_code(status);
+    let response = media.into_iter().fold(response, Response::with_header);
+    // An operator who is gone needs no answer.
+    let _ = request.respond(response);
+}
--- /dev/null
+++ b/azureway-entry/src/admin/doors.rs
@@ -0,0 +1,27 @@
+//! What the operators' interface reaches of the daemon.
+
+use azureway_core::prelude::{InstanceId, KeyHash, ZoneId};
+use flume::Sender;
+
+use crate::admit::AdmitNote;
+use crate::clock::Clock;
+use crate::decide::DecideNote;
+
+/// What the operators' interface reaches of the daemon, and what it tells of it.
+#[derive(Clone, Debug)]
+pub struct AdminDoors {
+    /// The name of the instance.
+    pub instance: InstanceId,
+    /// The availability zone.
+    pub zone: ZoneId,
+    /// The digest of the operators' key, if one is asked for.
+    pub operator: Option<KeyHash>,
+    /// The admitting duty.
+    pub admit: Sender<AdmitNote>,
+    /// The deciding duty.
+    pub decide: Sender<DecideNote>,
+    /// Told when the daemon is to shut down.
+    pub stopper: Sender<()>,
+    /// The clock.
+    pub clock: Clock,
+}
--- /dev/null
+++ b/azureway-entry/src/admin/explainer.rs
@@ -0,0 +1,75 @@
+//! Explanations.
+
+use std::time::Duration;
+
+use azureway_core::prelude::{AccountId, Rank};
+use azureway_wire::admin::ExplainBody;
+use azureway_wire::header;
+
+use super::{AdminDoors, AdminError};
+use crate::admit::{AdmitNote, Call, ExplainCall};
+use crate::caller::Head;
+
+/// Asks the duties where a request would go, and why.
+#[derive(Debug)]
+pub struct Explainer<'a> {
+    doors: &'a AdminDoors,
+    limit: Duration,
+}
+
+impl<'a> Explainer<'a> {
+    /// Creates an explainer that waits up to `limit` for the duties.
+    pub const fn new(doors: &'a AdminDoors, limit: Duration) -> Self {
+        Self { doors, limit }
+    }
+
+    /// Explains the chat request `body` of an account at a rank.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request is not understood or the duties do not answer.
+    pub fn explain(
+        &self,
+        account: &str,
+        rank: Rank,
+        body: Vec<u8>,
+    ) -> Result<ExplainBody, AdminError> {
+        let (reply, answer) = flume::bounded(1);
+        let call = ExplainCall {
+            account: AccountId::new(account),
+            call: self.call(rank, body)?,
+            reply,
+        };
+        let note = AdmitNote::Explain(Box::new(call));
+        let sent = self.doors.admit.send_timeout(note, self.limit);
+        sent.map_err(|_| AdminError::Busy)?;
+        let answer = answer.recv_timeout(self.limit);
+        let answer = answer.map_err(|_| AdminError::Busy)?;
+        let (request, options) = answer.map_err(|r| AdminError::Invalid(r.detail))?;
+        Ok(ExplainBody {
+            service: request.service.as_str().into(),
+            account: request.account.as_str().into(),
+            rank: request.rank.as_str().into(),
+            prompt: request.chain.tokens().get(),
+            options: options.iter().map(Into::into).collect(),
+        })
+    }
+
+    /// Returns the call as a caller would make it.
+    fn call(&self, rank: Rank, body: Vec<u8>) -> Result<Call, AdminError> {
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\n{}: {rank}\r\n\r\n",
+            header::RANK
+        );
+        let head = Head::parse(head.as_bytes()).ok().flatten();
+        let (head, _) = head.ok_or_else(|| AdminError::Invalid("no head".into()))?;
+        // Nothing is run, so nothing ever comes of it.
+        let (outcome, _) = flume::bounded(1);
+        Ok(Call {
+            head,
+            body,
+            arrived: self.doors.clock.now(),
+            outcome,
+        })
+    }
+}
--- a/azureway-entry/src/admit/admitter.rs
+++ b/azureway-entry/src/admit/admitter.rs
@@ -5,9 +5,9 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{AdmitNote, Admitted, Call, CallReader};
+use super::{AdmitNote, Admitted, Call, CallReader, ExplainCall};
 use crate::caller::Outcome;
-use crate::decide::DecideNote;
+use crate::decide::{DecideNote, Question};
 use crate::meter::Measure;
 
 /// The admitting duty: tells who asks for what and derives the blocks of the prompt.
@@ -45,6 +45,7 @@
             match note {
                 AdmitNote::Call(call) => self.admit(*call),
                 AdmitNote::Adopt(fleet) => self.adopt(fleet),
+                AdmitNote::Explain(call) => self.explain(*call),
             }
         }
     }
@@ -77,6 +78,29 @@
         }
     }
 
+    fn explain(&mut self, explain: ExplainCall) {
+        self.sequence += 1;
+        let id = RequestId::new(self.entry, self.sequence);
+        match self.read_as(&explain, id) {
+            Ok(request) => {
+                let note = DecideNote::Ask(Question::Explain(Box::new(request), explain.reply));
+                let _ = self.decide.send(note);
+            }
+            Err(refusal) => {
+                let _ = explain.reply.try_send(Err(refusal));
+            }
+        }
+    }
+
+    fn read_as(&self, explain: &ExplainCall, id: RequestId) -> Result<Request, Refusal> {
+        let account = self.fleet.accounts.get(explain.account.as_str());
+        let detail = "no client account of this name";
+        let refusal = || Refusal::not_run(RefusalReason::Unauthorized, detail);
+        let reader = CallReader::new(&self.fleet, &explain.call);
+        let (request, _) = reader.read_as(account.ok_or_else(refusal)?, id)?;
+        Ok(request)
+    }
+
     fn read(&self, call: &Call, id: RequestId) -> Result<(Request, super::Errand), Refusal> {
         if self.fleet.version == ConfigVersion::ZERO {
             let detail = "no configuration has been read yet";
--- a/azureway-entry/src/admit/mod.rs
+++ b/azureway-entry/src/admit/mod.rs
@@ -4,6 +4,7 @@
 mod admitter;
 mod call;
 mod errand;
+mod explain_call;
 mod note;
 mod reader;
 
@@ -11,5 +12,6 @@
 pub use admitter::Admitter;
 pub use call::Call;
 pub use errand::Errand;
+pub use explain_call::{ExplainCall, ExplainReply};
 pub use note::AdmitNote;
 pub use reader::CallReader;
--- a/azureway-entry/src/admit/note.rs
+++ b/azureway-entry/src/admit/note.rs
@@ -4,7 +4,7 @@
 
 use azureway_core::prelude::Fleet;
 
-use super::Call;
+use super::{Call, ExplainCall};
 
 /// What the admitting duty is told.
 #[derive(Debug)]
@@ -13,4 +13,6 @@
     Call(Box<Call>),
     /// A version of the configuration was read.
     Adopt(Arc<Fleet>),
+    /// An operator asks where a request would go.
+    Explain(Box<ExplainCall>),
 }
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -35,7 +35,19 @@
     ///
     /// Returns a refusal that tells the caller what is wrong with the call.
     pub fn read(&self, id: RequestId) -> Result<(Request, Errand), Refusal> {
-        let account = self.account()?;
+        self.read_as(self.account()?, id)
+    }
+
+    /// Returns the request as `account` makes it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that tells the caller what is wrong with the call.
+    pub fn read_as(
+        &self,
+        account: &ClientAccount,
+        id: RequestId,
+    ) -> Result<(Request, Errand), Refusal> {
         match self.call.head.path.as_ref() {
             CHAT_PATH => self.chat(id, account),
             path => match path.strip_prefix(PLAIN_PREFIX) {
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -10,21 +10,23 @@
 use azureway_core::prelude::*;
 use azureway_platform::HttpObjects;
 use flume::{Receiver, Sender};
+use tiny_http::Server;
 
 use super::Rings;
+use crate::admin::{AdminDoors, AdminDuty};
 use crate::admit::Admitter;
 use crate::caller::Listener;
 use crate::claim::Claimer;
-use crate::decide::{DecideNote, Decider};
+use crate::decide::{DecideNote, Decider, Question};
 use crate::hear::Hearers;
 use crate::meter::Meter;
 use crate::relay::Launcher;
 use crate::watch::Watcher;
 
 /// One entry daemon, running.
-#[derive(Debug)]
 pub struct Entry {
     address: SocketAddr,
+    operators: Arc<Server>,
     decide: Sender<DecideNote>,
     watch: Sender<()>,
     alive: Receiver<()>,
@@ -39,12 +41,22 @@
 const CLAIM_TIMEOUT: u64 = 1;
 
 impl Entry {
-    /// Starts every duty.
+    /// Starts every duty of a daemon that operators cannot shut down.
     ///
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound or a thread cannot be started.
     pub fn start(settings: &EntrySettings) -> Result<Self, Error> {
+        Self::start_with(settings, flume::bounded(1).0)
+    }
+
+    /// Starts every duty. `stopper` is told when an operator wants the daemon to shut down,
+    /// which is then up to the caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound or a thread cannot be started.
+    pub fn start_with(settings: &EntrySettings, stopper: Sender<()>) -> Result<Self, Error> {
         let mark = process_mark(settings);
         let (rings, bounds) = (Rings::new(settings.bounds.ring), &settings.bounds);
         let stop = Arc::new(AtomicBool::new(false));
@@ -55,6 +67,7 @@
             Arc::clone(&stop),
         )?;
         let address = listener.address()?;
+        let operators = admin(settings, &rings, stopper)?;
         let api = HttpObjects::new(settings.platform);
         let calls = api.calls().clone();
         claim(&api, &rings, mark)?;
@@ -75,6 +88,7 @@
         log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         Ok(Self {
             address,
+            operators,
             decide: rings.decide,
             watch: rings.watch,
             alive: rings.alive,
@@ -89,11 +103,25 @@
         self.address
     }
 
+    /// Returns the address that operators reach.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.operators.server_addr().to_ip()
+    }
+
     /// Waits until the first configuration is in force.
     pub fn wait_ready(&self) {
         let _ = self.served.recv();
     }
 
+    /// Waits until a version of the configuration, or a later one, is in force.
+    pub fn wait_version(&self, version: ConfigVersion) {
+        let (reply, reached) = flume::bounded(1);
+        let _ = self
+            .decide
+            .send(DecideNote::Ask(Question::Await(version, reply)));
+        let _ = reached.recv();
+    }
+
     /// Shuts down: refuses new requests, finishes every stream, then stops all duties.
     pub fn drain(self) {
         let (drained, done) = flume::bounded(1);
@@ -103,6 +131,7 @@
         // Wakes the accepting duty, which then sees that it has to stop.
         let _ = TcpStream::connect(self.address);
         let _ = self.watch.try_send(());
+        self.operators.unblock();
         // The ring ends when the last connection has written its answer.
         let _ = self.alive.recv();
         for thread in self.threads {
@@ -111,6 +140,27 @@
     }
 }
 
+/// Starts the operators' duty and returns its server.
+fn admin(
+    settings: &EntrySettings,
+    rings: &Rings,
+    stopper: Sender<()>,
+) -> Result<Arc<Server>, Error> {
+    let doors = AdminDoors {
+        instance: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        operator: settings.operator,
+        admit: rings.admit.clone(),
+        decide: rings.decide.clone(),
+        stopper,
+        clock: rings.clock,
+    };
+    let duty = AdminDuty::new(settings.admin, doors)?;
+    let server = duty.server();
+    spawn("admin", move || duty.run())?;
+    Ok(server)
+}
+
 /// Returns the deciding duty.
 fn decider(settings: &EntrySettings, rings: &Rings) -> Decider<PrefixLoad> {
     let config = RouterConfig::new(settings.zone.clone()).with_queue(settings.bounds.queue);
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::{Callers, DecideNote};
+use super::{Callers, DecideNote, Question, Standing};
 use crate::caller::Outcome;
 use crate::claim::ClaimDesk;
 use crate::clock::Clock;
@@ -30,6 +30,8 @@
     serve: Sender<()>,
     actions: Vec<Action>,
     drained: Option<Sender<()>>,
+    rejected: Option<ConfigVersion>,
+    waiters: Vec<(ConfigVersion, Sender<()>)>,
 }
 
 impl<P: Policy> Decider<P> {
@@ -48,6 +50,8 @@
             serve: rings.serve.clone(),
             actions: Vec::new(),
             drained: None,
+            rejected: None,
+            waiters: Vec::new(),
         }
     }
 
@@ -109,16 +113,15 @@
                 self.finish(&finish);
             }
             DecideNote::Claim(news) => self.tell(Event::Claim(&news)),
-            DecideNote::Failed(failure) => {
-                let caller = self.callers.get_mut(failure.attempt.id);
-                let peer = caller.as_ref().map_or("", |c| c.peer());
-                log::warn!(request:% = failure.attempt.id, step = "relay", peer = peer, kind:? = failure.kind; "a try failed");
-                self.tell(Event::Failed(&failure));
-            }
+            DecideNote::Failed(failure) => self.fail(&failure),
             DecideNote::Load(report) => self.tell(Event::Load(&report)),
             DecideNote::Cache(run) => self.tell(Event::Cache(&run.view())),
             DecideNote::Adopt(fleet) => self.adopt(&fleet),
-            DecideNote::Rejected(version) => self.measure(Measure::Rejected(version)),
+            DecideNote::Rejected(version) => {
+                self.rejected = Some(version);
+                self.measure(Measure::Rejected(version));
+            }
+            DecideNote::Ask(question) => self.reply(question),
             DecideNote::Drain(drained) => {
                 self.ready.store(false, Ordering::Release);
                 self.drained = Some(drained);
@@ -127,14 +130,49 @@
         }
     }
 
+    /// Answers a question. Whoever asked may be gone, or gets its answer at once.
+    fn reply(&mut self, question: Question) {
+        match question {
+            Question::Await(version, reply) => {
+                self.waiters.push((version, reply));
+                self.wake_waiters();
+            }
+            Question::Standing(reply) => drop(reply.try_send(self.standing())),
+            Question::Explain(request, reply) => {
+                let options = self.router.explain(&request, self.clock.now());
+                // The admitting duty found the service, so only a change in between loses it.
+                let _ = reply.try_send(Ok((request, options.unwrap_or_default())));
+            }
+        }
+    }
+
+    /// Tells those who wait for a version that is in force now.
+    fn wake_waiters(&mut self) {
+        let version = self.router.fleet().version;
+        let reached = |(wanted, _): &(ConfigVersion, Sender<()>)| *wanted <= version;
+        for (_, reply) in self.waiters.extract_if(.., |w| reached(w)) {
+            let _ = reply.try_send(());
+        }
+    }
+
+    fn standing(&self) -> Standing {
+        Standing {
+            overview: self.router.overview(),
+            rejected: self.rejected,
+            servers: self.router.servers().iter().cloned().collect(),
+        }
+    }
+
     fn adopt(&mut self, fleet: &Fleet) {
         if fleet.version <= self.router.fleet().version {
             return;
         }
         self.tell(Event::Configured(fleet));
+        self.rejected = self.rejected.filter(|v| *v > fleet.version);
         self.hearers.adopt(fleet);
         self.measure(Measure::Configured(fleet.version));
         self.ready.store(self.drained.is_none(), Ordering::Release);
+        self.wake_waiters();
         // Only the first one finds a place; whoever waits needs no more.
         let _ = self.serve.try_send(());
         log::info!(step = "configure", version:% = fleet.version; "a configuration is in force");
@@ -145,6 +183,14 @@
         self.tell(Event::Finished(finish));
     }
 
+    fn fail(&mut self, failure: &Failure) {
+        let id = failure.attempt.id;
+        let caller = self.callers.get_mut(id);
+        let peer = caller.as_ref().map_or("", |c| c.peer());
+        log::warn!(request:% = id, step = "relay", peer = peer, kind:? = failure.kind; "a try failed");
+        self.tell(Event::Failed(failure));
+    }
+
     fn carry_out(&mut self) {
         let mut actions = std::mem::take(&mut self.actions);
         let mut unplaced = Vec::new();
--- a/azureway-entry/src/decide/mod.rs
+++ b/azureway-entry/src/decide/mod.rs
@@ -5,9 +5,13 @@
 mod callers;
 mod decider;
 mod note;
+mod question;
+mod standing;
 
 pub use cache_run::CacheRun;
 pub use caller::Caller;
 pub use callers::Callers;
 pub use decider::Decider;
 pub use note::DecideNote;
+pub use question::Question;
+pub use standing::Standing;
--- a/azureway-entry/src/decide/note.rs
+++ b/azureway-entry/src/decide/note.rs
@@ -7,7 +7,7 @@
 };
 use flume::Sender;
 
-use super::CacheRun;
+use super::{CacheRun, Question};
 use crate::admit::Admitted;
 
 /// What the deciding duty is told.
@@ -35,6 +35,8 @@
     Adopt(Arc<Fleet>),
     /// A version of the configuration was read and is bad.
     Rejected(ConfigVersion),
+    /// Somebody asks something; no decision follows from it.
+    Ask(Question),
     /// The daemon shuts down; the ring is told when nothing is left to do.
     Drain(Sender<()>),
 }
--- /dev/null
+++ b/azureway-entry/src/decide/question.rs
@@ -0,0 +1,18 @@
+//! What the deciding duty is asked.
+
+use azureway_core::prelude::{ConfigVersion, Request};
+use flume::Sender;
+
+use super::Standing;
+use crate::admit::ExplainReply;
+
+/// What the deciding duty is asked. No decision follows from it.
+#[derive(Debug)]
+pub enum Question {
+    /// To be told once a version of the configuration, or a later one, is in force.
+    Await(ConfigVersion, Sender<()>),
+    /// For its state.
+    Standing(Sender<Standing>),
+    /// Where a request would go, and why.
+    Explain(Box<Request>, Sender<ExplainReply>),
+}
--- /dev/null
+++ b/azureway-entry/src/decide/standing.rs
@@ -0,0 +1,14 @@
+//! What the deciding duty shows of itself.
+
+use azureway_core::prelude::{ConfigVersion, Overview, ServerState};
+
+/// What the deciding duty shows of itself, to operators and to the measuring duty.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    /// The state at a glance.
+    pub overview: Overview,
+    /// A version that is newer than the one in force, and bad.
+    pub rejected: Option<ConfigVersion>,
+    /// The backend servers, in the order of their names.
+    pub servers: Vec<ServerState>,
+}
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! `relay` (the backend server), and its answer returns from the relay to the connection
 //! through a ring that belongs to the one try alone.
 
+pub mod admin;
 pub mod admit;
 pub mod caller;
 pub mod claim;
--- a/azureway-entry/src/main.rs
+++ b/azureway-entry/src/main.rs
@@ -7,6 +7,7 @@
 use azureway_config::settings;
 use azureway_entry::daemon::Entry;
 use clap::{Arg, ArgAction, ArgMatches, Command};
+use flume::{Receiver, Sender};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -44,19 +45,20 @@
         return Ok(());
     }
     let signals = Signals::new([SIGINT, SIGTERM]).context("wait for signals")?;
-    let entry = Entry::start(&settings)?;
-    wait(signals)?;
+    let (stopper, asked) = flume::bounded(1);
+    let entry = Entry::start_with(&settings, stopper.clone())?;
+    wait(signals, stopper, asked)?;
     entry.drain();
     log::info!(step = "stop"; "drained");
     Ok(())
 }
 
-/// Waits for the first signal. Later ones are reported while the daemon drains.
-fn wait(mut signals: Signals) -> Result<()> {
-    let (first, drain) = flume::bounded(1);
+/// Waits for the first signal or for an operator. Later signals are reported while the daemon
+/// drains.
+fn wait(mut signals: Signals, stopper: Sender<()>, asked: Receiver<()>) -> Result<()> {
     let duty = move || {
         for signal in signals.forever() {
-            if first.try_send(signal).is_err() {
+            if stopper.try_send(()).is_err() {
                 log::warn!(step = "stop", signal = signal; "still draining; streams are being finished");
             }
         }
@@ -65,9 +67,9 @@
         .name("signal".to_owned())
         .spawn(duty)
         .context("start thread signal")?;
-    let signal = drain.recv().context("wait for signals")?;
+    asked.recv().context("wait for signals")?;
     // From here on the ring is closed, and every further signal is reported.
-    drop(drain);
-    log::info!(step = "stop", signal = signal; "draining");
+    drop(asked);
+    log::info!(step = "stop"; "draining");
     Ok(())
 }
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -1,11 +1,15 @@
 //! The duty itself.
 
 use azureway_platform::CallCounter;
-use flume::Receiver;
+use flume::{Receiver, WeakSender};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
 
-use super::{ConfigMeasures, ControlMeasures, Measure, PromptMeasures, RingViews, ServiceMeasures};
+use super::{
+    ConfigMeasures, ControlMeasures, Measure, PromptMeasures, RingViews, RouterMeasures,
+    ServiceMeasures,
+};
+use crate::decide::DecideNote;
 
 /// The measuring duty: keeps the measures and writes them out.
 #[derive(Debug)]
@@ -16,6 +20,8 @@
     prompts: PromptMeasures,
     config: ConfigMeasures,
     control: ControlMeasures,
+    router: RouterMeasures,
+    decide: WeakSender<DecideNote>,
 }
 
 impl Meter {
@@ -27,6 +33,8 @@
             service: ServiceMeasures::new(&mut registry),
             prompts: PromptMeasures::new(&mut registry),
             config: ConfigMeasures::new(&mut registry),
+            router: RouterMeasures::new(&mut registry),
+            decide: rings.decide.clone(),
             control: ControlMeasures::new(&mut registry, rings, calls),
             registry,
         }
@@ -61,6 +69,7 @@
 
     fn text(&self) -> String {
         self.control.refresh();
+        self.router.refresh(&self.decide);
         let mut text = String::new();
         // Writing to a string does not fail.
         let _ = encode(&mut text, &self.registry);
--- a/azureway-entry/tests/meter.rs
+++ b/azureway-entry/tests/meter.rs
@@ -1,8 +1,10 @@
 //! The measuring duty: names, values and bounded labels.
 
+use std::thread;
 use std::time::Duration;
 
 use azureway_core::prelude::*;
+use azureway_entry::decide::{DecideNote, Question, Standing};
 use azureway_entry::meter::{ACCOUNTS_MAX, Measure, Meter, RingViews, Served};
 use azureway_platform::CallCounter;
 use googletest::prelude::*;
@@ -10,7 +12,7 @@
 /// Runs the duty over some measures and returns what it writes out.
 fn scrape(measures: Vec<Measure>) -> String {
     let (admit, _at_admit) = flume::bounded(1);
-    let (decide, _at_decide) = flume::bounded(1);
+    let (decide, at_decide) = flume::bounded(1);
     let rings = RingViews {
         admit: admit.downgrade(),
         decide: decide.downgrade(),
@@ -21,10 +23,35 @@
         sender.send(measure).expect("room");
     }
     drop(sender);
+    let decider = thread::spawn(move || answer(&at_decide));
     Meter::new(receiver, rings, CallCounter::default()).run();
+    drop(decide);
+    decider.join().expect("the deciding duty ends");
     text.recv().expect("an answer")
 }
 
+/// Answers the question for the state, as the deciding duty does.
+fn answer(notes: &flume::Receiver<DecideNote>) {
+    while let Ok(DecideNote::Ask(Question::Standing(reply))) = notes.recv() {
+        let late = Count {
+            requests: 3,
+            worth: 210,
+        };
+        let overview = Overview {
+            queued: [5, 8],
+            budget: 9,
+            counts: vec![(Rank::Urgent, RequestKind::AtMostOnce, Outcome::Late, late)],
+            ..Overview::default()
+        };
+        let (rejected, servers) = (None, Vec::new());
+        let _ = reply.send(Standing {
+            overview,
+            rejected,
+            servers,
+        });
+    }
+}
+
 fn served(account: &str, streaming: u64) -> Measure {
     Measure::Finished(Box::new(Served {
         account: AccountId::new(account),
--- a/azureway-entry/tests/process.rs
+++ b/azureway-entry/tests/process.rs
@@ -29,7 +29,7 @@
 fn settings(platform: SocketAddr) -> String {
     format!(
         "[entry]\ninstance = entry-1\nzone = kranj-a\nlisten = 127.0.0.1:0\n\
-         peer = 127.0.0.1:0\nplatform = {platform}\n"
+         peer = 127.0.0.1:0\nadmin = 127.0.0.1:0\nplatform = {platform}\n"
     )
 }
 
--- /dev/null
+++ b/azureway-wire/src/admin/mod.rs
@@ -0,0 +1,20 @@
+//! The operators' interface of an entry instance.
+
+mod count_body;
+mod explain_body;
+mod option_body;
+mod server_body;
+mod status_body;
+
+pub use count_body::CountBody;
+pub use explain_body::ExplainBody;
+pub use option_body::OptionBody;
+pub use server_body::ServerBody;
+pub use status_body::StatusBody;
+
+/// The path of an instance's state.
+pub const STATUS_PATH: &str = "/admin/status";
+/// The path of explanations; the account follows as `?account=NAME`.
+pub const EXPLAIN_PATH: &str = "/admin/explain";
+/// The path of an instance's shutdown.
+pub const DRAIN_PATH: &str = "/admin/drain";
--- a/azureway-wire/src/lib.rs
+++ b/azureway-wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages of azureway, each a type of its own, with conversions from and to the types of
 //! the core. Decisions never see these types.
 
+pub mod admin;
 pub mod change;
 pub mod chat;
 pub mod claim;
