--- a/azureway-wire/src/lib.rs
+++ b/azureway-wire/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod header;
 pub mod object;
 pub mod order;
+pub mod peer;
 pub mod sse;
--- /dev/null
+++ b/azureway-wire/src/peer/mod.rs
@@ -0,0 +1,23 @@
+//! The interface between entry instances.
+
+mod fault;
+mod heartbeat;
+mod instance;
+mod news;
+
+#[path = "../gen/azureway.peer.v1.rs"]
+#[allow(
+    clippy::all,
+    clippy::allow_attributes,
+    missing_docs,
+    unreachable_pub,
+    reason = "the generator does not know the house's rules"
+)]
+mod generated;
+
+pub use generated::peer_client::PeerClient;
+pub use generated::peer_server::{Peer, PeerServer};
+pub use generated::{
+    Demand, FetchReply, FetchRequest, Heartbeat, Instance, Member, News, Server, Strike,
+    news::Subject,
+};
--- /dev/null
+++ b/azureway-wire/src/peer/news.rs
@@ -0,0 +1,104 @@
+//! News as messages.
+
+use std::time::Duration;
+
+use azureway_core::prelude as core;
+use azureway_core::prelude::{
+    CrashSite, Error, Fingerprint, Incarnation, Liveness, MemberNews, ServerId, ServerNews,
+    ServerSign, StrikeState,
+};
+
+use super::fault::fault;
+use super::{Member, News, Server, Strike, Subject};
+
+impl From<&core::News> for News {
+    fn from(news: &core::News) -> Self {
+        let subject = match news {
+            core::News::Member(news) => Subject::Member(Member {
+                instance: Some((&news.instance).into()),
+                liveness: news.liveness as u32,
+            }),
+            core::News::Server(news) => Subject::Server(Server {
+                id: news.server.as_str().to_owned(),
+                incarnation: news.incarnation.get(),
+                sign: news.sign as u32,
+            }),
+            core::News::Strike(strike) => Subject::Strike(strike.into()),
+        };
+        Self {
+            subject: Some(subject),
+        }
+    }
+}
+
+impl From<&core::Strike> for Strike {
+    fn from(strike: &core::Strike) -> Self {
+        Self {
+            fingerprint: strike.fingerprint.as_bytes().to_vec(),
+            server: strike.site.server.as_str().to_owned(),
+            incarnation: strike.site.incarnation.get(),
+            state: strike.state as u32,
+            left_ms: u32::try_from(strike.left.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl TryFrom<&News> for core::News {
+    type Error = Error;
+
+    fn try_from(message: &News) -> Result<Self, Error> {
+        match message.subject.as_ref().ok_or_else(|| fault("subject"))? {
+            Subject::Member(member) => member.try_into().map(Self::Member),
+            Subject::Server(server) => server.try_into().map(Self::Server),
+            Subject::Strike(strike) => strike.try_into().map(Self::Strike),
+        }
+    }
+}
+
+impl TryFrom<&Member> for MemberNews {
+    type Error = Error;
+
+    fn try_from(message: &Member) -> Result<Self, Error> {
+        let instance = message.instance.as_ref().ok_or_else(|| fault("instance"))?;
+        let liveness = pick(&Liveness::ALL, message.liveness, "liveness")?;
+        Ok(Self::new(instance.try_into()?, liveness))
+    }
+}
+
+impl TryFrom<&Server> for ServerNews {
+    type Error = Error;
+
+    fn try_from(message: &Server) -> Result<Self, Error> {
+        let signs = [ServerSign::Failed, ServerSign::Leaving];
+        Ok(Self {
+            server: ServerId::new(&message.id),
+            incarnation: Incarnation::new(message.incarnation),
+            sign: pick(&signs, message.sign, "sign")?,
+        })
+    }
+}
+
+impl TryFrom<&Strike> for core::Strike {
+    type Error = Error;
+
+    fn try_from(message: &Strike) -> Result<Self, Error> {
+        let bytes = <[u8; 16]>::try_from(message.fingerprint.as_slice());
+        let fingerprint = Fingerprint::from_bytes(bytes.map_err(|_| fault("fingerprint"))?);
+        let incarnation = Incarnation::new(message.incarnation);
+        let site = CrashSite::new(ServerId::new(&message.server), incarnation);
+        let states = [
+            StrikeState::Unproved,
+            StrikeState::Confirmed,
+            StrikeState::Cleared,
+        ];
+        let state = pick(&states, message.state, "state")?;
+        let left = Duration::from_millis(message.left_ms.into());
+        Ok(Self::new(fingerprint, site, state, left))
+    }
+}
+
+/// Returns the value that a message gives by its place.
+fn pick<T: Copy>(values: &[T], place: u32, field: &str) -> Result<T, Error> {
+    let value = usize::try_from(place).ok().and_then(|p| values.get(p));
+    value.copied().ok_or_else(|| fault(field))
+}
