Tell calls of one key to different paths apart

The fingerprint now covers method and path, and servers get the account. The stand-in service checks keys, so that the case without the platform shows one run for two sendings. A caller that hung up gets the answer when it returns.

--- a/azureway-core/src/domain/fingerprint.rs
+++ b/azureway-core/src/domain/fingerprint.rs
@@ -2,15 +2,15 @@
 
 use sha2::{Digest, Sha256};
 
-/// A digest of a request's client account, service and body.
+/// A digest of a request's client account, target and body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint([u8; 16]);
 
 impl Fingerprint {
     /// Digests a request.
-    pub fn of(account: &str, service: &str, body: &[u8]) -> Self {
+    pub fn of(account: &str, target: &str, body: &[u8]) -> Self {
         let mut hash = Sha256::new();
-        for part in [account.as_bytes(), service.as_bytes(), body] {
+        for part in [account.as_bytes(), target.as_bytes(), body] {
             hash.update((part.len() as u64).to_le_bytes());
             hash.update(part);
         }
--- a/azureway-dev/src/plain/plain_service.rs
+++ b/azureway-dev/src/plain/plain_service.rs
@@ -1,6 +1,6 @@
 //! A plain service over HTTP.
 
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use azureway_wire::header;
 use serde_json::json;
@@ -9,10 +9,11 @@
 use super::Ledger;
 use crate::http::{Reply, Service};
 
-/// A stand-in for a plain service: it runs whatever it is sent and counts.
+/// A stand-in for a plain service: it runs whatever it is sent and counts, unless it checks keys.
 #[derive(Debug, Default)]
 pub struct PlainService {
-    state: Mutex<(Ledger, u32)>,
+    state: Arc<Mutex<(Ledger, u32)>>,
+    keyed: bool,
 }
 
 impl PlainService {
@@ -21,6 +22,23 @@
         Self::default()
     }
 
+    /// Creates a service that refuses a key of an account which has run before.
+    pub fn keyed() -> Self {
+        Self {
+            keyed: true,
+            ..Self::default()
+        }
+    }
+
+    /// Creates another server of the same service, which shares what has run.
+    #[must_use]
+    pub fn replica(&self) -> Self {
+        Self {
+            state: Arc::clone(&self.state),
+            keyed: self.keyed,
+        }
+    }
+
     /// Returns how often each call ran.
     pub fn ledger(&self) -> Ledger {
         self.lock().0.clone()
@@ -44,10 +62,15 @@
         if request.as_reader().read_to_string(&mut body).is_err() {
             return Reply::text(request, 400, "the body is no text");
         }
-        let key = Reply::header(&request, header::IDEMPOTENCY_KEY)
-            .unwrap_or(&body)
-            .to_owned();
+        let key = Reply::header(&request, header::IDEMPOTENCY_KEY);
+        let key = key.unwrap_or(&body).to_owned();
+        let account = Reply::header(&request, header::ACCOUNT).unwrap_or("");
+        let scoped = format!("{account} {key}");
         let mut state = self.lock();
+        if self.keyed && state.0.run(&scoped) > 1 {
+            drop(state);
+            return Reply::text(request, 409, "the key has run before");
+        }
         let runs = state.0.run(&key);
         let lost = state.1 > 0;
         state.1 -= u32::from(lost);
--- a/azureway-dev/src/serve/system.rs
+++ b/azureway-dev/src/serve/system.rs
@@ -96,7 +96,12 @@
             self.add_server(&name, "engines", zone, StandIn::start(Arc::clone(&engine))?);
             self.engines.push(engine);
         }
-        let plain = Arc::new(PlainService::new());
+        let plain = match (layout.keyed, self.plains.first()) {
+            (true, Some(first)) => first.replica(),
+            (true, None) => PlainService::keyed(),
+            (false, _) => PlainService::new(),
+        };
+        let plain = Arc::new(plain);
         let name = format!("{zone}-till");
         self.add_server(&name, "tills", zone, StandIn::start(Arc::clone(&plain))?);
         if layout.keyed {
--- a/azureway-dev/tests/once.rs
+++ b/azureway-dev/tests/once.rs
@@ -1,6 +1,7 @@
 //! At most once over sockets: entries of two zones, the platform and a plain service.
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 
 use azureway_config::settings::Bounds;
@@ -13,6 +14,9 @@
 /// A guard against a hang, in seconds; no test's verdict depends on it.
 const GUARD: u64 = 60;
 
+/// A guard against a hang, in sendings.
+const RESENDS: u32 = 10_000;
+
 fn layout() -> Layout {
     Layout::new()
         .with_zones(&["kranj-a", "koper-a"])
@@ -27,8 +31,21 @@
 }
 
 fn order(address: SocketAddr, key: &str) -> minreq::Response {
-    let request = minreq::post(format!("http://{address}/services/orders/new"));
-    let request = request.with_timeout(GUARD).with_body("20 m2 of cork");
+    send(address, "new", key)
+}
+
+fn send(address: SocketAddr, path: &str, key: &str) -> minreq::Response {
+    let request = minreq::post(format!("http://{address}/services/orders/{path}"));
+    post(request, key, "20 m2 of cork")
+}
+
+fn send_body(address: SocketAddr, key: &str, body: &str) -> minreq::Response {
+    let url = format!("http://{address}/services/orders/new");
+    post(minreq::post(url), key, body)
+}
+
+fn post(request: minreq::Request, key: &str, body: &str) -> minreq::Response {
+    let request = request.with_timeout(GUARD).with_body(body);
     request
         .with_header("authorization", "Bearer wax-desk-key")
         .with_header("idempotency-key", key)
@@ -36,6 +53,13 @@
         .expect("an answer")
 }
 
+/// Sends again while an earlier sending counts as running.
+fn settled(send: impl Fn() -> minreq::Response) -> minreq::Response {
+    let answers = (0..RESENDS).map(|_| send());
+    let settled = answers.into_iter().find(|a| a.status_code != 409);
+    settled.expect("the earlier sending ends")
+}
+
 fn error(answer: &minreq::Response) -> ErrorDetail {
     let body: ErrorBody = serde_json::from_slice(answer.as_bytes()).expect("an error");
     body.error
@@ -51,10 +75,7 @@
     let first = order(system.addresses()[0], "key-1");
     expect_that!(first.status_code, eq(200));
     // The claim is finished after the answer was written; until then it counts as running.
-    let mut again = order(system.addresses()[1], "key-1");
-    while again.status_code == 409 {
-        again = order(system.addresses()[1], "key-1");
-    }
+    let again = settled(|| order(system.addresses()[1], "key-1"));
     expect_that!(again.status_code, eq(200));
     expect_that!(again.as_bytes(), eq(first.as_bytes()));
     expect_that!(runs(&system, "key-1"), eq(1));
@@ -90,6 +111,32 @@
     system.drain();
 }
 
+#[gtest]
+fn a_key_used_for_another_path_is_not_answered_with_the_first() {
+    let system = system(&layout());
+    expect_that!(order(system.addresses()[0], "key-7").status_code, eq(200));
+    let other = send(system.addresses()[1], "cancel", "key-7");
+    expect_that!(error(&other).code, eq("duplicate"));
+    expect_that!(runs(&system, "key-7"), eq(1));
+    system.drain();
+}
+
+#[gtest]
+fn a_caller_that_hung_up_gets_the_answer_when_it_comes_back() {
+    let system = system(&layout());
+    let mut caller = TcpStream::connect(system.addresses()[0]).expect("a connection");
+    let head = "POST /services/orders/new HTTP/1.1\r\nhost: a\r\n\
+                authorization: Bearer wax-desk-key\r\nidempotency-key: key-8\r\n\
+                content-length: 14\r\n\r\n20 m2 of cork";
+    caller.write_all(head.as_bytes()).expect("sent");
+    caller.write_all(b".").expect("sent");
+    drop(caller);
+    let again = settled(|| send_body(system.addresses()[1], "key-8", "20 m2 of cork."));
+    expect_that!(again.status_code, eq(200));
+    expect_that!(runs(&system, "key-8"), eq(1));
+    system.drain();
+}
+
 #[gtest]
 fn a_claim_whose_answer_is_lost_is_known_again() {
     let system = system(&layout());
@@ -129,6 +176,9 @@
     });
     let answer = order(system.addresses()[0], "key-6");
     expect_that!(answer.status_code, eq(200));
+    let again = order(system.addresses()[1], "key-6");
+    expect_that!(again.status_code, eq(409));
+    expect_that!(system.plains[0].ledger().runs("key-6"), eq(1));
     system.platform.set_faults(PlatformFaults::new());
     system.drain();
 }
--- a/azureway-entry/src/admit/errand.rs
+++ b/azureway-entry/src/admit/errand.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{IdempotencyKey, ServiceKind};
+use azureway_core::prelude::{AccountId, IdempotencyKey, ServiceKind};
 
 /// What a relay carries to a backend server: the bytes that the decisions never see.
 #[derive(Clone, Debug)]
@@ -15,6 +15,8 @@
     pub path: Box<str>,
     /// The type of the body.
     pub media: Box<str>,
+    /// The client account, within which the idempotency key is unique.
+    pub account: AccountId,
     /// The idempotency key, which the backend server may check itself.
     pub key: Option<IdempotencyKey>,
     /// The body.
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -89,7 +89,8 @@
         } else {
             streamed(&self.call.body)?
         };
-        Ok((request, self.errand(ServiceKind::Model, CHAT_PATH, body)))
+        let errand = self.errand(&request, ServiceKind::Model, CHAT_PATH, body);
+        Ok((request, errand))
     }
 
     fn plain(
@@ -104,10 +105,9 @@
         let chain = BlockChain::new(salt, []);
         let request = self.request(id, account, service, chain, TokenCount::new(1))?;
         let path = format!("/{}", &rest[name.len()..].trim_start_matches('/'));
-        Ok((
-            request,
-            self.errand(ServiceKind::Plain, &path, self.call.body.clone()),
-        ))
+        let body = self.call.body.clone();
+        let errand = self.errand(&request, ServiceKind::Plain, &path, body);
+        Ok((request, errand))
     }
 
     fn service(&self, name: &str, kind: ServiceKind) -> Result<&'a ModelService, Refusal> {
@@ -129,7 +129,8 @@
         let rank = self.header(header::RANK, "`urgent` or `drafting`", Rank::parse)?;
         let rank = rank.unwrap_or(Rank::Drafting);
         let worth = self.header(header::WORTH, "a whole number", |t| u64::from_str(t).ok())?;
-        let (account_name, service_name) = (account.id.as_str(), service.id.as_str());
+        // The path of a plain call names its service; the body of a chat does.
+        let target = format!("{} {}", self.call.head.method, self.call.head.path);
         Ok(Request {
             id,
             account: account.id.clone(),
@@ -147,7 +148,7 @@
                 .head
                 .get(header::IDEMPOTENCY_KEY)
                 .map(IdempotencyKey::new),
-            fingerprint: Fingerprint::of(account_name, service_name, &self.call.body),
+            fingerprint: Fingerprint::of(account.id.as_str(), &target, &self.call.body),
         })
     }
 
@@ -198,7 +199,7 @@
         }
     }
 
-    fn errand(&self, kind: ServiceKind, path: &str, body: Vec<u8>) -> Errand {
+    fn errand(&self, request: &Request, kind: ServiceKind, path: &str, body: Vec<u8>) -> Errand {
         let head = &self.call.head;
         Errand {
             kind,
@@ -208,7 +209,8 @@
                 .get("content-type")
                 .unwrap_or("application/json")
                 .into(),
-            key: head.get(header::IDEMPOTENCY_KEY).map(IdempotencyKey::new),
+            account: request.account.clone(),
+            key: request.key.clone(),
             body: body.into(),
         }
     }
--- a/azureway-entry/src/relay/relay_try.rs
+++ b/azureway-entry/src/relay/relay_try.rs
@@ -124,6 +124,12 @@
         if let Some(incarnation) = order.incarnation {
             request = request.header(header::INCARNATION, incarnation.to_string());
         }
+        let account = self.errand.account.as_str();
+        if is_header_text(account) {
+            request = request
+                .try_header(header::ACCOUNT, account)
+                .map_err(|_| faulty)?;
+        }
         if let Some(key) = &self.errand.key {
             request = request
                 .try_header(header::IDEMPOTENCY_KEY, key.as_str())
@@ -242,3 +248,8 @@
     }
     Ok(())
 }
+
+/// Tells whether a name can be sent in a header. One that cannot is left out.
+fn is_header_text(name: &str) -> bool {
+    name.bytes().all(|b| (b' '..=b'~').contains(&b))
+}
--- a/azureway-wire/src/header.rs
+++ b/azureway-wire/src/header.rs
@@ -4,6 +4,8 @@
 pub const AUTHORIZATION: &str = "authorization";
 /// The caller's mark of a request that may be sent again.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The client account, on requests to backend servers; idempotency keys are unique within it.
+pub const ACCOUNT: &str = "azureway-account";
 /// The rank: `urgent` or `drafting`.
 pub const RANK: &str = "azureway-rank";
 /// The time to first token that the caller waits for, in milliseconds.
