--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -4,7 +4,7 @@
 
 use super::{Health, Ledger, LoadReport, SlotShare, Work};
 use crate::domain::{BackendServer, Incarnation, Rank, Timestamp, TokenCount, WeightsVersion};
-use crate::event::FailureKind;
+use crate::event::{Failure, FailureKind};
 
 /// How long a failed server is left alone.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
@@ -92,17 +92,17 @@
     }
 
     /// Notes a failure at `now`. Returns whether what is known of its cache no longer holds.
-    pub fn blame(&mut self, kind: FailureKind, now: Timestamp) -> bool {
-        match kind {
+    pub fn blame(&mut self, failure: &Failure, now: Timestamp) -> bool {
+        match failure.kind {
             FailureKind::Mismatch => {
                 let known = self.incarnation > Incarnation::ZERO;
                 self.incarnation = Incarnation::ZERO;
                 return known;
             }
-            FailureKind::Busy => self.share.refused(self.flights(), now),
+            FailureKind::Busy if failure.is_full() => self.share.refused(self.flights(), now),
             // A silent connection says nothing of the server: something between the two ends
             // may have lost track of it while new connections work.
-            FailureKind::Silent => {}
+            FailureKind::Busy | FailureKind::Silent => {}
             FailureKind::Unreachable | FailureKind::Broken | FailureKind::Faulty => {
                 self.suspect(now);
             }
--- a/azureway-dev/tests/outcome.rs
+++ b/azureway-dev/tests/outcome.rs
@@ -21,7 +21,7 @@
 
 #[gtest]
 fn a_bound_is_held_against_numbers_baselines_and_measures() {
-    let cases: [(&str, &[&str]); 6] = [
+    let cases: [(&str, &[&str]); 8] = [
         ("hit >= 50", &[]),
         ("hit >= 50.5", &["hit is 50.0, not >= 50.5 (the bound)"]),
         (
@@ -33,6 +33,11 @@
             "retries < baselines",
             &["retries is 3.0, not < 3.0 (round-robin)"],
         ),
+        ("hit >= 51 or 50", &[]),
+        (
+            "hit >= 51 or 50.5",
+            &["hit is 50.0, not >= 51.0 (the bound)"],
+        ),
         (
             "hit <= retries # reason",
             &["hit is 50.0, not <= 3.0 (retries)"],
@@ -48,7 +53,14 @@
 
 #[gtest]
 fn a_line_that_is_no_bound_is_a_fault() {
-    for stated in ["hit", "hit >= often", "luck >= 1", "hit = 1", "hit >= 1 2"] {
+    for stated in [
+        "hit",
+        "hit >= often",
+        "luck >= 1",
+        "hit = 1",
+        "hit >= 1 2",
+        "hit >= 1 or",
+    ] {
         let outcomes: anyhow::Result<Outcomes> = stated.parse();
         expect_that!(outcomes.is_err(), eq(true), "{stated}");
     }
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -20,6 +20,7 @@
 use crate::decide::{DecideNote, Decider, Question};
 use crate::hear::Hearers;
 use crate::meter::Meter;
+use crate::order::{HttpOrders, Orderer};
 use crate::relay::Launcher;
 use crate::watch::Watcher;
 
@@ -58,19 +59,16 @@
     /// Returns an error if an address cannot be bound or a thread cannot be started.
     pub fn start_with(settings: &EntrySettings, stopper: Sender<()>) -> Result<Self, Error> {
         let mark = process_mark(settings);
-        let (rings, bounds) = (Rings::new(settings.bounds.ring), &settings.bounds);
+        let rings = Rings::new(settings.bounds.ring);
         let stop = Arc::new(AtomicBool::new(false));
-        let listener = Listener::new(
-            settings.listen,
-            rings.doors(),
-            bounds.clone(),
-            Arc::clone(&stop),
-        )?;
+        let (doors, limits) = (rings.doors(), settings.bounds.clone());
+        let listener = Listener::new(settings.listen, doors, limits, Arc::clone(&stop))?;
         let address = listener.address()?;
         let operators = admin(settings, &rings, stopper)?;
         let api = HttpObjects::new(settings.platform);
         let calls = api.calls().clone();
         claim(&api, &rings, mark)?;
+        let orderer = orderer(settings, &rings, api.clone(), mark);
         let views = rings.views();
         let decider = decider(settings, &rings);
         let admitter = Admitter::new(rings.admit_notes, rings.decide.clone(), rings.meter, mark);
@@ -85,6 +83,7 @@
         spawn("meter", move || meter.run())?;
         spawn("admit", move || admitter.run())?;
         spawn("watch", move || watcher.run())?;
+        spawn("order", move || orderer.run())?;
         log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         Ok(Self {
             address,
@@ -165,10 +164,25 @@
 fn decider(settings: &EntrySettings, rings: &Rings) -> Decider<PrefixLoad> {
     let config = RouterConfig::new(settings.zone.clone()).with_queue(settings.bounds.queue);
     let router = Router::new(config, PrefixLoad::new());
-    let launcher = Launcher::new(rings.decide.clone(), settings.bounds.clone());
+    let launcher = Launcher::new(
+        rings.decide.clone(),
+        rings.meter.clone(),
+        settings.bounds.clone(),
+    );
     Decider::new(router, rings, launcher, Hearers::new(rings.decide.clone()))
 }
 
+/// Returns the ordering duty, which ends with the deciding duty.
+fn orderer(
+    settings: &EntrySettings,
+    rings: &Rings,
+    api: HttpObjects,
+    mark: u64,
+) -> Orderer<HttpObjects, HttpOrders> {
+    let (notes, me) = (rings.order_notes.clone(), settings.instance.clone());
+    Orderer::new(api, HttpOrders::new(), notes, rings.clock, me, mark)
+}
+
 /// Starts the claiming threads. They end with the deciding duty, which waits for their news.
 fn claim(api: &HttpObjects, rings: &Rings, mark: u64) -> Result<(), Error> {
     for thread in 0..CLAIM_THREADS {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,13 +6,14 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::{Callers, DecideNote, Question, Standing};
+use super::{Callers, DecideNote, Question, Standing, VersionNews};
 use crate::caller::Outcome;
 use crate::claim::ClaimDesk;
 use crate::clock::Clock;
 use crate::daemon::Rings;
 use crate::hear::Hearers;
 use crate::meter::Measure;
+use crate::order::OrderDesk;
 use crate::relay::Launcher;
 
 /// The deciding duty: tells the core what happened and carries out what it wants done.
@@ -23,6 +24,7 @@
     clock: Clock,
     callers: Callers,
     desk: ClaimDesk,
+    orders: OrderDesk,
     launcher: Launcher,
     hearers: Hearers,
     meter: Sender<Measure>,
@@ -30,8 +32,7 @@
     serve: Sender<()>,
     actions: Vec<Action>,
     drained: Option<Sender<()>>,
-    rejected: Option<ConfigVersion>,
-    waiters: Vec<(ConfigVersion, Sender<()>)>,
+    news: VersionNews,
 }
 
 impl<P: Policy> Decider<P> {
@@ -43,6 +44,7 @@
             clock: rings.clock,
             callers: Callers::new(),
             desk: ClaimDesk::new(&rings.claims),
+            orders: OrderDesk::new(rings.order.clone()),
             launcher,
             hearers,
             meter: rings.meter.clone(),
@@ -50,8 +52,7 @@
             serve: rings.serve.clone(),
             actions: Vec::new(),
             drained: None,
-            rejected: None,
-            waiters: Vec::new(),
+            news: VersionNews::new(),
         }
     }
 
@@ -114,19 +115,18 @@
             }
             DecideNote::Claim(news) => self.tell(Event::Claim(&news)),
             DecideNote::Failed(failure) => self.fail(&failure),
-            DecideNote::Load(report) => self.tell(Event::Load(&report)),
+            DecideNote::Load(report) => {
+                self.orders.report(&report);
+                self.tell(Event::Load(&report));
+            }
             DecideNote::Cache(run) => self.tell(Event::Cache(&run.view())),
             DecideNote::Adopt(fleet) => self.adopt(&fleet),
             DecideNote::Rejected(version) => {
-                self.rejected = Some(version);
+                self.news.reject(version);
                 self.measure(Measure::Rejected(version));
             }
             DecideNote::Ask(question) => self.reply(question),
-            DecideNote::Drain(drained) => {
-                self.ready.store(false, Ordering::Release);
-                self.drained = Some(drained);
-                self.tell(Event::Draining);
-            }
+            DecideNote::Drain(drained) => self.drain(drained),
         }
     }
 
@@ -134,8 +134,8 @@
     fn reply(&mut self, question: Question) {
         match question {
             Question::Await(version, reply) => {
-                self.waiters.push((version, reply));
-                self.wake_waiters();
+                let current = self.router.fleet().version;
+                self.news.wait(version, reply, current);
             }
             Question::Standing(reply) => drop(reply.try_send(self.standing())),
             Question::Explain(request, reply) => {
@@ -146,33 +146,24 @@
         }
     }
 
-    /// Tells those who wait for a version that is in force now.
-    fn wake_waiters(&mut self) {
-        let version = self.router.fleet().version;
-        let reached = |(wanted, _): &(ConfigVersion, Sender<()>)| *wanted <= version;
-        for (_, reply) in self.waiters.extract_if(.., |w| reached(w)) {
-            let _ = reply.try_send(());
-        }
-    }
-
     fn standing(&self) -> Standing {
         Standing {
             overview: self.router.overview(),
-            rejected: self.rejected,
+            rejected: self.news.rejected(),
             servers: self.router.servers().iter().cloned().collect(),
         }
     }
 
-    fn adopt(&mut self, fleet: &Fleet) {
+    fn adopt(&mut self, fleet: &Arc<Fleet>) {
         if fleet.version <= self.router.fleet().version {
             return;
         }
         self.tell(Event::Configured(fleet));
-        self.rejected = self.rejected.filter(|v| *v > fleet.version);
         self.hearers.adopt(fleet);
+        self.orders.adopt(fleet);
         self.measure(Measure::Configured(fleet.version));
         self.ready.store(self.drained.is_none(), Ordering::Release);
-        self.wake_waiters();
+        self.news.adopt(fleet.version);
         // Only the first one finds a place; whoever waits needs no more.
         let _ = self.serve.try_send(());
         log::info!(step = "configure", version:% = fleet.version; "a configuration is in force");
@@ -191,6 +182,12 @@
         self.tell(Event::Failed(failure));
     }
 
+    fn drain(&mut self, drained: Sender<()>) {
+        self.ready.store(false, Ordering::Release);
+        self.drained = Some(drained);
+        self.tell(Event::Draining);
+    }
+
     fn carry_out(&mut self) {
         let mut actions = std::mem::take(&mut self.actions);
         let mut unplaced = Vec::new();
--- a/azureway-entry/src/decide/mod.rs
+++ b/azureway-entry/src/decide/mod.rs
@@ -7,6 +7,7 @@
 mod note;
 mod question;
 mod standing;
+mod version_news;
 
 pub use cache_run::CacheRun;
 pub use caller::Caller;
@@ -15,3 +16,4 @@
 pub use note::DecideNote;
 pub use question::Question;
 pub use standing::Standing;
+pub use version_news::VersionNews;
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod decide;
 pub mod hear;
 pub mod meter;
+pub mod order;
 pub mod relay;
 pub mod watch;
--- a/azureway-entry/src/meter/measure.rs
+++ b/azureway-entry/src/meter/measure.rs
@@ -16,6 +16,8 @@
     Sent(Rank, Duration),
     /// The first token of an answer came after this time.
     Started(Rank, Duration),
+    /// These times passed between events of a stream.
+    Gaps(Rank, Vec<Duration>),
     /// An answer is complete.
     Finished(Box<Served>),
     /// A request was refused.
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -52,6 +52,7 @@
             Measure::Crossed(time) => self.control.cross(time),
             Measure::Sent(rank, time) => self.service.send(rank, time),
             Measure::Started(rank, time) => self.service.start(rank, time),
+            Measure::Gaps(rank, gaps) => self.service.pace(rank, &gaps),
             Measure::Finished(served) => {
                 self.service.finish(&served);
                 self.prompts.finish(&served);
--- a/azureway-entry/src/meter/service_measures.rs
+++ b/azureway-entry/src/meter/service_measures.rs
@@ -18,6 +18,7 @@
 pub struct ServiceMeasures {
     first: Histograms,
     gaps: Histograms,
+    between: Histograms,
     queued: Histograms,
     finished: Family<RankLabel, Counter>,
     refused: Family<ReasonLabel, Counter>,
@@ -39,6 +40,7 @@
         let measures = Self {
             first: Family::new_with_constructor(first),
             gaps: Family::new_with_constructor(|| Histogram::new(GAP_BOUNDS)),
+            between: Family::new_with_constructor(|| Histogram::new(GAP_BOUNDS)),
             queued: Family::new_with_constructor(first),
             finished: Family::default(),
             refused: Family::default(),
@@ -56,6 +58,8 @@
         r.register("time_to_first_token_seconds", help, self.first.clone());
         let help = "Mean time between the tokens of an answer";
         r.register("time_per_output_token_seconds", help, self.gaps.clone());
+        let help = "Time between two tokens of a stream";
+        r.register("time_between_tokens_seconds", help, self.between.clone());
         let help = "Time from arrival until the request was sent to a backend server";
         r.register("queue_time_seconds", help, self.queued.clone());
         let help = "Requests answered completely";
@@ -81,6 +85,12 @@
         queued.observe(time.as_secs_f64());
     }
 
+    /// Notes the times between tokens of a stream.
+    pub fn pace(&self, rank: Rank, gaps: &[Duration]) {
+        let between = self.between.get_or_create(&rank.into());
+        gaps.iter().for_each(|g| between.observe(g.as_secs_f64()));
+    }
+
     /// Notes a request that was answered completely.
     pub fn finish(&mut self, served: &Served) {
         let rank = RankLabel::from(served.rank);
