Name zones and regions in the document, and show leases

The document could not say which region a zone lies in, so traffic between regions was not told from traffic within one; [zone NAME] has its region now, and where zones are named a server's zone must be one of them. status shows the leases, and the instances also while the platform is out. Each user has an example document with three zones, nine replicas and eight accounts.

Seen: both examples are good; a document with faults that only the whole shows names each.

--- a/azureway-cli/src/admin/status.rs
+++ b/azureway-cli/src/admin/status.rs
@@ -1,13 +1,16 @@
 //! `status`.
 
 use std::io::Write;
+use std::net::SocketAddr;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
+use azureway_platform::{HttpObjects, ObjectApi};
+use azureway_wire::order::LEASE_KIND;
 use clap::ArgMatches;
 
 use super::clients;
 use crate::Exit;
-use crate::report::{List, StatusReport};
+use crate::report::{LeaseReport, StatusReport, SystemReport};
 use crate::shell::Shell;
 
 /// Shows the instances that the command names, those that do not answer among them.
@@ -21,6 +24,26 @@
         let servers = matches.get_flag("servers");
         reports.push(StatusReport::new(client.address(), status, servers));
     }
-    shell.print(&List(reports))?;
+    let mut report = SystemReport::new(reports);
+    match matches.get_one("platform").map(|p| leases(*p)) {
+        Some(Ok(leases)) => report = report.with_leases(leases),
+        Some(Err(e)) => {
+            // The instances are still shown: an outage is when they are looked at.
+            report = report.with_error(e);
+            exit = Exit::Failed;
+        }
+        None => {}
+    }
+    shell.print(&report)?;
     Ok(exit)
 }
+
+/// Reads the leases out of the platform.
+fn leases(platform: SocketAddr) -> Result<Vec<LeaseReport>> {
+    let list = HttpObjects::new(platform).list(LEASE_KIND)?;
+    let leases = list.objects.iter().map(|o| {
+        let body = serde_json::from_str(&o.value);
+        Ok(LeaseReport::new(&o.name, body.context("read lease")?))
+    });
+    leases.collect()
+}
--- a/azureway-cli/tests/entries.rs
+++ b/azureway-cli/tests/entries.rs
@@ -6,6 +6,7 @@
 use azureway_config::settings::{Bounds, EntrySettings};
 use azureway_core::prelude::*;
 use azureway_dev::engine::EngineConfig;
+use azureway_dev::platform::PlatformFaults;
 use azureway_dev::serve::{EntrySlot, Layout, System};
 use googletest::prelude::*;
 use program::{execute, words};
@@ -58,6 +59,31 @@
     system.drain();
 }
 
+#[gtest]
+fn the_status_shows_who_holds_a_lease() {
+    let system = system();
+    let value = r#"{"holder":"kranj-a-entry-1","mark":1,"beat":2,"number":7}"#;
+    system.platform.seed("lease", "sample", value);
+    let (_, status) = operate(&system, "status");
+    let expected = "lease sample  kranj-a-entry-1  fencing number 7";
+    expect_that!(status, contains_substring(expected));
+    system.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::new()
+    });
+    let (exit, status) = operate(&system, "status");
+    expect_that!(exit, eq(Exit::Failed));
+    expect_that!(
+        status,
+        contains_substring("kranj-a-entry-1  zone kranj-a  serving")
+    );
+    expect_that!(
+        status,
+        contains_substring("leases unknown: list objects with platform")
+    );
+    system.drain();
+}
+
 #[gtest]
 fn a_changed_limit_comes_into_force_and_into_the_trail() {
     let system = system();
--- a/azureway-config/src/document/parse.rs
+++ b/azureway-config/src/document/parse.rs
@@ -8,7 +8,7 @@
 use crate::ini::{self, Faults, Section, SectionReader};
 
 /// The kinds of sections.
-const KINDS: [&str; 5] = ["account", "service", "pool", "server", "ranks"];
+const KINDS: [&str; 6] = ["account", "service", "pool", "server", "zone", "ranks"];
 
 /// Parses the document that is stored as `version`.
 ///
@@ -47,6 +47,9 @@
         }
         "server" => server(name, &mut reader)
             .is_some_and(|s| fleet.servers.insert(s.id.clone(), s).is_some()),
+        "zone" => {
+            zone(name, &mut reader).is_some_and(|z| fleet.zones.insert(z.id.clone(), z).is_some())
+        }
         "ranks" => {
             fleet.rules = ranks(&mut reader);
             false
@@ -149,6 +152,11 @@
     )
 }
 
+fn zone(name: &str, reader: &mut SectionReader<'_, '_>) -> Option<AvailabilityZone> {
+    let region = reader.required("region", "the name of a region")?;
+    Some(AvailabilityZone::new(ZoneId::new(name), region))
+}
+
 fn ranks(reader: &mut SectionReader<'_, '_>) -> RankRules {
     let base = RankRules::new();
     let mut millis = |key, default: Duration| {
@@ -193,14 +201,17 @@
     if kind != "service" && kind != "server" {
         return;
     }
-    let Some(entry) = section.get("pool") else {
-        return;
+    let mut missing = |key, object: &str, known: bool| {
+        if !known {
+            let detail = format!("no section [{key} {object}] exists");
+            SectionReader::new(section, faults).reject(Some(key), detail);
+        }
     };
-    if !fleet.pools.contains_key(entry.value) {
-        let mut reader = SectionReader::new(section, faults);
-        reader.reject(
-            Some("pool"),
-            format!("no section [pool {}] exists", entry.value),
-        );
+    if let Some(entry) = section.get("pool") {
+        missing("pool", entry.value, fleet.pools.contains_key(entry.value));
+    }
+    // A document that names no zones has them all in one region.
+    if let Some(entry) = section.get("zone").filter(|_| fleet.has_regions()) {
+        missing("zone", entry.value, fleet.zones.contains_key(entry.value));
     }
 }
--- a/azureway-config/tests/document.rs
+++ b/azureway-config/tests/document.rs
@@ -71,3 +71,52 @@
     );
     expect_that!(faults, contains_substring("[entry] platform: missing"));
 }
+
+#[gtest]
+fn the_example_of_each_user_is_good() {
+    for text in [
+        include_str!("../../examples/smucarski-vosek.ini"),
+        include_str!("../../examples/corchos.ini"),
+    ] {
+        let fleet = document::parse(text, ConfigVersion::new(1)).expect("a good document");
+        let models = fleet
+            .servers
+            .values()
+            .filter(|s| s.pool.as_str() == "engines");
+        expect_that!(models.count(), eq(9));
+        expect_that!(fleet.zones.len(), eq(3));
+        expect_that!(fleet.accounts.len(), eq(8));
+    }
+}
+
+#[gtest]
+fn zones_that_a_document_names_are_the_ones_that_servers_stand_in() {
+    let text = "[pool p]\n[zone a]\nregion = r\n[zone b]\n\
+                [server s]\npool = p\nzone = c\naddress = 10.0.0.7:80\n";
+    let faults = faults(text);
+    expect_that!(faults, contains_substring("[zone b] region: missing"));
+    expect_that!(
+        faults,
+        contains_substring("[server s] zone: no section [zone c] exists")
+    );
+}
+
+#[gtest]
+fn a_document_is_refused_for_what_only_the_whole_shows() {
+    let digest = "0123456789abcdef".repeat(4);
+    let text = format!(
+        "[account a]\nkeys = {digest}\n[account b]\nkeys = {digest}\n[ranks]\n[ranks]\n\
+         [account c/d]\n[account e]\nkeys = sekrit\n"
+    );
+    let faults = faults(&text);
+    expect_that!(
+        faults,
+        contains_substring("line 4: [account b] keys: an API key is also")
+    );
+    expect_that!(faults, contains_substring("line 6: [ranks]: defined twice"));
+    expect_that!(
+        faults,
+        contains_substring("line 7: [account c/d]: expected a header with a name")
+    );
+    expect_that!(faults, not(contains_substring("sekrit")));
+}
--- a/azureway-entry/src/order/lease_calls.rs
+++ b/azureway-entry/src/order/lease_calls.rs
@@ -3,7 +3,7 @@
 use azureway_core::prelude::*;
 use azureway_platform::{ObjectApi, Put};
 use azureway_wire::object::ObjectBody;
-use azureway_wire::order::LeaseBody;
+use azureway_wire::order::{LEASE_KIND, LeaseBody};
 
 /// The platform calls of a lease.
 #[derive(Debug)]
@@ -11,8 +11,6 @@
     api: A,
 }
 
-/// The kind of the objects that hold leases.
-const LEASE_KIND: &str = "lease";
 /// The name of the lease of whoever gives orders.
 const ORDERS: &str = "orders";
 
