--- a/azureway-cli/tests/commands.rs
+++ b/azureway-cli/tests/commands.rs
@@ -47,6 +47,18 @@
     expect_that!(desk.platform.value("config", "document"), eq(&before));
 }
 
+#[gtest]
+fn the_first_document_holds_the_sections_of_every_team() {
+    let desk = Desk::empty();
+    let (exit, printed) = desk.run(&words("config put FILE --reason first"));
+    expect_that!(exit, eq(Exit::Done), "{printed}");
+    let (_, history) = desk.run(&words("config history"));
+    expect_that!(history, contains_substring("1 from 0"));
+    expect_that!(history, contains_substring("account wax-desk"));
+    let (exit, _) = desk.run(&words("config put FILE --reason again"));
+    expect_that!(exit, eq(Exit::Usage));
+}
+
 #[gtest]
 fn an_edited_document_is_rebased_on_another_teams_change() {
     let desk = Desk::new();
--- a/azureway-core/src/config/section_change.rs
+++ b/azureway-core/src/config/section_change.rs
@@ -31,10 +31,16 @@
     /// Tells whether `team` may make the change.
     ///
     /// A section that exists belongs to the team that it names, which may also hand it over
-    /// to another; a new section must name the team that adds it.
+    /// to another. A new section is added by the team that it names, or for that team by
+    /// [`TeamId::DEFAULT`], which thus brings new teams in.
     pub fn is_allowed(&self, team: &TeamId) -> bool {
-        let text = self.before.as_deref().or(self.after.as_deref());
-        let (name, text) = (&*self.name, text.unwrap_or_default());
-        SectionView { name, text }.team() == team.as_str()
+        let owner = |text| SectionView { name: "", text }.team();
+        match (self.before.as_deref(), self.after.as_deref()) {
+            (Some(before), _) => owner(before) == team.as_str(),
+            (None, Some(after)) => {
+                owner(after) == team.as_str() || team.as_str() == TeamId::DEFAULT
+            }
+            (None, None) => true,
+        }
     }
 }
