--- a/azureway-cli/src/report/status_report.rs
+++ b/azureway-cli/src/report/status_report.rs
@@ -57,14 +57,7 @@
             "  retry budget {}  claims open {}  entries in the zone {}",
             status.budget, status.claims, status.entries
         )?;
-        for count in status.counts.iter().filter(|c| c.requests > 0) {
-            let (rank, kind, outcome) = (&count.rank, &count.kind, &count.outcome);
-            let (requests, worth) = (count.requests, count.worth);
-            writeln!(
-                f,
-                "  ended  {rank} {kind} {outcome}: {requests}, worth {worth}"
-            )?;
-        }
+        write_counts(f, status)?;
         let live = status
             .servers
             .iter()
@@ -81,6 +74,18 @@
     }
 }
 
+fn write_counts(f: &mut fmt::Formatter<'_>, status: &StatusBody) -> fmt::Result {
+    for count in status.counts.iter().filter(|c| c.requests > 0) {
+        let (rank, kind, outcome) = (&count.rank, &count.kind, &count.outcome);
+        let (requests, worth) = (count.requests, count.worth);
+        writeln!(
+            f,
+            "  ended  {rank} {kind} {outcome}: {requests}, worth {worth}"
+        )?;
+    }
+    Ok(())
+}
+
 fn write_server(f: &mut fmt::Formatter<'_>, server: &ServerBody) -> fmt::Result {
     let weights = server
         .weights
