Measure the relay path over loopback against direct calls

Cause: what the entry adds to a stream was not known. 'relay' measures the first token, the time between tokens, requests a second and the memory of each of 500 streams held, directly and through an entry, all in one process.

--- /dev/null
+++ b/azureway-dev/src/bench_relay/caller.rs
@@ -0,0 +1,80 @@
+//! A caller of an engine or an entry.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use anyhow::{Result, ensure};
+use azureway_wire::header;
+
+use super::Timing;
+
+/// A caller of an engine or an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    address: SocketAddr,
+}
+
+/// A good API key of the stand-in system.
+const KEY: &str = "wax-desk-key";
+/// The limit of a read.
+const READ_LIMIT: Duration = Duration::from_secs(60);
+
+impl Caller {
+    /// Creates a caller of `address`.
+    pub const fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+
+    /// Sends a request for a stream of `tokens` tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails.
+    pub fn open(&self, tokens: u64) -> Result<TcpStream> {
+        let body = format!(
+            r#"{{"model":"advice","stream":true,"max_tokens":{tokens},"messages":[{{"role":"system","content":"House rules"}}]}}"#
+        );
+        let mut stream = TcpStream::connect(self.address)?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(READ_LIMIT))?;
+        let head = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: {}\r\nauthorization: Bearer {KEY}\r\n\
+             {}: urgent\r\n{}: 1\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
+            self.address,
+            header::RANK,
+            header::WEIGHTS,
+            body.len()
+        );
+        stream.write_all(format!("{head}{body}").as_bytes())?;
+        Ok(stream)
+    }
+
+    /// Asks for a stream of `tokens` tokens and reads it to its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails or the stream does not end well.
+    pub fn call(&self, tokens: u64) -> Result<Timing> {
+        let start = Instant::now();
+        let reader = BufReader::new(self.open(tokens)?);
+        let (mut timing, mut last, mut done) = (Timing::default(), None, false);
+        for line in reader.lines() {
+            let line = line?;
+            let Some(data) = line.strip_prefix("data:") else {
+                continue;
+            };
+            done |= data.trim() == "[DONE]";
+            let now = Instant::now();
+            match last.replace(now) {
+                None => timing.first = now - start,
+                Some(before) => timing.gaps.push(now - before),
+            }
+            if done {
+                break;
+            }
+        }
+        ensure!(done, "the stream did not end well");
+        Ok(timing)
+    }
+}
--- /dev/null
+++ b/azureway-dev/src/bench_relay/timing.rs
@@ -0,0 +1,21 @@
+//! The times of one answer.
+
+use std::time::Duration;
+
+/// The times of one answer.
+#[derive(Clone, Debug, Default)]
+pub struct Timing {
+    /// The time to the first event.
+    pub first: Duration,
+    /// The times between two events.
+    pub gaps: Vec<Duration>,
+}
+
+impl Timing {
+    /// Returns a percentile of `times`, or zero of none.
+    pub fn percentile(mut times: Vec<Duration>, percent: usize) -> Duration {
+        times.sort_unstable();
+        let place = (times.len() * percent).div_ceil(100).saturating_sub(1);
+        times.get(place).copied().unwrap_or_default()
+    }
+}
--- a/azureway-dev/src/lib.rs
+++ b/azureway-dev/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what azureway meets, for tests, trials and benches. No daemon links this.
 
 pub mod bench;
+pub mod bench_relay;
 pub mod engine;
 pub mod generate;
 pub mod http;
--- a/azureway-dev/src/main.rs
+++ b/azureway-dev/src/main.rs
@@ -4,7 +4,7 @@
 use azureway_config::settings::Bounds;
 use azureway_dev::engine::EngineConfig;
 use azureway_dev::serve::{Layout, System};
-use azureway_dev::{generate, replay, slopes};
+use azureway_dev::{bench_relay, generate, replay, slopes};
 use clap::Command;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -19,6 +19,7 @@
             slopes::run(matches);
             Ok(())
         }
+        Some(("relay", matches)) => bench_relay::run(matches),
         Some(("replay", matches)) => exit(replay::run(matches)?),
         _ => Ok(()),
     }
@@ -34,6 +35,7 @@
         .about("Stand-ins and trials for developers of azureway")
         .subcommand_required(true)
         .subcommand(generate::command())
+        .subcommand(bench_relay::command())
         .subcommand(replay::command())
         .subcommand(replay::rounds::command())
         .subcommand(slopes::command())
--- a/azureway-dev/src/serve/layout.rs
+++ b/azureway-dev/src/serve/layout.rs
@@ -15,6 +15,8 @@
     pub accounts: Vec<(&'static str, &'static str)>,
     /// Whether the plain services check keys themselves.
     pub keyed: bool,
+    /// The slots that the document gives a server, if it names any.
+    pub slots: Option<u32>,
 }
 
 impl Layout {
@@ -29,6 +31,7 @@
                 ("shop-drafts", "shop-drafts-key"),
             ],
             keyed: false,
+            slots: None,
         }
     }
 
@@ -46,6 +49,13 @@
         self
     }
 
+    /// Sets the slots that the document gives a server.
+    #[must_use]
+    pub const fn with_slots(mut self, slots: u32) -> Self {
+        self.slots = Some(slots);
+        self
+    }
+
     /// Lets the plain services check keys themselves.
     #[must_use]
     pub const fn with_keyed(mut self) -> Self {
--- a/azureway-dev/src/serve/system.rs
+++ b/azureway-dev/src/serve/system.rs
@@ -64,6 +64,11 @@
         self.entries.iter().map(Entry::address).collect()
     }
 
+    /// Returns the addresses of the engines and plain services, in the order of their start.
+    pub fn server_addresses(&self) -> Vec<SocketAddr> {
+        self.servers.iter().map(StandIn::address).collect()
+    }
+
     /// Waits until every entry daemon has a configuration in force.
     pub fn wait_ready(&self) {
         self.entries.iter().for_each(Entry::wait_ready);
@@ -84,6 +89,10 @@
             let engine = Arc::new(Engine::new(config.clone()));
             let name = format!("{zone}-engine-{number}");
             self.add_server(&name, "engines", zone, StandIn::start(Arc::clone(&engine))?);
+            if let Some(slots) = layout.slots {
+                // Writing to a string does not fail.
+                let _ = writeln!(self.document, "slots = {slots}");
+            }
             self.engines.push(engine);
         }
         let plain = Arc::new(PlainService::new());
