--- a/azureway-entry/src/admit/admitter.rs
+++ b/azureway-entry/src/admit/admitter.rs
@@ -5,15 +5,17 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{AdmitNote, Admitted, Call, CallReader};
+use super::{AdmitNote, Admitted, Call, CallReader, ExplainCall};
 use crate::caller::Outcome;
-use crate::decide::DecideNote;
+use crate::decide::{DecideNote, Question};
+use crate::meter::Measure;
 
 /// The admitting duty: tells who asks for what and derives the blocks of the prompt.
 #[derive(Debug)]
 pub struct Admitter {
     notes: Receiver<AdmitNote>,
     decide: Sender<DecideNote>,
+    meter: Sender<Measure>,
     fleet: Arc<Fleet>,
     entry: u64,
     sequence: u64,
@@ -21,10 +23,16 @@
 
 impl Admitter {
     /// Creates the duty. `entry` marks the identities of this process's requests.
-    pub fn new(notes: Receiver<AdmitNote>, decide: Sender<DecideNote>, entry: u64) -> Self {
+    pub fn new(
+        notes: Receiver<AdmitNote>,
+        decide: Sender<DecideNote>,
+        meter: Sender<Measure>,
+        entry: u64,
+    ) -> Self {
         Self {
             notes,
             decide,
+            meter,
             fleet: Arc::new(Fleet::new()),
             entry,
             sequence: 0,
@@ -37,6 +45,7 @@
             match note {
                 AdmitNote::Call(call) => self.admit(*call),
                 AdmitNote::Adopt(fleet) => self.adopt(fleet),
+                AdmitNote::Explain(call) => self.explain(*call),
             }
         }
     }
@@ -63,11 +72,35 @@
             }
             Err(refusal) => {
                 log::info!(request:% = id, step = "admit", code = refusal.reason.code(); "refused");
+                let _ = self.meter.try_send(Measure::Refused(refusal.reason));
                 let _ = call.outcome.try_send(Outcome::Refused(id, refusal));
             }
         }
     }
 
+    fn explain(&mut self, explain: ExplainCall) {
+        self.sequence += 1;
+        let id = RequestId::new(self.entry, self.sequence);
+        match self.read_as(&explain, id) {
+            Ok(request) => {
+                let note = DecideNote::Ask(Question::Explain(Box::new(request), explain.reply));
+                let _ = self.decide.send(note);
+            }
+            Err(refusal) => {
+                let _ = explain.reply.try_send(Err(refusal));
+            }
+        }
+    }
+
+    fn read_as(&self, explain: &ExplainCall, id: RequestId) -> Result<Request, Refusal> {
+        let account = self.fleet.accounts.get(explain.account.as_str());
+        let detail = "no client account of this name";
+        let refusal = || Refusal::not_run(RefusalReason::Unauthorized, detail);
+        let reader = CallReader::new(&self.fleet, &explain.call);
+        let (request, _) = reader.read_as(account.ok_or_else(refusal)?, id)?;
+        Ok(request)
+    }
+
     fn read(&self, call: &Call, id: RequestId) -> Result<(Request, super::Errand), Refusal> {
         if self.fleet.version == ConfigVersion::ZERO {
             let detail = "no configuration has been read yet";
