Count the wait for a slot into the time to first token

Cause: an engine whose slots are all taken looked idle when it had no prompt left to compute, so hot prefixes queued up in it. The wait is the time that a request stays, averaged over the last 16, for each place by which the new request is over the slots.

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -10,6 +10,10 @@
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
 /// The share of a server's slots, in percent, that drafting leaves to urgent work.
 const URGENT_RESERVE: u32 = 25;
+/// The time that a request stays where none has been seen to end.
+const DEFAULT_STAY: Duration = Duration::from_secs(1);
+/// The requests over which the time that one stays is averaged.
+const STAY_MEMORY: u32 = 16;
 
 /// What is known of one backend server: its configuration, its last report and the work
 /// that this entry has in flight there.
@@ -24,6 +28,7 @@
     own: Ledger,
     share: SlotShare,
     reported: Work,
+    stay: Duration,
     heard: Timestamp,
     health: Health,
     trial: Timestamp,
@@ -39,6 +44,7 @@
             weights: None,
             own: Ledger::new(),
             reported: Work::default(),
+            stay: DEFAULT_STAY,
             heard: Timestamp::ZERO,
             health: Health::Live,
             trial: Timestamp::ZERO,
@@ -110,8 +116,9 @@
         false
     }
 
-    /// Notes an answer, which ends a suspicion.
-    pub fn clear(&mut self, now: Timestamp) {
+    /// Notes an answer that was complete after `time`, which ends a suspicion.
+    pub fn clear(&mut self, time: Duration, now: Timestamp) {
+        self.stay = (self.stay * (STAY_MEMORY - 1) + time) / STAY_MEMORY;
         let flights = self.flights();
         self.share.answered(flights, now);
         if self.health == Health::Suspect {
@@ -177,6 +184,14 @@
         seen + TokenCount::new(unseen.saturating_mul(u64::from(self.share.entries())))
     }
 
+    /// Returns the time until a slot is free for a new request, as far as it is known.
+    pub fn slot_wait(&self) -> Duration {
+        let slots = self.server.slots.max(1);
+        let over = (self.load() + 1).saturating_sub(slots);
+        // Slots come free one after the other, evenly over the time that a request stays.
+        self.stay * over / slots
+    }
+
     /// Returns the requests that the server runs or holds, as far as they are known.
     pub fn load(&self) -> u32 {
         let seen = self.reported.flights.max(self.own.seen().flights);
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -22,7 +22,7 @@
     pub fn new(job: Job, candidate: &Candidate<'_>) -> Self {
         let server = &candidate.state.server;
         Self {
-            wait: server.prefill.time_for(candidate.state.ahead()),
+            wait: server.prefill.time_for(candidate.state.ahead()) + candidate.state.slot_wait(),
             prefill: server
                 .prefill
                 .time_for(job.prompt.saturating_sub(candidate.cached)),
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -96,7 +96,7 @@
         let flight = self.flights.take(attempt)?;
         self.land(&flight, now);
         if let Some(state) = self.servers.get_mut(&flight.server) {
-            state.clear(now);
+            state.clear(now.since(flight.begun), now);
         }
         Some(flight)
     }
@@ -126,6 +126,7 @@
         let mut flight = Flight::new(want.request, pool, order, want.plan);
         if let Some(state) = self.servers.get_mut(&flight.server) {
             flight.period = state.begin(flight.owed());
+            flight.begun = now;
             let blocks = want.request.chain.blocks();
             self.index
                 .presume(&flight.server, state.incarnation, blocks);
--- a/azureway-core/src/router/flight.rs
+++ b/azureway-core/src/router/flight.rs
@@ -1,7 +1,7 @@
 //! A request that a backend server is running.
 
 use super::Plan;
-use crate::domain::{Attempt, PoolId, Request, ServerId, StreamPosition, TokenCount};
+use crate::domain::{Attempt, PoolId, Request, ServerId, StreamPosition, Timestamp, TokenCount};
 use crate::event::Dispatch;
 
 /// A request that a backend server is running.
@@ -23,6 +23,8 @@
     pub untouched: bool,
     /// The earlier tries that a server refused for lack of room.
     pub bounced: u32,
+    /// When it was sent.
+    pub begun: Timestamp,
     /// The period in which the server's state notes the work.
     pub period: u64,
     /// The position at which the current try was resumed.
@@ -41,6 +43,7 @@
             started: false,
             untouched: plan.untouched,
             bounced: plan.bounced,
+            begun: Timestamp::ZERO,
             period: 0,
             position: order.position,
         }
