--- a/azureway-dev/tests/outcome.rs
+++ b/azureway-dev/tests/outcome.rs
@@ -21,7 +21,7 @@
 
 #[gtest]
 fn a_bound_is_held_against_numbers_baselines_and_measures() {
-    let cases: [(&str, &[&str]); 6] = [
+    let cases: [(&str, &[&str]); 8] = [
         ("hit >= 50", &[]),
         ("hit >= 50.5", &["hit is 50.0, not >= 50.5 (the bound)"]),
         (
@@ -33,6 +33,11 @@
             "retries < baselines",
             &["retries is 3.0, not < 3.0 (round-robin)"],
         ),
+        ("hit >= 51 or 50", &[]),
+        (
+            "hit >= 51 or 50.5",
+            &["hit is 50.0, not >= 51.0 (the bound)"],
+        ),
         (
             "hit <= retries # reason",
             &["hit is 50.0, not <= 3.0 (retries)"],
@@ -48,7 +53,14 @@
 
 #[gtest]
 fn a_line_that_is_no_bound_is_a_fault() {
-    for stated in ["hit", "hit >= often", "luck >= 1", "hit = 1", "hit >= 1 2"] {
+    for stated in [
+        "hit",
+        "hit >= often",
+        "luck >= 1",
+        "hit = 1",
+        "hit >= 1 2",
+        "hit >= 1 or",
+    ] {
         let outcomes: anyhow::Result<Outcomes> = stated.parse();
         expect_that!(outcomes.is_err(), eq(true), "{stated}");
     }
@@ -89,7 +101,7 @@
 
 #[gtest]
 fn a_request_that_got_no_token_is_the_slowest() {
-    let text = "seed 1\nzones a\nengines 1\naccounts x\nblocks 4\nlink 1\nlevel h 100\n0 crash a-engine-1 900000\n1 ask x advice 1 1000 5 h 10\n";
+    let text = "seed 1\nzones a\nregions r\nengines 1\naccounts x\nblocks 4\nlink 1\nlevel h 100\n0 crash a-engine-1 900000\n1 ask x advice 1 1000 5 h 10\n";
     let trace = text.parse().expect("a trace");
     let tally = azureway_dev::replay::play::<LeastLoaded>(&trace);
     let summary = Summary::new("p", &tally);
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -10,7 +10,9 @@
 use crate::claim::ClaimRings;
 use crate::clock::Clock;
 use crate::decide::DecideNote;
-use crate::meter::Measure;
+use crate::meter::{Measure, RingViews};
+use crate::order::OrderNote;
+use crate::watch::WatchNote;
 
 /// Both ends of every ring between the duties, and what the duties share.
 #[derive(Debug)]
@@ -25,14 +27,18 @@
     pub decide_notes: Receiver<DecideNote>,
     /// Between the deciding duty and the claiming threads.
     pub claims: ClaimRings,
+    /// To the ordering duty.
+    pub order: Sender<OrderNote>,
+    /// At the ordering duty.
+    pub order_notes: Receiver<OrderNote>,
     /// To the measuring duty.
     pub meter: Sender<Measure>,
     /// At the measuring duty.
     pub measures: Receiver<Measure>,
-    /// To the watching duty, to stop it.
-    pub watch: Sender<()>,
+    /// To the watching duty.
+    pub watch: Sender<WatchNote>,
     /// At the watching duty.
-    pub halt: Receiver<()>,
+    pub halt: Receiver<WatchNote>,
     /// Held by every connection; nothing is sent on it.
     pub guard: Sender<()>,
     /// Ends when the last connection does.
@@ -47,13 +53,17 @@
     pub clock: Clock,
 }
 
+/// The notes to the watching duty that wait; a watch holds them up for some seconds.
+const WATCH_NOTES: usize = 8;
+
 impl Rings {
     /// Creates rings of `size` messages.
     pub fn new(size: usize) -> Self {
         let (admit, admit_notes) = flume::bounded(size);
         let (decide, decide_notes) = flume::bounded(size);
+        let (order, order_notes) = flume::bounded(size);
         let (meter, measures) = flume::bounded(size);
-        let (watch, halt) = flume::bounded(1);
+        let (watch, halt) = flume::bounded(WATCH_NOTES);
         let (guard, alive) = flume::bounded(0);
         let (serve, served) = flume::bounded(1);
         Self {
@@ -62,6 +72,8 @@
             decide,
             decide_notes,
             claims: ClaimRings::new(size),
+            order,
+            order_notes,
             meter,
             measures,
             watch,
@@ -75,6 +87,14 @@
         }
     }
 
+    /// Returns how full the rings are, for the measuring duty.
+    pub fn views(&self) -> RingViews {
+        RingViews {
+            admit: self.admit.downgrade(),
+            decide: self.decide.downgrade(),
+        }
+    }
+
     /// Returns what a connection reaches.
     pub fn doors(&self) -> Doors {
         Doors {
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! `relay` (the backend server), and its answer returns from the relay to the connection
 //! through a ring that belongs to the one try alone.
 
+pub mod admin;
 pub mod admit;
 pub mod caller;
 pub mod claim;
@@ -13,5 +14,6 @@
 pub mod decide;
 pub mod hear;
 pub mod meter;
+pub mod order;
 pub mod relay;
 pub mod watch;
