--- a/azureway-core/tests/platform/main.rs
+++ b/azureway-core/tests/platform/main.rs
@@ -7,6 +7,8 @@
 use azureway_core::prelude::*;
 use crowd::{Crowd, Mood};
 use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
 /// How long a case goes on after its last event.
 const TAIL: Duration = Duration::from_secs(120);
@@ -61,3 +63,36 @@
         );
     }
 }
+
+/// The rate of reads that the platform takes, as the brief states it.
+const READ_RATE: u32 = 2_000;
+/// The time in which a version is in force everywhere, as the letter states it, in seconds.
+const IN_FORCE: f64 = 10.0;
+/// The faults that are drawn in pairs.
+const FAULTS: [&str; 6] = ["out", "slow", "limit 20", "limit 200", "restart", "change"];
+/// The seed of the drawn cases.
+const SEED: [u8; 32] = [31; 32];
+
+#[gtest]
+fn two_faults_together_hold_the_rate_and_the_time_after_their_end() {
+    let config = Config {
+        cases: 48,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let fault = || prop::sample::select(&FAULTS[..]);
+    let cases = (fault(), 0..90_u64, fault(), 1..90_u64, 1..90_u64);
+    let result = TestRunner::new_with_rng(config, rng).run(&cases, |(one, at, two, gap, rest)| {
+        let (second, end) = (at + gap, at + gap + rest);
+        let script = format!("{at} {one}; {second} {two}; {second} change; {end} up");
+        let (most, time) = run(&script);
+        prop_assert!(most <= READ_RATE, "{most} calls in a second");
+        prop_assert!(
+            time.is_some_and(|t| t <= IN_FORCE),
+            "in force after {time:?}"
+        );
+        Ok(())
+    });
+    expect_that!(result, ok(anything()));
+}
