--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -4,8 +4,8 @@
 pub use crate::cache::{Block, BlockChain, BlockKey, CacheIndex, CacheOp, CacheUpdate, Salt};
 pub use crate::claim::{
     ClaimAsk, ClaimAsking, ClaimBook, ClaimCall, ClaimName, ClaimNews, ClaimNonce, ClaimRecord,
-    ClaimReply, ClaimRun, ClaimSettling, ClaimState, ClaimStep, ClaimTicket, ClaimVerdict,
-    ShortAnswer,
+    ClaimReply, ClaimRun, ClaimSettling, ClaimState, ClaimStep, ClaimSweep, ClaimTicket,
+    ClaimVerdict, ShortAnswer,
 };
 pub use crate::config::{
     ChangeId, ChangeNote, Edit, EditOutcome, EditReply, EditStep, Snapshot, TeamId, VersionGate,
@@ -15,9 +15,14 @@
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
 pub use crate::fleet::{Fleet, Health, LoadReport, ServerState, ServerTable};
 pub use crate::lease::{
-    Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite, WatchChoice,
+    Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
+};
+pub use crate::member::{
+    AccountDemand, Heartbeat, Liveness, MemberConfig, MemberNews, Membership, News, PeerAction,
+    PeerEvent, ServerNews, ServerSign,
 };
 pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
+pub use crate::quarantine::{CrashSite, Quarantine, Standing, Strike, StrikeState};
 pub use crate::retry::{Backoff, RetryBudget};
 pub use crate::route::{
     Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
@@ -26,3 +31,4 @@
 pub use crate::router::{Obstacle, Overview, RouteOption, Router, RouterConfig};
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Count, Outcome, Tally};
+pub use crate::watch::{WatchChoice, WatchPlan, WatchStep};
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -22,14 +22,14 @@
 use crate::meter::Meter;
 use crate::order::{HttpOrders, Orderer};
 use crate::relay::Launcher;
-use crate::watch::Watcher;
+use crate::watch::{WatchNote, Watcher};
 
 /// One entry daemon, running.
 pub struct Entry {
     address: SocketAddr,
     operators: Arc<Server>,
     decide: Sender<DecideNote>,
-    watch: Sender<()>,
+    watch: Sender<WatchNote>,
     alive: Receiver<()>,
     served: Receiver<()>,
     stop: Arc<AtomicBool>,
@@ -129,7 +129,7 @@
         self.stop.store(true, Ordering::Release);
         // Wakes the accepting duty, which then sees that it has to stop.
         let _ = TcpStream::connect(self.address);
-        let _ = self.watch.try_send(());
+        let _ = self.watch.try_send(WatchNote::Stop);
         self.operators.unblock();
         // The ring ends when the last connection has written its answer.
         let _ = self.alive.recv();
