--- a/azureway-cli/src/account/mod.rs
+++ b/azureway-cli/src/account/mod.rs
@@ -10,10 +10,10 @@
 use azureway_core::config::{Delta, SectionChange, Sections};
 use clap::ArgMatches;
 
-use crate::config::change;
+use crate::Exit;
+use crate::config::{change, missing};
 use crate::session::Session;
 use crate::shell::Shell;
-use crate::{Exit, Failure};
 
 /// Runs a command on client accounts.
 pub(crate) fn run<W: Write>(matches: &ArgMatches, mut shell: Shell<W>) -> Result<Exit> {
@@ -47,12 +47,16 @@
     let account: &String = matches.get_one("name").context("name an account")?;
     let (name, sections) = (format!("account {account}"), Sections::parse(&base.text));
     let before = sections.get(&name).map(|s| s.text);
+    let add = matches
+        .try_get_one("add")
+        .ok()
+        .flatten()
+        .is_some_and(|a| *a);
+    if before.is_none() && !add {
+        return Err(missing(&name, &sections).into());
+    }
     let empty = SectionEdit::empty(&name).with_entry("team", session.team().as_str());
     let after = edited(before.map_or(empty, SectionEdit::new))?.map(|e| e.text());
-    if before.is_none() && after.is_none() {
-        let detail = format!("no client account `{account}` exists");
-        return Err(Failure::new(Exit::NotFound, detail).into());
-    }
     let delta = Delta::new(vec![SectionChange::new(&name, before, after.as_deref())]);
     change(&session, matches, &base, &delta.apply(&sections), shell)
 }
--- a/azureway-cli/src/app/account_command.rs
+++ b/azureway-cli/src/app/account_command.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, Command};
 
-use super::root_command::{reason, text};
+use super::root_command::{add, reason, text};
 
 /// Returns the commands on client accounts.
 pub(super) fn command() -> Command {
@@ -13,7 +13,7 @@
         .subcommand(Command::new("list").about("Lists the client accounts"))
         .subcommand(
             Command::new("set")
-                .about("Sets an account's entries, and adds it if it does not exist")
+                .about("Sets an account's entries")
                 .arg(name())
                 .args([
                     text("limit", "NUMBER", "Tokens a second over all entries"),
@@ -22,6 +22,7 @@
                         "NUMBER",
                         "Its share beside other accounts of the same rank",
                     ),
+                    add(),
                     reason(),
                 ]),
         )
--- a/azureway-cli/src/app/config_command.rs
+++ b/azureway-cli/src/app/config_command.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
-use super::root_command::{reason, text};
+use super::root_command::{add, reason, text};
 
 /// Returns the commands on the document.
 pub(super) fn command() -> Command {
@@ -32,16 +32,16 @@
     let remove = Arg::new("remove")
         .long("remove")
         .action(ArgAction::SetTrue)
-        .conflicts_with_all(["set", "unset"])
+        .conflicts_with_all(["set", "unset", "add"])
         .help("Removes the section");
     Command::new("edit")
-        .about("Changes one section, and adds it if it does not exist")
+        .about("Changes one section")
         .arg(
             Arg::new("section")
                 .required(true)
                 .help("Such as 'account wax-desk'"),
         )
-        .args([set, unset, remove, reason()])
+        .args([set, unset, remove, add(), reason()])
 }
 
 fn put() -> Command {
--- a/azureway-cli/src/app/root_command.rs
+++ b/azureway-cli/src/app/root_command.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use clap_complete::Shell;
 
 use super::{account_command, admin_command, config_command};
@@ -74,6 +74,14 @@
     Arg::new(name).long(name).value_name(value).help(help)
 }
 
+/// Returns the option that lets a command add what does not exist.
+pub(super) fn add() -> Arg {
+    Arg::new("add")
+        .long("add")
+        .action(ArgAction::SetTrue)
+        .help("Adds it if it does not exist")
+}
+
 /// Returns the option that tells why a change is made.
 pub(super) fn reason() -> Arg {
     text("reason", "TEXT", "Why, for the audit trail").required(true)
--- a/azureway-cli/src/config/edit.rs
+++ b/azureway-cli/src/config/edit.rs
@@ -7,7 +7,7 @@
 use azureway_core::config::{Delta, SectionChange, Sections};
 use clap::ArgMatches;
 
-use super::change;
+use super::{change, missing};
 use crate::session::Session;
 use crate::shell::Shell;
 use crate::{Exit, Failure};
@@ -19,8 +19,10 @@
     let name: &String = matches.get_one("section").context("name a section")?;
     let sections = Sections::parse(&base.text);
     let before = sections.get(name).map(|s| s.text);
+    if before.is_none() && !matches.get_flag("add") {
+        return Err(missing(name, &sections).into());
+    }
     let after = if matches.get_flag("remove") {
-        before.with_context(|| format!("no section [{name}] exists"))?;
         None
     } else {
         Some(edited(name, before, &session, matches)?)
--- a/azureway-cli/src/config/mod.rs
+++ b/azureway-cli/src/config/mod.rs
@@ -14,10 +14,12 @@
 use std::io::Write;
 
 use anyhow::{Context, Result};
+use azureway_config::nearest;
+use azureway_core::config::Sections;
 use clap::ArgMatches;
 
-use crate::Exit;
 use crate::shell::Shell;
+use crate::{Exit, Failure};
 
 /// Runs a command on the document.
 pub(crate) fn run<W: Write>(matches: &ArgMatches, shell: Shell<W>) -> Result<Exit> {
@@ -32,6 +34,14 @@
     }
 }
 
+/// Returns the failure of a command that names a section which does not exist.
+pub(crate) fn missing(name: &str, sections: &Sections<'_>) -> Failure {
+    let names: Vec<&str> = sections.iter().map(|s| s.name).collect();
+    let hint = nearest(name, &names).map_or(".".to_owned(), |n| format!("; did you mean [{n}]?"));
+    let detail = format!("no section [{name}] exists{hint} A new one is added with --add");
+    Failure::new(Exit::NotFound, detail)
+}
+
 /// Reads the file that the command names.
 fn read_file(matches: &ArgMatches) -> Result<String> {
     let path: &String = matches.get_one("file").context("name a file")?;
--- a/azureway-cli/src/report/check_report.rs
+++ b/azureway-cli/src/report/check_report.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::FaultBody;
+use super::fault_body::count;
 
 /// What is wrong with a document.
 #[derive(Clone, Debug, Serialize)]
@@ -28,7 +29,7 @@
 
     pub(crate) fn bad(faults: &Faults) -> Self {
         let bodies: Vec<FaultBody> = faults.as_slice().iter().map(Into::into).collect();
-        let text = format!("{faults}\n{} faults\n", bodies.len());
+        let text = format!("{faults}\n{}\n", count(bodies.len()));
         Self {
             good: false,
             faults: bodies,
--- a/azureway-cli/src/report/edit_report.rs
+++ b/azureway-cli/src/report/edit_report.rs
@@ -7,6 +7,7 @@
 use azureway_wire::change::VALUE_MAX;
 use serde::Serialize;
 
+use super::fault_body::count;
 use super::{DiffReport, FaultBody};
 use crate::Exit;
 
@@ -85,8 +86,8 @@
             changes.len()
         ),
         EditOutcome::Invalid(faults) => {
-            let count = faults.as_slice().len();
-            format!("{faults}\n{count} faults; nothing was written")
+            let count = count(faults.as_slice().len());
+            format!("{faults}\n{count}; nothing was written")
         }
         EditOutcome::NotOwned(names) => format!(
             "these sections belong to another team: {}; nothing was written. Name your team \
--- a/azureway-config/src/lib.rs
+++ b/azureway-config/src/lib.rs
@@ -21,3 +21,5 @@
 pub mod ini;
 pub mod settings;
 mod util;
+
+pub use util::nearest;
--- a/azureway-config/src/util.rs
+++ b/azureway-config/src/util.rs
@@ -4,7 +4,7 @@
 const NEAR_EDITS: usize = 3;
 
 /// Returns the known name that is nearest to `name`, if one is near.
-pub(crate) fn nearest<'a>(name: &str, known: &[&'a str]) -> Option<&'a str> {
+pub fn nearest<'a>(name: &str, known: &[&'a str]) -> Option<&'a str> {
     let best = known.iter().map(|k| (edits(name, k), *k)).min()?;
     (best.0 <= NEAR_EDITS).then_some(best.1)
 }
