--- /dev/null
+++ b/azureway-dev/tests/platform.rs
@@ -0,0 +1,126 @@
+//! The contract with the platform: its client against the stand-in.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azureway_core::prelude::Error;
+use azureway_dev::http::{Reply, Service, StandIn};
+use azureway_dev::platform::{Platform, PlatformFaults};
+use azureway_platform::{HttpObjects, ObjectApi, Put};
+use azureway_wire::object::ObjectBody;
+use googletest::prelude::*;
+use tiny_http::Request;
+
+/// A value that is larger than the platform holds, in bytes.
+const LARGE: usize = 1024 * 1024 + 1;
+
+/// Returns an object as the table writes it.
+fn shown(object: &ObjectBody) -> String {
+    let (name, version) = (&object.name, object.version);
+    if object.deleted {
+        return format!("{name} deleted@{version}");
+    }
+    format!("{name}={}@{version}", object.value)
+}
+
+fn listed(objects: &[ObjectBody]) -> String {
+    let all: Vec<_> = objects.iter().map(shown).collect();
+    if all.is_empty() {
+        "none".to_owned()
+    } else {
+        all.join(" ")
+    }
+}
+
+fn call(api: &impl ObjectApi, words: &[&str]) -> std::result::Result<String, Error> {
+    let number = |text: &str| text.parse().expect("a number");
+    Ok(match words {
+        ["get", kind, name] => {
+            let object = api.get(kind, name)?;
+            object.as_ref().map_or("none".to_owned(), shown)
+        }
+        ["list", kind] => listed(&api.list(kind)?.objects),
+        ["watch", kind, after] => listed(&api.watch(kind, number(after), Duration::ZERO)?.objects),
+        ["delete", kind, name, expected] => {
+            api.delete(kind, name, number(expected))?;
+            "done".to_owned()
+        }
+        ["put", kind, name, expected, value] => {
+            let large = "x".repeat(LARGE);
+            let value = if *value == "LARGE" { &large } else { *value };
+            let expected = number(expected);
+            let put = Put {
+                kind,
+                name,
+                value,
+                expected,
+            };
+            api.put(&put)?.to_string()
+        }
+        _ => panic!("no such call: {words:?}"),
+    })
+}
+
+fn faults(word: &str) -> PlatformFaults {
+    let mut faults = PlatformFaults::new();
+    match word {
+        "lost" => faults.lost = 1,
+        "outage" => faults.outage = true,
+        "quota" => faults.quota = Some(1),
+        _ => {}
+    }
+    faults
+}
+
+#[gtest]
+fn calls_end_as_the_table_says() {
+    let platform = Arc::new(Platform::new());
+    let server = StandIn::start(Arc::clone(&platform)).expect("a free port");
+    let api = HttpObjects::new(server.address());
+    for line in include_str!("../testdata/platform.txt").lines() {
+        if let Some(word) = line.strip_prefix("fault ") {
+            platform.set_faults(faults(word));
+        } else if !line.starts_with('#') {
+            let (words, expected) = line.split_once(" | ").expect("two cells");
+            let words: Vec<&str> = words.split_whitespace().collect();
+            let answer = call(&api, &words);
+            let answer = answer.unwrap_or_else(|e| format!("{:?}", e.kind()));
+            expect_that!(answer, eq(expected), "{line}");
+        }
+    }
+}
+
+/// A platform that answers every call with the same status and text.
+struct Stubborn(u16, &'static str);
+
+impl Service for Stubborn {
+    fn answer(&self, request: Request) {
+        Reply::text(request, self.0, self.1);
+    }
+}
+
+#[gtest]
+fn an_answer_that_the_interface_does_not_allow_is_an_error_that_names_the_peer() {
+    let cases = [
+        (200, "no JSON", "Protocol"),
+        (200, "{\"name\":\"x\"}", "Protocol"),
+        (204, "", "Protocol"),
+        // The HTTP library fails by itself at a redirection without an address.
+        (302, "elsewhere", "Unavailable"),
+        (418, "", "Protocol"),
+        (500, "", "Unavailable"),
+        (503, "", "Unavailable"),
+        (429, "", "Limited"),
+    ];
+    for (status, text, kind) in cases {
+        let server = StandIn::start(Arc::new(Stubborn(status, text))).expect("a free port");
+        let api = HttpObjects::new(server.address());
+        let error = api.get("config", "document").expect_err("an error");
+        expect_that!(format!("{:?}", error.kind()), eq(kind), "{status} {text}");
+        expect_that!(
+            error.peer(),
+            some(contains_substring("platform 127.0.0.1:"))
+        );
+        expect_that!(error.step().as_str(), eq("get object"));
+    }
+}
