Let an entry that is no longer chosen give up the lease

Cause: an entry that was no longer chosen renewed its lease for as long as it held it; and one whose number a server refused soon after its start waited a whole term for its own lease, since the origin of its clock was too near.

Before, the refused holder stayed at number 1; now it goes on under number 2.

--- a/azureway-core/src/lease/holder.rs
+++ b/azureway-core/src/lease/holder.rs
@@ -41,6 +41,7 @@
         match self.state {
             LeaseState::Unknown if now >= self.look => LeaseStep::Read,
             LeaseState::Free => self.write(0, FencingNumber::new(1), now),
+            LeaseState::Lapsed(version, number) => self.write(version, number.next(), now),
             LeaseState::Seen(version, number, since) => {
                 let over = since + self.config.patience();
                 if now >= over {
@@ -150,8 +151,8 @@
             LeaseState::Seen(seen, number, since) if seen == version => {
                 LeaseState::Seen(version, number, since)
             }
-            // Nobody else has taken it since it lapsed: a new number can be written at once.
-            _ if mine => LeaseState::Seen(version, record.number, Timestamp::ZERO),
+            // Nobody else has taken it, so a new number can be written at once.
+            _ if mine => LeaseState::Lapsed(version, record.number),
             _ => LeaseState::Seen(version, record.number, now),
         };
     }
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -80,13 +80,10 @@
         }
     }
 
-    /// Renews the lease and sends what is to be sent.
+    /// Renews the lease and sends what is to be sent. An entry that is no longer chosen lets its
+    /// lease lapse, and gives orders until then.
     fn drive(&mut self) {
         self.wake = IDLE;
-        // An entry that is no longer chosen lets its lease lapse, and gives orders until then.
-        if !self.chosen && self.lease.allows(self.clock.now(), false).is_none() {
-            return;
-        }
         self.renew();
         while self.lease.allows(self.clock.now(), false).is_some() {
             let Some(order) = self.planner.next(self.clock.now()) else {
@@ -110,7 +107,7 @@
     }
 
     fn renew(&mut self) {
-        loop {
+        while self.chosen {
             let reply = match self.lease.next(self.clock.now()) {
                 LeaseStep::Wait(until) => {
                     self.wake = until;
