Weigh the crowd, the entries and the lag into the choice of a server

Cause: a hot prefix stayed on its full replica, since computing it elsewhere cost twice its time even on an idle server; reports lag by up to 500 ms, not 250; and work that other entries send by the same report was left out. Computing now counts by how full the server is; what this entry sent since the report counts once for each entry, in load too; the next reach is looked at from 200 ms on; an entry leaves others the slots that they hold, and urgent work may wait in an engine up to the reserve, where it goes before drafting. The replay tells the core of two entries a zone, as 6 to 8 stand in three.

--- a/azureway-core/src/fleet/ledger.rs
+++ b/azureway-core/src/fleet/ledger.rs
@@ -6,7 +6,7 @@
 use crate::domain::{Timestamp, TokenCount};
 
 /// The time by which a report lags at most: younger work may be missing from it.
-const LAG_MAX: Duration = Duration::from_millis(250);
+const LAG_MAX: Duration = Duration::from_millis(500);
 
 /// This entry's own work at a backend server, split by whether a report can hold it.
 ///
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -70,8 +70,7 @@
             flights: report.running + report.queued,
             pending: report.pending,
         };
-        let (total, unseen) = (self.own.total(), self.own.unseen());
-        self.share.report(report, total, unseen, now);
+        self.share.report(report, self.own.total().flights, now);
         self.health = match (self.health, report.leaving) {
             (_, true) => Health::Leaving,
             // A server that was leaving and says that it is not has been taken back.
@@ -146,14 +145,15 @@
     /// Tells whether this entry may fill one more slot here. `owed` lets drafting have the
     /// slots that it otherwise leaves to urgent work.
     pub fn has_room(&self, rank: Rank, owed: bool, now: Timestamp) -> bool {
-        if !self.share.allows(self.flights(), now) {
-            return false;
-        }
+        let reserve = self.server.slots * URGENT_RESERVE / 100;
+        // The server lets urgent work that waits in it go before the drafting of others.
+        let over = if rank == Rank::Urgent { reserve } else { 0 };
+        let room = self.share.allows(self.flights(), over, now);
         let kept = match rank {
-            Rank::Drafting if !owed => self.server.slots * URGENT_RESERVE / 100,
+            Rank::Drafting if !owed => reserve,
             Rank::Drafting | Rank::Urgent => 0,
         };
-        kept == 0 || self.load() + kept < self.server.slots
+        room && (kept == 0 || self.load() + kept < self.server.slots)
     }
 
     /// Returns when a server that failed or refused is tried again.
@@ -200,7 +200,7 @@
     /// Returns the requests that the server runs or holds, as far as they are known.
     pub fn load(&self) -> u32 {
         let seen = self.reported.flights.max(self.own.seen().flights);
-        seen + self.own.unseen().flights
+        seen + self.own.unseen().flights * self.share.entries()
     }
 
     fn suspect(&mut self, now: Timestamp) {
--- a/azureway-core/src/fleet/slot_share.rs
+++ b/azureway-core/src/fleet/slot_share.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{LoadReport, Work};
+use super::LoadReport;
 use crate::domain::Timestamp;
 
 /// How long a report bounds the share. After it the entry falls back to an equal part.
@@ -14,14 +14,15 @@
 ///
 /// Entries that share a server agree without messages: each starts with an equal part and
 /// adapts it to what the server says. Free slots are divided by the number of entries, an
-/// entry below its equal part may always grow to it, and one above gives a slot back with
-/// each report that shows the server full. After a refusal for lack of room the entry sends
+/// entry below its equal part may always grow to it, and one above gives back what the
+/// others have taken. After a refusal for lack of room the entry sends
 /// nothing for a moment.
 #[derive(Clone, Copy, Debug)]
 pub struct SlotShare {
     slots: u32,
     entries: u32,
     bound: u32,
+    own: u32,
     heard: Option<Timestamp>,
     paused: Option<Timestamp>,
 }
@@ -33,6 +34,7 @@
             slots,
             entries: entries.max(1),
             bound: 0,
+            own: 0,
             heard: None,
             paused: None,
         };
@@ -47,22 +49,17 @@
         }
     }
 
-    /// Takes in a report. `own` is all work of this entry there, and `unseen` the part of it
-    /// that the report may not hold.
-    pub fn report(&mut self, report: &LoadReport, own: Work, unseen: Work, now: Timestamp) {
-        let busy = report.running + report.queued + unseen.flights;
-        let free = self.slots.saturating_sub(busy);
-        let part = free.div_ceil(self.entries);
-        let equal = self.equal();
+    /// Takes in a report. `own` is the number of this entry's requests there.
+    pub fn report(&mut self, report: &LoadReport, own: u32, now: Timestamp) {
+        // The report lags: what it holds of this entry is what was there when the last came.
+        let others = (report.running + report.queued).saturating_sub(self.own);
+        let free = self.slots.saturating_sub(own + others);
         self.heard = Some(now);
-        self.bound = if own.flights < equal {
-            (own.flights + part).max(equal)
-        } else if free == 0 && own.flights > equal {
-            own.flights - 1
-        } else {
-            own.flights + part
-        };
-        self.bound = self.bound.min(self.slots);
+        self.own = own;
+        // Where the server is overfilled, this leaves the others what they have.
+        let own = own.min(self.slots.saturating_sub(others));
+        let bound = own + free.div_ceil(self.entries);
+        self.bound = bound.max(self.equal()).min(self.slots);
     }
 
     /// Notes that the server refused for lack of room while `flights` requests were there.
@@ -79,9 +76,11 @@
         }
     }
 
-    /// Tells whether this entry may add to the `flights` requests that it has there.
-    pub fn allows(&self, flights: u32, now: Timestamp) -> bool {
-        self.paused.is_none_or(|end| end < now) && flights < self.bound(now)
+    /// Tells whether this entry may add to the `flights` requests that it has there, up to
+    /// `over` beyond its part but never beyond the slots.
+    pub fn allows(&self, flights: u32, over: u32, now: Timestamp) -> bool {
+        let bound = (self.bound(now) + over).min(self.slots);
+        self.paused.is_none_or(|end| end < now) && flights < bound
     }
 
     /// Returns the end of the pause after the last refusal.
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -13,19 +13,26 @@
     pub prefill: Duration,
     /// The time on the link, there and back.
     pub link: Duration,
+    /// The time by which computing holds up the requests beside it.
+    pub crowd: Duration,
     /// What the traffic costs, as time.
     pub toll: Duration,
 }
 
+/// How much the time to compute a prompt on a full server counts for the requests beside it.
+const CROWD: u32 = 4;
+
 impl Estimate {
     /// Estimates the time to first token of `job` at `candidate`.
     pub fn new(job: Job, candidate: &Candidate<'_>) -> Self {
-        let server = &candidate.state.server;
+        let state = candidate.state;
+        let server = &state.server;
+        let missing = job.prompt.saturating_sub(candidate.cached);
+        let prefill = server.prefill.time_for(missing);
         Self {
-            wait: server.prefill.time_for(candidate.state.ahead()) + candidate.state.slot_wait(),
-            prefill: server
-                .prefill
-                .time_for(job.prompt.saturating_sub(candidate.cached)),
+            wait: server.prefill.time_for(state.ahead()) + state.slot_wait(),
+            prefill,
+            crowd: prefill.saturating_mul(CROWD * state.load()) / server.slots.max(1),
             link: candidate.link * 2,
             toll: candidate.toll,
         }
@@ -37,11 +44,11 @@
             .saturating_add(self.prefill)
             .saturating_add(self.link)
     }
-    /// Returns what the choice costs: the time to first token, the traffic, and once more
-    /// the time to compute, for which the requests behind wait too.
+    /// Returns what the choice costs: the time to first token, the traffic, and the time by
+    /// which computing the prompt holds up the requests beside it.
     pub const fn cost(&self) -> Duration {
         self.total()
-            .saturating_add(self.prefill)
+            .saturating_add(self.crowd)
             .saturating_add(self.toll)
     }
 }
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -28,8 +28,8 @@
 /// A short list of candidates.
 type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
 
-/// The time to first token above which the next reach is looked at too: half of the target.
-const SPILL: Duration = Duration::from_millis(500);
+/// The time to first token above which the next reach is looked at too: a fifth of the target.
+const SPILL: Duration = Duration::from_millis(200);
 /// How long a request waits before it may be sent to another region.
 pub(super) const ABROAD_WAIT: Duration = Duration::from_millis(500);
 /// What traffic to another region costs, as time: this many tokens weigh a second.
--- a/azureway-dev/src/replay/player.rs
+++ b/azureway-dev/src/replay/player.rs
@@ -22,6 +22,8 @@
     wake: Option<Timestamp>,
 }
 
+/// The entry instances of a zone: 6 to 8 stand in three zones.
+const ENTRIES: u32 = 2;
 /// The time between two news of an engine.
 const NEWS_INTERVAL: Duration = Duration::from_millis(250);
 /// The time after the last record at which a replay ends at the latest.
@@ -162,6 +164,7 @@
     fn configure(&mut self) {
         let fleet = self.trace.header.fleet(self.version, self.requests.weights);
         self.tell_core(Event::Configured(&fleet));
+        self.tell_core(Event::Peers(ENTRIES));
     }
 
     /// Starts the entry anew: what it knew is gone, and its connections break.
