--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -17,7 +17,12 @@
 pub use crate::lease::{
     Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
 };
+pub use crate::member::{
+    Heartbeat, Liveness, MemberConfig, MemberNews, Membership, News, PeerAction, PeerEvent,
+    ServerNews, ServerSign,
+};
 pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
+pub use crate::quarantine::{CrashSite, Quarantine, Standing, Strike, StrikeState};
 pub use crate::retry::{Backoff, RetryBudget};
 pub use crate::route::{
     Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -59,14 +59,10 @@
     /// Returns an error if an address cannot be bound or a thread cannot be started.
     pub fn start_with(settings: &EntrySettings, stopper: Sender<()>) -> Result<Self, Error> {
         let mark = process_mark(settings);
-        let (rings, bounds) = (Rings::new(settings.bounds.ring), &settings.bounds);
+        let rings = Rings::new(settings.bounds.ring);
         let stop = Arc::new(AtomicBool::new(false));
-        let listener = Listener::new(
-            settings.listen,
-            rings.doors(),
-            bounds.clone(),
-            Arc::clone(&stop),
-        )?;
+        let (doors, limits) = (rings.doors(), settings.bounds.clone());
+        let listener = Listener::new(settings.listen, doors, limits, Arc::clone(&stop))?;
         let address = listener.address()?;
         let operators = admin(settings, &rings, stopper)?;
         let api = HttpObjects::new(settings.platform);
