Set the weight store's rate in the settings

Cause: the rate was a constant, and a server that the operators took out still got orders.

bounds.loads gives the loads that begin in a second. The test of the operators' page counts nine keys in place of eight, since the section has one more.

--- a/azureway-config/src/settings/bounds.rs
+++ b/azureway-config/src/settings/bounds.rs
@@ -21,6 +21,8 @@
     pub queue: usize,
     /// The messages in each ring between duties.
     pub ring: usize,
+    /// The loads of weights that begin in a second, over all pools: the weight store's rate.
+    pub loads: u32,
 }
 
 impl Bounds {
@@ -35,6 +37,7 @@
             connect: Duration::from_secs(1),
             queue: 2_000,
             ring: 1_024,
+            loads: 4,
         }
     }
 }
--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -103,6 +103,7 @@
     let head = reader.number("head", base.head, 1_024, 1_048_576, "bytes");
     let body = reader.number("body", base.body, 1_024, 67_108_864, "bytes");
     let queue = reader.number("queue", base.queue, 1, 1_000_000, "requests");
+    let loads = reader.number("loads", base.loads, 1, 1_000, "loads a second");
     let ring = reader.number("ring", base.ring, 1, 1_000_000, "messages");
     let mut millis = |key, default: Duration| {
         let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
@@ -120,5 +121,6 @@
         connect,
         queue,
         ring,
+        loads,
     }
 }
--- a/azureway-config/tests/settings.rs
+++ b/azureway-config/tests/settings.rs
@@ -86,4 +86,4 @@
 }
 
 /// The keys of the section.
-const BOUNDS: usize = 8;
+const BOUNDS: usize = 9;
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -109,7 +109,8 @@
     fn view(&self, pool: &BackendServerPool) -> PoolView<'_> {
         let serves = |s: &&ModelService| s.pool == pool.id && s.kind == ServiceKind::Model;
         let services = self.fleet.services.values().filter(serves);
-        let servers = self.fleet.servers.values().filter(|s| s.pool == pool.id);
+        let servers = self.fleet.servers.values();
+        let servers = servers.filter(|s| s.pool == pool.id && !s.leaving);
         let heard = |s: &BackendServer| self.reported.get(&s.id).copied();
         PoolView {
             wanted: services.map(|s| s.weights).collect(),
--- a/azureway-core/tests/orders/cluster.rs
+++ b/azureway-core/tests/orders/cluster.rs
@@ -101,6 +101,13 @@
         self.fleet.version = self.fleet.version.next();
     }
 
+    /// Lets the operators take a server out.
+    pub fn leave(&mut self, place: usize) {
+        let server = self.fleet.servers.get_mut(&self.servers[place].id);
+        server.expect("a server").leaving = true;
+        self.fleet.version = self.fleet.version.next();
+    }
+
     /// Lets one step of time pass.
     pub fn step(&mut self) {
         self.now = self.now + STEP;
--- a/azureway-core/tests/orders/main.rs
+++ b/azureway-core/tests/orders/main.rs
@@ -40,6 +40,7 @@
         "heal" => cluster.candidates[at].cut = false,
         "lose" => cluster.candidates[at].lose = true,
         "hold" => cluster.candidates[at].hold = true,
+        "leave" => cluster.leave(usize::from(words[1].as_bytes()[1] - b'1')),
         "servers" => cluster.keep(words[1].parse().expect("a number")),
         "land" => cluster.land(),
         "crash" => cluster.crash(usize::from(words[1].as_bytes()[1] - b'1')),
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -179,8 +179,10 @@
     api: HttpObjects,
     mark: u64,
 ) -> Orderer<HttpObjects, HttpOrders> {
-    let (notes, me) = (rings.order_notes.clone(), settings.instance.clone());
-    Orderer::new(api, HttpOrders::new(), notes, rings.clock, me, mark)
+    let lease = Lease::new(LeaseConfig::new(), settings.instance.clone(), mark);
+    let config = OrderConfig::new().with_store(settings.bounds.loads);
+    let (link, notes) = (HttpOrders::new(), rings.order_notes.clone());
+    Orderer::new(api, link, notes, rings.clock, lease, config, mark)
 }
 
 /// Starts the claiming threads. They end with the deciding duty, which waits for their news.
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -27,24 +27,24 @@
 const IDLE: Timestamp = Timestamp::MAX;
 
 impl<A: ObjectApi + Clone, L: OrderLink> Orderer<A, L> {
-    /// Creates the duty of instance `me`, whose process has the mark `mark`.
+    /// Creates the duty of an entry with its side of the lease. `seed` spreads sweeps.
     pub fn new(
         api: A,
         link: L,
         notes: Receiver<OrderNote>,
         clock: Clock,
-        me: InstanceId,
-        mark: u64,
+        lease: Lease,
+        config: OrderConfig,
+        seed: u64,
     ) -> Self {
-        let lease = Lease::new(LeaseConfig::new(), me, mark);
         Self {
-            sweeper: Sweeper::new(api.clone(), mark),
+            sweeper: Sweeper::new(api.clone(), seed),
             calls: LeaseCalls::new(api),
             link,
             notes,
             clock,
             lease,
-            planner: OrderPlanner::new(OrderConfig::new()),
+            planner: OrderPlanner::new(config),
             chosen: true,
             wake: Timestamp::ZERO,
         }
--- a/azureway-entry/tests/order.rs
+++ b/azureway-entry/tests/order.rs
@@ -127,8 +127,9 @@
         notes.try_send(note).expect("room");
     }
     drop(notes);
-    let (link, me) = (Servers(answer, sent), InstanceId::new("a-entry-1"));
-    Orderer::new(platform.clone(), link, received, Clock::new(), me, 7).run();
+    let lease = Lease::new(LeaseConfig::new(), InstanceId::new("a-entry-1"), 7);
+    let (api, link, config) = (platform.clone(), Servers(answer, sent), OrderConfig::new());
+    Orderer::new(api, link, received, Clock::new(), lease, config, 7).run();
     orders.drain().collect()
 }
 
