Plan orders and expire claims only when something changed

Cause: the holder went over all pools and servers on each report, and the router over all claims on each event; at 1,600 servers that report twice a second this would be 3,200 plans a second.

The deciding duty passes on weights only when they changed, the planner plans only after a change, and the claims' limits are ordered by time. An empty idempotency key is refused, since all callers that send one would share it.

--- a/azureway-core/src/claim/book.rs
+++ b/azureway-core/src/claim/book.rs
@@ -1,6 +1,6 @@
 //! The claims of one entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{
@@ -19,6 +19,8 @@
 pub struct ClaimBook {
     claims: BTreeMap<RequestId, HeldClaim>,
     names: BTreeMap<ClaimName, RequestId>,
+    /// When the platform has been waited for long enough, also for claims that were answered.
+    limits: BTreeSet<(Timestamp, RequestId)>,
     gate: ClaimGate,
 }
 
@@ -50,7 +52,7 @@
     /// Asks for the claim of a request, which waits in the book meanwhile, or refuses a request
     /// whose key this entry is already working on.
     pub fn ask(&mut self, request: &Request, now: Timestamp) -> Action {
-        let name = name_of(request);
+        let name = HeldClaim::name_of(request);
         if self.names.contains_key(&name) {
             return Action::Refuse(request.id, ClaimVerdict::running());
         }
@@ -58,9 +60,10 @@
             return Action::Refuse(request.id, ClaimVerdict::unavailable());
         }
         let until = request.deadline.point().min(now + PATIENCE);
-        let claim = HeldClaim::Asking(Box::new(request.clone()), until);
+        let claim = HeldClaim::Asking(Box::new(request.clone()));
         self.claims.insert(request.id, claim);
         self.names.insert(name, request.id);
+        self.limits.insert((until, request.id));
         Action::Claim(ClaimCall::Ask(ClaimAsk {
             id: request.id,
             name,
@@ -144,21 +147,18 @@
 
     /// Refuses the requests for which the platform was waited long enough.
     pub fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        for (id, claim) in &mut self.claims {
-            if matches!(claim, HeldClaim::Asking(_, until) if *until < now) {
+        while let Some((_, id)) = self.limits.first().copied().filter(|(t, _)| *t < now) {
+            self.limits.pop_first();
+            if let Some(claim @ HeldClaim::Asking(..)) = self.claims.get_mut(&id) {
                 drop_claim(claim);
-                out.push(Action::Refuse(*id, ClaimVerdict::unavailable()));
+                out.push(Action::Refuse(id, ClaimVerdict::unavailable()));
             }
         }
     }
 
     /// Returns when the next request has waited long enough for the platform.
     pub fn earliest(&self) -> Option<Timestamp> {
-        let asking = self.claims.values().filter_map(|c| match c {
-            HeldClaim::Asking(_, until) => Some(*until),
-            _ => None,
-        });
-        asking.min()
+        self.limits.first().map(|(time, _)| *time)
     }
 
     /// Follows what the router has decided from place `start` of `out` on: a request that was
@@ -187,7 +187,7 @@
         out: &mut Vec<Action>,
     ) -> ClaimVerdict {
         match self.claims.get(&id).cloned() {
-            Some(HeldClaim::Asking(mut request, _)) => {
+            Some(HeldClaim::Asking(mut request)) => {
                 let claim = HeldClaim::Held(ticket(&request, version));
                 self.claims.insert(id, claim);
                 // After a long pause the claim could be gone: it is not used then.
@@ -207,7 +207,7 @@
 
     fn held(&mut self, id: RequestId, record: &ClaimRecord) -> ClaimVerdict {
         match self.remove(id) {
-            Some(HeldClaim::Asking(request, _)) => ClaimVerdict::judge(&request, record),
+            Some(HeldClaim::Asking(request)) => ClaimVerdict::judge(&request, record),
             _ => ClaimVerdict::Nothing,
         }
     }
@@ -215,7 +215,7 @@
     /// Remembers a claim that may have been written all the same.
     fn unavailable(&mut self, id: RequestId, now: Timestamp) -> ClaimVerdict {
         let (ticket, verdict) = match self.remove(id) {
-            Some(HeldClaim::Asking(request, _)) => {
+            Some(HeldClaim::Asking(request)) => {
                 let refusal = ClaimVerdict::unavailable();
                 (ticket(&request, 0), ClaimVerdict::Refuse(refusal))
             }
@@ -262,27 +262,25 @@
     }
 
     fn remove(&mut self, id: RequestId) -> Option<HeldClaim> {
-        self.names.retain(|_, holder| *holder != id);
+        let name = self.claims.get(&id)?.name();
+        if self.names.get(&name) == Some(&id) {
+            self.names.remove(&name);
+        }
         self.claims.remove(&id)
     }
 }
 
-fn name_of(request: &Request) -> ClaimName {
-    let key = request.key.as_ref().expect("a claim is asked for a key");
-    ClaimName::of(&request.account, key)
-}
-
 fn ticket(request: &Request, version: u64) -> ClaimTicket {
     ClaimTicket {
         id: request.id,
-        name: name_of(request),
+        name: HeldClaim::name_of(request),
         fingerprint: request.fingerprint,
         version,
     }
 }
 
 fn drop_claim(claim: &mut HeldClaim) {
-    if let HeldClaim::Asking(request, _) = claim {
+    if let HeldClaim::Asking(request) = claim {
         *claim = HeldClaim::Dropped(ticket(request, 0));
     }
 }
--- a/azureway-core/src/claim/held.rs
+++ b/azureway-core/src/claim/held.rs
@@ -1,13 +1,13 @@
 //! What the book knows of one claim.
 
 use super::{ClaimName, ClaimTicket};
-use crate::domain::{Attempt, Request, Timestamp};
+use crate::domain::{Attempt, Request};
 
 /// What the book knows of one claim, from the wish for it to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum HeldClaim {
-    /// The platform is being asked, until this time.
-    Asking(Box<Request>, Timestamp),
+    /// The platform is being asked.
+    Asking(Box<Request>),
     /// The request was refused, or its caller left, before the platform had answered.
     Dropped(ClaimTicket),
     /// The claim is held and the request waits.
@@ -17,3 +17,24 @@
     /// The claim is being finished or given back.
     Settling(ClaimName),
 }
+
+impl HeldClaim {
+    /// Returns the name of the claim that a request needs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the request has no idempotency key.
+    pub fn name_of(request: &Request) -> ClaimName {
+        let key = request.key.as_ref().expect("a claim is asked for a key");
+        ClaimName::of(&request.account, key)
+    }
+
+    /// Returns the name of the claim.
+    pub fn name(&self) -> ClaimName {
+        match self {
+            Self::Asking(request) => Self::name_of(request),
+            Self::Dropped(ticket) | Self::Held(ticket) | Self::Sent(ticket, ..) => ticket.name,
+            Self::Settling(name) => *name,
+        }
+    }
+}
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -18,6 +18,8 @@
     reported: BTreeMap<ServerId, WeightsVersion>,
     loads: BTreeMap<ServerId, Load>,
     budget: StoreBudget,
+    /// Whether something has changed since no order was found.
+    changed: bool,
 }
 
 impl OrderPlanner {
@@ -29,6 +31,7 @@
             fleet: Fleet::new(),
             reported: BTreeMap::new(),
             loads: BTreeMap::new(),
+            changed: false,
         }
     }
 
@@ -41,6 +44,7 @@
     pub fn adopt(&mut self, fleet: &Fleet) {
         if fleet.version > self.fleet.version {
             self.fleet = fleet.clone();
+            self.changed = true;
             let servers = &self.fleet.servers;
             self.reported.retain(|id, _| servers.contains_key(id));
             self.loads.retain(|id, _| servers.contains_key(id));
@@ -51,13 +55,15 @@
     pub fn report(&mut self, report: &LoadReport, now: Timestamp) {
         let (server, weights) = (&report.server, report.weights);
         if report.leaving {
-            self.reported.remove(server);
+            self.changed |= self.reported.remove(server).is_some();
             self.loads.remove(server);
             return;
         }
         let had = self.reported.insert(server.clone(), weights);
+        self.changed |= had != Some(weights);
         if self.loads.get(server).is_some_and(|l| l.weights == weights) {
             self.loads.remove(server);
+            self.changed = true;
         }
         // A server that has just lost its weights is loading, also on an earlier holder's order.
         if weights == WeightsVersion::ZERO && had != Some(weights) {
@@ -69,11 +75,15 @@
 
     /// Returns the next order, if one may be sent at `now`, and counts its load as running.
     pub fn next(&mut self, now: Timestamp) -> Option<LoadOrder> {
+        let loads = self.loads.len();
         self.loads.retain(|_, load| load.until > now);
-        if now < self.budget.free() {
+        self.changed |= self.loads.len() < loads;
+        if now < self.budget.free() || !self.changed {
             return None;
         }
-        let order = self.fleet.pools.values().find_map(|p| self.order(p))?;
+        let order = self.fleet.pools.values().find_map(|p| self.order(p));
+        self.changed = order.is_some();
+        let order = order?;
         let load = Load {
             weights: order.weights,
             until: now + self.config.limit,
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -143,11 +143,9 @@
             weights: service.weights,
             chain,
             output,
-            key: self
-                .call
-                .head
-                .get(header::IDEMPOTENCY_KEY)
-                .map(IdempotencyKey::new),
+            key: self.header(header::IDEMPOTENCY_KEY, "a key that is not empty", |t| {
+                (!t.is_empty()).then(|| IdempotencyKey::new(t))
+            })?,
             fingerprint: Fingerprint::of(account.id.as_str(), &target, &self.call.body),
         })
     }
--- a/azureway-entry/src/order/order_desk.rs
+++ b/azureway-entry/src/order/order_desk.rs
@@ -1,8 +1,9 @@
 //! The deciding duty's side of orders.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use azureway_core::prelude::{Fleet, LoadReport};
+use azureway_core::prelude::{Fleet, LoadReport, ServerId, WeightsVersion};
 use flume::Sender;
 
 use super::OrderNote;
@@ -13,6 +14,8 @@
 pub struct OrderDesk {
     notes: Sender<OrderNote>,
     pending: Option<Arc<Fleet>>,
+    /// The weights that the ordering duty knows of, and whether the server is leaving.
+    told: BTreeMap<ServerId, (WeightsVersion, bool)>,
 }
 
 impl OrderDesk {
@@ -21,19 +24,29 @@
         Self {
             notes,
             pending: None,
+            told: BTreeMap::new(),
         }
     }
 
     /// Passes on a configuration, with the next report if the ring is full now.
     pub fn adopt(&mut self, fleet: &Arc<Fleet>) {
         self.pending = Some(Arc::clone(fleet));
+        self.told.retain(|id, _| fleet.servers.contains_key(id));
         self.flush();
     }
 
-    /// Passes on a report. One that finds the ring full is lost; servers report again.
+    /// Passes on a report if the weights in it are news. One that finds the ring full is passed
+    /// on when the server reports again.
     pub fn report(&mut self, report: &LoadReport) {
         self.flush();
-        let _ = self.notes.try_send(OrderNote::Report(report.clone()));
+        let news = (report.weights, report.leaving);
+        if self.told.get(&report.server) == Some(&news) {
+            return;
+        }
+        let note = OrderNote::Report(report.clone());
+        if self.notes.try_send(note).is_ok() {
+            self.told.insert(report.server.clone(), news);
+        }
     }
 
     fn flush(&mut self) {
