--- a/azureway-core/src/member/mod.rs
+++ b/azureway-core/src/member/mod.rs
@@ -1,6 +1,5 @@
 //! Which instances are alive, and what they tell one another.
 
-mod account_demand;
 mod catch_up;
 mod draws;
 mod gossip;
@@ -23,8 +22,8 @@
 mod server_news;
 mod server_sign;
 mod targets;
+mod top_demand;
 
-pub use account_demand::AccountDemand;
 pub use catch_up::CatchUp;
 pub use draws::Draws;
 pub use gossip::Gossip;
@@ -47,3 +46,4 @@
 pub use server_news::ServerNews;
 pub use server_sign::ServerSign;
 pub use targets::Targets;
+pub use top_demand::TopDemand;
--- a/azureway-core/src/member/pace.rs
+++ b/azureway-core/src/member/pace.rs
@@ -5,8 +5,8 @@
 use super::Draws;
 use crate::domain::Timestamp;
 
-/// When the rounds of heartbeats are. Urgent news may bring a round forward, but no more
-/// than as many rounds as the regular ones, so that the traffic stays bounded.
+/// When the rounds of heartbeats are. Urgent news may bring a round forward, but
+/// only one for every two regular ones, so that the traffic stays bounded.
 #[derive(Clone, Debug)]
 pub struct Pace {
     next: Timestamp,
@@ -16,8 +16,10 @@
     draws: Draws,
 }
 
-/// The early rounds that can be saved up.
-const CREDITS_MAX: u32 = 3;
+/// What an early round costs; a regular one earns one credit.
+const EARLY_COST: u32 = 2;
+/// The credits that can be saved up: three early rounds.
+const CREDITS_MAX: u32 = 3 * EARLY_COST;
 /// The least time between two rounds.
 const ROUND_GAP: Duration = Duration::from_millis(50);
 /// The share of the interval by which rounds are spread, as a divisor.
@@ -53,10 +55,10 @@
     /// Brings the next round forward, if an early one is left.
     pub fn hurry(&mut self, now: Timestamp) {
         let soon = now.max(self.last + ROUND_GAP);
-        if self.early || self.credits == 0 || self.next <= soon {
+        if self.early || self.credits < EARLY_COST || self.next <= soon {
             return;
         }
-        self.credits -= 1;
+        self.credits -= EARLY_COST;
         self.early = true;
         self.next = soon;
     }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -18,8 +18,8 @@
     Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
 };
 pub use crate::member::{
-    AccountDemand, Heartbeat, Liveness, MemberConfig, MemberNews, Membership, News, PeerAction,
-    PeerEvent, ServerNews, ServerSign,
+    Heartbeat, Liveness, MemberConfig, MemberNews, Membership, News, PeerAction, PeerEvent,
+    ServerNews, ServerSign,
 };
 pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::quarantine::{CrashSite, Quarantine, Standing, Strike, StrikeState};
