--- a/azureway-entry/src/watch/watcher.rs
+++ b/azureway-entry/src/watch/watcher.rs
@@ -110,6 +110,9 @@
         if !self.gate.is_news(version) {
             return;
         }
+        if StoredDocument::parse(&object.value).record.is_none() {
+            log::warn!(step = "read document", version:% = version; "the version has no record in the audit trail");
+        }
         match document::parse(&object.value, version) {
             Ok(fleet) => self.enforce(fleet),
             Err(faults) => self.reject(object, &faults),
