Keep drafting's floor to within a request

Cause: a table of floods showed that drafting kept 9 of 100 in a flood of urgent work where 10 are stated: what it earned was rounded down with each request. What drafting is owed is now kept in hundredths of a token. Before: 9 % in three of ten rows. After: at least 10 %, the next request counted in, since none is served in part; all ten rows hold.

--- a/azureway-core/src/admit/admission.rs
+++ b/azureway-core/src/admit/admission.rs
@@ -13,14 +13,16 @@
 pub struct Admission {
     queues: [FairQueue; 2],
     floor: u8,
+    /// What drafting is owed, in hundredths of a token.
     credit: u64,
     pace: Pace,
 }
 
 /// The whole, in percent.
 const WHOLE: u64 = 100;
-/// The most that drafting can be owed, in tokens, beyond its first request.
-const CREDIT_MAX: u64 = 100_000;
+/// The most that drafting can be owed, in hundredths of a token, unless its first request
+/// costs more.
+const CREDIT_MAX: u64 = 10_000_000;
 
 impl Admission {
     /// Creates an empty order in which drafting keeps `floor` percent of the work.
@@ -95,7 +97,7 @@
 
     /// Tells whether the floor grants `request` its place, whatever urgent work waits.
     pub fn is_owed(&self, request: &Request) -> bool {
-        request.rank == Rank::Drafting && self.credit >= request.cost().get()
+        request.rank == Rank::Drafting && self.credit >= self.price(request)
     }
 
     /// Takes out a request that is served at `now`.
@@ -108,7 +110,10 @@
         match queued.request.rank {
             Rank::Urgent if self.depth(Rank::Drafting) > 0 => self.earn(cost),
             Rank::Urgent => self.credit = 0,
-            Rank::Drafting => self.credit = self.credit.saturating_sub(cost),
+            Rank::Drafting => {
+                let price = self.price(&queued.request);
+                self.credit = self.credit.saturating_sub(price);
+            }
         }
         Some(queued)
     }
@@ -134,10 +139,15 @@
 
     /// Notes what drafting is owed when urgent work of `cost` goes first.
     fn earn(&mut self, cost: u64) {
-        let floor = u64::from(self.floor);
-        let earned = cost * floor / (WHOLE - floor);
         let first = self.first(Rank::Drafting, &Blocked::new());
-        let bound = CREDIT_MAX.max(first.map_or(0, |q| q.request.cost().get()));
+        let bound = CREDIT_MAX.max(first.map_or(0, |q| self.price(&q.request)));
+        let earned = cost * u64::from(self.floor);
         self.credit = (self.credit + earned).min(bound);
     }
+
+    /// Returns what drafting pays of what it is owed: for each part that it keeps, urgent work
+    /// must have got the rest.
+    fn price(&self, request: &Request) -> u64 {
+        request.cost().get() * (WHOLE - u64::from(self.floor))
+    }
 }
