Let entry instances talk to one another

The peer duty drives the membership in a thread of its own, which holds the daemon's only asynchronous runtime. An entry that restarts while the platform is down takes its configuration from a peer of its zone or of another; the watching and ordering duties hear which entries of the zone are alive; demand reaches the limits of other entries. Bytes are counted as gossip_bytes. The stand-in system starts its entries as peers of one another.

--- a/azureway-core/src/member/roster.rs
+++ b/azureway-core/src/member/roster.rs
@@ -113,6 +113,12 @@
             .filter(move |m| m.news.instance.zone == *zone)
     }
 
+    /// Returns the number of members that settings or the platform name or that are live.
+    pub fn known(&self) -> u32 {
+        let known = |m: &&MemberState| m.listed || m.news.liveness.is_live();
+        u32::try_from(self.iter().filter(known).count()).unwrap_or(u32::MAX)
+    }
+
     /// Returns the zones of all members.
     pub fn zones(&self) -> Vec<ZoneId> {
         let mut zones: Vec<_> = self.iter().map(|m| m.news.instance.zone.clone()).collect();
--- a/azureway-dev/src/serve/entry_slot.rs
+++ b/azureway-dev/src/serve/entry_slot.rs
@@ -1,6 +1,6 @@
 //! An entry daemon that can be shut down by itself.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 
@@ -26,8 +26,17 @@
     ///
     /// Returns an error if an address cannot be bound or a thread cannot be started.
     pub fn start(settings: &EntrySettings) -> Result<Self> {
+        Self::start_on(settings, TcpListener::bind(settings.peer)?)
+    }
+
+    /// Starts the daemon. Peers reach it on `peers`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound or a thread cannot be started.
+    pub fn start_on(settings: &EntrySettings, peers: TcpListener) -> Result<Self> {
         let (stopper, asked) = flume::bounded(1);
-        let entry = Entry::start_with(settings, stopper)?;
+        let entry = Entry::start_on(settings, peers, stopper)?;
         let slot = Self {
             address: entry.address(),
             admin: entry.admin_address(),
--- a/azureway-dev/src/serve/system.rs
+++ b/azureway-dev/src/serve/system.rs
@@ -1,12 +1,12 @@
 //! The running system.
 
 use std::fmt::Write as _;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use azureway_config::settings::{Bounds, EntrySettings};
-use azureway_core::prelude::{ConfigVersion, InstanceId, ZoneId};
+use azureway_core::prelude::{ConfigVersion, Instance, InstanceId, ZoneId};
 
 use super::{EntrySlot, Layout};
 use crate::engine::{Engine, EngineConfig};
@@ -27,6 +27,7 @@
     platform_server: StandIn,
     servers: Vec<StandIn>,
     entries: Vec<EntrySlot>,
+    settings: Vec<EntrySettings>,
 }
 
 impl System {
@@ -47,14 +48,13 @@
             platform_server,
             servers: Vec::new(),
             entries: Vec::new(),
+            settings: Vec::new(),
         };
         for zone in &layout.zones {
             system.add_zone(zone, layout, engine)?;
         }
         system.platform.seed("config", "document", &system.document);
-        for zone in &layout.zones {
-            system.add_entries(zone, layout, bounds)?;
-        }
+        system.add_entries(layout, bounds)?;
         Ok(system)
     }
 
@@ -84,6 +84,19 @@
         self.platform_server.address()
     }
 
+    /// Shuts an entry daemon down and starts it again with nothing but its settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if its port cannot be bound again.
+    pub fn restart(&mut self, place: usize) -> Result<()> {
+        self.entries[place].drain();
+        let settings = &self.settings[place];
+        let listener = TcpListener::bind(settings.peer).context("bind the peers' port again")?;
+        self.entries[place] = EntrySlot::start_on(settings, listener)?;
+        Ok(())
+    }
+
     /// Drains every entry daemon, then stops the stand-ins.
     pub fn drain(self) {
         self.entries.iter().for_each(EntrySlot::drain);
@@ -116,12 +129,27 @@
         self.servers.push(server);
     }
 
-    fn add_entries(&mut self, zone: &str, layout: &Layout, bounds: &Bounds) -> Result<()> {
-        for number in 1..=layout.entries {
-            let instance = InstanceId::new(&format!("{zone}-entry-{number}"));
-            let settings = EntrySettings::new(instance, ZoneId::new(zone), self.platform_address());
-            self.entries
-                .push(EntrySlot::start(&settings.with_bounds(bounds.clone()))?);
+    /// Starts the entry daemons as peers of one another. All their ports are bound before the
+    /// first one starts, so that each knows the others' addresses.
+    fn add_entries(&mut self, layout: &Layout, bounds: &Bounds) -> Result<()> {
+        let mut listeners = Vec::new();
+        let mut peers = Vec::new();
+        for zone in &layout.zones {
+            for number in 1..=layout.entries {
+                let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+                let id = InstanceId::new(&format!("{zone}-entry-{number}"));
+                peers.push(Instance::new(id, ZoneId::new(zone), listener.local_addr()?));
+                listeners.push(listener);
+            }
+        }
+        for (me, listener) in peers.iter().zip(listeners) {
+            let platform = self.platform_address();
+            let base = EntrySettings::new(me.id.clone(), me.zone.clone(), platform);
+            let mut settings = base.with_bounds(bounds.clone());
+            settings.peer = me.address;
+            settings.peers = peers.iter().filter(|p| p.id != me.id).cloned().collect();
+            self.entries.push(EntrySlot::start_on(&settings, listener)?);
+            self.settings.push(settings);
         }
         Ok(())
     }
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -1,6 +1,6 @@
 //! One entry daemon.
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -21,14 +21,16 @@
 use crate::hear::Hearers;
 use crate::meter::Meter;
 use crate::order::{HttpOrders, Orderer};
+use crate::peer::{PeerDuty, PeerNote};
 use crate::relay::Launcher;
-use crate::watch::{WatchNote, Watcher};
+use crate::watch::{ChoiceDesk, WatchNote, Watcher};
 
 /// One entry daemon, running.
 pub struct Entry {
     address: SocketAddr,
     operators: Arc<Server>,
     decide: Sender<DecideNote>,
+    peer: Sender<PeerNote>,
     watch: Sender<WatchNote>,
     alive: Receiver<()>,
     served: Receiver<()>,
@@ -58,9 +60,26 @@
     ///
     /// Returns an error if an address cannot be bound or a thread cannot be started.
     pub fn start_with(settings: &EntrySettings, stopper: Sender<()>) -> Result<Self, Error> {
+        const STEP: Step = Step::new("listen to peers");
+        let listener = TcpListener::bind(settings.peer);
+        let error = |e| Error::new(ErrorKind::System, STEP, e).with_peer(settings.peer);
+        Self::start_on(settings, listener.map_err(error)?, stopper)
+    }
+
+    /// Starts every duty. Peers reach the entry on `peers`, whose address they know already.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound or a thread cannot be started.
+    pub fn start_on(
+        settings: &EntrySettings,
+        peers: TcpListener,
+        stopper: Sender<()>,
+    ) -> Result<Self, Error> {
         let mark = process_mark(settings);
         let (rings, bounds) = (Rings::new(settings.bounds.ring), &settings.bounds);
         let stop = Arc::new(AtomicBool::new(false));
+        let mut threads = Vec::new();
         let listener = Listener::new(
             settings.listen,
             rings.doors(),
@@ -74,14 +93,20 @@
         claim(&api, &rings, mark)?;
         let orderer = orderer(settings, &rings, api.clone(), mark);
         let views = rings.views();
+        threads.push(talk(settings, &rings, peers, mark)?);
         let decider = decider(settings, &rings);
         let admitter = Admitter::new(rings.admit_notes, rings.decide.clone(), rings.meter, mark);
-        let watcher = Watcher::new(api, rings.admit, rings.decide.clone(), rings.halt, mark);
+        let watcher = Watcher::new(
+            api,
+            rings.admit,
+            rings.decide.clone(),
+            rings.peer.clone(),
+            rings.halt,
+            mark,
+        );
         let meter = Meter::new(rings.measures, views, calls);
-        let threads = vec![
-            spawn("decide", move || decider.run())?,
-            spawn("accept", move || listener.run())?,
-        ];
+        threads.push(spawn("decide", move || decider.run())?);
+        threads.push(spawn("accept", move || listener.run())?);
         // These hold nothing that has to be finished, and a watch may wait for some seconds:
         // a shutdown leaves them to end by themselves.
         spawn("meter", move || meter.run())?;
@@ -93,6 +118,7 @@
             address,
             operators,
             decide: rings.decide,
+            peer: rings.peer,
             watch: rings.watch,
             alive: rings.alive,
             served: rings.served,
@@ -128,6 +154,7 @@
     /// Shuts down: refuses new requests, finishes every stream, then stops all duties.
     pub fn drain(self) {
         let (drained, done) = flume::bounded(1);
+        let _ = self.peer.send(PeerNote::Leave);
         let _ = self.decide.send(DecideNote::Drain(drained));
         let _ = done.recv();
         self.stop.store(true, Ordering::Release);
@@ -137,6 +164,7 @@
         self.operators.unblock();
         // The ring ends when the last connection has written its answer.
         let _ = self.alive.recv();
+        let _ = self.peer.send(PeerNote::Stop);
         for thread in self.threads {
             let _ = thread.join();
         }
@@ -173,7 +201,8 @@
         rings.meter.clone(),
         settings.bounds.clone(),
     );
-    Decider::new(router, rings, launcher, Hearers::new(rings.decide.clone()))
+    let hearers = Hearers::new(rings.decide.clone());
+    Decider::new(router, rings, launcher, hearers, settings.instance.clone())
 }
 
 /// Returns the ordering duty, which ends with the deciding duty.
@@ -200,6 +229,28 @@
     Ok(())
 }
 
+/// Starts the peer duty.
+fn talk(
+    settings: &EntrySettings,
+    rings: &Rings,
+    listener: TcpListener,
+    mark: u64,
+) -> Result<JoinHandle<()>, Error> {
+    const STEP: Step = Step::new("listen to peers");
+    let address = listener.local_addr();
+    let address = address.map_err(|e| Error::new(ErrorKind::System, STEP, e))?;
+    let start = SystemTime::now().duration_since(UNIX_EPOCH);
+    let start = start.unwrap_or_default().as_micros();
+    let incarnation = Incarnation::new(u64::try_from(start).unwrap_or(u64::MAX));
+    let me = Instance::new(settings.instance.clone(), settings.zone.clone(), address);
+    let me = me.with_incarnation(incarnation);
+    let desk = ChoiceDesk::new(me.id.clone(), rings.watch.clone(), rings.order.clone());
+    let now = rings.clock.now();
+    let core = Membership::new(MemberConfig::new(), me, &settings.peers, mark, now);
+    let (runtime, duty) = (PeerDuty::runtime()?, PeerDuty::new(core, rings.peers(desk)));
+    spawn("peer", move || duty.run(&runtime, listener))
+}
+
 fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Error> {
     let thread = thread::Builder::new().name(name.to_owned()).spawn(duty);
     thread.map_err(|e| Error::new(ErrorKind::System, Step::new("start thread"), e).with_peer(name))
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -12,7 +12,8 @@
 use crate::decide::DecideNote;
 use crate::meter::{Measure, RingViews};
 use crate::order::OrderNote;
-use crate::watch::WatchNote;
+use crate::peer::{PeerNote, PeerRings};
+use crate::watch::{ChoiceDesk, WatchNote};
 
 /// Both ends of every ring between the duties, and what the duties share.
 #[derive(Debug)]
@@ -31,6 +32,10 @@
     pub order: Sender<OrderNote>,
     /// At the ordering duty.
     pub order_notes: Receiver<OrderNote>,
+    /// To the peer duty.
+    pub peer: Sender<PeerNote>,
+    /// At the peer duty.
+    pub peer_notes: Receiver<PeerNote>,
     /// To the measuring duty.
     pub meter: Sender<Measure>,
     /// At the measuring duty.
@@ -62,6 +67,7 @@
         let (admit, admit_notes) = flume::bounded(size);
         let (decide, decide_notes) = flume::bounded(size);
         let (order, order_notes) = flume::bounded(size);
+        let (peer, peer_notes) = flume::bounded(size);
         let (meter, measures) = flume::bounded(size);
         let (watch, halt) = flume::bounded(WATCH_NOTES);
         let (guard, alive) = flume::bounded(0);
@@ -74,6 +80,8 @@
             claims: ClaimRings::new(size),
             order,
             order_notes,
+            peer,
+            peer_notes,
             meter,
             measures,
             watch,
@@ -95,6 +103,19 @@
         }
     }
 
+    /// Returns what the peer duty reaches.
+    pub fn peers(&self, desk: ChoiceDesk) -> PeerRings {
+        PeerRings {
+            peer: self.peer.clone(),
+            notes: self.peer_notes.clone(),
+            admit: self.admit.clone(),
+            decide: self.decide.clone(),
+            meter: self.meter.clone(),
+            desk,
+            clock: self.clock,
+        }
+    }
+
     /// Returns what a connection reaches.
     pub fn doors(&self) -> Doors {
         Doors {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -14,6 +14,7 @@
 use crate::hear::Hearers;
 use crate::meter::Measure;
 use crate::order::OrderDesk;
+use crate::peer::PeerNote;
 use crate::relay::Launcher;
 
 /// The deciding duty: tells the core what happened and carries out what it wants done.
@@ -27,6 +28,8 @@
     orders: OrderDesk,
     launcher: Launcher,
     hearers: Hearers,
+    peer: Sender<PeerNote>,
+    me: InstanceId,
     meter: Sender<Measure>,
     ready: Arc<AtomicBool>,
     serve: Sender<()>,
@@ -38,7 +41,13 @@
 
 impl<P: Policy> Decider<P> {
     /// Creates the duty.
-    pub fn new(router: Router<P>, rings: &Rings, launcher: Launcher, hearers: Hearers) -> Self {
+    pub fn new(
+        router: Router<P>,
+        rings: &Rings,
+        launcher: Launcher,
+        hearers: Hearers,
+        me: InstanceId,
+    ) -> Self {
         Self {
             router,
             notes: rings.decide_notes.clone(),
@@ -48,6 +57,8 @@
             orders: OrderDesk::new(rings.order.clone()),
             launcher,
             hearers,
+            peer: rings.peer.clone(),
+            me,
             meter: rings.meter.clone(),
             ready: Arc::clone(&rings.ready),
             serve: rings.serve.clone(),
@@ -128,10 +139,21 @@
                 self.measure(Measure::Rejected(version));
             }
             DecideNote::Ask(question) => self.reply(question),
+            DecideNote::Peers(count) => self.tell(Event::Peers(count)),
+            DecideNote::Listed(count) => self.end_round(count),
+            DecideNote::Demand(demand) => self.tell(Event::Demand(&demand)),
+            DecideNote::Server(_) | DecideNote::Strike(_) => {}
             DecideNote::Drain(drained) => self.drain(drained),
         }
     }
 
+    /// Gives the next round of heartbeats what client accounts ask for here.
+    fn end_round(&mut self, count: u32) {
+        self.tell(Event::Listed(count));
+        let demand = self.router.demand(self.me.clone(), self.clock.now());
+        let _ = self.peer.try_send(PeerNote::Demand(demand));
+    }
+
     fn drain(&mut self, drained: Sender<()>) {
         self.ready.store(false, Ordering::Release);
         self.drained = Some(drained);
--- a/azureway-entry/src/decide/note.rs
+++ b/azureway-entry/src/decide/note.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId, ShortAnswer,
+    Attempt, ClaimNews, ConfigVersion, Demand, Failure, Finish, Fleet, LoadReport, RequestId,
+    ServerNews, ShortAnswer, Strike,
 };
 use flume::Sender;
 
@@ -37,6 +38,16 @@
     Rejected(ConfigVersion),
     /// Somebody asks something; no decision follows from it.
     Ask(Question),
+    /// The number of live entries of the zone changed.
+    Peers(u32),
+    /// A round of heartbeats went out; this many entries are known in all zones.
+    Listed(u32),
+    /// Another entry told what client accounts ask for there.
+    Demand(Demand),
+    /// Another entry told of a backend server.
+    Server(ServerNews),
+    /// Another entry told of a request that was running when a backend server broke.
+    Strike(Strike),
     /// The daemon shuts down; the ring is told when nothing is left to do.
     Drain(Sender<()>),
 }
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod hear;
 pub mod meter;
 pub mod order;
+pub mod peer;
 pub mod relay;
 pub mod watch;
--- a/azureway-entry/src/meter/control_measures.rs
+++ b/azureway-entry/src/meter/control_measures.rs
@@ -17,6 +17,7 @@
 pub struct ControlMeasures {
     retries: Counter,
     platform: Counter,
+    gossip: Counter,
     waits: Histogram,
     depths: Family<RingLabel, Gauge>,
     duties: Family<DutyLabel, Counter<f64, AtomicU64>>,
@@ -33,6 +34,7 @@
         let measures = Self {
             retries: Counter::default(),
             platform: Counter::default(),
+            gossip: Counter::default(),
             waits: Histogram::new(WAIT_BOUNDS),
             depths: Family::default(),
             duties: Family::default(),
@@ -42,6 +44,8 @@
         r.register("retries", "Tries after the first", measures.retries.clone());
         let help = "Calls to the platform, a waiting watch as one";
         r.register("platform_calls", help, measures.platform.clone());
+        let help = "Bytes of the heartbeats sent to peers";
+        r.register("gossip_bytes", help, measures.gossip.clone());
         let help = "Time from the arrival of a request until it was decided on";
         r.register("ring_wait_seconds", help, measures.waits.clone());
         let help = "Messages that wait in a ring";
@@ -51,6 +55,11 @@
         measures
     }
 
+    /// Notes a heartbeat of this many bytes.
+    pub fn gossip(&self, bytes: usize) {
+        self.gossip.inc_by(bytes as u64);
+    }
+
     /// Notes a try after the first.
     pub fn retry(&self) {
         self.retries.inc();
--- a/azureway-entry/src/meter/measure.rs
+++ b/azureway-entry/src/meter/measure.rs
@@ -30,6 +30,8 @@
     Configured(ConfigVersion),
     /// A version of the configuration is bad, and the last good one stays in force.
     Rejected(ConfigVersion),
+    /// A heartbeat of this many bytes was sent to a peer.
+    Gossip(usize),
     /// Somebody asks for all measures.
     Scrape(Sender<String>),
 }
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -58,6 +58,7 @@
                 self.prompts.finish(&served);
             }
             Measure::Refused(reason) => self.service.refuse(reason),
+            Measure::Gossip(bytes) => self.control.gossip(bytes),
             Measure::Retried => self.control.retry(),
             Measure::Cancelled(_) => self.service.cancel(),
             Measure::Configured(version) => self.config.accept(version),
--- /dev/null
+++ b/azureway-entry/src/peer/peer_note.rs
@@ -0,0 +1,35 @@
+//! What the peer duty is told.
+
+use azureway_core::prelude::{ConfigVersion, Demand, Heartbeat, InstanceId, ServerNews, Strike};
+use flume::Sender;
+
+use super::Document;
+
+/// What the peer duty is told.
+#[derive(Debug)]
+pub enum PeerNote {
+    /// A document that the platform holds is in force.
+    Adopted(Document),
+    /// What client accounts ask of this entry.
+    Demand(Demand),
+    /// A request of this entry was running when a backend server broke, or was cleared.
+    Strike(Strike),
+    /// This entry found something that speaks against a backend server.
+    Server(ServerNews),
+    /// A peer sent a heartbeat; the answer goes into the ring.
+    Heard(Box<Heartbeat>, Sender<Heartbeat>),
+    /// A peer asked for a document newer than a version; it goes into the ring.
+    Asked(ConfigVersion, Sender<Option<Document>>),
+    /// A peer answered a heartbeat.
+    Answered(Box<Heartbeat>),
+    /// A peer did not answer a heartbeat.
+    Missed(InstanceId),
+    /// A peer gave its document.
+    Fetched(InstanceId, Document),
+    /// A peer was asked for its document and gave none.
+    Unserved(InstanceId),
+    /// The daemon shuts down: peers are told.
+    Leave,
+    /// The daemon stops.
+    Stop,
+}
--- /dev/null
+++ b/azureway-entry/src/peer/peer_service.rs
@@ -0,0 +1,57 @@
+//! What this entry offers its peers.
+
+use azureway_core::prelude::{ConfigVersion, Heartbeat};
+use azureway_wire::peer;
+use flume::Sender;
+use tonic::{Request, Response, Status};
+
+use super::PeerNote;
+
+/// What this entry offers its peers: it hands each call to the peer duty and waits for its
+/// answer.
+#[derive(Clone, Debug)]
+pub struct PeerService {
+    peer: Sender<PeerNote>,
+}
+
+impl PeerService {
+    /// Creates the service of the duty that `peer` leads to.
+    pub const fn new(peer: Sender<PeerNote>) -> Self {
+        Self { peer }
+    }
+
+    async fn ask<T>(&self, note: impl FnOnce(Sender<T>) -> PeerNote) -> Result<T, Status> {
+        let (reply, answer) = flume::bounded(1);
+        let stopped = || Status::unavailable("the instance stops");
+        let sent = self.peer.send_async(note(reply)).await;
+        sent.map_err(|_| stopped())?;
+        answer.recv_async().await.map_err(|_| stopped())
+    }
+}
+
+#[tonic::async_trait]
+impl peer::Peer for PeerService {
+    async fn exchange(
+        &self,
+        request: Request<peer::Heartbeat>,
+    ) -> Result<Response<peer::Heartbeat>, Status> {
+        let beat = Heartbeat::try_from(request.get_ref());
+        let beat = beat.map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let beat = Box::new(beat);
+        let answer = self.ask(|reply| PeerNote::Heard(beat, reply)).await?;
+        Ok(Response::new((&answer).into()))
+    }
+
+    async fn fetch(
+        &self,
+        request: Request<peer::FetchRequest>,
+    ) -> Result<Response<peer::FetchReply>, Status> {
+        let known = ConfigVersion::new(request.get_ref().newer_than);
+        let document = self.ask(|reply| PeerNote::Asked(known, reply)).await?;
+        let reply = document.map_or_else(peer::FetchReply::default, |d| peer::FetchReply {
+            version: d.version.get(),
+            text: d.text.as_ref().to_owned(),
+        });
+        Ok(Response::new(reply))
+    }
+}
--- a/azureway-entry/src/watch/watcher.rs
+++ b/azureway-entry/src/watch/watcher.rs
@@ -15,6 +15,7 @@
 use crate::admit::AdmitNote;
 use crate::clock::Clock;
 use crate::decide::DecideNote;
+use crate::peer::{Document, PeerNote};
 
 /// Watches the configuration document and passes each good version on.
 #[derive(Debug)]
@@ -22,6 +23,7 @@
     api: A,
     admit: Sender<AdmitNote>,
     decide: Sender<DecideNote>,
+    peer: Sender<PeerNote>,
     notes: Receiver<WatchNote>,
     clock: Clock,
     plan: WatchPlan,
@@ -37,6 +39,7 @@
         api: A,
         admit: Sender<AdmitNote>,
         decide: Sender<DecideNote>,
+        peer: Sender<PeerNote>,
         notes: Receiver<WatchNote>,
         seed: u64,
     ) -> Self {
@@ -44,6 +47,7 @@
             api,
             admit,
             decide,
+            peer,
             notes,
             clock: Clock::new(),
             plan: WatchPlan::new(seed),
@@ -111,16 +115,18 @@
             return;
         }
         match document::parse(&object.value, version) {
-            Ok(fleet) => self.enforce(fleet),
+            Ok(fleet) => self.enforce(fleet, &object.value),
             Err(faults) => self.reject(object, &faults),
         }
     }
 
-    fn enforce(&mut self, fleet: Fleet) {
+    fn enforce(&mut self, fleet: Fleet, text: &str) {
         self.gate.accept(fleet.version);
+        let document = Document::new(fleet.version, text);
         let fleet = Arc::new(fleet);
         let _ = self.admit.send(AdmitNote::Adopt(Arc::clone(&fleet)));
         let _ = self.decide.send(DecideNote::Adopt(fleet));
+        let _ = self.peer.send(PeerNote::Adopted(document));
     }
 
     fn reject(&mut self, object: &ObjectBody, faults: &Faults) {
@@ -150,7 +156,7 @@
             .apply(&Sections::parse(&current.text));
         if let Ok(fleet) = document::parse(&text, record.from) {
             log::warn!(step = "read document", version:% = record.from; "the version before is good");
-            self.enforce(fleet);
+            self.enforce(fleet, &text);
         }
     }
 }
--- a/azureway-entry/tests/watch.rs
+++ b/azureway-entry/tests/watch.rs
@@ -5,6 +5,7 @@
 
 use azureway_core::prelude::*;
 use azureway_entry::decide::DecideNote;
+use azureway_entry::peer::PeerNote;
 use azureway_entry::watch::{WatchNote, Watcher};
 use azureway_platform::{ObjectApi, Put};
 use azureway_wire::change::DOCUMENT_NAME;
@@ -86,8 +87,16 @@
         answers: Mutex::new(answers),
         stop,
     };
-    Watcher::new(script, admit, decide, halt, 1).run();
+    let (peer, documents) = flume::bounded(RING);
+    Watcher::new(script, admit, decide, peer, halt, 1).run();
     let (mut adopted, mut rejected) = (Vec::new(), Vec::new());
+    let mut passed = Vec::new();
+    for note in documents.drain() {
+        match note {
+            PeerNote::Adopted(document) => passed.push(document.version.to_string()),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
     for note in notes.drain() {
         match note {
             DecideNote::Adopt(fleet) => adopted.push(fleet.version.to_string()),
@@ -95,6 +104,8 @@
             other => panic!("unexpected {other:?}"),
         }
     }
+    // Peers get what came into force, and nothing else.
+    assert_eq!(passed, adopted);
     (adopted.join(" "), rejected.join(" "))
 }
 
