--- a/azureway-dev/src/serve/system.rs
+++ b/azureway-dev/src/serve/system.rs
@@ -69,6 +69,11 @@
         entries.filter_map(EntrySlot::admin_address).collect()
     }
 
+    /// Returns the addresses of the engines and plain services, in the order of their start.
+    pub fn server_addresses(&self) -> Vec<SocketAddr> {
+        self.servers.iter().map(StandIn::address).collect()
+    }
+
     /// Waits until every entry daemon has a configuration in force.
     pub fn wait_ready(&self) {
         self.entries.iter().for_each(EntrySlot::wait_ready);
@@ -107,9 +112,18 @@
             let engine = Arc::new(Engine::new(config.clone()));
             let name = format!("{zone}-engine-{number}");
             self.add_server(&name, "engines", zone, StandIn::start(Arc::clone(&engine))?);
+            if let Some(slots) = layout.slots {
+                // Writing to a string does not fail.
+                let _ = writeln!(self.document, "slots = {slots}");
+            }
             self.engines.push(engine);
         }
-        let plain = Arc::new(PlainService::new());
+        let plain = match (layout.keyed, self.plains.first()) {
+            (true, Some(first)) => first.replica(),
+            (true, None) => PlainService::keyed(),
+            (false, _) => PlainService::new(),
+        };
+        let plain = Arc::new(plain);
         let name = format!("{zone}-till");
         self.add_server(&name, "tills", zone, StandIn::start(Arc::clone(&plain))?);
         if layout.keyed {
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -77,15 +77,11 @@
         stopper: Sender<()>,
     ) -> Result<Self, Error> {
         let mark = process_mark(settings);
-        let (rings, bounds) = (Rings::new(settings.bounds.ring), &settings.bounds);
+        let rings = Rings::new(settings.bounds.ring);
         let stop = Arc::new(AtomicBool::new(false));
         let mut threads = Vec::new();
-        let listener = Listener::new(
-            settings.listen,
-            rings.doors(),
-            bounds.clone(),
-            Arc::clone(&stop),
-        )?;
+        let (doors, limits) = (rings.doors(), settings.bounds.clone());
+        let listener = Listener::new(settings.listen, doors, limits, Arc::clone(&stop))?;
         let address = listener.address()?;
         let operators = admin(settings, &rings, stopper)?;
         let api = HttpObjects::new(settings.platform);
