--- a/azureway-dev/benches/decisions.rs
+++ b/azureway-dev/benches/decisions.rs
@@ -1,11 +1,16 @@
 //! The hot decisions.
 
 use azureway_core::admit::{Demand, DemandShare};
-use azureway_core::prelude::*;
+use azureway_core::prelude::{
+    Block, BlockKey, CacheOp, CacheUpdate, ConfigVersion, Event, Incarnation, InstanceId,
+    Timestamp, TokenCount, TokenRate,
+};
 use azureway_dev::bench::{Size, World};
-use azureway_dev::slopes::BlockProbe;
+use azureway_dev::slopes::{BlockProbe, MemberProbe};
 use azureway_wire::engine::{CacheEvent, EngineNews};
+use azureway_wire::peer::Heartbeat;
 use divan::{Bencher, black_box};
+use prost::Message;
 
 /// The slots of a replica.
 const SLOTS: u32 = 16;
@@ -117,6 +122,23 @@
     bencher.bench_local(|| share.hear(&demand, Timestamp::from_millis(1)));
 }
 
+/// Writes a heartbeat that tells of 8 members and 12 accounts.
+#[divan::bench]
+fn peer_encode(bencher: Bencher<'_, '_>) {
+    let beat = MemberProbe::heartbeat(0, 8);
+    bencher.bench_local(|| Heartbeat::from(black_box(&beat)).encode_to_vec());
+}
+
+/// Reads a heartbeat that tells of 8 members and 12 accounts.
+#[divan::bench]
+fn peer_decode(bencher: Bencher<'_, '_>) {
+    let bytes = Heartbeat::from(&MemberProbe::heartbeat(0, 8)).encode_to_vec();
+    bencher.bench_local(|| {
+        let beat = Heartbeat::decode(black_box(bytes.as_slice())).expect("a heartbeat");
+        azureway_core::prelude::Heartbeat::try_from(&beat)
+    });
+}
+
 /// Writes an engine's news of 100 events.
 #[divan::bench]
 fn news_encode(bencher: Bencher<'_, '_>) {
--- a/azureway-dev/src/slopes/command.rs
+++ b/azureway-dev/src/slopes/command.rs
@@ -3,8 +3,8 @@
 use clap::{ArgMatches, Command};
 
 use super::{
-    AccountProbe, BlockProbe, ChangeProbe, EventProbe, FlightProbe, LookupProbe, PeerProbe, Probe,
-    ReplicaProbe, Slope, WaitProbe,
+    AccountProbe, BeatProbe, BlockProbe, ChangeProbe, EventProbe, FlightProbe, LookupProbe,
+    MemberProbe, PeerProbe, Probe, ReplicaProbe, Slope, WaitProbe,
 };
 
 /// The nanoseconds of a microsecond.
@@ -19,7 +19,7 @@
 /// Measures and prints the slopes.
 pub fn run(_: &ArgMatches) {
     println!(
-        "| by | sizes | memory B a unit | message B a unit | operation | time, us, at each size |"
+        "| by | sizes | memory B a unit | message B at the smallest, a unit | operation | time, us, at each size |"
     );
     println!("|---|---|---:|---:|---|---|");
     print::<ReplicaProbe>();
@@ -30,6 +30,8 @@
     print::<LookupProbe>();
     print::<EventProbe>();
     print::<PeerProbe>();
+    print::<MemberProbe>();
+    print::<BeatProbe>();
     print::<ChangeProbe>();
 }
 
@@ -39,9 +41,10 @@
     let sizes = P::SIZES.map(|s| s.to_string()).join(", ");
     let times = samples.map(|s| format!("{:.2}", s.time / MICRO)).join(", ");
     println!(
-        "| {} | {sizes} | {:.0} | {:.0} | {} | {times} |",
+        "| {} | {sizes} | {:.0} | {}, {:.0} | {} | {times} |",
         P::UNIT,
         slope.memory,
+        samples[0].message,
         slope.message,
         P::OPERATION,
     );
--- /dev/null
+++ b/azureway-dev/src/slopes/member_probe.rs
@@ -0,0 +1,72 @@
+//! Growth of the membership by peers.
+
+use azureway_core::prelude::*;
+
+use super::probe::{Probe, time_of};
+use super::{Heap, Sample};
+
+/// Growth of the membership by the peers that an instance knows of: its state, and taking in
+/// a heartbeat.
+#[derive(Clone, Copy, Debug)]
+pub struct MemberProbe;
+
+/// The heartbeats that are timed.
+const BEATS: u32 = 200;
+/// The zones that the peers stand in.
+const ZONES: u64 = 7;
+
+impl MemberProbe {
+    /// Returns the peer of a number.
+    pub fn peer(number: u64) -> Instance {
+        let id = InstanceId::new(&format!("zone-{}-entry-{number:03}", number % ZONES));
+        let zone = ZoneId::new(&format!("zone-{}", number % ZONES));
+        let [.., high, low] = number.to_be_bytes();
+        Instance::new(id, zone, ([10, 1, high, low], 8_081).into())
+            .with_incarnation(Incarnation::new(1_700_000_000_000))
+    }
+
+    /// Returns the heartbeat of a peer that tells of `members` others and of 12 accounts.
+    pub fn heartbeat(number: u64, members: u64) -> Heartbeat {
+        let alive = |n| News::Member(MemberNews::new(Self::peer(n), Liveness::Alive));
+        let accounts = (0..MemberConfig::new().demand).map(crate::bench::World::account);
+        Heartbeat {
+            from: Self::peer(number),
+            version: ConfigVersion::new(1),
+            sum: u64::MAX,
+            whole: false,
+            news: (0..members).map(alive).collect(),
+            demand: accounts.map(|a| (a, TokenRate::new(1_000_000))).collect(),
+        }
+    }
+}
+
+impl Probe for MemberProbe {
+    const UNIT: &'static str = "peer in the membership";
+    const OPERATION: &'static str = "take in a heartbeat and answer it";
+    const SIZES: [u64; 3] = [8, 60, 360];
+
+    fn measure(size: u64) -> Sample {
+        let peers: Vec<Instance> = (1..=size).map(Self::peer).collect();
+        let beats: Vec<Heartbeat> = (1..=size).map(|n| Self::heartbeat(n, 0)).collect();
+        let heap = Heap::now();
+        let now = Timestamp::from_millis(1);
+        let mut membership = Membership::new(MemberConfig::new(), Self::peer(0), &peers, 1, now);
+        let mut out = Vec::new();
+        for beat in &beats {
+            membership.handle(PeerEvent::Heard(beat), now, &mut out);
+            out.clear();
+        }
+        let memory = heap.grown();
+        let time = time_of(BEATS, |n| {
+            let place = n as usize % beats.len();
+            membership.handle(PeerEvent::Heard(&beats[place]), now, &mut out);
+            out.clear();
+        });
+        Sample {
+            size,
+            memory,
+            message: 0,
+            time,
+        }
+    }
+}
--- a/azureway-dev/src/slopes/mod.rs
+++ b/azureway-dev/src/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! How state, messages, processor time and memory grow with the size of what is served.
 
 mod account_probe;
+mod beat_probe;
 mod block_probe;
 mod change_probe;
 mod command;
@@ -8,6 +9,7 @@
 mod flight_probe;
 mod heap;
 mod lookup_probe;
+mod member_probe;
 mod peer_probe;
 mod probe;
 mod replica_probe;
@@ -16,6 +18,7 @@
 mod wait_probe;
 
 pub use account_probe::AccountProbe;
+pub use beat_probe::BeatProbe;
 pub use block_probe::BlockProbe;
 pub use change_probe::ChangeProbe;
 pub use command::{command, run};
@@ -23,6 +26,7 @@
 pub use flight_probe::FlightProbe;
 pub use heap::Heap;
 pub use lookup_probe::LookupProbe;
+pub use member_probe::MemberProbe;
 pub use peer_probe::PeerProbe;
 pub use probe::Probe;
 pub use replica_probe::ReplicaProbe;
