See at once that the platform's answer is lost

Cause: calls kept their connection, so one that the platform closed in mid-call was only noticed after the limit of 1 s, and a test waited for it.

Calls now ask for the connection to be closed.

--- a/azureway-platform/src/http_objects.rs
+++ b/azureway-platform/src/http_objects.rs
@@ -48,6 +48,9 @@
 
     fn send(&self, step: Step, request: Request, wait: Duration) -> Result<Response, Error> {
         self.calls.add();
+        // The platform need not keep the connection, and one that it closes without an answer
+        // shows at once that the answer is lost.
+        let request = request.with_header("connection", "close");
         let answer = request.with_timeout(self.timeout + wait.as_secs()).send();
         let answer = answer.map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
         match answer.status_code {
