--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -26,7 +26,7 @@
 pub use crate::retry::{Backoff, RetryBudget};
 pub use crate::route::{
     Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
-    RoundRobin, Spread,
+    RoundRobin, Spread, StaticSplit,
 };
 pub use crate::router::{Obstacle, Overview, RouteOption, Router, RouterConfig};
 pub use crate::stream::{Delivery, StreamProgress};
--- a/azureway-core/src/route/mod.rs
+++ b/azureway-core/src/route/mod.rs
@@ -12,6 +12,7 @@
 mod rendezvous;
 mod round_robin;
 mod spread;
+mod static_split;
 
 pub use candidate::Candidate;
 pub use estimate::Estimate;
@@ -25,5 +26,6 @@
 pub use rendezvous::Rendezvous;
 pub use round_robin::RoundRobin;
 pub use spread::Spread;
+pub use static_split::StaticSplit;
 
 use rendezvous::mix;
--- /dev/null
+++ b/azureway-core/src/route/static_split.rs
@@ -0,0 +1,66 @@
+//! A split of the work that looks at no report.
+
+use smallvec::SmallVec;
+
+use super::{Candidate, Job, Policy, mix};
+use crate::admit::DemandMeter;
+use crate::domain::Timestamp;
+
+/// Draws a server with the probabilities that minimise the sum of the mean sojourn times of
+/// independent queues, given only the servers' rates and the rate of arrivals. A baseline.
+///
+/// The probabilities are those of Guo, Lu and Squillante, *Optimal Probabilistic Routing in
+/// Distributed Parallel Queues*, equation 14, for Poisson arrivals and equal variances.
+#[derive(Clone, Debug, Default)]
+pub struct StaticSplit {
+    arrivals: DemandMeter,
+}
+
+/// The range of a draw.
+const DRAW_RANGE: f64 = 18_446_744_073_709_551_616.0;
+
+impl StaticSplit {
+    /// Creates the policy.
+    pub fn new() -> Self {
+        Self::default()
+    }
+}
+
+impl Policy for StaticSplit {
+    const NAME: &'static str = "static-split";
+
+    fn choose(&mut self, job: Job, candidates: &[Candidate<'_>], now: Timestamp) -> Option<usize> {
+        self.arrivals.add(job.prompt, now);
+        let entries = candidates.first()?.state.entries();
+        let arrivals = self.arrivals.rate(now) * f64::from(entries);
+        let shares = shares(candidates, arrivals);
+        let whole: f64 = shares.iter().sum();
+        let mut left = mix(job.draw) as f64 / DRAW_RANGE * whole;
+        let last = candidates.len() - 1;
+        let passes = |share: &f64| {
+            left -= share;
+            left < 0.0
+        };
+        Some(shares.iter().position(passes).unwrap_or(last))
+    }
+}
+
+/// Returns each server's rate less an equal part of the rate to spare; a server that would
+/// get less than nothing gets nothing, and the spare rate is that of the others.
+fn shares(candidates: &[Candidate<'_>], arrivals: f64) -> SmallVec<[f64; 16]> {
+    let rates = candidates
+        .iter()
+        .map(|c| c.state.server.prefill.get() as f64);
+    let rates: SmallVec<[f64; 16]> = rates.collect();
+    let mut used = rates.clone();
+    used.sort_unstable_by(|a, b| b.total_cmp(a));
+    let mut spare = 0.0;
+    while let Some(least) = used.last() {
+        spare = (used.iter().sum::<f64>() - arrivals).max(0.0) / used.len() as f64;
+        if *least >= spare {
+            break;
+        }
+        used.pop();
+    }
+    rates.iter().map(|r| (r - spare).max(0.0)).collect()
+}
--- a/azureway-dev/src/replay/contenders.rs
+++ b/azureway-dev/src/replay/contenders.rs
@@ -2,7 +2,9 @@
 
 use std::io::{IsTerminal, stderr};
 
-use azureway_core::prelude::{LeastLoaded, Policy, PrefixHash, PrefixLoad, RoundRobin};
+use azureway_core::prelude::{
+    LeastLoaded, Policy, PrefixHash, PrefixLoad, RoundRobin, StaticSplit,
+};
 
 use super::{Player, Summary, Tally};
 use crate::trace::Trace;
@@ -18,6 +20,7 @@
         summary::<RoundRobin>(traces),
         summary::<LeastLoaded>(traces),
         summary::<PrefixHash>(traces),
+        summary::<StaticSplit>(traces),
     ]
 }
 
