--- a/azureway-dev/src/replay/rounds.rs
+++ b/azureway-dev/src/replay/rounds.rs
@@ -1,9 +1,11 @@
 //! The subcommand that compares the policies over many seeds.
 
+use std::path::Path;
+
 use anyhow::{Context, Result};
 use clap::{Arg, ArgMatches, Command, value_parser};
 
-use super::{Table, compare};
+use super::{Plot, Table, compare};
 use crate::generate::{Case, Generator};
 use crate::trace::Trace;
 
@@ -17,6 +19,12 @@
     Command::new("rounds")
         .about("Compares the policies over many generated traces of each case")
         .arg(seeds.value_parser(value_parser!(u64)))
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .help("Draws the plot as SVG"),
+        )
         .arg(Arg::new("case").long("case").value_parser(names))
 }
 
@@ -24,11 +32,12 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the number of seeds is missing.
+/// Returns an error if the number of seeds is missing or the plot cannot be drawn.
 pub fn run(matches: &ArgMatches) -> Result<()> {
     let seeds: u64 = *matches.get_one("seeds").context("no seeds")?;
     let one = matches.get_one::<String>("case");
     let chosen = |case: &Case| one.is_none_or(|o| o == case.as_str());
+    let mut groups = Vec::new();
     for case in Case::ALL.into_iter().filter(chosen) {
         let range = BASE_SEED + 1..=BASE_SEED + seeds;
         let traces: Vec<Trace> = range
@@ -36,7 +45,12 @@
             .map(|seed| Generator::new(case, seed).generate())
             .collect();
         println!("{case}, seeds {} to {}", range.start(), range.end());
-        println!("{}", Table::new(&compare(&traces)));
+        let summaries = compare(&traces);
+        println!("{}", Table::new(&summaries));
+        groups.push((case.as_str(), summaries));
+    }
+    match matches.get_one::<String>("plot") {
+        Some(file) => Plot::new(&groups).draw(Path::new(file)),
+        None => Ok(()),
     }
-    Ok(())
 }
