--- a/azureway-core/src/fleet/ledger.rs
+++ b/azureway-core/src/fleet/ledger.rs
@@ -11,7 +11,7 @@
 /// This entry's own work at a backend server, split by whether a report can hold it.
 ///
 /// Work is noted in the current period. A period ends with the first report that comes
-/// [`LAG_MAX`] after its start, so that work of an earlier period than the last one is
+/// `LAG_MAX` after its start, so that work of an earlier period than the last one is
 /// older than the lag of any report, and only the last two can be missing from it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Ledger {
