--- a/azureway-dev/src/replay/player.rs
+++ b/azureway-dev/src/replay/player.rs
@@ -51,8 +51,7 @@
             self.scene.after(NEWS_INTERVAL, Happening::Tell(place));
         }
         self.schedule(0);
-        let last = self.trace.records.last().map_or(0, |(at, _)| *at);
-        let end = Timestamp::from_millis(last) + TAIL;
+        let end = self.trace.end() + TAIL;
         while let Some((at, happening)) = self.scene.agenda.pop() {
             if at > end {
                 break;
@@ -63,13 +62,7 @@
             }
             self.happen(happening);
         }
-        self.close()
-    }
-
-    fn close(mut self) -> Tally {
-        let stories = self.scene.tally.stories.values();
-        let silent = stories.filter(|s| !s.is_answered()).count() as u64;
-        self.scene.tally.promises.unanswered += silent;
+        self.scene.tally.close();
         self.scene.tally
     }
 
@@ -185,8 +178,7 @@
     fn collect(&mut self, place: usize) {
         self.scene.tell(place, false);
         let active = self.router.active() > 0 || !self.scene.flights.is_empty();
-        let last = self.trace.records.last().map_or(0, |(at, _)| *at);
-        if active || self.scene.now <= Timestamp::from_millis(last) {
+        if active || self.scene.now <= self.trace.end() {
             self.scene.after(NEWS_INTERVAL, Happening::Tell(place));
         }
     }
--- a/azureway-dev/src/replay/scene.rs
+++ b/azureway-dev/src/replay/scene.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use azureway_core::prelude::{
-    Attempt, Dispatch, FailureKind, Finish, Incarnation, RequestId, RequestKind, SendState,
-    Timestamp, TokenCount, WeightsVersion, ZoneId,
+    Attempt, Dispatch, FailureKind, Finish, Incarnation, RequestId, SendState, Timestamp,
+    TokenCount, WeightsVersion, ZoneId,
 };
 use fastrand::Rng;
 
@@ -273,9 +273,7 @@
         let promises = &mut self.tally.promises;
         promises.leaving += u64::from(late);
         promises.mixed += u64::from(order.salt != task.chain.salt());
-        if let Some(story) = self.tally.story(order.attempt.id.sequence()) {
-            story.tries += 1;
-        }
+        self.tally.count_try(order.attempt.id.sequence());
     }
 
     fn count_run(&mut self, attempt: Attempt, place: usize, task: &Task) {
@@ -291,11 +289,7 @@
         if across {
             tally.crossed += (prompt + task.output) * TOKEN_BYTES;
         }
-        if let Some(story) = tally.stories.get_mut(&attempt.id.sequence()) {
-            story.runs += 1;
-            let once = story.kind.calls() == RequestKind::AtMostOnce;
-            tally.promises.doubled += u64::from(once && story.runs > 1);
-        }
+        tally.count_run(attempt.id.sequence());
     }
 }
 
--- a/azureway-dev/src/replay/tally.rs
+++ b/azureway-dev/src/replay/tally.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use azureway_core::prelude::RequestKind;
+
 use super::{Promises, Story};
 
 /// What a replay counts.
@@ -31,6 +33,28 @@
         Self::default()
     }
 
+    /// Counts a try of a request.
+    pub fn count_try(&mut self, sequence: u64) {
+        if let Some(story) = self.story(sequence) {
+            story.tries += 1;
+        }
+    }
+
+    /// Counts a run of a request at an engine.
+    pub fn count_run(&mut self, sequence: u64) {
+        if let Some(story) = self.stories.get_mut(&sequence) {
+            story.runs += 1;
+            let once = story.kind.calls() == RequestKind::AtMostOnce;
+            self.promises.doubled += u64::from(once && story.runs > 1);
+        }
+    }
+
+    /// Counts the requests that got neither an answer nor a refusal, at the end.
+    pub fn close(&mut self) {
+        let stories = self.stories.values();
+        self.promises.unanswered += stories.filter(|s| !s.is_answered()).count() as u64;
+    }
+
     /// Adds the counts of another replay.
     pub fn merge(&mut self, other: Self) {
         let first = self
--- a/azureway-dev/src/trace/recorded.rs
+++ b/azureway-dev/src/trace/recorded.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use azureway_core::prelude::Timestamp;
+
 use super::{Header, Levels, Record};
 
 /// A whole trace: its header, its levels and its records in the order of their time.
@@ -23,6 +25,12 @@
             ..Self::default()
         }
     }
+
+    /// Returns the time of the last record.
+    pub fn end(&self) -> Timestamp {
+        let last = self.records.last();
+        Timestamp::from_millis(last.map_or(0, |(at, _)| *at))
+    }
 }
 
 impl fmt::Display for Trace {
