Send nothing to servers that have stopped to report

Cause: while the other zones were cut off, requests went there again every two seconds for each server and waited a second for the connection, or five for an answer. A server that used to report and has not for 2 s is looked at only if no other is alive.

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -8,6 +8,8 @@
 
 /// How long a failed server is left alone.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
+/// The time without a report after which a server may be dead or cut off.
+const QUIET_TIME: Duration = Duration::from_secs(2);
 /// The share of a server's slots, in percent, that drafting leaves to urgent work.
 const URGENT_RESERVE: u32 = 25;
 /// The time that a request stays where none has been seen to end.
@@ -170,9 +172,9 @@
         self.own.total().flights
     }
 
-    /// Returns the time of the last report.
-    pub const fn heard(&self) -> Timestamp {
-        self.heard
+    /// Tells whether the server used to report and has stopped. It may be dead or cut off.
+    pub fn is_quiet(&self, now: Timestamp) -> bool {
+        self.heard > Timestamp::ZERO && now.since(self.heard) > QUIET_TIME
     }
 
     /// Returns the number of entries that share the server.
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -98,8 +98,8 @@
             .unwrap_or_else(|| self.candidate(state, request, reach, weights))
     }
 
-    /// Returns the servers that can take the request now, the nearest first and then in the
-    /// order of their names. Farther ones are looked at when the nearer ones are full or slow.
+    /// Returns the servers that can take the request now. Those that have stopped to report are
+    /// looked at only if no other is alive.
     fn candidates(
         &mut self,
         job: Job,
@@ -108,6 +108,27 @@
         now: Timestamp,
     ) -> Candidates<'a> {
         let mut found = Candidates::new();
+        if !self.collect(false, job, want, service, now, &mut found) {
+            self.collect(true, job, want, service, now, &mut found);
+        }
+        let other = |c: &Candidate<'_>| Some(&c.state.server.id) != want.failed;
+        if found.iter().any(other) {
+            found.retain(|c| other(c));
+        }
+        found
+    }
+
+    /// Adds the servers, the nearest first and then in the order of their names. Farther ones
+    /// are looked at when the nearer ones are full or slow. Returns whether any is alive.
+    fn collect(
+        &mut self,
+        quiet: bool,
+        job: Job,
+        want: Want<'_>,
+        service: &'a ModelService,
+        now: Timestamp,
+        found: &mut Candidates<'a>,
+    ) -> bool {
         let mut alive = false;
         for reach in Reach::ALL {
             // Traffic to another region is paid: it is for a region without any server, and
@@ -116,23 +137,20 @@
             if reach == Reach::Abroad && alive && !waited {
                 break;
             }
-            alive |= self.survey(reach, want, service, now, &mut found);
+            alive |= self.survey(reach, quiet, want, service, now, found);
             let time = |c: &Candidate<'_>| Estimate::new(job, c).total();
             if found.iter().any(|c| time(c) <= SPILL) {
                 break;
             }
         }
-        let other = |c: &Candidate<'_>| Some(&c.state.server.id) != want.failed;
-        if found.iter().any(other) {
-            found.retain(|c| other(c));
-        }
-        found
+        alive
     }
 
     /// Adds the servers within one reach. Returns whether any could take the request at all.
     fn survey(
         &mut self,
         reach: Reach,
+        quiet: bool,
         want: Want<'_>,
         service: &'a ModelService,
         now: Timestamp,
@@ -140,6 +158,7 @@
     ) -> bool {
         let order = Rendezvous::new(want.request.chain.prefix());
         let near = self.servers.of_pool(&service.pool);
+        let near = near.filter(|s| s.is_quiet(now) == quiet);
         let near = near.filter(|s| self.reach(s) == reach && fits(s, want.request, service, now));
         let mut fit: SmallVec<[(u64, &ServerState); 16]> =
             near.map(|s| (order.weight(&s.server.id), s)).collect();
