Quarantine requests that crash servers, and tell peers of leaving ones

Cause: a request that crashes every engine that runs it was sent on until its tries ended, and its caller could begin again through another entry. Twenty innocents in flight with a poison were all answered, and two servers crashed. Found by the drawn runs: clearing the bystanders of an explained crash let an innocent clear the culprit, so strikes are kept and only looked at anew; strikes outlived their time; unproved ones lapsed before a server that restarts slowly was heard, so they now stand until it is.

--- a/azureway-core/src/event/action.rs
+++ b/azureway-core/src/event/action.rs
@@ -3,6 +3,8 @@
 use super::Dispatch;
 use crate::claim::{ClaimCall, ShortAnswer};
 use crate::domain::{Attempt, Refusal, RequestId, ServerId};
+use crate::member::ServerNews;
+use crate::quarantine::Strike;
 
 /// What the router wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +19,10 @@
     Claim(ClaimCall),
     /// Stop a try.
     Cancel(Attempt),
+    /// Tell the other entry instances of a backend server.
+    Server(ServerNews),
+    /// Tell the other entry instances of a strike.
+    Strike(Strike),
     /// Ask a backend server for the whole content of its cache.
     Resync(ServerId),
 }
--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -6,6 +6,8 @@
 use crate::claim::ClaimNews;
 use crate::domain::{Attempt, Request, RequestId};
 use crate::fleet::{Fleet, LoadReport};
+use crate::member::ServerNews;
+use crate::quarantine::Strike;
 
 /// What the router is told.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +38,10 @@
     Listed(u32),
     /// Another entry instance told what client accounts ask for there.
     Demand(&'a Demand),
+    /// Another entry instance told of a backend server.
+    Server(&'a ServerNews),
+    /// Another entry instance told of a request that was running when a server broke.
+    Strike(&'a Strike),
     /// The instance shuts down: nothing new is taken.
     Draining,
     /// Time passed.
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -5,6 +5,7 @@
 use super::{Health, Ledger, LoadReport, SlotShare, Work};
 use crate::domain::{BackendServer, Incarnation, Rank, Timestamp, TokenCount, WeightsVersion};
 use crate::event::{Failure, FailureKind};
+use crate::member::{ServerNews, ServerSign};
 
 /// How long a failed server is left alone.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
@@ -79,6 +80,19 @@
         };
     }
 
+    /// Takes in what another entry said. Only the server's own report takes it back, and news
+    /// of an earlier incarnation is dropped.
+    pub fn hear(&mut self, news: &ServerNews) {
+        if news.sign == ServerSign::Leaving && news.incarnation >= self.incarnation {
+            self.health = Health::Leaving;
+        }
+    }
+
+    /// Tells whether the server is leaving, by its own word or another entry's.
+    pub fn is_leaving(&self) -> bool {
+        self.health == Health::Leaving
+    }
+
     /// Notes that a request with `owed` uncached prompt tokens is in flight here, and returns
     /// the period that it is noted in.
     pub fn begin(&mut self, owed: TokenCount) -> u64 {
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -5,6 +5,7 @@
 
 use super::{Fleet, LoadReport, ServerState};
 use crate::domain::{PoolId, ServerId, Timestamp};
+use crate::member::ServerNews;
 
 /// What is known of every backend server. The servers of a pool stand side by side, in the
 /// order of their names.
@@ -70,6 +71,13 @@
         Some(&state.server.pool)
     }
 
+    /// Takes in what another entry said of a server.
+    pub fn hear(&mut self, news: &ServerNews) {
+        if let Some(state) = self.get_mut(&news.server) {
+            state.hear(news);
+        }
+    }
+
     /// Returns the time, not before `now`, at which the next suspected server is tried again.
     pub fn next_trial(&self, now: Timestamp) -> Option<Timestamp> {
         let trials = self.servers.iter().filter_map(ServerState::trial);
--- /dev/null
+++ b/azureway-core/src/quarantine/guard.rs
@@ -0,0 +1,108 @@
+//! The guard against requests that crash backend servers.
+
+use super::{CrashSite, Isolation, Quarantine, Standing, Strike, StrikeState};
+use crate::domain::{Fingerprint, Incarnation, Request, RequestId, ServerId, Timestamp};
+use crate::event::{Failure, FailureKind};
+
+/// The guard against requests that crash backend servers: who is suspected, which suspects
+/// run where, and what peers have to hear of it.
+#[derive(Clone, Debug, Default)]
+pub struct Guard {
+    quarantine: Quarantine,
+    isolation: Isolation,
+    news: Vec<Strike>,
+}
+
+impl Guard {
+    /// Creates a guard that suspects nobody.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns how a request stands.
+    pub fn standing(&self, fingerprint: &Fingerprint, now: Timestamp) -> Standing {
+        self.quarantine.standing(fingerprint, now)
+    }
+
+    /// Tells whether a request may not run.
+    pub fn is_barred(&self, fingerprint: &Fingerprint, now: Timestamp) -> bool {
+        self.standing(fingerprint, now) == Standing::Quarantined
+    }
+
+    /// Tells whether a request may run on a server: a suspect only where no other suspect
+    /// runs, and only one copy of it at a time. `begun` tells whether its stream has begun.
+    pub fn admits(
+        &self,
+        request: &Request,
+        begun: bool,
+        server: &ServerId,
+        now: Timestamp,
+    ) -> bool {
+        match self.standing(&request.fingerprint, now) {
+            Standing::Clear => true,
+            Standing::Quarantined if !begun => false,
+            Standing::Suspect | Standing::Quarantined => {
+                let apart = self.isolation.servers().all(|s| s != server);
+                apart && !self.isolation.runs(&request.fingerprint)
+            }
+        }
+    }
+
+    /// Notes that a request runs on a server.
+    pub fn begin(&mut self, request: &Request, server: &ServerId, now: Timestamp) {
+        if self.standing(&request.fingerprint, now) != Standing::Clear {
+            self.isolation
+                .begin(request.id, request.fingerprint, server.clone());
+        }
+    }
+
+    /// Notes that a request no longer runs.
+    pub fn end(&mut self, id: RequestId) {
+        self.isolation.end(id);
+    }
+
+    /// Notes that a request ran well.
+    pub fn finish(&mut self, request: &Request, now: Timestamp) {
+        let cleared = self.quarantine.clear(&request.fingerprint, now);
+        self.news.extend(cleared);
+    }
+
+    /// Notes that a request failed at a site whose server was last heard with `known`.
+    pub fn fail(
+        &mut self,
+        request: &Request,
+        failure: &Failure,
+        site: CrashSite,
+        known: Incarnation,
+        now: Timestamp,
+    ) {
+        let returned = site.incarnation > Incarnation::ZERO && known > site.incarnation;
+        let state = match failure.kind {
+            _ if failure.sent.is_not_run() => return,
+            FailureKind::Unreachable | FailureKind::Mismatch | FailureKind::Busy => return,
+            _ if returned => StrikeState::Confirmed,
+            FailureKind::Broken => StrikeState::Unproved,
+            // A silent connection or a bad answer says little of the server by itself.
+            FailureKind::Silent | FailureKind::Faulty => StrikeState::Watched,
+        };
+        let fingerprint = request.fingerprint;
+        let strike = self.quarantine.strike(fingerprint, site, state, now);
+        self.news.push(strike);
+    }
+
+    /// Notes that a server was heard with an incarnation.
+    pub fn hear(&mut self, server: &ServerId, incarnation: Incarnation, now: Timestamp) {
+        let settled = self.quarantine.hear(server, incarnation, now);
+        self.news.extend(settled);
+    }
+
+    /// Takes in a peer's strike. Returns whether its request may not run from now on.
+    pub fn merge(&mut self, strike: &Strike, now: Timestamp) -> bool {
+        self.quarantine.merge(strike, now) && self.is_barred(&strike.fingerprint, now)
+    }
+
+    /// Takes out what peers have to hear.
+    pub fn take_news(&mut self) -> Vec<Strike> {
+        std::mem::take(&mut self.news)
+    }
+}
--- a/azureway-core/src/quarantine/mod.rs
+++ b/azureway-core/src/quarantine/mod.rs
@@ -1,6 +1,7 @@
 //! Requests that crash backend servers, and the bystanders of a crash.
 
 mod crash_site;
+mod guard;
 mod isolation;
 mod quarantined;
 mod record;
@@ -9,6 +10,7 @@
 mod strike_state;
 
 pub use crash_site::CrashSite;
+pub use guard::Guard;
 pub use isolation::Isolation;
 pub use quarantined::Quarantine;
 pub use record::Record;
--- a/azureway-core/src/quarantine/quarantined.rs
+++ b/azureway-core/src/quarantine/quarantined.rs
@@ -1,6 +1,6 @@
 //! The requests that backend servers broke under.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::{CrashSite, Record, Standing, Strike, StrikeState};
@@ -14,13 +14,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     records: BTreeMap<Fingerprint, Record>,
+    /// The servers whose next words can still settle a strike.
+    open: BTreeSet<ServerId>,
+    /// The sites that a quarantined request accounts for, with the end of its quarantine.
+    explained: BTreeMap<CrashSite, Timestamp>,
 }
 
 /// How long a strike holds.
 const STRIKE_TIME: Duration = Duration::from_secs(600);
-/// How long a strike counts that is neither confirmed nor cleared: longer than a server's news
-/// may be missing, which is the longest wait between two calls and the lag of its reports.
-const PATIENCE: Duration = Duration::from_secs(20);
+/// How long an unproved strike counts at a server that tells no incarnation.
+const PATIENCE: Duration = Duration::from_secs(60);
 /// How far a report may lag. A report that comes later than this after a strike is newer.
 const REPORT_LAG: Duration = Duration::from_secs(5);
 /// The requests that are kept at most.
@@ -34,9 +37,13 @@
 
     /// Returns how a request stands.
     pub fn standing(&self, fingerprint: &Fingerprint, now: Timestamp) -> Standing {
-        self.records
-            .get(fingerprint)
-            .map_or(Standing::Clear, |r| r.standing(PATIENCE, now))
+        let Some(record) = self.records.get(fingerprint) else {
+            return Standing::Clear;
+        };
+        match record.standing(PATIENCE, now) {
+            Standing::Suspect if self.is_explained(record, now) => Standing::Clear,
+            standing => standing,
+        }
     }
 
     /// Notes that a request was running when a server broke, and returns the strike.
@@ -55,6 +62,12 @@
     /// Takes in a strike, its own or a peer's. Returns whether it was new.
     pub fn merge(&mut self, strike: &Strike, now: Timestamp) -> bool {
         self.make_room(now);
+        if strike.state.is_open() {
+            self.open.insert(strike.site.server.clone());
+        }
+        if strike.state == StrikeState::Cleared {
+            self.explained.remove(&strike.site);
+        }
         let record = self.records.entry(strike.fingerprint).or_default();
         let fresh = record.merge(strike, now);
         if fresh && self.standing(&strike.fingerprint, now) == Standing::Quarantined {
@@ -81,6 +94,9 @@
         now: Timestamp,
     ) -> Vec<Strike> {
         let mut changed = Vec::new();
+        if !self.open.contains(server) {
+            return changed;
+        }
         let prints: Vec<_> = self.records.keys().copied().collect();
         for print in prints {
             let record = &self.records[&print];
@@ -91,6 +107,9 @@
                 changed.extend(self.settle(print, vec![site], state, now));
             }
         }
+        if !self.has_open(server) {
+            self.open.remove(server);
+        }
         changed
     }
 
@@ -104,18 +123,27 @@
         self.records.is_empty()
     }
 
-    /// Clears those whose only strike is at a site that a quarantined request accounts for.
+    fn has_open(&self, server: &ServerId) -> bool {
+        let open = |r: &Record| {
+            r.open()
+                .any(|(site, state, _)| state.is_open() && site.server == *server)
+        };
+        self.records.values().any(open)
+    }
+
+    /// Notes that a quarantined request accounts for the sites of its strikes. Those who were
+    /// there keep their strikes, since another one of them may be the culprit.
     fn explain(&mut self, culprit: &Fingerprint, now: Timestamp) {
-        let sites: Vec<_> = self.records[culprit].open().map(|e| e.0.clone()).collect();
-        let others: Vec<_> = self.records.keys().copied().collect();
-        for print in others.into_iter().filter(|p| p != culprit) {
-            if self.standing(&print, now) != Standing::Suspect {
-                continue;
-            }
-            let open = self.records[&print].open().map(|e| e.0.clone());
-            let known = open.filter(|s| sites.contains(s)).collect();
-            self.settle(print, known, StrikeState::Cleared, now);
-        }
+        let until = now + STRIKE_TIME;
+        let sites = self.records[culprit].open();
+        let sites = sites.map(|(site, ..)| (site.clone(), until));
+        self.explained.extend(sites);
+    }
+
+    /// Tells whether a quarantined request accounts for every strike of a suspect.
+    fn is_explained(&self, record: &Record, now: Timestamp) -> bool {
+        let known = |site| self.explained.get(site).is_some_and(|until| *until > now);
+        record.open().all(|(site, ..)| known(site))
     }
 
     fn settle(
@@ -138,6 +166,7 @@
             return;
         }
         self.records.retain(|_, r| r.prune(now));
+        self.explained.retain(|_, until| *until > now);
         if self.records.len() < RECORDS_MAX {
             return;
         }
@@ -156,7 +185,7 @@
     incarnation: Incarnation,
     now: Timestamp,
 ) -> Option<(CrashSite, StrikeState)> {
-    if state != StrikeState::Unproved || site.incarnation == Incarnation::ZERO {
+    if !state.is_open() || site.incarnation == Incarnation::ZERO {
         return None;
     }
     if incarnation > site.incarnation {
--- a/azureway-core/src/quarantine/record.rs
+++ b/azureway-core/src/quarantine/record.rs
@@ -1,9 +1,11 @@
 //! The strikes of one request.
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 
 use super::{CrashSite, Standing, Strike, StrikeState};
-use crate::domain::Timestamp;
+use crate::domain::{Incarnation, Timestamp};
 
 /// A strike as it is kept: where, how sure, since when and until when.
 type Entry = (CrashSite, StrikeState, Timestamp, Timestamp);
@@ -43,12 +45,16 @@
         true
     }
 
-    /// Returns how the request stands. `patience` is how long an unproved strike counts.
-    pub fn standing(&self, patience: std::time::Duration, now: Timestamp) -> Standing {
+    /// Returns how the request stands. `patience` is how long an unproved strike counts whose
+    /// server's incarnation is not known, since nothing can prove or clear it.
+    pub fn standing(&self, patience: Duration, now: Timestamp) -> Standing {
         let counts = |e: &&Entry| match e.1 {
-            StrikeState::Unproved => now.since(e.2) < patience,
-            StrikeState::Confirmed => true,
-            StrikeState::Cleared => false,
+            _ if e.3 <= now => false,
+            StrikeState::Unproved if e.0.incarnation == Incarnation::ZERO => {
+                now.since(e.2) < patience
+            }
+            StrikeState::Unproved | StrikeState::Confirmed => true,
+            StrikeState::Watched | StrikeState::Cleared => false,
         };
         match self.entries.iter().filter(counts).count() {
             0 => Standing::Clear,
@@ -70,12 +76,13 @@
         !self.entries.is_empty()
     }
 
-    /// Drops the strike that says least: a cleared one, or else the oldest unproved one.
+    /// Drops the strike that says least, the oldest first.
     fn drop_weakest(&mut self) {
         let key = |e: &Entry| match e.1 {
             StrikeState::Cleared => (0, e.2),
-            StrikeState::Unproved => (1, e.2),
-            StrikeState::Confirmed => (2, e.2),
+            StrikeState::Watched => (1, e.2),
+            StrikeState::Unproved => (2, e.2),
+            StrikeState::Confirmed => (3, e.2),
         };
         let places = 0..self.entries.len();
         if let Some(place) = places.min_by_key(|p| key(&self.entries[*p])) {
--- a/azureway-core/src/quarantine/strike_state.rs
+++ b/azureway-core/src/quarantine/strike_state.rs
@@ -4,10 +4,27 @@
 /// whatever the order in which they hear.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum StrikeState {
-    /// The connection broke or went silent. The server may or may not have crashed.
+    /// The connection went silent or the answer was bad. It does not count by itself.
+    Watched,
+    /// The connection broke. The server may or may not have crashed.
     Unproved,
     /// The server came back with another incarnation: it crashed.
     Confirmed,
     /// The server did not crash, or the request ran well elsewhere.
     Cleared,
 }
+
+impl StrikeState {
+    /// Every state, in order.
+    pub const ALL: [Self; 4] = [
+        Self::Watched,
+        Self::Unproved,
+        Self::Confirmed,
+        Self::Cleared,
+    ];
+
+    /// Tells whether the server's next words can still tell what happened.
+    pub const fn is_open(self) -> bool {
+        matches!(self, Self::Watched | Self::Unproved)
+    }
+}
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -2,10 +2,10 @@
 
 use super::placement::ABROAD_WAIT;
 use super::{Dispatcher, Flight, Intake, Queues, Retries, Retry, RouterConfig, Verdict, Want};
-use crate::admit::{Blocked, Demand, Limits, Queued};
+use crate::admit::{Blocked, Limits, Queued};
 use crate::cache::CacheUpdate;
 use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
-use crate::domain::{Attempt, InstanceId, Refusal, RefusalReason, Request, RequestId, Timestamp};
+use crate::domain::{Attempt, Refusal, RefusalReason, Request, RequestId, Timestamp};
 use crate::event::{Action, Event, Failure, Finish};
 use crate::fleet::{Fleet, LoadReport, ServerTable};
 use crate::retry::RetryBudget;
@@ -18,7 +18,7 @@
     pub(super) config: RouterConfig,
     pub(super) fleet: Fleet,
     pub(super) sender: Dispatcher<P>,
-    limits: Limits,
+    pub(super) limits: Limits,
     pub(super) queues: Queues,
     pub(super) claims: ClaimBook,
     pub(super) retries: Retries,
@@ -58,17 +58,20 @@
             Event::Failed(failure) => self.fail(failure, now, out),
             Event::Claim(news) => self.claimed(news, now, out),
             Event::Cache(update) => self.hear(update, out),
-            Event::Load(report) => self.report(report, now),
+            Event::Load(report) => self.report(report, now, out),
             Event::Configured(fleet) => self.configure(fleet),
             Event::Peers(count) => self.sender.servers_mut().set_entries(count),
             Event::Listed(count) => self.limits.share_mut().set_entries(count),
             Event::Demand(demand) => self.limits.share_mut().hear(demand, now),
+            Event::Server(news) => self.sender.servers_mut().hear(news),
+            Event::Strike(strike) => self.struck(strike, now, out),
             Event::Draining => self.draining = true,
             Event::Tick => self.queues.mark_all(),
         }
         self.expire(now, out);
         self.try_again(now, out);
         self.pump(now, out);
+        self.tell_strikes(out);
         self.claims.follow(start, out);
         self.tally.follow(&out[start..], now);
     }
@@ -99,32 +102,18 @@
         &self.fleet
     }
 
-    /// Returns the number of live entry instances of the zone, with this one.
-    pub const fn peers(&self) -> u32 {
-        self.sender.servers().entries()
-    }
-
     /// Returns what is known of the backend servers.
     pub const fn servers(&self) -> &ServerTable {
         self.sender.servers()
     }
 
-    /// Returns how the requests ended.
-    pub const fn tally(&self) -> &Tally {
-        &self.tally
-    }
-
-    /// Returns what the accounts ask for here, as `instance` tells it to the other entries.
-    pub fn demand(&self, instance: InstanceId, now: Timestamp) -> Demand {
-        self.limits.demand(instance, now)
-    }
-
     fn arrive(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
         self.tally.open(request);
         let mut intake = Intake {
             fleet: &self.fleet,
             queues: &self.queues,
             limits: &mut self.limits,
+            guard: self.sender.guard(),
             bound: self.config.queue,
             draining: self.draining,
         };
@@ -201,7 +190,7 @@
         if unknown {
             out.push(Action::Resync(flight.server.clone()));
         }
-        match Verdict::new(&flight, failure, self.config.tries, now) {
+        match self.judge(&flight, failure, now, out) {
             Verdict::Retry => self.retries.push(Retry::new(flight, failure, now)),
             Verdict::Wait => self.wait(flight, now),
             Verdict::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
@@ -223,8 +212,9 @@
         }
     }
 
-    fn report(&mut self, report: &LoadReport, now: Timestamp) {
-        if let Some(pool) = self.sender.servers_mut().report(report, now) {
+    fn report(&mut self, report: &LoadReport, now: Timestamp, out: &mut Vec<Action>) {
+        out.extend(self.sender.leave_news(report).map(Action::Server));
+        if let Some(pool) = self.sender.report(report, now) {
             self.queues.mark(pool);
         }
     }
@@ -255,7 +245,8 @@
     fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.budget.refill(now);
         for retry in self.retries.take() {
-            let want = Want::new(&retry.request, retry.plan, true).with_failed(&retry.failed);
+            let want = Want::new(&retry.request, retry.plan, true);
+            let want = want.with_failed(retry.failed.as_ref());
             if self.budget.has_retry() && self.dispatch(want, now, out) {
                 self.budget.spend();
             } else {
@@ -273,7 +264,7 @@
                 if self.dispatch(Want::new(&queued.request, queued.plan, owed), now, out) {
                     self.queues.take(queued.request.id, now);
                 } else {
-                    blocked.add(&queued);
+                    self.set_aside(&queued, &mut blocked, now, out);
                 }
             }
         }
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -2,9 +2,11 @@
 
 use super::{Flight, Flights, Placement, RouteOption, RouterConfig, Want};
 use crate::cache::{CacheIndex, CacheUpdate};
-use crate::domain::{Attempt, PoolId, RequestId, Timestamp};
+use crate::domain::{Attempt, Incarnation, PoolId, RequestId, Timestamp};
 use crate::event::{Dispatch, Failure};
-use crate::fleet::{Fleet, ServerTable};
+use crate::fleet::{Fleet, LoadReport, ServerTable};
+use crate::member::{ServerNews, ServerSign};
+use crate::quarantine::{CrashSite, Guard};
 use crate::route::{Policy, Spread};
 
 /// Sends requests to backend servers, and keeps what that takes: the servers, the index of
@@ -16,6 +18,7 @@
     index: CacheIndex,
     spread: Spread,
     flights: Flights,
+    guard: Guard,
 }
 
 impl<P: Policy> Dispatcher<P> {
@@ -27,6 +30,7 @@
             index: CacheIndex::new(),
             spread: Spread::new(),
             flights: Flights::new(),
+            guard: Guard::new(),
         }
     }
 
@@ -45,6 +49,16 @@
         &self.flights
     }
 
+    /// Returns the guard against requests that crash servers.
+    pub const fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    /// Returns the guard against requests that crash servers, to be told.
+    pub fn guard_mut(&mut self) -> &mut Guard {
+        &mut self.guard
+    }
+
     /// Takes over the servers of a new configuration.
     pub fn adopt(&mut self, fleet: &Fleet) {
         for gone in self.servers.adopt(fleet) {
@@ -57,6 +71,23 @@
         self.servers.get(update.server).is_some() && self.index.update(update)
     }
 
+    /// Returns what peers have to hear of a report: that a server leaves, when that is new.
+    pub fn leave_news(&self, report: &LoadReport) -> Option<ServerNews> {
+        let state = self.servers.get(&report.server)?;
+        let fresh = report.leaving && !state.is_leaving();
+        fresh.then(|| ServerNews {
+            server: report.server.clone(),
+            incarnation: report.incarnation,
+            sign: ServerSign::Leaving,
+        })
+    }
+
+    /// Takes in a report. Returns the pool of the server.
+    pub fn report(&mut self, report: &LoadReport, now: Timestamp) -> Option<&PoolId> {
+        self.guard.hear(&report.server, report.incarnation, now);
+        self.servers.report(report, now)
+    }
+
     /// Sends a request to the best server. Returns the order, if there was a server.
     pub fn send(
         &mut self,
@@ -72,6 +103,7 @@
             servers: &self.servers,
             index: &mut self.index,
             spread: &self.spread,
+            guard: &self.guard,
         };
         let best = placement.choose(&mut self.policy, want, service, now)?;
         let order = want.plan.order(want.request, &best);
@@ -94,6 +126,7 @@
             servers: &self.servers,
             index: &mut self.index,
             spread: &self.spread,
+            guard: &self.guard,
         };
         Some(placement.explain(&mut self.policy, want, service, now))
     }
@@ -117,6 +150,7 @@
         if let Some(state) = self.servers.get_mut(&flight.server) {
             state.clear(now.since(flight.begun), now);
         }
+        self.guard.finish(&flight.request, now);
         Some(flight)
     }
 
@@ -125,6 +159,7 @@
     pub fn fail(&mut self, failure: &Failure, now: Timestamp) -> Option<(Flight, bool)> {
         let flight = self.flights.take(failure.attempt)?;
         self.land(&flight, now);
+        self.accuse(&flight, failure, now);
         let state = self.servers.get_mut(&flight.server);
         let unknown = state.is_some_and(|s| s.blame(failure, now));
         if unknown {
@@ -151,6 +186,7 @@
                 .presume(&flight.server, state.incarnation, blocks);
         }
         self.spread.begin(want.request.chain.prefix(), now);
+        self.guard.begin(want.request, &flight.server, now);
         self.flights.insert(flight);
     }
 
@@ -160,5 +196,14 @@
             state.release(flight.period, flight.owed());
         }
         self.spread.end(flight.request.chain.prefix(), now);
+        self.guard.end(flight.attempt.id);
+    }
+
+    /// Tells the guard of a failure.
+    fn accuse(&mut self, flight: &Flight, failure: &Failure, now: Timestamp) {
+        let known = self.servers.get(&flight.server);
+        let known = known.map_or(Incarnation::ZERO, |s| s.incarnation);
+        let site = CrashSite::new(flight.server.clone(), flight.incarnation);
+        self.guard.fail(&flight.request, failure, site, known, now);
     }
 }
--- a/azureway-core/src/router/flight.rs
+++ b/azureway-core/src/router/flight.rs
@@ -1,7 +1,9 @@
 //! A request that a backend server is running.
 
 use super::Plan;
-use crate::domain::{Attempt, PoolId, Request, ServerId, StreamPosition, Timestamp, TokenCount};
+use crate::domain::{
+    Attempt, Incarnation, PoolId, Request, ServerId, StreamPosition, Timestamp, TokenCount,
+};
 use crate::event::Dispatch;
 
 /// A request that a backend server is running.
@@ -15,6 +17,8 @@
     pub attempt: Attempt,
     /// The server.
     pub server: ServerId,
+    /// The incarnation that the server has by what is known; zero if nothing is.
+    pub incarnation: Incarnation,
     /// The prompt tokens that the server is believed to have to compute.
     pub prefill: TokenCount,
     /// Whether the server has begun to answer.
@@ -39,6 +43,7 @@
             pool,
             attempt: order.attempt,
             server: order.server.clone(),
+            incarnation: order.incarnation.unwrap_or(Incarnation::ZERO),
             prefill: request.chain.tokens().saturating_sub(order.cached),
             started: false,
             untouched: plan.untouched,
--- a/azureway-core/src/router/intake.rs
+++ b/azureway-core/src/router/intake.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use super::Queues;
+use super::{Queues, Verdict};
 use crate::admit::{Admission, Limits};
 use crate::domain::{ClientAccount, ModelService, Refusal, RefusalReason, Request, Timestamp};
 use crate::fleet::Fleet;
+use crate::quarantine::Guard;
 
 /// What is looked at to tell whether a request may wait.
 #[derive(Debug)]
@@ -16,6 +17,8 @@
     pub queues: &'a Queues,
     /// The limits of client accounts.
     pub limits: &'a mut Limits,
+    /// The guard against requests that crash servers.
+    pub guard: &'a Guard,
     /// The requests that may wait for a pool.
     pub bound: usize,
     /// Whether the instance is shutting down.
@@ -42,6 +45,9 @@
         if request.deadline.is_past(now) {
             return Err(refusal(RefusalReason::Deadline, "the deadline has passed"));
         }
+        if self.guard.is_barred(&request.fingerprint, now) {
+            return Err(Verdict::barred(true));
+        }
         let service = self.service(request)?;
         let account = self.account(request)?;
         if self.queues.len_of(&service.pool) >= self.bound {
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod retries;
 mod retry;
 mod route_option;
+mod suspects;
 mod verdict;
 mod views;
 mod want;
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -8,6 +8,7 @@
 use crate::cache::CacheIndex;
 use crate::domain::{ModelService, Request, ServiceKind, Timestamp, TokenCount, TokenRate};
 use crate::fleet::{Fleet, Health, ServerState, ServerTable};
+use crate::quarantine::Guard;
 use crate::route::{Candidate, Estimate, Job, Policy, Reach, Rendezvous, Spread};
 
 /// What is looked at to find a backend server for a request.
@@ -23,6 +24,8 @@
     pub index: &'a mut CacheIndex,
     /// Over how many replicas each prefix is spread.
     pub spread: &'a Spread,
+    /// The guard against requests that crash servers.
+    pub guard: &'a Guard,
 }
 
 /// A short list of candidates.
@@ -144,7 +147,7 @@
         let mut fit: SmallVec<[(u64, &ServerState); 16]> =
             near.map(|s| (order.weight(&s.server.id), s)).collect();
         let bound = self.home_bound(want.request, &fit, now);
-        fit.retain(|(_, s)| has_room(s, want, now));
+        fit.retain(|(_, s)| has_room(s, want, now) && self.admits(want, s, now));
         for (weight, state) in &fit {
             let candidate = self.candidate(state, want.request, reach, (*weight, bound));
             found.push(candidate);
@@ -152,6 +155,12 @@
         bound < u64::MAX
     }
 
+    fn admits(&self, want: Want<'_>, state: &ServerState, now: Timestamp) -> bool {
+        let begun = want.is_begun();
+        self.guard
+            .admits(want.request, begun, &state.server.id, now)
+    }
+
     /// Returns the least weight of the servers that the prefix is kept on. These are chosen
     /// among all that are alive, with room or without, so that every entry finds the same.
     fn home_bound(&self, request: &Request, fit: &[(u64, &ServerState)], now: Timestamp) -> u64 {
--- a/azureway-core/src/router/retries.rs
+++ b/azureway-core/src/router/retries.rs
@@ -1,7 +1,7 @@
 //! The requests that wait to be tried again.
 
 use super::Retry;
-use crate::domain::{RequestId, Timestamp};
+use crate::domain::{Fingerprint, RequestId, StreamPosition, Timestamp};
 
 /// The requests that wait to be tried again, urgent work first, then by age.
 #[derive(Debug, Default)]
@@ -43,6 +43,15 @@
         Some(self.waiting.remove(place))
     }
 
+    /// Takes out every sending of a request whose stream has not begun.
+    pub fn banish(&mut self, fingerprint: &Fingerprint) -> Vec<Retry> {
+        let fresh = |r: &Retry| r.plan.position == StreamPosition::ZERO;
+        let same = |r: &Retry| fresh(r) && r.request.fingerprint == *fingerprint;
+        let (barred, waiting) = self.take().into_iter().partition(same);
+        self.waiting = waiting;
+        barred
+    }
+
     /// Takes out every request that has waited for as long as it may.
     pub fn expire(&mut self, now: Timestamp) -> Vec<Retry> {
         let (late, waiting) = self.take().into_iter().partition(|r| r.until < now);
--- a/azureway-core/src/router/retry.rs
+++ b/azureway-core/src/router/retry.rs
@@ -13,8 +13,8 @@
     pub request: Request,
     /// What is to be tried.
     pub plan: Plan,
-    /// The server that failed it last.
-    pub failed: ServerId,
+    /// The server that failed it last, if one did.
+    pub failed: Option<ServerId>,
     /// How long it waits at most.
     pub until: Timestamp,
 }
@@ -43,11 +43,21 @@
         Self {
             request: flight.request,
             plan,
-            failed: flight.server,
+            failed: Some(flight.server),
             until,
         }
     }
 
+    /// Creates the retry of a suspect that has to wait for a server of its own.
+    pub fn held(request: Request, plan: Plan) -> Self {
+        Self {
+            until: request.deadline.point(),
+            request,
+            plan,
+            failed: None,
+        }
+    }
+
     /// Returns the refusal of the request if it is not tried again.
     pub fn give_up(&self) -> Refusal {
         let begun = self.plan.position > StreamPosition::ZERO;
--- a/azureway-core/src/router/verdict.rs
+++ b/azureway-core/src/router/verdict.rs
@@ -48,6 +48,16 @@
         Refusal::not_run(RefusalReason::Deadline, detail)
     }
 
+    /// Returns the refusal of a request under which backend servers broke.
+    pub fn barred(not_run: bool) -> Refusal {
+        let detail = "backend servers crashed while they ran this request";
+        if not_run {
+            Refusal::not_run(RefusalReason::Quarantined, detail)
+        } else {
+            Refusal::maybe_run(RefusalReason::Quarantined, detail)
+        }
+    }
+
     /// Returns the refusal of a request that is not tried again.
     pub fn give_up(begun: bool, not_run: bool) -> Refusal {
         match (begun, not_run) {
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -1,9 +1,10 @@
 //! What a router shows of itself.
 
 use super::{Overview, Plan, RouteOption, Router, Want};
-use crate::domain::{Rank, Request, RequestKind, Timestamp};
+use crate::admit::Demand;
+use crate::domain::{InstanceId, Rank, Request, RequestKind, Timestamp};
 use crate::route::Policy;
-use crate::tally::{Count, Outcome};
+use crate::tally::{Count, Outcome, Tally};
 
 impl<P: Policy> Router<P> {
     /// Returns the state at a glance.
@@ -28,6 +29,21 @@
         self.sender.explain(want, &self.config, &self.fleet, now)
     }
 
+    /// Returns the number of live entry instances of the zone, with this one.
+    pub const fn peers(&self) -> u32 {
+        self.sender.servers().entries()
+    }
+
+    /// Returns how the requests ended.
+    pub const fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Returns what the accounts ask for here, as `instance` tells it to the other entries.
+    pub fn demand(&self, instance: InstanceId, now: Timestamp) -> Demand {
+        self.limits.demand(instance, now)
+    }
+
     fn counts(&self) -> Vec<(Rank, RequestKind, Outcome, Count)> {
         let kinds = [RequestKind::Repeatable, RequestKind::AtMostOnce];
         let mut counts = Vec::new();
--- a/azureway-core/src/router/want.rs
+++ b/azureway-core/src/router/want.rs
@@ -28,10 +28,10 @@
         }
     }
 
-    /// Sets the server that failed the request last.
+    /// Sets the server that failed the request last, if one did.
     #[must_use]
-    pub const fn with_failed(mut self, failed: &'a ServerId) -> Self {
-        self.failed = Some(failed);
+    pub const fn with_failed(mut self, failed: Option<&'a ServerId>) -> Self {
+        self.failed = failed;
         self
     }
 
--- /dev/null
+++ b/azureway-core/tests/quarantine.rs
@@ -0,0 +1,178 @@
+//! Requests that crash backend servers, over several entries.
+
+mod farm;
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use farm::Farm;
+use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, any, prop};
+use proptest::test_runner::{RngAlgorithm, TestRng};
+
+const CASES: &str = include_str!("../testdata/quarantine.txt");
+const SERVERS: usize = 8;
+const POISON: &str = "poison";
+
+/// Each row gives the entries, how often the caller sends, whether it sends at once through
+/// all of them, whether peers hear of strikes, and the servers that may crash.
+#[gtest]
+fn a_request_takes_a_bounded_number_of_servers() {
+    let cases = CASES
+        .lines()
+        .filter(|l| !l.is_empty() && !l.starts_with('#'));
+    for case in cases {
+        let parts: Vec<&str> = case.split('|').map(str::trim).collect();
+        let number = |place: usize| parts[place].parse::<usize>().expect("a number");
+        let mut farm = Farm::new(number(2), SERVERS);
+        let at_once = parts[4] == "at once";
+        for sending in 0..number(3) {
+            farm.send(sending % number(2), POISON);
+            if !at_once {
+                farm.crash_all(POISON);
+            }
+            if parts[5] == "told" {
+                farm.share();
+            }
+            farm.report_all();
+            farm.pass(Duration::from_secs(3));
+        }
+        farm.crash_all(POISON);
+        expect_that!(farm.crashes, le(number(6)), "{case}");
+    }
+}
+
+#[gtest]
+fn twenty_innocents_survive_one_poison() {
+    let mut farm = Farm::new(1, SERVERS);
+    for number in 0..20 {
+        farm.send(0, &format!("innocent-{number}"));
+    }
+    farm.send(0, POISON);
+    for _ in 0..120 {
+        farm.crash_all(POISON);
+        farm.report_all();
+        farm.finish_all();
+        farm.pass(Duration::from_millis(500));
+    }
+    expect_that!(farm.crashes, eq(2));
+    expect_that!(farm.finished, eq(20));
+    farm.send(0, POISON);
+    let refused: Vec<_> = farm.refused.iter().map(|r| (r.reason, r.not_run)).collect();
+    let first = (RefusalReason::ServerFailed, false);
+    let second = (RefusalReason::Quarantined, true);
+    expect_that!(refused, elements_are![eq(&first), eq(&second)]);
+}
+
+#[gtest]
+fn suspects_run_apart_from_one_another() {
+    let mut farm = Farm::new(1, 3);
+    for number in 0..12 {
+        farm.send(0, &format!("innocent-{number}"));
+    }
+    farm.crash_busiest();
+    farm.pass(Duration::from_millis(1));
+    for _ in 0..60 {
+        expect_that!(farm.suspects_share_a_server(), eq(false));
+        farm.finish_one();
+        farm.pass(Duration::from_millis(500));
+    }
+    expect_that!(farm.finished, eq(12));
+}
+
+#[gtest]
+fn a_broken_link_is_told_from_a_crash_by_the_incarnation() {
+    let mut farm = Farm::new(1, SERVERS);
+    farm.report_all();
+    farm.send(0, "innocent");
+    farm.break_links("innocent");
+    farm.break_links("innocent");
+    expect_that!(farm.standing(0, "innocent"), eq(Standing::Quarantined));
+    farm.pass(Duration::from_secs(6));
+    farm.report_all();
+    expect_that!(farm.standing(0, "innocent"), eq(Standing::Clear));
+}
+
+/// A stream that each try brought forward is finished, though its body is quarantined.
+#[gtest]
+fn a_stream_that_goes_forward_is_resumed() {
+    let mut farm = Farm::new(1, SERVERS);
+    farm.send(0, "innocent");
+    farm.break_streams("innocent", 5);
+    farm.break_streams("innocent", 9);
+    expect_that!(farm.standing(0, "innocent"), eq(Standing::Quarantined));
+    expect_that!(farm.copies("innocent"), eq(1));
+    farm.break_streams("innocent", 9);
+    expect_that!(farm.copies("innocent"), eq(0));
+    let refused: Vec<_> = farm.refused.iter().map(|r| r.reason).collect();
+    expect_that!(refused, elements_are![eq(&RefusalReason::StreamBroken)]);
+}
+
+#[gtest]
+fn silent_connections_do_not_quarantine() {
+    let mut farm = Farm::new(1, SERVERS);
+    farm.report_all();
+    farm.send(0, "innocent");
+    farm.silence("innocent");
+    farm.silence("innocent");
+    expect_that!(farm.standing(0, "innocent"), eq(Standing::Clear));
+    farm.finish_all();
+    expect_that!(farm.finished, eq(1));
+}
+
+#[gtest]
+fn a_quarantine_ends() {
+    let mut farm = Farm::new(1, SERVERS);
+    farm.report_all();
+    farm.send(0, POISON);
+    farm.crash_all(POISON);
+    farm.report_all();
+    expect_that!(farm.standing(0, POISON), eq(Standing::Quarantined));
+    farm.pass(Duration::from_secs(599));
+    expect_that!(farm.standing(0, POISON), eq(Standing::Quarantined));
+    farm.pass(Duration::from_secs(2));
+    expect_that!(farm.standing(0, POISON), eq(Standing::Clear));
+}
+
+/// Pairs of faults and more: what happens is drawn, and the bound is checked after each event.
+#[test]
+fn the_bound_holds_whatever_happens() {
+    let config = ProptestConfig {
+        cases: 64,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[41; 32]);
+    let mut runner = proptest::test_runner::TestRunner::new_with_rng(config, rng);
+    let events = prop::collection::vec((0..7usize, any::<u8>()), 1..60);
+    let result = runner.run(&(events, any::<bool>()), |(events, told)| {
+        let mut farm = Farm::new(3, SERVERS);
+        let mut copies = None;
+        farm.report_all();
+        for (kind, draw) in events {
+            let entry = usize::from(draw) % 3;
+            match kind {
+                0 => farm.send(entry, POISON),
+                1 => farm.send(entry, &format!("innocent-{}", draw % 5)),
+                2 => farm.finish_all(),
+                3 => farm.report_all(),
+                4 => farm.break_links(&format!("innocent-{}", draw % 5)),
+                5 => farm.silence(&format!("innocent-{}", draw % 5)),
+                _ => farm.pass(Duration::from_millis(u64::from(draw) * 10)),
+            }
+            farm.crash_one(POISON);
+            if told {
+                farm.share();
+            }
+            // Copies that ran already when the second crash was heard of go on.
+            if farm.crashes == 2 && copies.is_none() {
+                copies = Some(farm.copies(POISON));
+            }
+            let bound = if told { 2 + copies.unwrap_or(0) } else { 2 * 3 };
+            assert!(farm.crashes <= bound, "{} servers crashed", farm.crashes);
+            assert!(!farm.suspects_share_a_server(), "suspects share a server");
+        }
+        Ok(())
+    });
+    result.expect("the bound holds");
+}
--- a/azureway-dev/src/replay/player.rs
+++ b/azureway-dev/src/replay/player.rs
@@ -261,8 +261,9 @@
                 let (time, news) = self.scene.platform.answer(&call);
                 self.scene.after(time, Happening::Claim(news));
             }
-            // No request of a trace is sent again with its key.
-            Action::Repeat(..) => {}
+            // No request of a trace is sent again with its key, and the entries of a replay
+            // do not talk to one another.
+            Action::Repeat(..) | Action::Server(_) | Action::Strike(_) => {}
             Action::Resync(server) => {
                 if let Some(place) = self.scene.engines.place(server.as_str()) {
                     let delay = self.scene.delay(place);
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -140,7 +140,8 @@
             DecideNote::Peers(count) => self.tell(Event::Peers(count)),
             DecideNote::Listed(count) => self.end_round(count),
             DecideNote::Demand(demand) => self.tell(Event::Demand(&demand)),
-            DecideNote::Server(_) | DecideNote::Strike(_) => {}
+            DecideNote::Server(news) => self.tell(Event::Server(&news)),
+            DecideNote::Strike(strike) => self.tell(Event::Strike(&strike)),
             DecideNote::Drain(drained) => self.drain(drained),
         }
     }
@@ -225,6 +226,9 @@
                 Action::Claim(call) => unplaced.extend(self.desk.place(call)),
                 // The relay has lost its ring with the caller and stops by itself.
                 Action::Cancel(attempt) => self.measure(Measure::Cancelled(attempt)),
+                Action::Server(news) => drop(self.peer.try_send(PeerNote::Server(news))),
+                // A strike that finds the ring full is lost; the caller's next one is told.
+                Action::Strike(strike) => drop(self.peer.try_send(PeerNote::Strike(strike))),
                 Action::Resync(server) => self.hearers.resync(&server),
             }
         }
--- a/azureway-wire/src/peer/news.rs
+++ b/azureway-wire/src/peer/news.rs
@@ -86,12 +86,7 @@
         let fingerprint = Fingerprint::from_bytes(bytes.map_err(|_| fault("fingerprint"))?);
         let incarnation = Incarnation::new(message.incarnation);
         let site = CrashSite::new(ServerId::new(&message.server), incarnation);
-        let states = [
-            StrikeState::Unproved,
-            StrikeState::Confirmed,
-            StrikeState::Cleared,
-        ];
-        let state = pick(&states, message.state, "state")?;
+        let state = pick(&StrikeState::ALL, message.state, "state")?;
         let left = Duration::from_millis(message.left_ms.into());
         Ok(Self::new(fingerprint, site, state, left))
     }
