--- a/azureway-core/src/admit/demand_share.rs
+++ b/azureway-core/src/admit/demand_share.rs
@@ -8,7 +8,7 @@
 
 /// Which part of each account's limit this entry may give out.
 ///
-/// Of a limit, [`EQUAL`] is divided equally over all entries, and the rest by demand among
+/// Of a limit, `EQUAL` is divided equally over all entries, and the rest by demand among
 /// the entries that hear one another. That rest is cut by the part of all entries that this
 /// group makes up: two groups that do not hear each other cut it so that both together stay
 /// within the limit, whichever way a partition runs. An entry that has fallen silent keeps
