Draw pairs of faults over groups of entries

After every event no version and no incarnation of a life goes back; 60 s after the faults end all entries have the published version and count each other.

--- a/azureway-core/tests/membership.rs
+++ b/azureway-core/tests/membership.rs
@@ -8,6 +8,8 @@
 use azureway_core::prelude::*;
 use googletest::prelude::*;
 use group::{Group, id, zone};
+use proptest::prelude::{ProptestConfig, any};
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 
 const CASES: &str = include_str!("../testdata/membership.txt");
 const ZONES: usize = 3;
@@ -175,3 +177,55 @@
             .collect(),
     }
 }
+
+/// The faults that are drawn in pairs.
+const FAULTS: [&str; 10] = [
+    "platform down",
+    "offline 0",
+    "cut zone 0",
+    "cut node 0.1",
+    "pause 0.1 20",
+    "restart 0.1",
+    "restart zone 0",
+    "kill 1.2",
+    "publish 8",
+    "leave 2.0",
+];
+
+/// Two faults together or one after the other. No version or incarnation goes back at any
+/// event, and when the faults end all instances agree.
+#[test]
+fn two_faults_at_once_leave_one_view() {
+    let config = ProptestConfig {
+        cases: 48,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[43; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let pairs = (0..FAULTS.len(), 0..FAULTS.len(), 0..30u64, any::<u64>());
+    let result = runner.run(&pairs, |(one, two, between, seed)| {
+        let mut group = Group::new(ZONES, ENTRIES, seed);
+        let mut watch = Watch::default();
+        for step in [
+            "wait 20",
+            FAULTS[one],
+            &format!("wait {between}"),
+            FAULTS[two],
+            "wait 30",
+        ] {
+            apply(&mut group, &mut watch, step);
+        }
+        group.heal();
+        for place in ids(&["2.0"]).iter().filter(|_| one == 9 || two == 9) {
+            group.start(place);
+        }
+        group.run(Duration::from_secs(60), |g| watch.check(g));
+        for (id, node) in &group.nodes {
+            assert_eq!(node.core.version(), group.published, "{id}: the version");
+            assert_eq!(node.core.count() as usize, ENTRIES, "{id}: the count");
+        }
+        Ok(())
+    });
+    result.expect("the groups agree");
+}
