--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::{Callers, DecideNote, Question, Standing, VersionNews};
+use super::{Callers, DecideNote, PeerWord, Question, Standing, VersionNews};
 use crate::caller::Outcome;
 use crate::claim::ClaimDesk;
 use crate::clock::Clock;
@@ -14,7 +14,7 @@
 use crate::hear::Hearers;
 use crate::meter::Measure;
 use crate::order::OrderDesk;
-use crate::peer::PeerNote;
+use crate::peer::PeerDesk;
 use crate::relay::Launcher;
 
 /// The deciding duty: tells the core what happened and carries out what it wants done.
@@ -28,8 +28,7 @@
     orders: OrderDesk,
     launcher: Launcher,
     hearers: Hearers,
-    peer: Sender<PeerNote>,
-    me: InstanceId,
+    peers: PeerDesk,
     meter: Sender<Measure>,
     ready: Arc<AtomicBool>,
     serve: Sender<()>,
@@ -56,8 +55,7 @@
             orders: OrderDesk::new(rings.order.clone()),
             launcher,
             hearers,
-            peer: rings.peer.clone(),
-            me,
+            peers: PeerDesk::new(me, rings.peer.clone()),
             meter: rings.meter.clone(),
             ready: Arc::clone(&rings.ready),
             serve: rings.serve.clone(),
@@ -137,20 +135,18 @@
                 self.measure(Measure::Rejected(version));
             }
             DecideNote::Ask(question) => self.reply(question),
-            DecideNote::Peers(count) => self.tell(Event::Peers(count)),
-            DecideNote::Listed(count) => self.end_round(count),
-            DecideNote::Demand(demand) => self.tell(Event::Demand(&demand)),
-            DecideNote::Server(news) => self.tell(Event::Server(&news)),
-            DecideNote::Strike(strike) => self.tell(Event::Strike(&strike)),
+            DecideNote::Peer(word) => self.heed(&word),
             DecideNote::Drain(drained) => self.drain(drained),
         }
     }
 
-    /// Gives the next round of heartbeats what client accounts ask for here.
-    fn end_round(&mut self, count: u32) {
-        self.tell(Event::Listed(count));
-        let demand = self.router.demand(self.me.clone(), self.clock.now());
-        let _ = self.peer.try_send(PeerNote::Demand(demand));
+    /// Takes in what other entries told, and gives the next round what is asked for here.
+    fn heed(&mut self, word: &PeerWord) {
+        self.tell(word.event());
+        if let PeerWord::Round(_) = word {
+            let me = self.peers.me().clone();
+            self.peers.demand(self.router.demand(me, self.clock.now()));
+        }
     }
 
     /// Answers a question. Whoever asked may be gone, or gets its answer at once.
@@ -226,9 +222,8 @@
                 Action::Claim(call) => unplaced.extend(self.desk.place(call)),
                 // The relay has lost its ring with the caller and stops by itself.
                 Action::Cancel(attempt) => self.measure(Measure::Cancelled(attempt)),
-                Action::Server(news) => drop(self.peer.try_send(PeerNote::Server(news))),
-                // A strike that finds the ring full is lost; the caller's next one is told.
-                Action::Strike(strike) => drop(self.peer.try_send(PeerNote::Strike(strike))),
+                Action::Server(news) => self.peers.server(news),
+                Action::Strike(strike) => self.peers.strike(strike),
                 Action::Resync(server) => self.hearers.resync(&server),
             }
         }
--- a/azureway-entry/src/decide/note.rs
+++ b/azureway-entry/src/decide/note.rs
@@ -3,12 +3,11 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, ClaimNews, ConfigVersion, Demand, Failure, Finish, Fleet, LoadReport, RequestId,
-    ServerNews, ShortAnswer, Strike,
+    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId, ShortAnswer,
 };
 use flume::Sender;
 
-use super::{CacheRun, Question};
+use super::{CacheRun, PeerWord, Question};
 use crate::admit::Admitted;
 
 /// What the deciding duty is told.
@@ -38,16 +37,8 @@
     Rejected(ConfigVersion),
     /// Somebody asks something; no decision follows from it.
     Ask(Question),
-    /// The number of live entries of the zone changed.
-    Peers(u32),
-    /// A round of heartbeats went out; this many entries are known in all zones.
-    Listed(u32),
-    /// Another entry told what client accounts ask for there.
-    Demand(Demand),
-    /// Another entry told of a backend server.
-    Server(ServerNews),
-    /// Another entry told of a request that was running when a backend server broke.
-    Strike(Strike),
+    /// Other entries told something.
+    Peer(PeerWord),
     /// The daemon shuts down; the ring is told when nothing is left to do.
     Drain(Sender<()>),
 }
--- /dev/null
+++ b/azureway-entry/src/decide/peer_word.rs
@@ -0,0 +1,31 @@
+//! What other entries told.
+
+use azureway_core::prelude::{Demand, Event, ServerNews, Strike};
+
+/// What other entries told, or what follows from it.
+#[derive(Clone, Debug)]
+pub enum PeerWord {
+    /// The number of live entries of the zone changed.
+    Count(u32),
+    /// A round of heartbeats went out; this many entries are known in all zones.
+    Round(u32),
+    /// What client accounts ask for at another entry.
+    Demand(Demand),
+    /// Another entry told of a backend server.
+    Server(ServerNews),
+    /// Another entry told of a request that was running when a backend server broke.
+    Strike(Strike),
+}
+
+impl PeerWord {
+    /// Returns what the core is told.
+    pub const fn event(&self) -> Event<'_> {
+        match self {
+            Self::Count(count) => Event::Peers(*count),
+            Self::Round(known) => Event::Listed(*known),
+            Self::Demand(demand) => Event::Demand(demand),
+            Self::Server(news) => Event::Server(news),
+            Self::Strike(strike) => Event::Strike(strike),
+        }
+    }
+}
--- a/azureway-entry/src/peer/mod.rs
+++ b/azureway-entry/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 mod document;
 mod peer_call;
+mod peer_desk;
 mod peer_duty;
 mod peer_links;
 mod peer_note;
@@ -10,6 +11,7 @@
 
 pub use document::Document;
 pub use peer_call::PeerCall;
+pub use peer_desk::PeerDesk;
 pub use peer_duty::PeerDuty;
 pub use peer_links::PeerLinks;
 pub use peer_note::PeerNote;
--- /dev/null
+++ b/azureway-entry/src/peer/peer_desk.rs
@@ -0,0 +1,41 @@
+//! What the deciding duty tells other entries.
+
+use azureway_core::prelude::{Demand, InstanceId, ServerNews, Strike};
+use flume::Sender;
+
+use super::PeerNote;
+
+/// What the deciding duty tells other entries. A note that finds the ring full is lost, since
+/// decisions do not wait.
+#[derive(Clone, Debug)]
+pub struct PeerDesk {
+    me: InstanceId,
+    peer: Sender<PeerNote>,
+}
+
+impl PeerDesk {
+    /// Creates the desk of instance `me`.
+    pub const fn new(me: InstanceId, peer: Sender<PeerNote>) -> Self {
+        Self { me, peer }
+    }
+
+    /// Returns the name under which the entry speaks.
+    pub const fn me(&self) -> &InstanceId {
+        &self.me
+    }
+
+    /// Tells what client accounts ask for here.
+    pub fn demand(&self, demand: Demand) {
+        let _ = self.peer.try_send(PeerNote::Demand(demand));
+    }
+
+    /// Tells of a backend server.
+    pub fn server(&self, news: ServerNews) {
+        let _ = self.peer.try_send(PeerNote::Server(news));
+    }
+
+    /// Tells of a strike.
+    pub fn strike(&self, strike: Strike) {
+        let _ = self.peer.try_send(PeerNote::Strike(strike));
+    }
+}
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -14,7 +14,7 @@
 
 use super::{Document, PeerCall, PeerLinks, PeerNote, PeerRings, PeerService};
 use crate::admit::AdmitNote;
-use crate::decide::DecideNote;
+use crate::decide::{DecideNote, PeerWord};
 use crate::meter::Measure;
 
 /// The peer duty: tells the membership what happened and carries out what it wants done.
@@ -144,12 +144,20 @@
                 PeerAction::Reply(_) => {}
                 PeerAction::Count(count) => {
                     log::info!(step = "membership", count = count; "the live entries of the zone changed");
-                    self.decide(DecideNote::Peers(count)).await;
+                    self.decide(DecideNote::Peer(PeerWord::Count(count))).await;
                     self.choose();
                 }
-                PeerAction::Demand(demand) => self.decide(DecideNote::Demand(demand)).await,
-                PeerAction::Server(news) => self.decide(DecideNote::Server(news)).await,
-                PeerAction::Strike(strike) => self.decide(DecideNote::Strike(strike)).await,
+                PeerAction::Demand(demand) => {
+                    self.decide(DecideNote::Peer(PeerWord::Demand(demand)))
+                        .await
+                }
+                PeerAction::Server(news) => {
+                    self.decide(DecideNote::Peer(PeerWord::Server(news))).await
+                }
+                PeerAction::Strike(strike) => {
+                    self.decide(DecideNote::Peer(PeerWord::Strike(strike)))
+                        .await
+                }
             }
         }
         if round {
@@ -163,7 +171,7 @@
             self.choose();
         }
         let known = self.core.roster().known() + 1;
-        self.decide(DecideNote::Listed(known)).await;
+        self.decide(DecideNote::Peer(PeerWord::Round(known))).await;
     }
 
     /// Waits while the decisions are behind; they never wait for this duty.
