--- a/azureway-dev/src/replay/plot.rs
+++ b/azureway-dev/src/replay/plot.rs
@@ -25,11 +25,12 @@
 /// The part of a group that its bars take.
 const BARS: f64 = 0.8;
 /// The colours of the policies.
-const COLOURS: [RGBColor; 4] = [
+const COLOURS: [RGBColor; 5] = [
     RGBColor(31, 119, 180),
     RGBColor(255, 127, 14),
     RGBColor(148, 103, 189),
     RGBColor(120, 120, 120),
+    RGBColor(44, 160, 44),
 ];
 
 impl<'a> Plot<'a> {
