Log that the daemon listens before its duties start

The watching duty could log a configuration before the main thread logged the address. The test of a killed daemon reads the log in order and then waited for good: seen once, for ten minutes, in a run of the whole workspace on a busy machine. The line now comes first, always.

--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -64,6 +64,8 @@
         let (doors, limits) = (rings.doors(), settings.bounds.clone());
         let listener = Listener::new(settings.listen, doors, limits, Arc::clone(&stop))?;
         let address = listener.address()?;
+        // Before any duty starts: what the duties log comes after it.
+        log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         let operators = admin(settings, &rings, stopper)?;
         let api = HttpObjects::new(settings.platform);
         let calls = api.calls().clone();
@@ -84,7 +86,6 @@
         spawn("admit", move || admitter.run())?;
         spawn("watch", move || watcher.run())?;
         spawn("order", move || orderer.run())?;
-        log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         Ok(Self {
             address,
             operators,
