Refuse a change whose record could not be archived

In JSON each end of a line takes two bytes, so that the record of a large change could fit into the document's value and yet not into an object of its own. Whoever came next could then not archive it, and nobody could change the document any more.

Seen, with a section of 450,000 short lines: before, the change was accepted and the next one of anybody gave up after 21 s; now it is refused before it is written, and the next one is accepted.

--- a/azureway-cli/src/store/document_store.rs
+++ b/azureway-cli/src/store/document_store.rs
@@ -15,6 +15,9 @@
     api: A,
 }
 
+/// The bytes that a record grows by when its version is known, at most.
+const VERSION_ROOM: usize = 20;
+
 impl<A: ObjectApi> DocumentStore<A> {
     pub(crate) const fn new(api: A) -> Self {
         Self { api }
@@ -48,8 +51,11 @@
     /// Carries out a write.
     pub(crate) fn write(&self, plan: &EditPlan) -> EditReply {
         let value = StoredDocument::encode(&plan.record, &plan.text);
-        if value.len() > VALUE_MAX {
-            return EditReply::TooLarge(value.len());
+        // A record that could not be archived would keep everybody from the next change.
+        let archived = serde_json::to_vec(&ChangeBody::new(&plan.record)).map_or(0, |v| v.len());
+        let bytes = value.len().max(archived + VERSION_ROOM);
+        if bytes > VALUE_MAX {
+            return EditReply::TooLarge(bytes);
         }
         let written = self.api.put(&Put {
             kind: DOCUMENT_KIND,
--- a/azureway-cli/tests/commands.rs
+++ b/azureway-cli/tests/commands.rs
@@ -153,3 +153,20 @@
         contains_substring("the platform holds 1048576; nothing was written")
     );
 }
+
+/// The record of a change is archived by whoever changes the document next, so it must fit too:
+/// in JSON each end of a line takes two bytes.
+#[gtest]
+fn a_change_whose_record_could_not_be_archived_is_refused() {
+    let desk = Desk::new();
+    let lines = ";\n".repeat(450_000);
+    let file = desk.get("lines.ini", |text| format!("{text}\n[pool lines]\n{lines}"));
+    let (exit, printed) = desk.run(&words(&format!("config put {file} --reason lines")));
+    expect_that!(exit, eq(Exit::Invalid));
+    expect_that!(
+        printed,
+        contains_substring("the platform holds 1048576; nothing was written")
+    );
+    let next = "config edit ranks --set floor=11 --reason next";
+    expect_that!(desk.run(&words(next)).0, eq(Exit::Done));
+}
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -8,7 +8,8 @@
     ClaimVerdict, ShortAnswer,
 };
 pub use crate::config::{
-    ChangeId, ChangeNote, Edit, EditOutcome, EditReply, EditStep, Snapshot, TeamId, VersionGate,
+    ChangeId, ChangeNote, ChangeTime, DocumentCheck, Edit, EditOutcome, EditReply, EditStep,
+    History, Snapshot, TeamId, VersionGate,
 };
 pub use crate::domain::*;
 pub use crate::error::{Error, ErrorKind, Step};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,7 +53,6 @@
 //! A change of a shared document: the embedder carries out each step against its store.
 //!
 //! ```
-//! use azureway::config::{ChangeTime, DocumentCheck};
 //! use azureway::prelude::*;
 //!
 //! struct Any;
@@ -77,6 +76,24 @@
 //! assert_eq!(edit.outcome(), Some(&EditOutcome::Accepted(ConfigVersion::new(5))));
 //! ```
 //!
+//! A lease: the holder stops by its own clock before another one may begin, and its orders
+//! carry a fencing number.
+//!
+//! ```
+//! use azureway::prelude::*;
+//!
+//! let me = InstanceId::new("kranj-a-entry-1");
+//! let mut lease = Lease::new(LeaseConfig::new(), me, 1);
+//! let now = Timestamp::from_millis(10);
+//! assert_eq!(lease.next(now), LeaseStep::Read);
+//! lease.hear(&LeaseReply::Absent, now);
+//! assert!(matches!(lease.next(now), LeaseStep::Write(0, _)));
+//! lease.hear(&LeaseReply::Written(1), now);
+//! assert_eq!(lease.allows(now, true), Some(FencingNumber::new(1)));
+//! let late = now + LeaseConfig::new().term;
+//! assert_eq!(lease.allows(late, true), None);
+//! ```
+//!
 //! Versions of a configuration: only ever newer ones come into force, and each is judged once.
 //!
 //! ```
