--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -5,9 +5,12 @@
 use super::{Health, Ledger, LoadReport, SlotShare, Work};
 use crate::domain::{BackendServer, Incarnation, Rank, Timestamp, TokenCount, WeightsVersion};
 use crate::event::{Failure, FailureKind};
+use crate::member::{ServerNews, ServerSign};
 
 /// How long a failed server is left alone.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
+/// The time without a report after which a server may be dead or cut off.
+const QUIET_TIME: Duration = Duration::from_secs(2);
 /// The share of a server's slots, in percent, that drafting leaves to urgent work.
 const URGENT_RESERVE: u32 = 25;
 /// The time that a request stays where none has been seen to end.
@@ -79,6 +82,19 @@
         };
     }
 
+    /// Takes in what another entry said. Only the server's own report takes it back, and news
+    /// of an earlier incarnation is dropped.
+    pub fn hear(&mut self, news: &ServerNews) {
+        if news.sign == ServerSign::Leaving && news.incarnation >= self.incarnation {
+            self.health = Health::Leaving;
+        }
+    }
+
+    /// Tells whether the server is leaving, by its own word or another entry's.
+    pub fn is_leaving(&self) -> bool {
+        self.health == Health::Leaving
+    }
+
     /// Notes that a request with `owed` uncached prompt tokens is in flight here, and returns
     /// the period that it is noted in.
     pub fn begin(&mut self, owed: TokenCount) -> u64 {
@@ -170,9 +186,9 @@
         self.own.total().flights
     }
 
-    /// Returns the time of the last report.
-    pub const fn heard(&self) -> Timestamp {
-        self.heard
+    /// Tells whether the server used to report and has stopped. It may be dead or cut off.
+    pub fn is_quiet(&self, now: Timestamp) -> bool {
+        self.heard > Timestamp::ZERO && now.since(self.heard) > QUIET_TIME
     }
 
     /// Returns the number of entries that share the server.
