--- a/azureway-core/src/cache/holders.rs
+++ b/azureway-core/src/cache/holders.rs
@@ -10,7 +10,7 @@
 pub struct Holders {
     /// The servers.
     pub list: SmallVec<[Holder; 2]>,
-    /// Whether the block was looked up or stored since the sweep last came by.
+    /// Whether the block was looked up or stored again since the sweep last came by.
     pub used: bool,
 }
 
--- a/azureway-core/src/cache/index.rs
+++ b/azureway-core/src/cache/index.rs
@@ -8,6 +8,9 @@
 /// The blocks that an index keeps at most.
 const DEFAULT_BOUND: usize = 256 * 1024;
 
+/// The blocks that one step of the sweep looks at. It bounds the time of each event.
+const CHANCES: u32 = 16;
+
 /// Which backend servers are believed to hold which blocks.
 ///
 /// The index is a hint: an entry may be late or missing, and a request carries what was
@@ -15,7 +18,7 @@
 /// the incarnation of its server that it was made in; any other is unreachable.
 ///
 /// The index is bounded. A sweep in the order of insertion drops blocks that were neither
-/// looked up nor stored since it last came by.
+/// looked up nor stored again since it last came by, within a bounded number of looks.
 #[derive(Debug)]
 pub struct CacheIndex {
     places: HashMap<ServerId, u32>,
@@ -171,22 +174,25 @@
             return;
         }
         self.make_room();
+        // A new block has its first turn in the sweep to be looked up.
         let mut held = Holders::default();
-        held.add(holder);
+        held.list.push(holder);
         self.blocks.insert(key, held);
         self.sweep.push_back(key);
     }
 
     fn make_room(&mut self) {
+        let mut chances = CHANCES;
         while self.blocks.len() >= self.bound {
             let Some(key) = self.sweep.pop_front() else {
                 return;
             };
+            chances = chances.saturating_sub(1);
             let followers = &self.followers;
             let keep = self.blocks.get_mut(&key).is_some_and(|held| {
                 held.list
                     .retain(|h| followers[h.0 as usize].generation == h.1);
-                std::mem::take(&mut held.used) && !held.list.is_empty()
+                std::mem::take(&mut held.used) && chances > 0 && !held.list.is_empty()
             });
             if keep {
                 self.sweep.push_back(key);
--- a/azureway-core/tests/cache.rs
+++ b/azureway-core/tests/cache.rs
@@ -73,3 +73,42 @@
     expect_that!(index.update(&update(&server, 1, 1, &ops[1..])), eq(false));
     expect_that!(index.update(&update(&server, 1, 3, &[])), eq(true));
 }
+
+#[gtest]
+fn a_full_index_keeps_what_is_looked_up_and_drops_what_is_not() {
+    let (mut index, server) = (CacheIndex::new().with_bound(4), ServerId::new("engine-1"));
+    let prompt = chain("a", 1, &["house", "shop"]);
+    let hot: Vec<_> = prompt
+        .blocks()
+        .iter()
+        .map(|b| CacheOp::Stored(b.key))
+        .collect();
+    index.update(&update(&server, 1, 0, &hot));
+    for number in 0..64_u64 {
+        let cold = [CacheOp::Stored(BlockKey::new(u128::from(number)))];
+        index.update(&update(&server, 1, 2 + number, &cold));
+        let held = index.cached(&server, Incarnation::new(1), prompt.blocks());
+        expect_that!(held, eq(prompt.tokens()));
+        expect_that!(index.len(), le(4));
+    }
+}
+
+#[gtest]
+fn a_server_that_is_forgotten_holds_nothing_until_it_tells_again() {
+    let (mut index, server) = (CacheIndex::new(), ServerId::new("engine-1"));
+    let prompt = chain("a", 1, &["house"]);
+    let ops = [CacheOp::Stored(prompt.blocks()[0].key)];
+    let held = |i: &mut CacheIndex| i.cached(&server, Incarnation::new(1), prompt.blocks());
+    index.update(&update(&server, 1, 0, &ops));
+    index.forget(&server);
+    expect_that!(held(&mut index), eq(TokenCount::ZERO));
+    expect_that!(index.knows(&server, Incarnation::new(1)), eq(false));
+    index.presume(&server, Incarnation::new(1), prompt.blocks());
+    expect_that!(held(&mut index), eq(TokenCount::ZERO));
+    let whole = CacheUpdate {
+        whole: true,
+        ..update(&server, 1, 9, &ops)
+    };
+    expect_that!(index.update(&whole), eq(false));
+    expect_that!(held(&mut index), eq(prompt.tokens()));
+}
