Log that the daemon listens before its duties start

Cause: a test of the daemon's process failed once in about ten runs and hung once in about twenty. It took the line of the request identity, where that begins with 2, for event 2; and where a configuration came into force before the line that names the address was logged, it waited for it for ever.

The line is logged as soon as the address is bound, and the test compares the whole line.

--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -83,6 +83,7 @@
         let (doors, limits) = (rings.doors(), settings.bounds.clone());
         let listener = Listener::new(settings.listen, doors, limits, Arc::clone(&stop))?;
         let address = listener.address()?;
+        log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         let operators = admin(settings, &rings, stopper)?;
         let api = HttpObjects::new(settings.platform);
         let calls = api.calls().clone();
@@ -109,7 +110,6 @@
         spawn("admit", move || admitter.run())?;
         spawn("watch", move || watcher.run())?;
         spawn("order", move || orderer.run())?;
-        log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         Ok(Self {
             address,
             operators,
--- a/azureway-entry/tests/process.rs
+++ b/azureway-entry/tests/process.rs
@@ -155,7 +155,7 @@
 /// Reads a stream until a few of its events have come.
 fn read_events(stream: &mut BufReader<TcpStream>) {
     let mut line = String::new();
-    while !line.contains("id: 2") {
+    while line.trim_end() != "id: 2" {
         line.clear();
         stream.read_line(&mut line).expect("an event");
     }
