--- a/azureway-entry/src/decide/caller.rs
+++ b/azureway-entry/src/decide/caller.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{AccountId, Finish, Rank, ServerId, Timestamp, TokenCount};
+use azureway_core::prelude::{AccountId, Attempt, Finish, Rank, ServerId, Timestamp, TokenCount};
 use flume::Sender;
 
 use crate::admit::UpstreamRequest;
 use crate::caller::Outcome;
-use crate::meter::Served;
+use crate::meter::{Measure, Served};
 
 /// What the deciding duty keeps of a caller: bytes and rings, which the core never sees.
 #[derive(Clone, Debug)]
@@ -38,6 +38,14 @@
         self.server.as_ref().map_or("", ServerId::as_str)
     }
 
+    /// Returns the measure of a try that begins at `now`.
+    pub fn sent(&self, attempt: Attempt, now: Timestamp) -> Measure {
+        match attempt.number {
+            1 => Measure::Sent(self.rank, now.since(self.arrived)),
+            _ => Measure::Retried,
+        }
+    }
+
     /// Returns the measure of a whole answer that ended at `now`.
     pub fn served(self, finish: &Finish, now: Timestamp) -> Served {
         Served {
--- a/azureway-entry/src/decide/callers.rs
+++ b/azureway-entry/src/decide/callers.rs
@@ -4,12 +4,14 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, Refusal, RequestId, ShortAnswer, StreamPosition, TokenCount,
+    Attempt, Dispatch, Finish, Refusal, RequestId, ShortAnswer, StreamPosition, Timestamp,
+    TokenCount,
 };
 
 use super::Caller;
 use crate::admit::Admitted;
 use crate::caller::{AnswerChunk, Outcome};
+use crate::meter::Measure;
 
 /// The callers whose requests are not finished.
 #[derive(Debug, Default)]
@@ -49,6 +51,36 @@
         self.callers.get_mut(&id)
     }
 
+    /// Notes that a request is sent to a server, and returns its caller.
+    pub fn send(&mut self, order: &Dispatch) -> Option<&Caller> {
+        let caller = self.callers.get_mut(&order.attempt.id)?;
+        caller.believed = order.cached;
+        caller.server = Some(order.server.clone());
+        Some(caller)
+    }
+
+    /// Notes that an answer began at `now`. Returns its measure, for the first try that did.
+    pub fn start(&mut self, attempt: Attempt, now: Timestamp) -> Option<Measure> {
+        let caller = self.callers.get_mut(&attempt.id)?;
+        let first = caller.first.is_none();
+        caller.first.get_or_insert(now);
+        first.then(|| Measure::Started(caller.rank, now.since(caller.arrived)))
+    }
+
+    /// Takes a caller whose answer is complete out. Returns its measure.
+    pub fn finish(&mut self, finish: &Finish, now: Timestamp) -> Option<Measure> {
+        let id = finish.attempt.id;
+        let caller = self.remove(id)?;
+        log::info!(
+            request:% = id, step = "finish", peer = caller.peer(), account:% = caller.account,
+            rank = caller.rank.as_str(), tries = finish.attempt.number,
+            prompt = caller.prompt.get(), cached = finish.cached.get(),
+            output = finish.output.get();
+            "answered"
+        );
+        Some(Measure::Finished(Box::new(caller.served(finish, now))))
+    }
+
     /// Takes a caller out.
     pub fn remove(&mut self, id: RequestId) -> Option<Caller> {
         self.callers.remove(&id)
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -7,6 +7,7 @@
 use flume::{Receiver, RecvTimeoutError, Sender};
 
 use super::{Callers, DaemonStatus, DecideMessage, PeerWord, Question, VersionNews};
+use crate::admit::Admitted;
 use crate::caller::Outcome;
 use crate::claim::ClaimClient;
 use crate::clock::Clock;
@@ -102,21 +103,12 @@
 
     fn take(&mut self, message: DecideMessage) {
         match message {
-            DecideMessage::Arrived(admitted) => {
-                let request = admitted.request.clone();
-                let wait = self.clock.now().since(request.arrived);
-                self.measure(Measure::Crossed(wait));
-                self.callers.insert(*admitted);
-                self.tell(Event::Arrived(&request));
-            }
+            DecideMessage::Arrived(admitted) => self.arrive(*admitted),
             DecideMessage::HungUp(id) => {
                 self.callers.remove(id);
                 self.tell(Event::HungUp(id));
             }
-            DecideMessage::Started(attempt) => {
-                self.note_start(attempt);
-                self.tell(Event::Started(attempt));
-            }
+            DecideMessage::Started(attempt) => self.start(attempt),
             DecideMessage::Finished(finish) => self.finish(&finish),
             DecideMessage::Answered(finish, answer) => {
                 self.desk.offer(finish.attempt.id, answer);
@@ -140,6 +132,20 @@
         }
     }
 
+    fn arrive(&mut self, admitted: Admitted) {
+        let request = admitted.request.clone();
+        let wait = self.clock.now().since(request.arrived);
+        self.measure(Measure::Crossed(wait));
+        self.callers.insert(admitted);
+        self.tell(Event::Arrived(&request));
+    }
+
+    fn start(&mut self, attempt: Attempt) {
+        let measure = self.callers.start(attempt, self.clock.now());
+        measure.into_iter().for_each(|m| self.measure(m));
+        self.tell(Event::Started(attempt));
+    }
+
     /// Takes in what other entries told, and gives the next round what is asked for here.
     fn heed(&mut self, word: &PeerWord) {
         self.tell(word.event());
@@ -189,7 +195,8 @@
     }
 
     fn finish(&mut self, finish: &Finish) {
-        self.note_finish(finish);
+        let measure = self.callers.finish(finish, self.clock.now());
+        measure.into_iter().for_each(|m| self.measure(m));
         self.tell(Event::Finished(finish));
     }
 
@@ -239,54 +246,17 @@
     fn dispatch(&mut self, order: Dispatch) {
         let id = order.attempt.id;
         log::debug!(request:% = id, step = "dispatch", peer:% = order.server; "sent");
-        let now = self.clock.now();
-        let Some(caller) = self.callers.get_mut(id) else {
+        let Some(caller) = self.callers.send(&order) else {
             return;
         };
-        caller.believed = order.cached;
-        caller.server = Some(order.server.clone());
-        let measure = match order.attempt.number {
-            1 => Measure::Sent(caller.rank, now.since(caller.arrived)),
-            _ => Measure::Retried,
-        };
         let (attempt, position) = (order.attempt, order.position);
+        let measure = caller.sent(attempt, self.clock.now());
         let chunks = self.launcher.launch(order, Arc::clone(&caller.upstream));
-        let _ = caller
-            .outcome
-            .try_send(Outcome::Attached(attempt, position, chunks));
-        self.measure(measure);
-    }
-
-    fn note_start(&mut self, attempt: Attempt) {
-        let now = self.clock.now();
-        let Some(caller) = self
-            .callers
-            .get_mut(attempt.id)
-            .filter(|c| c.first.is_none())
-        else {
-            return;
-        };
-        caller.first = Some(now);
-        let measure = Measure::Started(caller.rank, now.since(caller.arrived));
+        let attached = Outcome::Attached(attempt, position, chunks);
+        let _ = caller.outcome.try_send(attached);
         self.measure(measure);
     }
 
-    fn note_finish(&mut self, finish: &Finish) {
-        let id = finish.attempt.id;
-        let Some(caller) = self.callers.remove(id) else {
-            return;
-        };
-        log::info!(
-            request:% = id, step = "finish", peer = caller.peer(), account:% = caller.account,
-            rank = caller.rank.as_str(), tries = finish.attempt.number,
-            prompt = caller.prompt.get(), cached = finish.cached.get(),
-            output = finish.output.get();
-            "answered"
-        );
-        let served = caller.served(finish, self.clock.now());
-        self.measure(Measure::Finished(Box::new(served)));
-    }
-
     /// Passes a measure on. One that finds the ring full is lost: decisions do not wait.
     fn measure(&self, measure: Measure) {
         let _ = self.meter.try_send(measure);
