--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -4,7 +4,7 @@
 use crate::admit::Demand;
 use crate::cache::CacheUpdate;
 use crate::claim::ClaimNews;
-use crate::domain::{Attempt, Request, RequestId};
+use crate::domain::{Attempt, Request, RequestId, ServerId};
 use crate::fleet::{Fleet, LoadReport};
 use crate::member::ServerNews;
 use crate::quarantine::Strike;
@@ -42,6 +42,8 @@
     Server(&'a ServerNews),
     /// Another entry instance told of a request that was running when a server broke.
     Strike(&'a Strike),
+    /// The platform lists these backend servers as leaving, and no others. The list lags.
+    Leaving(&'a [ServerId]),
     /// The instance shuts down: nothing new is taken.
     Draining,
     /// Time passed.
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -33,6 +33,7 @@
     reported: Work,
     stay: Duration,
     heard: Timestamp,
+    listed: bool,
     health: Health,
     trial: Timestamp,
 }
@@ -49,6 +50,7 @@
             reported: Work::default(),
             stay: DEFAULT_STAY,
             heard: Timestamp::ZERO,
+            listed: false,
             health: Health::Live,
             trial: Timestamp::ZERO,
         }
@@ -90,6 +92,12 @@
         }
     }
 
+    /// Notes whether the platform lists the server as leaving. The list lags, so what the
+    /// server or an entry says counts beside it.
+    pub const fn set_listed(&mut self, leaving: bool) {
+        self.listed = leaving;
+    }
+
     /// Tells whether the server is leaving, by its own word or another entry's.
     pub fn is_leaving(&self) -> bool {
         self.health == Health::Leaving
@@ -143,7 +151,7 @@
 
     /// Returns whether the server may be given work, as far as that is known.
     pub const fn health(&self) -> Health {
-        match self.server.leaving {
+        match self.server.leaving || self.listed {
             true => Health::Leaving,
             false => self.health,
         }
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -15,6 +15,7 @@
     places: HashMap<ServerId, usize>,
     pools: HashMap<PoolId, Range<usize>>,
     entries: u32,
+    leaving: Vec<ServerId>,
 }
 
 impl ServerTable {
@@ -43,6 +44,7 @@
             });
             let mut state = kept.unwrap_or_else(|| ServerState::new(server.clone(), entries));
             state.adopt(server, entries);
+            state.set_listed(self.leaving.contains(id));
             self.servers.push(state);
         }
         gone.extend(old.into_keys());
@@ -78,6 +80,15 @@
         }
     }
 
+    /// Notes which servers the platform lists as leaving, also for those that a later
+    /// configuration brings.
+    pub fn list_leaving(&mut self, list: &[ServerId]) {
+        self.leaving = list.to_vec();
+        for state in &mut self.servers {
+            state.set_listed(list.contains(&state.server.id));
+        }
+    }
+
     /// Returns the time, not before `now`, at which the next suspected server is tried again.
     pub fn next_trial(&self, now: Timestamp) -> Option<Timestamp> {
         let trials = self.servers.iter().filter_map(ServerState::trial);
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -67,6 +67,10 @@
             Event::Demand(demand) => self.limits.share_mut().hear(demand, now),
             Event::Server(news) => self.sender.servers_mut().hear(news),
             Event::Strike(strike) => self.struck(strike, now, out),
+            Event::Leaving(list) => {
+                self.sender.servers_mut().list_leaving(list);
+                self.queues.mark_all();
+            }
             Event::Draining => self.draining = true,
             Event::Tick => self.queues.mark_all(),
         }
--- a/azureway-core/tests/leaving.rs
+++ b/azureway-core/tests/leaving.rs
@@ -62,3 +62,34 @@
     expect_that!(told, elements_are![eq(&Action::Server(news(2)))]);
     expect_that!(bench.tell(Event::Load(&report(2, true))), is_empty());
 }
+
+/// The platform's list lags: it adds to what others say and takes back only what it said.
+#[gtest]
+fn the_list_keeps_work_away_for_as_long_as_it_names_a_server() {
+    let listed = [ServerId::new("engine-1")];
+    let serves = |bench: &mut Bench| {
+        let request = bench.request("small", &["house"]);
+        let sent = bench.tell(Event::Arrived(&request));
+        let count = orders(&sent).len();
+        bench.tell(Event::HungUp(request.id));
+        count == 1
+    };
+    let mut bench = Bench::new(1, 4);
+    bench.tell(Event::Leaving(&listed));
+    expect_false!(serves(&mut bench));
+    bench.tell(Event::Leaving(&[]));
+    expect_true!(serves(&mut bench));
+    bench.tell(Event::Load(&report(2, true)));
+    bench.tell(Event::Leaving(&[]));
+    expect_false!(serves(&mut bench));
+}
+
+#[gtest]
+fn what_waits_is_sent_once_the_list_no_longer_names_the_server() {
+    let mut bench = Bench::new(1, 4);
+    bench.tell(Event::Leaving(&[ServerId::new("engine-1")]));
+    let request = bench.request("small", &["house"]);
+    expect_that!(bench.tell(Event::Arrived(&request)), is_empty());
+    let sent = bench.tell(Event::Leaving(&[]));
+    expect_that!(orders(&sent).len(), eq(1));
+}
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -128,6 +128,7 @@
             }
             DecideMessage::Ask(question) => self.reply(question),
             DecideMessage::Peer(word) => self.heed(&word),
+            DecideMessage::Leaving(list) => self.tell(Event::Leaving(&list)),
             DecideMessage::Drain(drained) => self.drain(drained),
         }
     }
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId, ShortAnswer,
+    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId, ServerId,
+    ShortAnswer,
 };
 use flume::Sender;
 
@@ -39,6 +40,8 @@
     Ask(Question),
     /// Other entries told something.
     Peer(PeerWord),
+    /// The platform lists these backend servers as leaving, and no others.
+    Leaving(Vec<ServerId>),
     /// The daemon shuts down; the ring is told when nothing is left to do.
     Drain(Sender<()>),
 }
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -95,6 +95,7 @@
         match message {
             None | Some(PeerMessage::Stop) => self.tell(PeerEvent::Tick).await,
             Some(PeerMessage::Adopted(document)) => self.note_document(document).await,
+            Some(PeerMessage::Listed(list)) => self.tell(PeerEvent::Listed(&list)).await,
             Some(PeerMessage::Demand(demand)) => self.tell(PeerEvent::Demand(&demand)).await,
             Some(PeerMessage::Strike(strike)) => self.tell(PeerEvent::Strike(&strike)).await,
             Some(PeerMessage::Server(news)) => self.tell(PeerEvent::Server(&news)).await,
--- a/azureway-entry/src/peer/peer_message.rs
+++ b/azureway-entry/src/peer/peer_message.rs
@@ -1,6 +1,8 @@
 //! What the peer duty is told.
 
-use azureway_core::prelude::{ConfigVersion, Demand, Heartbeat, InstanceId, ServerNews, Strike};
+use azureway_core::prelude::{
+    ConfigVersion, Demand, Heartbeat, Instance, InstanceId, ServerNews, Strike,
+};
 use flume::Sender;
 
 use super::Document;
@@ -10,6 +12,8 @@
 pub enum PeerMessage {
     /// A document that the platform holds is in force.
     Adopted(Document),
+    /// The platform lists these entry instances.
+    Listed(Vec<Instance>),
     /// What client accounts ask of this entry.
     Demand(Demand),
     /// A request of this entry was running when a backend server broke, or was cleared.
--- a/azureway-entry/src/watch/watcher.rs
+++ b/azureway-entry/src/watch/watcher.rs
@@ -1,6 +1,7 @@
 //! Watching the configuration.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use azureway_config::document;
 use azureway_config::ini::Faults;
@@ -8,10 +9,11 @@
 use azureway_core::prelude::*;
 use azureway_platform::ObjectApi;
 use azureway_wire::change::{DOCUMENT_KIND, DOCUMENT_NAME, StoredDocument};
+use azureway_wire::instance::INSTANCE_KIND;
 use azureway_wire::object::{ObjectBody, ObjectList};
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::WatchMessage;
+use super::{InstanceList, WatchMessage};
 use crate::admit::AdmitMessage;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
@@ -28,8 +30,11 @@
     clock: Clock,
     plan: WatchPlan,
     gate: VersionGate,
+    listed: Timestamp,
 }
 
+/// The time between two readings of the list of instances.
+const LIST_TIME: Duration = Duration::from_secs(10);
 /// The faults of a bad document that are logged, each on a line of its own.
 const FAULTS_LOGGED: usize = 20;
 
@@ -52,6 +57,7 @@
             clock: Clock::new(),
             plan: WatchPlan::new(seed),
             gate: VersionGate::new(),
+            listed: Timestamp::ZERO,
         }
     }
 
@@ -60,11 +66,14 @@
         let mut until = self.clock.now();
         while self.heed(until) {
             let now = self.clock.now();
+            if now >= self.listed {
+                self.list_instances(now);
+            }
             let answer = match self.plan.next(now) {
                 WatchStep::List => self.api.list(DOCUMENT_KIND),
                 WatchStep::Watch(after, wait) => self.api.watch(DOCUMENT_KIND, after, wait),
                 WatchStep::Wait(time) => {
-                    until = time;
+                    until = time.min(self.listed);
                     continue;
                 }
             };
@@ -98,6 +107,19 @@
         }
     }
 
+    /// Reads the platform's list of instances, and passes it on.
+    fn list_instances(&mut self, now: Timestamp) {
+        self.listed = now + LIST_TIME;
+        match self.api.list(INSTANCE_KIND) {
+            Ok(list) => {
+                let InstanceList { entries, leaving } = InstanceList::from(&list);
+                let _ = self.peer.send(PeerMessage::Listed(entries));
+                let _ = self.decide.send(DecideMessage::Leaving(leaving));
+            }
+            Err(e) => log::warn!(step = e.step().as_str(), error:% = e; "no list of instances"),
+        }
+    }
+
     fn pass_on(&mut self, list: &ObjectList) {
         let named = list
             .objects
--- a/azureway-entry/tests/watch.rs
+++ b/azureway-entry/tests/watch.rs
@@ -9,6 +9,7 @@
 use azureway_entry::watch::{WatchMessage, Watcher};
 use azureway_platform::{ObjectApi, Put};
 use azureway_wire::change::DOCUMENT_NAME;
+use azureway_wire::instance::INSTANCE_KIND;
 use azureway_wire::object::{ObjectBody, ObjectList};
 use flume::Sender;
 use googletest::prelude::*;
@@ -60,7 +61,10 @@
         unreachable!("the duty lists and watches")
     }
 
-    fn list(&self, _: &str) -> std::result::Result<ObjectList, Error> {
+    fn list(&self, kind: &str) -> std::result::Result<ObjectList, Error> {
+        if kind == INSTANCE_KIND {
+            return Ok(ObjectList::default());
+        }
         self.next()
     }
 
@@ -94,12 +98,14 @@
     for note in documents.drain() {
         match note {
             PeerMessage::Adopted(document) => passed.push(document.version.to_string()),
+            PeerMessage::Listed(list) => assert_eq!(list, []),
             other => panic!("unexpected {other:?}"),
         }
     }
     for note in notes.drain() {
         match note {
             DecideMessage::Adopt(fleet) => adopted.push(fleet.version.to_string()),
+            DecideMessage::Leaving(list) => assert_eq!(list, []),
             DecideMessage::Rejected(version) => rejected.push(version.to_string()),
             other => panic!("unexpected {other:?}"),
         }
--- /dev/null
+++ b/azureway-wire/src/instance/mod.rs
@@ -0,0 +1,10 @@
+//! The platform's list of instances.
+
+mod instance_body;
+mod instance_role;
+
+pub use instance_body::InstanceBody;
+pub use instance_role::InstanceRole;
+
+/// The kind of the objects that the list consists of; their names are the instances' names.
+pub const INSTANCE_KIND: &str = "instance";
--- a/azureway-wire/src/lib.rs
+++ b/azureway-wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod error;
 pub mod header;
+pub mod instance;
 pub mod object;
 pub mod order;
 pub mod peer;
