--- a/azureway-cli/src/report/status_report.rs
+++ b/azureway-cli/src/report/status_report.rs
@@ -57,6 +57,11 @@
             "  retry budget {}  claims open {}  entries in the zone {}",
             status.budget, status.claims, status.entries
         )?;
+        writeln!(
+            f,
+            "  crash suspects {}  quarantined {}",
+            status.suspects, status.quarantined
+        )?;
         write_counts(f, status)?;
         let live = status
             .servers
--- a/azureway-core/src/quarantine/guard.rs
+++ b/azureway-core/src/quarantine/guard.rs
@@ -24,6 +24,11 @@
         self.quarantine.standing(fingerprint, now)
     }
 
+    /// Returns the number of requests that stand so.
+    pub fn count(&self, standing: SuspectStatus, now: Timestamp) -> usize {
+        self.quarantine.count(standing, now)
+    }
+
     /// Tells whether a request may not run.
     pub fn is_barred(&self, fingerprint: &Fingerprint, now: Timestamp) -> bool {
         self.standing(fingerprint, now) == SuspectStatus::Quarantined
--- a/azureway-core/src/quarantine/quarantined.rs
+++ b/azureway-core/src/quarantine/quarantined.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Returns the number of requests that stand so.
+    pub fn count(&self, standing: SuspectStatus, now: Timestamp) -> usize {
+        let all = self.records.keys();
+        all.filter(|f| self.standing(f, now) == standing).count()
+    }
+
     /// Notes that a request was running when a server broke, and returns the strike.
     pub fn strike(
         &mut self,
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -27,7 +27,7 @@
     pub(super) budget: RetryBudget,
     pub(super) tally: Tally,
     pub(super) draining: bool,
-    seen: Timestamp,
+    pub(super) seen: Timestamp,
 }
 
 impl<P: Policy> Router<P> {
--- a/azureway-core/src/router/overview.rs
+++ b/azureway-core/src/router/overview.rs
@@ -22,6 +22,10 @@
     pub budget: u64,
     /// The claims that are asked for, held or being settled.
     pub claims: usize,
+    /// The requests that were running when one backend server broke.
+    pub suspects: usize,
+    /// The requests that do not run, since two backend servers broke under them.
+    pub quarantined: usize,
     /// How the requests ended.
     pub counts: Vec<(Rank, RequestKind, Outcome, Count)>,
 }
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -3,6 +3,7 @@
 use super::{Overview, PlacementRequest, Plan, RouteOption, Router};
 use crate::admit::Demand;
 use crate::domain::{InstanceId, Rank, Request, RequestKind, Timestamp};
+use crate::quarantine::SuspectStatus;
 use crate::route::Policy;
 use crate::tally::{Count, Outcome, Tally};
 
@@ -18,6 +19,8 @@
             retries: self.retries.len(),
             budget: self.budget.left(),
             claims: self.claims.pending(),
+            suspects: self.guarded(SuspectStatus::Suspect),
+            quarantined: self.guarded(SuspectStatus::Quarantined),
             counts: self.counts(),
         }
     }
@@ -44,6 +47,10 @@
         self.limits.demand(instance, now)
     }
 
+    fn guarded(&self, standing: SuspectStatus) -> usize {
+        self.sender.guard().count(standing, self.seen)
+    }
+
     fn counts(&self) -> Vec<(Rank, RequestKind, Outcome, Count)> {
         let kinds = [RequestKind::Repeatable, RequestKind::AtMostOnce];
         let mut counts = Vec::new();
--- a/azureway-core/tests/explain.rs
+++ b/azureway-core/tests/explain.rs
@@ -87,3 +87,21 @@
     expect_that!(overview.version, eq(ConfigVersion::new(1)));
     expect_that!(overview.draining, eq(false));
 }
+
+#[gtest]
+fn the_overview_counts_suspects_and_quarantined_requests() {
+    let mut bench = Bench::new(3, 4);
+    let request = bench.request("small", &["poison"]);
+    let mut sent = bench.tell(Event::Arrived(&request));
+    let standing = |bench: &Bench| {
+        let overview = bench.router.overview();
+        (overview.suspects, overview.quarantined)
+    };
+    expect_that!(standing(&bench), eq((0, 0)));
+    for counts in [(1, 0), (0, 1)] {
+        let order = orders(&sent)[0].clone();
+        let broken = failure(&order, FailureKind::Broken, SendState::MaybeRun, 0);
+        sent = bench.tell(Event::Failed(&broken));
+        expect_that!(standing(&bench), eq(counts));
+    }
+}
--- a/azureway-entry/src/meter/router_measures.rs
+++ b/azureway-entry/src/meter/router_measures.rs
@@ -21,6 +21,7 @@
     flights: Gauge,
     budget: Gauge,
     claims: Gauge,
+    quarantined: Gauge,
     entries: Gauge,
 }
 
@@ -37,6 +38,7 @@
             flights: Gauge::default(),
             budget: Gauge::default(),
             claims: Gauge::default(),
+            quarantined: Gauge::default(),
             entries: Gauge::default(),
         };
         let help = "Every request once, by how it ended";
@@ -51,6 +53,8 @@
         r.register("retry_budget", help, measures.budget.clone());
         let help = "Claims that are asked for, held or being settled";
         r.register("claims_open", help, measures.claims.clone());
+        let help = "Requests that do not run, since two backend servers broke under them";
+        r.register("requests_quarantined", help, measures.quarantined.clone());
         let help = "Entry instances that share the zone's servers, with this one";
         r.register("zone_entries", help, measures.entries.clone());
         measures
@@ -87,6 +91,7 @@
         set(&self.flights, overview.flights);
         set(&self.budget, overview.budget);
         set(&self.claims, overview.claims);
+        set(&self.quarantined, overview.quarantined);
         set(&self.entries, overview.entries);
     }
 }
--- a/azureway-wire/src/admin/status_body.rs
+++ b/azureway-wire/src/admin/status_body.rs
@@ -32,6 +32,12 @@
     pub budget: u64,
     /// The claims that are asked for, held or being settled.
     pub claims: usize,
+    /// The requests that were running when one backend server broke.
+    #[serde(default)]
+    pub suspects: usize,
+    /// The requests that do not run, since two backend servers broke under them.
+    #[serde(default)]
+    pub quarantined: usize,
     /// How the requests ended.
     pub counts: Vec<CountBody>,
     /// The backend servers.
@@ -50,6 +56,8 @@
             retries: overview.retries,
             budget: overview.budget,
             claims: overview.claims,
+            suspects: overview.suspects,
+            quarantined: overview.quarantined,
             counts: overview.counts.into_iter().map(Into::into).collect(),
             ..Self::default()
         }
