--- a/azureway-core/src/cache/block_key.rs
+++ b/azureway-core/src/cache/block_key.rs
@@ -1,8 +1,7 @@
 //! The identity of a cached block.
 
-use sha2::{Digest, Sha256};
-
 use super::Salt;
+use crate::util::HalfDigest;
 
 /// The identity of a cached block: a digest of the salt and of all text up to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -27,12 +26,8 @@
     /// Derives the key of the block with `text` that follows this one.
     #[must_use]
     pub fn then(self, text: &[u8]) -> Self {
-        let mut hash = Sha256::new();
-        hash.update(self.0.to_le_bytes());
-        hash.update(text);
-        let digest: [u8; 32] = hash.finalize().into();
-        let mut half = [0; 16];
-        half.copy_from_slice(&digest[..16]);
-        Self(u128::from_le_bytes(half))
+        // The key has a fixed length, so the text needs none.
+        let digest = HalfDigest::new().with_bytes(&self.0.to_le_bytes());
+        Self(u128::from_le_bytes(digest.with_bytes(text).finish()))
     }
 }
--- a/azureway-core/src/claim/name.rs
+++ b/azureway-core/src/claim/name.rs
@@ -1,9 +1,8 @@
 //! The name of a claim.
 
+use crate::util::HalfDigest;
 use std::fmt::{self, Write as _};
 
-use sha2::{Digest, Sha256};
-
 use crate::domain::{AccountId, IdempotencyKey};
 
 /// The name of a claim: a digest of the client account and its idempotency key.
@@ -13,15 +12,8 @@
 impl ClaimName {
     /// Returns the name that every entry gives to the claim on `key` of `account`.
     pub fn of(account: &AccountId, key: &IdempotencyKey) -> Self {
-        let mut hash = Sha256::new();
-        for part in [account.as_str(), key.as_str()] {
-            hash.update((part.len() as u64).to_le_bytes());
-            hash.update(part);
-        }
-        let digest: [u8; 32] = hash.finalize().into();
-        let mut half = [0; 16];
-        half.copy_from_slice(&digest[..16]);
-        Self(half)
+        let digest = HalfDigest::new().with_part(account.as_str().as_bytes());
+        Self(digest.with_part(key.as_str().as_bytes()).finish())
     }
 
     /// Returns the shard that the claim is stored in. A sweep lists one shard at a time.
