--- a/azureway-entry/src/news/news_reader.rs
+++ b/azureway-entry/src/news/news_reader.rs
@@ -54,7 +54,7 @@
                     self.pass_on(news);
                 }
                 Err(e) => {
-                    log::debug!(step = "hear", peer:% = self.server, error:% = e; "no news");
+                    log::debug!(step = "news", peer:% = self.server, error:% = e; "no news");
                     self.listening.resync();
                     std::thread::park_timeout(backoff.fail());
                 }
@@ -76,7 +76,7 @@
 
     fn pass_on(&mut self, news: EngineNews) {
         let Ok(ops) = news.ops() else {
-            log::warn!(step = "hear", peer:% = self.server; "cache events that are no keys");
+            log::warn!(step = "news", peer:% = self.server; "cache events that are no keys");
             return;
         };
         self.next = news.next();
--- a/azureway-entry/src/news/news_readers.rs
+++ b/azureway-entry/src/news/news_readers.rs
@@ -68,13 +68,13 @@
             self.decide.clone(),
         );
         let thread = thread::Builder::new()
-            .name("hear".to_owned())
+            .name("news".to_owned())
             .stack_size(STACK_SIZE);
         match thread.spawn(move || reader.run()) {
             Ok(_) => {
                 self.listening.insert(server.id.clone(), listening);
             }
-            Err(e) => log::error!(step = "hear", peer:% = server.id, error:% = e; "no thread"),
+            Err(e) => log::error!(step = "news", peer:% = server.id, error:% = e; "no thread"),
         }
     }
 }
