--- a/azureway-entry/src/claim/claim_client.rs
+++ b/azureway-entry/src/claim/claim_client.rs
@@ -14,7 +14,7 @@
 }
 
 impl ClaimClient {
-    /// Creates a desk that places its orders in the ring of the claiming threads.
+    /// Creates a client that places its orders in the ring of the claiming threads.
     pub fn new(rings: &ClaimRings) -> Self {
         Self {
             orders: rings.place.clone(),
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -248,10 +248,13 @@
     let incarnation = Incarnation::new(u64::try_from(start).unwrap_or(u64::MAX));
     let me = Instance::new(settings.instance.clone(), settings.zone.clone(), address);
     let me = me.with_incarnation(incarnation);
-    let desk = ChoiceNotifier::new(me.id.clone(), rings.watch.clone(), rings.order.clone());
+    let choice = ChoiceNotifier::new(me.id.clone(), rings.watch.clone(), rings.order.clone());
     let now = rings.clock.now();
     let core = Membership::new(MemberConfig::new(), me, &settings.peers, mark, now);
-    let (runtime, duty) = (PeerDuty::runtime()?, PeerDuty::new(core, rings.peers(desk)));
+    let (runtime, duty) = (
+        PeerDuty::runtime()?,
+        PeerDuty::new(core, rings.peers(choice)),
+    );
     spawn("peer", move || duty.run(&runtime, listener))
 }
 
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -104,14 +104,14 @@
     }
 
     /// Returns what the peer duty reaches.
-    pub fn peers(&self, desk: ChoiceNotifier) -> PeerRings {
+    pub fn peers(&self, choice: ChoiceNotifier) -> PeerRings {
         PeerRings {
             peer: self.peer.clone(),
             messages: self.peer_messages.clone(),
             admit: self.admit.clone(),
             decide: self.decide.clone(),
             meter: self.meter.clone(),
-            desk,
+            choice,
             clock: self.clock,
         }
     }
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -25,7 +25,7 @@
     messages: Receiver<DecideMessage>,
     clock: Clock,
     callers: Callers,
-    desk: ClaimClient,
+    claims: ClaimClient,
     orders: OrderClient,
     launcher: Launcher,
     readers: NewsReaders,
@@ -52,7 +52,7 @@
             messages: rings.decide_messages.clone(),
             clock: rings.clock,
             callers: Callers::new(),
-            desk: ClaimClient::new(&rings.claims),
+            claims: ClaimClient::new(&rings.claims),
             orders: OrderClient::new(rings.order.clone()),
             launcher,
             readers,
@@ -111,7 +111,7 @@
             DecideMessage::Started(attempt) => self.start(attempt),
             DecideMessage::Finished(finish) => self.finish(&finish),
             DecideMessage::Answered(finish, answer) => {
-                self.desk.offer(finish.attempt.id, answer);
+                self.claims.offer(finish.attempt.id, answer);
                 self.finish(&finish);
             }
             DecideMessage::Claim(news) => self.tell(Event::Claim(&news)),
@@ -227,7 +227,7 @@
                     self.callers.refuse(id, refusal);
                 }
                 Action::Repeat(id, answer) => self.callers.repeat(id, answer),
-                Action::Claim(call) => unplaced.extend(self.desk.place(call)),
+                Action::Claim(call) => unplaced.extend(self.claims.place(call)),
                 // The relay has lost its ring with the caller and stops by itself.
                 Action::Cancel(attempt) => self.measure(Measure::Cancelled(attempt)),
                 Action::Server(news) => self.peers.server(news),
--- a/azureway-entry/src/meter/duty_costs.rs
+++ b/azureway-entry/src/meter/duty_costs.rs
@@ -7,8 +7,8 @@
 pub struct DutyCosts;
 
 /// The duties whose threads last as long as the daemon.
-const DUTIES: [&str; 8] = [
-    "accept", "admit", "admin", "claim", "decide", "hear", "meter", "watch",
+const DUTIES: [&str; 10] = [
+    "accept", "admin", "admit", "claim", "decide", "meter", "news", "order", "peer", "watch",
 ];
 /// Where the kernel lists the threads of this process.
 const THREADS: &str = "/proc/self/task";
--- a/azureway-entry/src/order/order_client.rs
+++ b/azureway-entry/src/order/order_client.rs
@@ -19,7 +19,7 @@
 }
 
 impl OrderClient {
-    /// Creates a desk that writes to a ring.
+    /// Creates a client that writes to a ring.
     pub const fn new(messages: Sender<OrderMessage>) -> Self {
         Self {
             messages,
--- a/azureway-entry/src/peer/peer_client.rs
+++ b/azureway-entry/src/peer/peer_client.rs
@@ -14,7 +14,7 @@
 }
 
 impl PeerClient {
-    /// Creates the desk of instance `me`.
+    /// Creates the client of instance `me`.
     pub const fn new(me: InstanceId, peer: Sender<PeerMessage>) -> Self {
         Self { me, peer }
     }
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -187,7 +187,7 @@
         let zone = &self.core.me().zone;
         let live = self.core.peers().live(zone);
         let live: Vec<_> = live.map(|m| m.news.instance.id.clone()).collect();
-        self.rings.desk.tell(&live);
+        self.rings.choice.tell(&live);
     }
 
     fn send(&mut self, peer: Instance, beat: &Heartbeat) {
--- a/azureway-entry/src/peer/peer_rings.rs
+++ b/azureway-entry/src/peer/peer_rings.rs
@@ -23,7 +23,7 @@
     /// To the measuring duty.
     pub meter: Sender<Measure>,
     /// To the duties of which a few entries of the zone are enough.
-    pub desk: ChoiceNotifier,
+    pub choice: ChoiceNotifier,
     /// The clock.
     pub clock: Clock,
 }
--- a/azureway-entry/src/watch/choice_notifier.rs
+++ b/azureway-entry/src/watch/choice_notifier.rs
@@ -7,7 +7,7 @@
 use crate::order::OrderMessage;
 
 /// Tells the watching and the ordering duty whether this entry is one of the few of its zone
-/// that do their work. Whoever knows which entries are alive tells this desk.
+/// that do their work. Whoever knows which entries are alive tells this notifier.
 #[derive(Clone, Debug)]
 pub struct ChoiceNotifier {
     me: InstanceId,
@@ -21,7 +21,7 @@
 const CANDIDATES: WatchChoice = WatchChoice::new(2, u128::from_be_bytes(*b"lease candidates"));
 
 impl ChoiceNotifier {
-    /// Creates the desk of instance `me`.
+    /// Creates the notifier of instance `me`.
     pub const fn new(
         me: InstanceId,
         watch: Sender<WatchMessage>,
@@ -31,7 +31,7 @@
     }
 
     /// Takes in which entries of the zone are alive. A message that finds its ring full is lost;
-    /// the desk is to be told again from time to time.
+    /// it is to be told again from time to time.
     pub fn tell(&self, live: &[InstanceId]) {
         let watches = WATCHERS.includes(&self.me, live);
         let contends = CANDIDATES.includes(&self.me, live);
