--- a/src/lib.rs
+++ b/src/lib.rs
@@ -121,6 +121,41 @@
 //! assert_eq!(progress.accept(Attempt::new(id, 2), second), Delivery::Next);
 //! ```
 //!
+//! A claim, which lets a request run at most once: an answer that was lost after the write took
+//! effect is resolved by reading the object back.
+//!
+//! ```
+//! use azureway::prelude::*;
+//!
+//! let id = RequestId::new(1, 1);
+//! let mut calls = ClaimAsking::new(id);
+//! assert_eq!(calls.first(), ClaimStep::Write(0));
+//! assert_eq!(calls.next(ClaimReply::Lost), ClaimStep::Read);
+//! let request = Fingerprint::of("wax-desk", "orders", b"order 17");
+//! let own = ClaimRecord::open(ClaimNonce::of(id), request);
+//! let end = calls.next(ClaimReply::Found(9, own));
+//! assert_eq!(end, ClaimStep::Done(ClaimNews::Granted(id, 9)));
+//! ```
+//!
+//! Membership: heartbeats go to some peers a round, and the embedder carries them.
+//!
+//! ```
+//! use azureway::prelude::*;
+//!
+//! let instance = |name: &str, port| {
+//!     let address = ([127, 0, 0, 1], port).into();
+//!     Instance::new(InstanceId::new(name), ZoneId::new("kranj-a"), address)
+//! };
+//! let (me, peer) = (instance("entry-1", 8081), instance("entry-2", 8082));
+//! let mut members = Membership::new(MemberConfig::new(), me, [&peer], 1, Timestamp::ZERO);
+//! let (mut now, mut out) = (Timestamp::ZERO, Vec::new());
+//! while !out.iter().any(|a| matches!(a, PeerAction::Send(to, _) if *to == peer)) {
+//!     now = members.next_wakeup();
+//!     members.handle(PeerEvent::Tick, now, &mut out);
+//! }
+//! assert!(now <= Timestamp::from_millis(2_000));
+//! ```
+//!
 //! # Crates
 //!
 //! * `azureway-core`: decisions and state, re-exported here;
