--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -1,6 +1,5 @@
 //! The router itself.
 
-use super::placement::ABROAD_WAIT;
 use super::{
     Dispatcher, InFlight, Intake, PlacementRequest, Queues, Retries, Retry, RouterConfig, Verdict,
 };
@@ -9,7 +8,7 @@
 use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
 use crate::domain::{Attempt, Refusal, RefusalReason, Request, RequestId, Timestamp};
 use crate::event::{Action, Event, Failure, Finish};
-use crate::fleet::{Fleet, LoadReport, ServerTable};
+use crate::fleet::{Fleet, LoadReport};
 use crate::retry::RetryBudget;
 use crate::route::Policy;
 use crate::tally::{Outcome, Tally};
@@ -82,37 +81,6 @@
         self.tally.follow(&out[start..], now);
     }
 
-    /// Returns when the router wants to be told of the time at the latest.
-    pub fn next_wakeup(&self) -> Option<Timestamp> {
-        let limits = [self.queues.earliest(), self.retries.earliest()];
-        let limit = limits.into_iter().flatten().min();
-        // A server that is tried again, one abroad, or a refilled budget can help what waits.
-        let abroad = self.queues.oldest().map(|t| t + ABROAD_WAIT);
-        let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
-        let trial = limit.and_then(|_| self.sender.servers().next_trial(self.seen));
-        let claims = self.claims.earliest();
-        let refill = self.budget.next_refill();
-        let refill = refill.filter(|_| !self.retries.is_empty());
-        let times = [limit, trial, abroad, refill, claims];
-        times.into_iter().flatten().min()
-    }
-
-    /// Returns the number of requests that wait, are in flight or have a claim to settle.
-    pub fn active(&self) -> usize {
-        let claims = self.claims.pending();
-        self.queues.len() + self.retries.len() + self.sender.flights().len() + claims
-    }
-
-    /// Returns the configuration in force.
-    pub const fn fleet(&self) -> &Fleet {
-        &self.fleet
-    }
-
-    /// Returns what is known of the backend servers.
-    pub const fn servers(&self) -> &ServerTable {
-        self.sender.servers()
-    }
-
     fn arrive(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
         self.tally.open(request);
         let mut intake = Intake {
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -1,13 +1,46 @@
 //! What a router shows of itself.
 
+use super::placement::ABROAD_WAIT;
 use super::{Overview, PlacementRequest, Plan, RouteOption, Router};
 use crate::admit::Demand;
 use crate::domain::{InstanceId, Rank, Request, RequestKind, Timestamp};
+use crate::fleet::{Fleet, ServerTable};
 use crate::quarantine::SuspectStatus;
 use crate::route::Policy;
 use crate::tally::{Count, Outcome, Tally};
 
 impl<P: Policy> Router<P> {
+    /// Returns when the router wants to be told of the time at the latest.
+    pub fn next_wakeup(&self) -> Option<Timestamp> {
+        let limits = [self.queues.earliest(), self.retries.earliest()];
+        let limit = limits.into_iter().flatten().min();
+        // A server that is tried again, one abroad, or a refilled budget can help what waits.
+        let abroad = self.queues.oldest().map(|t| t + ABROAD_WAIT);
+        let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
+        let trial = limit.and_then(|_| self.sender.servers().next_trial(self.seen));
+        let claims = self.claims.earliest();
+        let refill = self.budget.next_refill();
+        let refill = refill.filter(|_| !self.retries.is_empty());
+        let times = [limit, trial, abroad, refill, claims];
+        times.into_iter().flatten().min()
+    }
+
+    /// Returns the number of requests that wait, are in flight or have a claim to settle.
+    pub fn active(&self) -> usize {
+        let claims = self.claims.pending();
+        self.queues.len() + self.retries.len() + self.sender.flights().len() + claims
+    }
+
+    /// Returns the configuration in force.
+    pub const fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Returns what is known of the backend servers.
+    pub const fn servers(&self) -> &ServerTable {
+        self.sender.servers()
+    }
+
     /// Returns the state at a glance.
     pub fn overview(&self) -> Overview {
         Overview {
