--- a/azureway-cli/src/report/status_report.rs
+++ b/azureway-cli/src/report/status_report.rs
@@ -47,21 +47,7 @@
             Some(version) => writeln!(f, ", newer version {version} is bad")?,
             None => writeln!(f)?,
         }
-        writeln!(
-            f,
-            "  requests  {} in flight, waiting: {} urgent, {} drafting, {} to be tried again",
-            status.flights, status.urgent, status.drafting, status.retries
-        )?;
-        writeln!(
-            f,
-            "  retry budget {}  claims open {}  entries in the zone {}",
-            status.budget, status.claims, status.entries
-        )?;
-        writeln!(
-            f,
-            "  crash suspects {}  quarantined {}",
-            status.suspects, status.quarantined
-        )?;
+        write_work(f, status)?;
         write_counts(f, status)?;
         let live = status
             .servers
@@ -79,6 +65,24 @@
     }
 }
 
+fn write_work(f: &mut fmt::Formatter<'_>, status: &StatusBody) -> fmt::Result {
+    writeln!(
+        f,
+        "  requests  {} in flight, waiting: {} urgent, {} drafting, {} to be tried again",
+        status.flights, status.urgent, status.drafting, status.retries
+    )?;
+    writeln!(
+        f,
+        "  retry budget {}  claims open {}  entries in the zone {}",
+        status.budget, status.claims, status.entries
+    )?;
+    writeln!(
+        f,
+        "  crash suspects {}  quarantined {}",
+        status.suspects, status.quarantined
+    )
+}
+
 fn write_counts(f: &mut fmt::Formatter<'_>, status: &StatusBody) -> fmt::Result {
     for count in status.counts.iter().filter(|c| c.requests > 0) {
         let (rank, kind, outcome) = (&count.rank, &count.kind, &count.outcome);
