Read each chat request once, and drop what stood twice

The connection parsed the whole body to learn whether a stream was asked for, and the admitting duty parsed it again; the answer now comes with the first try. The dispatcher built the same placement in two places, three probes had the same loop, and two functions had no caller.

--- a/azureway-core/src/domain/token_rate.rs
+++ b/azureway-core/src/domain/token_rate.rs
@@ -20,10 +20,4 @@
             Duration::from_micros(u64::try_from(m).unwrap_or(u64::MAX))
         })
     }
-
-    /// Returns the tokens that pass in `time`.
-    pub fn tokens_in(self, time: Duration) -> TokenCount {
-        let tokens = u128::from(self.0) * time.as_micros() / MICROS;
-        TokenCount::new(u64::try_from(tokens).unwrap_or(u64::MAX))
-    }
 }
--- a/azureway-core/src/member/membership.rs
+++ b/azureway-core/src/member/membership.rs
@@ -106,11 +106,6 @@
         self.catchup.version()
     }
 
-    /// Tells whether this instance was paused and has not heard from a peer since.
-    pub const fn is_returning(&self) -> bool {
-        self.returning
-    }
-
     /// Notices that this instance was paused: what it believes is old, so it first learns.
     fn notice_pause(&mut self, now: Timestamp) {
         if now.since(self.seen) < self.config.pause {
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -97,15 +97,8 @@
         now: Timestamp,
     ) -> Option<Dispatch> {
         let service = fleet.services.get(&want.request.service)?;
-        let mut placement = Placement {
-            config,
-            fleet,
-            servers: &self.servers,
-            index: &mut self.index,
-            spread: &self.spread,
-            guard: &self.guard,
-        };
-        let best = placement.choose(&mut self.policy, want, service, now)?;
+        let (mut placement, policy) = self.placement(config, fleet);
+        let best = placement.choose(policy, want, service, now)?;
         let order = want.plan.order(want.request, &best);
         self.track(want, service.pool.clone(), &order, now);
         Some(order)
@@ -120,7 +113,17 @@
         now: Timestamp,
     ) -> Option<Vec<RouteOption>> {
         let service = fleet.services.get(&want.request.service)?;
-        let mut placement = Placement {
+        let (mut placement, policy) = self.placement(config, fleet);
+        Some(placement.explain(policy, want, service, now))
+    }
+
+    /// Returns what is looked at to find a server, and the policy that chooses.
+    fn placement<'a>(
+        &'a mut self,
+        config: &'a RouterConfig,
+        fleet: &'a Fleet,
+    ) -> (Placement<'a>, &'a mut P) {
+        let placement = Placement {
             config,
             fleet,
             servers: &self.servers,
@@ -128,7 +131,7 @@
             spread: &self.spread,
             guard: &self.guard,
         };
-        Some(placement.explain(&mut self.policy, want, service, now))
+        (placement, &mut self.policy)
     }
 
     /// Notes that a server began to answer. Returns whether the try is the current one.
--- a/azureway-dev/src/bench/world.rs
+++ b/azureway-dev/src/bench/world.rs
@@ -69,6 +69,13 @@
         }))
     }
 
+    /// Lets a request arrive and end well, if a slot is free.
+    pub fn turn(&mut self) {
+        if let Some(order) = self.arrive() {
+            self.finish(&order);
+        }
+    }
+
     /// Returns the next request, whose account and prefix follow from its number.
     pub fn request(&mut self) -> Request {
         self.sequence += 1;
--- a/azureway-dev/src/slopes/account_probe.rs
+++ b/azureway-dev/src/slopes/account_probe.rs
@@ -21,16 +21,10 @@
         let accounts = usize::try_from(size).unwrap_or(0);
         let mut world = World::new(Size::new(9).with_accounts(accounts), 16);
         for _ in 0..accounts {
-            if let Some(order) = world.arrive() {
-                world.finish(&order);
-            }
+            world.turn();
         }
         let memory = heap.grown();
-        let time = time_of(REQUESTS, |_| {
-            if let Some(order) = world.arrive() {
-                world.finish(&order);
-            }
-        });
+        let time = time_of(REQUESTS, |_| world.turn());
         Sample {
             size,
             memory,
--- a/azureway-dev/src/slopes/flight_probe.rs
+++ b/azureway-dev/src/slopes/flight_probe.rs
@@ -25,11 +25,7 @@
             world.arrive();
         }
         let memory = heap.grown();
-        let time = time_of(REQUESTS, |_| {
-            if let Some(order) = world.arrive() {
-                world.finish(&order);
-            }
-        });
+        let time = time_of(REQUESTS, |_| world.turn());
         Sample {
             size,
             memory,
--- a/azureway-dev/src/slopes/replica_probe.rs
+++ b/azureway-dev/src/slopes/replica_probe.rs
@@ -22,11 +22,7 @@
         let heap = Heap::now();
         let mut world = World::new(Size::new(usize::try_from(size).unwrap_or(0)), SLOTS);
         let memory = heap.grown();
-        let time = time_of(REQUESTS, |_| {
-            if let Some(order) = world.arrive() {
-                world.finish(&order);
-            }
-        });
+        let time = time_of(REQUESTS, |_| world.turn());
         Sample {
             size,
             memory,
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -94,7 +94,7 @@
             streamed(&self.call.body)?
         };
         let upstream = self.upstream(&request, ServiceKind::Model, CHAT_PATH, body);
-        Ok((request, upstream))
+        Ok((request, upstream.with_streamed(chat.stream)))
     }
 
     fn plain(
@@ -211,6 +211,7 @@
         let head = &self.call.head;
         UpstreamRequest {
             kind,
+            streamed: false,
             method: head.method.clone(),
             path: path.into(),
             media: head
--- a/azureway-entry/src/admit/upstream_request.rs
+++ b/azureway-entry/src/admit/upstream_request.rs
@@ -9,6 +9,8 @@
 pub struct UpstreamRequest {
     /// What stands behind the service.
     pub kind: ServiceKind,
+    /// Whether the caller asked for a stream.
+    pub streamed: bool,
     /// The method.
     pub method: Box<str>,
     /// The path at the backend server.
@@ -22,3 +24,12 @@
     /// The body.
     pub body: Arc<[u8]>,
 }
+
+impl UpstreamRequest {
+    /// Sets whether the caller asked for a stream.
+    #[must_use]
+    pub fn with_streamed(mut self, streamed: bool) -> Self {
+        self.streamed = streamed;
+        self
+    }
+}
--- a/azureway-entry/src/caller/answer.rs
+++ b/azureway-entry/src/caller/answer.rs
@@ -21,12 +21,12 @@
 }
 
 impl<'a> Answer<'a> {
-    /// Creates the answer to a caller that asked for a stream or not.
-    pub fn new(stream: &'a TcpStream, streamed: bool) -> Self {
+    /// Creates the answer to a caller. Whether it asked for a stream comes with the first try.
+    pub fn new(stream: &'a TcpStream) -> Self {
         let whole = WholeAnswer::new();
         Self {
             stream,
-            streamed,
+            streamed: false,
             whole,
             progress: None,
             writer: None,
@@ -48,8 +48,13 @@
         loop {
             match next(outcomes) {
                 Outcome::Refused(id, refusal) => return self.refuse(id, &refusal),
-                Outcome::Attached(attempt, position, chunks) => {
-                    self.attach(attempt, position);
+                Outcome::Attached {
+                    attempt,
+                    streamed,
+                    chunks,
+                } => {
+                    self.streamed = streamed;
+                    self.attach(attempt);
                     self.check_caller()?;
                     if self.pass_on(attempt, &chunks)? {
                         return Ok(());
@@ -59,13 +64,12 @@
         }
     }
 
-    fn attach(&mut self, attempt: Attempt, position: StreamPosition) {
+    fn attach(&mut self, attempt: Attempt) {
         self.id = Some(attempt.id);
         let progress = self
             .progress
             .get_or_insert_with(|| StreamProgress::new(attempt));
         progress.follow(attempt);
-        log::debug!(request:% = attempt.id, step = "attach", position:% = position; "a try begins");
     }
 
     /// Fails if the caller has hung up while its request waited.
--- a/azureway-entry/src/caller/connection.rs
+++ b/azureway-entry/src/caller/connection.rs
@@ -6,7 +6,6 @@
 
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::{Refusal, RefusalReason};
-use azureway_wire::chat::ChatRequest;
 
 use super::{Answer, BadInput, BodyReader, Head, HeadReader, Responder, TimedStream};
 use crate::admit::{AdmitMessage, Call};
@@ -99,7 +98,6 @@
     }
 
     fn call(&self, head: Head, body: Vec<u8>) -> io::Result<()> {
-        let stream = head.path.starts_with("/v1/") && wants_stream(&body);
         let (outcome, outcomes) = flume::bounded(OUTCOMES);
         let call = Call {
             head,
@@ -116,7 +114,7 @@
             let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
             return Responder::new(&self.stream).refuse(&refusal);
         }
-        let mut answer = Answer::new(&self.stream, stream);
+        let mut answer = Answer::new(&self.stream);
         let result = answer.run(&outcomes);
         if let (Err(_), Some(id)) = (&result, answer.id()) {
             let _ = self.handles.decide.send(DecideMessage::HungUp(id));
@@ -124,8 +122,3 @@
         result
     }
 }
-
-fn wants_stream(body: &[u8]) -> bool {
-    let chat = serde_json::from_slice::<ChatRequest<'_>>(body);
-    chat.is_ok_and(|c| c.stream)
-}
--- a/azureway-entry/src/caller/outcome.rs
+++ b/azureway-entry/src/caller/outcome.rs
@@ -1,6 +1,6 @@
 //! What becomes of a request.
 
-use azureway_core::prelude::{Attempt, Refusal, RequestId, StreamPosition};
+use azureway_core::prelude::{Attempt, Refusal, RequestId};
 use flume::Receiver;
 
 use super::AnswerChunk;
@@ -8,8 +8,15 @@
 /// What becomes of a request, as its connection is told.
 #[derive(Debug)]
 pub enum Outcome {
-    /// A try begins at a position; its answer comes through the ring.
-    Attached(Attempt, StreamPosition, Receiver<AnswerChunk>),
+    /// A try begins.
+    Attached {
+        /// The try.
+        attempt: Attempt,
+        /// Whether the caller asked for a stream.
+        streamed: bool,
+        /// The ring that its answer comes through.
+        chunks: Receiver<AnswerChunk>,
+    },
     /// The request is refused, or its stream has ended early.
     Refused(RequestId, Refusal),
 }
--- a/azureway-entry/src/decide/callers.rs
+++ b/azureway-entry/src/decide/callers.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, Dispatch, Finish, Refusal, RequestId, ShortAnswer, StreamPosition, Timestamp,
-    TokenCount,
+    Attempt, Dispatch, Finish, Refusal, RequestId, ShortAnswer, Timestamp, TokenCount,
 };
 
 use super::Caller;
@@ -95,7 +94,11 @@
         let body = answer.body.as_bytes().to_vec();
         let _ = sender.try_send(AnswerChunk::Whole(answer.status, answer.media, body));
         let attempt = Attempt::new(id, 0);
-        let attached = Outcome::Attached(attempt, StreamPosition::ZERO, chunks);
+        let attached = Outcome::Attached {
+            attempt,
+            streamed: false,
+            chunks,
+        };
         let _ = caller.outcome.try_send(attached);
     }
 
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -250,10 +250,14 @@
         let Some(caller) = self.callers.send(&order) else {
             return;
         };
-        let (attempt, position) = (order.attempt, order.position);
+        let attempt = order.attempt;
         let measure = caller.sent(attempt, self.clock.now());
         let chunks = self.launcher.launch(order, Arc::clone(&caller.upstream));
-        let attached = Outcome::Attached(attempt, position, chunks);
+        let attached = Outcome::Attached {
+            attempt,
+            streamed: caller.upstream.streamed,
+            chunks,
+        };
         let _ = caller.outcome.try_send(attached);
         self.measure(measure);
     }
