Name the client of the object API for what it speaks

The folder platform/ is to translate the users' platform. The crate with the object API's client had the same name, and the two must not be mistaken for each other.

--- a/azureway-cli/src/admin/status.rs
+++ b/azureway-cli/src/admin/status.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use anyhow::{Context, Result};
-use azureway_platform::{HttpObjects, ObjectApi};
+use azureway_objects::{HttpObjects, ObjectApi};
 use azureway_wire::order::LEASE_KIND;
 use clap::ArgMatches;
 
--- a/azureway-cli/src/session.rs
+++ b/azureway-cli/src/session.rs
@@ -5,7 +5,7 @@
 
 use anyhow::{Context, Result};
 use azureway_core::config::{ChangeId, ChangeNote, ChangeTime, TeamId};
-use azureway_platform::HttpObjects;
+use azureway_objects::HttpObjects;
 use clap::ArgMatches;
 
 use crate::random;
--- a/azureway-cli/src/store/document_store.rs
+++ b/azureway-cli/src/store/document_store.rs
@@ -4,7 +4,7 @@
     AcceptedChange, ChangeNote, ChangeTime, EditPlan, EditReply, History, Snapshot,
 };
 use azureway_core::prelude::{ConfigVersion, Error, ErrorKind, Step};
-use azureway_platform::{ObjectApi, Put};
+use azureway_objects::{ObjectApi, Put};
 use azureway_wire::change::{
     ChangeBody, DOCUMENT_KIND, DOCUMENT_NAME, StoredDocument, VALUE_MAX, archive_kind,
 };
--- a/azureway-cli/src/store/driver.rs
+++ b/azureway-cli/src/store/driver.rs
@@ -7,7 +7,7 @@
 use azureway_config::ini::Faults;
 use azureway_core::config::{Edit, EditOutcome, EditReply, EditStep};
 use azureway_core::prelude::{Backoff, Error};
-use azureway_platform::ObjectApi;
+use azureway_objects::ObjectApi;
 
 use super::DocumentStore;
 
--- a/azureway-dev/tests/platform.rs
+++ b/azureway-dev/tests/platform.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::Error;
 use azureway_dev::http::{Reply, Service, StandIn};
 use azureway_dev::platform::{Platform, PlatformFaults};
-use azureway_platform::{HttpObjects, ObjectApi, Put};
+use azureway_objects::{HttpObjects, ObjectApi, Put};
 use azureway_wire::object::ObjectBody;
 use googletest::prelude::*;
 use tiny_http::Request;
--- a/azureway-entry/src/claim/claimer.rs
+++ b/azureway-entry/src/claim/claimer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use azureway_core::prelude::*;
-use azureway_platform::{ObjectApi, Put};
+use azureway_objects::{ObjectApi, Put};
 use azureway_wire::claim::ClaimBody;
 use azureway_wire::object::ObjectBody;
 use flume::{Receiver, RecvTimeoutError, Sender};
--- a/azureway-entry/src/claim/sweeper.rs
+++ b/azureway-entry/src/claim/sweeper.rs
@@ -1,7 +1,7 @@
 //! Deleting old claims.
 
 use azureway_core::prelude::*;
-use azureway_platform::ObjectApi;
+use azureway_objects::ObjectApi;
 use azureway_wire::claim::ClaimBody;
 use azureway_wire::object::ObjectBody;
 
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -8,7 +8,7 @@
 
 use azureway_config::settings::EntrySettings;
 use azureway_core::prelude::*;
-use azureway_platform::HttpObjects;
+use azureway_objects::HttpObjects;
 use flume::{Receiver, Sender};
 use tiny_http::Server;
 
--- a/azureway-entry/src/meter/control_measures.rs
+++ b/azureway-entry/src/meter/control_measures.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use azureway_platform::CallCounter;
+use azureway_objects::CallCounter;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -1,6 +1,6 @@
 //! The duty itself.
 
-use azureway_platform::CallCounter;
+use azureway_objects::CallCounter;
 use flume::{Receiver, WeakSender};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::registry::Registry;
--- a/azureway-entry/src/order/lease_calls.rs
+++ b/azureway-entry/src/order/lease_calls.rs
@@ -1,7 +1,7 @@
 //! The platform calls of a lease.
 
 use azureway_core::prelude::*;
-use azureway_platform::{ObjectApi, Put};
+use azureway_objects::{ObjectApi, Put};
 use azureway_wire::object::ObjectBody;
 use azureway_wire::order::{LEASE_KIND, LeaseBody};
 
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -1,7 +1,7 @@
 //! The ordering duty.
 
 use azureway_core::prelude::*;
-use azureway_platform::ObjectApi;
+use azureway_objects::ObjectApi;
 use flume::{Receiver, RecvTimeoutError};
 
 use super::{LeaseCalls, OrderAnswer, OrderLink, OrderMessage};
--- a/azureway-entry/src/watch/watcher.rs
+++ b/azureway-entry/src/watch/watcher.rs
@@ -7,7 +7,7 @@
 use azureway_config::ini::Faults;
 use azureway_core::config::Sections;
 use azureway_core::prelude::*;
-use azureway_platform::ObjectApi;
+use azureway_objects::ObjectApi;
 use azureway_wire::change::{DOCUMENT_KIND, DOCUMENT_NAME, StoredDocument};
 use azureway_wire::instance::INSTANCE_KIND;
 use azureway_wire::object::{ObjectBody, ObjectList};
--- a/azureway-entry/tests/meter.rs
+++ b/azureway-entry/tests/meter.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use azureway_entry::decide::{DaemonStatus, DecideMessage, Question};
 use azureway_entry::meter::{ACCOUNTS_MAX, Measure, Meter, RingViews, Served};
-use azureway_platform::CallCounter;
+use azureway_objects::CallCounter;
 use googletest::prelude::*;
 
 /// Runs the duty over some measures and returns what it writes out.
--- a/azureway-entry/tests/order.rs
+++ b/azureway-entry/tests/order.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use azureway_entry::clock::Clock;
 use azureway_entry::order::{OrderAnswer, OrderLink, OrderMessage, Orderer};
-use azureway_platform::{ObjectApi, Put};
+use azureway_objects::{ObjectApi, Put};
 use azureway_wire::object::{ObjectBody, ObjectList};
 use azureway_wire::order::LeaseBody;
 use flume::Sender;
--- a/azureway-entry/tests/sweep.rs
+++ b/azureway-entry/tests/sweep.rs
@@ -6,7 +6,7 @@
 
 use azureway_core::prelude::*;
 use azureway_entry::claim::Sweeper;
-use azureway_platform::{ObjectApi, Put};
+use azureway_objects::{ObjectApi, Put};
 use azureway_wire::claim::ClaimBody;
 use azureway_wire::object::{ObjectBody, ObjectList};
 use googletest::prelude::*;
--- a/azureway-entry/tests/watch.rs
+++ b/azureway-entry/tests/watch.rs
@@ -7,7 +7,7 @@
 use azureway_entry::decide::DecideMessage;
 use azureway_entry::peer::PeerMessage;
 use azureway_entry::watch::{WatchMessage, Watcher};
-use azureway_platform::{ObjectApi, Put};
+use azureway_objects::{ObjectApi, Put};
 use azureway_wire::change::DOCUMENT_NAME;
 use azureway_wire::instance::INSTANCE_KIND;
 use azureway_wire::object::{ObjectBody, ObjectList};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -161,7 +161,7 @@
 //! * `azureway-core`: decisions and state, re-exported here;
 //! * `azureway-config`: settings of a daemon and the operators' document, in INI;
 //! * `azureway-wire`: messages, with conversions from and to the types of the core;
-//! * `azureway-platform`: the client side of the platform's object API;
+//! * `azureway-objects`: the client side of the platform's object API;
 //! * `azureway-entry`: the daemon that stands between callers and backend servers;
 //! * `azureway-cli`: the operators' command line;
 //! * `azureway-dev`: stand-ins, replay and benches, never linked into a daemon.
