--- a/azureway-config/src/settings/bounds.rs
+++ b/azureway-config/src/settings/bounds.rs
@@ -17,6 +17,8 @@
     pub gap: Duration,
     /// The time in which a connection to a backend server must be made.
     pub connect: Duration,
+    /// The idle connections that are kept to a backend server.
+    pub idle: usize,
     /// The requests that wait for a pool.
     pub queue: usize,
     /// The messages in each ring between duties.
@@ -35,6 +37,7 @@
             arrival: Duration::from_secs(10),
             gap: Duration::from_secs(5),
             connect: Duration::from_secs(1),
+            idle: 8,
             queue: 2_000,
             ring: 1_024,
             loads: 4,
--- a/azureway-config/src/settings/entry_settings.rs
+++ b/azureway-config/src/settings/entry_settings.rs
@@ -4,7 +4,7 @@
 
 use azureway_core::prelude::{Instance, InstanceId, KeyHash, ZoneId};
 
-use super::Bounds;
+use super::{Bounds, SiteSettings};
 
 /// The settings of one entry daemon.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +27,8 @@
     pub peers: Vec<Instance>,
     /// The bounds.
     pub bounds: Bounds,
+    /// The site that the entry serves, where it serves one.
+    pub site: Option<SiteSettings>,
 }
 
 impl EntrySettings {
@@ -44,6 +46,7 @@
             platform,
             peers: Vec::new(),
             bounds,
+            site: None,
         }
     }
 
--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -3,9 +3,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use azureway_core::prelude::{Instance, InstanceId, KeyHash, ZoneId};
+use azureway_core::prelude::{AvailabilityZone, Instance, InstanceId, KeyHash, ZoneId};
 
-use super::{Bounds, EntrySettings};
+use super::{Bounds, EntrySettings, SiteSettings};
 use crate::ini::{self, Faults, Section, SectionReader};
 use crate::util::nearest;
 
@@ -14,9 +14,9 @@
 /// What a digest looks like, for a fault's text.
 const DIGEST: &str = "the SHA-256 digest of the operators' key, 64 hexadecimal digits";
 /// What the sections are, for a fault's text.
-const SECTIONS: &str = "expected [entry], [bounds] or [peer NAME]";
+const SECTIONS: &str = "expected [entry], [bounds], [peer NAME], [site] or [zone NAME]";
 /// The kinds of sections.
-const KINDS: [&str; 3] = ["entry", "bounds", "peer"];
+const KINDS: [&str; 5] = ["entry", "bounds", "peer", "site", "zone"];
 /// Where operators reach the entry if the settings name no address.
 const DEFAULT_ADMIN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8082);
 
@@ -29,6 +29,7 @@
     let sections = ini::parse(text)?;
     let mut faults = Faults::new();
     let (mut base, mut bounds, mut peers) = (None, Bounds::new(), Vec::new());
+    let (mut served, mut zones) = (None, Vec::new());
     for (place, section) in sections.iter().enumerate() {
         let mut reader = SectionReader::new(section, &mut faults);
         if sections[..place].iter().any(|s| s.name == section.name) {
@@ -37,6 +38,8 @@
         match section.split() {
             ("entry", "") => base = entry(&mut reader),
             ("bounds", "") => bounds = read_bounds(&mut reader),
+            ("site", "") => served = site(&mut reader),
+            ("zone", name) if !name.is_empty() => zones.extend(zone(name, &mut reader)),
             ("peer", name) if !name.is_empty() => peers.extend(peer(name, &mut reader)),
             (kind, _) => {
                 let hint = nearest(kind, &KINDS).map(|k| format!("; did you mean `{k}`?"));
@@ -60,6 +63,7 @@
     let mut settings = settings.expect("the entry section was read");
     settings.bounds = bounds;
     settings.peers = peers;
+    settings.site = served.map(|site| SiteSettings { zones, ..site });
     Ok(settings)
 }
 
@@ -97,11 +101,49 @@
     ))
 }
 
+fn zone(name: &str, reader: &mut SectionReader<'_, '_>) -> Option<AvailabilityZone> {
+    let region = reader.required("region", "the name of a region")?;
+    Some(AvailabilityZone::new(ZoneId::new(name), region))
+}
+
+fn site(reader: &mut SectionReader<'_, '_>) -> Option<SiteSettings> {
+    let ready = reader.required_value("ready", ADDRESS, address);
+    let share = reader.required_value("retries", "a share from 0 to 1", share);
+    let slack = reader.number("slack", 0, 0, 1_000_000, "retries");
+    let mut millis = |key, default: u64| {
+        Duration::from_millis(reader.number(key, default, 1, 3_600_000, "milliseconds"))
+    };
+    let (term, rollout) = (millis("term", 3_000), millis("rollout", 8_000));
+    let mut seconds =
+        |key, default: u64| Duration::from_secs(reader.number(key, default, 1, 3_600, "seconds"));
+    let (window, grace) = (seconds("window", 10), seconds("grace", 8));
+    Some(SiteSettings {
+        ready: ready?,
+        zones: Vec::new(),
+        retries: share?,
+        slack,
+        window,
+        term,
+        rollout,
+        grace,
+    })
+}
+
+/// Reads a share as whole percent, rounded down.
+fn share(text: &str) -> Option<u32> {
+    let share: f64 = text.parse().ok()?;
+    // The cast cannot leave its range.
+    (0.0..=1.0)
+        .contains(&share)
+        .then_some((share * 100.0) as u32)
+}
+
 fn read_bounds(reader: &mut SectionReader<'_, '_>) -> Bounds {
     let base = Bounds::new();
     let connections = reader.number("connections", base.connections, 1, 100_000, "connections");
     let head = reader.number("head", base.head, 1_024, 1_048_576, "bytes");
     let body = reader.number("body", base.body, 1_024, 67_108_864, "bytes");
+    let idle = reader.number("idle", base.idle, 0, 10_000, "connections");
     let queue = reader.number("queue", base.queue, 1, 1_000_000, "requests");
     let loads = reader.number("loads", base.loads, 1, 1_000, "loads a second");
     let ring = reader.number("ring", base.ring, 1, 1_000_000, "messages");
@@ -119,6 +161,7 @@
         arrival,
         gap,
         connect,
+        idle,
         queue,
         ring,
         loads,
--- a/azureway-core/src/cache/index.rs
+++ b/azureway-core/src/cache/index.rs
@@ -90,6 +90,15 @@
         false
     }
 
+    /// Begins to follow a life of a server of which no news has come yet.
+    pub fn meet(&mut self, server: &ServerId, incarnation: Incarnation) {
+        let place = self.place(server);
+        let follower = &mut self.followers[place as usize];
+        if incarnation > follower.cursor.incarnation() {
+            follower.restart(incarnation, 0, false);
+        }
+    }
+
     /// Notes that a server computes or has computed `blocks`. The server's own events are
     /// late, and until they come the next request would compute the blocks elsewhere again.
     pub fn presume(&mut self, server: &ServerId, incarnation: Incarnation, blocks: &[Block]) {
--- a/azureway-core/src/domain/backend_server.rs
+++ b/azureway-core/src/domain/backend_server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{PoolId, ServerId, TokenRate, ZoneId};
+use super::{Loaded, PoolId, ServerId, TokenRate, ZoneId};
 
 /// A backend server, as the configuration gives it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +26,8 @@
     pub keyed: bool,
     /// Whether operators take it out: it ends what it runs and gets no new work.
     pub leaving: bool,
+    /// What the platform's list says of it, where it is listed there.
+    pub loaded: Option<Loaded>,
 }
 
 /// The slots of a server where the document names none.
@@ -47,6 +49,7 @@
             fenced: false,
             keyed: false,
             leaving: false,
+            loaded: None,
         }
     }
 
--- /dev/null
+++ b/azureway-core/src/domain/caller_limits.rs
@@ -0,0 +1,34 @@
+//! What callers may send and how long they may take.
+
+use std::time::Duration;
+
+/// What callers may send and how long they may take, as the configuration gives it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The bytes of a request's head.
+    pub head: usize,
+    /// The bytes of a request's body.
+    pub body: usize,
+    /// The time in which a head must have arrived.
+    pub arrival: Duration,
+    /// How long a connection may stay idle between two requests.
+    pub idle: Duration,
+}
+
+impl CallerLimits {
+    /// Creates the limits that hold before a configuration names any.
+    pub const fn new() -> Self {
+        Self {
+            head: 16 * 1024,
+            body: 4 * 1024 * 1024,
+            arrival: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/azureway-core/src/domain/client_account.rs
+++ b/azureway-core/src/domain/client_account.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::{AccountId, KeyHash, TokenRate};
+use super::{AccountId, KeyHash, Rank, TokenRate};
 
 /// A client account, as the configuration gives it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +15,10 @@
     pub weight: u32,
     /// The tokens a second that it may ask for over all entries.
     pub limit: TokenRate,
+    /// Whether it shares no cached block with another account.
+    pub isolated: bool,
+    /// The rank and the priority of its requests, which go before those of a route.
+    pub priority: Option<(Rank, u8)>,
 }
 
 /// The limit of an account, in tokens a second, where the document names none.
@@ -28,6 +32,8 @@
             keys: SmallVec::new(),
             weight: 1,
             limit: DEFAULT_LIMIT,
+            isolated: false,
+            priority: None,
         }
     }
 
--- /dev/null
+++ b/azureway-core/src/domain/model_id.rs
@@ -0,0 +1,6 @@
+//! The name of a model.
+
+name_type! {
+    /// The name of a model, whose weights backend servers load.
+    ModelId
+}
--- a/azureway-core/src/domain/model_service.rs
+++ b/azureway-core/src/domain/model_service.rs
@@ -1,6 +1,6 @@
 //! A service that callers ask for by name.
 
-use super::{PoolId, RequestKind, ServiceId, ServiceKind, WeightsVersion};
+use super::{PoolId, RequestKind, Rollout, ServiceId, ServiceKind, Timestamp, WeightsVersion};
 
 /// A model service or a plain service, as the configuration gives it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +15,11 @@
     pub weights: WeightsVersion,
     /// Whether its calls may run more than once.
     pub calls: RequestKind,
+    /// How it is brought to newly named weights. Without one, answers come from exactly
+    /// the weights above.
+    pub rollout: Option<Rollout>,
+    /// Whether its servers can fetch blocks from one another.
+    pub fetches: bool,
 }
 
 impl ModelService {
@@ -27,6 +32,8 @@
             pool,
             weights,
             calls: RequestKind::Repeatable,
+            rollout: None,
+            fetches: false,
         }
     }
 
@@ -50,4 +57,27 @@
         self.calls = calls;
         self
     }
+
+    /// Sets how the service is brought to newly named weights.
+    #[must_use]
+    pub fn with_rollout(mut self, rollout: Rollout) -> Self {
+        self.rollout = Some(rollout);
+        self
+    }
+
+    /// Sets whether its servers can fetch blocks from one another.
+    #[must_use]
+    pub fn with_fetches(mut self, fetches: bool) -> Self {
+        self.fetches = fetches;
+        self
+    }
+
+    /// Tells whether a server with weights `loaded` may answer a request that wants `wanted`.
+    pub fn takes(&self, loaded: WeightsVersion, wanted: WeightsVersion, now: Timestamp) -> bool {
+        match &self.rollout {
+            _ if self.kind == ServiceKind::Plain => true,
+            None => loaded == wanted,
+            Some(rollout) => loaded >= self.weights || rollout.allows_older(now),
+        }
+    }
 }
--- a/azureway-core/src/domain/request.rs
+++ b/azureway-core/src/domain/request.rs
@@ -35,6 +35,8 @@
     pub key: Option<IdempotencyKey>,
     /// What it has in common with the same request sent again.
     pub fingerprint: Fingerprint,
+    /// The backend servers that it may be sent to, where its route bounds them.
+    pub tries: Option<u32>,
 }
 
 impl Request {
--- /dev/null
+++ b/azureway-core/src/domain/rollout.rs
@@ -0,0 +1,23 @@
+//! The weights that a service is being brought to.
+
+use std::time::Duration;
+
+use super::{ModelId, Timestamp};
+
+/// How a service is brought to newly named weights while requests run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// The model.
+    pub model: ModelId,
+    /// When this process learned of the weights.
+    pub named: Timestamp,
+    /// How long older weights may still answer.
+    pub grace: Duration,
+}
+
+impl Rollout {
+    /// Tells whether older weights may answer a request that is sent at `now`.
+    pub fn allows_older(&self, now: Timestamp) -> bool {
+        now < self.named + self.grace
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/route.rs
@@ -0,0 +1,52 @@
+//! A route from callers' paths to services.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::{Rank, RequestKind, RouteId, ServiceId};
+
+/// A route: which requests it takes, the services behind it and how they are treated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The name.
+    pub id: RouteId,
+    /// The host that callers name.
+    pub host: Box<str>,
+    /// What the path begins with.
+    pub prefix: Box<str>,
+    /// The services behind it with their weights.
+    pub splits: SmallVec<[(ServiceId, u32); 2]>,
+    /// Whether its requests may run more than once.
+    pub kind: RequestKind,
+    /// Whether its answers are streams of events.
+    pub streamed: bool,
+    /// Whether no API key is asked for.
+    pub public: bool,
+    /// The rank of its requests.
+    pub rank: Rank,
+    /// The priority that backend servers are told; lower goes first.
+    pub priority: u8,
+    /// The backend servers that one request may be sent to.
+    pub tries: u32,
+    /// How long a caller is kept waiting at most.
+    pub timeout: Duration,
+    /// The time in which an answer, or the first event of a stream, is on time.
+    pub target: Duration,
+}
+
+impl Route {
+    /// Chooses a service by weight. `draw` differs between requests.
+    pub fn service(&self, draw: u64) -> Option<&ServiceId> {
+        let total: u64 = self.splits.iter().map(|(_, w)| u64::from(*w)).sum();
+        let mut place = draw.checked_rem(total)?;
+        for (service, weight) in &self.splits {
+            let weight = u64::from(*weight);
+            if place < weight {
+                return Some(service);
+            }
+            place -= weight;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/azureway-core/src/domain/route_id.rs
@@ -0,0 +1,6 @@
+//! The name of a route.
+
+name_type! {
+    /// The name of a route.
+    RouteId
+}
--- a/azureway-core/src/event/dispatch.rs
+++ b/azureway-core/src/event/dispatch.rs
@@ -28,4 +28,6 @@
     pub position: StreamPosition,
     /// The prompt tokens that the server is believed to hold.
     pub cached: TokenCount,
+    /// A server that is believed to hold more of the prompt, to fetch it from.
+    pub source: Option<SocketAddr>,
 }
--- a/azureway-core/src/event/failure_kind.rs
+++ b/azureway-core/src/event/failure_kind.rs
@@ -13,6 +13,8 @@
     Broken,
     /// The connection went silent.
     Silent,
+    /// The server answered with a failure of its own, which says nothing of its health.
+    Declined,
     /// The server answered something that its interface does not allow, or an error.
     Faulty,
 }
--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -5,7 +5,7 @@
 use crate::cache::CacheUpdate;
 use crate::claim::ClaimNews;
 use crate::domain::{Attempt, Request, RequestId, ServerId};
-use crate::fleet::{Fleet, LoadReport};
+use crate::fleet::{Fleet, LoadReport, LoadSample};
 use crate::member::ServerNews;
 use crate::quarantine::Strike;
 
@@ -28,6 +28,8 @@
     Cache(&'a CacheUpdate<'a>),
     /// A backend server told of its load.
     Load(&'a LoadReport),
+    /// An answer told something of its backend server.
+    Sampled(&'a LoadSample),
     /// A version of the configuration was read.
     Configured(&'a Fleet),
     /// The number of live entry instances of this availability zone changed; it counts
--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 
+use super::RouteTable;
 use crate::domain::{
-    AccountId, AvailabilityZone, BackendServer, BackendServerPool, ClientAccount, ConfigVersion,
-    KeyHash, ModelService, PoolId, RankRules, ServerId, ServiceId, ServiceKind, ZoneId,
+    AccountId, AvailabilityZone, BackendServer, BackendServerPool, CallerLimits, ClientAccount,
+    ConfigVersion, KeyHash, ModelService, PoolId, RankRules, ServerId, ServiceId, ServiceKind,
+    ZoneId,
 };
 
 /// Everything that one version of the configuration defines.
@@ -24,6 +26,10 @@
     pub zones: BTreeMap<ZoneId, AvailabilityZone>,
     /// The rules for the two ranks of work.
     pub rules: RankRules,
+    /// The routes, where callers are routed by host and path.
+    pub routes: RouteTable,
+    /// What callers may send and how long they may take.
+    pub limits: CallerLimits,
 }
 
 impl Fleet {
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use super::{Health, LoadReport, OwnWork, SlotShare, Work};
-use crate::domain::{BackendServer, Incarnation, Rank, Timestamp, TokenCount, WeightsVersion};
+use super::{Health, LoadReport, LoadSample, OwnWork, SlotShare, Work};
+use crate::domain::{
+    BackendServer, Incarnation, Loaded, Rank, Timestamp, TokenCount, WeightsVersion,
+};
 use crate::event::{Failure, FailureKind};
 use crate::member::{ServerNews, ServerSign};
 
@@ -43,9 +45,9 @@
     pub fn new(server: BackendServer, entries: u32) -> Self {
         Self {
             share: SlotShare::new(server.slots, entries),
+            incarnation: server.loaded.map_or(Incarnation::ZERO, |l| l.incarnation),
+            weights: server.loaded.and_then(|l| l.weights),
             server,
-            incarnation: Incarnation::ZERO,
-            weights: None,
             own: OwnWork::new(),
             reported: Work::default(),
             stay: DEFAULT_STAY,
@@ -56,10 +58,46 @@
         }
     }
 
-    /// Takes over a changed configuration or number of entries.
-    pub fn adopt(&mut self, server: &BackendServer, entries: u32) {
+    /// Takes over a changed configuration or number of entries. Returns whether what is known
+    /// of its cache no longer holds.
+    pub fn adopt(&mut self, server: &BackendServer, entries: u32) -> bool {
         self.share.resize(server.slots, entries);
-        self.server = server.clone();
+        let old = std::mem::replace(&mut self.server, server.clone()).loaded;
+        match server.loaded {
+            Some(loaded) if old != Some(loaded) => self.list(loaded),
+            _ => false,
+        }
+    }
+
+    /// Takes in what the platform's list says anew. Returns whether what is known of the
+    /// server's cache no longer holds.
+    pub fn list(&mut self, loaded: Loaded) -> bool {
+        if loaded.incarnation < self.incarnation {
+            return false;
+        }
+        let other = loaded.incarnation > self.incarnation || loaded.weights != self.weights;
+        if loaded.incarnation > self.incarnation {
+            self.health = Health::Live;
+        }
+        self.incarnation = loaded.incarnation;
+        self.weights = loaded.weights;
+        other
+    }
+
+    /// Takes in what an answer told. Returns whether what is known of the server's cache no
+    /// longer holds.
+    pub fn sample(&mut self, sample: &LoadSample, now: Timestamp) -> bool {
+        if let Some((running, queued)) = sample.load {
+            self.own.roll(now);
+            self.reported.flights = running + queued;
+            let own = self.own.total().flights;
+            self.share.observe(running + queued, own, now);
+        }
+        let other = sample
+            .weights
+            .filter(|w| self.weights.is_some_and(|had| had < *w));
+        self.weights = other.or(self.weights);
+        other.is_some()
     }
 
     /// Takes in a report.
@@ -123,6 +161,16 @@
     /// Notes a failure at `now`. Returns whether what is known of its cache no longer holds.
     pub fn blame(&mut self, failure: &Failure, now: Timestamp) -> bool {
         match failure.kind {
+            // Its weights have changed since they were listed, or the server is another one.
+            FailureKind::Mismatch if self.server.loaded.is_some() => {
+                return match self.weights.take() {
+                    Some(_) => true,
+                    None => {
+                        self.suspect(now);
+                        false
+                    }
+                };
+            }
             FailureKind::Mismatch => {
                 let known = self.incarnation > Incarnation::ZERO;
                 self.incarnation = Incarnation::ZERO;
@@ -131,7 +179,7 @@
             FailureKind::Busy if failure.is_full() => self.share.refused(self.flights(), now),
             // A silent connection says nothing of the server: something between the two ends
             // may have lost track of it while new connections work.
-            FailureKind::Busy | FailureKind::Silent => {}
+            FailureKind::Busy | FailureKind::Silent | FailureKind::Declined => {}
             FailureKind::Unreachable | FailureKind::Broken | FailureKind::Faulty => {
                 self.suspect(now);
             }
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -43,7 +43,7 @@
                 same
             });
             let mut state = kept.unwrap_or_else(|| ServerState::new(server.clone(), entries));
-            state.adopt(server, entries);
+            gone.extend(state.adopt(server, entries).then(|| id.clone()));
             state.set_listed(self.leaving.contains(id));
             self.servers.push(state);
         }
--- a/azureway-core/src/fleet/slot_share.rs
+++ b/azureway-core/src/fleet/slot_share.rs
@@ -51,8 +51,13 @@
 
     /// Takes in a report. `own` is the number of this entry's requests there.
     pub fn report(&mut self, report: &LoadReport, own: u32, now: Timestamp) {
-        // The report lags: what it holds of this entry is what was there when the last came.
-        let others = (report.running + report.queued).saturating_sub(self.own);
+        self.observe(report.running + report.queued, own, now);
+    }
+
+    /// Takes in the number of requests that the server runs or holds, from all entries.
+    pub fn observe(&mut self, load: u32, own: u32, now: Timestamp) {
+        // The number lags: what it holds of this entry is what was there when the last came.
+        let others = load.saturating_sub(self.own);
         let free = self.slots.saturating_sub(own + others);
         self.heard = Some(now);
         self.own = own;
--- a/azureway-core/src/lease/config.rs
+++ b/azureway-core/src/lease/config.rs
@@ -29,6 +29,13 @@
         }
     }
 
+    /// Sets the term, and the margin before its end.
+    #[must_use]
+    pub const fn with_term(mut self, term: Duration, margin: Duration) -> Self {
+        (self.term, self.margin) = (term, margin);
+        self
+    }
+
     /// Returns the time after which a lease is renewed, or looked at by others.
     pub fn pace(&self) -> Duration {
         self.term / RENEWALS
--- a/azureway-core/src/lib.rs
+++ b/azureway-core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod retry;
 pub mod route;
 pub mod router;
+pub mod site;
 pub mod stream;
 pub mod tally;
 pub mod watch;
--- a/azureway-core/src/order/config.rs
+++ b/azureway-core/src/order/config.rs
@@ -9,6 +9,8 @@
     pub store: u32,
     /// How long a load counts as running if nothing is heard of its end.
     pub limit: Duration,
+    /// How long a load holds up the next one if nothing is heard of its end.
+    pub busy: Duration,
 }
 
 /// The default rate of loads a second.
@@ -22,6 +24,7 @@
         Self {
             store: DEFAULT_STORE,
             limit: DEFAULT_LIMIT,
+            busy: DEFAULT_LIMIT,
         }
     }
 
@@ -31,6 +34,13 @@
         self.store = store;
         self
     }
+
+    /// Sets how long a load holds up the next one if nothing is heard of its end.
+    #[must_use]
+    pub const fn with_busy(mut self, busy: Duration) -> Self {
+        self.busy = busy;
+        self
+    }
 }
 
 impl Default for OrderConfig {
--- a/azureway-core/src/order/load.rs
+++ b/azureway-core/src/order/load.rs
@@ -7,6 +7,8 @@
 pub struct Load {
     /// The weights that the server loads.
     pub weights: WeightsVersion,
+    /// When the server counts as able to load again, so that another one may begin.
+    pub busy: Timestamp,
     /// When it no longer counts as running.
     pub until: Timestamp,
 }
--- a/azureway-core/src/order/load_order.rs
+++ b/azureway-core/src/order/load_order.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::domain::{ConfigVersion, ServerId, WeightsVersion};
+use crate::domain::{ConfigVersion, ModelId, ServerId, WeightsVersion};
 
 /// An order to load weights. It states the desired end: a server that has the weights does
 /// nothing, so that a late or doubled order does no harm.
@@ -14,6 +14,8 @@
     pub address: SocketAddr,
     /// Whether it refuses an order with an old fencing number.
     pub fenced: bool,
+    /// The model, where the configuration names it.
+    pub model: Option<ModelId>,
     /// The weights to have.
     pub weights: WeightsVersion,
     /// The version of the configuration that asks for them.
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -4,7 +4,7 @@
 
 use super::{Load, LoadOrder, OrderConfig, PoolView, StoreBudget};
 use crate::domain::{
-    BackendServer, BackendServerPool, ConfigVersion, ModelService, ServerId, ServiceKind,
+    BackendServer, BackendServerPool, ConfigVersion, ModelId, ModelService, ServerId, ServiceKind,
     Timestamp, WeightsVersion,
 };
 use crate::fleet::{Fleet, LoadReport};
@@ -18,6 +18,8 @@
     reported: BTreeMap<ServerId, WeightsVersion>,
     loads: BTreeMap<ServerId, Load>,
     budget: StoreBudget,
+    /// The loads that held up the next one when an order was last looked for.
+    busy: usize,
     /// Whether something has changed since no order was found.
     changed: bool,
 }
@@ -31,6 +33,7 @@
             fleet: Fleet::new(),
             reported: BTreeMap::new(),
             loads: BTreeMap::new(),
+            busy: 0,
             changed: false,
         }
     }
@@ -48,6 +51,26 @@
             let servers = &self.fleet.servers;
             self.reported.retain(|id, _| servers.contains_key(id));
             self.loads.retain(|id, _| servers.contains_key(id));
+            self.read_list();
+        }
+    }
+
+    /// Takes in what the platform's list says of the servers' weights.
+    fn read_list(&mut self) {
+        for server in self.fleet.servers.values() {
+            let Some(weights) = server.loaded.and_then(|l| l.weights) else {
+                continue;
+            };
+            // The list lags behind the answers, and weights only become newer.
+            let known = self.reported.get(&server.id).copied().unwrap_or_default();
+            self.reported.insert(server.id.clone(), known.max(weights));
+            if self
+                .loads
+                .get(&server.id)
+                .is_some_and(|l| l.weights <= weights)
+            {
+                self.loads.remove(&server.id);
+            }
         }
     }
 
@@ -68,27 +91,46 @@
         // A server that has just lost its weights is loading, also on an earlier holder's order.
         if weights == WeightsVersion::ZERO && had != Some(weights) {
             let until = now + self.config.limit;
-            let load = Load { weights, until };
+            let busy = now + self.config.busy;
+            let load = Load {
+                weights,
+                busy,
+                until,
+            };
             self.loads.entry(server.clone()).or_insert(load);
         }
     }
 
+    /// Takes in the weights that a server answered with.
+    pub fn observe(&mut self, server: &ServerId, weights: WeightsVersion) {
+        let newer = self.reported.get(server).is_none_or(|had| *had < weights);
+        if newer && self.fleet.servers.contains_key(server) {
+            self.reported.insert(server.clone(), weights);
+            self.loads.remove(server);
+            self.changed = true;
+        }
+    }
+
     /// Returns the next order, if one may be sent at `now`, and counts its load as running.
     pub fn next(&mut self, now: Timestamp) -> Option<LoadOrder> {
         let loads = self.loads.len();
         self.loads.retain(|_, load| load.until > now);
-        self.changed |= self.loads.len() < loads;
+        let busy = self.loads.values().filter(|l| l.busy > now).count();
+        self.changed |= self.loads.len() < loads || busy < self.busy;
+        self.busy = busy;
         if now < self.budget.free() || !self.changed {
             return None;
         }
-        let order = self.fleet.pools.values().find_map(|p| self.order(p));
+        let order = self.fleet.pools.values().find_map(|p| self.order(p, now));
         self.changed = order.is_some();
         let order = order?;
         let load = Load {
             weights: order.weights,
+            busy: now + self.config.busy,
             until: now + self.config.limit,
         };
         self.loads.insert(order.server.clone(), load);
+        self.busy += 1;
         self.budget.spend(now);
         Some(order)
     }
@@ -96,14 +138,14 @@
     /// Returns when the next order may be possible without further news.
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let waits = self.budget.free();
-        let limits = self.loads.values().map(|l| l.until);
+        let limits = self.loads.values().flat_map(|l| [l.busy, l.until]);
         limits.chain([waits]).filter(|t| *t > now).min()
     }
 
-    fn order(&self, pool: &BackendServerPool) -> Option<LoadOrder> {
+    fn order(&self, pool: &BackendServerPool, now: Timestamp) -> Option<LoadOrder> {
         let view = self.view(pool);
         let bound = usize::try_from(pool.loads).unwrap_or(usize::MAX);
-        if view.wanted.is_empty() || view.loading() >= bound {
+        if view.wanted.is_empty() || view.loading(now) >= bound {
             return None;
         }
         let (server, weights) = view.next()?;
@@ -111,11 +153,19 @@
             server: server.id.clone(),
             address: server.address,
             fenced: server.fenced,
+            model: self.model(pool, weights),
             weights,
             config: self.fleet.version,
         })
     }
 
+    /// Returns the model of a pool that is wanted with these weights.
+    fn model(&self, pool: &BackendServerPool, weights: WeightsVersion) -> Option<ModelId> {
+        let mut services = self.fleet.services.values();
+        let service = services.find(|s| s.pool == pool.id && s.weights == weights)?;
+        service.rollout.as_ref().map(|r| r.model.clone())
+    }
+
     fn view(&self, pool: &BackendServerPool) -> PoolView<'_> {
         let serves = |s: &&ModelService| s.pool == pool.id && s.kind == ServiceKind::Model;
         let services = self.fleet.services.values().filter(serves);
--- a/azureway-core/src/order/pool_view.rs
+++ b/azureway-core/src/order/pool_view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Load;
-use crate::domain::{BackendServer, ServerId, WeightsVersion};
+use crate::domain::{BackendServer, ServerId, Timestamp, WeightsVersion};
 
 /// The weights of one pool: wanted, loaded and being loaded.
 #[derive(Clone, Debug)]
@@ -27,9 +27,13 @@
         unwanted_first.map(|(server, _)| (server, weights))
     }
 
-    /// Returns the servers that are loading.
-    pub fn loading(&self) -> usize {
-        self.servers.len() - self.idle().count()
+    /// Returns the servers whose loads hold up the next one at `now`.
+    pub fn loading(&self, now: Timestamp) -> usize {
+        let loads = self
+            .servers
+            .iter()
+            .filter_map(|(s, _)| self.loads.get(&s.id));
+        loads.filter(|l| l.busy > now).count()
     }
 
     /// Returns the servers that are not loading.
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -14,7 +14,9 @@
 pub use crate::domain::*;
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
-pub use crate::fleet::{Fleet, Health, LoadReport, ServerState, ServerTable};
+pub use crate::fleet::{
+    Fleet, Health, LoadReport, LoadSample, RouteTable, ServerState, ServerTable,
+};
 pub use crate::lease::{
     Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
 };
@@ -24,12 +26,13 @@
 };
 pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::quarantine::{CrashSite, Quarantine, Strike, StrikeState, SuspectStatus};
-pub use crate::retry::{Backoff, RetryBudget};
+pub use crate::retry::{Backoff, RetryBudget, RetryBudgets, RetrySlack};
 pub use crate::route::{
     Candidate, Estimate, Job, LeastLoaded, Policy, PrefixHash, PrefixLoad, Reach, Rendezvous,
     RoundRobin, Spread, StaticSplit,
 };
 pub use crate::router::{Obstacle, Overview, RouteOption, Router, RouterConfig};
+pub use crate::site::{NamedWeights, ServerEntry, SiteDocument, SiteService, SiteState};
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Count, Outcome, Tally};
 pub use crate::watch::{WatchChoice, WatchPlan, WatchStep};
--- a/azureway-core/src/quarantine/guard.rs
+++ b/azureway-core/src/quarantine/guard.rs
@@ -84,7 +84,10 @@
         let returned = site.incarnation > Incarnation::ZERO && known > site.incarnation;
         let state = match failure.kind {
             _ if failure.sent.is_not_run() => return,
-            FailureKind::Unreachable | FailureKind::Mismatch | FailureKind::Busy => return,
+            FailureKind::Unreachable
+            | FailureKind::Mismatch
+            | FailureKind::Busy
+            | FailureKind::Declined => return,
             _ if returned => StrikeState::Confirmed,
             FailureKind::Broken => StrikeState::Unproved,
             // A silent connection or a bad answer says little of the server by itself.
--- a/azureway-core/src/retry/backoff.rs
+++ b/azureway-core/src/retry/backoff.rs
@@ -24,6 +24,13 @@
         }
     }
 
+    /// Sets the longest wait.
+    #[must_use]
+    pub const fn with_cap(mut self, cap: Duration) -> Self {
+        self.cap = cap;
+        self
+    }
+
     /// Notes a success: the next wait starts at the base again.
     pub fn reset(&mut self) {
         self.failures = 0;
--- a/azureway-core/src/router/config.rs
+++ b/azureway-core/src/router/config.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::domain::ZoneId;
+use crate::retry::RetrySlack;
 
 /// The bounds of a router.
 #[derive(Clone, Debug)]
@@ -15,6 +16,10 @@
     pub tries: u32,
     /// The retries that are allowed, in percent of requests.
     pub retries: u32,
+    /// The retries beyond these that all entries together may make, where that is bounded.
+    pub slack: Option<RetrySlack>,
+    /// Whether the entries of all availability zones share the servers.
+    pub shared: bool,
     /// The time one way over a link to another availability zone.
     pub link: Duration,
     /// The time one way over a link to another region.
@@ -40,6 +45,8 @@
             queue: DEFAULT_QUEUE,
             tries: DEFAULT_TRIES,
             retries: DEFAULT_RETRIES,
+            slack: None,
+            shared: false,
             link: DEFAULT_LINK,
             far: DEFAULT_FAR,
         }
@@ -51,4 +58,19 @@
         self.queue = queue;
         self
     }
+
+    /// Sets the share of retries, in percent of requests, and what all entries together may
+    /// make beyond it.
+    #[must_use]
+    pub fn with_retries(mut self, percent: u32, slack: RetrySlack) -> Self {
+        (self.retries, self.slack) = (percent, Some(slack));
+        self
+    }
+
+    /// Lets the entries of all availability zones share the servers.
+    #[must_use]
+    pub fn with_shared(mut self) -> Self {
+        self.shared = true;
+        self
+    }
 }
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -8,8 +8,8 @@
 use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
 use crate::domain::{Attempt, Refusal, RefusalReason, Request, RequestId, Timestamp};
 use crate::event::{Action, Event, Failure, Finish};
-use crate::fleet::{Fleet, LoadReport};
-use crate::retry::RetryBudget;
+use crate::fleet::{Fleet, LoadReport, LoadSample};
+use crate::retry::RetryBudgets;
 use crate::route::Policy;
 use crate::tally::{Outcome, Tally};
 
@@ -23,7 +23,7 @@
     pub(super) queues: Queues,
     pub(super) claims: ClaimBook,
     pub(super) retries: Retries,
-    pub(super) budget: RetryBudget,
+    pub(super) budgets: RetryBudgets,
     pub(super) tally: Tally,
     pub(super) draining: bool,
     pub(super) seen: Timestamp,
@@ -33,7 +33,7 @@
     /// Creates a router that knows no configuration yet.
     pub fn new(config: RouterConfig, policy: P) -> Self {
         Self {
-            budget: RetryBudget::new(config.retries),
+            budgets: RetryBudgets::new(config.retries, config.slack),
             retries: Retries::new(),
             config,
             fleet: Fleet::new(),
@@ -60,9 +60,11 @@
             Event::Claim(news) => self.claimed(news, now, out),
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => self.report(report, now, out),
+            Event::Sampled(sample) => self.sample(sample, now),
             Event::Configured(fleet) => self.configure(fleet),
+            Event::Peers(_) if self.config.shared => {}
             Event::Peers(count) => self.sender.servers_mut().set_entries(count),
-            Event::Listed(count) => self.limits.share_mut().set_entries(count),
+            Event::Listed(count) => self.list(count),
             Event::Demand(demand) => self.limits.share_mut().hear(demand, now),
             Event::Server(news) => self.sender.servers_mut().hear(news),
             Event::Strike(strike) => self.struck(strike, now, out),
@@ -107,7 +109,7 @@
         let service = self.fleet.services.get(&request.service);
         let account = self.fleet.accounts.get(&request.account);
         if let (Some(service), Some(account)) = (service, account) {
-            self.budget.earn();
+            self.budgets.of(&service.pool, now).earn();
             let queued = Queued::new(request.clone(), account.weight);
             self.queues.push(service.pool.clone(), queued, now);
         } else {
@@ -166,13 +168,18 @@
         }
         match self.judge(&flight, failure, now, out) {
             Verdict::Retry => self.retries.push(Retry::new(flight, failure, now)),
-            Verdict::Wait => self.wait(flight, now),
+            Verdict::Wait => self.wait(flight, now, out),
             Verdict::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
         }
     }
 
     /// Lets a request that a server had no room for wait again.
-    fn wait(&mut self, flight: InFlight, now: Timestamp) {
+    fn wait(&mut self, flight: InFlight, now: Timestamp, out: &mut Vec<Action>) {
+        // Where all entries share the budget, what servers refuse counts in it too.
+        if self.budgets.is_shared() && !self.budgets.of(&flight.pool, now).spend() {
+            let refusal = Verdict::give_up(false, true);
+            return out.push(Action::Refuse(flight.attempt.id, refusal));
+        }
         let account = self.fleet.accounts.get(&flight.request.account);
         let weight = account.map_or(1, |a| a.weight);
         let (pool, plan) = (flight.pool.clone(), flight.bounce());
@@ -193,6 +200,21 @@
         }
     }
 
+    /// Takes in the number of entries of all availability zones.
+    fn list(&mut self, count: u32) {
+        self.limits.share_mut().set_entries(count);
+        self.budgets.set_entries(count);
+        if self.config.shared && self.sender.servers().entries() != count {
+            self.sender.servers_mut().set_entries(count);
+        }
+    }
+
+    fn sample(&mut self, sample: &LoadSample, now: Timestamp) {
+        if let Some(pool) = self.sender.sample(sample, now) {
+            self.queues.mark(pool);
+        }
+    }
+
     fn configure(&mut self, fleet: &Fleet) {
         // Versions only grow, so that a slow read or a late peer cannot bring an old one back.
         if fleet.version <= self.fleet.version {
@@ -217,12 +239,18 @@
 
     /// Tries again what waits for it, as far as the budget and the servers allow.
     fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        self.budget.refill(now);
         for retry in self.retries.take() {
             let want = PlacementRequest::new(&retry.request, retry.plan, true);
             let want = want.with_failed(retry.failed.as_ref());
-            if self.budget.has_retry() && self.dispatch(want, now, out) {
-                self.budget.spend();
+            let service = self.fleet.services.get(&retry.request.service);
+            let pool = service.map(|s| s.pool.clone());
+            let allowed = pool
+                .as_ref()
+                .is_some_and(|p| self.budgets.of(p, now).has_retry());
+            if allowed && self.dispatch(want, now, out) {
+                if let Some(pool) = &pool {
+                    self.budgets.of(pool, now).spend();
+                }
             } else {
                 self.retries.push(retry);
             }
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -4,7 +4,7 @@
 use crate::cache::{CacheIndex, CacheUpdate};
 use crate::domain::{Attempt, Incarnation, PoolId, RequestId, Timestamp};
 use crate::event::{Dispatch, Failure};
-use crate::fleet::{Fleet, LoadReport, ServerTable};
+use crate::fleet::{Fleet, LoadReport, LoadSample, ServerTable};
 use crate::member::{ServerNews, ServerSign};
 use crate::quarantine::{CrashSite, Guard};
 use crate::route::{Policy, Spread};
@@ -64,6 +64,12 @@
         for gone in self.servers.adopt(fleet) {
             self.index.forget(&gone);
         }
+        // Servers that only the list tells of have no news of their own to begin with.
+        for server in fleet.servers.values() {
+            if let Some(loaded) = server.loaded {
+                self.index.meet(&server.id, loaded.incarnation);
+            }
+        }
     }
 
     /// Takes in a run of cache events. Returns whether some before it were lost.
@@ -88,6 +94,15 @@
         self.servers.report(report, now)
     }
 
+    /// Takes in what an answer told of its server. Returns the server's pool.
+    pub fn sample(&mut self, sample: &LoadSample, now: Timestamp) -> Option<&PoolId> {
+        let state = self.servers.get_mut(&sample.server)?;
+        if state.sample(sample, now) {
+            self.index.forget(&sample.server);
+        }
+        Some(&state.server.pool)
+    }
+
     /// Sends a request to the best server. Returns the order, if there was a server.
     pub fn send(
         &mut self,
@@ -99,7 +114,8 @@
         let service = fleet.services.get(&want.request.service)?;
         let (mut placement, policy) = self.placement(config, fleet);
         let best = placement.choose(policy, want, service, now)?;
-        let order = want.plan.order(want.request, &best);
+        let mut order = want.plan.order(want.request, service, &best);
+        order.source = placement.source(want.request, service, &best, now);
         self.track(want, service.pool.clone(), &order, now);
         Some(order)
     }
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -1,5 +1,6 @@
 //! Finding a backend server for a request.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -85,6 +86,36 @@
         options.collect()
     }
 
+    /// Returns the address of a server that is believed to hold more of the prompt than the
+    /// chosen one. Where no server is known to, it is the one that the prefix is kept on first:
+    /// a fetch that finds nothing costs far less than computing the prefix again.
+    pub fn source(
+        &mut self,
+        request: &Request,
+        service: &'a ModelService,
+        best: &Candidate<'_>,
+        now: Timestamp,
+    ) -> Option<SocketAddr> {
+        if !service.fetches || request.chain.blocks().is_empty() {
+            return None;
+        }
+        let own = best.state;
+        let same = |s: &&ServerState| s.server.id != own.server.id && s.weights == own.weights;
+        let others = self.servers.of_pool(&service.pool);
+        let others: SmallVec<[&ServerState; 16]> =
+            others.filter(same).filter(|s| s.accepts(now)).collect();
+        let order = Rendezvous::new(request.chain.prefix());
+        let blocks = request.chain.blocks();
+        let mut held = |s: &ServerState| self.index.cached(&s.server.id, s.incarnation, blocks);
+        let known = held(own);
+        let most = others
+            .into_iter()
+            .map(|s| (held(s), order.weight(&s.server.id), s.server.address))
+            .max_by_key(|(tokens, weight, _)| (*tokens, *weight))?;
+        let more = most.0 > known || known < request.chain.shared();
+        more.then_some(most.2)
+    }
+
     /// Returns the candidate of a server, made up where the server is none.
     fn find(
         &mut self,
@@ -241,8 +272,8 @@
 
 /// Tells whether a server is alive and has what a request to `service` needs.
 fn fits(state: &ServerState, request: &Request, service: &ModelService, now: Timestamp) -> bool {
-    let weights = service.kind == ServiceKind::Plain
-        || state.weights.is_none_or(|loaded| loaded == request.weights);
+    let takes = |loaded| service.takes(loaded, request.weights, now);
+    let weights = service.kind == ServiceKind::Plain || state.weights.is_none_or(takes);
     weights && state.accepts(now)
 }
 
--- a/azureway-core/src/router/plan.rs
+++ b/azureway-core/src/router/plan.rs
@@ -1,6 +1,6 @@
 //! What is to be tried next.
 
-use crate::domain::{Attempt, Incarnation, Request, RequestId, StreamPosition};
+use crate::domain::{Attempt, Incarnation, ModelService, Request, RequestId, StreamPosition};
 use crate::event::Dispatch;
 use crate::route::Candidate;
 
@@ -28,8 +28,15 @@
         }
     }
 
-    /// Returns the order that sends `request` to the chosen server.
-    pub fn order(&self, request: &Request, best: &Candidate<'_>) -> Dispatch {
+    /// Returns the order that sends `request` to the chosen server of `service`.
+    pub fn order(
+        &self,
+        request: &Request,
+        service: &ModelService,
+        best: &Candidate<'_>,
+    ) -> Dispatch {
+        // During a rollout the answer comes from what the server has, and so do its blocks.
+        let loaded = service.rollout.as_ref().and(best.state.weights);
         let known = best.state.incarnation > Incarnation::ZERO;
         Dispatch {
             attempt: self.attempt,
@@ -38,9 +45,10 @@
             rank: request.rank,
             salt: request.chain.salt(),
             incarnation: known.then_some(best.state.incarnation),
-            weights: request.weights,
+            weights: loaded.unwrap_or(request.weights),
             position: self.position,
             cached: best.cached,
+            source: None,
         }
     }
 }
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -19,7 +19,7 @@
         let abroad = abroad.filter(|t| *t > self.seen && self.fleet.has_regions());
         let trial = limit.and_then(|_| self.sender.servers().next_trial(self.seen));
         let claims = self.claims.earliest();
-        let refill = self.budget.next_refill();
+        let refill = self.budgets.next_refill();
         let refill = refill.filter(|_| !self.retries.is_empty());
         let times = [limit, trial, abroad, refill, claims];
         times.into_iter().flatten().min()
@@ -50,7 +50,7 @@
             queued: Rank::ALL.map(|rank| self.queues.depth(rank)),
             flights: self.sender.flights().len(),
             retries: self.retries.len(),
-            budget: self.budget.left(),
+            budget: self.budgets.left(),
             claims: self.claims.pending(),
             suspects: self.guarded(SuspectStatus::Suspect),
             quarantined: self.guarded(SuspectStatus::Quarantined),
--- a/azureway-core/src/watch/watch_plan.rs
+++ b/azureway-core/src/watch/watch_plan.rs
@@ -18,6 +18,8 @@
     due: Timestamp,
     backoff: Backoff,
     checks: Backoff,
+    wait: Duration,
+    gap: Duration,
 }
 
 /// How long the platform keeps a watch that has no news.
@@ -39,9 +41,20 @@
             due: Timestamp::ZERO,
             backoff: Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed),
             checks: Backoff::new(CHECK_TIME, CHECK_TIME, seed),
+            wait: WAIT,
+            gap: Duration::ZERO,
         }
     }
 
+    /// Sets how long the platform keeps a watch that has no news, how long changes are
+    /// gathered before the next watch, and the longest wait after a failure.
+    #[must_use]
+    pub fn with_pace(mut self, wait: Duration, gap: Duration, cap: Duration) -> Self {
+        (self.wait, self.gap) = (wait, gap);
+        self.backoff = self.backoff.with_cap(cap);
+        self
+    }
+
     /// Notes whether the entry is chosen to watch.
     pub fn choose(&mut self, chosen: bool, now: Timestamp) {
         if chosen && !self.chosen {
@@ -57,7 +70,7 @@
         }
         match self.after {
             None => WatchStep::List,
-            Some(version) if self.chosen => WatchStep::Watch(version, WAIT),
+            Some(version) if self.chosen => WatchStep::Watch(version, self.wait),
             Some(version) => WatchStep::Watch(version, Duration::ZERO),
         }
     }
@@ -67,7 +80,7 @@
         self.backoff.reset();
         self.after = Some(version);
         self.due = if self.chosen {
-            now
+            now + self.gap
         } else {
             now + self.checks.fail()
         };
--- a/azureway-core/tests/routing/world.rs
+++ b/azureway-core/tests/routing/world.rs
@@ -57,6 +57,7 @@
         let request = Request {
             id: RequestId::new(entry as u64, sequence),
             fingerprint: Fingerprint::of(account.as_str(), "advice", prompt.as_bytes()),
+            tries: None,
             chain: BlockChain::new(salt, levels),
             account,
             service,
--- a/azureway-core/tests/support/mod.rs
+++ b/azureway-core/tests/support/mod.rs
@@ -47,6 +47,7 @@
         Request {
             id: RequestId::new(1, self.sequence),
             fingerprint: Fingerprint::of(account.as_str(), "advice", levels.concat().as_bytes()),
+            tries: None,
             chain: BlockChain::new(salt, levels.iter().map(|l| l.as_bytes())),
             account,
             service,
--- a/azureway-dev/src/bench/world.rs
+++ b/azureway-dev/src/bench/world.rs
@@ -99,6 +99,7 @@
             output: TokenCount::new(100),
             key: None,
             fingerprint: Fingerprint::from_bytes(u128::from(self.sequence).to_be_bytes()),
+            tries: None,
         }
     }
 
--- a/azureway-dev/src/replay/requests.rs
+++ b/azureway-dev/src/replay/requests.rs
@@ -47,6 +47,7 @@
             arrived: now,
             weights: self.weights,
             fingerprint: Fingerprint::of(&ask.account, ask.kind.as_str(), own.as_bytes()),
+            tries: None,
             chain,
             output: TokenCount::new(ask.output),
             key: once.then(|| IdempotencyKey::new(&own)),
--- a/azureway-entry/src/admin/explainer.rs
+++ b/azureway-entry/src/admin/explainer.rs
@@ -66,6 +66,7 @@
         // Nothing is run, so nothing ever comes of it.
         let (outcome, _) = flume::bounded(1);
         Ok(Call {
+            id: self.handles.ids.next(),
             head,
             body,
             arrived: self.handles.clock.now(),
--- a/azureway-entry/src/admin/handles.rs
+++ b/azureway-entry/src/admin/handles.rs
@@ -3,7 +3,7 @@
 use azureway_core::prelude::{InstanceId, KeyHash, ZoneId};
 use flume::Sender;
 
-use crate::admit::AdmitMessage;
+use crate::admit::{AdmitMessage, RequestIds};
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
 
@@ -22,6 +22,8 @@
     pub decide: Sender<DecideMessage>,
     /// Told when the daemon is to shut down.
     pub stopper: Sender<()>,
+    /// The identities of requests.
+    pub ids: RequestIds,
     /// The clock.
     pub clock: Clock,
 }
--- a/azureway-entry/src/admit/admitter.rs
+++ b/azureway-entry/src/admit/admitter.rs
@@ -5,37 +5,35 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{AdmitMessage, Admitted, Call, CallReader, ExplainCall};
+use super::{AdmitMessage, Admitted, Call, ExplainCall, ReadCall, UpstreamRequest};
 use crate::caller::Outcome;
 use crate::decide::{DecideMessage, Question};
 use crate::meter::Measure;
 
 /// The admitting duty: tells who asks for what and derives the blocks of the prompt.
 #[derive(Debug)]
-pub struct Admitter {
+pub struct Admitter<R> {
+    reader: R,
     messages: Receiver<AdmitMessage>,
     decide: Sender<DecideMessage>,
     meter: Sender<Measure>,
     fleet: Arc<Fleet>,
-    entry: u64,
-    sequence: u64,
 }
 
-impl Admitter {
-    /// Creates the duty. `entry` marks the identities of this process's requests.
+impl<R: ReadCall> Admitter<R> {
+    /// Creates the duty over the interface that `reader` reads.
     pub fn new(
+        reader: R,
         messages: Receiver<AdmitMessage>,
         decide: Sender<DecideMessage>,
         meter: Sender<Measure>,
-        entry: u64,
     ) -> Self {
         Self {
+            reader,
             messages,
             decide,
             meter,
             fleet: Arc::new(Fleet::new()),
-            entry,
-            sequence: 0,
         }
     }
 
@@ -56,10 +54,9 @@
         }
     }
 
-    fn admit(&mut self, call: Call) {
-        self.sequence += 1;
-        let id = RequestId::new(self.entry, self.sequence);
-        match self.read(&call, id) {
+    fn admit(&mut self, mut call: Call) {
+        let id = call.id;
+        match self.read(&mut call) {
             Ok((request, upstream)) => {
                 let admitted = Admitted {
                     request,
@@ -71,17 +68,20 @@
                 let _ = self.decide.send(DecideMessage::Arrived(Box::new(admitted)));
             }
             Err(refusal) => {
-                log::info!(request:% = id, step = "admit", code = refusal.reason.code(); "refused");
+                log::info!(
+                    request:% = id, step = "admit", code = refusal.reason.code(),
+                    detail = refusal.detail.as_ref(), fleet:% = self.fleet.version;
+                    "refused"
+                );
                 let _ = self.meter.try_send(Measure::Refused(refusal.reason));
                 let _ = call.outcome.try_send(Outcome::Refused(id, refusal));
             }
         }
     }
 
-    fn explain(&mut self, explain: ExplainCall) {
-        self.sequence += 1;
-        let id = RequestId::new(self.entry, self.sequence);
-        match self.read_as(&explain, id) {
+    fn explain(&mut self, mut explain: ExplainCall) {
+        let ExplainCall { account, call, .. } = &mut explain;
+        match self.reader.read_as(&self.fleet, account, call) {
             Ok(request) => {
                 let message =
                     DecideMessage::Ask(Question::Explain(Box::new(request), explain.reply));
@@ -93,24 +93,11 @@
         }
     }
 
-    fn read_as(&self, explain: &ExplainCall, id: RequestId) -> Result<Request, Refusal> {
-        let account = self.fleet.accounts.get(explain.account.as_str());
-        let detail = "no client account of this name";
-        let refusal = || Refusal::not_run(RefusalReason::Unauthorized, detail);
-        let reader = CallReader::new(&self.fleet, &explain.call);
-        let (request, _) = reader.read_as(account.ok_or_else(refusal)?, id)?;
-        Ok(request)
-    }
-
-    fn read(
-        &self,
-        call: &Call,
-        id: RequestId,
-    ) -> Result<(Request, super::UpstreamRequest), Refusal> {
+    fn read(&self, call: &mut Call) -> Result<(Request, UpstreamRequest), Refusal> {
         if self.fleet.version == ConfigVersion::ZERO {
             let detail = "no configuration has been read yet";
             return Err(Refusal::not_run(RefusalReason::NoServer, detail));
         }
-        CallReader::new(&self.fleet, call).read(id)
+        self.reader.read(&self.fleet, call)
     }
 }
--- a/azureway-entry/src/admit/call.rs
+++ b/azureway-entry/src/admit/call.rs
@@ -1,6 +1,6 @@
 //! A call as it came from a caller.
 
-use azureway_core::prelude::Timestamp;
+use azureway_core::prelude::{RequestId, Timestamp};
 use flume::Sender;
 
 use crate::caller::{Head, Outcome};
@@ -8,6 +8,8 @@
 /// A call as it came from a caller, whole and within its bounds.
 #[derive(Debug)]
 pub struct Call {
+    /// The identity that its request gets.
+    pub id: RequestId,
     /// The head.
     pub head: Head,
     /// The body.
--- a/azureway-entry/src/admit/mod.rs
+++ b/azureway-entry/src/admit/mod.rs
@@ -3,15 +3,23 @@
 mod admitted;
 mod admitter;
 mod call;
+mod chat_calls;
 mod explain_call;
 mod message;
+mod passage;
+mod read_call;
 mod reader;
+mod request_ids;
 mod upstream_request;
 
 pub use admitted::Admitted;
 pub use admitter::Admitter;
 pub use call::Call;
+pub use chat_calls::ChatCalls;
 pub use explain_call::{ExplainCall, ExplainReply};
 pub use message::AdmitMessage;
+pub use passage::Passage;
+pub use read_call::ReadCall;
 pub use reader::CallReader;
+pub use request_ids::RequestIds;
 pub use upstream_request::UpstreamRequest;
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -151,6 +151,7 @@
                 (!t.is_empty()).then(|| IdempotencyKey::new(t))
             })?,
             fingerprint: Fingerprint::of(account.id.as_str(), &target, &self.call.body),
+            tries: None,
         })
     }
 
@@ -221,6 +222,7 @@
             account: request.account.clone(),
             key: request.key.clone(),
             body: body.into(),
+            passage: None,
         }
     }
 }
--- a/azureway-entry/src/admit/upstream_request.rs
+++ b/azureway-entry/src/admit/upstream_request.rs
@@ -4,6 +4,8 @@
 
 use azureway_core::prelude::{AccountId, IdempotencyKey, ServiceKind};
 
+use super::Passage;
+
 /// What a relay carries to a backend server: the bytes that the decisions never see.
 #[derive(Clone, Debug)]
 pub struct UpstreamRequest {
@@ -23,6 +25,8 @@
     pub key: Option<IdempotencyKey>,
     /// The body.
     pub body: Arc<[u8]>,
+    /// What is passed on unchanged, where the interface passes requests on.
+    pub passage: Option<Passage>,
 }
 
 impl UpstreamRequest {
--- a/azureway-entry/src/caller/answer.rs
+++ b/azureway-entry/src/caller/answer.rs
@@ -8,7 +8,7 @@
 use chunked_transfer::Encoder;
 use flume::Receiver;
 
-use super::{AnswerChunk, Outcome, Responder, WholeAnswer};
+use super::{AnswerChunk, Outcome, Responder, WholeAnswer, is_open};
 
 /// The answer to one request, over all its tries: passed on as it comes or gathered whole.
 pub struct Answer<'a> {
@@ -74,14 +74,9 @@
 
     /// Fails if the caller has hung up while its request waited.
     fn check_caller(&self) -> io::Result<()> {
-        self.stream.set_nonblocking(true)?;
-        let seen = self.stream.peek(&mut [0]);
-        self.stream.set_nonblocking(false)?;
-        match seen {
-            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(_) => Ok(()),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
-            Err(e) => Err(e),
+        match is_open(self.stream)? {
+            true => Ok(()),
+            false => Err(io::ErrorKind::UnexpectedEof.into()),
         }
     }
 
@@ -95,6 +90,12 @@
                     return Ok(true);
                 }
                 AnswerChunk::End => return self.end().map(|()| true),
+                AnswerChunk::Head(_)
+                | AnswerChunk::Bytes(_)
+                | AnswerChunk::Full(..)
+                | AnswerChunk::Held(..) => {
+                    return Err(io::Error::other("a chunk of another interface"));
+                }
             }
         }
         Ok(false)
--- a/azureway-entry/src/caller/answer_chunk.rs
+++ b/azureway-entry/src/caller/answer_chunk.rs
@@ -2,6 +2,8 @@
 
 use azureway_core::prelude::StreamPosition;
 
+use crate::exchange::AnswerHead;
+
 /// A chunk of an answer, from a relay to a connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerChunk {
@@ -9,6 +11,14 @@
     Event(StreamPosition, Box<str>),
     /// A whole answer: status, media type and body.
     Whole(u16, Box<str>, Vec<u8>),
+    /// The head of a stream whose bytes are passed on unchanged.
+    Head(Box<AnswerHead>),
+    /// Whole events of such a stream.
+    Bytes(Vec<u8>),
+    /// A whole answer that is passed on unchanged.
+    Full(Box<AnswerHead>, Vec<u8>),
+    /// A failure of the server's own, for the case that no other server does better.
+    Held(Box<AnswerHead>, Vec<u8>),
     /// The answer is complete.
     End,
 }
--- a/azureway-entry/src/caller/connection.rs
+++ b/azureway-entry/src/caller/connection.rs
@@ -100,6 +100,7 @@
     fn call(&self, head: Head, body: Vec<u8>) -> io::Result<()> {
         let (outcome, outcomes) = flume::bounded(OUTCOMES);
         let call = Call {
+            id: self.handles.ids.next(),
             head,
             body,
             arrived: self.handles.clock.now(),
--- a/azureway-entry/src/caller/head.rs
+++ b/azureway-entry/src/caller/head.rs
@@ -55,6 +55,11 @@
         named.map(|(_, value)| value.as_ref())
     }
 
+    /// Returns every header in order, with lower-case names.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.headers.iter().map(|(n, v)| (n.as_ref(), v.as_ref()))
+    }
+
     /// Returns every value of the header with the lower-case `name`.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
         let named = self.headers.iter().filter(move |(n, _)| n.as_ref() == name);
--- a/azureway-entry/src/caller/head_reader.rs
+++ b/azureway-entry/src/caller/head_reader.rs
@@ -23,6 +23,13 @@
         }
     }
 
+    /// Sets the bytes that came before.
+    #[must_use]
+    pub fn with_bytes(mut self, bytes: Vec<u8>) -> Self {
+        self.bytes = bytes;
+        self
+    }
+
     /// Reads a head and returns it with the bytes of the body that came along.
     ///
     /// # Errors
--- a/azureway-entry/src/caller/responder.rs
+++ b/azureway-entry/src/caller/responder.rs
@@ -5,7 +5,7 @@
 use std::net::{Shutdown, TcpStream};
 
 use azureway_core::prelude::{Refusal, RequestId};
-use azureway_wire::error::{ErrorBody, status_of};
+use azureway_wire::error::{ErrorBody, reason_phrase, status_of};
 use azureway_wire::header;
 use chunked_transfer::Encoder;
 
@@ -85,7 +85,7 @@
     }
 
     fn head(&self, status: u16, media: &str) -> String {
-        let reason = reason(status);
+        let reason = reason_phrase(status);
         let mut head =
             format!("HTTP/1.1 {status} {reason}\r\nconnection: close\r\ncontent-type: {media}\r\n");
         if let Some(id) = self.id {
@@ -94,22 +94,3 @@
         head
     }
 }
-
-const fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        401 => "Unauthorized",
-        404 => "Not Found",
-        408 => "Request Timeout",
-        409 => "Conflict",
-        413 => "Content Too Large",
-        422 => "Unprocessable Content",
-        429 => "Too Many Requests",
-        431 => "Request Header Fields Too Large",
-        502 => "Bad Gateway",
-        503 => "Service Unavailable",
-        504 => "Gateway Timeout",
-        _ => "Status",
-    }
-}
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -3,8 +3,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{self, JoinHandle};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::thread::JoinHandle;
 
 use azureway_config::settings::EntrySettings;
 use azureway_core::prelude::*;
@@ -12,18 +11,19 @@
 use flume::{Receiver, Sender};
 use tiny_http::Server;
 
-use super::Rings;
+use super::parts::{process_mark, talk};
+use super::{Rings, spawn};
 use crate::admin::{AdminDuty, AdminHandles};
-use crate::admit::Admitter;
+use crate::admit::{Admitter, ChatCalls, RequestIds};
 use crate::caller::Listener;
 use crate::claim::Claimer;
 use crate::decide::{DecideMessage, Decider, Question};
 use crate::meter::Meter;
 use crate::news::NewsReaders;
 use crate::order::{HttpOrders, Orderer};
-use crate::peer::{PeerDuty, PeerMessage};
+use crate::peer::PeerMessage;
 use crate::relay::Launcher;
-use crate::watch::{ChoiceNotifier, WatchMessage, Watcher};
+use crate::watch::{WatchMessage, Watcher};
 
 /// One entry daemon, running.
 pub struct Entry {
@@ -80,12 +80,13 @@
         let rings = Rings::new(settings.bounds.ring);
         let stop = Arc::new(AtomicBool::new(false));
         let mut threads = Vec::new();
-        let (handles, limits) = (rings.handles(), settings.bounds.clone());
+        let ids = RequestIds::new(mark);
+        let (handles, limits) = (rings.handles(&ids), settings.bounds.clone());
         let listener = Listener::new(settings.listen, handles, limits, Arc::clone(&stop))?;
         let address = listener.address()?;
         // Before any duty starts: what the duties log comes after it.
         log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
-        let operators = admin(settings, &rings, stopper)?;
+        let operators = admin(settings, &rings, &ids, stopper)?;
         let api = HttpObjects::new(settings.platform);
         let calls = api.calls().clone();
         claim(&api, &rings, mark)?;
@@ -94,10 +95,10 @@
         threads.push(talk(settings, &rings, peers, mark)?);
         let decider = decider(settings, &rings);
         let admitter = Admitter::new(
+            ChatCalls,
             rings.admit_messages,
             rings.decide.clone(),
             rings.meter,
-            mark,
         );
         let watcher = Watcher::new(
             api,
@@ -177,9 +178,11 @@
 fn admin(
     settings: &EntrySettings,
     rings: &Rings,
+    ids: &RequestIds,
     stopper: Sender<()>,
 ) -> Result<Arc<Server>, Error> {
     let handles = AdminHandles {
+        ids: ids.clone(),
         instance: settings.instance.clone(),
         zone: settings.zone.clone(),
         operator: settings.operator,
@@ -195,7 +198,7 @@
 }
 
 /// Returns the deciding duty.
-fn decider(settings: &EntrySettings, rings: &Rings) -> Decider<PrefixLoad> {
+fn decider(settings: &EntrySettings, rings: &Rings) -> Decider<PrefixLoad, Launcher, NewsReaders> {
     let config = RouterConfig::new(settings.zone.clone()).with_queue(settings.bounds.queue);
     let router = Router::new(config, PrefixLoad::new());
     let launcher = Launcher::new(
@@ -217,7 +220,8 @@
     let lease = Lease::new(LeaseConfig::new(), settings.instance.clone(), mark);
     let config = OrderConfig::new().with_store(settings.bounds.loads);
     let (link, messages) = (HttpOrders::new(), rings.order_messages.clone());
-    Orderer::new(api, link, messages, rings.clock, lease, config, mark)
+    let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
+    orderer.with_sweeps(api, mark)
 }
 
 /// Starts the claiming threads. They end with the deciding duty, which waits for their news.
@@ -232,42 +236,3 @@
     }
     Ok(())
 }
-
-/// Starts the peer duty.
-fn talk(
-    settings: &EntrySettings,
-    rings: &Rings,
-    listener: TcpListener,
-    mark: u64,
-) -> Result<JoinHandle<()>, Error> {
-    const STEP: Step = Step::new("listen to peers");
-    let address = listener.local_addr();
-    let address = address.map_err(|e| Error::new(ErrorKind::System, STEP, e))?;
-    let start = SystemTime::now().duration_since(UNIX_EPOCH);
-    let start = start.unwrap_or_default().as_micros();
-    let incarnation = Incarnation::new(u64::try_from(start).unwrap_or(u64::MAX));
-    let me = Instance::new(settings.instance.clone(), settings.zone.clone(), address);
-    let me = me.with_incarnation(incarnation);
-    let choice = ChoiceNotifier::new(me.id.clone(), rings.watch.clone(), rings.order.clone());
-    let now = rings.clock.now();
-    let core = Membership::new(MemberConfig::new(), me, &settings.peers, mark, now);
-    let (runtime, duty) = (
-        PeerDuty::runtime()?,
-        PeerDuty::new(core, rings.peers(choice)),
-    );
-    spawn("peer", move || duty.run(&runtime, listener))
-}
-
-fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>, Error> {
-    let thread = thread::Builder::new().name(name.to_owned()).spawn(duty);
-    thread.map_err(|e| Error::new(ErrorKind::System, Step::new("start thread"), e).with_peer(name))
-}
-
-/// Returns a number that differs between processes, to mark the identities of requests.
-fn process_mark(settings: &EntrySettings) -> u64 {
-    let start = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let seed = PrefixKey::new(start.as_nanos());
-    Rendezvous::new(seed).weight(&ServerId::new(settings.instance.as_str()))
-}
--- /dev/null
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -0,0 +1,223 @@
+//! One entry daemon that serves a site.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use azureway_config::settings::{EntrySettings, SiteSettings};
+use azureway_core::prelude::*;
+use azureway_objects::{HttpObjects, ObjectForm};
+use flume::{Receiver, Sender};
+
+use super::parts::{process_mark, talk};
+use super::{ReadyDuty, Rings, Site, spawn};
+use crate::admit::{Admitter, RequestIds};
+use crate::decide::{DecideMessage, Decider};
+use crate::exchange::ExchangeLauncher;
+use crate::meter::Meter;
+use crate::news::Silence;
+use crate::order::{OrderLink, Orderer};
+use crate::peer::PeerMessage;
+use crate::routed::{Gate, HangupWatcher, RoutedCalls, RoutedListener};
+use crate::site::{SITE_WAIT, SiteDuty, SiteKind, SiteNews, SiteWatcher};
+
+/// One entry daemon that serves a site, running.
+pub struct Gateway {
+    address: SocketAddr,
+    gate: Gate,
+    ready: Arc<AtomicBool>,
+    decide: Sender<DecideMessage>,
+    peer: Sender<PeerMessage>,
+    grace: Duration,
+}
+
+/// The limit of a call to the platform, in seconds; it answers in milliseconds.
+const CALL_TIMEOUT: u64 = 1;
+/// How long changes are gathered before the next watch: a watch for each single change would
+/// cost a call each, and every bound on a change is seconds long.
+const WATCH_GAP: Duration = Duration::from_millis(200);
+/// The longest wait before the platform is asked again: changes must be in force within
+/// seconds of its return.
+const WATCH_CAP: Duration = Duration::from_millis(500);
+/// The news of a site that wait to be composed.
+const SITE_RING: usize = 256;
+/// How long requests are still taken after the signal to stop: the balancer asks each second,
+/// and takes an instance out after two answers.
+const LINGER: Duration = Duration::from_millis(2_500);
+/// What is left of the grace when the last answers are given up.
+const MARGIN: Duration = Duration::from_millis(500);
+/// The margin within which the holder of the lease no longer gives orders, as a part of the
+/// term. An order call takes less.
+const MARGIN_PART: u32 = 3;
+/// How long a load holds up the next one if nothing is heard of its end: the order of
+/// magnitude of a load.
+const LOAD_TIME: Duration = Duration::from_millis(800);
+/// The margin before the bound of a rollout within which no older weights are asked.
+const ROLLOUT_MARGIN: Duration = Duration::from_millis(1_000);
+
+impl Gateway {
+    /// Starts every duty of an entry that serves a site.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound or a thread cannot be started.
+    pub fn start<S: Site, F, L>(
+        settings: &EntrySettings,
+        served: &SiteSettings,
+        site: S,
+        form: F,
+        link: L,
+    ) -> Result<Self, Error>
+    where
+        F: ObjectForm + Send + 'static,
+        L: OrderLink + Send + 'static,
+    {
+        const STEP: Step = Step::new("listen to peers");
+        let peers = TcpListener::bind(settings.peer);
+        let error = |e| Error::new(ErrorKind::System, STEP, e).with_peer(settings.peer);
+        let peers = peers.map_err(error)?;
+        let mark = process_mark(settings);
+        let rings = Rings::new(settings.bounds.ring);
+        let ids = RequestIds::new(mark);
+        let (gate, ready) = (Gate::new(), Arc::clone(&rings.ready));
+        let watcher = HangupWatcher::new(rings.decide.clone())?;
+        let listener = RoutedListener::new(
+            settings.listen,
+            site.clone(),
+            rings.handles(&ids),
+            settings.bounds.clone(),
+            gate.clone(),
+            watcher.watch(),
+        )?;
+        let address = listener.address()?;
+        log::info!(step = "start", peer:% = address, instance:% = settings.instance, zone:% = settings.zone; "listening");
+        let balancer = ReadyDuty::new(served.ready, Arc::clone(&ready), rings.meter.clone())?;
+        let api = HttpObjects::with_form(settings.platform, form).with_timeout(CALL_TIMEOUT);
+        talk(settings, &rings, peers, mark)?;
+        let decider = decider(settings, served, &rings, site.clone());
+        spawn("decide", move || decider.run())?;
+        watch(served, &rings, &api, &site, &gate, mark)?;
+        order(settings, served, &rings, &api, link, mark)?;
+        let calls = RoutedCalls::new(site);
+        let meter = Meter::new(rings.measures.clone(), rings.views(), api.calls().clone());
+        let admitter = Admitter::new(
+            calls,
+            rings.admit_messages,
+            rings.decide.clone(),
+            rings.meter,
+        );
+        spawn("admit", move || admitter.run())?;
+        spawn("meter", move || meter.run())?;
+        spawn("watch callers", move || watcher.run())?;
+        spawn("ready", move || balancer.run())?;
+        spawn("accept", move || listener.run())?;
+        Ok(Self {
+            address,
+            gate,
+            ready,
+            decide: rings.decide,
+            peer: rings.peer,
+            grace: served.grace,
+        })
+    }
+
+    /// Returns the address that callers reach.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Shuts down: is no longer ready, serves what the balancer still sends, then finishes what
+    /// is being answered.
+    pub fn drain(self) {
+        let began = Instant::now();
+        self.ready.store(false, Ordering::Release);
+        self.gate.leave();
+        // Both duties end only with the process.
+        let _ = self.peer.send(PeerMessage::Leave);
+        std::thread::park_timeout(LINGER);
+        let left = self.gate.active.wait(self.rest(began));
+        let (drained, _done): (Sender<()>, Receiver<()>) = flume::bounded(1);
+        let _ = self.decide.send(DecideMessage::Drain(drained));
+        if left > 0 {
+            log::warn!(step = "stop", left = left; "the grace ends before the last answers");
+        }
+    }
+
+    /// Returns what is left of the grace for the last answers.
+    fn rest(&self, began: Instant) -> Duration {
+        self.grace.saturating_sub(began.elapsed() + MARGIN)
+    }
+}
+
+/// Returns the deciding duty.
+fn decider<S: Site>(
+    settings: &EntrySettings,
+    served: &SiteSettings,
+    rings: &Rings,
+    site: S,
+) -> Decider<PrefixLoad, ExchangeLauncher<S>, Silence> {
+    let slack = RetrySlack {
+        count: served.slack,
+        window: served.window,
+    };
+    let config = RouterConfig::new(settings.zone.clone())
+        .with_queue(settings.bounds.queue)
+        .with_retries(served.retries, slack)
+        .with_shared();
+    let router = Router::new(config, PrefixLoad::new());
+    let (decide, bounds) = (rings.decide.clone(), settings.bounds.clone());
+    let launcher = ExchangeLauncher::new(site, decide, bounds, rings.clock);
+    Decider::new(router, rings, launcher, Silence, settings.instance.clone())
+}
+
+/// Starts the duties that hear the site.
+fn watch<S: Site, F: ObjectForm + Send + 'static>(
+    served: &SiteSettings,
+    rings: &Rings,
+    api: &HttpObjects<F>,
+    site: &S,
+    gate: &Gate,
+    mark: u64,
+) -> Result<(), Error> {
+    let (news, messages): (Sender<SiteNews>, _) = flume::bounded(SITE_RING);
+    for kind in SiteKind::ALL {
+        let plan = WatchPlan::new(mark).with_pace(SITE_WAIT, WATCH_GAP, WATCH_CAP);
+        let (api, news) = (api.clone(), news.clone());
+        let watcher = SiteWatcher::new(api, site.clone(), kind, news, rings.clock, plan);
+        spawn(kind.as_str(), move || watcher.run())?;
+    }
+    let grace = served.rollout.saturating_sub(ROLLOUT_MARGIN);
+    let state = SiteState::new(served.zones.clone(), grace);
+    let duty = SiteDuty::new(
+        state,
+        messages,
+        rings.admit.clone(),
+        rings.decide.clone(),
+        gate.clone(),
+        rings.clock,
+    );
+    spawn("site", move || duty.run())?;
+    Ok(())
+}
+
+/// Starts the ordering duty.
+fn order<F: ObjectForm + Send + 'static, L: OrderLink + Send + 'static>(
+    settings: &EntrySettings,
+    served: &SiteSettings,
+    rings: &Rings,
+    api: &HttpObjects<F>,
+    link: L,
+    mark: u64,
+) -> Result<(), Error> {
+    let margin = served.term / MARGIN_PART;
+    let config = LeaseConfig::new().with_term(served.term, margin);
+    let lease = Lease::new(config, settings.instance.clone(), mark);
+    let config = OrderConfig::new()
+        .with_store(settings.bounds.loads)
+        .with_busy(LOAD_TIME);
+    let messages = rings.order_messages.clone();
+    let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
+    spawn("order", move || orderer.run())?;
+    Ok(())
+}
--- a/azureway-entry/src/daemon/handles.rs
+++ b/azureway-entry/src/daemon/handles.rs
@@ -5,7 +5,7 @@
 
 use flume::Sender;
 
-use crate::admit::AdmitMessage;
+use crate::admit::{AdmitMessage, RequestIds};
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
 use crate::meter::Measure;
@@ -19,6 +19,8 @@
     pub decide: Sender<DecideMessage>,
     /// The measuring duty.
     pub meter: Sender<Measure>,
+    /// The identities of requests.
+    pub ids: RequestIds,
     /// The clock.
     pub clock: Clock,
     /// A ring that ends when the last connection does; nothing is ever sent on it.
--- a/azureway-entry/src/daemon/mod.rs
+++ b/azureway-entry/src/daemon/mod.rs
@@ -1,9 +1,21 @@
 //! The daemon: its duties and the rings between them.
+//!
+//! [`Entry`] serves the product's own interface, [`Gateway`] a [`Site`]. Both are made of the
+//! same duties around the same decisions.
 
 mod entry;
+mod gateway;
 mod handles;
+mod parts;
+mod ready_duty;
 mod rings;
+mod site;
+mod spawn;
 
 pub use entry::Entry;
+pub use gateway::Gateway;
 pub use handles::Handles;
+pub use ready_duty::ReadyDuty;
 pub use rings::Rings;
+pub use site::Site;
+pub use spawn::spawn;
--- /dev/null
+++ b/azureway-entry/src/daemon/parts.rs
@@ -0,0 +1,46 @@
+//! The duties that every daemon has.
+
+use std::net::TcpListener;
+use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use azureway_config::settings::EntrySettings;
+use azureway_core::prelude::*;
+
+use super::{Rings, spawn};
+use crate::peer::PeerDuty;
+use crate::watch::ChoiceNotifier;
+
+/// Starts the peer duty.
+pub(super) fn talk(
+    settings: &EntrySettings,
+    rings: &Rings,
+    listener: TcpListener,
+    mark: u64,
+) -> Result<JoinHandle<()>, Error> {
+    const STEP: Step = Step::new("listen to peers");
+    let address = listener.local_addr();
+    let address = address.map_err(|e| Error::new(ErrorKind::System, STEP, e))?;
+    let start = SystemTime::now().duration_since(UNIX_EPOCH);
+    let start = start.unwrap_or_default().as_micros();
+    let incarnation = Incarnation::new(u64::try_from(start).unwrap_or(u64::MAX));
+    let me = Instance::new(settings.instance.clone(), settings.zone.clone(), address);
+    let me = me.with_incarnation(incarnation);
+    let choice = ChoiceNotifier::new(me.id.clone(), rings.watch.clone(), rings.order.clone());
+    let now = rings.clock.now();
+    let core = Membership::new(MemberConfig::new(), me, &settings.peers, mark, now);
+    let (runtime, duty) = (
+        PeerDuty::runtime()?,
+        PeerDuty::new(core, rings.peers(choice)),
+    );
+    spawn("peer", move || duty.run(&runtime, listener))
+}
+
+/// Returns a number that differs between processes, to mark the identities of requests.
+pub(super) fn process_mark(settings: &EntrySettings) -> u64 {
+    let start = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let seed = PrefixKey::new(start.as_nanos());
+    Rendezvous::new(seed).weight(&ServerId::new(settings.instance.as_str()))
+}
--- /dev/null
+++ b/azureway-entry/src/daemon/ready_duty.rs
@@ -0,0 +1,69 @@
+//! Telling the balancer whether the daemon serves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use azureway_core::prelude::{Error, ErrorKind, Step};
+use flume::Sender;
+use tiny_http::{Request, Response, Server};
+
+use crate::meter::Measure;
+
+/// The duty that tells the balancer whether the daemon serves, and gives the metrics.
+pub struct ReadyDuty {
+    server: Server,
+    ready: Arc<AtomicBool>,
+    meter: Sender<Measure>,
+}
+
+impl ReadyDuty {
+    /// Creates the duty and binds its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn new(
+        address: SocketAddr,
+        ready: Arc<AtomicBool>,
+        meter: Sender<Measure>,
+    ) -> Result<Self, Error> {
+        const STEP: Step = Step::new("listen for the balancer");
+        let server = Server::http(address);
+        let server =
+            server.map_err(|e| Error::new(ErrorKind::System, STEP, e).with_peer(address))?;
+        Ok(Self {
+            server,
+            ready,
+            meter,
+        })
+    }
+
+    /// Runs for as long as the process does.
+    pub fn run(self) {
+        for request in self.server.incoming_requests() {
+            let (status, body) = self.answer(&request);
+            let response = Response::from_string(body).with_status_code(status);
+            if let Err(e) = request.respond(response) {
+                log::debug!(step = "ready", error:% = e; "whoever asked is gone");
+            }
+        }
+    }
+
+    fn answer(&self, request: &Request) -> (u16, String) {
+        match request.url() {
+            "/metrics" => self.scrape(),
+            _ if self.ready.load(Ordering::Acquire) => (200, "ready\n".to_owned()),
+            _ => (503, "not ready\n".to_owned()),
+        }
+    }
+
+    fn scrape(&self) -> (u16, String) {
+        let (reply, text) = flume::bounded(1);
+        let asked = self.meter.send(Measure::Scrape(reply));
+        match asked.ok().and_then(|()| text.recv().ok()) {
+            Some(text) => (200, text),
+            None => (503, "the measuring duty has ended\n".to_owned()),
+        }
+    }
+}
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -6,7 +6,7 @@
 use flume::{Receiver, Sender};
 
 use super::Handles;
-use crate::admit::AdmitMessage;
+use crate::admit::{AdmitMessage, RequestIds};
 use crate::claim::ClaimRings;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
@@ -117,8 +117,9 @@
     }
 
     /// Returns what a connection reaches.
-    pub fn handles(&self) -> Handles {
+    pub fn handles(&self, ids: &RequestIds) -> Handles {
         Handles {
+            ids: ids.clone(),
             admit: self.admit.clone(),
             decide: self.decide.clone(),
             meter: self.meter.clone(),
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -13,22 +13,22 @@
 use crate::clock::Clock;
 use crate::daemon::Rings;
 use crate::meter::Measure;
-use crate::news::NewsReaders;
+use crate::news::Hear;
 use crate::order::OrderClient;
 use crate::peer::PeerClient;
-use crate::relay::Launcher;
+use crate::relay::Launch;
 
 /// The deciding duty: tells the core what happened and carries out what it wants done.
 #[derive(Debug)]
-pub struct Decider<P> {
+pub struct Decider<P, L, N> {
     router: Router<P>,
     messages: Receiver<DecideMessage>,
     clock: Clock,
     callers: Callers,
     claims: ClaimClient,
     orders: OrderClient,
-    launcher: Launcher,
-    readers: NewsReaders,
+    launcher: L,
+    readers: N,
     peers: PeerClient,
     meter: Sender<Measure>,
     ready: Arc<AtomicBool>,
@@ -38,15 +38,9 @@
     news: VersionNews,
 }
 
-impl<P: Policy> Decider<P> {
+impl<P: Policy, L: Launch, N: Hear> Decider<P, L, N> {
     /// Creates the duty.
-    pub fn new(
-        router: Router<P>,
-        rings: &Rings,
-        launcher: Launcher,
-        readers: NewsReaders,
-        me: InstanceId,
-    ) -> Self {
+    pub fn new(router: Router<P>, rings: &Rings, launcher: L, readers: N, me: InstanceId) -> Self {
         Self {
             router,
             messages: rings.decide_messages.clone(),
@@ -120,6 +114,12 @@
                 self.orders.report(&report);
                 self.tell(Event::Load(&report));
             }
+            DecideMessage::Sampled(sample) => {
+                if let Some(weights) = sample.weights {
+                    self.orders.observe(&sample.server, weights);
+                }
+                self.tell(Event::Sampled(&sample));
+            }
             DecideMessage::Cache(run) => self.tell(Event::Cache(&run.view())),
             DecideMessage::Adopt(fleet) => self.adopt(&fleet),
             DecideMessage::Rejected(version) => {
@@ -228,8 +228,10 @@
                 }
                 Action::Repeat(id, answer) => self.callers.repeat(id, answer),
                 Action::Claim(call) => unplaced.extend(self.claims.place(call)),
-                // The relay has lost its ring with the caller and stops by itself.
-                Action::Cancel(attempt) => self.measure(Measure::Cancelled(attempt)),
+                Action::Cancel(attempt) => {
+                    self.launcher.cancel(attempt);
+                    self.measure(Measure::Cancelled(attempt));
+                }
                 Action::Server(news) => self.peers.server(news),
                 Action::Strike(strike) => self.peers.strike(strike),
                 Action::Resync(server) => self.readers.resync(&server),
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::{
-    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, RequestId, ServerId,
-    ShortAnswer,
+    Attempt, ClaimNews, ConfigVersion, Failure, Finish, Fleet, LoadReport, LoadSample, RequestId,
+    ServerId, ShortAnswer,
 };
 use flume::Sender;
 
@@ -30,6 +30,8 @@
     Failed(Failure),
     /// A backend server told of its load.
     Load(LoadReport),
+    /// An answer told something of its backend server.
+    Sampled(LoadSample),
     /// A backend server told of its cache.
     Cache(CacheRun),
     /// A version of the configuration was read.
--- /dev/null
+++ b/azureway-entry/src/exchange/answer_head.rs
@@ -0,0 +1,68 @@
+//! The head of a backend server's answer.
+
+/// The head of a backend server's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// The status.
+    pub status: u16,
+    /// The reason phrase.
+    pub reason: Box<str>,
+    /// The headers in order; names are kept as they came.
+    pub headers: Vec<(Box<str>, Box<str>)>,
+}
+
+/// The headers of an answer at most.
+const HEADERS_MAX: usize = 64;
+
+impl AnswerHead {
+    /// Reads a head from the start of `bytes`. Returns it with its length, or `None` if it is
+    /// not complete yet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are no head of an HTTP/1.1 answer.
+    pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, httparse::Error> {
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut answer = httparse::Response::new(&mut headers);
+        let httparse::Status::Complete(length) = answer.parse(bytes)? else {
+            return Ok(None);
+        };
+        let owned = |h: &httparse::Header<'_>| {
+            let value = std::str::from_utf8(h.value).map_err(|_| httparse::Error::HeaderValue)?;
+            Ok((h.name.into(), value.trim().into()))
+        };
+        let headers: Result<_, httparse::Error> = answer.headers.iter().map(owned).collect();
+        let head = Self {
+            status: answer.code.ok_or(httparse::Error::Status)?,
+            reason: answer.reason.unwrap_or_default().into(),
+            headers: headers?,
+        };
+        Ok(Some((head, length)))
+    }
+
+    /// Returns the first value of a header, whatever the case of its name.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        let named = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
+        named.map(|(_, value)| value.as_ref())
+    }
+
+    /// Tells whether the answer is a success.
+    pub const fn is_success(&self) -> bool {
+        self.status >= 200 && self.status < 300
+    }
+
+    /// Tells whether the answer is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        let media = self.get("content-type").unwrap_or_default();
+        media.starts_with("text/event-stream")
+    }
+
+    /// Tells whether the server closes the connection after the answer.
+    pub fn closes(&self) -> bool {
+        let connection = self.get("connection").unwrap_or_default();
+        connection.eq_ignore_ascii_case("close")
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/exchange/connection.rs
@@ -0,0 +1,119 @@
+//! A connection to a backend server.
+
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use super::{AnswerHead, BodyStream, Framing};
+
+/// A connection to a backend server, which carries one request after the other.
+#[derive(Debug)]
+pub struct BackendConnection {
+    reader: BufReader<TcpStream>,
+}
+
+/// The bytes that are read at once.
+const READ_SIZE: usize = 8 * 1024;
+/// The bytes of an answer's head at most.
+const HEAD_MAX: usize = 64 * 1024;
+
+impl BackendConnection {
+    /// Connects within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the server does not take the connection in time.
+    pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, limit)?;
+        stream.set_nodelay(true)?;
+        let reader = BufReader::with_capacity(READ_SIZE, stream);
+        Ok(Self { reader })
+    }
+
+    /// Returns the socket.
+    pub fn stream(&self) -> &TcpStream {
+        self.reader.get_ref()
+    }
+
+    /// Sends the bytes of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks or the server does not read within `limit`.
+    pub fn send(&self, bytes: &[u8], limit: Duration) -> io::Result<()> {
+        self.stream().set_write_timeout(Some(at_least(limit)))?;
+        self.stream().write_all(bytes)
+    }
+
+    /// Sets how long a read waits.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket is broken.
+    pub fn set_patience(&self, limit: Duration) -> io::Result<()> {
+        self.stream().set_read_timeout(Some(at_least(limit)))
+    }
+
+    /// Reads the head of the next answer; interim answers are passed over.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no head comes, with the kind `UnexpectedEof` if not a byte came.
+    pub fn head(&mut self) -> io::Result<AnswerHead> {
+        loop {
+            let head = self.next_head()?;
+            if head.status >= 200 {
+                return Ok(head);
+            }
+        }
+    }
+
+    fn next_head(&mut self) -> io::Result<AnswerHead> {
+        let mut bytes = Vec::new();
+        loop {
+            let fresh = self.reader.fill_buf()?;
+            if fresh.is_empty() {
+                let cut = bytes.is_empty();
+                return Err(io::Error::from(if cut {
+                    io::ErrorKind::UnexpectedEof
+                } else {
+                    io::ErrorKind::InvalidData
+                }));
+            }
+            let (before, count) = (bytes.len(), fresh.len());
+            bytes.extend_from_slice(fresh);
+            match AnswerHead::parse(&bytes).map_err(io::Error::other)? {
+                Some((head, length)) => {
+                    self.reader.consume(length - before);
+                    return Ok(head);
+                }
+                None if bytes.len() > HEAD_MAX => {
+                    return Err(io::Error::other("the head of the answer is too large"));
+                }
+                None => self.reader.consume(count),
+            }
+        }
+    }
+
+    /// Returns the body that follows a head.
+    pub fn body(&mut self, framing: Framing) -> BodyStream<'_> {
+        BodyStream::new(framing, &mut self.reader)
+    }
+
+    /// Tells whether the connection can carry another request: the server has neither closed
+    /// it nor sent bytes that belong to no request.
+    pub fn is_clean(&self) -> bool {
+        if !self.reader.buffer().is_empty() || self.stream().set_nonblocking(true).is_err() {
+            return false;
+        }
+        let seen = self.stream().peek(&mut [0]);
+        let blocking = self.stream().set_nonblocking(false).is_ok();
+        let silent = seen.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        blocking && silent
+    }
+}
+
+/// Returns a limit that the system takes: zero would mean none.
+fn at_least(limit: Duration) -> Duration {
+    limit.max(Duration::from_millis(1))
+}
--- /dev/null
+++ b/azureway-entry/src/exchange/exchange_try.rs
@@ -0,0 +1,345 @@
+//! One try at a backend server.
+
+use std::fmt::Write as _;
+use std::io::{self, Read};
+use std::sync::Arc;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use flume::Sender;
+
+use super::{
+    AnswerHead, BackendConnection, BackendDialect, BodyStream, ConnectionPool, EventSplitter,
+    Framing, TryHandle,
+};
+use crate::admit::{Passage, UpstreamRequest};
+use crate::caller::AnswerChunk;
+use crate::clock::Clock;
+use crate::decide::DecideMessage;
+use crate::relay::RelayError;
+
+/// One try at a backend server: sends the request as it came and passes the answer on.
+#[derive(Debug)]
+pub struct ExchangeTry<D> {
+    /// What is to be sent where.
+    pub order: Dispatch,
+    /// The request's bytes.
+    pub upstream: Arc<UpstreamRequest>,
+    /// The ring to the caller's connection.
+    pub chunks: Sender<AnswerChunk>,
+    /// The deciding duty.
+    pub decide: Sender<DecideMessage>,
+    /// How the backend server is spoken to.
+    pub dialect: D,
+    /// The connections that wait for a request.
+    pub pool: ConnectionPool,
+    /// The side of the try that others hold.
+    pub handle: Arc<TryHandle>,
+    /// The time in which a connection must be made.
+    pub connect: Duration,
+    /// The clock.
+    pub clock: Clock,
+    /// The position of the next event that the caller has not got.
+    pub next: StreamPosition,
+    /// The events that were passed on.
+    pub output: TokenCount,
+}
+
+/// The bytes of a whole answer at most.
+const WHOLE_MAX: u64 = 16 * 1024 * 1024;
+/// The bytes of a stream that are read at once.
+const READ_SIZE: usize = 16 * 1024;
+/// The answers to other requests that are passed over on one connection.
+const STRAYS_MAX: u32 = 4;
+/// How long a server that stopped reading a body is given to say why.
+const EARLY_ANSWER: Duration = Duration::from_millis(50);
+
+impl<D: BackendDialect> ExchangeTry<D> {
+    /// Runs the try and reports how it ended.
+    pub fn run(mut self) {
+        let attempt = self.order.attempt;
+        let result = match self.upstream.passage.clone() {
+            Some(passage) => self.serve(&passage),
+            None => Err(RelayError::Server(FailureKind::Faulty, SendState::Unsent)),
+        };
+        let message = match result {
+            Ok(()) => DecideMessage::Finished(Finish {
+                attempt,
+                cached: TokenCount::ZERO,
+                output: self.output,
+            }),
+            // Whoever stopped the try, or the connection itself, has reported it.
+            Err(_) if self.handle.is_cancelled() => return,
+            Err(RelayError::Unwanted) => return,
+            Err(RelayError::Server(kind, sent)) => DecideMessage::Failed(Failure {
+                attempt,
+                kind,
+                sent,
+                position: self.next,
+            }),
+        };
+        // Only a deciding duty that has ended takes no message.
+        let _ = self.decide.send(message);
+    }
+
+    fn serve(&mut self, passage: &Passage) -> Result<(), RelayError> {
+        let (mut connection, head) = self.ask(passage)?;
+        let terms = self.dialect.read(&head);
+        let (load, weights) = (terms.load, terms.weights);
+        if load.is_some() || weights.is_some() {
+            let server = self.order.server.clone();
+            let sample = LoadSample {
+                server,
+                load,
+                weights,
+            };
+            let _ = self.decide.send(DecideMessage::Sampled(sample));
+        }
+        let framing = Framing::of(&head, &self.upstream.method);
+        let framing = framing.ok_or(BROKEN)?;
+        if terms.mismatch || terms.rejected {
+            let kind = match terms.mismatch {
+                true => FailureKind::Mismatch,
+                false => FailureKind::Busy,
+            };
+            if read_whole(connection.body(framing)).is_ok() {
+                self.keep(connection, &head);
+            }
+            return Err(RelayError::Server(kind, SendState::Rejected));
+        }
+        let encoded = head.get("content-encoding").is_some();
+        match head.status {
+            200..=299 if !terms.signed || encoded => Err(FAULTY),
+            200..=299 if head.is_event_stream() => self.pass_events(connection, head, framing),
+            408 | 421 | 429 | 500..=599 => {
+                let signed = terms.signed;
+                self.hold(connection, head, framing, signed)
+            }
+            _ => self.pass_whole(connection, head, framing),
+        }
+    }
+
+    /// Sends the request and waits for the head of its answer.
+    fn ask(&self, passage: &Passage) -> Result<(BackendConnection, AnswerHead), RelayError> {
+        let once = passage.once;
+        let address = self.order.address;
+        if let Some(connection) = self.pool.take(address, once) {
+            match self.ask_on(connection, passage) {
+                // The server closed the connection before the request came. It is sent again
+                // only where it may run twice: nobody can tell whether it was read.
+                Err(RelayError::Server(FailureKind::Broken, _))
+                    if !once && !self.handle.is_cancelled() => {}
+                result => return result,
+            }
+        }
+        let limit = self.connect.min(self.left(passage));
+        let opened = BackendConnection::open(address, limit);
+        let unreachable = RelayError::Server(FailureKind::Unreachable, SendState::Unsent);
+        let connection = opened.map_err(|e| {
+            log::debug!(request:% = self.order.attempt.id, step = "connect", peer:% = address, error:% = e; "no connection");
+            unreachable
+        })?;
+        self.ask_on(connection, passage)
+    }
+
+    fn ask_on(
+        &self,
+        mut connection: BackendConnection,
+        passage: &Passage,
+    ) -> Result<(BackendConnection, AnswerHead), RelayError> {
+        let unsent = RelayError::Server(FailureKind::Unreachable, SendState::Unsent);
+        if !self
+            .handle
+            .attach(connection.stream())
+            .map_err(|_| unsent)?
+        {
+            return Err(RelayError::Unwanted);
+        }
+        let left = self.left(passage);
+        let last = self.order.attempt.number >= passage.tries;
+        let patience = if last {
+            left
+        } else {
+            left.min(passage.patience)
+        };
+        let failed = |e: &io::Error| RelayError::of_read(e);
+        connection.set_patience(patience).map_err(|e| failed(&e))?;
+        let bytes = self.request(passage, left);
+        if let Err(e) = connection.send(&bytes, patience) {
+            // A server that rejects a long request may answer before it has read it all.
+            connection
+                .set_patience(EARLY_ANSWER)
+                .map_err(|_| failed(&e))?;
+            let head = connection.head().map_err(|_| failed(&e))?;
+            return Ok((connection, closing(head)));
+        }
+        for _ in 0..STRAYS_MAX {
+            let head = connection.head().map_err(|e| failed(&e))?;
+            let attempt = self.dialect.read(&head).attempt;
+            if attempt.is_none_or(|a| Some(a) == self.attempt(passage)) {
+                return Ok((connection, head));
+            }
+            log::warn!(request:% = self.order.attempt.id, step = "exchange", peer:% = self.order.server; "an answer to another request was dropped");
+            let framing = Framing::of(&head, &self.upstream.method);
+            let framing = framing.filter(|f| *f != Framing::Closing).ok_or(BROKEN)?;
+            read_whole(connection.body(framing)).map_err(|e| failed(&e))?;
+        }
+        Err(BROKEN)
+    }
+
+    fn attempt<'a>(&self, passage: &'a Passage) -> Option<&'a str> {
+        passage.attempt.as_deref()
+    }
+
+    fn left(&self, passage: &Passage) -> Duration {
+        passage.until.since(self.clock.now())
+    }
+
+    fn request(&self, passage: &Passage, left: Duration) -> Vec<u8> {
+        let upstream = &self.upstream;
+        let mut head = format!("{} {} HTTP/1.1\r\n", upstream.method, upstream.path);
+        let resumed = self.order.position > StreamPosition::ZERO;
+        for (name, value) in &passage.headers {
+            if !(resumed && name.as_ref() == LAST_EVENT) {
+                let _ = write!(head, "{name}: {value}\r\n");
+            }
+        }
+        if resumed {
+            let last = self.order.position.get() - 1;
+            let _ = write!(head, "{LAST_EVENT}: {last}\r\n");
+        }
+        if !upstream.body.is_empty() || upstream.method.as_ref() != "GET" {
+            let _ = write!(head, "content-length: {}\r\n", upstream.body.len());
+        }
+        self.dialect.tell(&self.order, upstream, left, &mut head);
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&upstream.body);
+        bytes
+    }
+
+    fn pass_whole(
+        &mut self,
+        mut connection: BackendConnection,
+        head: AnswerHead,
+        framing: Framing,
+    ) -> Result<(), RelayError> {
+        self.note_start();
+        let body = read_whole(connection.body(framing)).map_err(|e| RelayError::of_read(&e))?;
+        self.keep(connection, &head);
+        // The server has run the request to its end, also if the caller is gone.
+        let _ = self.chunks.send(AnswerChunk::Full(Box::new(head), body));
+        Ok(())
+    }
+
+    /// Hands a failure of the server's own to the connection, which gives it to the caller if
+    /// no other server does better.
+    fn hold(
+        &mut self,
+        mut connection: BackendConnection,
+        head: AnswerHead,
+        framing: Framing,
+        signed: bool,
+    ) -> Result<(), RelayError> {
+        let body = read_whole(connection.body(framing)).map_err(|e| RelayError::of_read(&e))?;
+        self.keep(connection, &head);
+        // These statuses would tell the caller that the request did not run, which the server
+        // has not said.
+        let promise = matches!(head.status, 408 | 421 | 429 | 503);
+        if signed && !promise {
+            let _ = self.chunks.send(AnswerChunk::Held(Box::new(head), body));
+        }
+        Err(RelayError::Server(
+            FailureKind::Declined,
+            SendState::MaybeRun,
+        ))
+    }
+
+    fn pass_events(
+        &mut self,
+        mut connection: BackendConnection,
+        head: AnswerHead,
+        framing: Framing,
+    ) -> Result<(), RelayError> {
+        self.pass(AnswerChunk::Head(Box::new(head.clone())))?;
+        let mut body = connection.body(framing);
+        let mut splitter = EventSplitter::new();
+        let mut buffer = vec![0; READ_SIZE];
+        loop {
+            let count = body
+                .read(&mut buffer)
+                .map_err(|e| RelayError::of_read(&e))?;
+            if count == 0 {
+                break;
+            }
+            splitter.push(&buffer[..count]);
+            let events = self.take_events(&mut splitter);
+            if !events.is_empty() {
+                self.pass(AnswerChunk::Bytes(events))?;
+            }
+        }
+        if !splitter.rest().is_empty() {
+            return Err(BROKEN);
+        }
+        drop(body);
+        self.keep(connection, &head);
+        self.pass(AnswerChunk::End)
+    }
+
+    /// Returns the bytes of the whole events that the caller has not got.
+    fn take_events(&mut self, splitter: &mut EventSplitter) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        while let Some(event) = splitter.next_event() {
+            let position = event.id.map(StreamPosition::new);
+            if position.is_some_and(|p| p < self.next) {
+                continue;
+            }
+            if self.output == TokenCount::ZERO {
+                self.note_start();
+            }
+            bytes.extend_from_slice(event.bytes);
+            self.next = position.map_or(self.next, StreamPosition::next);
+            self.output += TokenCount::new(1);
+        }
+        bytes
+    }
+
+    fn note_start(&self) {
+        let _ = self.decide.send(DecideMessage::Started(self.order.attempt));
+    }
+
+    fn pass(&self, chunk: AnswerChunk) -> Result<(), RelayError> {
+        self.chunks.send(chunk).map_err(|_| RelayError::Unwanted)
+    }
+
+    /// Gives a connection back, unless the try was stopped and the connection with it.
+    fn keep(&self, connection: BackendConnection, head: &AnswerHead) {
+        if self.handle.detach() {
+            self.pool.put(self.order.address, connection, head);
+        }
+    }
+}
+
+/// The header by which a stream is resumed after the last event that was received.
+const LAST_EVENT: &str = "last-event-id";
+/// The answer broke off or its end cannot be found.
+const BROKEN: RelayError = RelayError::Server(FailureKind::Broken, SendState::MaybeRun);
+/// The answer is not what the server's interface allows.
+const FAULTY: RelayError = RelayError::Server(FailureKind::Faulty, SendState::MaybeRun);
+
+/// Returns a head with the note that the connection cannot be used again.
+fn closing(mut head: AnswerHead) -> AnswerHead {
+    head.headers
+        .retain(|(n, _)| !n.eq_ignore_ascii_case("connection"));
+    head.headers.push(("connection".into(), "close".into()));
+    head
+}
+
+fn read_whole(body: BodyStream<'_>) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    body.take(WHOLE_MAX + 1).read_to_end(&mut bytes)?;
+    if bytes.len() as u64 > WHOLE_MAX {
+        return Err(io::Error::other("the answer is too large"));
+    }
+    Ok(bytes)
+}
--- a/azureway-entry/src/news/news_readers.rs
+++ b/azureway-entry/src/news/news_readers.rs
@@ -7,7 +7,7 @@
 use azureway_core::prelude::*;
 use flume::Sender;
 
-use super::{NewsReader, ReaderControl};
+use super::{Hear, NewsReader, ReaderControl};
 use crate::decide::DecideMessage;
 
 /// The hearing threads, one for each model engine of the configuration.
@@ -29,8 +29,28 @@
         }
     }
 
+    fn start(&mut self, server: &BackendServer) {
+        let listening = Arc::new(ReaderControl::new(server.address));
+        let reader = NewsReader::new(
+            server.id.clone(),
+            Arc::clone(&listening),
+            self.decide.clone(),
+        );
+        let thread = thread::Builder::new()
+            .name("news".to_owned())
+            .stack_size(STACK_SIZE);
+        match thread.spawn(move || reader.run()) {
+            Ok(_) => {
+                self.listening.insert(server.id.clone(), listening);
+            }
+            Err(e) => log::error!(step = "news", peer:% = server.id, error:% = e; "no thread"),
+        }
+    }
+}
+
+impl Hear for NewsReaders {
     /// Starts and stops threads so that each model engine of `fleet` is heard.
-    pub fn adopt(&mut self, fleet: &Fleet) {
+    fn adopt(&mut self, fleet: &Fleet) {
         let engines = engines(fleet);
         self.listening.retain(|id, listening| {
             let kept = engines
@@ -48,35 +68,15 @@
         }
     }
 
-    /// Asks a server for the whole content of its cache.
-    pub fn resync(&self, server: &ServerId) {
+    fn resync(&self, server: &ServerId) {
         if let Some(listening) = self.listening.get(server) {
             listening.resync();
         }
     }
 
-    /// Stops every thread.
-    pub fn stop(&self) {
+    fn stop(&self) {
         self.listening.values().for_each(|l| l.stop());
     }
-
-    fn start(&mut self, server: &BackendServer) {
-        let listening = Arc::new(ReaderControl::new(server.address));
-        let reader = NewsReader::new(
-            server.id.clone(),
-            Arc::clone(&listening),
-            self.decide.clone(),
-        );
-        let thread = thread::Builder::new()
-            .name("news".to_owned())
-            .stack_size(STACK_SIZE);
-        match thread.spawn(move || reader.run()) {
-            Ok(_) => {
-                self.listening.insert(server.id.clone(), listening);
-            }
-            Err(e) => log::error!(step = "news", peer:% = server.id, error:% = e; "no thread"),
-        }
-    }
 }
 
 /// Returns the servers whose pool serves a model.
--- a/azureway-entry/src/order/order_client.rs
+++ b/azureway-entry/src/order/order_client.rs
@@ -49,6 +49,19 @@
         }
     }
 
+    /// Passes on the weights that a server answered with, if they are news.
+    pub fn observe(&mut self, server: &ServerId, weights: WeightsVersion) {
+        self.flush();
+        let news = (weights, false);
+        if self.told.get(server) == Some(&news) {
+            return;
+        }
+        let message = OrderMessage::Observed(server.clone(), weights);
+        if self.messages.try_send(message).is_ok() {
+            self.told.insert(server.clone(), news);
+        }
+    }
+
     fn flush(&mut self) {
         if let Some(fleet) = self.pending.take() {
             let sent = self
--- a/azureway-entry/src/order/order_message.rs
+++ b/azureway-entry/src/order/order_message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{Fleet, LoadReport};
+use azureway_core::prelude::{Fleet, LoadReport, ServerId, WeightsVersion};
 
 /// What the ordering duty is told.
 #[derive(Clone, Debug)]
@@ -11,6 +11,8 @@
     Adopt(Arc<Fleet>),
     /// A backend server told of its load and its weights.
     Report(LoadReport),
+    /// A backend server answered with these weights.
+    Observed(ServerId, WeightsVersion),
     /// Whether this entry is one of the few of its zone that contend for the lease.
     Chosen(bool),
 }
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -18,7 +18,7 @@
     clock: Clock,
     lease: Lease,
     planner: OrderPlanner,
-    sweeper: Sweeper<A>,
+    sweeper: Option<Sweeper<A>>,
     chosen: bool,
     wake: Timestamp,
 }
@@ -26,8 +26,8 @@
 /// The wake-up of an entry that only waits for messages.
 const IDLE: Timestamp = Timestamp::MAX;
 
-impl<A: ObjectApi + Clone, L: OrderLink> Orderer<A, L> {
-    /// Creates the duty of an entry with its side of the lease. `seed` spreads sweeps.
+impl<A: ObjectApi, L: OrderLink> Orderer<A, L> {
+    /// Creates the duty of an entry with its side of the lease.
     pub fn new(
         api: A,
         link: L,
@@ -35,10 +35,9 @@
         clock: Clock,
         lease: Lease,
         config: OrderConfig,
-        seed: u64,
     ) -> Self {
         Self {
-            sweeper: Sweeper::new(api.clone(), seed),
+            sweeper: None,
             calls: LeaseCalls::new(api),
             link,
             messages,
@@ -50,6 +49,13 @@
         }
     }
 
+    /// Lets the holder of the lease delete old claims. `seed` spreads the sweeps.
+    #[must_use]
+    pub fn with_sweeps(mut self, api: A, seed: u64) -> Self {
+        self.sweeper = Some(Sweeper::new(api, seed));
+        self
+    }
+
     /// Runs until every sender of messages is gone.
     pub fn run(mut self) {
         loop {
@@ -76,6 +82,7 @@
         match message {
             OrderMessage::Adopt(fleet) => self.planner.adopt(&fleet),
             OrderMessage::Report(report) => self.planner.report(&report, self.clock.now()),
+            OrderMessage::Observed(server, weights) => self.planner.observe(&server, weights),
             OrderMessage::Chosen(chosen) => self.chosen = chosen,
         }
     }
@@ -102,8 +109,9 @@
     /// Deletes an old claim if one is due. Returns when the next call is due, for the holder.
     fn sweep(&mut self, now: Timestamp) -> Option<Timestamp> {
         self.lease.allows(now, false)?;
-        self.sweeper.step(now, Clock::unix());
-        Some(self.sweeper.due())
+        let sweeper = self.sweeper.as_mut()?;
+        sweeper.step(now, Clock::unix());
+        Some(sweeper.due())
     }
 
     fn renew(&mut self) {
--- a/azureway-entry/src/relay/launcher.rs
+++ b/azureway-entry/src/relay/launcher.rs
@@ -7,7 +7,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{GapMeter, RelayTry};
+use super::{GapMeter, Launch, RelayTry};
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::decide::DecideMessage;
@@ -42,8 +42,21 @@
         }
     }
 
-    /// Starts a relay and returns the ring of its answer.
-    pub fn launch(&self, order: Dispatch, upstream: Arc<UpstreamRequest>) -> Receiver<AnswerChunk> {
+    fn report_unsent(&self, attempt: Attempt) {
+        let failure = Failure {
+            attempt,
+            kind: FailureKind::Unreachable,
+            sent: SendState::Unsent,
+            position: StreamPosition::ZERO,
+        };
+        // The deciding duty itself runs this and must not wait for its own ring. If the message
+        // is lost, the connection sees the ring of chunks end and the request's deadline ends it.
+        let _ = self.decide.try_send(DecideMessage::Failed(failure));
+    }
+}
+
+impl Launch for Launcher {
+    fn launch(&mut self, order: Dispatch, upstream: Arc<UpstreamRequest>) -> Receiver<AnswerChunk> {
         let (sender, chunks) = flume::bounded(CHUNKS);
         let attempt = order.attempt;
         let pace = GapMeter::new(order.rank, self.meter.clone());
@@ -59,15 +72,6 @@
         chunks
     }
 
-    fn report_unsent(&self, attempt: Attempt) {
-        let failure = Failure {
-            attempt,
-            kind: FailureKind::Unreachable,
-            sent: SendState::Unsent,
-            position: StreamPosition::ZERO,
-        };
-        // The deciding duty itself runs this and must not wait for its own ring. If the message
-        // is lost, the connection sees the ring of chunks end and the request's deadline ends it.
-        let _ = self.decide.try_send(DecideMessage::Failed(failure));
-    }
+    /// The relay has lost its ring with the caller and stops by itself.
+    fn cancel(&mut self, _: Attempt) {}
 }
--- a/azureway-entry/src/relay/mod.rs
+++ b/azureway-entry/src/relay/mod.rs
@@ -1,11 +1,13 @@
 //! The relaying duty: one thread for each try at a backend server.
 
 mod gap_meter;
+mod launch;
 mod launcher;
 mod relay_error;
 mod relay_try;
 
 pub use gap_meter::GapMeter;
+pub use launch::Launch;
 pub use launcher::Launcher;
 pub use relay_error::RelayError;
 pub use relay_try::RelayTry;
--- /dev/null
+++ b/azureway-entry/src/routed/answer.rs
@@ -0,0 +1,166 @@
+//! The answer to one request of a routed caller.
+
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::time::Instant;
+
+use azureway_core::prelude::{Refusal, RefusalReason, RequestId};
+use chunked_transfer::Encoder;
+use flume::{Receiver, RecvTimeoutError};
+
+use super::{Ending, RoutedResponder};
+use crate::caller::{AnswerChunk, Outcome, is_open};
+use crate::decide::DecideMessage;
+use crate::exchange::AnswerHead;
+
+/// The answer to one request, over all its tries.
+pub struct RoutedAnswer<'a> {
+    stream: &'a TcpStream,
+    id: RequestId,
+    limit: Instant,
+    close: bool,
+    sent: bool,
+    held: Option<(Box<AnswerHead>, Vec<u8>)>,
+    writer: Option<Encoder<&'a TcpStream>>,
+}
+
+impl<'a> RoutedAnswer<'a> {
+    /// Creates the answer to request `id`, which is given up at `limit`. `close` tells whether
+    /// the connection ends with it.
+    pub const fn new(stream: &'a TcpStream, id: RequestId, limit: Instant, close: bool) -> Self {
+        Self {
+            stream,
+            id,
+            limit,
+            close,
+            sent: false,
+            held: None,
+            writer: None,
+        }
+    }
+
+    /// Writes the answer as the outcomes come. `decide` hears of a request that is given up.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the caller hangs up.
+    pub fn run(
+        &mut self,
+        outcomes: &Receiver<Outcome>,
+        decide: &flume::Sender<DecideMessage>,
+    ) -> io::Result<Ending> {
+        loop {
+            match outcomes.recv_deadline(self.limit) {
+                Ok(Outcome::Refused(_, refusal)) => return self.refuse(&refusal),
+                Ok(Outcome::Attached { chunks, .. }) => {
+                    self.sent = true;
+                    if !is_open(self.stream)? {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                    if let Some(ending) = self.pass_on(&chunks)? {
+                        return Ok(ending);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => return self.give_up(outcomes, decide),
+                // The request was taken back because its caller is gone.
+                Err(RecvTimeoutError::Disconnected) => return Ok(Ending::Broken),
+            }
+        }
+    }
+
+    /// Passes on the chunks of one try. Returns how the answer ended, if it did.
+    fn pass_on(&mut self, chunks: &Receiver<AnswerChunk>) -> io::Result<Option<Ending>> {
+        // A try that ends without an answer, or that runs out of time, ends the ring or the
+        // wait; what becomes of the request is then told by its outcomes.
+        while let Ok(chunk) = chunks.recv_deadline(self.limit) {
+            match chunk {
+                AnswerChunk::Full(head, body) => {
+                    RoutedResponder::new(self.stream, self.close).pass(&head, &body)?;
+                    return Ok(Some(self.ending()));
+                }
+                AnswerChunk::Held(head, body) => self.held = Some((head, body)),
+                AnswerChunk::Head(head) => self.begin(&head)?,
+                AnswerChunk::Bytes(bytes) => {
+                    if let Some(writer) = &mut self.writer {
+                        writer.write_all(&bytes)?;
+                    }
+                }
+                AnswerChunk::End => {
+                    // Dropping the writer writes the last chunk.
+                    self.writer = None;
+                    return Ok(Some(self.ending()));
+                }
+                AnswerChunk::Event(..) | AnswerChunk::Whole(..) => {
+                    return Err(io::Error::other("a chunk of another interface"));
+                }
+            }
+        }
+        Ok(None)
+    }
+
+    /// Writes the head of a stream, unless an earlier try has.
+    fn begin(&mut self, head: &AnswerHead) -> io::Result<()> {
+        if self.writer.is_none() {
+            let responder = RoutedResponder::new(self.stream, self.close);
+            self.writer = Some(responder.stream(head)?);
+        }
+        Ok(())
+    }
+
+    const fn ending(&self) -> Ending {
+        if self.close {
+            Ending::Last
+        } else {
+            Ending::Complete
+        }
+    }
+
+    fn refuse(&mut self, refusal: &Refusal) -> io::Result<Ending> {
+        if self.writer.is_some() {
+            return Ok(Ending::Broken);
+        }
+        let responder = RoutedResponder::new(self.stream, self.close);
+        match self.held.take() {
+            Some((head, body)) if !refusal.not_run => responder.pass(&head, &body)?,
+            _ => responder.refuse(refusal)?,
+        }
+        Ok(self.ending())
+    }
+
+    /// Takes the request back and answers for it. It counts as not run only if no try had
+    /// begun when the decisions let go of it.
+    fn give_up(
+        &mut self,
+        outcomes: &Receiver<Outcome>,
+        decide: &flume::Sender<DecideMessage>,
+    ) -> io::Result<Ending> {
+        let _ = decide.send(DecideMessage::HungUp(self.id));
+        for outcome in outcomes.iter() {
+            match outcome {
+                Outcome::Attached { .. } => self.sent = true,
+                Outcome::Refused(_, refusal) => return self.refuse(&refusal),
+            }
+        }
+        let detail = "the time for the answer has passed";
+        let refusal = if self.sent {
+            Refusal::maybe_run(RefusalReason::Deadline, detail)
+        } else {
+            Refusal::not_run(RefusalReason::Deadline, detail)
+        };
+        log::info!(
+            request:% = self.id, step = "answer", code = refusal.reason.code(),
+            sent = self.sent; "given up"
+        );
+        self.refuse(&refusal)
+    }
+}
+
+impl Drop for RoutedAnswer<'_> {
+    fn drop(&mut self) {
+        if self.writer.is_some() {
+            // Dropping the writer writes the last chunk, by which a stream that broke off
+            // would look complete; on a closed connection it does not reach the caller.
+            let _ = self.stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/routed/connection.rs
@@ -0,0 +1,179 @@
+//! The duty of one routed caller's connection.
+
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use azureway_core::prelude::{CallerLimits, Refusal, RefusalReason, RequestId};
+
+use super::{CallerDialect, Ending, Gate, HangupWatch, Leftover, RoutedAnswer, RoutedResponder};
+use crate::admit::{AdmitMessage, Call};
+use crate::caller::{BadInput, BodyReader, Head, HeadReader, TimedStream};
+use crate::daemon::Handles;
+use crate::decide::DecideMessage;
+
+/// The duty of one routed caller's connection: reads one request after the other and writes
+/// their answers.
+#[derive(Debug)]
+pub struct RoutedConnection<D> {
+    stream: TcpStream,
+    dialect: D,
+    handles: Handles,
+    gate: Gate,
+    watch: HangupWatch,
+    early: Vec<u8>,
+}
+
+/// How long the answer to a bad request is kept from being lost to a reset.
+const LINGER: Duration = Duration::from_secs(1);
+/// How long a caller may take no byte of its answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The outcomes that a request can have before its connection takes one up.
+const OUTCOMES: usize = 16;
+/// How long a request may take where neither its caller nor its route sets a limit.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+impl<D: CallerDialect> RoutedConnection<D> {
+    /// Creates the duty.
+    pub const fn new(
+        stream: TcpStream,
+        dialect: D,
+        handles: Handles,
+        gate: Gate,
+        watch: HangupWatch,
+    ) -> Self {
+        Self {
+            stream,
+            dialect,
+            handles,
+            gate,
+            watch,
+            early: Vec::new(),
+        }
+    }
+
+    /// Serves the connection until one side closes it.
+    pub fn run(mut self) {
+        let set = self.stream.set_nodelay(true);
+        if let Err(e) = set.and_then(|()| self.stream.set_write_timeout(Some(WRITE_TIMEOUT))) {
+            log::debug!(step = "accept", error:% = e; "the caller is gone");
+            return;
+        }
+        while self.await_request() {
+            let guard = self.gate.active.begin();
+            let ending = self.serve();
+            drop(guard);
+            if ending != Ending::Complete {
+                break;
+            }
+        }
+    }
+
+    /// Waits for the first byte of the next request. Returns whether it came.
+    fn await_request(&self) -> bool {
+        if !self.early.is_empty() {
+            return true;
+        }
+        let idle = self.gate.limits().idle;
+        let seen = self
+            .stream
+            .set_read_timeout(Some(idle))
+            .and_then(|()| self.stream.peek(&mut [0]));
+        // Silence, a close and a reset all end a connection that carries no request.
+        matches!(seen, Ok(1..))
+    }
+
+    fn serve(&mut self) -> Ending {
+        let limits = self.gate.limits();
+        match self.receive(limits) {
+            Ok((head, body)) => self.answer(head, body),
+            Err(BadInput::Closed) => Ending::Broken,
+            Err(input) => self.reject(input),
+        }
+    }
+
+    fn receive(&mut self, limits: CallerLimits) -> Result<(Head, Vec<u8>), BadInput> {
+        let mut stream = TimedStream::new(&self.stream, Instant::now() + limits.arrival);
+        let early = std::mem::take(&mut self.early);
+        let reader = HeadReader::new(limits.head).with_bytes(early);
+        let (head, early) = reader.read(&mut stream)?;
+        let body = BodyReader::new(&head)?;
+        if head
+            .get("expect")
+            .is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
+        {
+            let sent = (&self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            sent.map_err(|_| BadInput::Closed)?;
+        }
+        let mut rest = Leftover::new(early, stream);
+        let body = body.read(&[], &mut rest, limits.body)?;
+        self.early = rest.into_rest();
+        Ok((head, body))
+    }
+
+    fn reject(&self, input: BadInput) -> Ending {
+        let refusal = Refusal::from(input);
+        log::info!(step = "read request", code = refusal.reason.code(), detail = refusal.detail.as_ref(); "refused");
+        let told = RoutedResponder::new(&self.stream, true).refuse(&refusal);
+        let closed = told.and_then(|()| self.stream.shutdown(std::net::Shutdown::Write));
+        if closed.is_ok() {
+            // A close with unread bytes resets the connection, and the answer could be lost.
+            let rest = TimedStream::new(&self.stream, Instant::now() + LINGER);
+            let limit = u64::MAX;
+            if let Err(e) = io::copy(&mut rest.take(limit), &mut io::sink()) {
+                log::debug!(step = "read request", error:% = e; "the caller did not close");
+            }
+        }
+        Ending::Broken
+    }
+
+    fn answer(&mut self, head: Head, body: Vec<u8>) -> Ending {
+        let id = self.handles.ids.next();
+        let wait = self.dialect.read(&head).ok().and_then(|t| t.wait);
+        let limit = Instant::now() + wait.unwrap_or(WAIT_MAX);
+        let close = self.gate.is_leaving() || asks_close(&head);
+        let (outcome, outcomes) = flume::bounded(OUTCOMES);
+        let call = Call {
+            id,
+            head,
+            body,
+            arrived: self.handles.clock.now(),
+            outcome,
+        };
+        let message = AdmitMessage::Call(Box::new(call));
+        if self.handles.admit.try_send(message).is_err() {
+            log::info!(request:% = id, step = "admit", code = "overloaded"; "refused");
+            let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
+            let told = RoutedResponder::new(&self.stream, close).refuse(&refusal);
+            return told.map_or(Ending::Broken, |()| ended(close));
+        }
+        let watched = self.watch.begin(&self.stream, id);
+        let mut answer = RoutedAnswer::new(&self.stream, id, limit, close);
+        let result = answer.run(&outcomes, &self.handles.decide);
+        if let Ok(place) = watched {
+            self.watch.end(&self.stream, place);
+        }
+        result.unwrap_or_else(|e| self.hang_up(id, &e))
+    }
+
+    /// Takes back the request of a caller who is gone.
+    fn hang_up(&self, id: RequestId, error: &io::Error) -> Ending {
+        log::info!(request:% = id, step = "answer", error:% = error; "the caller hung up");
+        let _ = self.handles.decide.send(DecideMessage::HungUp(id));
+        Ending::Broken
+    }
+}
+
+const fn ended(close: bool) -> Ending {
+    if close {
+        Ending::Last
+    } else {
+        Ending::Complete
+    }
+}
+
+/// Tells whether the caller wants the connection closed after the answer.
+fn asks_close(head: &Head) -> bool {
+    let mut tokens = head.all("connection").flat_map(|v| v.split(','));
+    tokens.any(|t| t.trim().eq_ignore_ascii_case("close"))
+}
--- /dev/null
+++ b/azureway-entry/src/routed/ending.rs
@@ -0,0 +1,12 @@
+//! How the answer to a request ended.
+
+/// How the answer to a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It is complete, and the connection may carry another request.
+    Complete,
+    /// It is complete, and the connection is to be closed.
+    Last,
+    /// It broke off, or the caller is gone.
+    Broken,
+}
--- /dev/null
+++ b/azureway-entry/src/routed/gate.rs
@@ -0,0 +1,44 @@
+//! What every caller's connection reaches.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+
+use azureway_core::prelude::CallerLimits;
+
+use super::Active;
+
+/// What every caller's connection reads: the limits in force and whether the daemon leaves.
+#[derive(Clone, Debug, Default)]
+pub struct Gate {
+    limits: Arc<RwLock<CallerLimits>>,
+    leaving: Arc<AtomicBool>,
+    /// The requests that are being answered.
+    pub active: Active,
+}
+
+impl Gate {
+    /// Creates a gate with the default limits.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the limits in force.
+    pub fn limits(&self) -> CallerLimits {
+        *self.limits.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes over the limits of a configuration.
+    pub fn adopt(&self, limits: CallerLimits) {
+        *self.limits.write().unwrap_or_else(PoisonError::into_inner) = limits;
+    }
+
+    /// Lets connections close after the answer that they write next.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Tells whether connections close after the answer that they write next.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/routed/listener.rs
@@ -0,0 +1,107 @@
+//! Accepting routed callers.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+use azureway_config::settings::Bounds;
+use azureway_core::prelude::{Error, ErrorKind, Refusal, RefusalReason, Step};
+
+use super::{CallerDialect, Gate, HangupWatch, RoutedConnection, RoutedResponder};
+use crate::daemon::Handles;
+
+/// The accepting duty of routed callers: gives each connection a thread of its own, within a
+/// bound.
+#[derive(Debug)]
+pub struct RoutedListener<D> {
+    listener: TcpListener,
+    dialect: D,
+    handles: Handles,
+    bounds: Bounds,
+    gate: Gate,
+    watch: HangupWatch,
+    open: Arc<AtomicUsize>,
+}
+
+/// The stack of a connection's thread, in bytes.
+const STACK_SIZE: usize = 128 * 1024;
+
+impl<D: CallerDialect> RoutedListener<D> {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub fn new(
+        address: SocketAddr,
+        dialect: D,
+        handles: Handles,
+        bounds: Bounds,
+        gate: Gate,
+        watch: HangupWatch,
+    ) -> Result<Self, Error> {
+        let failed = |e| {
+            Error::new(ErrorKind::System, Step::new("listen for callers"), e).with_peer(address)
+        };
+        Ok(Self {
+            listener: TcpListener::bind(address).map_err(failed)?,
+            dialect,
+            handles,
+            bounds,
+            gate,
+            watch,
+            open: Arc::default(),
+        })
+    }
+
+    /// Returns the bound address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system does not tell it.
+    pub fn address(&self) -> Result<SocketAddr, Error> {
+        let failed = |e| Error::new(ErrorKind::System, Step::new("listen for callers"), e);
+        self.listener.local_addr().map_err(failed)
+    }
+
+    /// Accepts connections for as long as the process runs.
+    pub fn run(self) {
+        for stream in self.listener.incoming() {
+            match stream {
+                Ok(stream) => self.open(stream),
+                Err(e) => log::warn!(step = "accept", error:% = e; "no connection"),
+            }
+        }
+    }
+
+    fn open(&self, stream: TcpStream) {
+        if self.open.fetch_add(1, Ordering::AcqRel) >= self.bounds.connections {
+            self.open.fetch_sub(1, Ordering::AcqRel);
+            let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many connections");
+            if let Err(e) = RoutedResponder::new(&stream, true).refuse(&refusal) {
+                log::debug!(step = "accept", error:% = e; "a caller took no refusal");
+            }
+            return;
+        }
+        let connection = RoutedConnection::new(
+            stream,
+            self.dialect.clone(),
+            self.handles.clone(),
+            self.gate.clone(),
+            self.watch.clone(),
+        );
+        let open = Arc::clone(&self.open);
+        let thread = thread::Builder::new()
+            .name("caller".to_owned())
+            .stack_size(STACK_SIZE);
+        let spawned = thread.spawn(move || {
+            connection.run();
+            open.fetch_sub(1, Ordering::AcqRel);
+        });
+        if let Err(e) = spawned {
+            self.open.fetch_sub(1, Ordering::AcqRel);
+            log::error!(step = "accept", error:% = e; "no thread for a connection");
+        }
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/site/duty.rs
@@ -0,0 +1,113 @@
+//! The duty that composes what was read of a site.
+
+use std::sync::Arc;
+
+use azureway_core::prelude::*;
+use flume::{Receiver, RecvTimeoutError, Sender};
+
+use super::SiteNews;
+use crate::admit::AdmitMessage;
+use crate::clock::Clock;
+use crate::decide::DecideMessage;
+use crate::routed::Gate;
+
+/// The duty that composes what was read of a site into one fleet and passes it on.
+#[derive(Debug)]
+pub struct SiteDuty {
+    state: SiteState,
+    news: Receiver<SiteNews>,
+    admit: Sender<AdmitMessage>,
+    decide: Sender<DecideMessage>,
+    gate: Gate,
+    clock: Clock,
+}
+
+impl SiteDuty {
+    /// Creates the duty over the news of the watching duties.
+    pub const fn new(
+        state: SiteState,
+        news: Receiver<SiteNews>,
+        admit: Sender<AdmitMessage>,
+        decide: Sender<DecideMessage>,
+        gate: Gate,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            state,
+            news,
+            admit,
+            decide,
+            gate,
+            clock,
+        }
+    }
+
+    /// Runs until every watching duty has ended.
+    pub fn run(mut self) {
+        loop {
+            let first = match self.state.next_wakeup() {
+                Some(time) => self.news.recv_deadline(self.clock.instant(time)),
+                None => self.news.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            let now = self.clock.now();
+            let mut changed = self.state.expire(now);
+            match first {
+                Ok(news) => changed |= self.take(news, now),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            // What has come meanwhile is composed in one step.
+            let more: Vec<_> = self.news.drain().collect();
+            for news in more {
+                changed |= self.take(news, now);
+            }
+            if changed {
+                self.pass_on();
+            }
+        }
+    }
+
+    /// Takes in news. Returns whether the fleet changed.
+    fn take(&mut self, news: SiteNews, now: Timestamp) -> bool {
+        match news {
+            SiteNews::Document(document) => {
+                let (version, known) = (document.version, self.state.version());
+                let newer = self.state.configure(*document);
+                log::info!(step = "read site", version:% = version, known:? = known, newer = newer; "a configuration was read");
+                return newer;
+            }
+            SiteNews::Servers(entries, back) => {
+                log::info!(step = "read site", servers = entries.len(); "the list of servers was read");
+                self.state.list(entries, back, now);
+            }
+            SiteNews::Server(entry) => {
+                log::info!(
+                    step = "read site", peer:% = entry.id, service:% = entry.service,
+                    leaving = entry.leaving, incarnation:% = entry.incarnation,
+                    weights:? = entry.weights; "a server was listed"
+                );
+                self.state.put(*entry);
+            }
+            SiteNews::Gone(id, back) => {
+                log::info!(step = "read site", peer:% = id; "a server is no longer listed");
+                self.state.remove(&id, back, now);
+            }
+            SiteNews::Weights(named) => {
+                log::info!(step = "read site", model:% = named.model, weights:% = named.version; "weights were named");
+                return self.state.name(named, now);
+            }
+        }
+        true
+    }
+
+    fn pass_on(&mut self) {
+        let Some(fleet) = self.state.fleet() else {
+            return;
+        };
+        self.gate.adopt(fleet.limits);
+        let fleet = Arc::new(fleet);
+        // Both duties end only with the process.
+        let _ = self.admit.send(AdmitMessage::Adopt(Arc::clone(&fleet)));
+        let _ = self.decide.send(DecideMessage::Adopt(fleet));
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/site/news.rs
@@ -0,0 +1,19 @@
+//! What was read of a site.
+
+use azureway_core::prelude::{NamedWeights, ServerEntry, ServerId, SiteDocument, Timestamp};
+
+/// What was read of a site. The time, where there is one, is when the platform came back after
+/// it could not be asked.
+#[derive(Clone, Debug)]
+pub enum SiteNews {
+    /// A version of the configuration.
+    Document(Box<SiteDocument>),
+    /// The whole list of backend servers.
+    Servers(Vec<ServerEntry>, Option<Timestamp>),
+    /// The entry of one backend server.
+    Server(Box<ServerEntry>),
+    /// The entry of a backend server is gone.
+    Gone(ServerId, Option<Timestamp>),
+    /// Weights that an operator named.
+    Weights(NamedWeights),
+}
--- a/azureway-entry/tests/order.rs
+++ b/azureway-entry/tests/order.rs
@@ -129,7 +129,8 @@
     drop(notes);
     let lease = Lease::new(LeaseConfig::new(), InstanceId::new("a-entry-1"), 7);
     let (api, link, config) = (platform.clone(), Servers(answer, sent), OrderConfig::new());
-    Orderer::new(api, link, received, Clock::new(), lease, config, 7).run();
+    let orderer = Orderer::new(api.clone(), link, received, Clock::new(), lease, config);
+    orderer.with_sweeps(api, 7).run();
     orders.drain().collect()
 }
 
--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -5,13 +5,14 @@
 
 use azureway_core::prelude::{Error, ErrorKind, Step};
 use azureway_wire::object::{ObjectBody, ObjectList};
-use minreq::{Request, Response};
+use minreq::{Method, Request, Response};
 
-use super::{CallCounter, ObjectApi, Put};
+use super::{CallCounter, ObjectApi, ObjectCall, ObjectForm, PlainForm, Put};
 
-/// The object API over HTTP. Each call takes a connection of its own.
+/// The object API over HTTP, in one form or another. Each call takes a connection of its own.
 #[derive(Clone, Debug)]
-pub struct HttpObjects {
+pub struct HttpObjects<F = PlainForm> {
+    form: F,
     address: SocketAddr,
     timeout: u64,
     calls: CallCounter,
@@ -23,7 +24,15 @@
 impl HttpObjects {
     /// Creates a client of the platform at `address` with a limit of 2 s a call.
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_form(address, PlainForm)
+    }
+}
+
+impl<F: ObjectForm> HttpObjects<F> {
+    /// Creates a client that speaks `form`, with a limit of 2 s a call.
+    pub fn with_form(address: SocketAddr, form: F) -> Self {
         Self {
+            form,
             address,
             timeout: DEFAULT_TIMEOUT,
             calls: CallCounter::new(),
@@ -42,19 +51,22 @@
         &self.calls
     }
 
-    fn url(&self, path: &str) -> String {
-        format!("http://{}/{path}", self.address)
-    }
-
-    fn send(&self, step: Step, request: Request, wait: Duration) -> Result<Response, Error> {
+    fn send(&self, step: Step, call: ObjectCall, wait: Duration) -> Result<Response, Error> {
         self.calls.add();
+        let url = format!("http://{}/{}", self.address, call.path);
         // The platform need not keep the connection, and one that it closes without an answer
         // shows at once that the answer is lost.
-        let request = request.with_header("connection", "close");
+        let request = Request::new(method(call.method), url).with_header("connection", "close");
+        let request = match call.body {
+            Some(body) => request
+                .with_header("content-type", F::MEDIA)
+                .with_body(body),
+            None => request,
+        };
         let answer = request.with_timeout(self.timeout + wait.as_secs()).send();
         let answer = answer.map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
         match answer.status_code {
-            200 | 404 => Ok(answer),
+            200 | 201 | 404 => Ok(answer),
             409 => Err(self.error(ErrorKind::Conflict, step, "the object has another version")),
             429 => Err(self.error(ErrorKind::Limited, step, "too many calls")),
             500..=599 => Err(self.error(ErrorKind::Unavailable, step, answer.status_code)),
@@ -66,50 +78,56 @@
         Error::new(kind, step, detail).with_peer(format_args!("platform {}", self.address))
     }
 
-    fn read<T>(&self, step: Step, answer: &Response) -> Result<T, Error>
-    where
-        T: for<'a> serde::Deserialize<'a>,
-    {
-        let value = serde_json::from_slice(answer.as_bytes());
-        value.map_err(|e| self.error(ErrorKind::Protocol, step, e))
+    fn read<T>(&self, step: Step, read: Result<T, serde_json::Error>) -> Result<T, Error> {
+        read.map_err(|e| self.error(ErrorKind::Protocol, step, e))
     }
 }
 
-impl ObjectApi for HttpObjects {
+impl<F: ObjectForm> ObjectApi for HttpObjects<F> {
     fn get(&self, kind: &str, name: &str) -> Result<Option<ObjectBody>, Error> {
         const STEP: Step = Step::new("get object");
-        let request = minreq::get(self.url(&format!("objects/{kind}/{name}")));
-        let answer = self.send(STEP, request, Duration::ZERO)?;
+        let answer = self.send(STEP, self.form.get(kind, name), Duration::ZERO)?;
         if answer.status_code == 404 {
             return Ok(None);
         }
-        self.read(STEP, &answer).map(Some)
+        let object = self.form.read_object(answer.as_bytes());
+        self.read(STEP, object).map(Some)
     }
 
     fn list(&self, kind: &str) -> Result<ObjectList, Error> {
         const STEP: Step = Step::new("list objects");
-        let request = minreq::get(self.url(&format!("objects/{kind}")));
-        let answer = self.send(STEP, request, Duration::ZERO)?;
-        self.read(STEP, &answer)
+        let mut whole = ObjectList::default();
+        loop {
+            let after = whole.objects.last().map(|o| o.name.as_str());
+            let call = self.form.list(kind, after);
+            let answer = self.send(STEP, call, Duration::ZERO)?;
+            let (part, more) = self.read(STEP, self.form.read_list(answer.as_bytes()))?;
+            // What changes while the parts are read is seen by a watch from the first part on.
+            if whole.objects.is_empty() {
+                whole.version = part.version;
+            }
+            let empty = part.objects.is_empty();
+            whole.objects.extend(part.objects);
+            if !more || empty {
+                return Ok(whole);
+            }
+        }
     }
 
     fn put(&self, put: &Put<'_>) -> Result<u64, Error> {
         const STEP: Step = Step::new("put object");
-        let path = format!(
-            "objects/{}/{}?expected={}",
-            put.kind, put.name, put.expected
-        );
-        let request = minreq::put(self.url(&path)).with_body(put.value);
-        let answer = self.send(STEP, request, Duration::ZERO)?;
-        let body: ObjectBody = self.read(STEP, &answer)?;
-        Ok(body.version)
+        let answer = self.send(STEP, self.form.put(put), Duration::ZERO)?;
+        if answer.status_code == 404 {
+            return Err(self.error(ErrorKind::Conflict, STEP, "the object does not exist"));
+        }
+        let object = self.form.read_object(answer.as_bytes());
+        Ok(self.read(STEP, object)?.version)
     }
 
     fn delete(&self, kind: &str, name: &str, expected: u64) -> Result<(), Error> {
         const STEP: Step = Step::new("delete object");
-        let path = format!("objects/{kind}/{name}?expected={expected}");
-        let request = minreq::delete(self.url(&path));
-        let answer = self.send(STEP, request, Duration::ZERO)?;
+        let call = self.form.delete(kind, name, expected);
+        let answer = self.send(STEP, call, Duration::ZERO)?;
         match answer.status_code {
             404 => Err(self.error(ErrorKind::Conflict, STEP, "the object does not exist")),
             _ => Ok(()),
@@ -118,8 +136,17 @@
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<ObjectList, Error> {
         const STEP: Step = Step::new("watch objects");
-        let path = format!("watch/{kind}?after={after}&wait_ms={}", wait.as_millis());
-        let answer = self.send(STEP, minreq::get(self.url(&path)), wait)?;
-        self.read(STEP, &answer)
+        let answer = self.send(STEP, self.form.watch(kind, after, wait), wait)?;
+        self.read(STEP, self.form.read_changes(answer.as_bytes()))
+    }
+}
+
+fn method(name: &str) -> Method {
+    match name {
+        "GET" => Method::Get,
+        "PUT" => Method::Put,
+        "POST" => Method::Post,
+        "DELETE" => Method::Delete,
+        other => Method::Custom(other.to_owned()),
     }
 }
--- /dev/null
+++ b/azureway-objects/src/object_call.rs
@@ -0,0 +1,30 @@
+//! A call of an object API, as a form spells it.
+
+/// A call of an object API, as a form spells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ObjectCall {
+    /// The method.
+    pub method: &'static str,
+    /// The path with its query, without the leading slash.
+    pub path: String,
+    /// The body, if the call has one.
+    pub body: Option<String>,
+}
+
+impl ObjectCall {
+    /// Creates a call without a body.
+    pub fn new(method: &'static str, path: String) -> Self {
+        Self {
+            method,
+            path,
+            body: None,
+        }
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn with_body(mut self, body: String) -> Self {
+        self.body = Some(body);
+        self
+    }
+}
--- /dev/null
+++ b/azureway-wire/src/error/reason_phrase.rs
@@ -0,0 +1,21 @@
+//! The reason phrase of a status.
+
+/// Returns the reason phrase that goes with a status.
+pub const fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
