--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -13,6 +13,9 @@
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
 /// The time without a report after which a server may be dead or cut off.
 const QUIET_TIME: Duration = Duration::from_secs(2);
+/// How long a server that rejected a request though it had slots is left alone: about the time
+/// of a load.
+const HOLD_TIME: Duration = Duration::from_millis(500);
 /// The share of a server's slots, in percent, that drafting leaves to urgent work.
 const URGENT_RESERVE: u32 = 25;
 /// The time that a request stays where none has been seen to end.
@@ -38,6 +41,8 @@
     listed: bool,
     health: Health,
     trial: Timestamp,
+    /// Until when it is left alone after it rejected a request though it had slots.
+    held: Timestamp,
 }
 
 impl ServerState {
@@ -55,6 +60,7 @@
             listed: false,
             health: Health::Live,
             trial: Timestamp::ZERO,
+            held: Timestamp::ZERO,
         }
     }
 
@@ -96,6 +102,10 @@
         let other = sample
             .weights
             .filter(|w| self.weights.is_some_and(|had| had < *w));
+        if other.is_some() {
+            // It has loaded what it was rejecting requests for.
+            self.held = Timestamp::ZERO;
+        }
         self.weights = other.or(self.weights);
         other.is_some()
     }
@@ -176,6 +186,10 @@
                 self.incarnation = Incarnation::ZERO;
                 return known;
             }
+            // It has slots and rejects all the same: it is loading weights or about to leave.
+            FailureKind::Busy if failure.is_full() && self.has_slots() => {
+                self.held = now + HOLD_TIME;
+            }
             FailureKind::Busy if failure.is_full() => self.share.refused(self.flights(), now),
             // A silent connection says nothing of the server: something between the two ends
             // may have lost track of it while new connections work.
@@ -208,8 +222,8 @@
     /// Tells whether the server may be given new work at `now`.
     pub fn accepts(&self, now: Timestamp) -> bool {
         match self.health() {
-            Health::Live => true,
-            Health::Suspect => now > self.trial,
+            Health::Live => now >= self.held,
+            Health::Suspect => now > self.trial && now >= self.held,
             Health::Leaving => false,
         }
     }
@@ -232,7 +246,7 @@
     pub fn trial(&self) -> Option<Timestamp> {
         match self.health {
             Health::Suspect => Some(self.trial),
-            Health::Live => self.share.paused(),
+            Health::Live => self.share.paused().max(Some(self.held)),
             Health::Leaving => None,
         }
     }
@@ -275,6 +289,11 @@
         seen + self.own.unseen().flights * self.share.entries()
     }
 
+    /// Tells whether a listed server should have slots, as far as its load is known.
+    fn has_slots(&self) -> bool {
+        self.server.loaded.is_some() && self.load() < self.server.slots
+    }
+
     fn suspect(&mut self, now: Timestamp) {
         if self.health != Health::Leaving {
             self.health = Health::Suspect;
--- a/azureway-core/src/router/config.rs
+++ b/azureway-core/src/router/config.rs
@@ -20,6 +20,9 @@
     pub slack: Option<RetrySlack>,
     /// Whether the entries of all availability zones share the servers.
     pub shared: bool,
+    /// How long a request waits before it may be sent to another region whose servers are
+    /// not the only ones.
+    pub abroad: Duration,
     /// The time one way over a link to another availability zone.
     pub link: Duration,
     /// The time one way over a link to another region.
@@ -32,6 +35,8 @@
 const DEFAULT_TRIES: u32 = 4;
 /// The default share of retries, in percent.
 const DEFAULT_RETRIES: u32 = 20;
+/// The default wait before a request is sent to another region.
+const DEFAULT_ABROAD: Duration = Duration::from_millis(500);
 /// The default time one way to another availability zone.
 const DEFAULT_LINK: Duration = Duration::from_micros(1_500);
 /// The default time one way to another region.
@@ -46,6 +51,7 @@
             tries: DEFAULT_TRIES,
             retries: DEFAULT_RETRIES,
             slack: None,
+            abroad: DEFAULT_ABROAD,
             shared: false,
             link: DEFAULT_LINK,
             far: DEFAULT_FAR,
@@ -67,6 +73,13 @@
         self
     }
 
+    /// Sets how long a request waits before it may be sent to another region.
+    #[must_use]
+    pub fn with_abroad(mut self, abroad: Duration) -> Self {
+        self.abroad = abroad;
+        self
+    }
+
     /// Lets the entries of all availability zones share the servers.
     #[must_use]
     pub fn with_shared(mut self) -> Self {
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -34,8 +34,9 @@
 
 /// The time to first token above which the next reach is looked at too: a fifth of the target.
 const SPILL: Duration = Duration::from_millis(200);
-/// How long a request waits before it may be sent to another region.
-pub(super) const ABROAD_WAIT: Duration = Duration::from_millis(500);
+/// What an answer from older weights costs, as time, once newer ones have been named for a
+/// while: most of the time that an urgent request has.
+const OLD_WEIGHTS_TOLL: Duration = Duration::from_millis(250);
 /// What traffic to another region costs, as time: this many tokens weigh a second.
 const ABROAD_TOLL: TokenRate = TokenRate::new(20_000);
 
@@ -167,7 +168,7 @@
         for reach in Reach::ALL {
             // Traffic to another region is paid: it is for a region without any server, and
             // for requests that have waited.
-            let waited = now.since(want.request.arrived) >= ABROAD_WAIT;
+            let waited = now.since(want.request.arrived) >= self.config.abroad;
             if reach == Reach::Abroad && alive && !waited {
                 break;
             }
@@ -199,7 +200,12 @@
         let bound = self.home_bound(want.request, &fit, now);
         fit.retain(|(_, s)| has_room(s, want, now) && self.admits(want, s, now));
         for (weight, state) in &fit {
-            let candidate = self.candidate(state, want.request, reach, (*weight, bound));
+            let mut candidate = self.candidate(state, want.request, reach, (*weight, bound));
+            if service.rollout.as_ref().is_some_and(|r| r.is_due(now))
+                && state.weights.is_some_and(|w| w < service.weights)
+            {
+                candidate.toll += OLD_WEIGHTS_TOLL;
+            }
             found.push(candidate);
         }
         bound < u64::MAX
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -19,7 +19,7 @@
 use crate::claim::Claimer;
 use crate::decide::{DecideMessage, Decider, Question};
 use crate::meter::Meter;
-use crate::news::NewsReaders;
+use crate::news::{HttpNews, NewsReaders};
 use crate::order::{HttpOrders, Orderer};
 use crate::peer::PeerMessage;
 use crate::relay::Launcher;
@@ -198,7 +198,10 @@
 }
 
 /// Returns the deciding duty.
-fn decider(settings: &EntrySettings, rings: &Rings) -> Decider<PrefixLoad, Launcher, NewsReaders> {
+fn decider(
+    settings: &EntrySettings,
+    rings: &Rings,
+) -> Decider<PrefixLoad, Launcher, NewsReaders<HttpNews>> {
     let config = RouterConfig::new(settings.zone.clone()).with_queue(settings.bounds.queue);
     let router = Router::new(config, PrefixLoad::new());
     let launcher = Launcher::new(
@@ -206,7 +209,7 @@
         rings.meter.clone(),
         settings.bounds.clone(),
     );
-    let readers = NewsReaders::new(rings.decide.clone());
+    let readers = NewsReaders::new(HttpNews, rings.decide.clone());
     Decider::new(router, rings, launcher, readers, settings.instance.clone())
 }
 
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -8,6 +8,7 @@
 use azureway_config::settings::{EntrySettings, SiteSettings};
 use azureway_core::prelude::*;
 use azureway_objects::{HttpObjects, ObjectForm};
+use azureway_wire::instance::{InstanceBody, InstanceRole};
 use flume::{Receiver, Sender};
 
 use super::parts::{process_mark, talk};
@@ -16,11 +17,12 @@
 use crate::decide::{DecideMessage, Decider};
 use crate::exchange::ExchangeLauncher;
 use crate::meter::Meter;
-use crate::news::Silence;
+use crate::news::{NewsLink, NewsReaders};
 use crate::order::{OrderLink, Orderer};
 use crate::peer::PeerMessage;
 use crate::routed::{Gate, HangupWatcher, RoutedCalls, RoutedListener};
 use crate::site::{SITE_WAIT, SiteDuty, SiteKind, SiteNews, SiteWatcher};
+use crate::watch::Registrar;
 
 /// One entry daemon that serves a site, running.
 pub struct Gateway {
@@ -50,6 +52,9 @@
 /// The margin within which the holder of the lease no longer gives orders, as a part of the
 /// term. An order call takes less.
 const MARGIN_PART: u32 = 3;
+/// How long a request waits for a server of its region while another one has a free server:
+/// short against every target, since the traffic costs less than being late.
+const ABROAD_WAIT: Duration = Duration::from_millis(25);
 /// How long a load holds up the next one if nothing is heard of its end: the order of
 /// magnitude of a load.
 const LOAD_TIME: Duration = Duration::from_millis(800);
@@ -62,12 +67,13 @@
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound or a thread cannot be started.
-    pub fn start<S: Site, F, L>(
+    pub fn start<S: Site, F, L, N: NewsLink>(
         settings: &EntrySettings,
         served: &SiteSettings,
         site: S,
         form: F,
         link: L,
+        news: N,
     ) -> Result<Self, Error>
     where
         F: ObjectForm + Send + 'static,
@@ -95,10 +101,11 @@
         let balancer = ReadyDuty::new(served.ready, Arc::clone(&ready), rings.meter.clone())?;
         let api = HttpObjects::with_form(settings.platform, form).with_timeout(CALL_TIMEOUT);
         talk(settings, &rings, peers, mark)?;
-        let decider = decider(settings, served, &rings, site.clone());
+        let decider = decider(settings, served, &rings, site.clone(), news);
         spawn("decide", move || decider.run())?;
         watch(served, &rings, &api, &site, &gate, mark)?;
         order(settings, served, &rings, &api, link, mark)?;
+        register(settings, &rings, &api)?;
         let calls = RoutedCalls::new(site);
         let meter = Meter::new(rings.measures.clone(), rings.views(), api.calls().clone());
         let admitter = Admitter::new(
@@ -151,12 +158,13 @@
 }
 
 /// Returns the deciding duty.
-fn decider<S: Site>(
+fn decider<S: Site, N: NewsLink>(
     settings: &EntrySettings,
     served: &SiteSettings,
     rings: &Rings,
     site: S,
-) -> Decider<PrefixLoad, ExchangeLauncher<S>, Silence> {
+    news: N,
+) -> Decider<PrefixLoad, ExchangeLauncher<S>, NewsReaders<N>> {
     let slack = RetrySlack {
         count: served.slack,
         window: served.window,
@@ -164,11 +172,13 @@
     let config = RouterConfig::new(settings.zone.clone())
         .with_queue(settings.bounds.queue)
         .with_retries(served.retries, slack)
+        .with_abroad(ABROAD_WAIT)
         .with_shared();
     let router = Router::new(config, PrefixLoad::new());
     let (decide, bounds) = (rings.decide.clone(), settings.bounds.clone());
     let launcher = ExchangeLauncher::new(site, decide, bounds, rings.clock);
-    Decider::new(router, rings, launcher, Silence, settings.instance.clone())
+    let readers = NewsReaders::new(news, rings.decide.clone());
+    Decider::new(router, rings, launcher, readers, settings.instance.clone())
 }
 
 /// Starts the duties that hear the site.
@@ -201,6 +211,24 @@
     Ok(())
 }
 
+/// Starts the duty that tells the platform of this instance.
+fn register<F: ObjectForm + Send + 'static>(
+    settings: &EntrySettings,
+    rings: &Rings,
+    api: &HttpObjects<F>,
+) -> Result<(), Error> {
+    let body = InstanceBody {
+        role: InstanceRole::Entry,
+        zone: settings.zone.as_str().to_owned(),
+        address: settings.peer,
+        leaving: false,
+    };
+    let (me, peer) = (settings.instance.clone(), rings.peer.clone());
+    let registrar = Registrar::new(api.clone(), me, body, peer);
+    spawn("register", move || registrar.run())?;
+    Ok(())
+}
+
 /// Starts the ordering duty.
 fn order<F: ObjectForm + Send + 'static, L: OrderLink + Send + 'static>(
     settings: &EntrySettings,
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to a backend server.
 
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -35,6 +35,22 @@
         self.reader.get_ref()
     }
 
+    /// Asks for something small and returns the head and the body of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no whole answer comes; each read waits for `limit` at most.
+    pub fn call(&mut self, request: &[u8], limit: Duration) -> io::Result<(AnswerHead, Vec<u8>)> {
+        self.set_patience(limit)?;
+        self.send(request, limit)?;
+        let head = self.head()?;
+        let framing = Framing::of(&head, "GET");
+        let framing = framing.ok_or_else(|| io::Error::other("the length is ambiguous"))?;
+        let mut body = Vec::new();
+        self.body(framing).read_to_end(&mut body)?;
+        Ok((head, body))
+    }
+
     /// Sends the bytes of a request.
     ///
     /// # Errors
--- a/azureway-entry/src/news/news_reader.rs
+++ b/azureway-entry/src/news/news_reader.rs
@@ -1,45 +1,48 @@
-//! Hearing one model engine.
+//! Hearing one backend server.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use azureway_core::prelude::*;
-use azureway_wire::engine::EngineNews;
 use flume::Sender;
 
-use super::ReaderControl;
+use super::{NewsLink, ReaderControl, ServerWord};
 use crate::decide::{CacheRun, DecideMessage};
 
 /// Hears the load reports and cache events of one model engine.
 #[derive(Debug)]
-pub struct NewsReader {
+pub struct NewsReader<L> {
+    link: L,
     server: ServerId,
     listening: Arc<ReaderControl>,
     decide: Sender<DecideMessage>,
+    incarnation: Incarnation,
     next: u64,
+    /// The events that were heard of this life.
+    heard: u64,
 }
 
-/// How long the engine keeps a call that has no news for it.
-const WAIT: Duration = Duration::from_millis(500);
-/// The limit of a call, in seconds: the wait and as much again as the engine may be late.
-const TIMEOUT: u64 = 2;
 /// The first wait after a failure.
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
 /// The longest wait after a failure.
 const BACKOFF_CAP: Duration = Duration::from_secs(5);
 
-impl NewsReader {
+impl<L: NewsLink> NewsReader<L> {
     /// Creates the duty.
     pub const fn new(
+        link: L,
         server: ServerId,
         listening: Arc<ReaderControl>,
         decide: Sender<DecideMessage>,
     ) -> Self {
         Self {
+            link,
             server,
             listening,
             decide,
+            incarnation: Incarnation::ZERO,
             next: 0,
+            heard: 0,
         }
     }
 
@@ -48,10 +51,14 @@
         let seed = Rendezvous::new(PrefixKey::new(0)).weight(&self.server);
         let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed);
         while !self.listening.is_stopped() {
-            match self.ask() {
-                Ok(news) => {
+            let (address, whole) = (self.listening.address(), self.listening.take_resync());
+            match self.link.ask(&self.server, address, self.next, whole) {
+                Ok(word) => {
                     backoff.reset();
-                    self.pass_on(news);
+                    self.pass_on(word);
+                    if !L::GAP.is_zero() {
+                        std::thread::park_timeout(L::GAP);
+                    }
                 }
                 Err(e) => {
                     log::debug!(step = "news", peer:% = self.server, error:% = e; "no news");
@@ -62,34 +69,24 @@
         }
     }
 
-    fn ask(&self) -> Result<EngineNews, Error> {
-        const STEP: Step = Step::new("hear engine");
-        let error = |kind, detail: String| Error::new(kind, STEP, detail).with_peer(&self.server);
-        let whole = self.listening.take_resync();
-        let (address, next, wait) = (self.listening.address(), self.next, WAIT.as_millis());
-        let url = format!("http://{address}/v1/news?after={next}&wait_ms={wait}&whole={whole}");
-        let answer = minreq::get(url).with_timeout(TIMEOUT).send();
-        let answer = answer.map_err(|e| error(ErrorKind::Unavailable, e.to_string()))?;
-        serde_json::from_slice(answer.as_bytes())
-            .map_err(|e| error(ErrorKind::Protocol, e.to_string()))
-    }
-
-    fn pass_on(&mut self, news: EngineNews) {
-        let Ok(ops) = news.ops() else {
-            log::warn!(step = "news", peer:% = self.server; "cache events that are no keys");
-            return;
-        };
-        self.next = news.next();
-        let _ = self
-            .decide
-            .send(DecideMessage::Load(news.load(self.server.clone())));
+    fn pass_on(&mut self, word: ServerWord) {
+        if word.incarnation != self.incarnation {
+            self.incarnation = word.incarnation;
+            // A run that does not begin at the first event leaves the content unknown.
+            self.heard = u64::from(word.lost);
+        }
+        self.next = word.next;
+        if let Some(load) = word.load {
+            let _ = self.decide.send(DecideMessage::Load(load));
+        }
         let run = CacheRun {
             server: self.server.clone(),
-            incarnation: Incarnation::new(news.incarnation),
-            first: news.first,
-            whole: news.whole,
-            ops,
+            incarnation: word.incarnation,
+            first: word.first.unwrap_or(self.heard),
+            whole: word.whole,
+            ops: word.ops,
         };
+        self.heard += run.ops.len() as u64;
         let _ = self.decide.send(DecideMessage::Cache(run));
     }
 }
--- a/azureway-entry/src/news/news_readers.rs
+++ b/azureway-entry/src/news/news_readers.rs
@@ -7,12 +7,13 @@
 use azureway_core::prelude::*;
 use flume::Sender;
 
-use super::{Hear, NewsReader, ReaderControl};
+use super::{Hear, NewsLink, NewsReader, ReaderControl};
 use crate::decide::DecideMessage;
 
 /// The hearing threads, one for each model engine of the configuration.
 #[derive(Debug)]
-pub struct NewsReaders {
+pub struct NewsReaders<L> {
+    link: L,
     decide: Sender<DecideMessage>,
     listening: BTreeMap<ServerId, Arc<ReaderControl>>,
 }
@@ -20,10 +21,11 @@
 /// The stack of a hearing thread, in bytes.
 const STACK_SIZE: usize = 256 * 1024;
 
-impl NewsReaders {
-    /// Creates an empty set whose threads report to `decide`.
-    pub const fn new(decide: Sender<DecideMessage>) -> Self {
+impl<L: NewsLink> NewsReaders<L> {
+    /// Creates an empty set whose threads hear through `link` and report to `decide`.
+    pub const fn new(link: L, decide: Sender<DecideMessage>) -> Self {
         Self {
+            link,
             decide,
             listening: BTreeMap::new(),
         }
@@ -32,6 +34,7 @@
     fn start(&mut self, server: &BackendServer) {
         let listening = Arc::new(ReaderControl::new(server.address));
         let reader = NewsReader::new(
+            self.link.clone(),
             server.id.clone(),
             Arc::clone(&listening),
             self.decide.clone(),
@@ -48,7 +51,7 @@
     }
 }
 
-impl Hear for NewsReaders {
+impl<L: NewsLink> Hear for NewsReaders<L> {
     /// Starts and stops threads so that each model engine of `fleet` is heard.
     fn adopt(&mut self, fleet: &Fleet) {
         let engines = engines(fleet);
--- a/azureway-entry/src/routed/calls.rs
+++ b/azureway-entry/src/routed/calls.rs
@@ -196,18 +196,13 @@
     known.or(nobody).ok_or_else(refusal)
 }
 
-/// Derives the blocks of a prompt from its parts. The last part is the request's own, so the
+/// Derives the blocks of a prompt from its parts. Servers tell of each part by itself, so keys
+/// do not chain; a part counts only where all before it are held. The last part is the request's own, so the
 /// parts before it place the request.
 fn chain(salt: Salt, terms: &CallTerms<'_>) -> BlockChain {
-    let mut last: Option<BlockKey> = None;
-    let blocks = terms.parts.iter().map(|part| {
-        let id = part.id.as_bytes();
-        let key = last.map_or_else(|| BlockKey::first(salt, id), |l| l.then(id));
-        last = Some(key);
-        Block {
-            key,
-            tokens: part.tokens,
-        }
+    let blocks = terms.parts.iter().map(|part| Block {
+        key: BlockKey::first(salt, part.id.as_bytes()),
+        tokens: part.tokens,
     });
     let blocks: Vec<_> = blocks.collect();
     let placing = blocks.len().saturating_sub(1);
