Tell peers of loads, and ask loading servers for their end

Cause: a server that loads rejects all that has not started; entries found out by being rejected, 544 of 1576 arrivals, and spent the retry budget on it. The list tells of new weights up to a heartbeat late, so orders on a timer let five and more load at once, which slows each.

--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -6,7 +6,7 @@
 use crate::claim::ClaimNews;
 use crate::domain::{Attempt, Request, RequestId, ServerId};
 use crate::fleet::{Fleet, LoadReport, LoadSample};
-use crate::member::ServerNews;
+use crate::member::{Loading, ServerNews};
 use crate::quarantine::Strike;
 
 /// What the router is told.
@@ -42,6 +42,8 @@
     Demand(&'a Demand),
     /// Another entry instance told of a backend server.
     Server(&'a ServerNews),
+    /// An entry instance is about to order a backend server to load weights.
+    Loading(&'a Loading),
     /// Another entry instance told of a request that was running when a server broke.
     Strike(&'a Strike),
     /// The platform lists these backend servers as leaving, and no others. The list lags.
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -7,7 +7,7 @@
     BackendServer, Incarnation, Loaded, Rank, Timestamp, TokenCount, WeightsVersion,
 };
 use crate::event::{Failure, FailureKind};
-use crate::member::{ServerNews, ServerSign};
+use crate::member::{Loading, ServerNews, ServerSign};
 
 /// How long a failed server is left alone.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
@@ -81,13 +81,32 @@
         if loaded.incarnation < self.incarnation {
             return false;
         }
-        let other = loaded.incarnation > self.incarnation || loaded.weights != self.weights;
-        if loaded.incarnation > self.incarnation {
+        let reborn = loaded.incarnation > self.incarnation;
+        // Within a life weights only become newer, and the list lags behind the answers.
+        let newer = loaded.weights > self.weights;
+        if reborn {
             self.health = Health::Live;
+            self.incarnation = loaded.incarnation;
         }
-        self.incarnation = loaded.incarnation;
-        self.weights = loaded.weights;
-        other
+        if reborn || newer {
+            self.weights = loaded.weights;
+            self.held = Timestamp::ZERO;
+        }
+        reborn || newer
+    }
+
+    /// Takes in that the server is about to load weights and takes no work meanwhile, or has
+    /// loaded them. Returns whether what is known of its cache no longer holds.
+    pub fn load_weights(&mut self, loading: &Loading, now: Timestamp) -> bool {
+        let newer = self.weights.is_none_or(|had| had < loading.weights);
+        let done = loading.time.is_zero();
+        if newer && done {
+            self.weights = Some(loading.weights);
+        }
+        if newer || done {
+            self.held = now + loading.time;
+        }
+        newer && done
     }
 
     /// Takes in what an answer told. Returns whether what is known of the server's cache no
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -5,7 +5,7 @@
 
 use super::{Fleet, LoadReport, ServerState};
 use crate::domain::{PoolId, ServerId, Timestamp};
-use crate::member::ServerNews;
+use crate::member::{Loading, ServerNews};
 
 /// What is known of every backend server. The servers of a pool stand side by side, in the
 /// order of their names.
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Takes in that a server is about to load weights or has loaded them. Returns whether
+    /// what is known of its cache no longer holds.
+    pub fn load(&mut self, loading: &Loading, now: Timestamp) -> bool {
+        let state = self.get_mut(&loading.server);
+        state.is_some_and(|s| s.load_weights(loading, now))
+    }
+
     /// Notes which servers the platform lists as leaving, also for those that a later
     /// configuration brings.
     pub fn list_leaving(&mut self, list: &[ServerId]) {
--- a/azureway-core/src/member/gossip.rs
+++ b/azureway-core/src/member/gossip.rs
@@ -34,7 +34,7 @@
     /// Returns up to `count` pieces of the latest news for one heartbeat in a group of `size`.
     pub fn latest(&mut self, count: usize, size: usize, now: Timestamp) -> Vec<News> {
         let current = |news: News| match news {
-            News::Member(_) => Some(news),
+            News::Member(_) | News::Loading(_) => Some(news),
             News::Server(_) | News::Strike(_) => self.seen_news.refreshed(&news, now),
         };
         let taken = self.board.take(count, size);
--- a/azureway-core/src/member/membership.rs
+++ b/azureway-core/src/member/membership.rs
@@ -1,8 +1,8 @@
 //! The membership itself.
 
 use super::{
-    CatchUp, Gossip, Heartbeat, Liveness, MemberConfig, MemberNews, News, PeerAction, PeerEvent,
-    PeerTable, Refreshes, RoundTimer, Targets, TopDemand,
+    CatchUp, Gossip, Heartbeat, Liveness, Loading, MemberConfig, MemberNews, News, PeerAction,
+    PeerEvent, PeerTable, Refreshes, RoundTimer, Targets, TopDemand,
 };
 use crate::admit::Demand;
 use crate::domain::{ConfigVersion, Instance, InstanceId, Timestamp};
@@ -69,6 +69,7 @@
             PeerEvent::Demand(demand) => self.demand.note(demand, self.config.demand),
             PeerEvent::Server(news) => self.tell(News::Server(news.clone()), now),
             PeerEvent::Strike(strike) => self.tell(News::Strike(strike.clone()), now),
+            PeerEvent::Loading(loading) => self.announce(loading, out),
             PeerEvent::Leaving => self.leave(out),
             PeerEvent::Tick => {}
         }
@@ -162,6 +163,22 @@
         }
     }
 
+    /// Tells every peer at once that a backend server is about to load weights.
+    fn announce(&mut self, loading: &Loading, out: &mut Vec<PeerAction>) {
+        let there = self.peers.iter().filter(|m| !m.news.liveness.is_gone());
+        for member in there {
+            let beat = Heartbeat {
+                from: self.me.clone(),
+                version: self.catchup.version(),
+                sum: self.peers.sum(&self.me),
+                whole: false,
+                news: vec![News::Loading(loading.clone())],
+                demand: Vec::new(),
+            };
+            out.push(PeerAction::Send(member.news.instance.clone(), beat));
+        }
+    }
+
     fn leave(&mut self, out: &mut Vec<PeerAction>) {
         self.left = true;
         let now = self.seen;
@@ -243,6 +260,8 @@
                 } else {
                     self.note_member(member, now);
                 }
+            } else if let News::Loading(loading) = news {
+                out.push(PeerAction::Loading(loading.clone()));
             } else if self.gossip.merge(news, now) {
                 out.extend(PeerAction::of_news(news));
                 self.pace.hurry(now);
--- a/azureway-core/src/member/news.rs
+++ b/azureway-core/src/member/news.rs
@@ -1,6 +1,6 @@
 //! What heartbeats carry from peer to peer.
 
-use super::{MemberNews, ServerNews};
+use super::{Loading, MemberNews, ServerNews};
 use crate::quarantine::Strike;
 
 /// What heartbeats carry from peer to peer.
@@ -12,6 +12,8 @@
     Server(ServerNews),
     /// News of a request that was running when a backend server broke.
     Strike(Strike),
+    /// News of a backend server that is about to load weights; it is not passed on.
+    Loading(Loading),
 }
 
 impl News {
--- a/azureway-core/src/member/peer_action.rs
+++ b/azureway-core/src/member/peer_action.rs
@@ -1,6 +1,6 @@
 //! What the membership wants done.
 
-use super::{Heartbeat, News, ServerNews};
+use super::{Heartbeat, Loading, News, ServerNews};
 use crate::admit::Demand;
 use crate::domain::{ConfigVersion, Instance};
 use crate::quarantine::Strike;
@@ -22,6 +22,8 @@
     Server(ServerNews),
     /// Take over a strike.
     Strike(Strike),
+    /// A backend server is about to load weights.
+    Loading(Loading),
 }
 
 impl PeerAction {
@@ -31,6 +33,7 @@
             News::Member(_) => None,
             News::Server(news) => Some(Self::Server(news.clone())),
             News::Strike(strike) => Some(Self::Strike(strike.clone())),
+            News::Loading(loading) => Some(Self::Loading(loading.clone())),
         }
     }
 }
--- a/azureway-core/src/member/peer_event.rs
+++ b/azureway-core/src/member/peer_event.rs
@@ -1,6 +1,6 @@
 //! What the membership is told.
 
-use super::{Heartbeat, ServerNews};
+use super::{Heartbeat, Loading, ServerNews};
 use crate::admit::Demand;
 use crate::domain::{ConfigVersion, Instance, InstanceId};
 use crate::quarantine::Strike;
@@ -26,6 +26,8 @@
     Server(&'a ServerNews),
     /// A request of this entry was running when a backend server broke, or was cleared.
     Strike(&'a Strike),
+    /// This entry is about to order a backend server to load weights.
+    Loading(&'a Loading),
     /// This instance shuts down.
     Leaving,
     /// Time passed.
--- a/azureway-core/src/member/seen_news.rs
+++ b/azureway-core/src/member/seen_news.rs
@@ -64,6 +64,7 @@
     match news {
         News::Strike(strike) => strike.left,
         News::Server(_) | News::Member(_) => SERVER_TIME,
+        News::Loading(loading) => loading.time,
     }
 }
 
--- a/azureway-core/src/order/pool_view.rs
+++ b/azureway-core/src/order/pool_view.rs
@@ -23,7 +23,7 @@
         // The weights that fewest servers will have go first.
         let weights = *short.min_by_key(|w| self.coming(**w))?;
         let donor = self.idle().filter(|(_, had)| self.can_take(*had));
-        let unwanted_first = donor.min_by_key(|(s, had)| (self.wanted.contains(had), &s.id));
+        let unwanted_first = donor.min_by_key(|(s, had)| (self.wanted.contains(had), *had, &s.id));
         unwanted_first.map(|(server, _)| (server, weights))
     }
 
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -21,8 +21,8 @@
     Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
 };
 pub use crate::member::{
-    Heartbeat, Liveness, MemberConfig, MemberNews, Membership, News, PeerAction, PeerEvent,
-    ServerNews, ServerSign,
+    Heartbeat, Liveness, Loading, MemberConfig, MemberNews, Membership, News, PeerAction,
+    PeerEvent, ServerNews, ServerSign,
 };
 pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::quarantine::{CrashSite, Quarantine, Strike, StrikeState, SuspectStatus};
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -67,6 +67,10 @@
             Event::Listed(count) => self.list(count),
             Event::Demand(demand) => self.limits.share_mut().hear(demand, now),
             Event::Server(news) => self.sender.servers_mut().hear(news),
+            Event::Loading(loading) => {
+                self.sender.load(loading, now);
+                self.queues.mark_all();
+            }
             Event::Strike(strike) => self.struck(strike, now, out),
             Event::Leaving(list) => {
                 self.sender.servers_mut().list_leaving(list);
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -5,7 +5,7 @@
 use crate::domain::{Attempt, Incarnation, PoolId, RequestId, Timestamp};
 use crate::event::{Dispatch, Failure};
 use crate::fleet::{Fleet, LoadReport, LoadSample, ServerTable};
-use crate::member::{ServerNews, ServerSign};
+use crate::member::{Loading, ServerNews, ServerSign};
 use crate::quarantine::{CrashSite, Guard};
 use crate::route::{Policy, Spread};
 
@@ -94,6 +94,13 @@
         self.servers.report(report, now)
     }
 
+    /// Takes in that a server is about to load weights or has loaded them.
+    pub fn load(&mut self, loading: &Loading, now: Timestamp) {
+        if self.servers.load(loading, now) {
+            self.index.forget(&loading.server);
+        }
+    }
+
     /// Takes in what an answer told of its server. Returns the server's pool.
     pub fn sample(&mut self, sample: &LoadSample, now: Timestamp) -> Option<&PoolId> {
         let state = self.servers.get_mut(&sample.server)?;
--- a/azureway-core/tests/group/mod.rs
+++ b/azureway-core/tests/group/mod.rs
@@ -284,7 +284,7 @@
             PeerAction::Demand(demand) => {
                 self.node(id).demand.insert(demand.instance.clone(), demand);
             }
-            PeerAction::Reply(_) | PeerAction::Count(_) => {}
+            PeerAction::Reply(_) | PeerAction::Count(_) | PeerAction::Loading(_) => {}
         }
     }
 
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -55,9 +55,9 @@
 /// How long a request waits for a server of its region while another one has a free server:
 /// short against every target, since the traffic costs less than being late.
 const ABROAD_WAIT: Duration = Duration::from_millis(25);
-/// How long a load holds up the next one if nothing is heard of its end: the order of
-/// magnitude of a load.
-const LOAD_TIME: Duration = Duration::from_millis(800);
+/// How long a load holds up the next one if nothing is heard of its end: requests that run
+/// end first, and the load takes as long as several when many load at once.
+const LOAD_TIME: Duration = Duration::from_millis(3_000);
 /// The margin before the bound of a rollout within which no older weights are asked.
 const ROLLOUT_MARGIN: Duration = Duration::from_millis(1_000);
 
@@ -246,6 +246,7 @@
         .with_busy(LOAD_TIME);
     let messages = rings.order_messages.clone();
     let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
+    let orderer = orderer.with_heralds(rings.peer.clone());
     spawn("order", move || orderer.run())?;
     Ok(())
 }
--- a/azureway-entry/src/decide/peer_word.rs
+++ b/azureway-entry/src/decide/peer_word.rs
@@ -1,6 +1,6 @@
 //! What other entries told.
 
-use azureway_core::prelude::{Demand, Event, ServerNews, Strike};
+use azureway_core::prelude::{Demand, Event, Loading, ServerNews, Strike};
 
 /// What other entries told, or what follows from it.
 #[derive(Clone, Debug)]
@@ -15,6 +15,8 @@
     Server(ServerNews),
     /// Another entry told of a request that was running when a backend server broke.
     Strike(Strike),
+    /// An entry is about to order a backend server to load weights.
+    Loading(Loading),
 }
 
 impl PeerWord {
@@ -26,6 +28,7 @@
             Self::Demand(demand) => Event::Demand(demand),
             Self::Server(news) => Event::Server(news),
             Self::Strike(strike) => Event::Strike(strike),
+            Self::Loading(loading) => Event::Loading(loading),
         }
     }
 }
--- a/azureway-entry/src/order/http_orders.rs
+++ b/azureway-entry/src/order/http_orders.rs
@@ -1,6 +1,6 @@
 //! Orders over HTTP.
 
-use azureway_core::prelude::{FencingNumber, LoadOrder};
+use azureway_core::prelude::{FencingNumber, LoadOrder, WeightsVersion};
 use azureway_wire::order::OrderBody;
 
 use super::{OrderAnswer, OrderLink};
@@ -20,6 +20,11 @@
 }
 
 impl OrderLink for HttpOrders {
+    /// The product's engines tell of their weights by themselves, at once.
+    fn weights(&self, _: &LoadOrder) -> Option<WeightsVersion> {
+        None
+    }
+
     fn send(&self, order: &LoadOrder, number: FencingNumber) -> OrderAnswer {
         let Ok(body) = serde_json::to_string(&OrderBody::new(order, number)) else {
             return OrderAnswer::Failed;
--- a/azureway-entry/src/order/mod.rs
+++ b/azureway-entry/src/order/mod.rs
@@ -2,6 +2,7 @@
 
 mod http_orders;
 mod lease_calls;
+mod load_checks;
 mod order_answer;
 mod order_client;
 mod order_link;
@@ -10,6 +11,7 @@
 
 pub use http_orders::HttpOrders;
 pub use lease_calls::LeaseCalls;
+pub use load_checks::LoadChecks;
 pub use order_answer::OrderAnswer;
 pub use order_client::OrderClient;
 pub use order_link::OrderLink;
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -1,12 +1,16 @@
 //! The ordering duty.
 
+use std::thread;
+use std::time::Duration;
+
 use azureway_core::prelude::*;
 use azureway_objects::ObjectApi;
-use flume::{Receiver, RecvTimeoutError};
+use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::{LeaseCalls, OrderAnswer, OrderLink, OrderMessage};
+use super::{LeaseCalls, LoadChecks, OrderAnswer, OrderLink, OrderMessage};
 use crate::claim::Sweeper;
 use crate::clock::Clock;
+use crate::peer::PeerMessage;
 
 /// The ordering duty: contends for the lease and, while it holds it, sends orders and deletes
 /// old claims.
@@ -21,8 +25,13 @@
     sweeper: Option<Sweeper<A>>,
     chosen: bool,
     wake: Timestamp,
+    heralds: Option<Sender<PeerMessage>>,
+    time: Duration,
+    checks: LoadChecks,
 }
 
+/// The time in which peers hear of a load: a few times the way between regions.
+const HERALD_TIME: Duration = Duration::from_millis(30);
 /// The wake-up of an entry that only waits for messages.
 const IDLE: Timestamp = Timestamp::MAX;
 
@@ -46,6 +55,9 @@
             planner: OrderPlanner::new(config),
             chosen: true,
             wake: Timestamp::ZERO,
+            heralds: None,
+            time: config.busy,
+            checks: LoadChecks::new(),
         }
     }
 
@@ -56,6 +68,13 @@
         self
     }
 
+    /// Tells every peer of a load before it is ordered.
+    #[must_use]
+    pub fn with_heralds(mut self, peers: Sender<PeerMessage>) -> Self {
+        self.heralds = Some(peers);
+        self
+    }
+
     /// Runs until every sender of messages is gone.
     pub fn run(mut self) {
         loop {
@@ -91,6 +110,7 @@
     /// lease lapse, and gives orders until then.
     fn drive(&mut self) {
         self.wake = IDLE;
+        self.check();
         self.renew();
         while self.lease.allows(self.clock.now(), false).is_some() {
             let Some(order) = self.planner.next(self.clock.now()) else {
@@ -102,7 +122,8 @@
         let now = self.clock.now();
         let planned = self.planner.next_wakeup(now);
         let swept = self.sweep(now);
-        let wakes = [planned, swept].into_iter().flatten();
+        let checked = self.checks.next_wakeup();
+        let wakes = [planned, swept, checked].into_iter().flatten();
         self.wake = wakes.fold(self.wake, Timestamp::min);
     }
 
@@ -128,13 +149,56 @@
         }
     }
 
+    /// Asks the servers that load whether they have ended, and lets peers know.
+    fn check(&mut self) {
+        if self.heralds.is_none() {
+            return;
+        }
+        while let Some(order) = self.checks.due(self.clock.now()) {
+            let weights = self.link.weights(&order);
+            let Some(weights) = weights.filter(|w| *w >= order.weights) else {
+                continue;
+            };
+            log::info!(step = "order", peer:% = order.server, weights:% = weights; "loaded");
+            self.checks.end(&order);
+            self.planner.observe(&order.server, weights);
+            self.tell(&order, Duration::ZERO);
+        }
+    }
+
+    /// Tells every peer of a load, and gives them the time to hear it.
+    fn herald(&self, order: &LoadOrder, time: Duration) {
+        if self.heralds.is_some() {
+            self.tell(order, time);
+            thread::park_timeout(HERALD_TIME);
+        }
+    }
+
+    /// Tells every peer how long a load still takes.
+    fn tell(&self, order: &LoadOrder, time: Duration) {
+        let Some(peers) = &self.heralds else {
+            return;
+        };
+        let loading = Loading {
+            server: order.server.clone(),
+            weights: order.weights,
+            time,
+        };
+        // The peer duty ends only with the process, and then nothing is ordered any more.
+        let _ = peers.send(PeerMessage::Loading(loading));
+    }
+
     fn send(&mut self, order: &LoadOrder) {
+        self.herald(order, self.time);
         // Looked at once more: this thread may have been paused since the order was planned.
         let Some(number) = self.lease.allows(self.clock.now(), order.fenced) else {
             return;
         };
         let answer = self.link.send(order, number);
         log::info!(step = "order", peer:% = order.server, weights:% = order.weights, number:% = number, answer:? = answer; "ordered");
+        if answer == OrderAnswer::Taken {
+            self.checks.push(order.clone(), self.clock.now());
+        }
         if answer == OrderAnswer::Fenced {
             self.lease.step_down(self.clock.now());
         }
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -99,6 +99,11 @@
             Some(PeerMessage::Demand(demand)) => self.tell(PeerEvent::Demand(&demand)).await,
             Some(PeerMessage::Strike(strike)) => self.tell(PeerEvent::Strike(&strike)).await,
             Some(PeerMessage::Server(news)) => self.tell(PeerEvent::Server(&news)).await,
+            Some(PeerMessage::Loading(loading)) => {
+                self.tell(PeerEvent::Loading(&loading)).await;
+                self.decide(DecideMessage::Peer(PeerWord::Loading(loading)))
+                    .await;
+            }
             Some(PeerMessage::Heard(beat, reply)) => self.answer(&beat, &reply).await,
             Some(PeerMessage::Asked(known, reply)) => {
                 let newer = self.document.as_ref().filter(|d| d.version > known);
@@ -157,6 +162,10 @@
                     self.decide(DecideMessage::Peer(PeerWord::Server(news)))
                         .await
                 }
+                PeerAction::Loading(loading) => {
+                    self.decide(DecideMessage::Peer(PeerWord::Loading(loading)))
+                        .await
+                }
                 PeerAction::Strike(strike) => {
                     self.decide(DecideMessage::Peer(PeerWord::Strike(strike)))
                         .await
--- a/azureway-entry/src/peer/peer_message.rs
+++ b/azureway-entry/src/peer/peer_message.rs
@@ -1,7 +1,7 @@
 //! What the peer duty is told.
 
 use azureway_core::prelude::{
-    ConfigVersion, Demand, Heartbeat, Instance, InstanceId, ServerNews, Strike,
+    ConfigVersion, Demand, Heartbeat, Instance, InstanceId, Loading, ServerNews, Strike,
 };
 use flume::Sender;
 
@@ -18,6 +18,8 @@
     Demand(Demand),
     /// A request of this entry was running when a backend server broke, or was cleared.
     Strike(Strike),
+    /// This entry is about to order a backend server to load weights.
+    Loading(Loading),
     /// This entry found something that speaks against a backend server.
     Server(ServerNews),
     /// A peer sent a heartbeat; the answer goes into the ring.
--- a/azureway-wire/src/gen/azureway.peer.v1.rs
+++ b/azureway-wire/src/gen/azureway.peer.v1.rs
@@ -33,7 +33,7 @@
 /// A piece of news.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct News {
-    #[prost(oneof = "news::Subject", tags = "1, 2, 3")]
+    #[prost(oneof = "news::Subject", tags = "1, 2, 3, 4")]
     pub subject: ::core::option::Option<news::Subject>,
 }
 /// Nested message and enum types in `News`.
@@ -46,6 +46,8 @@
         Server(super::Server),
         #[prost(message, tag = "3")]
         Strike(super::Strike),
+        #[prost(message, tag = "4")]
+        Loading(super::Loading),
     }
 }
 /// News of an entry instance.
@@ -68,6 +70,17 @@
     #[prost(uint32, tag = "3")]
     pub sign: u32,
 }
+/// A backend server that is about to load weights, and takes no work meanwhile.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Loading {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub weights: u64,
+    /// How long it is expected to take.
+    #[prost(uint32, tag = "3")]
+    pub time_ms: u32,
+}
 /// News of a request that was running when a backend server broke.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Strike {
@@ -78,7 +91,7 @@
     pub server: ::prost::alloc::string::String,
     #[prost(uint64, tag = "3")]
     pub incarnation: u64,
-    /// 0 unproved, 1 confirmed, 2 cleared.
+    /// 0 watched, 1 unproved, 2 confirmed, 3 cleared.
     #[prost(uint32, tag = "4")]
     pub state: u32,
     #[prost(uint32, tag = "5")]
--- a/azureway-wire/src/peer/mod.rs
+++ b/azureway-wire/src/peer/mod.rs
@@ -18,6 +18,6 @@
 pub use generated::peer_client::PeerClient;
 pub use generated::peer_server::{Peer, PeerServer};
 pub use generated::{
-    Demand, FetchReply, FetchRequest, Heartbeat, Instance, Member, News, Server, Strike,
+    Demand, FetchReply, FetchRequest, Heartbeat, Instance, Loading, Member, News, Server, Strike,
     news::Subject,
 };
--- a/azureway-wire/src/peer/news.rs
+++ b/azureway-wire/src/peer/news.rs
@@ -5,11 +5,11 @@
 use azureway_core::prelude as core;
 use azureway_core::prelude::{
     CrashSite, Error, Fingerprint, Incarnation, Liveness, MemberNews, ServerId, ServerNews,
-    ServerSign, StrikeState,
+    ServerSign, StrikeState, WeightsVersion,
 };
 
 use super::fault::fault;
-use super::{Member, News, Server, Strike, Subject};
+use super::{Loading, Member, News, Server, Strike, Subject};
 
 impl From<&core::News> for News {
     fn from(news: &core::News) -> Self {
@@ -24,6 +24,7 @@
                 sign: news.sign as u32,
             }),
             core::News::Strike(strike) => Subject::Strike(strike.into()),
+            core::News::Loading(loading) => Subject::Loading(loading.into()),
         };
         Self {
             subject: Some(subject),
@@ -43,6 +44,26 @@
     }
 }
 
+impl From<&core::Loading> for Loading {
+    fn from(loading: &core::Loading) -> Self {
+        Self {
+            server: loading.server.as_str().to_owned(),
+            weights: loading.weights.get(),
+            time_ms: u32::try_from(loading.time.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<&Loading> for core::Loading {
+    fn from(message: &Loading) -> Self {
+        Self {
+            server: ServerId::new(&message.server),
+            weights: WeightsVersion::new(message.weights),
+            time: Duration::from_millis(message.time_ms.into()),
+        }
+    }
+}
+
 impl TryFrom<&News> for core::News {
     type Error = Error;
 
@@ -51,6 +72,7 @@
             Subject::Member(member) => member.try_into().map(Self::Member),
             Subject::Server(server) => server.try_into().map(Self::Server),
             Subject::Strike(strike) => strike.try_into().map(Self::Strike),
+            Subject::Loading(loading) => Ok(Self::Loading(loading.into())),
         }
     }
 }
