Bring a third of a pool to new weights at once

Cause: a server ends its requests before it loads, so one load takes 2 s and not 0.6 s; two at once need 9 s for nine servers, over the bound of 8 s.

--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -1,6 +1,7 @@
 //! Which order goes next.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::{Load, LoadOrder, OrderConfig, PoolView, StoreBudget};
 use crate::domain::{
@@ -9,6 +10,10 @@
 };
 use crate::fleet::{Fleet, LoadReport};
 
+/// The time after which an order that failed is given again: a server that has crashed needs
+/// longer to come back, and one that answers late has answered by then.
+const RETRY_TIME: Duration = Duration::from_secs(1);
+
 /// Compares what the configuration wants loaded with what the servers report, and returns one
 /// order at a time.
 #[derive(Clone, Debug)]
@@ -111,6 +116,16 @@
         }
     }
 
+    /// Takes in that an order failed: it holds up no other one, and is given again in a while
+    /// unless the server turns out to have carried it out.
+    pub fn fail(&mut self, server: &ServerId, now: Timestamp) {
+        if let Some(load) = self.loads.get_mut(server) {
+            load.busy = now;
+            load.until = now + RETRY_TIME;
+            self.changed = true;
+        }
+    }
+
     /// Returns the next order, if one may be sent at `now`, and counts its load as running.
     pub fn next(&mut self, now: Timestamp) -> Option<LoadOrder> {
         let loads = self.loads.len();
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -32,6 +32,11 @@
 /// The limit of every account, in tokens a second, beyond what any site takes: the platform's
 /// configuration has none.
 const UNLIMITED: TokenRate = TokenRate::new(1 << 40);
+/// The rounds in which a pool is brought to new weights: a server ends its requests and loads
+/// within about two seconds, and the whole has to end within a few times that.
+const LOAD_ROUNDS: usize = 3;
+/// The servers of a pool that load at once at least.
+const LOADS_MIN: u32 = 2;
 /// The prefill rate, in tokens a second, of an engine of which nothing was measured: the
 /// order of magnitude of the engines in service.
 const PREFILL: TokenRate = TokenRate::new(30_000);
@@ -147,7 +152,10 @@
         }
         for service in document.services.iter().filter(|s| s.store.is_none()) {
             let pool = PoolId::new(service.id.as_str());
-            fleet = fleet.with_pool(BackendServerPool::new(pool));
+            let servers = self.servers.values().filter(|s| s.service == service.id);
+            let loads = servers.count().div_ceil(LOAD_ROUNDS);
+            let loads = u32::try_from(loads).unwrap_or(u32::MAX).max(LOADS_MIN);
+            fleet = fleet.with_pool(BackendServerPool::new(pool).with_loads(loads));
             fleet = fleet.with_service(self.service(service));
         }
         let servers = self.servers.values().map(server);
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -196,8 +196,11 @@
         };
         let answer = self.link.send(order, number);
         log::info!(step = "order", peer:% = order.server, weights:% = order.weights, number:% = number, answer:? = answer; "ordered");
-        if answer == OrderAnswer::Taken {
-            self.checks.push(order.clone(), self.clock.now());
+        match answer {
+            OrderAnswer::Taken => self.checks.push(order.clone(), self.clock.now()),
+            OrderAnswer::Fenced | OrderAnswer::Failed => {
+                self.planner.fail(&order.server, self.clock.now());
+            }
         }
         if answer == OrderAnswer::Fenced {
             self.lease.step_down(self.clock.now());
--- a/azureway-entry/tests/order.rs
+++ b/azureway-entry/tests/order.rs
@@ -75,6 +75,10 @@
 struct Servers(OrderAnswer, Sender<(ServerId, FencingNumber)>);
 
 impl OrderLink for Servers {
+    fn weights(&self, _: &LoadOrder) -> Option<WeightsVersion> {
+        None
+    }
+
     fn send(&self, order: &LoadOrder, number: FencingNumber) -> OrderAnswer {
         let _ = self.1.try_send((order.server.clone(), number));
         self.0
