--- a/azureway-core/src/domain/model_service.rs
+++ b/azureway-core/src/domain/model_service.rs
@@ -77,7 +77,7 @@
         match &self.rollout {
             _ if self.kind == ServiceKind::Plain => true,
             None => loaded == wanted,
-            Some(rollout) => loaded >= self.weights || rollout.allows_older(now),
+            Some(rollout) => rollout.allows(loaded, now),
         }
     }
 }
--- a/azureway-core/src/domain/rollout.rs
+++ b/azureway-core/src/domain/rollout.rs
@@ -2,31 +2,43 @@
 
 use std::time::Duration;
 
-use super::{ModelId, Timestamp};
+use smallvec::SmallVec;
 
-/// How long answers from older weights are worth as much as others, which gives a rollout time
-/// to begin.
-const FREE_TIME: Duration = Duration::from_millis(1_500);
+use super::{ModelId, Timestamp, WeightsVersion};
 
 /// How a service is brought to newly named weights while requests run.
+///
+/// Each version has a time of its own: naming yet another one gives older weights no more time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rollout {
     /// The model.
     pub model: ModelId,
-    /// When this process learned of the weights.
-    pub named: Timestamp,
+    /// The versions in the order of their names, each with the earliest time at which it can
+    /// have been named.
+    pub named: SmallVec<[(WeightsVersion, Timestamp); 4]>,
     /// How long older weights may still answer.
     pub grace: Duration,
 }
 
+/// How long answers from older weights are worth as much as others, which gives a rollout time
+/// to begin.
+const FREE_TIME: Duration = Duration::from_millis(1_500);
+
 impl Rollout {
-    /// Tells whether answers from older weights are worth less at `now`.
-    pub fn is_due(&self, now: Timestamp) -> bool {
-        now >= self.named + FREE_TIME
+    /// Tells whether answers from weights `loaded` are worth less at `now`.
+    pub fn is_due(&self, loaded: WeightsVersion, now: Timestamp) -> bool {
+        self.replaced(loaded)
+            .is_some_and(|at| now >= at + FREE_TIME)
+    }
+
+    /// Tells whether weights `loaded` may answer a request that is sent at `now`.
+    pub fn allows(&self, loaded: WeightsVersion, now: Timestamp) -> bool {
+        self.replaced(loaded).is_none_or(|at| now < at + self.grace)
     }
 
-    /// Tells whether older weights may answer a request that is sent at `now`.
-    pub fn allows_older(&self, now: Timestamp) -> bool {
-        now < self.named + self.grace
+    /// Returns when the first weights that are newer than `loaded` were named.
+    fn replaced(&self, loaded: WeightsVersion) -> Option<Timestamp> {
+        let newer = self.named.iter().find(|(version, _)| *version > loaded);
+        newer.map(|(_, at)| *at)
     }
 }
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -168,13 +168,16 @@
         for reach in Reach::ALL {
             // Traffic to another region is paid: it is for a region without any server, and
             // for requests that have waited.
-            let waited = now.since(want.request.arrived) >= self.config.abroad;
+            // So is a second try, which a server that has failed the first would get otherwise.
+            let waited = now.since(want.request.arrived) >= self.config.abroad
+                || (self.config.shared && want.failed.is_some());
             if reach == Reach::Abroad && alive && !waited {
                 break;
             }
             alive |= self.survey(reach, quiet, want, service, now, found);
             let time = |c: &Candidate<'_>| Estimate::new(job, c).total();
-            if found.iter().any(|c| time(c) <= SPILL) {
+            let other = |c: &Candidate<'_>| Some(&c.state.server.id) != want.failed;
+            if found.iter().any(|c| time(c) <= SPILL && other(c)) {
                 break;
             }
         }
@@ -201,9 +204,8 @@
         fit.retain(|(_, s)| has_room(s, want, now) && self.admits(want, s, now));
         for (weight, state) in &fit {
             let mut candidate = self.candidate(state, want.request, reach, (*weight, bound));
-            if service.rollout.as_ref().is_some_and(|r| r.is_due(now))
-                && state.weights.is_some_and(|w| w < service.weights)
-            {
+            let rollout = service.rollout.as_ref().zip(state.weights);
+            if rollout.is_some_and(|(r, loaded)| r.is_due(loaded, now)) {
                 candidate.toll += OLD_WEIGHTS_TOLL;
             }
             found.push(candidate);
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use super::{NamedWeights, ServerEntry, SiteDocument, SiteService};
 use crate::domain::{
     AccountId, AvailabilityZone, BackendServer, BackendServerPool, ClientAccount, ConfigVersion,
@@ -20,10 +22,17 @@
     servers: BTreeMap<ServerId, ServerEntry>,
     /// The servers that were missing when the platform came back, until they count as gone.
     missing: BTreeMap<ServerId, Timestamp>,
-    named: BTreeMap<ModelId, (WeightsVersion, Timestamp)>,
+    named: BTreeMap<ModelId, Named>,
     revision: ConfigVersion,
 }
 
+/// The versions of a model's weights in the order of their names, with the earliest time at
+/// which each can have been named.
+type Named = SmallVec<[(WeightsVersion, Timestamp); 4]>;
+
+/// The versions that are remembered of a model: more than are named within the time that older
+/// weights may answer.
+const NAMED_MAX: usize = 32;
 /// How long an entry that lapsed while the platform was away may take to come back: the
 /// platform's own promise.
 const LAPSE_TIME: Duration = Duration::from_secs(2);
@@ -104,12 +113,15 @@
         entries.into_iter().for_each(|e| self.put(e));
     }
 
-    /// Takes in weights that an operator named. Returns whether they are newer.
-    pub fn name(&mut self, named: NamedWeights, now: Timestamp) -> bool {
-        let known = self.named.get(&named.model).map(|(v, _)| *v);
-        let newer = known < Some(named.version);
+    /// Takes in weights that an operator named, at `since` at the earliest. Returns whether
+    /// they are newer.
+    pub fn name(&mut self, named: NamedWeights, since: Timestamp) -> bool {
+        let known = self.named.entry(named.model).or_default();
+        let newer = known.last().is_none_or(|(v, _)| *v < named.version);
         if newer {
-            self.named.insert(named.model, (named.version, now));
+            known.push((named.version, since));
+            let more = known.len().saturating_sub(NAMED_MAX);
+            known.drain(..more);
         }
         newer
     }
@@ -167,26 +179,26 @@
         let Some(model) = &site.model else {
             return service.with_kind(ServiceKind::Plain);
         };
-        let (weights, named) = self.wanted(site, model);
+        let named = self.named.get(model).cloned().unwrap_or_default();
         let rollout = Rollout {
             model: model.clone(),
             named,
             grace: self.grace,
         };
         service
-            .with_weights(weights)
+            .with_weights(self.wanted(site, model))
             .with_rollout(rollout)
             .with_fetches(site.fetches)
     }
 
-    /// Returns the weights that a service is to have, and when they were named. A server may
-    /// have newer ones than were heard of here; it must not be brought back.
-    fn wanted(&self, site: &SiteService, model: &ModelId) -> (WeightsVersion, Timestamp) {
-        let first = (WeightsVersion::new(1), Timestamp::ZERO);
-        let named = self.named.get(model).copied().unwrap_or(first);
+    /// Returns the weights that a service is to have. A server may have newer ones than were
+    /// heard of here; it must not be brought back.
+    fn wanted(&self, site: &SiteService, model: &ModelId) -> WeightsVersion {
+        let named = self.named.get(model).and_then(|n| n.last());
+        let named = named.map_or(WeightsVersion::new(1), |(version, _)| *version);
         let servers = self.servers.values().filter(|s| s.service == site.id);
         let loaded = servers.filter_map(|s| s.weights).max();
-        (loaded.map_or(named.0, |l| l.max(named.0)), named.1)
+        loaded.map_or(named, |l| l.max(named))
     }
 
     /// Returns the availability zones.
--- a/azureway-entry/src/clock.rs
+++ b/azureway-entry/src/clock.rs
@@ -3,24 +3,28 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use azureway_core::prelude::Timestamp;
+use rustix::time::{ClockId, clock_gettime};
 
 /// The clock of the daemon: the one place where time enters the decisions.
+///
+/// It counts the time for which the machine was suspended, unlike the clock of [`Instant`]: a
+/// lease, a bound on a rollout or a suspicion must not outlive a suspension.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
     /// Creates a clock whose origin is now.
     pub fn new() -> Self {
         Self {
-            origin: Instant::now(),
+            origin: since_boot(),
         }
     }
 
     /// Returns the time.
     pub fn now(&self) -> Timestamp {
-        let micros = self.origin.elapsed().as_micros();
+        let micros = since_boot().saturating_sub(self.origin).as_micros();
         Timestamp::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
@@ -33,7 +37,7 @@
     /// Returns the system's own form of a time, just after it.
     pub fn instant(&self, time: Timestamp) -> Instant {
         // A deadline is past only after its microsecond, so the wake-up lies one later.
-        self.origin + Duration::from_micros(time.as_micros().saturating_add(1))
+        Instant::now() + time.since(self.now()) + Duration::from_micros(1)
     }
 }
 
@@ -42,3 +46,11 @@
         Self::new()
     }
 }
+
+/// Returns the time since the machine was started, suspensions included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let (seconds, nanos) = (u64::try_from(time.tv_sec), u32::try_from(time.tv_nsec));
+    // The kernel gives neither a negative time nor more than a second of nanoseconds.
+    Duration::new(seconds.unwrap_or_default(), nanos.unwrap_or_default())
+}
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -158,7 +158,7 @@
     pub fn drain(self) {
         let (drained, done) = flume::bounded(1);
         let _ = self.peer.send(PeerMessage::Leave);
-        let _ = self.decide.send(DecideMessage::Drain(drained));
+        let _ = self.decide.send(DecideMessage::Drain(Some(drained)));
         let _ = done.recv();
         self.stop.store(true, Ordering::Release);
         // Wakes the accepting duty, which then sees that it has to stop.
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -2,14 +2,13 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use azureway_config::settings::{EntrySettings, SiteSettings};
 use azureway_core::prelude::*;
 use azureway_objects::{HttpObjects, ObjectForm};
 use azureway_wire::instance::{InstanceBody, InstanceRole};
-use flume::{Receiver, Sender};
+use flume::Sender;
 
 use super::parts::{process_mark, talk};
 use super::{ReadyDuty, Rings, Site, spawn};
@@ -28,7 +27,6 @@
 pub struct Gateway {
     address: SocketAddr,
     gate: Gate,
-    ready: Arc<AtomicBool>,
     decide: Sender<DecideMessage>,
     peer: Sender<PeerMessage>,
     grace: Duration,
@@ -58,8 +56,9 @@
 /// How long a load holds up the next one if nothing is heard of its end: requests that run
 /// end first, and the load takes as long as several when many load at once.
 const LOAD_TIME: Duration = Duration::from_millis(3_000);
-/// The margin before the bound of a rollout within which no older weights are asked.
-const ROLLOUT_MARGIN: Duration = Duration::from_millis(1_000);
+/// The margin before the bound of a rollout within which no older weights are asked: a request
+/// may wait in a busy server before it begins.
+const ROLLOUT_MARGIN: Duration = Duration::from_millis(2_000);
 
 impl Gateway {
     /// Starts every duty of an entry that serves a site.
@@ -98,7 +97,7 @@
         )?;
         let address = listener.address()?;
         log::info!(step = "start", peer:% = address, instance:% = settings.instance, zone:% = settings.zone; "listening");
-        let balancer = ReadyDuty::new(served.ready, Arc::clone(&ready), rings.meter.clone())?;
+        let balancer = ReadyDuty::new(served.ready, ready, gate.clone(), rings.meter.clone())?;
         let api = HttpObjects::with_form(settings.platform, form).with_timeout(CALL_TIMEOUT);
         talk(settings, &rings, peers, mark)?;
         let decider = decider(settings, served, &rings, site.clone(), news);
@@ -122,7 +121,6 @@
         Ok(Self {
             address,
             gate,
-            ready,
             decide: rings.decide,
             peer: rings.peer,
             grace: served.grace,
@@ -138,14 +136,13 @@
     /// is being answered.
     pub fn drain(self) {
         let began = Instant::now();
-        self.ready.store(false, Ordering::Release);
         self.gate.leave();
         // Both duties end only with the process.
         let _ = self.peer.send(PeerMessage::Leave);
         std::thread::park_timeout(LINGER);
+        // From here on a request that still comes is told that it has not run.
+        let _ = self.decide.send(DecideMessage::Drain(None));
         let left = self.gate.active.wait(self.rest(began));
-        let (drained, _done): (Sender<()>, Receiver<()>) = flume::bounded(1);
-        let _ = self.decide.send(DecideMessage::Drain(drained));
         if left > 0 {
             log::warn!(step = "stop", left = left; "the grace ends before the last answers");
         }
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -209,9 +209,9 @@
         self.tell(Event::Failed(failure));
     }
 
-    fn drain(&mut self, drained: Sender<()>) {
+    fn drain(&mut self, drained: Option<Sender<()>>) {
         self.ready.store(false, Ordering::Release);
-        self.drained = Some(drained);
+        self.drained = drained;
         self.tell(Event::Draining);
     }
 
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -44,6 +44,7 @@
     Peer(PeerWord),
     /// The platform lists these backend servers as leaving, and no others.
     Leaving(Vec<ServerId>),
-    /// The daemon shuts down; the ring is told when nothing is left to do.
-    Drain(Sender<()>),
+    /// The daemon shuts down and refuses new requests. Where there is a ring, the duty ends
+    /// when nothing is left to do, and tells it.
+    Drain(Option<Sender<()>>),
 }
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -92,9 +92,10 @@
                 log::info!(step = "read site", peer:% = id; "a server is no longer listed");
                 self.state.remove(&id, back, now);
             }
-            SiteNews::Weights(named) => {
-                log::info!(step = "read site", model:% = named.model, weights:% = named.version; "weights were named");
-                return self.state.name(named, now);
+            SiteNews::Weights(named, since) => {
+                let age = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+                log::info!(step = "read site", model:% = named.model, weights:% = named.version, age_ms = age; "weights were named");
+                return self.state.name(named, since);
             }
         }
         true
--- a/azureway-entry/src/site/news.rs
+++ b/azureway-entry/src/site/news.rs
@@ -14,6 +14,6 @@
     Server(Box<ServerEntry>),
     /// The entry of a backend server is gone.
     Gone(ServerId, Option<Timestamp>),
-    /// Weights that an operator named.
-    Weights(NamedWeights),
+    /// Weights that an operator named, at this time at the earliest.
+    Weights(NamedWeights, Timestamp),
 }
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -25,6 +25,10 @@
     /// When the platform was last back.
     back: Option<Timestamp>,
     listed: bool,
+    /// When the platform last answered.
+    answered: Timestamp,
+    /// The earliest time at which what the last answer tells can have happened.
+    since: Timestamp,
 }
 
 impl<A: ObjectApi, C: SiteCodec> SiteWatcher<A, C> {
@@ -47,6 +51,8 @@
             away: None,
             back: None,
             listed: false,
+            answered: Timestamp::ZERO,
+            since: Timestamp::ZERO,
         }
     }
 
@@ -54,6 +60,7 @@
     pub fn run(mut self) {
         let kind = self.codec.kind(self.kind);
         loop {
+            let asked = self.clock.now();
             let answer = match self.plan.next(self.clock.now()) {
                 WatchStep::Wait(until) => {
                     thread::park_timeout(until.since(self.clock.now()));
@@ -68,7 +75,11 @@
                     self.api.watch(kind, after, wait)
                 }
             };
-            if !self.take(answer, self.clock.now()) {
+            let now = self.clock.now();
+            // A watch that had to wait has told of a change at once.
+            let waited = !self.listed && now.since(asked) > WAITED;
+            self.since = if waited { now } else { self.answered };
+            if !self.take(answer, now) {
                 return;
             }
         }
@@ -79,6 +90,7 @@
         match answer {
             Ok(list) => {
                 self.note_back(now);
+                self.answered = now;
                 self.plan.answered(list.version, now);
                 self.pass_on(&list)
             }
@@ -134,7 +146,7 @@
                 .map(|d| SiteNews::Document(Box::new(d))),
             SiteKind::Weights => self
                 .read(object, self.codec.weights(object))
-                .map(SiteNews::Weights),
+                .map(|named| SiteNews::Weights(named, self.since)),
         };
         news.is_none_or(|n| self.tell(n))
     }
@@ -154,6 +166,8 @@
     }
 }
 
+/// The time of a call beyond which it has waited for a change.
+const WAITED: Duration = Duration::from_millis(100);
 /// How long the platform keeps a watch of a site that has no news: a connection that goes
 /// silent is then noticed within the time that a change may take.
 pub const SITE_WAIT: Duration = Duration::from_secs(2);
