--- a/azureway-entry/src/clock.rs
+++ b/azureway-entry/src/clock.rs
@@ -14,8 +14,12 @@
     origin: Duration,
 }
 
+/// How long before its start the origin of a clock lies: longer than any bound that is counted
+/// from a time that nobody knows.
+const PAST: Duration = Duration::from_secs(3_600);
+
 impl Clock {
-    /// Creates a clock whose origin is now.
+    /// Creates a clock whose origin lies in the past, so that [`Timestamp::ZERO`] is long ago.
     pub fn new() -> Self {
         Self {
             origin: since_boot(),
@@ -24,7 +28,7 @@
 
     /// Returns the time.
     pub fn now(&self) -> Timestamp {
-        let micros = since_boot().saturating_sub(self.origin).as_micros();
+        let micros = (since_boot().saturating_sub(self.origin) + PAST).as_micros();
         Timestamp::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
     }
 
