Keep a long prompt in one place for all regions, and hear caches by their epochs

Causes: unseen work was counted once for each entry, which drove prompts off the server that holds them; another region weighed 460 ms for a long prompt, so each region computed it for itself; replicas' cache news name no birth and were all refused, at debug level. Ruled out: processor and memory of the entries.

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -16,6 +16,9 @@
 /// How long a server that rejected a request though it had slots is left alone: about the time
 /// of a load.
 const HOLD_TIME: Duration = Duration::from_millis(500);
+/// How many times unseen work is counted at most for a server that tells of its load with each
+/// answer.
+const ECHO_MAX: u32 = 2;
 /// The share of a server's slots, in percent, that drafting leaves to urgent work.
 const URGENT_RESERVE: u32 = 25;
 /// The time that a request stays where none has been seen to end.
@@ -291,7 +294,16 @@
         // What this entry sent since the report, the other entries are taken to have sent
         // too: all choose by the same report, and must not all choose the same server.
         let unseen = self.own.unseen().pending.get();
-        seen + TokenCount::new(unseen.saturating_mul(u64::from(self.share.entries())))
+        seen + TokenCount::new(unseen.saturating_mul(u64::from(self.echo())))
+    }
+
+    /// Returns how many times this entry's unseen work is counted. Where each answer tells of
+    /// the load, little is unseen, and other entries are as likely to have chosen other servers.
+    fn echo(&self) -> u32 {
+        match self.server.loaded {
+            Some(_) => self.share.entries().min(ECHO_MAX),
+            None => self.share.entries(),
+        }
     }
 
     /// Returns the time until a slot is free for a new request, as far as it is known.
@@ -305,7 +317,7 @@
     /// Returns the requests that the server runs or holds, as far as they are known.
     pub fn load(&self) -> u32 {
         let seen = self.reported.flights.max(self.own.seen().flights);
-        seen + self.own.unseen().flights * self.share.entries()
+        seen + self.own.unseen().flights * self.echo()
     }
 
     /// Tells whether a listed server should have slots, as far as its load is known.
--- a/azureway-core/src/router/config.rs
+++ b/azureway-core/src/router/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::domain::ZoneId;
+use crate::domain::{TokenRate, ZoneId};
 use crate::retry::RetrySlack;
 
 /// The bounds of a router.
@@ -23,6 +23,8 @@
     /// How long a request waits before it may be sent to another region whose servers are
     /// not the only ones.
     pub abroad: Duration,
+    /// What traffic to another region costs, as time: this many prompt tokens weigh a second.
+    pub toll: TokenRate,
     /// The time one way over a link to another availability zone.
     pub link: Duration,
     /// The time one way over a link to another region.
@@ -35,6 +37,8 @@
 const DEFAULT_TRIES: u32 = 4;
 /// The default share of retries, in percent.
 const DEFAULT_RETRIES: u32 = 20;
+/// The default of the tokens whose traffic to another region weighs a second.
+const DEFAULT_TOLL: TokenRate = TokenRate::new(20_000);
 /// The default wait before a request is sent to another region.
 const DEFAULT_ABROAD: Duration = Duration::from_millis(500);
 /// The default time one way to another availability zone.
@@ -52,6 +56,7 @@
             retries: DEFAULT_RETRIES,
             slack: None,
             abroad: DEFAULT_ABROAD,
+            toll: DEFAULT_TOLL,
             shared: false,
             link: DEFAULT_LINK,
             far: DEFAULT_FAR,
@@ -80,6 +85,13 @@
         self
     }
 
+    /// Sets how many prompt tokens sent to another region weigh a second.
+    #[must_use]
+    pub const fn with_toll(mut self, toll: TokenRate) -> Self {
+        self.toll = toll;
+        self
+    }
+
     /// Lets the entries of all availability zones share the servers.
     #[must_use]
     pub fn with_shared(mut self) -> Self {
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -7,7 +7,7 @@
 
 use super::{Obstacle, PlacementRequest, RouteOption, RouterConfig};
 use crate::cache::CacheIndex;
-use crate::domain::{ModelService, Request, ServiceKind, Timestamp, TokenCount, TokenRate};
+use crate::domain::{ModelService, Request, ServiceKind, Timestamp};
 use crate::fleet::{Fleet, Health, ServerState, ServerTable};
 use crate::quarantine::Guard;
 use crate::route::{Candidate, Estimate, Job, Policy, Reach, Rendezvous, Spread};
@@ -37,8 +37,6 @@
 /// What an answer from older weights costs, as time, once newer ones have been named for a
 /// while: most of the time that an urgent request has.
 const OLD_WEIGHTS_TOLL: Duration = Duration::from_millis(250);
-/// What traffic to another region costs, as time: this many tokens weigh a second.
-const ABROAD_TOLL: TokenRate = TokenRate::new(20_000);
 
 impl<'a> Placement<'a> {
     /// Chooses a server for a request.
@@ -164,6 +162,9 @@
         now: Timestamp,
         found: &mut Candidates<'a>,
     ) -> bool {
+        if self.is_wide(want.request, service) {
+            return self.survey(None, quiet, want, service, now, found);
+        }
         let mut alive = false;
         for reach in Reach::ALL {
             // Traffic to another region is paid: it is for a region without any server, and
@@ -174,7 +175,7 @@
             if reach == Reach::Abroad && alive && !waited {
                 break;
             }
-            alive |= self.survey(reach, quiet, want, service, now, found);
+            alive |= self.survey(Some(reach), quiet, want, service, now, found);
             let time = |c: &Candidate<'_>| Estimate::new(job, c).total();
             let other = |c: &Candidate<'_>| Some(&c.state.server.id) != want.failed;
             if found.iter().any(|c| time(c) <= SPILL && other(c)) {
@@ -184,10 +185,26 @@
         alive
     }
 
-    /// Adds the servers within one reach. Returns whether any could take the request at all.
+    /// Tells whether a prompt is kept in one place for all regions: where entries share the
+    /// servers, and computing the shared prefix once more takes longer than the way there.
+    fn is_wide(&self, request: &Request, service: &ModelService) -> bool {
+        let shared = request.chain.shared();
+        let first = self.servers.of_pool(&service.pool).next();
+        let prefill = first.map_or(Duration::ZERO, |s| s.server.prefill.time_for(shared));
+        let way = self.config.far * 2 + self.toll(request);
+        self.config.shared && prefill > way
+    }
+
+    /// Returns what sending a request to another region costs, as time.
+    fn toll(&self, request: &Request) -> Duration {
+        self.config.toll.time_for(request.chain.tokens())
+    }
+
+    /// Adds the servers within one reach, or all of them. Returns whether any could take the
+    /// request at all.
     fn survey(
         &mut self,
-        reach: Reach,
+        reach: Option<Reach>,
         quiet: bool,
         want: PlacementRequest<'_>,
         service: &'a ModelService,
@@ -197,12 +214,14 @@
         let order = Rendezvous::new(want.request.chain.prefix());
         let near = self.servers.of_pool(&service.pool);
         let near = near.filter(|s| s.is_quiet(now) == quiet);
-        let near = near.filter(|s| self.reach(s) == reach && fits(s, want.request, service, now));
+        let near = near.filter(|s| reach.is_none_or(|r| self.reach(s) == r));
+        let near = near.filter(|s| fits(s, want.request, service, now));
         let mut fit: SmallVec<[(u64, &ServerState); 16]> =
             near.map(|s| (order.weight(&s.server.id), s)).collect();
         let bound = self.home_bound(want.request, &fit, now);
         fit.retain(|(_, s)| has_room(s, want, now) && self.admits(want, s, now));
         for (weight, state) in &fit {
+            let reach = self.reach(state);
             let mut candidate = self.candidate(state, want.request, reach, (*weight, bound));
             let rollout = service.rollout.as_ref().zip(state.weights);
             if rollout.is_some_and(|(r, loaded)| r.is_due(loaded, now)) {
@@ -210,6 +229,9 @@
             }
             found.push(candidate);
         }
+        if self.config.shared {
+            presume(found, want.request);
+        }
         bound < u64::MAX
     }
 
@@ -243,14 +265,14 @@
         let (id, incarnation) = (&state.server.id, state.incarnation);
         let home = weight >= bound;
         let mut cached = self.index.cached(id, incarnation, request.chain.blocks());
-        if home && !self.index.knows(id, incarnation) {
+        if home && !self.config.shared && !self.index.knows(id, incarnation) {
             // An entry that has just started takes a prefix to be where it is kept.
             cached = cached.max(request.chain.shared());
         }
         let (link, toll) = match reach {
             Reach::Zone => (Duration::ZERO, Duration::ZERO),
             Reach::Region => (self.config.link, Duration::ZERO),
-            Reach::Abroad => (self.config.far, toll(request.chain.tokens())),
+            Reach::Abroad => (self.config.far, self.toll(request)),
         };
         Candidate {
             state,
@@ -274,8 +296,14 @@
     }
 }
 
-fn toll(prompt: TokenCount) -> Duration {
-    ABROAD_TOLL.time_for(prompt)
+/// Takes the prefix to be where it is kept, if no server is known to hold it: whoever asks for it
+/// next then finds it there.
+fn presume(found: &mut Candidates<'_>, request: &Request) {
+    let shared = request.chain.shared();
+    if found.iter().all(|c| c.cached < shared) {
+        let homes = found.iter_mut().filter(|c| c.home);
+        homes.for_each(|c| c.cached = c.cached.max(shared));
+    }
 }
 
 /// Tells whether a server is alive and has what a request to `service` needs.
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -53,6 +53,9 @@
 /// How long a request waits for a server of its region while another one has a free server:
 /// short against every target, since the traffic costs less than being late.
 const ABROAD_WAIT: Duration = Duration::from_millis(25);
+/// The prompt tokens whose traffic to another region weighs a second: the volume costs little
+/// beside computing a prompt again.
+const ABROAD_TOLL: TokenRate = TokenRate::new(100_000);
 /// How long a load holds up the next one if nothing is heard of its end: requests that run
 /// end first, and the load takes as long as several when many load at once.
 const LOAD_TIME: Duration = Duration::from_millis(3_000);
@@ -170,6 +173,7 @@
         .with_queue(settings.bounds.queue)
         .with_retries(served.retries, slack)
         .with_abroad(ABROAD_WAIT)
+        .with_toll(ABROAD_TOLL)
         .with_shared();
     let router = Router::new(config, PrefixLoad::new());
     let (decide, bounds) = (rings.decide.clone(), settings.bounds.clone());
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -248,7 +248,11 @@
 
     fn dispatch(&mut self, order: Dispatch) {
         let id = order.attempt.id;
-        log::debug!(request:% = id, step = "dispatch", peer:% = order.server; "sent");
+        log::info!(
+            request:% = id, step = "dispatch", attempt = order.attempt.number,
+            peer:% = order.server, weights:% = order.weights, cached = order.cached.get(),
+            position:% = order.position, source:? = order.source; "sent"
+        );
         let Some(caller) = self.callers.send(&order) else {
             return;
         };
--- a/azureway-entry/src/news/http_news.rs
+++ b/azureway-entry/src/news/http_news.rs
@@ -37,7 +37,8 @@
             .map_err(|e| error(ErrorKind::Protocol, e.to_string()))?;
         let ops = news.ops();
         Ok(ServerWord {
-            incarnation: Incarnation::new(news.incarnation),
+            incarnation: Some(Incarnation::new(news.incarnation)),
+            epoch: news.incarnation,
             next: news.next(),
             first: Some(news.first),
             lost: false,
--- a/azureway-entry/src/news/news_reader.rs
+++ b/azureway-entry/src/news/news_reader.rs
@@ -16,7 +16,7 @@
     server: ServerId,
     listening: Arc<ReaderControl>,
     decide: Sender<DecideMessage>,
-    incarnation: Incarnation,
+    epoch: u64,
     next: u64,
     /// The events that were heard of this life.
     heard: u64,
@@ -40,7 +40,7 @@
             server,
             listening,
             decide,
-            incarnation: Incarnation::ZERO,
+            epoch: 0,
             next: 0,
             heard: 0,
         }
@@ -50,10 +50,15 @@
     pub fn run(mut self) {
         let seed = Rendezvous::new(PrefixKey::new(0)).weight(&self.server);
         let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed);
+        let mut lost = false;
         while !self.listening.is_stopped() {
             let (address, whole) = (self.listening.address(), self.listening.take_resync());
             match self.link.ask(&self.server, address, self.next, whole) {
                 Ok(word) => {
+                    if lost {
+                        log::info!(step = "news", peer:% = self.server, epoch = word.epoch; "a server's news are back");
+                    }
+                    lost = false;
                     backoff.reset();
                     self.pass_on(word);
                     if !L::GAP.is_zero() {
@@ -61,7 +66,10 @@
                     }
                 }
                 Err(e) => {
-                    log::debug!(step = "news", peer:% = self.server, error:% = e; "no news");
+                    if !lost {
+                        log::warn!(step = "news", peer:% = self.server, error:% = e; "a server's news are lost");
+                    }
+                    lost = true;
                     self.listening.resync();
                     std::thread::park_timeout(backoff.fail());
                 }
@@ -70,23 +78,35 @@
     }
 
     fn pass_on(&mut self, word: ServerWord) {
-        if word.incarnation != self.incarnation {
-            self.incarnation = word.incarnation;
+        let incarnation = word.incarnation.unwrap_or_else(|| self.listening.listed());
+        if word.epoch != self.epoch {
+            let known = self.epoch != 0;
+            self.epoch = word.epoch;
             // A run that does not begin at the first event leaves the content unknown.
             self.heard = u64::from(word.lost);
+            if known && word.first.is_none() {
+                // The list may not tell of the new life yet: what the old one held is gone.
+                self.tell(incarnation, true, Vec::new(), 0);
+            }
         }
         self.next = word.next;
         if let Some(load) = word.load {
             let _ = self.decide.send(DecideMessage::Load(load));
         }
+        let first = word.first.unwrap_or(self.heard);
+        self.heard += word.ops.len() as u64;
+        self.tell(incarnation, word.whole, word.ops, first);
+    }
+
+    fn tell(&self, incarnation: Incarnation, whole: bool, ops: Vec<CacheOp>, first: u64) {
         let run = CacheRun {
             server: self.server.clone(),
-            incarnation: word.incarnation,
-            first: word.first.unwrap_or(self.heard),
-            whole: word.whole,
-            ops: word.ops,
+            incarnation,
+            first,
+            whole,
+            ops,
         };
-        self.heard += run.ops.len() as u64;
+        // The deciding duty ends only with the process or after it has stopped this one.
         let _ = self.decide.send(DecideMessage::Cache(run));
     }
 }
--- a/azureway-entry/src/news/news_readers.rs
+++ b/azureway-entry/src/news/news_readers.rs
@@ -33,6 +33,7 @@
 
     fn start(&mut self, server: &BackendServer) {
         let listening = Arc::new(ReaderControl::new(server.address));
+        listening.list(server.loaded.map_or(Incarnation::ZERO, |l| l.incarnation));
         let reader = NewsReader::new(
             self.link.clone(),
             server.id.clone(),
@@ -65,6 +66,10 @@
             kept
         });
         for server in engines {
+            let listed = server.loaded.map_or(Incarnation::ZERO, |l| l.incarnation);
+            if let Some(listening) = self.listening.get(&server.id) {
+                listening.list(listed);
+            }
             if !self.listening.contains_key(&server.id) {
                 self.start(server);
             }
--- a/azureway-entry/src/news/reader_control.rs
+++ b/azureway-entry/src/news/reader_control.rs
@@ -1,12 +1,15 @@
 //! How a hearing thread is steered.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use azureway_core::prelude::Incarnation;
 
 /// How a hearing thread is steered; it looks at this between two waits.
 #[derive(Debug)]
 pub struct ReaderControl {
     address: SocketAddr,
+    listed: AtomicU64,
     stopped: AtomicBool,
     whole: AtomicBool,
 }
@@ -17,6 +20,7 @@
         let (stopped, whole) = (AtomicBool::new(false), AtomicBool::new(true));
         Self {
             address,
+            listed: AtomicU64::new(0),
             stopped,
             whole,
         }
@@ -27,6 +31,16 @@
         self.address
     }
 
+    /// Notes the life that the platform's list names.
+    pub fn list(&self, incarnation: Incarnation) {
+        self.listed.store(incarnation.get(), Ordering::Release);
+    }
+
+    /// Returns the life that the platform's list names, or zero.
+    pub fn listed(&self) -> Incarnation {
+        Incarnation::new(self.listed.load(Ordering::Acquire))
+    }
+
     /// Tells the thread to stop.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Release);
--- a/azureway-entry/src/news/server_word.rs
+++ b/azureway-entry/src/news/server_word.rs
@@ -5,8 +5,10 @@
 /// What a backend server told of itself at once.
 #[derive(Clone, Debug)]
 pub struct ServerWord {
-    /// Its life.
-    pub incarnation: Incarnation,
+    /// Its life, where it names it.
+    pub incarnation: Option<Incarnation>,
+    /// A number that changes when it starts again.
+    pub epoch: u64,
     /// From where to ask next.
     pub next: u64,
     /// The number of the first cache event; where the server's numbers have holes, there is
