Prefer sources that told of their blocks, and count the waste of computing a prefix again

Ruled out by the log of dispatches: homes that move (a quarter of long prompts after the bursts go to a server that was not told to hold them). What is left is eviction: walls multiply the prefixes beyond the replicas' memory.

--- a/azureway-core/src/cache/holders.rs
+++ b/azureway-core/src/cache/holders.rs
@@ -10,16 +10,19 @@
 pub struct Holders {
     /// The servers.
     pub list: SmallVec<[Holder; 2]>,
+    /// Those of them whose own news say so.
+    pub told: SmallVec<[Holder; 2]>,
     /// Whether the block was looked up or stored again since the sweep last came by.
     pub used: bool,
 }
 
 impl Holders {
-    /// Adds a holder in place of an older entry for the same server.
-    pub fn add(&mut self, holder: Holder) {
-        match self.list.iter_mut().find(|h| h.0 == holder.0) {
-            Some(old) => *old = holder,
-            None => self.list.push(holder),
+    /// Adds a holder in place of an older entry for the same server. `told` says whether the
+    /// server's own news name it.
+    pub fn add(&mut self, holder: Holder, told: bool) {
+        put(&mut self.list, holder);
+        if told {
+            put(&mut self.told, holder);
         }
         self.used = true;
     }
@@ -27,5 +30,13 @@
     /// Removes a server.
     pub fn remove(&mut self, place: u32) {
         self.list.retain(|h| h.0 != place);
+        self.told.retain(|h| h.0 != place);
+    }
+}
+
+fn put(list: &mut SmallVec<[Holder; 2]>, holder: Holder) {
+    match list.iter_mut().find(|h| h.0 == holder.0) {
+        Some(old) => *old = holder,
+        None => list.push(holder),
     }
 }
--- a/azureway-core/src/cache/index.rs
+++ b/azureway-core/src/cache/index.rs
@@ -106,7 +106,7 @@
             return;
         };
         for block in blocks {
-            self.store(block.key, holder);
+            self.store(block.key, holder, false);
         }
     }
 
@@ -116,6 +116,26 @@
         server: &ServerId,
         incarnation: Incarnation,
         blocks: &[Block],
+    ) -> TokenCount {
+        self.count(server, incarnation, blocks, |held| &held.list)
+    }
+
+    /// Returns how many tokens at the head of `blocks` the server has told that it holds.
+    pub fn told(
+        &mut self,
+        server: &ServerId,
+        incarnation: Incarnation,
+        blocks: &[Block],
+    ) -> TokenCount {
+        self.count(server, incarnation, blocks, |held| &held.told)
+    }
+
+    fn count(
+        &mut self,
+        server: &ServerId,
+        incarnation: Incarnation,
+        blocks: &[Block],
+        list: impl Fn(&Holders) -> &[Holder],
     ) -> TokenCount {
         let Some(holder) = self.holder(server, incarnation) else {
             return TokenCount::ZERO;
@@ -123,7 +143,7 @@
         let mut tokens = TokenCount::ZERO;
         for block in blocks {
             match self.blocks.get_mut(&block.key) {
-                Some(held) if held.list.contains(&holder) => held.used = true,
+                Some(held) if list(held).contains(&holder) => held.used = true,
                 _ => break,
             }
             tokens += block.tokens;
@@ -167,7 +187,7 @@
         let generation = self.followers[place as usize].generation;
         for op in ops {
             match *op {
-                CacheOp::Stored(key) => self.store(key, (place, generation)),
+                CacheOp::Stored(key) => self.store(key, (place, generation), true),
                 CacheOp::Evicted(key) => {
                     if let Some(held) = self.blocks.get_mut(&key) {
                         held.remove(place);
@@ -177,15 +197,16 @@
         }
     }
 
-    fn store(&mut self, key: BlockKey, holder: Holder) {
+    fn store(&mut self, key: BlockKey, holder: Holder, told: bool) {
         if let Some(held) = self.blocks.get_mut(&key) {
-            held.add(holder);
+            held.add(holder, told);
             return;
         }
         self.make_room();
         // A new block has its first turn in the sweep to be looked up.
         let mut held = Holders::default();
-        held.list.push(holder);
+        held.add(holder, told);
+        held.used = false;
         self.blocks.insert(key, held);
         self.sweep.push_back(key);
     }
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -17,6 +17,8 @@
     pub crowd: Duration,
     /// What the traffic costs, as time.
     pub toll: Duration,
+    /// What computing a prefix costs that another server may hold, as time.
+    pub waste: Duration,
 }
 
 /// How much the time to compute a prompt on a full server counts for the requests beside it.
@@ -35,6 +37,9 @@
             crowd: prefill.saturating_mul(CROWD * state.load()) / server.slots.max(1),
             link: candidate.link * 2,
             toll: candidate.toll,
+            waste: server
+                .prefill
+                .time_for(job.shared.saturating_sub(candidate.cached)),
         }
     }
 
@@ -50,5 +55,6 @@
         self.total()
             .saturating_add(self.crowd)
             .saturating_add(self.toll)
+            .saturating_add(self.waste)
     }
 }
--- a/azureway-core/src/route/job.rs
+++ b/azureway-core/src/route/job.rs
@@ -11,6 +11,9 @@
     pub rank: Rank,
     /// The tokens of the prompt.
     pub prompt: TokenCount,
+    /// The tokens of the shared prefix, where servers can fetch it from one another: computing
+    /// it once more is a waste.
+    pub shared: TokenCount,
     /// A number that differs between requests, for choices that must not all be the same.
     pub draw: u64,
 }
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -47,7 +47,7 @@
         service: &'a ModelService,
         now: Timestamp,
     ) -> Option<Candidate<'a>> {
-        let job = want.job();
+        let job = want.job(service);
         let found = self.candidates(job, want, service, now);
         policy.choose(job, &found, now).map(|place| found[place])
     }
@@ -60,7 +60,7 @@
         service: &'a ModelService,
         now: Timestamp,
     ) -> Vec<RouteOption> {
-        let job = want.job();
+        let job = want.job(service);
         let found = self.candidates(job, want, service, now);
         let best = policy.choose(job, &found, now).map(|place| found[place]);
         let of_pool = self.servers.of_pool(&service.pool);
@@ -105,11 +105,12 @@
             others.filter(same).filter(|s| s.accepts(now)).collect();
         let order = Rendezvous::new(request.chain.prefix());
         let blocks = request.chain.blocks();
-        let mut held = |s: &ServerState| self.index.cached(&s.server.id, s.incarnation, blocks);
-        let known = held(own);
+        let known = self.index.cached(&own.server.id, own.incarnation, blocks);
+        // A server that was only sent the prompt may not have computed it yet.
+        let mut told = |s: &ServerState| self.index.told(&s.server.id, s.incarnation, blocks);
         let most = others
             .into_iter()
-            .map(|s| (held(s), order.weight(&s.server.id), s.server.address))
+            .map(|s| (told(s), order.weight(&s.server.id), s.server.address))
             .max_by_key(|(tokens, weight, _)| (*tokens, *weight))?;
         let more = most.0 > known || known < request.chain.shared();
         more.then_some(most.2)
@@ -220,9 +221,14 @@
             near.map(|s| (order.weight(&s.server.id), s)).collect();
         let bound = self.home_bound(want.request, &fit, now);
         fit.retain(|(_, s)| has_room(s, want, now) && self.admits(want, s, now));
+        let wide = reach.is_none();
         for (weight, state) in &fit {
-            let reach = self.reach(state);
-            let mut candidate = self.candidate(state, want.request, reach, (*weight, bound));
+            let near = self.reach(state);
+            let mut candidate = self.candidate(state, want.request, near, (*weight, bound));
+            if wide {
+                // A copy in each region would leave room for a third of the prompts.
+                candidate.toll = Duration::ZERO;
+            }
             let rollout = service.rollout.as_ref().zip(state.weights);
             if rollout.is_some_and(|(r, loaded)| r.is_due(loaded, now)) {
                 candidate.toll += OLD_WEIGHTS_TOLL;
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -1,7 +1,7 @@
 //! What is asked of a placement.
 
 use super::Plan;
-use crate::domain::{Request, ServerId, StreamPosition};
+use crate::domain::{ModelService, Request, ServerId, StreamPosition, TokenCount};
 use crate::route::Job;
 
 /// A request that wants a backend server now.
@@ -36,11 +36,17 @@
     }
 
     /// Returns what a policy is told of the request.
-    pub fn job(&self) -> Job {
+    pub fn job(&self, service: &ModelService) -> Job {
+        let shared = self.request.chain.shared();
         Job {
             prefix: self.request.chain.prefix(),
             rank: self.request.rank,
             prompt: self.request.chain.tokens(),
+            shared: if service.fetches {
+                shared
+            } else {
+                TokenCount::ZERO
+            },
             draw: self.request.id.draw(),
         }
     }
--- a/azureway-entry/src/decide/caller.rs
+++ b/azureway-entry/src/decide/caller.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{AccountId, Attempt, Finish, Rank, ServerId, Timestamp, TokenCount};
+use azureway_core::prelude::{
+    AccountId, Attempt, Finish, PrefixKey, Rank, ServerId, Timestamp, TokenCount,
+};
 use flume::Sender;
 
 use crate::admit::UpstreamRequest;
@@ -22,6 +24,8 @@
     pub arrived: Timestamp,
     /// The tokens of the prompt.
     pub prompt: TokenCount,
+    /// The key of the prefix that places it.
+    pub prefix: PrefixKey,
     /// The client account.
     pub account: AccountId,
     /// The prompt tokens that the server of the last try was believed to hold.
--- a/azureway-entry/src/decide/callers.rs
+++ b/azureway-entry/src/decide/callers.rs
@@ -37,6 +37,7 @@
             rank: request.rank,
             arrived: request.arrived,
             prompt: request.chain.tokens(),
+            prefix: request.chain.prefix(),
             account: request.account,
             believed: TokenCount::ZERO,
             server: None,
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -248,14 +248,15 @@
 
     fn dispatch(&mut self, order: Dispatch) {
         let id = order.attempt.id;
-        log::info!(
-            request:% = id, step = "dispatch", attempt = order.attempt.number,
-            peer:% = order.server, weights:% = order.weights, cached = order.cached.get(),
-            position:% = order.position, source:? = order.source; "sent"
-        );
         let Some(caller) = self.callers.send(&order) else {
             return;
         };
+        log::info!(
+            request:% = id, step = "dispatch", attempt = order.attempt.number,
+            peer:% = order.server, weights:% = order.weights, prompt = caller.prompt.get(),
+            prefix:% = caller.prefix, cached = order.cached.get(), position:% = order.position,
+            source:? = order.source; "sent"
+        );
         let attempt = order.attempt;
         let measure = caller.sent(attempt, self.clock.now());
         let chunks = self.launcher.launch(order, Arc::clone(&caller.upstream));
