Let what waits in a server begin before it is ordered to load

Cause: an order rejects all that has not begun; at high load 248 requests were rejected within 2 s, all waiting in the servers that were ordered, and the retry budget went with them. Peers now hear of a load 300 ms before its order.

--- a/azureway-core/src/event/dispatch.rs
+++ b/azureway-core/src/event/dispatch.rs
@@ -1,6 +1,7 @@
 //! An order to send a request to a backend server.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::cache::Salt;
 use crate::domain::{
@@ -30,4 +31,6 @@
     pub cached: TokenCount,
     /// A server that is believed to hold more of the prompt, to fetch it from.
     pub source: Option<SocketAddr>,
+    /// The time to the first token that was estimated.
+    pub expected: Duration,
 }
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -61,7 +61,7 @@
             Event::Cache(update) => self.hear(update, out),
             Event::Load(report) => self.report(report, now, out),
             Event::Sampled(sample) => self.sample(sample, now),
-            Event::Configured(fleet) => self.configure(fleet),
+            Event::Configured(fleet) => self.configure(fleet, now),
             Event::Peers(_) if self.config.shared => {}
             Event::Peers(count) => self.sender.servers_mut().set_entries(count),
             Event::Listed(count) => self.list(count),
@@ -219,13 +219,13 @@
         }
     }
 
-    fn configure(&mut self, fleet: &Fleet) {
+    fn configure(&mut self, fleet: &Fleet, now: Timestamp) {
         // Versions only grow, so that a slow read or a late peer cannot bring an old one back.
         if fleet.version <= self.fleet.version {
             return;
         }
         self.fleet = fleet.clone();
-        self.sender.adopt(fleet);
+        self.sender.adopt(fleet, now);
         self.limits.retain(|id| fleet.accounts.contains_key(id));
         self.queues.set_floor(fleet.rules.floor);
         self.queues.mark_all();
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -7,7 +7,7 @@
 use crate::fleet::{Fleet, LoadReport, LoadSample, ServerTable};
 use crate::member::{Loading, ServerNews, ServerSign};
 use crate::quarantine::{CrashSite, Guard};
-use crate::route::{Policy, Spread};
+use crate::route::{Estimate, Policy, Spread};
 
 /// Sends requests to backend servers, and keeps what that takes: the servers, the index of
 /// their caches and the requests in flight.
@@ -60,7 +60,7 @@
     }
 
     /// Takes over the servers of a new configuration.
-    pub fn adopt(&mut self, fleet: &Fleet) {
+    pub fn adopt(&mut self, fleet: &Fleet, now: Timestamp) {
         for gone in self.servers.adopt(fleet) {
             self.index.forget(&gone);
         }
@@ -68,6 +68,7 @@
         for server in fleet.servers.values() {
             if let Some(loaded) = server.loaded {
                 self.index.meet(&server.id, loaded.incarnation);
+                self.guard.hear(&server.id, loaded.incarnation, now);
             }
         }
     }
@@ -123,6 +124,7 @@
         let best = placement.choose(policy, want, service, now)?;
         let mut order = want.plan.order(want.request, service, &best);
         order.source = placement.source(want.request, service, &best, now);
+        order.expected = Estimate::new(want.job(service), &best).total();
         self.track(want, service.pool.clone(), &order, now);
         Some(order)
     }
--- a/azureway-core/src/router/plan.rs
+++ b/azureway-core/src/router/plan.rs
@@ -1,5 +1,7 @@
 //! What is to be tried next.
 
+use std::time::Duration;
+
 use crate::domain::{Attempt, Incarnation, ModelService, Request, RequestId, StreamPosition};
 use crate::event::Dispatch;
 use crate::route::Candidate;
@@ -49,6 +51,7 @@
             position: self.position,
             cached: best.cached,
             source: None,
+            expected: Duration::ZERO,
         }
     }
 }
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -4,6 +4,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
+
 use super::{AnswerHead, BodyStream, Framing};
 
 /// A connection to a backend server, which carries one request after the other.
@@ -12,6 +14,14 @@
     reader: BufReader<TcpStream>,
 }
 
+/// How long bytes may stay unacknowledged before the server counts as lost: several times the
+/// first retransmission, and well below the time that callers have.
+const LOST_TIME: Duration = Duration::from_millis(1_000);
+/// The probes of a connection on which an answer is awaited and nothing is sent; the system
+/// counts them in whole seconds.
+const KEEPALIVE: TcpKeepalive = TcpKeepalive::new()
+    .with_time(Duration::from_secs(1))
+    .with_interval(Duration::from_secs(1));
 /// The bytes that are read at once.
 const READ_SIZE: usize = 8 * 1024;
 /// The bytes of an answer's head at most.
@@ -26,6 +36,9 @@
     pub fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = TcpStream::connect_timeout(&address, limit)?;
         stream.set_nodelay(true)?;
+        let socket = SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(LOST_TIME))?;
+        socket.set_tcp_keepalive(&KEEPALIVE)?;
         let reader = BufReader::with_capacity(READ_SIZE, stream);
         Ok(Self { reader })
     }
--- a/azureway-entry/src/exchange/exchange_try.rs
+++ b/azureway-entry/src/exchange/exchange_try.rs
@@ -49,6 +49,8 @@
 const WHOLE_MAX: u64 = 16 * 1024 * 1024;
 /// The bytes of a stream that are read at once.
 const READ_SIZE: usize = 16 * 1024;
+/// How many times the estimated time to the first token a server may be silent.
+const PATIENCE: u32 = 4;
 /// The answers to other requests that are passed over on one connection.
 const STRAYS_MAX: u32 = 4;
 /// How long a server that stopped reading a body is given to say why.
@@ -71,17 +73,25 @@
             // Whoever stopped the try, or the connection itself, has reported it.
             Err(_) if self.handle.is_cancelled() => return,
             Err(RelayError::Unwanted) => return,
-            Err(RelayError::Server(kind, sent)) => DecideMessage::Failed(Failure {
-                attempt,
-                kind,
-                sent,
-                position: self.next,
-            }),
+            Err(RelayError::Server(kind, sent)) => self.failure(kind, sent),
         };
         // Only a deciding duty that has ended takes no message.
         let _ = self.decide.send(message);
     }
 
+    fn failure(&self, kind: FailureKind, sent: SendState) -> DecideMessage {
+        if matches!(kind, FailureKind::Unreachable | FailureKind::Broken) {
+            // Whatever lost this connection has most likely lost the idle ones too.
+            self.pool.purge(self.order.address);
+        }
+        DecideMessage::Failed(Failure {
+            attempt: self.order.attempt,
+            kind,
+            sent,
+            position: self.next,
+        })
+    }
+
     fn serve(&mut self, passage: &Passage) -> Result<(), RelayError> {
         let (mut connection, head) = self.ask(passage)?;
         let terms = self.dialect.read(&head);
@@ -157,11 +167,10 @@
         }
         let left = self.left(passage);
         let last = self.order.attempt.number >= passage.tries;
-        let patience = if last {
-            left
-        } else {
-            left.min(passage.patience)
-        };
+        // A busy server is silent for long and works all the same: asking another one as well
+        // would double the work when there is most of it.
+        let patience = passage.patience.max(self.order.expected * PATIENCE);
+        let patience = if last { left } else { left.min(patience) };
         let failed = |e: &io::Error| RelayError::of_read(e);
         connection.set_patience(patience).map_err(|e| failed(&e))?;
         let bytes = self.request(passage, left);
--- a/azureway-entry/src/exchange/pool.rs
+++ b/azureway-entry/src/exchange/pool.rs
@@ -69,6 +69,11 @@
         });
     }
 
+    /// Drops the idle connections to a server that was lost.
+    pub fn purge(&self, address: SocketAddr) {
+        self.with(|all| all.remove(&address));
+    }
+
     fn with<T>(
         &self,
         change: impl FnOnce(&mut HashMap<SocketAddr, Vec<IdleConnection>>) -> T,
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -1,6 +1,5 @@
 //! The ordering duty.
 
-use std::thread;
 use std::time::Duration;
 
 use azureway_core::prelude::*;
@@ -28,10 +27,12 @@
     heralds: Option<Sender<PeerMessage>>,
     time: Duration,
     checks: LoadChecks,
+    announced: Vec<(Timestamp, LoadOrder)>,
 }
 
-/// The time in which peers hear of a load: a few times the way between regions.
-const HERALD_TIME: Duration = Duration::from_millis(30);
+/// The time between telling of a load and ordering it: peers hear of it, and what waits in the
+/// server begins meanwhile.
+const HERALD_TIME: Duration = Duration::from_millis(300);
 /// The wake-up of an entry that only waits for messages.
 const IDLE: Timestamp = Timestamp::MAX;
 
@@ -58,6 +59,7 @@
             heralds: None,
             time: config.busy,
             checks: LoadChecks::new(),
+            announced: Vec::new(),
         }
     }
 
@@ -112,18 +114,24 @@
         self.wake = IDLE;
         self.check();
         self.renew();
+        self.send_announced();
         while self.lease.allows(self.clock.now(), false).is_some() {
             let Some(order) = self.planner.next(self.clock.now()) else {
                 break;
             };
-            self.send(&order);
-            self.renew();
+            if self.heralds.is_some() {
+                self.announce(order);
+            } else {
+                self.send(&order);
+                self.renew();
+            }
         }
         let now = self.clock.now();
         let planned = self.planner.next_wakeup(now);
         let swept = self.sweep(now);
         let checked = self.checks.next_wakeup();
-        let wakes = [planned, swept, checked].into_iter().flatten();
+        let announced = self.announced.iter().map(|(at, _)| *at).min();
+        let wakes = [planned, swept, checked, announced].into_iter().flatten();
         self.wake = wakes.fold(self.wake, Timestamp::min);
     }
 
@@ -166,11 +174,22 @@
         }
     }
 
-    /// Tells every peer of a load, and gives them the time to hear it.
-    fn herald(&self, order: &LoadOrder, time: Duration) {
-        if self.heralds.is_some() {
-            self.tell(order, time);
-            thread::park_timeout(HERALD_TIME);
+    /// Tells every peer of a load, and keeps its order until what waits in the server has
+    /// begun: an order rejects all that has not.
+    fn announce(&mut self, order: LoadOrder) {
+        self.tell(&order, self.time);
+        self.announced.push((self.clock.now() + HERALD_TIME, order));
+    }
+
+    /// Sends the orders that were announced long enough ago.
+    fn send_announced(&mut self) {
+        let now = self.clock.now();
+        let all = std::mem::take(&mut self.announced);
+        let (due, rest): (Vec<_>, Vec<_>) = all.into_iter().partition(|(at, _)| *at <= now);
+        self.announced = rest;
+        for (_, order) in due {
+            self.send(&order);
+            self.renew();
         }
     }
 
@@ -189,9 +208,9 @@
     }
 
     fn send(&mut self, order: &LoadOrder) {
-        self.herald(order, self.time);
         // Looked at once more: this thread may have been paused since the order was planned.
         let Some(number) = self.lease.allows(self.clock.now(), order.fenced) else {
+            self.planner.fail(&order.server, self.clock.now());
             return;
         };
         let answer = self.link.send(order, number);
--- a/azureway-entry/src/relay/relay_error.rs
+++ b/azureway-entry/src/relay/relay_error.rs
@@ -28,10 +28,14 @@
 
     /// Reads the error of an answer that broke off.
     pub fn of_read(error: &io::Error) -> Self {
-        let silent = matches!(
+        // The system gives up a connection whose other end acknowledges nothing: it is lost,
+        // while one that only stayed silent for as long as a read waits may still work.
+        let given_up = error.raw_os_error() == Some(rustix::io::Errno::TIMEDOUT.raw_os_error());
+        let waited = matches!(
             error.kind(),
             io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock
         );
+        let silent = waited && !given_up;
         let kind = if silent {
             FailureKind::Silent
         } else {
--- a/azureway-entry/src/routed/calls.rs
+++ b/azureway-entry/src/routed/calls.rs
@@ -20,9 +20,9 @@
 /// The shortest time after which a silent backend server is given up: a few times the answer
 /// of a service that works for tens of milliseconds.
 const PATIENCE_MIN: Duration = Duration::from_millis(500);
-/// The longest time after which a silent backend server is given up: callers abandon a silent
-/// stream after two seconds and more.
-const PATIENCE_MAX: Duration = Duration::from_secs(2);
+/// The longest time after which a silent backend server is given up where nothing says that it
+/// is busy: callers abandon a silent stream after two seconds and more.
+const PATIENCE_MAX: Duration = Duration::from_millis(2_500);
 /// The headers that concern one connection only.
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
