--- a/azureway-core/src/retry/budgets.rs
+++ b/azureway-core/src/retry/budgets.rs
@@ -14,6 +14,10 @@
     pools: HashMap<PoolId, RetryBudget>,
 }
 
+/// The entries among which the slack is divided at least: one that has just started may know of
+/// none, and today's sites have six to eight.
+const ENTRIES_MIN: u32 = 8;
+
 impl RetryBudgets {
     /// Creates budgets that allow `percent` of a pool's requests, and the slack that all
     /// entries share where there is one.
@@ -21,14 +25,15 @@
         Self {
             percent,
             slack,
-            entries: 1,
+            entries: ENTRIES_MIN,
             pools: HashMap::new(),
         }
     }
 
     /// Sets the number of entries that share the slack.
     pub fn set_entries(&mut self, entries: u32) {
-        self.entries = entries;
+        self.entries = entries.max(ENTRIES_MIN);
+        let entries = self.entries;
         if let Some(slack) = self.slack {
             self.pools
                 .values_mut()
--- /dev/null
+++ b/azureway-core/tests/retries.rs
@@ -0,0 +1,91 @@
+//! The retry budget that all entries keep together without a common counter.
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+/// The share of requests that may be retries, in percent.
+const PERCENT: u32 = 20;
+/// The window of the slack, in seconds.
+const WINDOW: u64 = 10;
+
+fn slack(count: u32) -> RetrySlack {
+    RetrySlack {
+        count,
+        window: Duration::from_secs(WINDOW),
+    }
+}
+
+proptest! {
+    /// Each step lets an entry take some requests and try to retry as often as it can.
+    #[test]
+    fn no_window_has_more_retries_than_share_and_slack(
+        entries in 1u32..9,
+        count in 8u32..80,
+        steps in prop::collection::vec((0u64..1_500, 0usize..9, 0u32..30, 0u32..30), 1..120),
+    ) {
+        let pool = PoolId::new("engines");
+        let new = || {
+            let mut budgets = RetryBudgets::new(PERCENT, Some(slack(count)));
+            budgets.set_entries(entries);
+            budgets
+        };
+        let mut all: Vec<_> = (0..entries).map(|_| new()).collect();
+        let (mut now, mut log) = (Timestamp::from_millis(3_600_000), Vec::new());
+        for (wait, entry, requests, wanted) in steps {
+            now = now + Duration::from_millis(wait);
+            let budget = all[entry % entries as usize].of(&pool, now);
+            (0..requests).for_each(|_| budget.earn());
+            let retries = (0..wanted).filter(|_| budget.spend()).count();
+            log.push((now, requests, retries));
+        }
+        for (start, ..) in &log {
+            let end = *start + Duration::from_secs(WINDOW);
+            // A window holds what was asked in it or in the one before, whichever is more.
+            let from = Timestamp::from_micros(
+                start.as_micros() - Duration::from_secs(WINDOW).as_micros() as u64,
+            );
+            let inside = log.iter().filter(|(t, ..)| t >= start && *t < end);
+            let retries: usize = inside.clone().map(|(.., r)| r).sum();
+            let asked: u32 = inside.map(|(_, a, _)| a).sum();
+            let before = log.iter().filter(|(t, ..)| *t >= from && t < start);
+            let before: u32 = before.map(|(_, a, _)| a).sum();
+            let allowed = f64::from(asked + before) * f64::from(PERCENT) / 100.0
+                + f64::from(count.max(2 * entries));
+            prop_assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
+        }
+    }
+}
+
+#[gtest]
+fn the_requests_of_one_pool_earn_nothing_for_another() {
+    let (one, other) = (PoolId::new("one"), PoolId::new("other"));
+    let mut budgets = RetryBudgets::new(PERCENT, Some(slack(2)));
+    let now = Timestamp::from_millis(3_600_000);
+    (0..1_000).for_each(|_| budgets.of(&one, now).earn());
+    let spent = (0..100).filter(|_| budgets.of(&other, now).spend());
+    expect_that!(spent.count(), le(2));
+}
+
+/// An entry that starts while the platform is away knows of no other one, and all of them may
+/// have started at once.
+#[gtest]
+fn an_entry_that_knows_of_no_other_one_does_not_take_the_whole_slack() {
+    let pool = PoolId::new("one");
+    let mut budgets = RetryBudgets::new(PERCENT, Some(slack(48)));
+    budgets.set_entries(1);
+    let now = Timestamp::from_millis(3_600_000);
+    expect_that!(budgets.of(&pool, now).left(), eq(3));
+}
+
+#[gtest]
+fn more_entries_have_a_smaller_part_each() {
+    let pool = PoolId::new("one");
+    let mut budgets = RetryBudgets::new(PERCENT, Some(slack(48)));
+    let now = Timestamp::from_millis(3_600_000);
+    expect_that!(budgets.of(&pool, now).left(), eq(3));
+    budgets.set_entries(12);
+    expect_that!(budgets.of(&pool, now).left(), eq(2));
+}
