--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -170,7 +170,10 @@
     let names = (0..400).map(|draw| route.service(draw).expect("a service").as_str());
     let names: Vec<&str> = names.collect();
     let count = |name: &str| names.iter().filter(|n| **n == name).count();
-    expect_that!((count("old"), count("new"), count("off")), eq((300, 100, 0)));
+    expect_that!(
+        (count("old"), count("new"), count("off")),
+        eq((300, 100, 0))
+    );
 }
 
 #[gtest]
--- /dev/null
+++ b/azureway-entry/tests/exchange.rs
@@ -0,0 +1,352 @@
+//! What a try makes of what a backend server sends: the table of faults.
+
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_entry::admit::{Passage, UpstreamRequest};
+use azureway_entry::caller::AnswerChunk;
+use azureway_entry::clock::Clock;
+use azureway_entry::decide::DecideMessage;
+use azureway_entry::exchange::{
+    AnswerHead, AnswerTerms, BackendDialect, ConnectionPool, ExchangeTry, TryHandle,
+};
+use flume::Receiver;
+use googletest::prelude::*;
+use socket2::SockRef;
+
+/// The caller's attempt in every case.
+const ATTEMPT: &str = "attempt-1";
+/// How long the try lets a server be silent.
+const PATIENCE: Duration = Duration::from_millis(200);
+/// A guard against a hang; no verdict depends on it.
+const GUARD: Duration = Duration::from_secs(30);
+
+/// A dialect with headers of its own.
+#[derive(Clone, Copy)]
+struct Plain;
+
+impl BackendDialect for Plain {
+    fn tell(&self, order: &Dispatch, _: &UpstreamRequest, left: Duration, out: &mut String) {
+        let _ = write!(
+            out,
+            "x-server: {}\r\nx-left: {}\r\n",
+            order.server,
+            left.as_millis()
+        );
+    }
+
+    fn read<'a>(&self, head: &'a AnswerHead) -> AnswerTerms<'a> {
+        AnswerTerms {
+            attempt: head.get("x-attempt"),
+            signed: head.get("x-sign").is_some(),
+            rejected: head.get("x-not-run").is_some(),
+            mismatch: head.status == 421,
+            load: None,
+            weights: None,
+        }
+    }
+}
+
+/// One try at `address`, with the rings that its answer and its end come through.
+fn launch(
+    address: SocketAddr,
+    pool: &ConnectionPool,
+    once: bool,
+    position: u64,
+) -> (
+    Receiver<AnswerChunk>,
+    Receiver<DecideMessage>,
+    Arc<TryHandle>,
+) {
+    let (chunks, answer) = flume::bounded(64);
+    let (decide, news) = flume::bounded(64);
+    let (clock, handle) = (Clock::new(), Arc::new(TryHandle::new()));
+    let position = StreamPosition::new(position);
+    let job = ExchangeTry {
+        order: order(address, position),
+        upstream: Arc::new(upstream(once, clock.now() + GUARD)),
+        chunks,
+        decide,
+        dialect: Plain,
+        pool: pool.clone(),
+        handle: Arc::clone(&handle),
+        connect: Duration::from_secs(1),
+        clock,
+        next: position,
+        output: TokenCount::ZERO,
+    };
+    thread::spawn(move || job.run());
+    (answer, news, handle)
+}
+
+fn order(address: SocketAddr, position: StreamPosition) -> Dispatch {
+    Dispatch {
+        attempt: Attempt::new(RequestId::new(1, 1), 1),
+        server: ServerId::new("s"),
+        address,
+        rank: Rank::Urgent,
+        salt: Salt::from_number(1),
+        incarnation: None,
+        weights: WeightsVersion::new(1),
+        position,
+        cached: TokenCount::ZERO,
+        source: None,
+        expected: Duration::ZERO,
+    }
+}
+
+fn upstream(once: bool, until: Timestamp) -> UpstreamRequest {
+    UpstreamRequest {
+        kind: ServiceKind::Plain,
+        streamed: false,
+        method: "POST".into(),
+        path: "/a/b?c=d".into(),
+        media: "".into(),
+        account: AccountId::new("small"),
+        key: None,
+        body: Arc::from(b"body".to_vec()),
+        passage: Some(Passage {
+            attempt: Some(ATTEMPT.into()),
+            once,
+            headers: vec![
+                ("host".into(), "one".into()),
+                ("last-event-id".into(), "9".into()),
+            ],
+            priority: 3,
+            until,
+            patience: PATIENCE,
+            tries: 2,
+        }),
+    }
+}
+
+/// Plays the server's side of the table on one connection after the request has come.
+fn serve(listener: &TcpListener, script: &str) -> (TcpStream, String) {
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let request = read_request(&mut stream);
+    play(&mut stream, script);
+    (stream, request)
+}
+
+fn read_request(stream: &mut TcpStream) -> String {
+    stream.set_read_timeout(Some(GUARD)).expect("a guard");
+    let (mut bytes, mut buffer) = (Vec::new(), [0; 1024]);
+    while !bytes.ends_with(b"\r\n\r\nbody") {
+        let count = stream.read(&mut buffer).expect("the request");
+        assert!(count > 0, "the connection was closed");
+        bytes.extend_from_slice(&buffer[..count]);
+    }
+    String::from_utf8(bytes).expect("text")
+}
+
+fn play(stream: &mut TcpStream, script: &str) {
+    let script = script.trim();
+    let (text, end) = script.rsplit_once(' ').unwrap_or(("", script));
+    let text = text
+        .replace('~', "\r\n")
+        .replace('#', "\n")
+        .replace("{}", ATTEMPT);
+    stream.write_all(text.as_bytes()).expect("sent");
+    match end {
+        "close" => stream.shutdown(std::net::Shutdown::Write).expect("closed"),
+        "reset" => {
+            // Lets the bytes arrive before the reset overtakes them.
+            thread::sleep(Duration::from_millis(50));
+            let lost = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            lost.expect("a reset");
+            *stream = TcpStream::connect(stream.local_addr().expect("an address"))
+                .expect("a connection in its place");
+        }
+        "hold" => {}
+        word => panic!("unknown end {word}"),
+    }
+}
+
+fn told(chunk: &AnswerChunk) -> String {
+    match chunk {
+        AnswerChunk::Full(_, body) => format!("full {}", String::from_utf8_lossy(body)),
+        AnswerChunk::Held(head, _) => format!("held {}", head.status),
+        AnswerChunk::Head(_) => "head".to_owned(),
+        AnswerChunk::Bytes(bytes) => {
+            format!(
+                "bytes {}",
+                String::from_utf8_lossy(bytes).replace('\n', "#")
+            )
+        }
+        AnswerChunk::End => "end".to_owned(),
+        other => format!("{other:?}"),
+    }
+}
+
+fn ended(news: &Receiver<DecideMessage>) -> String {
+    let told = news.iter().find_map(|message| match message {
+        DecideMessage::Finished(_) => Some("finished".to_owned()),
+        DecideMessage::Failed(failure) => {
+            let position = match failure.position.get() {
+                0 => String::new(),
+                position => format!(" {position}"),
+            };
+            Some(format!("{:?} {:?}{position}", failure.kind, failure.sent))
+        }
+        _ => None,
+    });
+    told.unwrap_or_else(|| "nothing".to_owned())
+}
+
+/// Joins the bytes of events, which come in as many pieces as the system makes of them.
+fn joined(chunks: &[String]) -> String {
+    let text = chunks.join("; ");
+    text.replace("##; bytes ", "##")
+}
+
+#[gtest]
+fn answers_are_judged_as_the_table_says() {
+    for line in include_str!("../testdata/exchange.txt").lines() {
+        if line.starts_with('#') {
+            continue;
+        }
+        let cells: Vec<&str> = line.split('|').map(str::trim).collect();
+        let [fault, script, reaches, end] = cells[..] else {
+            panic!("four cells: {line}");
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (answer, news, _) = launch(address, &ConnectionPool::new(8), true, 0);
+        let (_stream, _) = serve(&listener, script);
+        let chunks: Vec<String> = answer.iter().map(|c| told(&c)).collect();
+        expect_that!(joined(&chunks).as_str(), eq(reaches), "{fault}");
+        expect_that!(ended(&news).as_str(), eq(end), "{fault}");
+    }
+}
+
+/// The answer of a server that keeps the connection.
+const GOOD: &str = "HTTP/1.1 200 OK~x-sign: 1~content-length: 2~~ok hold";
+
+#[gtest]
+fn a_request_is_passed_on_unchanged_with_what_the_dialect_adds() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (_answer, _news, _) = launch(address, &ConnectionPool::new(8), true, 0);
+    let (_stream, request) = serve(&listener, GOOD);
+    expect_that!(
+        request.as_str(),
+        starts_with("POST /a/b?c=d HTTP/1.1\r\nhost: one\r\n")
+    );
+    expect_that!(request.as_str(), contains_substring("last-event-id: 9\r\n"));
+    expect_that!(
+        request.as_str(),
+        contains_substring("content-length: 4\r\n")
+    );
+    expect_that!(request.as_str(), contains_substring("x-server: s\r\n"));
+}
+
+#[gtest]
+fn a_resumed_stream_asks_for_what_follows_and_passes_on_nothing_twice() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (answer, news, _) = launch(address, &ConnectionPool::new(8), false, 5);
+    let script = "HTTP/1.1 200 OK~x-sign: 1~content-type: text/event-stream~~\
+                  id: 4#data: a##id: 8#data: b## close";
+    let (_stream, request) = serve(&listener, script);
+    expect_that!(request.as_str(), contains_substring("last-event-id: 4\r\n"));
+    expect_that!(
+        request.as_str(),
+        not(contains_substring("last-event-id: 9"))
+    );
+    let chunks: Vec<String> = answer.iter().map(|c| told(&c)).collect();
+    expect_that!(
+        joined(&chunks).as_str(),
+        eq("head; bytes id: 8#data: b##; end")
+    );
+    expect_that!(ended(&news).as_str(), eq("finished"));
+}
+
+#[gtest]
+fn a_connection_is_used_again_only_while_nothing_speaks_against_it() {
+    let rows = [
+        ("HTTP/1.1 200 OK~x-sign: 1~content-length: 2~~ok hold", true),
+        (
+            "HTTP/1.1 200 OK~x-sign: 1~connection: close~content-length: 2~~ok hold",
+            false,
+        ),
+        (
+            "HTTP/1.1 200 OK~x-sign: 1~keep-alive: timeout=0~content-length: 2~~ok hold",
+            false,
+        ),
+        (
+            "HTTP/1.1 200 OK~x-sign: 1~keep-alive: timeout=9~content-length: 2~~ok hold",
+            true,
+        ),
+        (
+            "HTTP/1.1 200 OK~x-sign: 1~content-length: 2~~okmore hold",
+            false,
+        ),
+        (
+            "HTTP/1.1 503 Full~x-not-run: 1~content-length: 0~~ hold",
+            true,
+        ),
+        ("HTTP/1.1 200 OK~x-sign: 1~~ok close", false),
+    ];
+    for (script, kept) in rows {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let pool = ConnectionPool::new(8);
+        let (answer, news, _) = launch(address, &pool, false, 0);
+        let (_stream, _) = serve(&listener, script);
+        answer.iter().for_each(drop);
+        ended(&news);
+        expect_that!(pool.take(address, false).is_some(), eq(kept), "{script}");
+    }
+}
+
+/// Each row: whether the request may run only once, and how it ends on a kept connection that
+/// the server closes without an answer.
+#[gtest]
+fn a_lost_connection_is_replaced_only_for_what_may_run_twice() {
+    for (once, expected) in [(false, "finished"), (true, "Broken MaybeRun")] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let pool = ConnectionPool::new(8);
+        let (answer, news, _) = launch(address, &pool, once, 0);
+        let (mut kept, _) = serve(&listener, GOOD);
+        answer.iter().for_each(drop);
+        ended(&news);
+        let (answer, news, _) = launch(address, &pool, once, 0);
+        read_request(&mut kept);
+        play(&mut kept, "close");
+        let second = thread::spawn(move || {
+            if !once {
+                serve(&listener, GOOD);
+            }
+        });
+        answer.iter().for_each(drop);
+        expect_that!(ended(&news).as_str(), eq(expected), "once: {once}");
+        second.join().expect("the server's side");
+    }
+}
+
+#[gtest]
+fn a_server_that_cannot_be_reached_was_sent_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let (_answer, news, _) = launch(address, &ConnectionPool::new(8), true, 0);
+    expect_that!(ended(&news).as_str(), eq("Unreachable Unsent"));
+}
+
+#[gtest]
+fn a_cancelled_try_closes_its_connection_and_reports_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (answer, news, handle) = launch(address, &ConnectionPool::new(8), true, 0);
+    let (mut stream, _) = serve(&listener, "hold");
+    handle.cancel();
+    expect_that!(stream.read(&mut [0]).expect("the close"), eq(0));
+    expect_that!(answer.iter().count(), eq(0));
+    expect_that!(ended(&news).as_str(), eq("nothing"));
+}
