--- /dev/null
+++ b/azureway-entry/tests/gateway.rs
@@ -0,0 +1,224 @@
+//! A whole entry that serves a site, over sockets: callers, one backend server and the platform.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use support::{GUARD, Server, SiteBench, read_answer};
+
+fn get(bench: &SiteBench, head: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(bench.address()).expect("a connection");
+    stream.set_read_timeout(Some(GUARD)).expect("a guard");
+    stream.write_all(head.as_bytes()).expect("sent");
+    stream
+}
+
+fn ask(bench: &SiteBench, head: &str) -> String {
+    read_answer(&mut get(bench, head))
+}
+
+#[gtest]
+fn one_connection_carries_many_requests() {
+    let server = Server::start(|_, stream| support::answer(stream, "ok"));
+    let bench = SiteBench::start(Some(&server));
+    let mut stream = get(&bench, "");
+    for number in 0..3 {
+        let head = format!("GET /safe/{number} HTTP/1.1\r\nhost: one\r\n\r\n");
+        stream.write_all(head.as_bytes()).expect("sent");
+        let answer = read_answer(&mut stream);
+        expect_that!(answer.as_str(), starts_with("HTTP/1.1 200 OK\r\n"));
+        expect_that!(answer.as_str(), ends_with("\r\n\r\nok"));
+        expect_that!(
+            answer.as_str(),
+            not(contains_substring("connection: close"))
+        );
+    }
+}
+
+#[gtest]
+fn bodies_in_chunks_and_with_a_length_reach_the_server_alike() {
+    let (seen, bodies) = flume::bounded(4);
+    let server = Server::start(move |request, stream| {
+        let _ = seen.send(request.to_owned());
+        support::answer(stream, "ok");
+    });
+    let bench = SiteBench::start(Some(&server));
+    let sized = "POST /safe/x HTTP/1.1\r\nhost: one\r\ncontent-length: 4\r\n\r\nbody";
+    let chunks = "POST /safe/x HTTP/1.1\r\nhost: one\r\ntransfer-encoding: chunked\r\n\r\n\
+                  2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n";
+    let mut stream = get(&bench, sized);
+    read_answer(&mut stream);
+    stream.write_all(chunks.as_bytes()).expect("sent");
+    read_answer(&mut stream);
+    let (first, second) = (bodies.recv(), bodies.recv());
+    let same = |s: String| {
+        s.lines()
+            .filter(|l| !l.starts_with("x-left"))
+            .collect::<String>()
+    };
+    let first = same(first.expect("the first"));
+    expect_that!(first.as_str(), ends_with("body"));
+    expect_that!(same(second.expect("the second")), eq(&first));
+}
+
+/// Each row: a request, and the first line of its answer.
+#[gtest]
+fn what_cannot_be_routed_is_refused_as_what_it_is() {
+    let server = Server::start(|_, stream| support::answer(stream, "ok"));
+    let bench = SiteBench::start(Some(&server));
+    let rows = [
+        ("GET /none HTTP/1.1\r\nhost: one\r\n\r\n", "404 Not Found"),
+        ("GET /safe/ HTTP/1.1\r\nhost: two\r\n\r\n", "404 Not Found"),
+        (
+            "GET /keyed/ HTTP/1.1\r\nhost: one\r\n\r\n",
+            "401 Unauthorized",
+        ),
+        (
+            "GET /keyed/ HTTP/1.1\r\nhost: one\r\nx-key: bad\r\n\r\n",
+            "401 Unauthorized",
+        ),
+        (
+            "GET /keyed/ HTTP/1.1\r\nhost: one\r\nx-key: good\r\n\r\n",
+            "200 OK",
+        ),
+        (
+            "GET /safe/ HTTP/1.1\r\nhost: one\r\nx-wait: soon\r\n\r\n",
+            "400 Bad Request",
+        ),
+        ("nonsense\r\n\r\n", "400 Bad Request"),
+        (
+            "POST /safe/ HTTP/1.1\r\nhost: one\r\ncontent-length: 99999999\r\n\r\n",
+            "413 Content Too Large",
+        ),
+        (
+            "POST /safe/ HTTP/1.1\r\nhost: one\r\ncontent-length: 1\r\n\
+             transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            "400 Bad Request",
+        ),
+    ];
+    for (request, status) in rows {
+        let answer = ask(&bench, request);
+        let expected = format!("HTTP/1.1 {status}\r\n");
+        expect_that!(answer, starts_with(expected), "{request}");
+    }
+}
+
+#[gtest]
+fn an_entry_without_a_configuration_says_that_nothing_has_run() {
+    let bench = SiteBench::start(None);
+    let answer = ask(&bench, "GET /safe/ HTTP/1.1\r\nhost: one\r\n\r\n");
+    expect_that!(answer.as_str(), starts_with("HTTP/1.1 503 "));
+    expect_that!(
+        answer.as_str(),
+        contains_substring("\r\nretry-after: 1.000\r\n")
+    );
+    expect_that!(bench.ready(), eq(503));
+}
+
+#[gtest]
+fn a_stream_that_breaks_off_does_not_look_complete() {
+    let server = Server::start(|_, stream| {
+        let head = "HTTP/1.1 200 OK\r\nx-sign: 1\r\ncontent-type: text/event-stream\r\n\
+                    transfer-encoding: chunked\r\n\r\n";
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(b"f\r\nid: 0\ndata: a\n\n\r\n");
+        let _ = stream.shutdown(Shutdown::Both);
+    });
+    let bench = SiteBench::start(Some(&server));
+    let mut stream = get(&bench, "POST /once/ HTTP/1.1\r\nhost: one\r\n\r\n");
+    let mut text = Vec::new();
+    // The caller may see the end as a close or as a reset.
+    let _ = stream.read_to_end(&mut text);
+    let text = String::from_utf8(text).expect("text");
+    expect_that!(text.as_str(), contains_substring("data: a"));
+    expect_that!(text.as_str(), not(contains_substring("\r\n0\r\n")));
+}
+
+#[gtest]
+fn a_failure_of_the_server_s_own_reaches_the_caller_as_it_is() {
+    let server = Server::start(|_, stream| {
+        let answer = "HTTP/1.1 500 Oops\r\nx-sign: 7\r\ncontent-length: 3\r\n\r\nbad";
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    let bench = SiteBench::start(Some(&server));
+    for path in ["/safe/", "/once/"] {
+        let answer = ask(
+            &bench,
+            &format!("POST {path} HTTP/1.1\r\nhost: one\r\n\r\n"),
+        );
+        expect_that!(answer.as_str(), starts_with("HTTP/1.1 500 Oops\r\n"));
+        expect_that!(answer.as_str(), contains_substring("x-sign: 7\r\n"));
+        expect_that!(answer.as_str(), ends_with("bad"));
+    }
+}
+
+#[gtest]
+fn a_caller_who_hangs_up_stops_the_server_s_work() {
+    let (seen, closed) = flume::bounded(1);
+    let server = Server::start(move |_, stream| {
+        // The entry sends nothing more, so the read ends with its close.
+        let _ = seen.send(stream.read(&mut [0]).unwrap_or(0));
+    });
+    let bench = SiteBench::start(Some(&server));
+    let stream = get(&bench, "GET /safe/ HTTP/1.1\r\nhost: one\r\n\r\n");
+    server.wait_request();
+    drop(stream);
+    expect_that!(closed.recv_timeout(GUARD), ok(eq(0)));
+}
+
+#[gtest]
+fn a_request_is_given_up_when_its_time_has_passed() {
+    let server = Server::start(|_, stream| drop(stream.read(&mut [0])));
+    let bench = SiteBench::start(Some(&server));
+    let began = Instant::now();
+    let answer = ask(
+        &bench,
+        "POST /once/ HTTP/1.1\r\nhost: one\r\nx-wait: 300\r\n\r\n",
+    );
+    expect_that!(answer.as_str(), starts_with("HTTP/1.1 504 "));
+    expect_that!(began.elapsed(), ge(Duration::from_millis(300)));
+}
+
+#[gtest]
+fn a_leaving_entry_finishes_what_it_has_and_says_that_it_leaves() {
+    let (go, gone) = flume::bounded::<()>(0);
+    let server = Server::start(move |_, stream| {
+        let _ = gone.recv();
+        support::answer(stream, "late");
+    });
+    let bench = SiteBench::start(Some(&server));
+    expect_that!(bench.ready(), eq(200));
+    let mut running = get(&bench, "GET /safe/ HTTP/1.1\r\nhost: one\r\n\r\n");
+    server.wait_request();
+    let ready = bench.ready_address();
+    let drained = bench.drain();
+    while support::status(ready) != 503 {
+        thread::yield_now();
+    }
+    // The first one was taken before the signal; the second one comes while the entry lingers.
+    let mut second = TcpStream::connect(drained.address).expect("a connection");
+    second.set_read_timeout(Some(GUARD)).expect("a guard");
+    let head = "GET /safe/ HTTP/1.1\r\nhost: one\r\n\r\n";
+    second.write_all(head.as_bytes()).expect("sent");
+    server.wait_request();
+    drop(go);
+    expect_that!(read_answer(&mut running), ends_with("late"));
+    let answer = read_answer(&mut second);
+    expect_that!(answer.as_str(), ends_with("late"));
+    expect_that!(answer.as_str(), contains_substring("connection: close\r\n"));
+    drained.thread.join().expect("the drain ends");
+}
+
+#[gtest]
+fn a_port_that_is_taken_is_an_error_at_the_start() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address");
+    expect_that!(
+        SiteBench::start_on(address),
+        err(contains_substring("listen for callers"))
+    );
+}
--- /dev/null
+++ b/azureway-entry/tests/support/mod.rs
@@ -0,0 +1,318 @@
+//! What the tests of a whole site share: a site in a spelling of its own, and its backend server.
+#![expect(unreachable_pub, reason = "a test's module has no outside")]
+
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use azureway_config::settings::{EntrySettings, SiteSettings};
+use azureway_core::prelude::*;
+use azureway_dev::http::StandIn;
+use azureway_dev::platform::Platform;
+use azureway_entry::admit::UpstreamRequest;
+use azureway_entry::caller::Head;
+use azureway_entry::daemon::Gateway;
+use azureway_entry::exchange::{AnswerHead, AnswerTerms, BackendDialect};
+use azureway_entry::news::HttpNews;
+use azureway_entry::order::HttpOrders;
+use azureway_entry::routed::{CallTerms, CallerDialect};
+use azureway_entry::site::{SiteCodec, SiteKind};
+use azureway_objects::PlainForm;
+use azureway_wire::object::ObjectBody;
+use flume::{Receiver, Sender};
+
+/// A guard against a hang; no test's verdict depends on it.
+pub const GUARD: Duration = Duration::from_secs(30);
+
+/// A site in a spelling of its own.
+#[derive(Clone, Copy)]
+struct TestSite;
+
+impl CallerDialect for TestSite {
+    fn read<'a>(&self, head: &'a Head) -> Result<CallTerms<'a>, &'static str> {
+        let wait = head.get("x-wait").map(|w| w.parse().map_err(|_| "no wait"));
+        Ok(CallTerms {
+            attempt: head.get("x-attempt"),
+            key: head.get("x-key"),
+            wait: wait.transpose()?.map(Duration::from_millis),
+            output: TokenCount::new(1),
+            ..CallTerms::default()
+        })
+    }
+
+    fn is_withheld(&self, name: &str) -> bool {
+        name == "x-key"
+    }
+}
+
+impl BackendDialect for TestSite {
+    fn tell(&self, order: &Dispatch, _: &UpstreamRequest, left: Duration, out: &mut String) {
+        let _ = write!(
+            out,
+            "x-server: {}\r\nx-left: {}\r\n",
+            order.server,
+            left.as_millis()
+        );
+    }
+
+    fn read<'a>(&self, head: &'a AnswerHead) -> AnswerTerms<'a> {
+        AnswerTerms {
+            attempt: head.get("x-attempt"),
+            signed: head.get("x-sign").is_some(),
+            rejected: head.get("x-not-run").is_some(),
+            ..AnswerTerms::default()
+        }
+    }
+}
+
+impl SiteCodec for TestSite {
+    fn kind(&self, kind: SiteKind) -> &'static str {
+        kind.as_str()
+    }
+
+    fn document(&self, object: &ObjectBody) -> Result<Option<SiteDocument>, Error> {
+        let mut routes = RouteTable::new();
+        for (prefix, kind, public) in [
+            ("/safe/", RequestKind::Repeatable, true),
+            ("/once/", RequestKind::AtMostOnce, true),
+            ("/keyed/", RequestKind::Repeatable, false),
+        ] {
+            routes.insert(route(prefix, kind, public));
+        }
+        let account = ClientAccount::new(AccountId::new("small")).with_key(KeyHash::of("good"));
+        Ok(Some(SiteDocument {
+            version: ConfigVersion::new(object.version),
+            routes,
+            services: vec![service()],
+            accounts: vec![account],
+            limits: CallerLimits::new(),
+        }))
+    }
+
+    fn server(&self, object: &ObjectBody) -> Result<ServerEntry, Error> {
+        let address = object.value.parse();
+        let bad = |e| Error::new(ErrorKind::Protocol, Step::new("read server"), e);
+        Ok(ServerEntry {
+            id: ServerId::new(&object.name),
+            service: ServiceId::new("orders"),
+            address: address.map_err(|e: std::net::AddrParseError| bad(e.to_string()))?,
+            zone: ZoneId::new("a"),
+            slots: 8,
+            leaving: false,
+            cold: Duration::ZERO,
+            incarnation: Incarnation::new(1),
+            weights: None,
+        })
+    }
+
+    fn weights(&self, _: &ObjectBody) -> Result<NamedWeights, Error> {
+        Err(Error::new(
+            ErrorKind::Protocol,
+            Step::new("read weights"),
+            "none here",
+        ))
+    }
+}
+
+fn service() -> SiteService {
+    SiteService {
+        id: ServiceId::new("orders"),
+        model: None,
+        connections: 10,
+        fetches: false,
+        store: None,
+    }
+}
+
+fn route(prefix: &str, kind: RequestKind, public: bool) -> Route {
+    Route {
+        id: RouteId::new(prefix),
+        host: "one".into(),
+        prefix: prefix.into(),
+        splits: [(ServiceId::new("orders"), 1)].into_iter().collect(),
+        kind,
+        streamed: false,
+        public,
+        rank: Rank::Urgent,
+        priority: 0,
+        tries: 2,
+        timeout: GUARD,
+        target: GUARD,
+    }
+}
+
+/// A backend server, which answers each request by a function.
+pub struct Server {
+    address: SocketAddr,
+    requests: Receiver<()>,
+}
+
+impl Server {
+    /// Starts a server on any free port.
+    pub fn start(answer: impl Fn(&str, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (seen, requests) = flume::bounded(64);
+        let answer = Arc::new(answer);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (answer, seen) = (Arc::clone(&answer), seen.clone());
+                let stream = stream.expect("a connection");
+                thread::spawn(move || serve(stream, &seen, answer.as_ref()));
+            }
+        });
+        Self { address, requests }
+    }
+
+    /// Waits until a request has come.
+    pub fn wait_request(&self) {
+        self.requests.recv_timeout(GUARD).expect("a request");
+    }
+}
+
+fn serve(mut stream: TcpStream, seen: &Sender<()>, answer: &impl Fn(&str, &mut TcpStream)) {
+    while let Some(request) = read_request(&mut stream) {
+        let _ = seen.send(());
+        answer(&request, &mut stream);
+    }
+}
+
+fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = read_head(stream)?;
+    let length = length(&text);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    text.push_str(&String::from_utf8(body).ok()?);
+    Some(text)
+}
+
+fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let (mut bytes, mut byte) = (Vec::new(), [0]);
+    while !bytes.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        bytes.push(byte[0]);
+    }
+    String::from_utf8(bytes).ok()
+}
+
+fn length(head: &str) -> usize {
+    let line = head
+        .lines()
+        .find_map(|l| l.strip_prefix("content-length: "));
+    line.map_or(0, |l| l.parse().expect("a length"))
+}
+
+/// Answers a request well.
+pub fn answer(stream: &mut TcpStream, body: &str) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-sign: 1\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    // A caller that is gone is the business of the test.
+    let _ = stream.write_all(head.as_bytes());
+    let _ = stream.write_all(body.as_bytes());
+}
+
+/// Reads one answer that has a length.
+pub fn read_answer(stream: &mut TcpStream) -> String {
+    read_request(stream).expect("an answer")
+}
+
+/// Returns the status that an address answers with.
+pub fn status(address: SocketAddr) -> u16 {
+    let answer = minreq::get(format!("http://{address}/ready")).send();
+    answer.expect("an answer").status_code
+}
+
+/// A whole entry of a site, with its platform.
+pub struct SiteBench {
+    gateway: Gateway,
+    ready: SocketAddr,
+    _platform: StandIn,
+}
+
+/// An entry that drains.
+pub struct Drained {
+    /// The address that callers reach.
+    pub address: SocketAddr,
+    /// Ends with the drain.
+    pub thread: JoinHandle<()>,
+}
+
+impl SiteBench {
+    /// Starts an entry and waits until it serves. Without a server there is no configuration.
+    pub fn start(server: Option<&Server>) -> Self {
+        let platform = Arc::new(Platform::new());
+        if let Some(server) = server {
+            platform.seed("servers", "s", &server.address.to_string());
+            platform.seed("document", "main", "");
+        }
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let bench = Self::start_with(platform, any).expect("the entry starts");
+        while server.is_some() && bench.ready() != 200 {
+            thread::yield_now();
+        }
+        bench
+    }
+
+    /// Starts an entry for callers at `address`. Returns the error's text if it fails.
+    pub fn start_on(address: SocketAddr) -> Result<(), String> {
+        let platform = Arc::new(Platform::new());
+        Self::start_with(platform, address).map(drop)
+    }
+
+    fn start_with(platform: Arc<Platform>, listen: SocketAddr) -> Result<Self, String> {
+        let stand = StandIn::start(platform).map_err(|e| e.to_string())?;
+        let (instance, zone) = (InstanceId::new("entry"), ZoneId::new("a"));
+        let settings = EntrySettings::new(instance, zone, stand.address()).with_listen(listen);
+        let ready = free_port();
+        let served = SiteSettings {
+            ready,
+            zones: Vec::new(),
+            retries: 20,
+            slack: 50,
+            window: Duration::from_secs(10),
+            term: Duration::from_secs(3),
+            rollout: Duration::from_secs(8),
+            grace: Duration::from_secs(8),
+        };
+        let gateway = Gateway::start(
+            &settings, &served, TestSite, PlainForm, HttpOrders, HttpNews,
+        );
+        Ok(Self {
+            gateway: gateway.map_err(|e| e.to_string())?,
+            ready,
+            _platform: stand,
+        })
+    }
+
+    /// Returns the address that callers reach.
+    pub fn address(&self) -> SocketAddr {
+        self.gateway.address()
+    }
+
+    /// Returns the address on which readiness is told.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready
+    }
+
+    /// Returns the status that the balancer sees.
+    pub fn ready(&self) -> u16 {
+        status(self.ready)
+    }
+
+    /// Lets the entry drain.
+    pub fn drain(self) -> Drained {
+        let address = self.address();
+        let thread = thread::spawn(move || self.gateway.drain());
+        Drained { address, thread }
+    }
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
