Write logs to standard output without waiting, within a rate

Lines go through a bounded ring to a duty of their own; what finds no room is counted and the count written. The process test reads the log from standard output, where the users want it, and checks the same lines.

--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 pub mod decide;
 pub mod exchange;
+pub mod logs;
 pub mod meter;
 pub mod news;
 pub mod order;
--- a/azureway-entry/src/main.rs
+++ b/azureway-entry/src/main.rs
@@ -6,14 +6,17 @@
 use anyhow::{Context, Result};
 use azureway_config::settings;
 use azureway_entry::daemon::Entry;
+use azureway_entry::logs;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use flume::{Receiver, Sender};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 fn main() -> Result<()> {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    run(&command().get_matches())
+    let logs = logs::start("info")?;
+    let result = run(&command().get_matches());
+    logs.finish();
+    result
 }
 
 fn command() -> Command {
--- a/azureway-entry/src/routed/calls.rs
+++ b/azureway-entry/src/routed/calls.rs
@@ -150,7 +150,7 @@
         let terms = self.dialect.read(&call.head).map_err(malformed)?;
         let account = account(fleet, route, &terms)?;
         let request = self.request(route, fleet, account, call, &terms)?;
-        log::debug!(
+        log::info!(
             request:% = call.id, step = "admit", caller = terms.attempt.unwrap_or_default(),
             route:% = route.id, service:% = request.service, account:% = account.id,
             prompt = request.chain.tokens().get(), fleet:% = fleet.version;
--- /dev/null
+++ b/azureway-entry/tests/logs.rs
@@ -0,0 +1,53 @@
+//! Logs that never hold up whoever writes them.
+
+use std::io::Write;
+
+use azureway_entry::logs::LogRing;
+use googletest::prelude::*;
+
+#[gtest]
+fn lines_are_written_in_their_order() {
+    let (mut ring, writer, _) = LogRing::new();
+    for number in 0..5 {
+        writeln!(ring, "line {number}").expect("a ring takes every line");
+    }
+    drop(ring);
+    let mut out = Vec::new();
+    writer.run(&mut out);
+    let text = String::from_utf8(out).expect("text");
+    expect_that!(text.as_str(), contains_substring("line 0"));
+    expect_that!(text.find("line 1"), lt(text.find("line 4")));
+}
+
+/// Nobody empties the ring here: a write that waited would hang.
+#[gtest]
+fn a_flood_is_cut_counted_and_never_waited_for() {
+    let (mut ring, writer, _) = LogRing::new();
+    let flood = 100_000;
+    for _ in 0..flood {
+        ring.write_all(b"flood\n").expect("a ring takes every line");
+    }
+    drop(ring);
+    let mut out = Vec::new();
+    writer.run(&mut out);
+    let text = String::from_utf8(out).expect("text");
+    let written = text.lines().filter(|l| *l == "flood").count();
+    expect_that!(written, lt(flood / 10));
+    let count = format!("count={}", flood - written);
+    expect_that!(text, contains_substring(count));
+}
+
+#[gtest]
+fn a_process_that_ends_waits_for_its_last_lines() {
+    let (mut ring, writer, end) = LogRing::new();
+    let thread = std::thread::spawn(move || {
+        let mut out = Vec::new();
+        writer.run(&mut out);
+        out
+    });
+    ring.write_all(b"last\n").expect("a ring takes every line");
+    end.finish();
+    drop(ring);
+    let out = thread.join().expect("the writer ends");
+    expect_that!(out, eq(&b"last\n".to_vec()));
+}
--- a/azureway-entry/tests/process.rs
+++ b/azureway-entry/tests/process.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, ChildStderr, Command, Output, Stdio};
+use std::process::{Child, ChildStdout, Command, Output, Stdio};
 use std::time::Duration;
 
 use azureway_config::settings::Bounds;
@@ -47,7 +47,7 @@
 /// A daemon's process, which ends with the test.
 struct Daemon {
     child: Child,
-    log: BufReader<ChildStderr>,
+    log: BufReader<ChildStdout>,
 }
 
 impl Daemon {
@@ -58,9 +58,9 @@
             .arg("--settings")
             .arg(path)
             .env("RUST_LOG", "info")
-            .stderr(Stdio::piped());
+            .stdout(Stdio::piped());
         let mut child = command.spawn().expect("the program runs");
-        let log = BufReader::new(child.stderr.take().expect("a log"));
+        let log = BufReader::new(child.stdout.take().expect("a log"));
         Self { child, log }
     }
 
