--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -178,7 +178,8 @@
             }
             alive |= self.survey(Some(reach), quiet, want, service, now, found);
             let time = |c: &Candidate<'_>| Estimate::new(job, c).total();
-            let other = |c: &Candidate<'_>| Some(&c.state.server.id) != want.failed;
+            let shared = self.config.shared;
+            let other = |c: &Candidate<'_>| !shared || Some(&c.state.server.id) != want.failed;
             if found.iter().any(|c| time(c) <= SPILL && other(c)) {
                 break;
             }
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -47,6 +47,11 @@
 const LINGER: Duration = Duration::from_millis(2_500);
 /// What is left of the grace when the last answers are given up.
 const MARGIN: Duration = Duration::from_millis(500);
+/// What is left of the grace when new requests are no longer taken: the time that most answers
+/// take.
+const LAST_ANSWERS: Duration = Duration::from_millis(2_500);
+/// The time in which a request that crosses the end is read and refused.
+const CROSSING: Duration = Duration::from_millis(50);
 /// The margin within which the holder of the lease no longer gives orders, as a part of the
 /// term. An order call takes less.
 const MARGIN_PART: u32 = 3;
@@ -143,17 +148,21 @@
         // Both duties end only with the process.
         let _ = self.peer.send(PeerMessage::Leave);
         std::thread::park_timeout(LINGER);
+        // Where few instances are left the balancer still sends here. What comes is served until
+        // nothing is being answered, or the grace ends.
+        let busy = self.gate.active.wait(self.rest(began, LAST_ANSWERS));
         // From here on a request that still comes is told that it has not run.
         let _ = self.decide.send(DecideMessage::Drain(None));
-        let left = self.gate.active.wait(self.rest(began));
+        std::thread::park_timeout(CROSSING);
+        let left = self.gate.active.wait(self.rest(began, MARGIN));
         if left > 0 {
-            log::warn!(step = "stop", left = left; "the grace ends before the last answers");
+            log::warn!(step = "stop", busy = busy, left = left; "the grace ends before the last answers");
         }
     }
 
-    /// Returns what is left of the grace for the last answers.
-    fn rest(&self, began: Instant) -> Duration {
-        self.grace.saturating_sub(began.elapsed() + MARGIN)
+    /// Returns what is left of the grace but for its last part.
+    fn rest(&self, began: Instant, last: Duration) -> Duration {
+        self.grace.saturating_sub(began.elapsed() + last)
     }
 }
 
