--- a/azureway-core/src/retry/budgets.rs
+++ b/azureway-core/src/retry/budgets.rs
@@ -5,12 +5,14 @@
 use super::{RetryBudget, RetrySlack};
 use crate::domain::{PoolId, Timestamp};
 
-/// The retry budgets of the pools, each earned by the requests for that pool alone.
+/// The retry budgets of the pools. Where all entries share a slack, each is earned by the
+/// requests for that pool alone.
 #[derive(Clone, Debug)]
 pub struct RetryBudgets {
     percent: u32,
     slack: Option<RetrySlack>,
     entries: u32,
+    common: RetryBudget,
     pools: HashMap<PoolId, RetryBudget>,
 }
 
@@ -26,6 +28,7 @@
             percent,
             slack,
             entries: ENTRIES_MIN,
+            common: RetryBudget::new(percent),
             pools: HashMap::new(),
         }
     }
@@ -46,31 +49,47 @@
         self.slack.is_some()
     }
 
-    /// Returns the budget of a pool at `now`.
+    /// Returns the budget of a pool at `now`. Without a slack that is counted by pools, one
+    /// budget serves all of them.
     pub fn of(&mut self, pool: &PoolId, now: Timestamp) -> &mut RetryBudget {
+        let Some(slack) = self.slack else {
+            self.common.refill(now);
+            return &mut self.common;
+        };
+        let (percent, entries) = (self.percent, self.entries);
+        // Most calls find the budget; only the first of a pool stores the name.
         if !self.pools.contains_key(pool) {
-            let budget = RetryBudget::new(self.percent);
-            let budget = match self.slack {
-                Some(slack) => budget.with_slack(slack, self.entries),
-                None => budget,
-            };
+            let budget = RetryBudget::new(percent).with_slack(slack, entries);
             self.pools.insert(pool.clone(), budget);
         }
-        let budget = self.pools.get_mut(pool).expect("the budget was just added");
+        let budget = self.pools.get_mut(pool).unwrap_or(&mut self.common);
         budget.refill(now);
         budget
     }
 
+    /// Notes the time.
+    pub fn refill(&mut self, now: Timestamp) {
+        self.common.refill(now);
+        self.pools.values_mut().for_each(|b| b.refill(now));
+    }
+
     /// Returns the retries that are left over all pools.
     pub fn left(&self) -> u64 {
-        self.pools.values().map(RetryBudget::left).sum()
+        match self.slack {
+            Some(_) => self.pools.values().map(RetryBudget::left).sum(),
+            None => self.common.left(),
+        }
     }
 
     /// Returns the time at which the first empty budget is looked at again.
     pub fn next_refill(&self) -> Option<Timestamp> {
-        self.pools
-            .values()
-            .filter_map(RetryBudget::next_refill)
-            .min()
+        match self.slack {
+            Some(_) => self
+                .pools
+                .values()
+                .filter_map(RetryBudget::next_refill)
+                .min(),
+            None => self.common.next_refill(),
+        }
     }
 }
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -243,6 +243,7 @@
 
     /// Tries again what waits for it, as far as the budget and the servers allow.
     fn try_again(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        self.budgets.refill(now);
         for retry in self.retries.take() {
             let want = PlacementRequest::new(&retry.request, retry.plan, true);
             let want = want.with_failed(retry.failed.as_ref());
