--- a/azureway-core/src/member/membership.rs
+++ b/azureway-core/src/member/membership.rs
@@ -1,8 +1,8 @@
 //! The membership itself.
 
 use super::{
-    CatchUp, Gossip, Heartbeat, Liveness, Loading, MemberConfig, MemberNews, News, PeerAction,
-    PeerEvent, PeerTable, Refreshes, RoundTimer, Targets, TopDemand,
+    CatchUp, Gossip, Heartbeat, Liveness, MemberConfig, MemberNews, News, PeerAction, PeerEvent,
+    PeerTable, Refreshes, RoundTimer, Targets, TopDemand,
 };
 use crate::admit::Demand;
 use crate::domain::{ConfigVersion, Instance, InstanceId, Timestamp};
@@ -10,18 +10,18 @@
 /// What one instance believes of its peers. Events and the time go in, actions come out.
 #[derive(Clone, Debug)]
 pub struct Membership {
-    config: MemberConfig,
-    me: Instance,
-    peers: PeerTable,
-    gossip: Gossip,
+    pub(super) config: MemberConfig,
+    pub(super) me: Instance,
+    pub(super) peers: PeerTable,
+    pub(super) gossip: Gossip,
     targets: Targets,
-    catchup: CatchUp,
+    pub(super) catchup: CatchUp,
     refreshes: Refreshes,
     demand: TopDemand,
-    pace: RoundTimer,
-    seen: Timestamp,
+    pub(super) pace: RoundTimer,
+    pub(super) seen: Timestamp,
     returning: bool,
-    left: bool,
+    pub(super) left: bool,
     count: u32,
 }
 
@@ -155,41 +155,6 @@
         }
     }
 
-    /// Tells peers what was found here.
-    fn tell(&mut self, news: News, now: Timestamp) {
-        if self.gossip.merge(&news, now) {
-            // It is not kept until the next round: the request may come back elsewhere.
-            self.pace.hurry(now);
-        }
-    }
-
-    /// Tells every peer at once that a backend server is about to load weights.
-    fn announce(&mut self, loading: &Loading, out: &mut Vec<PeerAction>) {
-        let there = self.peers.iter().filter(|m| !m.news.liveness.is_gone());
-        for member in there {
-            let beat = Heartbeat {
-                from: self.me.clone(),
-                version: self.catchup.version(),
-                sum: self.peers.sum(&self.me),
-                whole: false,
-                news: vec![News::Loading(loading.clone())],
-                demand: Vec::new(),
-            };
-            out.push(PeerAction::Send(member.news.instance.clone(), beat));
-        }
-    }
-
-    fn leave(&mut self, out: &mut Vec<PeerAction>) {
-        self.left = true;
-        let now = self.seen;
-        let live = self.peers.live(&self.me.zone);
-        let peers: Vec<_> = live.map(|m| m.news.instance.clone()).collect();
-        for peer in peers.into_iter().take(2 * self.config.fanout) {
-            let beat = self.compose(Some(&peer.id), false, now);
-            out.push(PeerAction::Send(peer, beat));
-        }
-    }
-
     fn pass_time(&mut self, now: Timestamp, out: &mut Vec<PeerAction>) {
         if self.left {
             return;
@@ -223,7 +188,12 @@
 
     /// Composes a heartbeat. What is believed of its receiver comes first, if it is anything
     /// but good, so that the receiver can contradict.
-    fn compose(&mut self, to: Option<&InstanceId>, whole: bool, now: Timestamp) -> Heartbeat {
+    pub(super) fn compose(
+        &mut self,
+        to: Option<&InstanceId>,
+        whole: bool,
+        now: Timestamp,
+    ) -> Heartbeat {
         let mut news = Vec::new();
         let told = to.and_then(|id| self.peers.get(id));
         if let Some(member) = told.filter(|m| m.news.liveness > Liveness::Alive) {
--- a/azureway-core/src/member/mod.rs
+++ b/azureway-core/src/member/mod.rs
@@ -22,6 +22,7 @@
 mod server_news;
 mod server_sign;
 mod targets;
+mod telling;
 mod top_demand;
 
 pub use catch_up::CatchUp;
--- /dev/null
+++ b/azureway-core/src/member/telling.rs
@@ -0,0 +1,41 @@
+//! What a membership tells its peers by itself.
+
+use super::{Heartbeat, Loading, Membership, News, PeerAction};
+use crate::domain::Timestamp;
+
+impl Membership {
+    /// Tells peers what was found here.
+    pub(super) fn tell(&mut self, news: News, now: Timestamp) {
+        if self.gossip.merge(&news, now) {
+            // It is not kept until the next round: the request may come back elsewhere.
+            self.pace.hurry(now);
+        }
+    }
+
+    /// Tells every peer at once that a backend server is about to load weights.
+    pub(super) fn announce(&mut self, loading: &Loading, out: &mut Vec<PeerAction>) {
+        let there = self.peers.iter().filter(|m| !m.news.liveness.is_gone());
+        for member in there {
+            let beat = Heartbeat {
+                from: self.me.clone(),
+                version: self.catchup.version(),
+                sum: self.peers.sum(&self.me),
+                whole: false,
+                news: vec![News::Loading(loading.clone())],
+                demand: Vec::new(),
+            };
+            out.push(PeerAction::Send(member.news.instance.clone(), beat));
+        }
+    }
+
+    pub(super) fn leave(&mut self, out: &mut Vec<PeerAction>) {
+        self.left = true;
+        let now = self.seen;
+        let live = self.peers.live(&self.me.zone);
+        let peers: Vec<_> = live.map(|m| m.news.instance.clone()).collect();
+        for peer in peers.into_iter().take(2 * self.config.fanout) {
+            let beat = self.compose(Some(&peer.id), false, now);
+            out.push(PeerAction::Send(peer, beat));
+        }
+    }
+}
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -4,11 +4,10 @@
     Dispatcher, InFlight, Intake, PlacementRequest, Queues, Retries, Retry, RouterConfig, Verdict,
 };
 use crate::admit::{Blocked, Limits, Queued};
-use crate::cache::CacheUpdate;
 use crate::claim::{ClaimBook, ClaimNews, ClaimVerdict};
 use crate::domain::{Attempt, Refusal, RefusalReason, Request, RequestId, Timestamp};
 use crate::event::{Action, Event, Failure, Finish};
-use crate::fleet::{Fleet, LoadReport, LoadSample};
+use crate::fleet::Fleet;
 use crate::retry::RetryBudgets;
 use crate::route::Policy;
 use crate::tally::{Outcome, Tally};
@@ -191,34 +190,6 @@
         self.queues.push(pool, queued, now);
     }
 
-    fn hear(&mut self, update: &CacheUpdate<'_>, out: &mut Vec<Action>) {
-        if self.sender.hear(update) {
-            out.push(Action::Resync(update.server.clone()));
-        }
-    }
-
-    fn report(&mut self, report: &LoadReport, now: Timestamp, out: &mut Vec<Action>) {
-        out.extend(self.sender.leave_news(report).map(Action::Server));
-        if let Some(pool) = self.sender.report(report, now) {
-            self.queues.mark(pool);
-        }
-    }
-
-    /// Takes in the number of entries of all availability zones.
-    fn list(&mut self, count: u32) {
-        self.limits.share_mut().set_entries(count);
-        self.budgets.set_entries(count);
-        if self.config.shared && self.sender.servers().entries() != count {
-            self.sender.servers_mut().set_entries(count);
-        }
-    }
-
-    fn sample(&mut self, sample: &LoadSample, now: Timestamp) {
-        if let Some(pool) = self.sender.sample(sample, now) {
-            self.queues.mark(pool);
-        }
-    }
-
     fn configure(&mut self, fleet: &Fleet, now: Timestamp) {
         // Versions only grow, so that a slow read or a late peer cannot bring an old one back.
         if fleet.version <= self.fleet.version {
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod decider;
 mod dispatcher;
+mod hearing;
 mod in_flight;
 mod in_flight_table;
 mod intake;
@@ -15,6 +16,7 @@
 mod retries;
 mod retry;
 mod route_option;
+mod sharing;
 mod suspects;
 mod verdict;
 mod views;
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -26,6 +26,7 @@
 /// One entry daemon that serves a site, running.
 pub struct Gateway {
     address: SocketAddr,
+    ready: Option<SocketAddr>,
     gate: Gate,
     decide: Sender<DecideMessage>,
     peer: Sender<PeerMessage>,
@@ -106,6 +107,7 @@
         let address = listener.address()?;
         log::info!(step = "start", peer:% = address, instance:% = settings.instance, zone:% = settings.zone; "listening");
         let balancer = ReadyDuty::new(served.ready, ready, gate.clone(), rings.meter.clone())?;
+        let told = balancer.address();
         let api = HttpObjects::with_form(settings.platform, form).with_timeout(CALL_TIMEOUT);
         talk(settings, &rings, peers, mark)?;
         let decider = decider(settings, served, &rings, site.clone(), news);
@@ -128,6 +130,7 @@
         spawn("accept", move || listener.run())?;
         Ok(Self {
             address,
+            ready: told,
             gate,
             decide: rings.decide,
             peer: rings.peer,
@@ -140,6 +143,11 @@
         self.address
     }
 
+    /// Returns the address on which readiness and metrics are told.
+    pub const fn ready_address(&self) -> Option<SocketAddr> {
+        self.ready
+    }
+
     /// Shuts down: is no longer ready, serves what the balancer still sends, then finishes what
     /// is being answered.
     pub fn drain(self) {
--- a/azureway-entry/src/daemon/ready_duty.rs
+++ b/azureway-entry/src/daemon/ready_duty.rs
@@ -43,6 +43,11 @@
         })
     }
 
+    /// Returns the bound address.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.server.server_addr().to_ip()
+    }
+
     /// Runs for as long as the process does.
     pub fn run(self) {
         for request in self.server.incoming_requests() {
--- /dev/null
+++ b/azureway-entry/src/exchange/asking.rs
@@ -0,0 +1,132 @@
+//! Sending the request of a try and waiting for the head of its answer.
+
+use std::fmt::Write as _;
+use std::io;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+
+use super::exchange_try::{BROKEN, read_whole};
+use super::{AnswerHead, BackendConnection, BackendDialect, ExchangeTry, Framing};
+use crate::admit::Passage;
+use crate::relay::RelayError;
+
+/// How many times the estimated time to the first token a server may be silent.
+const PATIENCE: u32 = 4;
+/// The answers to other requests that are passed over on one connection.
+const STRAYS_MAX: u32 = 4;
+/// How long a server that stopped reading a body is given to say why.
+const EARLY_ANSWER: Duration = Duration::from_millis(50);
+/// The header by which a stream is resumed after the last event that was received.
+const LAST_EVENT: &str = "last-event-id";
+
+impl<D: BackendDialect> ExchangeTry<D> {
+    /// Sends the request and waits for the head of its answer.
+    pub(super) fn ask(
+        &self,
+        passage: &Passage,
+    ) -> Result<(BackendConnection, AnswerHead), RelayError> {
+        let once = passage.once;
+        let address = self.order.address;
+        if let Some(connection) = self.pool.take(address, once) {
+            match self.ask_on(connection, passage) {
+                // The server closed the connection before the request came. It is sent again
+                // only where it may run twice: nobody can tell whether it was read.
+                Err(RelayError::Server(FailureKind::Broken, _))
+                    if !once && !self.handle.is_cancelled() => {}
+                result => return result,
+            }
+        }
+        let limit = self.connect.min(self.left(passage));
+        let opened = BackendConnection::open(address, limit);
+        let unreachable = RelayError::Server(FailureKind::Unreachable, SendState::Unsent);
+        let connection = opened.map_err(|e| {
+            log::debug!(request:% = self.order.attempt.id, step = "connect", peer:% = address, error:% = e; "no connection");
+            unreachable
+        })?;
+        self.ask_on(connection, passage)
+    }
+
+    fn ask_on(
+        &self,
+        mut connection: BackendConnection,
+        passage: &Passage,
+    ) -> Result<(BackendConnection, AnswerHead), RelayError> {
+        let unsent = RelayError::Server(FailureKind::Unreachable, SendState::Unsent);
+        if !self
+            .handle
+            .attach(connection.stream())
+            .map_err(|_| unsent)?
+        {
+            return Err(RelayError::Unwanted);
+        }
+        let left = self.left(passage);
+        let last = self.order.attempt.number >= passage.tries;
+        // A busy server is silent for long and works all the same: asking another one as well
+        // would double the work when there is most of it.
+        let patience = passage.patience.max(self.order.expected * PATIENCE);
+        let patience = if last { left } else { left.min(patience) };
+        let failed = |e: &io::Error| RelayError::of_read(e);
+        connection.set_patience(patience).map_err(|e| failed(&e))?;
+        let bytes = self.request(passage, left);
+        if let Err(e) = connection.send(&bytes, patience) {
+            // A server that rejects a long request may answer before it has read it all.
+            connection
+                .set_patience(EARLY_ANSWER)
+                .map_err(|_| failed(&e))?;
+            let head = connection.head().map_err(|_| failed(&e))?;
+            return Ok((connection, closing(head)));
+        }
+        for _ in 0..STRAYS_MAX {
+            let head = connection.head().map_err(|e| failed(&e))?;
+            let attempt = self.dialect.read(&head).attempt;
+            if attempt.is_none_or(|a| Some(a) == self.attempt(passage)) {
+                return Ok((connection, head));
+            }
+            log::warn!(request:% = self.order.attempt.id, step = "exchange", peer:% = self.order.server; "an answer to another request was dropped");
+            let framing = Framing::of(&head, &self.upstream.method);
+            let framing = framing.filter(|f| *f != Framing::Closing).ok_or(BROKEN)?;
+            read_whole(connection.body(framing)).map_err(|e| failed(&e))?;
+        }
+        Err(BROKEN)
+    }
+
+    fn attempt<'a>(&self, passage: &'a Passage) -> Option<&'a str> {
+        passage.attempt.as_deref()
+    }
+
+    fn left(&self, passage: &Passage) -> Duration {
+        passage.until.since(self.clock.now())
+    }
+
+    fn request(&self, passage: &Passage, left: Duration) -> Vec<u8> {
+        let upstream = &self.upstream;
+        let mut head = format!("{} {} HTTP/1.1\r\n", upstream.method, upstream.path);
+        let resumed = self.order.position > StreamPosition::ZERO;
+        for (name, value) in &passage.headers {
+            if !(resumed && name.as_ref() == LAST_EVENT) {
+                let _ = write!(head, "{name}: {value}\r\n");
+            }
+        }
+        if resumed {
+            let last = self.order.position.get() - 1;
+            let _ = write!(head, "{LAST_EVENT}: {last}\r\n");
+        }
+        if !upstream.body.is_empty() || upstream.method.as_ref() != "GET" {
+            let _ = write!(head, "content-length: {}\r\n", upstream.body.len());
+        }
+        self.dialect.tell(&self.order, upstream, left, &mut head);
+        head.push_str("\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&upstream.body);
+        bytes
+    }
+}
+
+/// Returns a head with the note that the connection cannot be used again.
+fn closing(mut head: AnswerHead) -> AnswerHead {
+    head.headers
+        .retain(|(n, _)| !n.eq_ignore_ascii_case("connection"));
+    head.headers.push(("connection".into(), "close".into()));
+    head
+}
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -13,7 +13,7 @@
 use crate::caller::AnswerChunk;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
-use crate::relay::Launch;
+use crate::relay::{Launch, report_unsent};
 
 /// Starts a thread for each try that passes a request on. The decisions bound how many there
 /// are by the slots of the backend servers.
@@ -58,24 +58,6 @@
         }
         self.tries.insert(id, Arc::downgrade(handle));
     }
-
-    fn report_unsent(&self, attempt: Attempt) {
-        let failure = Failure {
-            attempt,
-            kind: FailureKind::Unreachable,
-            sent: SendState::Unsent,
-            position: StreamPosition::ZERO,
-        };
-        // The deciding duty itself runs this and must not wait for its own ring. If the message
-        // is lost, the request's deadline ends it.
-        if self
-            .decide
-            .try_send(DecideMessage::Failed(failure))
-            .is_err()
-        {
-            log::error!(request:% = attempt.id, step = "exchange"; "a failure found the ring full");
-        }
-    }
 }
 
 impl<D: BackendDialect> Launch for ExchangeLauncher<D> {
@@ -102,7 +84,7 @@
             .stack_size(STACK_SIZE);
         if let Err(e) = thread.spawn(move || job.run()) {
             log::error!(request:% = attempt.id, step = "exchange", error:% = e; "no thread");
-            self.report_unsent(attempt);
+            report_unsent(&self.decide, attempt);
         }
         chunks
     }
--- a/azureway-entry/src/exchange/mod.rs
+++ b/azureway-entry/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer_head;
 mod answer_terms;
+mod asking;
 mod backend_dialect;
 mod body_stream;
 mod connection;
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod news;
 pub mod order;
 pub mod peer;
+pub mod program;
 pub mod relay;
 pub mod routed;
 pub mod site;
--- a/azureway-entry/src/main.rs
+++ b/azureway-entry/src/main.rs
@@ -1,50 +1,28 @@
 //! The entry daemon's program.
 
-use std::fs;
 use std::thread;
 
 use anyhow::{Context, Result};
-use azureway_config::settings;
 use azureway_entry::daemon::Entry;
-use azureway_entry::logs;
-use clap::{Arg, ArgAction, ArgMatches, Command};
+use azureway_entry::{logs, program};
+use clap::ArgMatches;
 use flume::{Receiver, Sender};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+/// What the program is for.
+const ABOUT: &str = "Stands between callers and backend servers";
+
 fn main() -> Result<()> {
     let logs = logs::start("info")?;
-    let result = run(&command().get_matches());
+    let result = run(&program::command("azureway-entry", ABOUT).get_matches());
     logs.finish();
     result
 }
 
-fn command() -> Command {
-    Command::new("azureway-entry")
-        .about("Stands between callers and backend servers")
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .required(true)
-                .help("The settings, in INI"),
-        )
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Checks the settings and exits"),
-        )
-}
-
 fn run(matches: &ArgMatches) -> Result<()> {
-    let path: &String = matches
-        .get_one("settings")
-        .context("--settings is required")?;
-    let text = fs::read_to_string(path).with_context(|| format!("read settings {path}"))?;
-    let settings = settings::parse(&text).with_context(|| format!("check settings {path}"))?;
-    if matches.get_flag("check") {
-        println!("{path}: the settings are good");
+    let settings = program::read(matches)?;
+    if program::is_check(matches)? {
         return Ok(());
     }
     let signals = Signals::new([SIGINT, SIGTERM]).context("wait for signals")?;
--- a/azureway-entry/src/relay/launcher.rs
+++ b/azureway-entry/src/relay/launcher.rs
@@ -7,7 +7,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{GapMeter, Launch, RelayTry};
+use super::{GapMeter, Launch, RelayTry, report_unsent};
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::decide::DecideMessage;
@@ -41,18 +41,6 @@
             bounds,
         }
     }
-
-    fn report_unsent(&self, attempt: Attempt) {
-        let failure = Failure {
-            attempt,
-            kind: FailureKind::Unreachable,
-            sent: SendState::Unsent,
-            position: StreamPosition::ZERO,
-        };
-        // The deciding duty itself runs this and must not wait for its own ring. If the message
-        // is lost, the connection sees the ring of chunks end and the request's deadline ends it.
-        let _ = self.decide.try_send(DecideMessage::Failed(failure));
-    }
 }
 
 impl Launch for Launcher {
@@ -67,7 +55,7 @@
             .stack_size(STACK_SIZE);
         if let Err(e) = thread.spawn(move || relay.run()) {
             log::error!(request:% = attempt.id, step = "relay", error:% = e; "no thread");
-            self.report_unsent(attempt);
+            report_unsent(&self.decide, attempt);
         }
         chunks
     }
--- a/azureway-entry/src/relay/mod.rs
+++ b/azureway-entry/src/relay/mod.rs
@@ -5,9 +5,11 @@
 mod launcher;
 mod relay_error;
 mod relay_try;
+mod report_unsent;
 
 pub use gap_meter::GapMeter;
 pub use launch::Launch;
 pub use launcher::Launcher;
 pub use relay_error::RelayError;
 pub use relay_try::RelayTry;
+pub use report_unsent::report_unsent;
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -268,9 +268,8 @@
         let stand = StandIn::start(platform).map_err(|e| e.to_string())?;
         let (instance, zone) = (InstanceId::new("entry"), ZoneId::new("a"));
         let settings = EntrySettings::new(instance, zone, stand.address()).with_listen(listen);
-        let ready = free_port();
         let served = SiteSettings {
-            ready,
+            ready: "127.0.0.1:0".parse().expect("an address"),
             zones: Vec::new(),
             retries: 20,
             slack: 50,
@@ -282,9 +281,10 @@
         let gateway = Gateway::start(
             &settings, &served, TestSite, PlainForm, HttpOrders, HttpNews,
         );
+        let gateway = gateway.map_err(|e| e.to_string())?;
         Ok(Self {
-            gateway: gateway.map_err(|e| e.to_string())?,
-            ready,
+            ready: gateway.ready_address().expect("an address"),
+            gateway,
             _platform: stand,
         })
     }
@@ -311,8 +311,3 @@
         Drained { address, thread }
     }
 }
-
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
