Serve up to the bound of the rule while leaving, and send latecomers elsewhere

Ruled out: the old 2.5 s with a second's wait for whoever is refused. The settings of a site have a test of their own.

--- a/azureway-config/tests/settings.rs
+++ b/azureway-config/tests/settings.rs
@@ -86,4 +86,35 @@
 }
 
 /// The keys of the section.
-const BOUNDS: usize = 9;
+const BOUNDS: usize = 10;
+
+/// Each row: a section for a site, and what is read of it or the fault that is named.
+#[gtest]
+fn the_settings_of_a_site_are_checked() {
+    let good = "[site]\nready = 10.0.0.4:9000\nretries = 0.2\nslack = 52\ngrace = 8";
+    let parse = |extra: &str| settings::parse(&format!("{}\n{extra}\n", GOOD.join("\n")));
+    let read = parse(&format!("{good}\n[zone a]\nregion = r")).expect("good settings");
+    let site = read.site.expect("a site");
+    expect_that!((site.retries, site.slack), eq((20, 52)));
+    expect_that!(site.zones.len(), eq(1));
+    expect_that!(site.grace.as_secs(), eq(8));
+    let rows = [
+        (
+            "retries = 0.2",
+            "retries = 2",
+            "retries: expected a share from 0 to 1",
+        ),
+        (
+            "ready = 10.0.0.4:9000",
+            "ready = nowhere",
+            "ready: expected an IP address",
+        ),
+        ("slack = 52", "slack = -1", "slack"),
+        ("grace = 8", "gracious = 8", "gracious"),
+    ];
+    for (from, to, fault) in rows {
+        let faults =
+            parse(&good.replace(from, to)).map_or_else(|f| f.to_string(), |_| String::new());
+        expect_that!(faults, contains_substring(fault), "{to}");
+    }
+}
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -43,14 +43,12 @@
 const WATCH_CAP: Duration = Duration::from_millis(500);
 /// The news of a site that wait to be composed.
 const SITE_RING: usize = 256;
-/// How long requests are still taken after the signal to stop: the balancer asks each second,
-/// and takes an instance out after two answers.
-const LINGER: Duration = Duration::from_millis(2_500);
+/// How long requests are still taken after the signal to stop. The balancer asks each second and
+/// takes an instance out after two answers; what comes later than three seconds after the signal
+/// has to end within the grace.
+const LINGER: Duration = Duration::from_millis(2_900);
 /// What is left of the grace when the last answers are given up.
 const MARGIN: Duration = Duration::from_millis(500);
-/// What is left of the grace when new requests are no longer taken: the time that most answers
-/// take.
-const LAST_ANSWERS: Duration = Duration::from_millis(2_500);
 /// The time in which a request that crosses the end is read and refused.
 const CROSSING: Duration = Duration::from_millis(50);
 /// The margin within which the holder of the lease no longer gives orders, as a part of the
@@ -156,21 +154,19 @@
         // Both duties end only with the process.
         let _ = self.peer.send(PeerMessage::Leave);
         std::thread::park_timeout(LINGER);
-        // Where few instances are left the balancer still sends here. What comes is served until
-        // nothing is being answered, or the grace ends.
-        let busy = self.gate.active.wait(self.rest(began, LAST_ANSWERS));
-        // From here on a request that still comes is told that it has not run.
+        // From here on a request that still comes is told that it has not run: a stream that
+        // begins now may outlast the grace.
         let _ = self.decide.send(DecideMessage::Drain(None));
         std::thread::park_timeout(CROSSING);
-        let left = self.gate.active.wait(self.rest(began, MARGIN));
+        let left = self.gate.active.wait(self.rest(began));
         if left > 0 {
-            log::warn!(step = "stop", busy = busy, left = left; "the grace ends before the last answers");
+            log::warn!(step = "stop", left = left; "the grace ends before the last answers");
         }
     }
 
-    /// Returns what is left of the grace but for its last part.
-    fn rest(&self, began: Instant, last: Duration) -> Duration {
-        self.grace.saturating_sub(began.elapsed() + last)
+    /// Returns what is left of the grace for the last answers.
+    fn rest(&self, began: Instant) -> Duration {
+        self.grace.saturating_sub(began.elapsed() + MARGIN)
     }
 }
 
--- a/azureway-entry/src/routed/responder.rs
+++ b/azureway-entry/src/routed/responder.rs
@@ -22,6 +22,10 @@
 /// within the third of its time that it waits at most.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// When a caller may come back that finds this instance leaving: another one serves already, and
+/// retries reach others.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 impl<'a> RoutedResponder<'a> {
     /// Creates a writer to `stream`; `close` tells whether the connection ends with the answer.
     pub const fn new(stream: &'a TcpStream, close: bool) -> Self {
@@ -60,7 +64,10 @@
         let head = ResponseHead::new(status, reason_phrase(status));
         let mut head = head.with("content-type", "application/json");
         if matches!(status, 429 | 503) {
-            let after = refusal.retry_after.unwrap_or(RETRY_AFTER);
+            let after = match refusal.reason {
+                RefusalReason::Draining => ELSEWHERE,
+                _ => refusal.retry_after.unwrap_or(RETRY_AFTER),
+            };
             head = head.with("retry-after", &format!("{:.3}", after.as_secs_f64()));
         }
         let body = serde_json::to_vec(&ErrorBody::from(refusal))?;
--- a/azureway-entry/tests/gateway.rs
+++ b/azureway-entry/tests/gateway.rs
@@ -213,6 +213,32 @@
     drained.thread.join().expect("the drain ends");
 }
 
+/// The kept connection asks again and again, as callers do who do not heed the close.
+#[gtest]
+fn a_leaving_entry_sends_latecomers_elsewhere() {
+    let server = Server::start(|_, stream| support::answer(stream, "ok"));
+    let bench = SiteBench::start(Some(&server));
+    let drained = bench.drain();
+    let refused = loop {
+        let stream = TcpStream::connect(drained.address);
+        let mut stream = stream.expect("a connection until the end");
+        stream.set_read_timeout(Some(GUARD)).expect("a guard");
+        let head = "GET /safe/ HTTP/1.1\r\nhost: one\r\n\r\n";
+        stream.write_all(head.as_bytes()).expect("sent");
+        let answer = read_answer(&mut stream);
+        if !answer.starts_with("HTTP/1.1 200 ") {
+            break answer;
+        }
+    };
+    expect_that!(refused.as_str(), starts_with("HTTP/1.1 503 "));
+    expect_that!(
+        refused.as_str(),
+        contains_substring("retry-after: 0.020\r\n")
+    );
+    expect_that!(refused.as_str(), contains_substring("\"not_run\":true"));
+    drained.thread.join().expect("the drain ends");
+}
+
 #[gtest]
 fn a_port_that_is_taken_is_an_error_at_the_start() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
