--- a/azureway-core/src/site/server_entry.rs
+++ b/azureway-core/src/site/server_entry.rs
@@ -1,7 +1,6 @@
 //! A backend server in the platform's list.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use crate::domain::{Incarnation, ServerId, ServiceId, WeightsVersion, ZoneId};
 
@@ -20,8 +19,6 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
-    /// How much longer it is slow after its start.
-    pub cold: Duration,
     /// Its life.
     pub incarnation: Incarnation,
     /// The weights that it has loaded, where it serves a model.
--- a/azureway-core/src/site/service.rs
+++ b/azureway-core/src/site/service.rs
@@ -11,8 +11,6 @@
     pub id: ServiceId,
     /// The model that it serves; a plain service has none.
     pub model: Option<ModelId>,
-    /// The connections that each server takes from all entries together.
-    pub connections: u32,
     /// Whether its servers fetch cached blocks from one another.
     pub fetches: bool,
     /// The address, where the service is a store of cached blocks and not a pool of servers.
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -9,7 +9,7 @@
 use crate::domain::{
     AccountId, AvailabilityZone, BackendServer, BackendServerPool, ClientAccount, ConfigVersion,
     Loaded, ModelId, ModelService, PoolId, Rollout, ServerId, ServiceKind, Timestamp, TokenRate,
-    WeightsVersion, ZoneId,
+    WeightsVersion,
 };
 use crate::fleet::Fleet;
 
@@ -200,11 +200,6 @@
         let loaded = servers.filter_map(|s| s.weights).max();
         loaded.map_or(named, |l| l.max(named))
     }
-
-    /// Returns the availability zones.
-    pub fn zones(&self) -> impl Iterator<Item = &ZoneId> {
-        self.zones.iter().map(|z| &z.id)
-    }
 }
 
 fn server(entry: &ServerEntry) -> BackendServer {
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -17,7 +17,6 @@
         zone: ZoneId::new("a"),
         slots: 4,
         leaving,
-        cold: Duration::ZERO,
         incarnation: Incarnation::new(7),
         weights: None,
     }
@@ -104,7 +103,6 @@
     let service = SiteService {
         id: ServiceId::new("orders"),
         model: Some(ModelId::new("m")),
-        connections: 10,
         fetches: true,
         store: None,
     };
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -113,7 +113,6 @@
     SiteService {
         id: ServiceId::new("advice"),
         model: Some(ModelId::new("m")),
-        connections: 100,
         fetches: true,
         store: None,
     }
@@ -127,7 +126,6 @@
         zone: ZoneId::new("a"),
         slots: 8,
         leaving: false,
-        cold: Duration::ZERO,
         incarnation: Incarnation::new(life),
         weights: Some(WeightsVersion::new(weights)),
     }
--- a/azureway-entry/src/routed/call_terms.rs
+++ b/azureway-entry/src/routed/call_terms.rs
@@ -18,8 +18,6 @@
     pub wait: Option<Duration>,
     /// The parts of the prompt in order; the last one is the request's or its session's own.
     pub parts: SmallVec<[PromptPart<'a>; 6]>,
-    /// The tokens of the prompt.
-    pub prompt: TokenCount,
     /// The most tokens that the answer may have.
     pub output: TokenCount,
 }
--- a/azureway-entry/src/routed/calls.rs
+++ b/azureway-entry/src/routed/calls.rs
@@ -68,12 +68,12 @@
             )
         };
         let service = service.ok_or_else(none)?;
-        let wall = if account.isolated {
+        let owner = if account.isolated {
             account.id.as_str()
         } else {
             NOBODY
         };
-        let salt = Salt::new(&AccountId::new(wall), &service.id, WeightsVersion::ZERO);
+        let salt = Salt::new(&AccountId::new(owner), &service.id, WeightsVersion::ZERO);
         let target = format!("{} {}", call.head.method, call.head.path);
         let wait = terms.wait.map_or(route.timeout, |w| w.min(route.timeout));
         let rank = account.priority.map_or(route.rank, |(rank, _)| rank);
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -102,7 +102,6 @@
             zone: ZoneId::new("a"),
             slots: 8,
             leaving: false,
-            cold: Duration::ZERO,
             incarnation: Incarnation::new(1),
             weights: None,
         })
@@ -121,7 +120,6 @@
     SiteService {
         id: ServiceId::new("orders"),
         model: None,
-        connections: 10,
         fetches: false,
         store: None,
     }
