--- a/azureway-cli/src/app/account_command.rs
+++ b/azureway-cli/src/app/account_command.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, Command};
 
-use super::root_command::{add, reason, text};
+use super::arguments::{add, reason, text};
 
 /// Returns the commands on client accounts.
 pub(super) fn command() -> Command {
--- a/azureway-cli/src/app/admin_command.rs
+++ b/azureway-cli/src/app/admin_command.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
 
-use super::root_command::text;
+use super::arguments::text;
 
 /// Returns the commands on entry instances and backend servers.
 pub(super) fn commands() -> [Command; 3] {
--- a/azureway-cli/src/app/config_command.rs
+++ b/azureway-cli/src/app/config_command.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, ArgAction, Command, value_parser};
 
-use super::root_command::{add, reason, text};
+use super::arguments::{add, reason, text};
 
 /// Returns the commands on the document.
 pub(super) fn command() -> Command {
--- a/azureway-cli/src/app/mod.rs
+++ b/azureway-cli/src/app/mod.rs
@@ -2,6 +2,7 @@
 
 mod account_command;
 mod admin_command;
+mod arguments;
 mod config_command;
 mod root_command;
 mod runner;
--- a/azureway-cli/src/app/root_command.rs
+++ b/azureway-cli/src/app/root_command.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 
-use clap::{Arg, ArgAction, Command, value_parser};
+use clap::{Arg, Command, value_parser};
 use clap_complete::Shell;
 
+use super::arguments::text;
 use super::{account_command, admin_command, config_command};
 
 /// What the help ends with.
@@ -68,21 +69,3 @@
         .about("Prints the completions of a shell")
         .arg(shell)
 }
-
-/// Returns an option that takes a value.
-pub(super) fn text(name: &'static str, value: &'static str, help: &'static str) -> Arg {
-    Arg::new(name).long(name).value_name(value).help(help)
-}
-
-/// Returns the option that lets a command add what does not exist.
-pub(super) fn add() -> Arg {
-    Arg::new("add")
-        .long("add")
-        .action(ArgAction::SetTrue)
-        .help("Adds it if it does not exist")
-}
-
-/// Returns the option that tells why a change is made.
-pub(super) fn reason() -> Arg {
-    text("reason", "TEXT", "Why, for the audit trail").required(true)
-}
