--- a/azureway-core/src/cache/index.rs
+++ b/azureway-core/src/cache/index.rs
@@ -91,7 +91,7 @@
     }
 
     /// Begins to follow a life of a server of which no news has come yet.
-    pub fn meet(&mut self, server: &ServerId, incarnation: Incarnation) {
+    pub fn follow(&mut self, server: &ServerId, incarnation: Incarnation) {
         let place = self.place(server);
         let follower = &mut self.followers[place as usize];
         if incarnation > follower.cursor.incarnation() {
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -18,7 +18,7 @@
 const HOLD_TIME: Duration = Duration::from_millis(500);
 /// How many times unseen work is counted at most for a server that tells of its load with each
 /// answer.
-const ECHO_MAX: u32 = 2;
+const UNSEEN_WEIGHT_MAX: u32 = 2;
 /// The share of a server's slots, in percent, that drafting leaves to urgent work.
 const URGENT_RESERVE: u32 = 25;
 /// The time that a request stays where none has been seen to end.
@@ -294,14 +294,14 @@
         // What this entry sent since the report, the other entries are taken to have sent
         // too: all choose by the same report, and must not all choose the same server.
         let unseen = self.own.unseen().pending.get();
-        seen + TokenCount::new(unseen.saturating_mul(u64::from(self.echo())))
+        seen + TokenCount::new(unseen.saturating_mul(u64::from(self.unseen_weight())))
     }
 
     /// Returns how many times this entry's unseen work is counted. Where each answer tells of
     /// the load, little is unseen, and other entries are as likely to have chosen other servers.
-    fn echo(&self) -> u32 {
+    fn unseen_weight(&self) -> u32 {
         match self.server.loaded {
-            Some(_) => self.share.entries().min(ECHO_MAX),
+            Some(_) => self.share.entries().min(UNSEEN_WEIGHT_MAX),
             None => self.share.entries(),
         }
     }
@@ -317,7 +317,7 @@
     /// Returns the requests that the server runs or holds, as far as they are known.
     pub fn load(&self) -> u32 {
         let seen = self.reported.flights.max(self.own.seen().flights);
-        seen + self.own.unseen().flights * self.echo()
+        seen + self.own.unseen().flights * self.unseen_weight()
     }
 
     /// Tells whether a listed server should have slots, as far as its load is known.
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -67,7 +67,7 @@
         // Servers that only the list tells of have no news of their own to begin with.
         for server in fleet.servers.values() {
             if let Some(loaded) = server.loaded {
-                self.index.meet(&server.id, loaded.incarnation);
+                self.index.follow(&server.id, loaded.incarnation);
                 self.guard.hear(&server.id, loaded.incarnation, now);
             }
         }
--- a/azureway-core/src/site/mod.rs
+++ b/azureway-core/src/site/mod.rs
@@ -14,4 +14,4 @@
 pub use named_weights::NamedWeights;
 pub use server_entry::ServerEntry;
 pub use service::SiteService;
-pub use state::{NOBODY, SiteState};
+pub use state::{ANONYMOUS, SiteState};
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -37,7 +37,7 @@
 /// platform's own promise.
 const LAPSE_TIME: Duration = Duration::from_secs(2);
 /// The client account of requests that carry no key, on routes that ask for none.
-pub const NOBODY: &str = "";
+pub const ANONYMOUS: &str = "";
 /// The limit of every account, in tokens a second, beyond what any site takes: the platform's
 /// configuration has none.
 const UNLIMITED: TokenRate = TokenRate::new(1 << 40);
@@ -154,8 +154,8 @@
         let mut fleet = Fleet::new().with_version(self.revision);
         fleet.routes = document.routes.clone();
         fleet.limits = document.limits;
-        let nobody = ClientAccount::new(AccountId::new(NOBODY)).with_limit(UNLIMITED);
-        fleet = fleet.with_account(nobody);
+        let anonymous = ClientAccount::new(AccountId::new(ANONYMOUS)).with_limit(UNLIMITED);
+        fleet = fleet.with_account(anonymous);
         for account in &document.accounts {
             fleet = fleet.with_account(account.clone().with_limit(UNLIMITED));
         }
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -260,7 +260,7 @@
         .with_busy(LOAD_TIME);
     let messages = rings.order_messages.clone();
     let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
-    let orderer = orderer.with_heralds(rings.peer.clone());
+    let orderer = orderer.with_peers(rings.peer.clone());
     spawn("order", move || orderer.run())?;
     Ok(())
 }
--- a/azureway-entry/src/exchange/asking.rs
+++ b/azureway-entry/src/exchange/asking.rs
@@ -14,7 +14,7 @@
 /// How many times the estimated time to the first token a server may be silent.
 const PATIENCE: u32 = 4;
 /// The answers to other requests that are passed over on one connection.
-const STRAYS_MAX: u32 = 4;
+const FOREIGN_MAX: u32 = 4;
 /// How long a server that stopped reading a body is given to say why.
 const EARLY_ANSWER: Duration = Duration::from_millis(50);
 /// The header by which a stream is resumed after the last event that was received.
@@ -77,7 +77,7 @@
             let head = connection.head().map_err(|_| failed(&e))?;
             return Ok((connection, closing(head)));
         }
-        for _ in 0..STRAYS_MAX {
+        for _ in 0..FOREIGN_MAX {
             let head = connection.head().map_err(|e| failed(&e))?;
             let attempt = self.dialect.read(&head).attempt;
             if attempt.is_none_or(|a| Some(a) == self.attempt(passage)) {
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -24,7 +24,7 @@
     sweeper: Option<Sweeper<A>>,
     chosen: bool,
     wake: Timestamp,
-    heralds: Option<Sender<PeerMessage>>,
+    peers: Option<Sender<PeerMessage>>,
     time: Duration,
     checks: LoadChecks,
     announced: Vec<(Timestamp, LoadOrder)>,
@@ -32,7 +32,7 @@
 
 /// The time between telling of a load and ordering it: peers hear of it, and what waits in the
 /// server begins meanwhile.
-const HERALD_TIME: Duration = Duration::from_millis(300);
+const ANNOUNCE_TIME: Duration = Duration::from_millis(300);
 /// The wake-up of an entry that only waits for messages.
 const IDLE: Timestamp = Timestamp::MAX;
 
@@ -56,7 +56,7 @@
             planner: OrderPlanner::new(config),
             chosen: true,
             wake: Timestamp::ZERO,
-            heralds: None,
+            peers: None,
             time: config.busy,
             checks: LoadChecks::new(),
             announced: Vec::new(),
@@ -72,8 +72,8 @@
 
     /// Tells every peer of a load before it is ordered.
     #[must_use]
-    pub fn with_heralds(mut self, peers: Sender<PeerMessage>) -> Self {
-        self.heralds = Some(peers);
+    pub fn with_peers(mut self, peers: Sender<PeerMessage>) -> Self {
+        self.peers = Some(peers);
         self
     }
 
@@ -119,7 +119,7 @@
             let Some(order) = self.planner.next(self.clock.now()) else {
                 break;
             };
-            if self.heralds.is_some() {
+            if self.peers.is_some() {
                 self.announce(order);
             } else {
                 self.send(&order);
@@ -159,7 +159,7 @@
 
     /// Asks the servers that load whether they have ended, and lets peers know.
     fn check(&mut self) {
-        if self.heralds.is_none() {
+        if self.peers.is_none() {
             return;
         }
         while let Some(order) = self.checks.due(self.clock.now()) {
@@ -178,7 +178,8 @@
     /// begun: an order rejects all that has not.
     fn announce(&mut self, order: LoadOrder) {
         self.tell(&order, self.time);
-        self.announced.push((self.clock.now() + HERALD_TIME, order));
+        self.announced
+            .push((self.clock.now() + ANNOUNCE_TIME, order));
     }
 
     /// Sends the orders that were announced long enough ago.
@@ -195,7 +196,7 @@
 
     /// Tells every peer how long a load still takes.
     fn tell(&self, order: &LoadOrder, time: Duration) {
-        let Some(peers) = &self.heralds else {
+        let Some(peers) = &self.peers else {
             return;
         };
         let loading = Loading {
--- a/azureway-entry/src/routed/calls.rs
+++ b/azureway-entry/src/routed/calls.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use azureway_core::prelude::*;
-use azureway_core::site::NOBODY;
+use azureway_core::site::ANONYMOUS;
 
 use super::{CallTerms, CallerDialect};
 use crate::admit::{Call, Passage, ReadCall, UpstreamRequest};
@@ -71,7 +71,7 @@
         let owner = if account.isolated {
             account.id.as_str()
         } else {
-            NOBODY
+            ANONYMOUS
         };
         let salt = Salt::new(&AccountId::new(owner), &service.id, WeightsVersion::ZERO);
         let target = format!("{} {}", call.head.method, call.head.path);
@@ -191,9 +191,9 @@
     let known = terms.key.and_then(|k| fleet.account_of(&KeyHash::of(k)));
     // The one account that every fleet has stands for callers without a key.
     let open = route.public || fleet.accounts.len() == 1;
-    let nobody = fleet.accounts.get(NOBODY).filter(|_| open);
+    let anonymous = fleet.accounts.get(ANONYMOUS).filter(|_| open);
     let refusal = || Refusal::not_run(RefusalReason::Unauthorized, "the API key is not known");
-    known.or(nobody).ok_or_else(refusal)
+    known.or(anonymous).ok_or_else(refusal)
 }
 
 /// Derives the blocks of a prompt from its parts. Servers tell of each part by itself, so keys
