Let one function tell how a complete answer ends, and drop what nothing calls

The connection and its answer each chose between keeping and closing; three accessors of the route table had no caller; a bound of the largest number bounded nothing. A watch for hang-ups that cannot begin is logged now.

--- a/azureway-core/src/fleet/route_table.rs
+++ b/azureway-core/src/fleet/route_table.rs
@@ -29,19 +29,4 @@
         let routes = self.hosts.get(host)?;
         routes.iter().find(|r| path.starts_with(r.prefix.as_ref()))
     }
-
-    /// Returns every route.
-    pub fn iter(&self) -> impl Iterator<Item = &Route> {
-        self.hosts.values().flatten()
-    }
-
-    /// Returns the number of routes.
-    pub fn len(&self) -> usize {
-        self.hosts.values().map(Vec::len).sum()
-    }
-
-    /// Tells whether there is no route.
-    pub fn is_empty(&self) -> bool {
-        self.hosts.is_empty()
-    }
 }
--- a/azureway-entry/src/routed/answer.rs
+++ b/azureway-entry/src/routed/answer.rs
@@ -76,7 +76,7 @@
             match chunk {
                 AnswerChunk::Full(head, body) => {
                     RoutedResponder::new(self.stream, self.close).pass(&head, &body)?;
-                    return Ok(Some(self.ending()));
+                    return Ok(Some(Ending::complete(self.close)));
                 }
                 AnswerChunk::Held(head, body) => self.held = Some((head, body)),
                 AnswerChunk::Head(head) => self.begin(&head)?,
@@ -88,7 +88,7 @@
                 AnswerChunk::End => {
                     // Dropping the writer writes the last chunk.
                     self.writer = None;
-                    return Ok(Some(self.ending()));
+                    return Ok(Some(Ending::complete(self.close)));
                 }
                 AnswerChunk::Event(..) | AnswerChunk::Whole(..) => {
                     return Err(io::Error::other("a chunk of another interface"));
@@ -107,14 +107,6 @@
         Ok(())
     }
 
-    const fn ending(&self) -> Ending {
-        if self.close {
-            Ending::Last
-        } else {
-            Ending::Complete
-        }
-    }
-
     fn refuse(&mut self, refusal: &Refusal) -> io::Result<Ending> {
         if self.writer.is_some() {
             return Ok(Ending::Broken);
@@ -124,7 +116,7 @@
             Some((head, body)) if !refusal.not_run => responder.pass(&head, &body)?,
             _ => responder.refuse(refusal)?,
         }
-        Ok(self.ending())
+        Ok(Ending::complete(self.close))
     }
 
     /// Takes the request back and answers for it. It counts as not run only if no try had
--- a/azureway-entry/src/routed/connection.rs
+++ b/azureway-entry/src/routed/connection.rs
@@ -1,6 +1,6 @@
 //! The duty of one routed caller's connection.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -118,9 +118,8 @@
         let closed = told.and_then(|()| self.stream.shutdown(std::net::Shutdown::Write));
         if closed.is_ok() {
             // A close with unread bytes resets the connection, and the answer could be lost.
-            let rest = TimedStream::new(&self.stream, Instant::now() + LINGER);
-            let limit = u64::MAX;
-            if let Err(e) = io::copy(&mut rest.take(limit), &mut io::sink()) {
+            let mut rest = TimedStream::new(&self.stream, Instant::now() + LINGER);
+            if let Err(e) = io::copy(&mut rest, &mut io::sink()) {
                 log::debug!(step = "read request", error:% = e; "the caller did not close");
             }
         }
@@ -145,9 +144,11 @@
             log::info!(request:% = id, step = "admit", code = "overloaded"; "refused");
             let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
             let told = RoutedResponder::new(&self.stream, close).refuse(&refusal);
-            return told.map_or(Ending::Broken, |()| ended(close));
+            return told.map_or(Ending::Broken, |()| Ending::complete(close));
         }
-        let watched = self.watch.begin(&self.stream, id);
+        let watched = self.watch.begin(&self.stream, id).inspect_err(|e| {
+            log::warn!(request:% = id, step = "watch callers", error:% = e; "a hang-up would go unnoticed");
+        });
         let mut answer = RoutedAnswer::new(&self.stream, id, limit, close);
         let result = answer.run(&outcomes, &self.handles.decide);
         if let Ok(place) = watched {
@@ -164,14 +165,6 @@
     }
 }
 
-const fn ended(close: bool) -> Ending {
-    if close {
-        Ending::Last
-    } else {
-        Ending::Complete
-    }
-}
-
 /// Tells whether the caller wants the connection closed after the answer.
 fn asks_close(head: &Head) -> bool {
     let mut tokens = head.all("connection").flat_map(|v| v.split(','));
--- a/azureway-entry/src/routed/ending.rs
+++ b/azureway-entry/src/routed/ending.rs
@@ -10,3 +10,11 @@
     /// It broke off, or the caller is gone.
     Broken,
 }
+
+impl Ending {
+    /// Returns the ending of a complete answer, after which the connection is to be closed or
+    /// not.
+    pub const fn complete(close: bool) -> Self {
+        if close { Self::Last } else { Self::Complete }
+    }
+}
