--- a/azureway-core/src/order/config.rs
+++ b/azureway-core/src/order/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::LoadMode;
+
 /// The bounds of orders.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OrderConfig {
@@ -11,6 +13,8 @@
     pub limit: Duration,
     /// How long a load holds up the next one if nothing is heard of its end.
     pub busy: Duration,
+    /// What becomes of the runs of a server that loads.
+    pub mode: LoadMode,
 }
 
 /// The default rate of loads a second.
@@ -25,6 +29,7 @@
             store: DEFAULT_STORE,
             limit: DEFAULT_LIMIT,
             busy: DEFAULT_LIMIT,
+            mode: LoadMode::Drain,
         }
     }
 
@@ -41,6 +46,13 @@
         self.busy = busy;
         self
     }
+
+    /// Sets what becomes of the runs of a server that loads.
+    #[must_use]
+    pub const fn with_mode(mut self, mode: LoadMode) -> Self {
+        self.mode = mode;
+        self
+    }
 }
 
 impl Default for OrderConfig {
--- a/azureway-core/src/order/load_order.rs
+++ b/azureway-core/src/order/load_order.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::LoadMode;
 use crate::domain::{ConfigVersion, ModelId, ServerId, WeightsVersion};
 
 /// An order to load weights. It states the desired end: a server that has the weights does
@@ -18,6 +19,8 @@
     pub model: Option<ModelId>,
     /// The weights to have.
     pub weights: WeightsVersion,
+    /// What becomes of the runs of the server.
+    pub mode: LoadMode,
     /// The version of the configuration that asks for them.
     pub config: ConfigVersion,
 }
--- a/azureway-core/src/order/mod.rs
+++ b/azureway-core/src/order/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod load;
+mod load_mode;
 mod load_order;
 mod planner;
 mod pool_view;
@@ -9,6 +10,7 @@
 
 pub use config::OrderConfig;
 pub use load::Load;
+pub use load_mode::LoadMode;
 pub use load_order::LoadOrder;
 pub use planner::OrderPlanner;
 pub use pool_view::PoolView;
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -170,6 +170,7 @@
             fenced: server.fenced,
             model: self.model(pool, weights),
             weights,
+            mode: self.config.mode,
             config: self.fleet.version,
         })
     }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -24,7 +24,7 @@
     Heartbeat, Liveness, Loading, MemberConfig, MemberNews, Membership, News, PeerAction,
     PeerEvent, ServerNews, ServerSign,
 };
-pub use crate::order::{LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
+pub use crate::order::{LoadMode, LoadOrder, OrderConfig, OrderPlanner, StoreBudget};
 pub use crate::quarantine::{CrashSite, Quarantine, Strike, StrikeState, SuspectStatus};
 pub use crate::retry::{Backoff, RetryBudget, RetryBudgets, RetrySlack};
 pub use crate::route::{
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -41,9 +41,9 @@
 /// The limit of every account, in tokens a second, beyond what any site takes: the platform's
 /// configuration has none.
 const UNLIMITED: TokenRate = TokenRate::new(1 << 40);
-/// The rounds in which a pool is brought to new weights: a server ends its requests and loads
-/// within about two seconds, and the whole has to end within a few times that.
-const LOAD_ROUNDS: usize = 3;
+/// The rounds in which a pool is brought to new weights: a server is told of and loads within
+/// about a second, and the whole has to end within the platform's bound of some seconds.
+const LOAD_ROUNDS: usize = 5;
 /// The servers of a pool that load at once at least.
 const LOADS_MIN: u32 = 2;
 /// The prefill rate, in tokens a second, of an engine of which nothing was measured: the
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -60,8 +60,8 @@
 /// The prompt tokens whose traffic to another region weighs a second: the volume costs little
 /// beside computing a prompt again.
 const ABROAD_TOLL: TokenRate = TokenRate::new(100_000);
-/// How long a load holds up the next one if nothing is heard of its end: requests that run
-/// end first, and the load takes as long as several when many load at once.
+/// How long a load holds up the next one if nothing is heard of its end: a load takes as long as
+/// several when many load at once.
 const LOAD_TIME: Duration = Duration::from_millis(3_000);
 /// The margin before the bound of a rollout within which no older weights are asked: a request
 /// may wait in a busy server before it begins.
@@ -257,7 +257,8 @@
     let lease = Lease::new(config, settings.instance.clone(), mark);
     let config = OrderConfig::new()
         .with_store(settings.bounds.loads)
-        .with_busy(LOAD_TIME);
+        .with_busy(LOAD_TIME)
+        .with_mode(LoadMode::Swap);
     let messages = rings.order_messages.clone();
     let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
     let orderer = orderer.with_peers(rings.peer.clone());
