Let a sampled load fade within a second

Cause: requests waited for over a second while every server had slots.

Ruled out: pauses after a rejection and servers that are left alone (none past second 12), slots that other entries hold (each entry was below its part), late heads from the servers (p50 0.19 s there).

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -16,6 +16,10 @@
 /// How long a server that rejected a request though it had slots is left alone: about the time
 /// of a load.
 const HOLD_TIME: Duration = Duration::from_millis(500);
+/// How long a sample of a server's load tells of it. Unlike a report the next one comes only with
+/// an answer, and where a full server is given nothing none would come: by then about as many
+/// requests have ended as run.
+const SAMPLE_LIFE: Duration = Duration::from_secs(1);
 /// How many times unseen work is counted at most for a server that tells of its load with each
 /// answer.
 const UNSEEN_WEIGHT_MAX: u32 = 2;
@@ -40,6 +44,7 @@
     share: SlotShare,
     reported: Work,
     stay: Duration,
+    sampled: Timestamp,
     heard: Timestamp,
     listed: bool,
     health: Health,
@@ -59,6 +64,7 @@
             own: OwnWork::new(),
             reported: Work::default(),
             stay: DEFAULT_STAY,
+            sampled: Timestamp::ZERO,
             heard: Timestamp::ZERO,
             listed: false,
             health: Health::Live,
@@ -118,6 +124,7 @@
         if let Some((running, queued)) = sample.load {
             self.own.roll(now);
             self.reported.flights = running + queued;
+            self.sampled = now;
             let own = self.own.total().flights;
             self.share.observe(running + queued, own, now);
         }
@@ -209,7 +216,7 @@
                 return known;
             }
             // It has slots and rejects all the same: it is loading weights or about to leave.
-            FailureKind::Busy if failure.is_full() && self.has_slots() => {
+            FailureKind::Busy if failure.is_full() && self.has_slots(now) => {
                 self.held = now + HOLD_TIME;
             }
             FailureKind::Busy if failure.is_full() => self.share.refused(self.flights(), now),
@@ -261,7 +268,7 @@
             Rank::Drafting if !owed => reserve,
             Rank::Drafting | Rank::Urgent => 0,
         };
-        room && (kept == 0 || self.load() + kept < self.server.slots)
+        room && (kept == 0 || self.load(now) + kept < self.server.slots)
     }
 
     /// Returns when a server that failed or refused is tried again.
@@ -307,22 +314,33 @@
     }
 
     /// Returns the time until a slot is free for a new request, as far as it is known.
-    pub fn slot_wait(&self) -> Duration {
+    pub fn slot_wait(&self, now: Timestamp) -> Duration {
         let slots = self.server.slots.max(1);
-        let over = (self.load() + 1).saturating_sub(slots);
+        let over = (self.load(now) + 1).saturating_sub(slots);
         // Slots come free one after the other, evenly over the time that a request stays.
         self.stay * over / slots
     }
 
     /// Returns the requests that the server runs or holds, as far as they are known.
-    pub fn load(&self) -> u32 {
-        let seen = self.reported.flights.max(self.own.seen().flights);
+    pub fn load(&self, now: Timestamp) -> u32 {
+        let seen = self.told(now).max(self.own.seen().flights);
         seen + self.own.unseen().flights * self.unseen_weight()
     }
 
+    /// Returns the requests that the server told of, less what has ended since a sample.
+    fn told(&self, now: Timestamp) -> u32 {
+        let flights = self.reported.flights;
+        if self.server.loaded.is_none() {
+            return flights;
+        }
+        let left = SAMPLE_LIFE.saturating_sub(now.since(self.sampled));
+        // At most the number itself, so that it fits.
+        (u128::from(flights) * left.as_millis() / SAMPLE_LIFE.as_millis()) as u32
+    }
+
     /// Tells whether a listed server should have slots, as far as its load is known.
-    fn has_slots(&self) -> bool {
-        self.server.loaded.is_some() && self.load() < self.server.slots
+    fn has_slots(&self, now: Timestamp) -> bool {
+        self.server.loaded.is_some() && self.load(now) < self.server.slots
     }
 
     fn suspect(&mut self, now: Timestamp) {
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{Candidate, Job};
+use crate::domain::Timestamp;
 
 /// The parts of the estimated time to first token at a candidate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,15 +27,15 @@
 
 impl Estimate {
     /// Estimates the time to first token of `job` at `candidate`.
-    pub fn new(job: Job, candidate: &Candidate<'_>) -> Self {
+    pub fn new(job: Job, candidate: &Candidate<'_>, now: Timestamp) -> Self {
         let state = candidate.state;
         let server = &state.server;
         let missing = job.prompt.saturating_sub(candidate.cached);
         let prefill = server.prefill.time_for(missing);
         Self {
-            wait: server.prefill.time_for(state.ahead()) + state.slot_wait(),
+            wait: server.prefill.time_for(state.ahead()) + state.slot_wait(now),
             prefill,
-            crowd: prefill.saturating_mul(CROWD * state.load()) / server.slots.max(1),
+            crowd: prefill.saturating_mul(CROWD * state.load(now)) / server.slots.max(1),
             link: candidate.link * 2,
             toll: candidate.toll,
             waste: server
--- a/azureway-core/src/route/least_loaded.rs
+++ b/azureway-core/src/route/least_loaded.rs
@@ -17,10 +17,10 @@
 impl Policy for LeastLoaded {
     const NAME: &'static str = "least-loaded";
 
-    fn choose(&mut self, _: Job, candidates: &[Candidate<'_>], _: Timestamp) -> Option<usize> {
+    fn choose(&mut self, _: Job, candidates: &[Candidate<'_>], now: Timestamp) -> Option<usize> {
         let places = candidates.iter().enumerate();
         places
-            .min_by_key(|(_, c)| c.state.load())
+            .min_by_key(|(_, c)| c.state.load(now))
             .map(|(place, _)| place)
     }
 }
--- a/azureway-core/src/route/prefix_load.rs
+++ b/azureway-core/src/route/prefix_load.rs
@@ -27,8 +27,8 @@
 impl Policy for PrefixLoad {
     const NAME: &'static str = "prefix-load";
 
-    fn choose(&mut self, job: Job, candidates: &[Candidate<'_>], _: Timestamp) -> Option<usize> {
-        let cost = |c: &Candidate<'_>| Estimate::new(job, c).cost();
+    fn choose(&mut self, job: Job, candidates: &[Candidate<'_>], now: Timestamp) -> Option<usize> {
+        let cost = |c: &Candidate<'_>| Estimate::new(job, c, now).cost();
         let bound = candidates.iter().map(cost).min()? + SLACK;
         let order = |c: &Candidate<'_>| match c.home {
             true => (true, mix(c.weight ^ job.draw)),
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -124,7 +124,7 @@
         let best = placement.choose(policy, want, service, now)?;
         let mut order = want.plan.order(want.request, service, &best);
         order.source = placement.source(want.request, service, &best, now);
-        order.expected = Estimate::new(want.job(service), &best).total();
+        order.expected = Estimate::new(want.job(service), &best, now).total();
         self.track(want, service.pool.clone(), &order, now);
         Some(order)
     }
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -76,7 +76,7 @@
                 server: state.server.id.clone(),
                 zone: state.server.zone.clone(),
                 cached: candidate.cached,
-                estimate: Estimate::new(job, &candidate),
+                estimate: Estimate::new(job, &candidate, now),
                 home: candidate.home,
                 obstacle: (!chosen).then(obstacle),
             }
@@ -145,7 +145,7 @@
                 break;
             }
             alive |= self.survey(Some(reach), quiet, want, service, now, found);
-            let time = |c: &Candidate<'_>| Estimate::new(job, c).total();
+            let time = |c: &Candidate<'_>| Estimate::new(job, c, now).total();
             let shared = self.config.shared;
             let other = |c: &Candidate<'_>| !shared || Some(&c.state.server.id) != want.failed;
             if found.iter().any(|c| time(c) <= SPILL && other(c)) {
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -79,6 +79,14 @@
                 };
                 self.bench.tell(Event::Sampled(&sample));
             }
+            "busy" => {
+                let sample = LoadSample {
+                    server: ServerId::new("s"),
+                    load: Some((number(1) as u32, 0)),
+                    weights: None,
+                };
+                self.bench.tell(Event::Sampled(&sample));
+            }
             "load" => self.load(number(1), number(2)),
             "loaded" => self.load(number(1), 0),
             "reject" => {
@@ -104,6 +112,7 @@
     fn ask(&mut self) -> Option<Dispatch> {
         let mut request = self.bench.request("", &["house"]);
         request.service = ServiceId::new("advice");
+        request.rank = Rank::Drafting;
         let actions = self.bench.tell(Event::Arrived(&request));
         orders(&actions).first().map(|o| (*o).clone())
     }
--- a/azureway-entry/src/admin/admin_duty.rs
+++ b/azureway-entry/src/admin/admin_duty.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use azureway_core::prelude::{Error, ErrorKind, KeyHash, Rank, Step};
-use azureway_wire::admin::{DRAIN_PATH, EXPLAIN_PATH, STATUS_PATH, StatusBody};
+use azureway_wire::admin::{DRAIN_PATH, EXPLAIN_PATH, STATUS_PATH, ServerBody, StatusBody};
 use flume::TrySendError;
 use serde::Serialize;
 use tiny_http::{Header, Method, Request, Response, Server};
@@ -109,7 +109,11 @@
             instance: self.handles.instance.as_str().into(),
             zone: self.handles.zone.as_str().into(),
             rejected: standing.rejected.map(|v| v.get()),
-            servers: standing.servers.iter().map(Into::into).collect(),
+            servers: standing
+                .servers
+                .iter()
+                .map(|s| ServerBody::new(s, standing.at))
+                .collect(),
             ..standing.overview.into()
         })
     }
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -174,6 +174,7 @@
 
     fn status(&self) -> DaemonStatus {
         DaemonStatus {
+            at: self.clock.now(),
             overview: self.router.overview(),
             rejected: self.news.rejected(),
             servers: self.router.servers().iter().cloned().collect(),
--- a/azureway-entry/tests/meter.rs
+++ b/azureway-entry/tests/meter.rs
@@ -45,6 +45,7 @@
         };
         let (rejected, servers) = (None, Vec::new());
         let _ = reply.send(DaemonStatus {
+            at: Timestamp::ZERO,
             overview,
             rejected,
             servers,
--- a/azureway-wire/src/admin/server_body.rs
+++ b/azureway-wire/src/admin/server_body.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of a backend server.
 
-use azureway_core::prelude::ServerState;
+use azureway_core::prelude::{ServerState, Timestamp};
 use serde::{Deserialize, Serialize};
 
 /// What an entry knows of a backend server.
@@ -30,8 +30,9 @@
     pub ahead: u64,
 }
 
-impl From<&ServerState> for ServerBody {
-    fn from(state: &ServerState) -> Self {
+impl ServerBody {
+    /// Creates what is known of a server at `now`.
+    pub fn new(state: &ServerState, now: Timestamp) -> Self {
         let server = &state.server;
         Self {
             name: server.id.as_str().into(),
@@ -43,7 +44,7 @@
             weights: state.weights.map(|w| w.get()),
             slots: server.slots,
             flights: state.flights(),
-            load: state.load(),
+            load: state.load(now),
             ahead: state.ahead().get(),
         }
     }
