--- a/azureway-core/src/domain/route.rs
+++ b/azureway-core/src/domain/route.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{Rank, RequestKind, RouteId, ServiceId};
+use super::{ClientAccount, Rank, RequestKind, RouteId, ServiceId};
 
 /// A route: which requests it takes, the services behind it and how they are treated.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,7 +25,7 @@
     pub public: bool,
     /// The rank of its requests.
     pub rank: Rank,
-    /// The priority that backend servers are told; lower goes first.
+    /// The priority; lower goes first.
     pub priority: u8,
     /// The backend servers that one request may be sent to.
     pub tries: u32,
@@ -35,6 +35,10 @@
     pub target: Duration,
 }
 
+/// The priorities of routes that are told apart within one priority of an account. Backend
+/// servers know ten priorities, which leaves three accounts' priorities three each.
+const ROUTE_LEVELS: u8 = 3;
+
 impl Route {
     /// Chooses a service by weight. `draw` differs between requests.
     pub fn service(&self, draw: u64) -> Option<&ServiceId> {
@@ -49,4 +53,12 @@
         }
         None
     }
+
+    /// Returns the priority that backend servers are told for a request of `account`; lower goes
+    /// first. The account's goes before the route's.
+    pub fn precedence(&self, account: &ClientAccount) -> u8 {
+        let own = self.priority.min(ROUTE_LEVELS - 1);
+        let first = account.priority.map_or(own, |(_, priority)| priority);
+        first.saturating_mul(ROUTE_LEVELS).saturating_add(own)
+    }
 }
--- a/azureway-entry/src/routed/calls.rs
+++ b/azureway-entry/src/routed/calls.rs
@@ -109,7 +109,7 @@
             attempt,
             once: route.kind == RequestKind::AtMostOnce,
             headers: self.headers(call),
-            priority: account.priority.map_or(route.priority, |(_, p)| p),
+            priority: route.precedence(account),
             until: request.deadline.point(),
             patience,
             tries: match route.kind {
