--- a/azureway-core/tests/site_runs/step.rs
+++ b/azureway-core/tests/site_runs/step.rs
@@ -34,7 +34,7 @@
     Configure,
     /// The store is away for an entry.
     Away(usize),
-    /// The store is away for all, and the entries of its list lapse.
+    /// The store is away for all until the entries of its list lapse.
     Lapse,
     /// The store is back for all.
     Back,
