Try births that only the list tells against requests that crash servers

Two tests: three entries, crashes that only the list's lives show, strikes shared; and broken connections without a birth. The second fails if the list's lives are not heard: a break then counts as a crash.

--- a/azureway-core/tests/farm/mod.rs
+++ b/azureway-core/tests/farm/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use azureway_core::prelude::*;
-use support::{Bench, failure};
+use support::{Bench, failure, fleet};
 
 /// A try that runs: at which entry, of which body.
 type Try = (usize, String, Dispatch);
@@ -129,6 +129,21 @@
         }
     }
 
+    /// Lets every entry read the platform's list, which tells of every server's life.
+    pub fn list_all(&mut self) {
+        for entry in 0..self.entries.len() {
+            let version = self.entries[entry].router.fleet().version.next();
+            let mut fleet = fleet(self.lives.len(), 32).with_version(version);
+            for server in fleet.servers.values_mut() {
+                server.loaded = Some(Loaded {
+                    incarnation: Incarnation::new(self.lives[&server.id]),
+                    weights: None,
+                });
+            }
+            self.tell(entry, Event::Configured(&fleet));
+        }
+    }
+
     /// Lets every entry hear of every strike.
     pub fn share(&mut self) {
         while let Some((from, strike)) = self.news.pop() {
--- a/azureway-core/tests/quarantine.rs
+++ b/azureway-core/tests/quarantine.rs
@@ -42,6 +42,40 @@
     }
 }
 
+/// Servers of the users' platform tell nothing of themselves: their lives stand in its list alone.
+#[gtest]
+fn births_in_the_list_bar_a_request_that_crashes_servers() {
+    let mut farm = Farm::new(3, SERVERS);
+    farm.list_all();
+    for sending in 0..6 {
+        farm.send(sending % 3, POISON);
+        farm.crash_one(POISON);
+        farm.list_all();
+        farm.share();
+        farm.pass(Duration::from_secs(3));
+    }
+    farm.crash_all(POISON);
+    expect_that!(farm.crashes, le(3));
+    let standing = [0, 1, 2].map(|entry| farm.standing(entry, POISON));
+    expect_that!(standing, each(eq(SuspectStatus::Quarantined)));
+}
+
+#[gtest]
+fn a_broken_connection_without_a_birth_bars_nothing() {
+    let mut farm = Farm::new(1, SERVERS);
+    farm.list_all();
+    for _ in 0..4 {
+        farm.send(0, POISON);
+        farm.break_links(POISON);
+        farm.list_all();
+        farm.pass(Duration::from_secs(3));
+    }
+    expect_that!(
+        farm.standing(0, POISON),
+        not(eq(SuspectStatus::Quarantined))
+    );
+}
+
 #[gtest]
 fn twenty_innocents_survive_one_poison() {
     let mut farm = Farm::new(1, SERVERS);
