--- a/azureway-core/src/watch/watch_plan.rs
+++ b/azureway-core/src/watch/watch_plan.rs
@@ -15,6 +15,8 @@
 pub struct WatchPlan {
     chosen: bool,
     after: Option<u64>,
+    /// Whether the last call failed.
+    failing: bool,
     due: Timestamp,
     backoff: Backoff,
     checks: Backoff,
@@ -38,6 +40,7 @@
         Self {
             chosen: true,
             after: None,
+            failing: false,
             due: Timestamp::ZERO,
             backoff: Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed),
             checks: Backoff::new(CHECK_TIME, CHECK_TIME, seed),
@@ -70,7 +73,9 @@
         }
         match self.after {
             None => WatchStep::List,
-            Some(version) if self.chosen => WatchStep::Watch(version, self.wait),
+            // A platform that has just failed may take a call in and be silent: the sooner the
+            // call ends, the sooner its return is seen.
+            Some(version) if self.chosen && !self.failing => WatchStep::Watch(version, self.wait),
             Some(version) => WatchStep::Watch(version, Duration::ZERO),
         }
     }
@@ -78,6 +83,7 @@
     /// Notes an answer that is complete up to `version`.
     pub fn answered(&mut self, version: u64, now: Timestamp) {
         self.backoff.reset();
+        self.failing = false;
         self.after = Some(version);
         self.due = if self.chosen {
             now + self.gap
@@ -88,6 +94,7 @@
 
     /// Notes a failure. A platform that does not understand the version is asked for all.
     pub fn failed(&mut self, kind: ErrorKind, now: Timestamp) {
+        self.failing = true;
         if !matches!(kind, ErrorKind::Unavailable | ErrorKind::Limited) {
             self.after = None;
         }
