Log how long requests waited, for their first token and in all

The lines of a late request told neither: sent tells the wait and the estimate, answered the time to the first token and in all, and times have milliseconds.

--- a/azureway-entry/src/decide/caller.rs
+++ b/azureway-entry/src/decide/caller.rs
@@ -42,6 +42,11 @@
         self.server.as_ref().map_or("", ServerId::as_str)
     }
 
+    /// Returns the milliseconds from the request's arrival to `at`, for logs.
+    pub fn since(&self, at: Timestamp) -> u64 {
+        u64::try_from(at.since(self.arrived).as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the measure of a try that begins at `now`.
     pub fn sent(&self, attempt: Attempt, now: Timestamp) -> Measure {
         match attempt.number {
--- a/azureway-entry/src/decide/callers.rs
+++ b/azureway-entry/src/decide/callers.rs
@@ -75,7 +75,8 @@
             request:% = id, step = "finish", peer = caller.peer(), account:% = caller.account,
             rank = caller.rank.as_str(), tries = finish.attempt.number,
             prompt = caller.prompt.get(), cached = finish.cached.get(),
-            output = finish.output.get();
+            output = finish.output.get(), first = caller.first.map(|at| caller.since(at)),
+            took = caller.since(now);
             "answered"
         );
         Some(Measure::Finished(Box::new(caller.served(finish, now))))
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -252,14 +252,16 @@
         let Some(caller) = self.callers.send(&order) else {
             return;
         };
+        let now = self.clock.now();
         log::info!(
             request:% = id, step = "dispatch", attempt = order.attempt.number,
+            waited = caller.since(now), expected:? = order.expected,
             peer:% = order.server, weights:% = order.weights, prompt = caller.prompt.get(),
             prefix:% = caller.prefix, cached = order.cached.get(), position:% = order.position,
             source:? = order.source; "sent"
         );
         let attempt = order.attempt;
-        let measure = caller.sent(attempt, self.clock.now());
+        let measure = caller.sent(attempt, now);
         let chunks = self.launcher.launch(order, Arc::clone(&caller.upstream));
         let attached = Outcome::Attached {
             attempt,
--- a/azureway-entry/src/logs/mod.rs
+++ b/azureway-entry/src/logs/mod.rs
@@ -22,6 +22,7 @@
     let (ring, writer, end) = LogRing::new();
     crate::daemon::spawn("logs", move || writer.run(&mut std::io::stdout()))?;
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(level))
+        .format_timestamp_millis()
         .target(env_logger::Target::Pipe(Box::new(ring)))
         .init();
     Ok(end)
