Let a process take over at once what its instance held

The platform runs one process of an instance at a time, and the rule counts a machine as one holder. The record tells how long servers still rest, since who has just taken over may start again (a row of the table, which fails without it).

Ruled out: the configuration (in force 0.02 to 0.1 s after the start).

--- a/azureway-core/src/lease/config.rs
+++ b/azureway-core/src/lease/config.rs
@@ -11,6 +11,8 @@
     pub margin: Duration,
     /// How long servers that check no fencing number rest between orders of two holders.
     pub rest: Duration,
+    /// Whether an instance runs one process at a time: whatever an earlier one held is its own.
+    pub sole: bool,
 }
 
 /// The default term.
@@ -29,6 +31,7 @@
             term: DEFAULT_TERM,
             margin: DEFAULT_MARGIN,
             rest: Duration::ZERO,
+            sole: false,
         }
     }
 
@@ -47,6 +50,14 @@
         self
     }
 
+    /// Lets a process take over at once what an earlier process of its instance held, where the
+    /// platform runs one process of an instance at a time.
+    #[must_use]
+    pub const fn with_sole(mut self) -> Self {
+        self.sole = true;
+        self
+    }
+
     /// Returns the time after which a lease is renewed, or looked at by others.
     pub fn pace(&self) -> Duration {
         self.term / RENEWALS
--- a/azureway-core/src/lease/holder.rs
+++ b/azureway-core/src/lease/holder.rs
@@ -118,6 +118,7 @@
             mark: self.mark,
             beat: self.beat,
             number,
+            rest: self.rest.since(now),
         };
         LeaseStep::Write(expected, record)
     }
@@ -148,10 +149,14 @@
 
     fn find(&mut self, version: u64, record: &LeaseRecord, now: Timestamp) {
         let mine = record.mark == self.mark;
+        let before = self.config.sole && record.holder == self.me;
         if mine && self.write.is_some_and(|w| w.beat == record.beat) {
             return self.hold(version);
         }
         self.write = None;
+        if before && !mine {
+            self.rest = now + record.rest;
+        }
         self.state = match self.state {
             LeaseState::Held(_, number, ends) if mine && number == record.number => {
                 self.look = now;
@@ -161,7 +166,7 @@
                 LeaseState::Seen(version, number, since)
             }
             // Nobody else has taken it, so a new number can be written at once.
-            _ if mine => LeaseState::Lapsed(version, record.number),
+            _ if mine || before => LeaseState::Lapsed(version, record.number),
             _ => LeaseState::Seen(version, record.number, now),
         };
     }
--- a/azureway-core/src/lease/record.rs
+++ b/azureway-core/src/lease/record.rs
@@ -1,5 +1,7 @@
 //! A lease as the platform holds it.
 
+use std::time::Duration;
+
 use crate::domain::{FencingNumber, InstanceId};
 
 /// A lease as the platform holds it.
@@ -13,4 +15,6 @@
     pub beat: u64,
     /// The fencing number, higher for each new holder.
     pub number: FencingNumber,
+    /// How long after the write servers that check no fencing number still rest.
+    pub rest: Duration,
 }
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -255,7 +255,8 @@
     let margin = served.term / MARGIN_PART;
     let config = LeaseConfig::new()
         .with_term(served.term, margin)
-        .with_rest(served.term);
+        .with_rest(served.term)
+        .with_sole();
     let lease = Lease::new(config, settings.instance.clone(), mark);
     let config = OrderConfig::new()
         .with_store(settings.bounds.loads)
--- a/azureway-wire/src/order/lease_body.rs
+++ b/azureway-wire/src/order/lease_body.rs
@@ -1,5 +1,7 @@
 //! The value of a lease.
 
+use std::time::Duration;
+
 use azureway_core::prelude::{FencingNumber, InstanceId, LeaseRecord};
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +16,10 @@
     pub beat: u64,
     /// The fencing number.
     pub number: u64,
+    /// How long after the write servers that check no fencing number still rest, in milliseconds
+    /// rounded up.
+    #[serde(default)]
+    pub rest: u64,
 }
 
 impl From<&LeaseRecord> for LeaseBody {
@@ -23,6 +29,7 @@
             mark: record.mark,
             beat: record.beat,
             number: record.number.get(),
+            rest: u64::try_from(record.rest.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX),
         }
     }
 }
@@ -34,6 +41,7 @@
             mark: body.mark,
             beat: body.beat,
             number: FencingNumber::new(body.number),
+            rest: Duration::from_millis(body.rest),
         }
     }
 }
