Let older weights answer for a while after a start

Cause: a process that starts lets only the newest weights answer, since it cannot know for how long they have been named. After all machines were dark during a rollout, two of nine servers had them. The platform holds a process to the bound only once it has settled: until two seconds before that older weights may answer, where the settings name the time (settle).

--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -114,6 +114,7 @@
         Duration::from_millis(reader.number(key, default, 1, 3_600_000, "milliseconds"))
     };
     let (term, rollout) = (millis("term", 3_000), millis("rollout", 8_000));
+    let settle = reader.number("settle", 0, 0, 3_600_000, "milliseconds");
     let mut seconds =
         |key, default: u64| Duration::from_secs(reader.number(key, default, 1, 3_600, "seconds"));
     let (window, grace) = (seconds("window", 10), seconds("grace", 8));
@@ -125,6 +126,7 @@
         window,
         term,
         rollout,
+        settle: Duration::from_millis(settle),
         grace,
     })
 }
--- a/azureway-config/src/settings/site_settings.rs
+++ b/azureway-config/src/settings/site_settings.rs
@@ -22,6 +22,8 @@
     pub term: Duration,
     /// The time in which newly named weights must answer everything.
     pub rollout: Duration,
+    /// How long after its start a process is not held to the bounds of the platform.
+    pub settle: Duration,
     /// The time between the signal to stop and the end of the process.
     pub grace: Duration,
 }
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -126,6 +126,13 @@
         newer
     }
 
+    /// Returns the earliest time at which weights count as named that a process finds when it
+    /// starts. It cannot know for how long they have been named: older ones answer for `time`.
+    pub fn found(&self, start: Timestamp, time: Duration) -> Timestamp {
+        let grace = u64::try_from(self.grace.as_micros()).unwrap_or(u64::MAX);
+        Timestamp::from_micros((start + time).as_micros().saturating_sub(grace))
+    }
+
     /// Drops the servers that did not come back in time. Returns whether any is gone.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         let late: Vec<_> = self
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -179,3 +179,29 @@
     expect_that!(route("one", "/", &[("off", 0)]).service(5), none());
     expect_that!(route("one", "/", &[]).service(5), none());
 }
+
+/// A process that starts finds weights 2 named, and the server still has weights 1.
+#[gtest]
+fn older_weights_answer_for_a_while_after_a_start() {
+    let grace = Duration::from_secs(6);
+    let start = Timestamp::from_millis(3_600_000);
+    for (settle, after, answers) in [
+        (0, 0, false),
+        (2_000, 0, true),
+        (2_000, 1_999, true),
+        (2_000, 2_000, false),
+        // Never longer than after a name that was heard.
+        (6_000, 6_000, false),
+    ] {
+        let state = SiteState::new(Vec::new(), grace);
+        let since = state.found(start, Duration::from_millis(settle));
+        let rollout = Rollout {
+            model: ModelId::new("m"),
+            named: [(WeightsVersion::new(2), since)].into_iter().collect(),
+            grace,
+        };
+        let now = start + Duration::from_millis(after);
+        let allowed = rollout.allows(WeightsVersion::new(1), now);
+        expect_that!(allowed, eq(answers), "{settle} {after}");
+    }
+}
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -63,8 +63,8 @@
 /// How long a load holds up the next one if nothing is heard of its end: a load takes as long as
 /// several when many load at once.
 const LOAD_TIME: Duration = Duration::from_millis(3_000);
-/// The margin before the bound of a rollout within which no older weights are asked: a request
-/// may wait in a busy server before it begins.
+/// The margin before the bound of a rollout, or before a process is held to it, within which no
+/// older weights are asked: a request may wait in a busy server before it begins.
 const ROLLOUT_MARGIN: Duration = Duration::from_millis(2_000);
 
 impl Gateway {
@@ -205,14 +205,18 @@
     mark: u64,
 ) -> Result<(), Error> {
     let (news, messages): (Sender<SiteNews>, _) = flume::bounded(SITE_RING);
+    let grace = served.rollout.saturating_sub(ROLLOUT_MARGIN);
+    let state = SiteState::new(served.zones.clone(), grace);
+    let first = state.found(
+        rings.clock.now(),
+        served.settle.saturating_sub(ROLLOUT_MARGIN),
+    );
     for kind in SiteKind::ALL {
         let plan = WatchPlan::new(mark).with_pace(SITE_WAIT, WATCH_GAP, WATCH_CAP);
         let (api, news) = (api.clone(), news.clone());
-        let watcher = SiteWatcher::new(api, site.clone(), kind, news, rings.clock, plan);
+        let watcher = SiteWatcher::new(api, site.clone(), kind, news, rings.clock, plan, first);
         spawn(kind.as_str(), move || watcher.run())?;
     }
-    let grace = served.rollout.saturating_sub(ROLLOUT_MARGIN);
-    let state = SiteState::new(served.zones.clone(), grace);
     let duty = SiteDuty::new(
         state,
         messages,
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -32,7 +32,8 @@
 }
 
 impl<A: ObjectApi, C: SiteCodec> SiteWatcher<A, C> {
-    /// Creates the duty of a kind. `seed` spreads the retries of instances that fail together.
+    /// Creates the duty of a kind. What the first answer tells counts as having happened at
+    /// `first` at the earliest.
     pub fn new(
         api: A,
         codec: C,
@@ -40,6 +41,7 @@
         news: Sender<SiteNews>,
         clock: Clock,
         plan: WatchPlan,
+        first: Timestamp,
     ) -> Self {
         Self {
             api,
@@ -51,8 +53,8 @@
             away: None,
             back: None,
             listed: false,
-            answered: Timestamp::ZERO,
-            since: Timestamp::ZERO,
+            answered: first,
+            since: first,
         }
     }
 
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -274,6 +274,7 @@
             slack: 50,
             window: Duration::from_secs(10),
             term: Duration::from_secs(3),
+            settle: Duration::ZERO,
             rollout: Duration::from_secs(8),
             grace: Duration::from_secs(8),
         };
