--- a/azureway-core/src/fleet/mod.rs
+++ b/azureway-core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod server_state;
 mod server_table;
 mod slot_share;
+mod told_work;
 mod work;
 
 pub use configured::Fleet;
@@ -20,4 +21,5 @@
 pub use server_state::ServerState;
 pub use server_table::ServerTable;
 pub use slot_share::SlotShare;
+pub use told_work::ToldWork;
 pub use work::Work;
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Health, LoadReport, LoadSample, OwnWork, SlotShare, Work};
+use super::{Health, LoadReport, LoadSample, OwnWork, SlotShare, ToldWork, Work};
 use crate::domain::{
     BackendServer, Incarnation, Loaded, Rank, Timestamp, TokenCount, WeightsVersion,
 };
@@ -16,10 +16,6 @@
 /// How long a server that rejected a request though it had slots is left alone: about the time
 /// of a load.
 const HOLD_TIME: Duration = Duration::from_millis(500);
-/// How long a sample of a server's load tells of it. Unlike a report the next one comes only with
-/// an answer, and where a full server is given nothing none would come: by then about as many
-/// requests have ended as run.
-const SAMPLE_LIFE: Duration = Duration::from_secs(1);
 /// How many times unseen work is counted at most for a server that tells of its load with each
 /// answer.
 const UNSEEN_WEIGHT_MAX: u32 = 2;
@@ -42,9 +38,8 @@
     pub weights: Option<WeightsVersion>,
     own: OwnWork,
     share: SlotShare,
-    reported: Work,
+    told: ToldWork,
     stay: Duration,
-    sampled: Timestamp,
     heard: Timestamp,
     listed: bool,
     health: Health,
@@ -62,9 +57,8 @@
             weights: server.loaded.and_then(|l| l.weights),
             server,
             own: OwnWork::new(),
-            reported: Work::default(),
+            told: ToldWork::default(),
             stay: DEFAULT_STAY,
-            sampled: Timestamp::ZERO,
             heard: Timestamp::ZERO,
             listed: false,
             health: Health::Live,
@@ -123,8 +117,7 @@
     pub fn sample(&mut self, sample: &LoadSample, now: Timestamp) -> bool {
         if let Some((running, queued)) = sample.load {
             self.own.roll(now);
-            self.reported.flights = running + queued;
-            self.sampled = now;
+            self.told.sample(running + queued, now);
             let own = self.own.total().flights;
             self.share.observe(running + queued, own, now);
         }
@@ -148,10 +141,10 @@
         self.weights = Some(report.weights);
         self.own.roll(now);
         self.heard = now;
-        self.reported = Work {
+        self.told.report(Work {
             flights: report.running + report.queued,
             pending: report.pending,
-        };
+        });
         self.share.report(report, self.own.total().flights, now);
         self.health = match (self.health, report.leaving) {
             (_, true) => Health::Leaving,
@@ -297,7 +290,7 @@
 
     /// Returns the prompt tokens ahead of a new request, as far as they are known.
     pub fn ahead(&self) -> TokenCount {
-        let seen = self.reported.pending.max(self.own.seen().pending);
+        let seen = self.told.pending().max(self.own.seen().pending);
         // What this entry sent since the report, the other entries are taken to have sent
         // too: all choose by the same report, and must not all choose the same server.
         let unseen = self.own.unseen().pending.get();
@@ -323,21 +316,10 @@
 
     /// Returns the requests that the server runs or holds, as far as they are known.
     pub fn load(&self, now: Timestamp) -> u32 {
-        let seen = self.told(now).max(self.own.seen().flights);
+        let seen = self.told.flights(now).max(self.own.seen().flights);
         seen + self.own.unseen().flights * self.unseen_weight()
     }
 
-    /// Returns the requests that the server told of, less what has ended since a sample.
-    fn told(&self, now: Timestamp) -> u32 {
-        let flights = self.reported.flights;
-        if self.server.loaded.is_none() {
-            return flights;
-        }
-        let left = SAMPLE_LIFE.saturating_sub(now.since(self.sampled));
-        // At most the number itself, so that it fits.
-        (u128::from(flights) * left.as_millis() / SAMPLE_LIFE.as_millis()) as u32
-    }
-
     /// Tells whether a listed server should have slots, as far as its load is known.
     fn has_slots(&self, now: Timestamp) -> bool {
         self.server.loaded.is_some() && self.load(now) < self.server.slots
--- a/azureway-core/src/router/obstacle.rs
+++ b/azureway-core/src/router/obstacle.rs
@@ -1,5 +1,9 @@
 //! Why a backend server does not get a request.
 
+use super::PlacementRequest;
+use crate::domain::{ModelService, Timestamp};
+use crate::fleet::{Health, ServerState};
+
 /// Why a backend server does not get a request now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Obstacle {
@@ -18,6 +22,28 @@
 }
 
 impl Obstacle {
+    /// Returns why a server is no candidate.
+    pub fn between(
+        want: PlacementRequest<'_>,
+        state: &ServerState,
+        service: &ModelService,
+        now: Timestamp,
+    ) -> Self {
+        if !state.accepts(now) {
+            return match state.health() {
+                Health::Leaving => Self::Leaving,
+                Health::Live | Health::Suspect => Self::Suspect,
+            };
+        }
+        if !want.fits(state, service, now) {
+            return Self::Weights;
+        }
+        match want.has_room(state, now) {
+            true => Self::Far,
+            false => Self::Full,
+        }
+    }
+
     /// Returns the name of the obstacle.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -6,8 +6,8 @@
 
 use super::{Obstacle, PlacementRequest, RouteOption, RouterConfig};
 use crate::cache::CacheIndex;
-use crate::domain::{ModelService, Request, ServiceKind, Timestamp};
-use crate::fleet::{Fleet, Health, ServerState, ServerTable};
+use crate::domain::{ModelService, Request, Timestamp};
+use crate::fleet::{Fleet, ServerState, ServerTable};
 use crate::quarantine::Guard;
 use crate::route::{Candidate, Estimate, Job, Policy, Reach, Rendezvous, Spread};
 
@@ -70,7 +70,7 @@
             let listed = found.iter().any(|c| c.state.server.id == state.server.id);
             let obstacle = || match listed {
                 true => Obstacle::Behind,
-                false => obstacle(state, want, service, now),
+                false => Obstacle::between(want, state, service, now),
             };
             RouteOption {
                 server: state.server.id.clone(),
@@ -170,11 +170,11 @@
         let near = self.servers.of_pool(&service.pool);
         let near = near.filter(|s| s.is_quiet(now) == quiet);
         let near = near.filter(|s| reach.is_none_or(|r| self.reach(s) == r));
-        let near = near.filter(|s| fits(s, want.request, service, now));
+        let near = near.filter(|s| want.fits(s, service, now));
         let mut fit: SmallVec<[(u64, &ServerState); 16]> =
             near.map(|s| (order.weight(&s.server.id), s)).collect();
         let bound = self.home_bound(want.request, &fit, now);
-        fit.retain(|(_, s)| has_room(s, want, now) && self.admits(want, s, now));
+        fit.retain(|(_, s)| want.has_room(s, now) && self.admits(want, s, now));
         let wide = reach.is_none();
         for (weight, state) in &fit {
             let near = self.reach(state);
@@ -265,42 +265,3 @@
         homes.for_each(|c| c.cached = c.cached.max(shared));
     }
 }
-
-/// Tells whether a server is alive and has what a request to `service` needs.
-fn fits(state: &ServerState, request: &Request, service: &ModelService, now: Timestamp) -> bool {
-    let takes = |loaded| service.takes(loaded, request.weights, now);
-    let weights = service.kind == ServiceKind::Plain || state.weights.is_none_or(takes);
-    weights && state.accepts(now)
-}
-
-/// Returns why a server is no candidate.
-fn obstacle(
-    state: &ServerState,
-    want: PlacementRequest<'_>,
-    service: &ModelService,
-    now: Timestamp,
-) -> Obstacle {
-    if !state.accepts(now) {
-        return match state.health() {
-            Health::Leaving => Obstacle::Leaving,
-            Health::Live | Health::Suspect => Obstacle::Suspect,
-        };
-    }
-    if !fits(state, want.request, service, now) {
-        return Obstacle::Weights;
-    }
-    if has_room(state, want, now) {
-        Obstacle::Far
-    } else {
-        Obstacle::Full
-    }
-}
-
-/// Tells whether a server has room. A stream that has begun may use any slot.
-fn has_room(state: &ServerState, want: PlacementRequest<'_>, now: Timestamp) -> bool {
-    if want.is_begun() {
-        state.flights() < state.server.slots
-    } else {
-        state.has_room(want.request.rank, want.owed, now)
-    }
-}
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -1,7 +1,10 @@
 //! What is asked of a placement.
 
 use super::Plan;
-use crate::domain::{ModelService, Request, ServerId, StreamPosition, TokenCount};
+use crate::domain::{
+    ModelService, Request, ServerId, ServiceKind, StreamPosition, Timestamp, TokenCount,
+};
+use crate::fleet::ServerState;
 use crate::route::Job;
 
 /// A request that wants a backend server now.
@@ -55,4 +58,20 @@
     pub fn is_begun(&self) -> bool {
         self.plan.position > StreamPosition::ZERO
     }
+
+    /// Tells whether a server is alive and has what a request to `service` needs.
+    pub fn fits(&self, state: &ServerState, service: &ModelService, now: Timestamp) -> bool {
+        let takes = |loaded| service.takes(loaded, self.request.weights, now);
+        let weights = service.kind == ServiceKind::Plain || state.weights.is_none_or(takes);
+        weights && state.accepts(now)
+    }
+
+    /// Tells whether a server has room. A stream that has begun may use any slot.
+    pub fn has_room(&self, state: &ServerState, now: Timestamp) -> bool {
+        if self.is_begun() {
+            state.flights() < state.server.slots
+        } else {
+            state.has_room(self.request.rank, self.owed, now)
+        }
+    }
 }
