--- a/azureway-core/src/lease/record.rs
+++ b/azureway-core/src/lease/record.rs
@@ -9,7 +9,8 @@
 pub struct LeaseRecord {
     /// The instance that holds the lease.
     pub holder: InstanceId,
-    /// The mark of the holder's process; a restarted holder does not know its lease again.
+    /// The mark of the holder's process; a restarted holder does not know its lease again, unless
+    /// its instance runs one process at a time.
     pub mark: u64,
     /// The number of the write, by which the holder knows it again after a lost answer.
     pub beat: u64,
