Read a site's figures as fractions too

The platform's pages say that figures may be fractions. Counts are rounded down; a window is rounded up to whole seconds for the rate of the slack, so that no more is handed out within it.

--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -109,24 +109,31 @@
 fn site(reader: &mut SectionReader<'_, '_>) -> Option<SiteSettings> {
     let ready = reader.required_value("ready", ADDRESS, address);
     let share = reader.required_value("retries", "a share from 0 to 1", share);
-    let slack = reader.number("slack", 0, 0, 1_000_000, "retries");
-    let mut millis = |key, default: u64| {
-        Duration::from_millis(reader.number(key, default, 1, 3_600_000, "milliseconds"))
+    // The platform may state each of these as a fraction.
+    let slack = reader.number("slack", 0.0, 0.0, 1_000_000.0, "retries");
+    let mut millis = |key, default: f64, low: f64| {
+        let millis = reader.number(key, default, low, 3_600_000.0, "milliseconds");
+        Duration::from_secs_f64(millis / 1_000.0)
+    };
+    let (term, rollout) = (
+        millis("term", 3_000.0, 1.0),
+        millis("rollout", 8_000.0, 1.0),
+    );
+    let settle = millis("settle", 0.0, 0.0);
+    let mut seconds = |key, default: f64| {
+        Duration::from_secs_f64(reader.number(key, default, 1.0, 3_600.0, "seconds"))
     };
-    let (term, rollout) = (millis("term", 3_000), millis("rollout", 8_000));
-    let settle = reader.number("settle", 0, 0, 3_600_000, "milliseconds");
-    let mut seconds =
-        |key, default: u64| Duration::from_secs(reader.number(key, default, 1, 3_600, "seconds"));
-    let (window, grace) = (seconds("window", 10), seconds("grace", 8));
+    let (window, grace) = (seconds("window", 10.0), seconds("grace", 8.0));
     Some(SiteSettings {
         ready: ready?,
         zones: Vec::new(),
         retries: share?,
-        slack,
+        // Rounded down, and within its range.
+        slack: slack as u32,
         window,
         term,
         rollout,
-        settle: Duration::from_millis(settle),
+        settle,
         grace,
     })
 }
--- a/azureway-core/src/retry/budget.rs
+++ b/azureway-core/src/retry/budget.rs
@@ -54,7 +54,7 @@
     pub fn share(&mut self, slack: RetrySlack, entries: u32) {
         let half = u64::from(slack.count) * RETRY_COST / 2 / u64::from(entries.max(1));
         self.bound = half.max(RETRY_COST);
-        self.pace = half / slack.window.as_secs().max(1);
+        self.pace = half / whole_seconds(slack.window);
         self.saved = self.saved.min(self.bound);
     }
 
@@ -94,3 +94,9 @@
         has_retry
     }
 }
+
+/// Returns a window in seconds, rounded up, so that no more is handed out within it.
+fn whole_seconds(window: Duration) -> u64 {
+    let seconds = window.as_millis().div_ceil(1_000).max(1);
+    u64::try_from(seconds).unwrap_or(u64::MAX)
+}
