--- a/azureway-core/tests/site_runs/world.rs
+++ b/azureway-core/tests/site_runs/world/mod.rs
@@ -1,4 +1,7 @@
-//! A site in a drawn run, and what must never be seen in it.
+//! A site in a drawn run.
+
+mod faults;
+mod rules;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,7 +10,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseError;
 
-use crate::entry::{Entry, GRACE, SHARE, SLACK};
+use crate::entry::Entry;
 use crate::replica::{BEAT, Replica, text};
 use crate::step::Step;
 use crate::store::{SERVICE, Store};
@@ -24,12 +27,6 @@
 const START: Timestamp = Timestamp::from_millis(3_600_000);
 /// The longest time between two reads of the store.
 const READ_GAP: Duration = Duration::from_millis(900);
-/// The time after which a replica's leaving has to be known to those in touch.
-const DRAIN: Duration = Duration::from_millis(2_500);
-/// How long an entry of the list lasts without a beat.
-const LEASE: Duration = Duration::from_secs(3);
-/// How long a crashed replica is down.
-const DOWN: Duration = Duration::from_secs(2);
 
 /// What the run knows of a request.
 #[derive(Debug)]
@@ -217,108 +214,6 @@
         self.tell(at, Event::Finished(&finish))
     }
 
-    fn break_off(&mut self, which: usize, events: u64) -> Result<(), TestCaseError> {
-        let Some((at, order)) = self.pick(which) else {
-            return Ok(());
-        };
-        if let Some(record) = self.records.get_mut(&order.attempt.id) {
-            record.received += events;
-        }
-        self.fail(at, &order, FailureKind::Broken, SendState::MaybeRun)
-    }
-
-    fn hang_up(&mut self, which: usize) -> Result<(), TestCaseError> {
-        let live = self.records.iter().filter(|(_, r)| !r.ended);
-        let live: Vec<_> = live.map(|(id, _)| *id).collect();
-        let Some(place) = which.checked_rem(live.len()) else {
-            return Ok(());
-        };
-        let id = live[place];
-        let epoch = self.records[&id].epoch;
-        self.end(id);
-        self.running.retain(|(_, o)| o.attempt.id != id);
-        match self.entries.iter().position(|e| e.epoch == epoch) {
-            Some(at) => self.tell(at, Event::HungUp(id)),
-            None => Ok(()),
-        }
-    }
-
-    fn crash(&mut self, which: usize) -> Result<(), TestCaseError> {
-        self.lives += 1;
-        let replica = &mut self.replicas[which];
-        replica.parts.clear();
-        replica.life = self.lives;
-        replica.down = Some(self.now + DOWN);
-        let id = replica.id.clone();
-        self.store.entries.remove(&id);
-        self.fail_all(&id)
-    }
-
-    fn leave(&mut self, which: usize) -> Result<(), TestCaseError> {
-        if !self.store.away {
-            let replica = &mut self.replicas[which];
-            replica.leaving = true;
-            self.store.leave(&replica.id, self.now);
-        }
-        Ok(())
-    }
-
-    /// Another replica takes the place and the address of one.
-    fn replace(&mut self, which: usize) -> Result<(), TestCaseError> {
-        if self.store.away {
-            return Ok(());
-        }
-        self.lives += 1;
-        let name = format!("r-{}", self.lives);
-        let next = Replica::new(&name, which + 1, self.lives, self.store.named.0);
-        let old = std::mem::replace(&mut self.replicas[which], next);
-        self.store.entries.remove(&old.id);
-        let replica = &self.replicas[which];
-        self.store
-            .entries
-            .insert(replica.id.clone(), replica.entry());
-        self.fail_all(&old.id)
-    }
-
-    fn load(&mut self, which: usize) -> Result<(), TestCaseError> {
-        let newest = self.store.named.0;
-        let replica = &mut self.replicas[which];
-        if replica.weights < newest && replica.down.is_none() {
-            replica.weights = newest;
-            replica.parts.clear();
-        }
-        Ok(())
-    }
-
-    /// The store is away for so long that what it lists lapses.
-    fn lapse(&mut self) -> Result<(), TestCaseError> {
-        self.store.away = true;
-        let begun = self.now;
-        while self.now.since(begun) < LEASE {
-            self.pass(READ_GAP)?;
-        }
-        self.store.entries.clear();
-        Ok(())
-    }
-
-    fn come_back(&mut self) -> Result<(), TestCaseError> {
-        self.store.away = false;
-        self.entries.iter_mut().for_each(|e| e.away = false);
-        // Whoever lives tells of itself again, once it has noticed: with the next step.
-        Ok(())
-    }
-
-    fn restart(&mut self, at: usize) -> Result<(), TestCaseError> {
-        let epoch = self.entries[at].epoch;
-        let records = self.records.values_mut();
-        let own = records.filter(|r| r.epoch == epoch);
-        own.for_each(|r| r.ended = true);
-        self.running.retain(|(a, _)| *a != at);
-        self.lives += 1;
-        self.entries[at] = Entry::new(100 + self.lives, ENTRIES as u32, self.now);
-        self.read(at)
-    }
-
     fn pass(&mut self, time: Duration) -> Result<(), TestCaseError> {
         self.now = self.now + time;
         for which in 0..REPLICAS {
@@ -409,58 +304,6 @@
         Ok(())
     }
 
-    fn check_order(&self, at: usize, order: &Dispatch) -> Result<(), TestCaseError> {
-        let record = &self.records[&order.attempt.id];
-        prop_assert!(!record.ended, "what has ended is not sent");
-        prop_assert_eq!(
-            order.position.get(),
-            record.received,
-            "a stream goes on where it stopped"
-        );
-        let elsewhere = self
-            .running
-            .iter()
-            .any(|(_, o)| o.attempt.id == order.attempt.id);
-        prop_assert!(!elsewhere, "a request has one try at a time");
-        let touch = |time| self.entries[at].in_touch(self.now, time);
-        if let Some(since) = self.store.leaving.get(&order.server) {
-            let late = self.now.since(*since) >= DRAIN && touch(DRAIN);
-            prop_assert!(!late, "a replica that leaves gets nothing new");
-        }
-        let (newest, named) = self.store.named;
-        if order.weights < newest {
-            let late = self.now.since(named) > GRACE + READ_GAP && touch(GRACE + READ_GAP);
-            prop_assert!(!late, "older weights answer only for a while");
-        }
-        Ok(())
-    }
-
-    /// Checks what the replica finds of the prompt.
-    fn check_parts(&self, order: &Dispatch) -> Result<(), TestCaseError> {
-        let record = &self.records[&order.attempt.id];
-        let replica = self.replicas.iter().find(|r| r.id == order.server);
-        let found = replica.and_then(|r| r.parts.get(&(text(order), record.prompt)));
-        if let Some((account, weights)) = found {
-            prop_assert_eq!(*weights, order.weights, "parts are of the right weights");
-            let walled = [*account, record.account].map(|a| ACCOUNTS[a] == "walled");
-            let alone = walled.contains(&true) && *account != record.account;
-            prop_assert!(!alone, "parts are not shared through a wall");
-        }
-        Ok(())
-    }
-
-    /// Checks that in the window that ends now no more was sent again than the share of what
-    /// was asked, in it or in the one before, and the slack.
-    fn check_budget(&self) -> Result<(), TestCaseError> {
-        let inside = |t: &&Timestamp| self.now.since(**t) < SLACK.window;
-        let near = |t: &&Timestamp| self.now.since(**t) < SLACK.window * 2;
-        let again = self.again.iter().filter(inside).count();
-        let asked = self.asked.iter().filter(near).count();
-        let allowed = asked * SHARE as usize / 100 + SLACK.count as usize;
-        prop_assert!(again <= allowed, "{again} sent again, {allowed} allowed");
-        Ok(())
-    }
-
     fn refuse(&mut self, id: RequestId, refusal: &Refusal) -> Result<(), TestCaseError> {
         let runs = self.records[&id].runs;
         prop_assert!(
