--- a/azureway-entry/src/order/http_orders.rs
+++ b/azureway-entry/src/order/http_orders.rs
@@ -6,6 +6,7 @@
 use super::{OrderAnswer, OrderLink};
 
 /// Orders over HTTP, as `POST /v1/orders`.
+///
 /// Servers of the plain interface end their runs before they load, whatever mode an order has.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HttpOrders;
