Let the tests of a site and of a try share one dialect

Found on reading the change again: both spelled the same headers, and the site's left out that a 421 is a mismatch, which the try's knew. One dialect serves both; no assertion changes. The service rate's comments still called it a pace.

--- a/azureway-core/src/admit/service_rate.rs
+++ b/azureway-core/src/admit/service_rate.rs
@@ -12,13 +12,13 @@
     last: Timestamp,
 }
 
-/// The time over which the pace is measured before older work counts half.
+/// The time over which the rate is measured before older work counts half.
 const WINDOW: f64 = 2.0;
-/// The time that must have been measured before the pace is known, in seconds.
+/// The time that must have been measured before the rate is known, in seconds.
 const LEAST: f64 = 0.5;
 
 impl ServiceRate {
-    /// Creates a pace that is not known.
+    /// Creates a rate that is not known.
     pub fn new() -> Self {
         Self::default()
     }
@@ -39,7 +39,7 @@
         }
     }
 
-    /// Returns the time in which `tokens` are taken, if the pace is known.
+    /// Returns the time in which `tokens` are taken, if the rate is known.
     pub fn time_for(&self, tokens: u64, now: Timestamp) -> Option<Duration> {
         let seconds = self.seconds + now.since(self.last).as_secs_f64();
         let known = seconds >= LEAST && self.tokens > 0.0;
--- /dev/null
+++ b/azureway-entry/tests/dialect/mod.rs
@@ -0,0 +1,35 @@
+//! How the tests' backend servers are spoken to.
+#![expect(unreachable_pub, reason = "a test's module has no outside")]
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use azureway_core::prelude::Dispatch;
+use azureway_entry::admit::UpstreamRequest;
+use azureway_entry::exchange::{AnswerHead, AnswerTerms, BackendDialect};
+
+/// A dialect with headers of its own.
+#[derive(Clone, Copy)]
+pub struct TestDialect;
+
+impl BackendDialect for TestDialect {
+    fn tell(&self, order: &Dispatch, _: &UpstreamRequest, left: Duration, out: &mut String) {
+        let _ = write!(
+            out,
+            "x-server: {}\r\nx-left: {}\r\n",
+            order.server,
+            left.as_millis()
+        );
+    }
+
+    fn read<'a>(&self, head: &'a AnswerHead) -> AnswerTerms<'a> {
+        AnswerTerms {
+            attempt: head.get("x-attempt"),
+            signed: head.get("x-sign").is_some(),
+            rejected: head.get("x-not-run").is_some(),
+            mismatch: head.status == 421,
+            load: None,
+            weights: None,
+        }
+    }
+}
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -1,6 +1,7 @@
 //! What a try makes of what a backend server sends: the table of faults.
 
-use std::fmt::Write as _;
+mod dialect;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -12,9 +13,8 @@
 use azureway_entry::caller::AnswerChunk;
 use azureway_entry::clock::Clock;
 use azureway_entry::decide::DecideMessage;
-use azureway_entry::exchange::{
-    AnswerHead, AnswerTerms, BackendDialect, ConnectionPool, ExchangeTry, TryHandle,
-};
+use azureway_entry::exchange::{ConnectionPool, ExchangeTry, TryHandle};
+use dialect::TestDialect;
 use flume::Receiver;
 use googletest::prelude::*;
 use socket2::SockRef;
@@ -26,32 +26,6 @@
 /// A guard against a hang; no verdict depends on it.
 const GUARD: Duration = Duration::from_secs(30);
 
-/// A dialect with headers of its own.
-#[derive(Clone, Copy)]
-struct Plain;
-
-impl BackendDialect for Plain {
-    fn tell(&self, order: &Dispatch, _: &UpstreamRequest, left: Duration, out: &mut String) {
-        let _ = write!(
-            out,
-            "x-server: {}\r\nx-left: {}\r\n",
-            order.server,
-            left.as_millis()
-        );
-    }
-
-    fn read<'a>(&self, head: &'a AnswerHead) -> AnswerTerms<'a> {
-        AnswerTerms {
-            attempt: head.get("x-attempt"),
-            signed: head.get("x-sign").is_some(),
-            rejected: head.get("x-not-run").is_some(),
-            mismatch: head.status == 421,
-            load: None,
-            weights: None,
-        }
-    }
-}
-
 /// One try at `address`, with the rings that its answer and its end come through.
 fn launch(
     address: SocketAddr,
@@ -72,7 +46,7 @@
         upstream: Arc::new(upstream(once, clock.now() + GUARD)),
         chunks,
         decide,
-        dialect: Plain,
+        dialect: TestDialect,
         pool: pool.clone(),
         handle: Arc::clone(&handle),
         connect: Duration::from_secs(1),
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -1,7 +1,9 @@
 //! What the tests of a whole site share: a site in a spelling of its own, and its backend server.
 #![expect(unreachable_pub, reason = "a test's module has no outside")]
 
-use std::fmt::Write as _;
+#[path = "../dialect/mod.rs"]
+mod dialect;
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -22,6 +24,7 @@
 use azureway_entry::site::{SiteCodec, SiteKind};
 use azureway_objects::PlainForm;
 use azureway_wire::object::ObjectBody;
+use dialect::TestDialect;
 use flume::{Receiver, Sender};
 
 /// A guard against a hang; no test's verdict depends on it.
@@ -49,22 +52,12 @@
 }
 
 impl BackendDialect for TestSite {
-    fn tell(&self, order: &Dispatch, _: &UpstreamRequest, left: Duration, out: &mut String) {
-        let _ = write!(
-            out,
-            "x-server: {}\r\nx-left: {}\r\n",
-            order.server,
-            left.as_millis()
-        );
+    fn tell(&self, order: &Dispatch, call: &UpstreamRequest, left: Duration, out: &mut String) {
+        TestDialect.tell(order, call, left, out);
     }
 
     fn read<'a>(&self, head: &'a AnswerHead) -> AnswerTerms<'a> {
-        AnswerTerms {
-            attempt: head.get("x-attempt"),
-            signed: head.get("x-sign").is_some(),
-            rejected: head.get("x-not-run").is_some(),
-            ..AnswerTerms::default()
-        }
+        TestDialect.read(head)
     }
 }
 
