Bound answers of backend servers that do not end

Cause: each read of an answer had a time limit, but the answer as a whole had none, and several parts had no limit in bytes: interim answers, the lines of chunks, an event of a stream, the answers to feeds and orders. A body of 16 MiB was allowed for each attempt, so six at once exceed the memory of the smallest instances (88 MB). A rejection was reported only after its body, however long.

Change: heads are bounded together with the interim ones before them, the framing of chunks by the body that it carries, a stream by the bytes from one new event to the next, and rejections by 64 KiB, after which the connection is dropped instead of reused. All bodies that are being read share 16 MiB; the first 64 KiB of each are free, so short answers do not fail because of endless ones. Until a stream begins, reads end at the request's deadline however slowly bytes arrive. Feeds and orders use the same client of backend servers, with one time limit a call, instead of minreq, which reads a whole answer into memory; an order that cannot be serialized is logged.

--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -2,16 +2,17 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::{SockRef, TcpKeepalive};
 
-use super::{AnswerHead, BodyStream, Framing};
+use super::timed_socket::nonzero;
+use super::{AnswerHead, BodyStream, Framing, TimedSocket};
 
 /// A connection to a backend server, which carries one request at a time.
 #[derive(Debug)]
 pub struct BackendConnection {
-    reader: BufReader<TcpStream>,
+    reader: BufReader<TimedSocket>,
 }
 
 /// The time for which sent bytes may stay unacknowledged before the connection fails: several times
@@ -24,8 +25,11 @@
     .with_interval(Duration::from_secs(1));
 /// The size of the read buffer, in bytes.
 const READ_SIZE: usize = 8 * 1024;
-/// The maximum size of a response head, in bytes.
+/// The maximum size of a response head, with the interim ones before it, in bytes.
 const MAX_HEAD_SIZE: usize = 64 * 1024;
+/// The maximum size of the body of an answer to a [`call`](BackendConnection::call), in bytes. A
+/// report of some hundred cached blocks has about 50 KB.
+const MAX_CALL_BODY: usize = 8 * 1024 * 1024;
 
 impl BackendConnection {
     /// Connects to `address` within `limit`.
@@ -39,32 +43,51 @@
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         socket.set_tcp_keepalive(&KEEPALIVE)?;
-        let reader = BufReader::with_capacity(READ_SIZE, stream);
+        let reader = BufReader::with_capacity(READ_SIZE, TimedSocket::new(stream));
         Ok(Self { reader })
     }
 
     /// Returns the socket.
     pub fn stream(&self) -> &TcpStream {
-        self.reader.get_ref()
+        self.reader.get_ref().stream()
     }
 
-    /// Sends a `GET` request and returns the response head and the body, read into memory.
+    /// Sends a `GET` or `POST` request and returns the response head and the body, read into
+    /// memory.
     ///
     /// # Errors
     ///
-    /// Returns an error if the answer is not received whole; each read waits for at most `limit`.
+    /// Returns an error if the answer is not received whole within `limit` or is too large.
     pub fn call(&mut self, request: &[u8], limit: Duration) -> io::Result<(AnswerHead, Vec<u8>)> {
         self.set_read_timeout(limit)?;
+        self.set_deadline(Some(Instant::now() + limit));
         self.send(request, limit)?;
         let head = self.read_head()?;
         let framing = Framing::from_head(&head, "GET");
         let framing = framing
             .ok_or_else(|| io::Error::other("the length of the answer's body is ambiguous"))?;
         let mut body = Vec::new();
-        self.body(framing).read_to_end(&mut body)?;
+        let limit = MAX_CALL_BODY as u64 + 1;
+        self.body(framing).take(limit).read_to_end(&mut body)?;
+        if body.len() > MAX_CALL_BODY {
+            return Err(io::Error::other("the body of the answer is too large"));
+        }
         Ok((head, body))
     }
 
+    /// Makes one [`call`](Self::call) on a new connection to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if connecting takes longer than `limit`, or if the call fails.
+    pub fn call_once(
+        address: SocketAddr,
+        request: &[u8],
+        limit: Duration,
+    ) -> io::Result<(AnswerHead, Vec<u8>)> {
+        Self::open(address, limit)?.call(request, limit)
+    }
+
     /// Sends the bytes of a request.
     ///
     /// # Errors
@@ -80,8 +103,13 @@
     /// # Errors
     ///
     /// Returns an error if the system rejects the option.
-    pub fn set_read_timeout(&self, limit: Duration) -> io::Result<()> {
-        self.stream().set_read_timeout(Some(nonzero(limit)))
+    pub fn set_read_timeout(&mut self, limit: Duration) -> io::Result<()> {
+        self.reader.get_mut().set_timeout(limit)
+    }
+
+    /// Sets the time after which reads fail even if bytes arrive, or removes it.
+    pub fn set_deadline(&mut self, deadline: Option<Instant>) {
+        self.reader.get_mut().set_deadline(deadline);
     }
 
     /// Reads the response head of the next final answer and skips interim (1xx) ones.
@@ -91,15 +119,18 @@
     /// Returns an error if no complete response head is received. Its kind is `UnexpectedEof` if
     /// the connection closed before the first byte.
     pub fn read_head(&mut self) -> io::Result<AnswerHead> {
+        let mut limit = MAX_HEAD_SIZE;
         loop {
-            let head = self.next_head()?;
+            let (head, length) = self.next_head(limit)?;
             if head.status >= 200 {
                 return Ok(head);
             }
+            limit = limit.checked_sub(length).ok_or_else(head_too_large)?;
         }
     }
 
-    fn next_head(&mut self) -> io::Result<AnswerHead> {
+    /// Reads a response head of at most `limit` bytes. Returns it with its length in bytes.
+    fn next_head(&mut self, limit: usize) -> io::Result<(AnswerHead, usize)> {
         let mut bytes = Vec::new();
         loop {
             let received = self.reader.fill_buf()?;
@@ -116,10 +147,10 @@
             match AnswerHead::parse(&bytes).map_err(io::Error::other)? {
                 Some((head, length)) => {
                     self.reader.consume(length - before);
-                    return Ok(head);
+                    return Ok((head, length));
                 }
-                None if bytes.len() > MAX_HEAD_SIZE => {
-                    return Err(io::Error::other("the response head is too large"));
+                None if bytes.len() > limit => {
+                    return Err(head_too_large());
                 }
                 None => self.reader.consume(count),
             }
@@ -144,7 +175,6 @@
     }
 }
 
-/// Returns `limit`, or 1 ms if it is shorter: a timeout of zero would mean none.
-fn nonzero(limit: Duration) -> Duration {
-    limit.max(Duration::from_millis(1))
+fn head_too_large() -> io::Error {
+    io::Error::other("the response head is too large")
 }
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -8,14 +8,14 @@
 use flume::Sender;
 
 use super::{
-    AnswerHead, BackendConnection, BackendDialect, BodyStream, CancelHandle, ConnectionPool,
-    EventSplitter, Framing,
+    AnswerHead, AnswerMemory, BackendConnection, BackendDialect, BodyStream, CancelHandle,
+    ConnectionPool, EventSplitter, Framing,
 };
 use crate::admit::{Passthrough, UpstreamRequest};
 use crate::caller::AnswerChunk;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
-use crate::relay::AttemptError;
+use crate::relay::{AttemptError, BROKEN};
 
 /// One attempt at a request: sends it unchanged to a backend server and forwards the answer.
 #[derive(Debug)]
@@ -32,6 +32,8 @@
     pub dialect: D,
     /// The idle connections to backend servers.
     pub pool: ConnectionPool,
+    /// The bound on the memory of the answers that all attempts read.
+    pub memory: AnswerMemory,
     /// The handle through which the attempt is cancelled.
     pub handle: Arc<CancelHandle>,
     /// The time limit for opening a connection.
@@ -44,9 +46,12 @@
     pub output: TokenCount,
 }
 
-/// The largest body of an answer that is not streamed, in bytes.
-const MAX_BODY_SIZE: u64 = 16 * 1024 * 1024;
-/// The size of the buffer for reads from a stream, in bytes.
+/// The largest body of a rejection that is read so that its connection can be reused, in bytes.
+const MAX_REJECTION_SIZE: u64 = 64 * 1024;
+/// The largest number of bytes of a stream from one new event to the next. It includes the events
+/// that a resumed stream repeats.
+const MAX_EVENT_SIZE: usize = 1024 * 1024;
+/// The size of the buffer for reads from an answer, in bytes.
 const READ_SIZE: usize = 16 * 1024;
 
 impl<D: BackendDialect> ExchangeAttempt<D> {
@@ -107,7 +112,7 @@
                 true => FailureKind::Mismatch,
                 false => FailureKind::Busy,
             };
-            if read_body(connection.body(framing)).is_ok() {
+            if discard_body(connection.body(framing), MAX_REJECTION_SIZE).is_ok() {
                 self.release(connection, &head);
             }
             return Err(AttemptError::Server(kind, SendState::Rejected));
@@ -132,7 +137,7 @@
         framing: Framing,
     ) -> Result<(), AttemptError> {
         self.report_start();
-        let body = read_body(connection.body(framing)).map_err(|e| AttemptError::from_read(&e))?;
+        let body = self.read_body(connection.body(framing))?;
         self.release(connection, &head);
         // The server has completed the request even if the caller has disconnected.
         let _ = self
@@ -150,7 +155,7 @@
         framing: Framing,
         signed: bool,
     ) -> Result<(), AttemptError> {
-        let body = read_body(connection.body(framing)).map_err(|e| AttemptError::from_read(&e))?;
+        let body = self.read_body(connection.body(framing))?;
         self.release(connection, &head);
         // These statuses would tell the caller that the request did not run, which the server has
         // not stated.
@@ -173,10 +178,13 @@
         head: AnswerHead,
         framing: Framing,
     ) -> Result<(), AttemptError> {
+        // The deadline applies to the first token, so a stream that has begun is still completed.
+        connection.set_deadline(None);
         self.send_chunk(AnswerChunk::StreamHead(Box::new(head.clone())))?;
         let mut body = connection.body(framing);
         let mut splitter = EventSplitter::new();
         let mut buffer = vec![0; READ_SIZE];
+        let mut since_event = 0;
         loop {
             let count = body
                 .read(&mut buffer)
@@ -186,6 +194,15 @@
             }
             splitter.push(&buffer[..count]);
             let events = self.new_events(&mut splitter);
+            since_event = if events.is_empty() {
+                since_event + count
+            } else {
+                0
+            };
+            if since_event > MAX_EVENT_SIZE {
+                log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = since_event; "the stream has no new event");
+                return Err(BROKEN);
+            }
             if !events.is_empty() {
                 self.send_chunk(AnswerChunk::StreamBytes(events))?;
             }
@@ -216,6 +233,25 @@
         bytes
     }
 
+    /// Reads a body into memory.
+    fn read_body(&self, mut body: BodyStream<'_>) -> Result<Vec<u8>, AttemptError> {
+        let mut reservation = self.memory.reserve();
+        let (mut bytes, mut buffer) = (Vec::new(), vec![0; READ_SIZE]);
+        loop {
+            let count = body
+                .read(&mut buffer)
+                .map_err(|e| AttemptError::from_read(&e))?;
+            if count == 0 {
+                return Ok(bytes);
+            }
+            if !reservation.grow(count) {
+                log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = bytes.len(); "the answer takes too much memory");
+                return Err(BROKEN);
+            }
+            bytes.extend_from_slice(&buffer[..count]);
+        }
+    }
+
     fn report_start(&self) {
         let _ = self
             .decide
@@ -236,18 +272,14 @@
     }
 }
 
-/// The answer was cut short, or its end cannot be determined.
-pub(super) const BROKEN: AttemptError =
-    AttemptError::Server(FailureKind::Broken, SendState::MaybeRun);
 /// The answer violates the interface of backend servers.
 const FAULTY: AttemptError = AttemptError::Server(FailureKind::Faulty, SendState::MaybeRun);
 
-/// Reads a body of at most [`MAX_BODY_SIZE`] bytes.
-pub(super) fn read_body(body: BodyStream<'_>) -> io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    body.take(MAX_BODY_SIZE + 1).read_to_end(&mut bytes)?;
-    if bytes.len() as u64 > MAX_BODY_SIZE {
+/// Reads and drops a body of at most `limit` bytes.
+pub(super) fn discard_body(body: BodyStream<'_>, limit: u64) -> io::Result<()> {
+    let count = io::copy(&mut body.take(limit + 1), &mut io::sink())?;
+    if count > limit {
         return Err(io::Error::other("the body of the answer is too large"));
     }
-    Ok(bytes)
+    Ok(())
 }
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -8,7 +8,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{BackendDialect, CancelHandle, ConnectionPool, ExchangeAttempt};
+use super::{AnswerMemory, BackendDialect, CancelHandle, ConnectionPool, ExchangeAttempt};
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::clock::Clock;
@@ -21,6 +21,7 @@
 pub struct ExchangeLauncher<D> {
     dialect: D,
     pool: ConnectionPool,
+    memory: AnswerMemory,
     decide: Sender<DecideMessage>,
     bounds: Bounds,
     clock: Clock,
@@ -42,6 +43,7 @@
         Self {
             dialect,
             pool: ConnectionPool::new(bounds.idle_connections),
+            memory: AnswerMemory::new(),
             decide,
             bounds,
             clock,
@@ -79,6 +81,7 @@
             decide: self.decide.clone(),
             dialect: self.dialect.clone(),
             pool: self.pool.clone(),
+            memory: self.memory.clone(),
             handle,
             connect_timeout: self.bounds.connect_timeout,
             clock: self.clock,
--- a/azureway-entry/src/exchange/mod.rs
+++ b/azureway-entry/src/exchange/mod.rs
@@ -4,10 +4,13 @@
 //! and reads those. Sending, framing, classifying failures and pooling are the same for all sites.
 
 mod answer_head;
+mod answer_memory;
 mod answer_metadata;
+mod answer_reservation;
 mod backend_dialect;
 mod body_stream;
 mod cancel_handle;
+mod chunked_body;
 mod connection;
 mod eof_as_error;
 mod event_splitter;
@@ -18,12 +21,16 @@
 mod pool;
 mod raw_event;
 mod send_request;
+mod timed_socket;
 
 pub use answer_head::AnswerHead;
+pub use answer_memory::AnswerMemory;
 pub use answer_metadata::AnswerMetadata;
+pub use answer_reservation::AnswerReservation;
 pub use backend_dialect::BackendDialect;
 pub use body_stream::BodyStream;
 pub use cancel_handle::CancelHandle;
+pub use chunked_body::ChunkedBody;
 pub use connection::BackendConnection;
 pub use eof_as_error::EofAsError;
 pub use event_splitter::EventSplitter;
@@ -33,3 +40,4 @@
 pub use launcher::ExchangeLauncher;
 pub use pool::ConnectionPool;
 pub use raw_event::RawEvent;
+pub use timed_socket::TimedSocket;
--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -6,10 +6,10 @@
 
 use azureway_core::prelude::*;
 
-use super::exchange_attempt::{BROKEN, read_body};
+use super::exchange_attempt::discard_body;
 use super::{AnswerHead, BackendConnection, BackendDialect, ExchangeAttempt, Framing};
 use crate::admit::Passthrough;
-use crate::relay::AttemptError;
+use crate::relay::{AttemptError, BROKEN};
 
 /// The read timeout is at least this multiple of the expected time to the first token, since a
 /// busy server may be silent for long.
@@ -17,6 +17,8 @@
 /// The largest number of answers read on one connection. An answer to another request is skipped
 /// in search of the one to this attempt.
 const MAX_ANSWERS: u32 = 4;
+/// The largest body of an answer to another request that is skipped, in bytes.
+const MAX_OTHER_SIZE: u64 = 16 * 1024 * 1024;
 /// The time to wait for an early answer from a server that stopped reading the request.
 const EARLY_ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 /// The header that resumes a stream after the last event received.
@@ -74,6 +76,7 @@
         connection
             .set_read_timeout(timeout)
             .map_err(|e| failed(&e))?;
+        connection.set_deadline(Some(self.clock.instant(passthrough.deadline)));
         let bytes = self.encode(passthrough, left);
         if let Err(e) = connection.send(&bytes, timeout) {
             // A server that rejects a long request may answer before it has read all of it.
@@ -92,7 +95,7 @@
             log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server; "dropped an answer to another request");
             let framing = Framing::from_head(&head, &self.upstream.method);
             let framing = framing.filter(|f| *f != Framing::Closing).ok_or(BROKEN)?;
-            read_body(connection.body(framing)).map_err(|e| failed(&e))?;
+            discard_body(connection.body(framing), MAX_OTHER_SIZE).map_err(|e| failed(&e))?;
         }
         Err(BROKEN)
     }
--- a/azureway-entry/src/feed/http_feed.rs
+++ b/azureway-entry/src/feed/http_feed.rs
@@ -7,6 +7,7 @@
 use azureway_wire::engine::FeedBody;
 
 use super::{FeedBatch, FeedSource};
+use crate::exchange::BackendConnection;
 
 /// Polls the load and the cache events of model engines with `GET /v1/news`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -14,8 +15,8 @@
 
 /// The time for which the engine may hold a call open while it has no events.
 const WAIT: Duration = Duration::from_millis(500);
-/// The timeout of a call, in seconds: [`WAIT`] and a margin for a slow engine.
-const TIMEOUT: u64 = 2;
+/// The time limit of a call: [`WAIT`] and a margin for a slow engine.
+const TIMEOUT: Duration = Duration::from_secs(2);
 
 impl FeedSource for HttpFeed {
     const INTERVAL: Duration = Duration::ZERO;
@@ -30,11 +31,14 @@
         const STEP: Step = Step::new("hear engine");
         let error = |kind, detail: String| Error::new(kind, STEP, detail).with_peer(server);
         let wait = WAIT.as_millis();
-        let url = format!("http://{address}/v1/news?after={next}&wait_ms={wait}&whole={snapshot}");
-        let answer = minreq::get(url).with_timeout(TIMEOUT).send();
-        let answer = answer.map_err(|e| error(ErrorKind::Unavailable, e.to_string()))?;
-        let body: FeedBody = serde_json::from_slice(answer.as_bytes())
-            .map_err(|e| error(ErrorKind::Protocol, e.to_string()))?;
+        let request = format!(
+            "GET /v1/news?after={next}&wait_ms={wait}&whole={snapshot} HTTP/1.1\r\n\
+             host: {address}\r\nconnection: close\r\n\r\n"
+        );
+        let answer = BackendConnection::call_once(address, request.as_bytes(), TIMEOUT);
+        let (_, body) = answer.map_err(|e| error(ErrorKind::Unavailable, e.to_string()))?;
+        let body: FeedBody =
+            serde_json::from_slice(&body).map_err(|e| error(ErrorKind::Protocol, e.to_string()))?;
         let ops = body.cache_ops();
         Ok(FeedBatch {
             incarnation: Some(Incarnation::new(body.incarnation)),
--- a/azureway-entry/src/order/http_orders.rs
+++ b/azureway-entry/src/order/http_orders.rs
@@ -1,9 +1,12 @@
 //! Load orders to backend servers of azureway's own HTTP interface.
 
+use std::time::Duration;
+
 use azureway_core::prelude::{FencingNumber, LoadOrder, WeightsVersion};
 use azureway_wire::order::OrderBody;
 
 use super::{OrderAnswer, OrderLink};
+use crate::exchange::BackendConnection;
 
 /// Sends load orders over HTTP, as `POST /v1/orders`.
 ///
@@ -12,8 +15,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HttpOrders;
 
-/// The time after which an order that a server has not answered counts as failed, in seconds.
-const TIMEOUT: u64 = 1;
+/// The time after which an order that a server has not answered counts as failed.
+const TIMEOUT: Duration = Duration::from_secs(1);
 
 impl HttpOrders {
     /// Creates the transport.
@@ -30,16 +33,20 @@
     }
 
     fn send(&self, order: &LoadOrder, number: FencingNumber) -> OrderAnswer {
-        let Ok(body) = serde_json::to_string(&OrderBody::new(order, number)) else {
-            return OrderAnswer::Failed;
+        let body = match serde_json::to_string(&OrderBody::new(order, number)) {
+            Ok(body) => body,
+            Err(e) => {
+                log::error!(step = "order", peer:% = order.server, error:% = e; "a load order cannot be serialized");
+                return OrderAnswer::Failed;
+            }
         };
-        let url = format!("http://{}/v1/orders", order.address);
-        let answer = minreq::post(url)
-            .with_timeout(TIMEOUT)
-            .with_header("content-type", "application/json")
-            .with_body(body)
-            .send();
-        match answer.map(|a| a.status_code) {
+        let (address, length) = (order.address, body.len());
+        let request = format!(
+            "POST /v1/orders HTTP/1.1\r\nhost: {address}\r\ncontent-type: application/json\r\n\
+             content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        );
+        let answer = BackendConnection::call_once(address, request.as_bytes(), TIMEOUT);
+        match answer.map(|(head, _)| head.status) {
             Ok(200..=299) => OrderAnswer::Taken,
             Ok(409) => OrderAnswer::Fenced,
             other => {
--- a/azureway-entry/src/relay/attempt_error.rs
+++ b/azureway-entry/src/relay/attempt_error.rs
@@ -13,6 +13,9 @@
     Server(FailureKind, SendState),
 }
 
+/// The answer was cut short, or its end cannot be determined.
+pub const BROKEN: AttemptError = AttemptError::Server(FailureKind::Broken, SendState::MaybeRun);
+
 impl AttemptError {
     /// Returns the error of a request that was not sent or whose response head was not received.
     pub fn from_send(error: &attohttpc::Error) -> Self {
--- a/azureway-entry/src/relay/mod.rs
+++ b/azureway-entry/src/relay/mod.rs
@@ -1,13 +1,15 @@
 //! The relaying duty: one thread for each attempt at a backend server.
 
 mod attempt_error;
+mod event_reader;
 mod gap_meter;
 mod launch;
 mod relay_attempt;
 mod relay_launcher;
 mod report_unsent;
 
-pub use attempt_error::AttemptError;
+pub use attempt_error::{AttemptError, BROKEN};
+pub use event_reader::EventReader;
 pub use gap_meter::GapMeter;
 pub use launch::Launch;
 pub use relay_attempt::RelayAttempt;
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -1,9 +1,9 @@
 //! One attempt of the relay, from sending the request to reporting the outcome.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::Read;
 use std::sync::Arc;
 
-use attohttpc::{Method, RequestBuilder, Response, ResponseReader};
+use attohttpc::{Method, RequestBuilder, Response};
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::*;
 use azureway_wire::chat::UsageFrame;
@@ -11,7 +11,7 @@
 use azureway_wire::sse::SseLine;
 use flume::Sender;
 
-use super::{AttemptError, GapMeter};
+use super::{AttemptError, BROKEN, EventReader, GapMeter};
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::decide::DecideMessage;
@@ -33,8 +33,6 @@
 
 /// The largest body of an answer that is not streamed, in bytes.
 const MAX_BODY_SIZE: u64 = 16 * 1024 * 1024;
-/// The longest line of a stream, in bytes.
-const MAX_LINE_SIZE: u64 = 1024 * 1024;
 
 impl RelayAttempt {
     /// Creates an attempt that has not sent anything.
@@ -153,10 +151,7 @@
         let length = headers.get("content-length").and_then(|v| v.to_str().ok());
         let cut_short = length.is_some_and(|l| l.parse() != Ok(body.len()));
         if cut_short || body.len() as u64 > MAX_BODY_SIZE {
-            return Err(AttemptError::Server(
-                FailureKind::Broken,
-                SendState::MaybeRun,
-            ));
+            return Err(BROKEN);
         }
         self.report_start();
         self.stored_answer = self.storable(status.as_u16(), content_type, &body);
@@ -188,43 +183,35 @@
                 SendState::MaybeRun,
             ));
         }
-        let mut reader = BufReader::new(reader);
-        let mut line = String::new();
-        let mut position = self.next_position;
-        let mut data = String::new();
+        let mut events = EventReader::new(reader);
         loop {
-            read_line(&mut reader, &mut line)?;
+            let (position, data) = events.next_event(&self.dispatch.server)?;
             if self.chunks.is_disconnected() {
                 return Err(AttemptError::CallerDisconnected);
             }
-            match SseLine::parse(&line) {
-                SseLine::Id(id) => position = StreamPosition::new(id),
-                SseLine::Data(text) => data.push_str(text),
-                SseLine::End if data.is_empty() => {}
-                SseLine::End => {
-                    self.forward_event(position, &data)?;
-                    if data == SseLine::DONE {
-                        return self.send_chunk(AnswerChunk::End);
-                    }
-                    data.clear();
-                    position = self.next_position;
-                }
-                SseLine::Other => {}
+            let new = self.forward_event(position.unwrap_or(self.next_position), data)?;
+            if data == SseLine::DONE {
+                return self.send_chunk(AnswerChunk::End);
+            }
+            if new {
+                events.record_progress();
             }
         }
     }
 
-    /// Forwards an event, unless the caller has already received it.
-    fn forward_event(&mut self, position: StreamPosition, data: &str) -> Result<(), AttemptError> {
+    /// Forwards an event, unless the caller has already received it. Returns whether it was
+    /// forwarded.
+    fn forward_event(
+        &mut self,
+        position: StreamPosition,
+        data: &str,
+    ) -> Result<bool, AttemptError> {
         if position < self.next_position {
-            return Ok(());
+            return Ok(false);
         }
         if position > self.next_position {
             // Events are missing: the next attempt resumes the stream at the first missing one.
-            return Err(AttemptError::Server(
-                FailureKind::Broken,
-                SendState::MaybeRun,
-            ));
+            return Err(BROKEN);
         }
         if self.next_position == self.dispatch.position {
             self.report_start();
@@ -234,7 +221,7 @@
         self.send_chunk(AnswerChunk::Event(position, data.into()))?;
         self.next_position = position.next();
         self.output += TokenCount::new(1);
-        Ok(())
+        Ok(true)
     }
 
     fn report_start(&self) {
@@ -260,22 +247,6 @@
     }
 }
 
-/// Reads one line. The end of the answer before its last event is an error.
-fn read_line(input: &mut BufReader<ResponseReader>, line: &mut String) -> Result<(), AttemptError> {
-    line.clear();
-    let count = input
-        .take(MAX_LINE_SIZE)
-        .read_line(line)
-        .map_err(|e| AttemptError::from_read(&e))?;
-    if count == 0 || !line.ends_with('\n') {
-        return Err(AttemptError::Server(
-            FailureKind::Broken,
-            SendState::MaybeRun,
-        ));
-    }
-    Ok(())
-}
-
 /// Returns whether a name can be sent in a header. The header is left out for other names.
 fn is_header_text(name: &str) -> bool {
     name.bytes().all(|b| (b' '..=b'~').contains(&b))
--- /dev/null
+++ b/azureway-entry/tests/endless_answers.rs
@@ -0,0 +1,234 @@
+//! Tests of answers without an end: a backend server in trouble may send bytes until its caller
+//! closes the connection.
+
+mod dialect;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_dev::http::EndlessServer;
+use azureway_entry::admit::{Passthrough, UpstreamRequest};
+use azureway_entry::clock::Clock;
+use azureway_entry::decide::DecideMessage;
+use azureway_entry::exchange::{
+    AnswerMemory, BackendConnection, CancelHandle, ConnectionPool, ExchangeAttempt,
+};
+use azureway_entry::feed::{FeedSource, HttpFeed};
+use azureway_entry::order::{HttpOrders, OrderAnswer, OrderLink};
+use dialect::TestDialect;
+use flume::Receiver;
+use googletest::prelude::*;
+
+/// The bound on a wait, so that a failing test cannot hang. No result depends on it.
+const TEST_TIMEOUT: Duration = Duration::from_secs(30);
+/// The most bytes that a server may have sent when its caller closes the connection: 32 MiB, of
+/// which the sockets on both sides may buffer some. The smallest instances have 88 MB of memory.
+const MAX_SENT: u64 = 32 * 1024 * 1024;
+
+/// Starts an attempt at `address` whose request's deadline is `left` from now. Returns the ring of
+/// its reports.
+fn start_attempt(address: SocketAddr, left: Duration) -> Receiver<DecideMessage> {
+    let (chunks, answer) = flume::bounded(64);
+    let (decide, reports) = flume::bounded(64);
+    let clock = Clock::new();
+    let exchange = ExchangeAttempt {
+        dispatch: dispatch(address),
+        upstream: Arc::new(upstream(clock.now() + left)),
+        chunks,
+        decide,
+        dialect: TestDialect,
+        pool: ConnectionPool::new(8),
+        memory: AnswerMemory::new(),
+        handle: Arc::new(CancelHandle::new()),
+        connect_timeout: Duration::from_secs(1),
+        clock,
+        next_position: StreamPosition::ZERO,
+        output: TokenCount::ZERO,
+    };
+    thread::spawn(move || exchange.run());
+    // The caller reads whatever it is sent, so that nothing but the attempt ends the answer.
+    thread::spawn(move || answer.iter().for_each(drop));
+    reports
+}
+
+fn dispatch(address: SocketAddr) -> Dispatch {
+    Dispatch {
+        attempt: Attempt::new(RequestId::new(1, 1), 1),
+        server: ServerId::new("s"),
+        address,
+        rank: Rank::Urgent,
+        salt: Salt::from_number(1),
+        incarnation: None,
+        weights: WeightsVersion::new(1),
+        position: StreamPosition::ZERO,
+        cached: TokenCount::ZERO,
+        fetch_from: None,
+        expected_ttft: Duration::ZERO,
+    }
+}
+
+fn upstream(deadline: Timestamp) -> UpstreamRequest {
+    UpstreamRequest {
+        kind: ServiceKind::Plain,
+        streamed: false,
+        method: "GET".into(),
+        path: "/a".into(),
+        content_type: "".into(),
+        account: AccountId::new("small"),
+        idempotency_key: None,
+        body: Arc::from(Vec::new()),
+        passthrough: Some(Passthrough {
+            attempt_id: Some("attempt-1".into()),
+            once: true,
+            headers: vec![("host".into(), "one".into())],
+            priority: 3,
+            deadline,
+            read_timeout: Duration::from_millis(500),
+            max_attempts: 2,
+        }),
+    }
+}
+
+/// Returns the reported failure in the notation of the table.
+fn failure(reports: &Receiver<DecideMessage>) -> String {
+    let failure = reports.iter().find_map(|message| match message {
+        DecideMessage::Failed(failure) => Some(failure),
+        _ => None,
+    });
+    let Some(failure) = failure else {
+        return "no failure".to_owned();
+    };
+    let position = match failure.position.get() {
+        0 => String::new(),
+        position => format!(" {position}"),
+    };
+    format!("{:?} {:?}{position}", failure.kind, failure.sent)
+}
+
+fn load_order(address: SocketAddr) -> LoadOrder {
+    LoadOrder {
+        server: ServerId::new("s"),
+        address,
+        fenced: true,
+        model: None,
+        weights: WeightsVersion::new(1),
+        mode: LoadMode::Drain,
+        config: ConfigVersion::new(1),
+    }
+}
+
+// Guards against an answer that fills the entry's memory, or occupies an attempt until the deadline.
+#[gtest]
+fn an_answer_without_an_end_fails_its_attempt_after_a_bounded_number_of_bytes() {
+    for line in include_str!("../testdata/endless.txt").lines() {
+        if line.starts_with('#') {
+            continue;
+        }
+        let cells: Vec<String> = line
+            .split('|')
+            .map(|c| c.trim().replace('~', "\r\n").replace('#', "\n"))
+            .collect();
+        let [part, start, filler, expected] = &cells[..] else {
+            panic!("four cells: {line}");
+        };
+        let server = EndlessServer::new(start, filler).expect("a server");
+        let reports = start_attempt(server.address(), Duration::from_secs(600));
+        let sent = server.wait_closed(TEST_TIMEOUT);
+        expect_that!(sent, some(lt(MAX_SENT)), "{part}");
+        expect_that!(failure(&reports).as_str(), eq(expected.as_str()), "{part}");
+    }
+}
+
+// Guards against an attempt that outlives its request because each read gets some bytes in time.
+#[gtest]
+fn a_slow_answer_without_an_end_fails_its_attempt_at_the_deadline() {
+    for start in [
+        "HTTP/1.1 200 OK\r\nx-sign: 1\r\nx: ",
+        "HTTP/1.1 200 OK\r\nx-sign: 1\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n\r\n",
+    ] {
+        let pause = Duration::from_millis(20);
+        let server = EndlessServer::with_pause(start, "a", pause).expect("a server");
+        let reports = start_attempt(server.address(), Duration::from_millis(200));
+        expect_that!(
+            server.wait_closed(TEST_TIMEOUT),
+            some(anything()),
+            "{start}"
+        );
+        expect_that!(failure(&reports).as_str(), not(eq("no failure")), "{start}");
+    }
+}
+
+// Guards against a feed or an order whose answer fills the entry's memory.
+#[gtest]
+fn a_call_to_a_server_ends_after_a_bounded_number_of_bytes() {
+    for start in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nx: ", "x"] {
+        let server = EndlessServer::new(start, "a").expect("a server");
+        let opened = BackendConnection::open(server.address(), TEST_TIMEOUT);
+        let mut connection = opened.expect("a connection");
+        let answer = connection.call(b"GET / HTTP/1.1\r\n\r\n", TEST_TIMEOUT);
+        expect_that!(answer.is_err(), eq(true), "{start}");
+        drop(connection);
+        expect_that!(
+            server.wait_closed(TEST_TIMEOUT),
+            some(lt(MAX_SENT)),
+            "{start}"
+        );
+
+        let polled = HttpFeed.poll(&ServerId::new("s"), server.address(), 0, false);
+        expect_that!(polled.is_err(), eq(true), "{start}");
+        expect_that!(
+            server.wait_closed(TEST_TIMEOUT),
+            some(lt(MAX_SENT)),
+            "{start}"
+        );
+
+        let order = load_order(server.address());
+        let answer = HttpOrders::new().send(&order, FencingNumber::new(1));
+        expect_that!(answer, eq(OrderAnswer::Failed), "{start}");
+        expect_that!(
+            server.wait_closed(TEST_TIMEOUT),
+            some(lt(MAX_SENT)),
+            "{start}"
+        );
+    }
+}
+
+// Guards against a call that never ends because each read gets some bytes in time.
+#[gtest]
+fn a_call_to_a_server_ends_at_its_time_limit_however_slowly_bytes_arrive() {
+    let start = "HTTP/1.1 200 OK\r\n\r\n";
+    let pause = Duration::from_millis(20);
+    let server = EndlessServer::with_pause(start, "a", pause).expect("a server");
+    let (ended, result) = flume::bounded(1);
+    let address = server.address();
+    thread::spawn(move || {
+        let opened = BackendConnection::open(address, TEST_TIMEOUT);
+        let mut connection = opened.expect("a connection");
+        let answer = connection.call(b"GET / HTTP/1.1\r\n\r\n", Duration::from_millis(200));
+        ended.send(answer.is_err()).expect("the test waits");
+    });
+    expect_that!(result.recv_timeout(TEST_TIMEOUT), ok(eq(true)));
+}
+
+// Guards against many large answers at once that together fill the entry's memory, and against
+// short answers that fail because of them.
+#[gtest]
+fn the_bodies_of_all_answers_share_one_bound_that_spares_short_ones() {
+    const MIB: usize = 1024 * 1024;
+    let memory = AnswerMemory::new();
+    let mut bodies: Vec<_> = (0..8).map(|_| memory.reserve()).collect();
+    let mut total = 0;
+    while bodies.iter_mut().all(|b| b.grow(MIB)) {
+        total += bodies.len() * MIB;
+    }
+    expect_that!(total, all![gt(0), le(16 * MIB)]);
+    expect_that!(memory.reserve().grow(64 * 1024), eq(true));
+    expect_that!(memory.reserve().grow(MIB), eq(false));
+    drop(bodies);
+    expect_that!(memory.reserve().grow(16 * MIB), eq(true));
+    expect_that!(memory.reserve().grow(17 * MIB), eq(false));
+}
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -13,7 +13,7 @@
 use azureway_entry::caller::AnswerChunk;
 use azureway_entry::clock::Clock;
 use azureway_entry::decide::DecideMessage;
-use azureway_entry::exchange::{CancelHandle, ConnectionPool, ExchangeAttempt};
+use azureway_entry::exchange::{AnswerMemory, CancelHandle, ConnectionPool, ExchangeAttempt};
 use dialect::TestDialect;
 use flume::Receiver;
 use googletest::prelude::*;
@@ -49,6 +49,7 @@
         decide,
         dialect: TestDialect,
         pool: pool.clone(),
+        memory: AnswerMemory::new(),
         handle: Arc::clone(&handle),
         connect_timeout: Duration::from_secs(1),
         clock,
