Do not complete the answer of a cancelled attempt

Cause: cancelling an attempt closes its connection to the server. A body without a length ends with its connection, so the attempt took the close for the end of the answer, sent what it had as complete and reported success.

Change: an attempt that was cancelled ends without an answer and without a report, wherever it reads the end of a body.

Evidence: the new test fails on the code before, for a stream and for a plain body ("Some("end")", "Some("full ok")"), twice of two runs, and passes with the change.

--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -113,7 +113,7 @@
                 false => FailureKind::Busy,
             };
             if discard_body(connection.body(framing), MAX_REJECTION_SIZE).is_ok() {
-                self.release(connection, &head);
+                self.release(connection, &head)?;
             }
             return Err(AttemptError::Server(kind, SendState::Rejected));
         }
@@ -138,7 +138,7 @@
     ) -> Result<(), AttemptError> {
         self.report_start();
         let body = self.read_body(connection.body(framing))?;
-        self.release(connection, &head);
+        self.release(connection, &head)?;
         // The server has completed the request even if the caller has disconnected.
         let _ = self
             .chunks
@@ -156,7 +156,7 @@
         signed: bool,
     ) -> Result<(), AttemptError> {
         let body = self.read_body(connection.body(framing))?;
-        self.release(connection, &head);
+        self.release(connection, &head)?;
         // These statuses would tell the caller that the request did not run, which the server has
         // not stated.
         let implies_not_run = matches!(head.status, 408 | 421 | 429 | 503);
@@ -211,7 +211,7 @@
             return Err(BROKEN);
         }
         drop(body);
-        self.release(connection, &head);
+        self.release(connection, &head)?;
         self.send_chunk(AnswerChunk::End)
     }
 
@@ -264,11 +264,22 @@
             .map_err(|_| AttemptError::CallerDisconnected)
     }
 
-    /// Returns the connection to the pool, unless the attempt was cancelled.
-    fn release(&self, connection: BackendConnection, head: &AnswerHead) {
-        if self.handle.detach() {
-            self.pool.put(self.dispatch.address, connection, head);
+    /// Returns the connection to the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the attempt was cancelled. Cancelling closes the connection, which then
+    /// looks like the end of a body that ends with its connection.
+    fn release(
+        &self,
+        connection: BackendConnection,
+        head: &AnswerHead,
+    ) -> Result<(), AttemptError> {
+        if !self.handle.detach() {
+            return Err(AttemptError::CallerDisconnected);
         }
+        self.pool.put(self.dispatch.address, connection, head);
+        Ok(())
     }
 }
 
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -331,3 +331,26 @@
     expect_that!(answer.iter().count(), eq(0));
     expect_that!(outcome(&reports).as_str(), eq("nothing"));
 }
+
+// Guards against an incomplete answer that is passed on as complete: cancelling closes the
+// connection, with which some bodies end.
+#[gtest]
+fn a_cancelled_attempt_does_not_complete_an_answer_that_ends_with_its_connection() {
+    let rows = [
+        "HTTP/1.1 200 OK~x-sign: 1~content-type: text/event-stream~~id: 0#data: a## hold",
+        "HTTP/1.1 200 OK~x-sign: 1~~ok hold",
+    ];
+    for script in rows {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (answer, reports, handle) = start_attempt(address, &ConnectionPool::new(8), true, 0);
+        let (_stream, _) = serve(&listener, script);
+        let begun = reports.recv_timeout(TEST_TIMEOUT);
+        expect_that!(matches!(begun, Ok(DecideMessage::Started(_))), eq(true));
+        handle.cancel();
+        let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
+        let complete = |c: &&String| c.starts_with("full") || c.as_str() == "end";
+        expect_that!(chunks.iter().find(complete), none(), "{script}");
+        expect_that!(outcome(&reports).as_str(), eq("nothing"), "{script}");
+    }
+}
