End answers at the time limit of their route

What callers saw: a stream that had begun went on beyond its route's time limit, up to the caller's own deadline.

Cause: the router gave up requests at their deadline only while they were queued or waited for a retry before the first event. In flight, only the read timeouts of the attempt ended a request, and each event renewed them; a stream that broke at the limit even waited up to 10 s for a server to resume it. The caller's connection knows the caller's deadline alone.

Change: a request carries the time limit of its route. The router cancels it and refuses it as possibly run when the limit passes, whatever the server sends, and no retry goes beyond it. Silence counts against the server only if no answer has begun, as before.

The drawn runs of promises.rs now have requests with limits and check after every event that none outlives its limit.

--- a/azureway-core/src/domain/request.rs
+++ b/azureway-core/src/domain/request.rs
@@ -23,6 +23,9 @@
     pub worth: Worth,
     /// The time by which the first token must arrive.
     pub deadline: Deadline,
+    /// The time at which the request is given up even if its answer has begun, if its route bounds
+    /// the whole answer. It is not before the deadline.
+    pub time_limit: Option<Timestamp>,
     /// The time at which the request arrived.
     pub arrived: Timestamp,
     /// The weights version that salts the blocks and that the answer must come from.
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -209,6 +209,18 @@
         Some(flight)
     }
 
+    /// Removes and returns a request in flight whose time limit has passed, if there is one. The
+    /// silence counts against its server only if the answer has not begun.
+    pub fn expire(&mut self, now: Timestamp) -> Option<InFlight> {
+        let flight = self.in_flight.expired(now)?;
+        let (started, failure) = (flight.started, flight.silence());
+        if started {
+            return self.remove(failure.attempt.id, now);
+        }
+        // Silence does not invalidate what is known of the server's cache.
+        self.fail(&failure, now).map(|(flight, _)| flight)
+    }
+
     /// Records that a request is in flight.
     fn track(
         &mut self,
--- a/azureway-core/src/router/in_flight.rs
+++ b/azureway-core/src/router/in_flight.rs
@@ -4,7 +4,7 @@
 use crate::domain::{
     Attempt, Incarnation, PoolId, Request, ServerId, StreamPosition, Timestamp, TokenCount,
 };
-use crate::event::Dispatch;
+use crate::event::{Dispatch, Failure, FailureKind, SendState};
 
 /// A request that a backend server is running.
 #[derive(Clone, Debug)]
@@ -63,6 +63,16 @@
         }
     }
 
+    /// Returns the failure of the current attempt if its answer does not end.
+    pub const fn silence(&self) -> Failure {
+        Failure {
+            attempt: self.attempt,
+            kind: FailureKind::Silent,
+            sent: SendState::MaybeRun,
+            position: self.position,
+        }
+    }
+
     /// Returns the plan of the next attempt after the server rejected this one for lack of
     /// capacity.
     pub const fn requeue_plan(&self) -> AttemptPlan {
--- a/azureway-core/src/router/in_flight_table.rs
+++ b/azureway-core/src/router/in_flight_table.rs
@@ -1,14 +1,16 @@
 //! Finds requests in flight by attempt, and recognises stale attempts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::InFlight;
-use crate::domain::{Attempt, RequestId, ServerId};
+use crate::domain::{Attempt, RequestId, ServerId, Timestamp};
 
 /// The requests in flight by their id.
 #[derive(Debug, Default)]
 pub struct InFlightTable {
     requests: BTreeMap<RequestId, InFlight>,
+    /// The requests with a time limit, in its order.
+    limits: BTreeSet<(Timestamp, RequestId)>,
 }
 
 impl InFlightTable {
@@ -29,7 +31,10 @@
 
     /// Inserts a request in flight.
     pub fn insert(&mut self, flight: InFlight) {
-        self.requests.insert(flight.attempt.id, flight);
+        let id = flight.attempt.id;
+        self.limits
+            .extend(flight.request.time_limit.map(|limit| (limit, id)));
+        self.requests.insert(id, flight);
     }
 
     /// Returns the request of an attempt, or `None` if the attempt is stale, that is, not the
@@ -43,12 +48,27 @@
     /// Removes the request of an attempt, if the attempt is the current one.
     pub fn take(&mut self, attempt: Attempt) -> Option<InFlight> {
         self.current(attempt)?;
-        self.requests.remove(&attempt.id)
+        self.remove(attempt.id)
     }
 
     /// Removes a request, whatever its current attempt.
     pub fn remove(&mut self, id: RequestId) -> Option<InFlight> {
-        self.requests.remove(&id)
+        let flight = self.requests.remove(&id)?;
+        if let Some(limit) = flight.request.time_limit {
+            self.limits.remove(&(limit, id));
+        }
+        Some(flight)
+    }
+
+    /// Returns the earliest time limit of the requests.
+    pub fn next_limit(&self) -> Option<Timestamp> {
+        self.limits.first().map(|(limit, _)| *limit)
+    }
+
+    /// Returns a request whose time limit is before `now`, if there is one.
+    pub fn expired(&self, now: Timestamp) -> Option<&InFlight> {
+        let (limit, id) = self.limits.first()?;
+        self.requests.get(id).filter(|_| *limit < now)
     }
 
     /// Returns the requests in flight at one server.
--- a/azureway-core/src/router/retry.rs
+++ b/azureway-core/src/router/retry.rs
@@ -36,7 +36,8 @@
         // The deadline applies to the first token, which a stream that has begun has delivered.
         let deadline = flight.request.deadline.timestamp();
         let expires = if begun {
-            now + RESUME_TIMEOUT
+            let limit = flight.request.time_limit.unwrap_or(Timestamp::MAX);
+            limit.min(now + RESUME_TIMEOUT)
         } else {
             deadline
         };
--- a/azureway-core/src/router/retry_decision.rs
+++ b/azureway-core/src/router/retry_decision.rs
@@ -37,6 +37,7 @@
         // The deadline applies to the first token, so a stream that has begun is still completed.
         let begun = failure.position > StreamPosition::ZERO;
         let late = !begun && flight.request.deadline.is_past(now);
+        let late = late || flight.request.time_limit.is_some_and(|limit| limit < now);
         let max_attempts = flight
             .request
             .max_attempts
@@ -53,6 +54,12 @@
         Refusal::not_run(RefusalReason::Deadline, detail)
     }
 
+    /// Returns the refusal of a request in flight whose time limit has passed.
+    pub fn time_limit_passed() -> Refusal {
+        let detail = "the time limit of the route passed before the answer was complete";
+        Refusal::maybe_run(RefusalReason::Deadline, detail)
+    }
+
     /// Returns the refusal of a request that is quarantined because backend servers crashed
     /// while they ran it.
     pub fn quarantined(not_run: bool) -> Refusal {
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -25,7 +25,8 @@
         let claims = self.claims.next_timeout();
         let refill = self.budgets.next_refill();
         let refill = refill.filter(|_| !self.retries.is_empty());
-        let times = [limit, server_retry, remote, refill, claims];
+        let time_limit = self.dispatcher.in_flight().next_limit();
+        let times = [limit, time_limit, server_retry, remote, refill, claims];
         times.into_iter().flatten().min()
     }
 
--- a/azureway-core/tests/promises.rs
+++ b/azureway-core/tests/promises.rs
@@ -18,6 +18,8 @@
 const STEP_LIMIT: usize = 120;
 /// The number of servers in the pool.
 const SERVERS: usize = 3;
+/// The time limit of the answers that have one, longer than some steps of a run.
+const TIME_LIMIT: Duration = Duration::from_millis(4_000);
 /// The number of slots of each server.
 const SLOTS: u32 = 2;
 
@@ -54,6 +56,7 @@
     ended: bool,
     attempts: u32,
     position: u64,
+    time_limit: Option<Timestamp>,
 }
 
 /// A run of the router with the model that its actions are checked against.
@@ -133,10 +136,15 @@
         } else {
             RequestKind::Repeatable
         };
+        if urgent == large {
+            let limit = self.fixture.now + TIME_LIMIT;
+            (request.time_limit, request.deadline) = (Some(limit), Deadline::new(limit));
+        }
         self.records.insert(
             request.id,
             Record {
                 once,
+                time_limit: request.time_limit,
                 ..Record::default()
             },
         );
@@ -262,9 +270,17 @@
             match action {
                 Action::Dispatch(dispatch) => self.check_dispatch(dispatch)?,
                 Action::Refuse(id, refusal) => self.check_refusal(*id, refusal)?,
+                Action::Cancel(attempt) => self.cancel(*attempt),
                 _ => {}
             }
         }
+        let now = self.fixture.now;
+        prop_assert!(
+            self.records
+                .values()
+                .all(|r| r.ended || r.time_limit.is_none_or(|limit| limit >= now)),
+            "no request outlives its time limit"
+        );
         for state in self.fixture.router.servers().iter() {
             let in_flight = self
                 .in_flight
@@ -284,6 +300,12 @@
         Ok(())
     }
 
+    /// Records that the router has stopped an attempt, whose server may have run the request.
+    fn cancel(&mut self, attempt: Attempt) {
+        self.in_flight.retain(|d| d.attempt != attempt);
+        self.records.entry(attempt.id).or_default().maybe_run = true;
+    }
+
     fn check_dispatch(&mut self, dispatch: &Dispatch) -> Result<(), TestCaseError> {
         let record = self.records.entry(dispatch.attempt.id).or_default();
         prop_assert!(!record.ended, "an ended request is not dispatched");
--- a/azureway-core/tests/routing/world.rs
+++ b/azureway-core/tests/routing/world.rs
@@ -58,6 +58,7 @@
             id: RequestId::new(entry as u64, sequence),
             fingerprint: Fingerprint::of(account.as_str(), "advice", prompt.as_bytes()),
             max_attempts: None,
+            time_limit: None,
             prompt: PromptBlocks::new(salt, levels),
             account,
             service,
--- a/azureway-core/tests/site_runs/world/mod.rs
+++ b/azureway-core/tests/site_runs/world/mod.rs
@@ -162,6 +162,7 @@
             id: RequestId::new(entry.epoch, entry.sequence),
             fingerprint: Fingerprint::of(ACCOUNTS[account], SERVICE, prompt_text.as_bytes()),
             max_attempts: Some(if at_most_once { 1 } else { 3 }),
+            time_limit: None,
             prompt: PromptBlocks::new(salt, [prompt_text.as_bytes()]),
             account: AccountId::new(ACCOUNTS[account]),
             service: service.id,
--- a/azureway-core/tests/support/mod.rs
+++ b/azureway-core/tests/support/mod.rs
@@ -51,6 +51,7 @@
             id: RequestId::new(1, self.sequence),
             fingerprint: Fingerprint::of(account.as_str(), "advice", levels.concat().as_bytes()),
             max_attempts: None,
+            time_limit: None,
             prompt: PromptBlocks::new(salt, levels.iter().map(|l| l.as_bytes())),
             account,
             service,
--- a/azureway-dev/src/bench/router_fixture.rs
+++ b/azureway-dev/src/bench/router_fixture.rs
@@ -100,6 +100,7 @@
             idempotency_key: None,
             fingerprint: Fingerprint::from_bytes(u128::from(self.sequence).to_be_bytes()),
             max_attempts: None,
+            time_limit: None,
         }
     }
 
--- a/azureway-dev/src/replay/request_factory.rs
+++ b/azureway-dev/src/replay/request_factory.rs
@@ -58,6 +58,7 @@
                 unique.as_bytes(),
             ),
             max_attempts: None,
+            time_limit: None,
             prompt,
             max_output: TokenCount::new(request.output),
             idempotency_key: at_most_once.then(|| IdempotencyKey::new(&unique)),
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -153,6 +153,7 @@
             })?,
             fingerprint: Fingerprint::of(account.id.as_str(), &target, &self.call.body),
             max_attempts: None,
+            time_limit: None,
         })
     }
 
--- a/azureway-entry/src/routed/call_reader.rs
+++ b/azureway-entry/src/routed/call_reader.rs
@@ -94,6 +94,7 @@
             idempotency_key: None,
             fingerprint: Fingerprint::of(account.id.as_str(), &target, &call.body),
             max_attempts: Some(route.max_attempts),
+            time_limit: Some(call.arrived + route.timeout),
         })
     }
 
--- a/azureway-entry/tests/gateway.rs
+++ b/azureway-entry/tests/gateway.rs
@@ -185,6 +185,48 @@
     expect_that!(started.elapsed(), ge(Duration::from_millis(300)));
 }
 
+/// Sends the head and one event of a stream, then further events until the connection is closed or
+/// the test has ended.
+fn answer_with_endless_events(stream: &mut TcpStream) {
+    let head = "HTTP/1.1 200 OK\r\nx-sign: 1\r\ncontent-type: text/event-stream\r\n\r\n";
+    let _ = stream.write_all(head.as_bytes());
+    let end = Instant::now() + TEST_TIMEOUT * 2;
+    for id in 0.. {
+        let event = format!("id: {id}\ndata: a\n\n");
+        if Instant::now() > end || stream.write_all(event.as_bytes()).is_err() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+// Guards against a stream that keeps its caller waiting beyond the time limit of its route, which
+// may be far below the caller's own.
+#[gtest]
+fn a_stream_ends_at_the_time_limit_of_its_route() {
+    for path in ["/brief/", "/brief/once/"] {
+        let server = Server::start(|_, stream| answer_with_endless_events(stream));
+        let fixture = SiteFixture::start(Some(&server));
+        let head = format!("POST {path} HTTP/1.1\r\nhost: one\r\nx-wait: 600000\r\n\r\n");
+        let mut stream = send(&fixture, &head);
+        let (ended, text) = flume::bounded(1);
+        thread::spawn(move || {
+            let mut text = Vec::new();
+            // The caller may see the end as a close or a reset.
+            let _ = stream.read_to_end(&mut text);
+            let _ = ended.send(String::from_utf8(text).expect("text"));
+        });
+        let text = text.recv_timeout(TEST_TIMEOUT);
+        expect_that!(text, ok(contains_substring("id: 0\n")), "{path}");
+        let text = text.unwrap_or_default();
+        expect_that!(
+            text.as_str(),
+            not(contains_substring("\r\n0\r\n")),
+            "{path}"
+        );
+    }
+}
+
 #[gtest]
 fn a_leaving_entry_finishes_what_it_has_and_says_that_it_leaves() {
     let (release, released) = flume::bounded::<()>(0);
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -30,6 +30,9 @@
 /// The bound on a wait, so that a failing test cannot hang. No result depends on it.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The time limit of the routes under `/brief/`.
+pub const BRIEF_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// A site with a header format and objects of its own.
 #[derive(Clone, Copy)]
 struct TestSite;
@@ -81,6 +84,15 @@
         ] {
             routes.insert(route(prefix, kind, public));
         }
+        for kind in [RequestKind::Repeatable, RequestKind::AtMostOnce] {
+            let prefix = match kind {
+                RequestKind::Repeatable => "/brief/",
+                RequestKind::AtMostOnce => "/brief/once/",
+            };
+            let mut route = route(prefix, kind, true);
+            route.timeout = BRIEF_TIMEOUT;
+            routes.insert(route);
+        }
         let account = ClientAccount::new(AccountId::new("small")).with_key(KeyHash::of("good"));
         Ok(Some(SiteDocument {
             version: ConfigVersion::new(object.version),
