Apply a longer idle limit to connections that already wait

What callers saw: after a change to a longer idle limit, a connection that had become idle before was closed by the old limit, up to that limit after the change.

Cause: the limit was read once, when the wait for the next request began.

Change: when the limit that a wait began with has passed, the limit in force decides whether it goes on.

Evidence: the wait is a type of its own, whose test grows the limit during the wait; the code before had no such place to test, and asked for the limit once.

--- a/azureway-entry/src/routed/connection.rs
+++ b/azureway-entry/src/routed/connection.rs
@@ -7,8 +7,8 @@
 use azureway_core::prelude::{CallerLimits, Refusal, RefusalReason, RequestId};
 
 use super::{
-    AnswerEnd, CallerDialect, DisconnectWatch, PrefixedReader, RoutedAnswer, RoutedResponder,
-    ServingState,
+    AnswerEnd, CallerDialect, DisconnectWatch, IdleWait, PrefixedReader, RoutedAnswer,
+    RoutedResponder, ServingState,
 };
 use crate::admit::{AdmitMessage, Call};
 use crate::caller::{BadInput, BodyReader, Head, HeadReader, TimedStream};
@@ -77,13 +77,7 @@
         if !self.buffered.is_empty() {
             return true;
         }
-        let idle = self.serving.limits().idle_timeout;
-        let peeked = self
-            .stream
-            .set_read_timeout(Some(idle))
-            .and_then(|()| self.stream.peek(&mut [0]));
-        // An idle connection ends on a timeout, a close or a reset.
-        matches!(peeked, Ok(1..))
+        IdleWait::new(&self.stream).run(|| self.serving.limits().idle_timeout)
     }
 
     fn serve_request(&mut self) -> AnswerEnd {
