Give configurations to the deciding duty in order with requests

What callers saw: a request that was admitted by a new configuration could be refused with 404 or 401 by the deciding duty, which did not have the new service or account yet.

Cause: the admitting duty received a configuration first and the deciding duty after it, by another sender. A request admitted in between overtook the configuration.

Change: configurations go to the admitting duty alone, which passes them on over the ring that carries its requests, before it uses them. The tests of the watching duty read them where they go now.

--- a/azureway-entry/src/admit/admitter.rs
+++ b/azureway-entry/src/admit/admitter.rs
@@ -10,7 +10,8 @@
 use crate::decide::{DecideMessage, Query};
 use crate::meter::MetricEvent;
 
-/// The admitting duty: authenticates the callers and derives the blocks of the prompts.
+/// The admitting duty: authenticates the callers, derives the blocks of the prompts and puts
+/// configurations into force.
 #[derive(Debug)]
 pub struct Admitter<R> {
     reader: R,
@@ -48,8 +49,13 @@
         }
     }
 
+    /// Puts a configuration into force. The deciding duty receives it on the ring of requests, so
+    /// that it has each request's service and account before the request.
     fn reconfigure(&mut self, fleet: Arc<Fleet>) {
         if fleet.version > self.fleet.version {
+            let message = DecideMessage::Configured(Arc::clone(&fleet));
+            // The send fails only if the deciding duty has ended.
+            let _ = self.decide.send(message);
             self.fleet = fleet;
         }
     }
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -241,7 +241,6 @@
         state,
         update_rx,
         rings.admit.clone(),
-        rings.decide.clone(),
         serving.clone(),
         rings.clock,
     );
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -243,10 +243,8 @@
         }
         match document::parse(&document.text, document.version) {
             Ok(fleet) => {
-                let fleet = Arc::new(fleet);
-                let message = AdmitMessage::Configured(Arc::clone(&fleet));
+                let message = AdmitMessage::Configured(Arc::new(fleet));
                 let _ = self.rings.admit.send_async(message).await;
-                self.send_decide(DecideMessage::Configured(fleet)).await;
                 self.record_document(document).await;
             }
             Err(faults) => {
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -8,16 +8,14 @@
 use super::SiteUpdate;
 use crate::admit::AdmitMessage;
 use crate::clock::Clock;
-use crate::decide::DecideMessage;
 use crate::routed::ServingState;
 
-/// The duty that builds the fleet from the updates of a site and sends it to the other duties.
+/// The duty that builds the fleet from the updates of a site and sends it to the admitting duty.
 #[derive(Debug)]
 pub struct SiteDuty {
     state: SiteState,
     updates: Receiver<SiteUpdate>,
     admit: Sender<AdmitMessage>,
-    decide: Sender<DecideMessage>,
     serving: ServingState,
     clock: Clock,
 }
@@ -28,7 +26,6 @@
         state: SiteState,
         updates: Receiver<SiteUpdate>,
         admit: Sender<AdmitMessage>,
-        decide: Sender<DecideMessage>,
         serving: ServingState,
         clock: Clock,
     ) -> Self {
@@ -36,7 +33,6 @@
             state,
             updates,
             admit,
-            decide,
             serving,
             clock,
         }
@@ -104,17 +100,14 @@
         true
     }
 
-    /// Builds the fleet and sends it to the other duties.
+    /// Builds the fleet and sends it to the admitting duty.
     fn publish(&mut self) {
         let Some(fleet) = self.state.build_fleet() else {
             return;
         };
         self.serving.set_limits(fleet.limits);
         let fleet = Arc::new(fleet);
-        // Sending cannot fail: both duties run until the process ends.
-        let _ = self
-            .admit
-            .send(AdmitMessage::Configured(Arc::clone(&fleet)));
-        let _ = self.decide.send(DecideMessage::Configured(fleet));
+        // Sending cannot fail: the admitting duty runs until the process ends.
+        let _ = self.admit.send(AdmitMessage::Configured(fleet));
     }
 }
--- a/azureway-entry/src/watch/config_watcher.rs
+++ b/azureway-entry/src/watch/config_watcher.rs
@@ -155,11 +155,7 @@
     fn apply(&mut self, fleet: Fleet, text: &str) {
         self.gate.accept(fleet.version);
         let document = Document::new(fleet.version, text);
-        let fleet = Arc::new(fleet);
-        let _ = self
-            .admit
-            .send(AdmitMessage::Configured(Arc::clone(&fleet)));
-        let _ = self.decide.send(DecideMessage::Configured(fleet));
+        let _ = self.admit.send(AdmitMessage::Configured(Arc::new(fleet)));
         let _ = self.peer.send(PeerMessage::Configured(document));
     }
 
--- a/azureway-entry/tests/watch.rs
+++ b/azureway-entry/tests/watch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use azureway_core::prelude::*;
+use azureway_entry::admit::AdmitMessage;
 use azureway_entry::decide::DecideMessage;
 use azureway_entry::peer::PeerMessage;
 use azureway_entry::watch::{ConfigWatcher, WatchMessage};
@@ -84,7 +85,7 @@
 /// Runs the duty and returns the versions that came into force and those that were rejected.
 fn run(answers: &str) -> (String, String) {
     let (stop, watch_messages) = flume::bounded(1);
-    let (admit, _admitted) = flume::bounded(RING);
+    let (admit, admitted) = flume::bounded(RING);
     let (decide, decide_messages) = flume::bounded(RING);
     let answers = answers.split_whitespace().map(str::to_owned).collect();
     let platform = ScriptedPlatform {
@@ -102,9 +103,14 @@
             other => panic!("unexpected {other:?}"),
         }
     }
+    for message in admitted.drain() {
+        match message {
+            AdmitMessage::Configured(fleet) => applied.push(fleet.version.to_string()),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
     for message in decide_messages.drain() {
         match message {
-            DecideMessage::Configured(fleet) => applied.push(fleet.version.to_string()),
             DecideMessage::Leaving(list) => assert_eq!(list, []),
             DecideMessage::ConfigRejected(version) => rejected.push(version.to_string()),
             other => panic!("unexpected {other:?}"),
