Log which configuration a fleet was built from

Cause: a refusal names the fleet's own version, and no line tied it to a version of the configuration, so logs could not tell a late read from a wait between two duties (the hypotheses of the incident).

Change: one line for each fleet with both versions and its servers; the line of a configuration that was read has its routes, accounts and idle limit.

--- a/azureway-core/src/fleet/route_table.rs
+++ b/azureway-core/src/fleet/route_table.rs
@@ -16,6 +16,16 @@
         Self::default()
     }
 
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Returns whether there is no route.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
     /// Adds a route.
     pub fn insert(&mut self, route: Route) {
         let routes = self.hosts.entry(route.host.clone()).or_default();
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -70,10 +70,7 @@
     fn apply(&mut self, update: SiteUpdate, now: Timestamp) -> bool {
         match update {
             SiteUpdate::Document(document) => {
-                let (version, known) = (document.version, self.state.version());
-                let newer = self.state.configure(*document);
-                log::info!(step = "read site", version:% = version, known:? = known, newer = newer; "a configuration was read");
-                return newer;
+                return self.configure(*document);
             }
             SiteUpdate::Servers(servers, recovered) => {
                 log::info!(step = "read site", servers = servers.len(); "the list of servers was read");
@@ -100,12 +97,31 @@
         true
     }
 
+    /// Applies a configuration. Returns whether it is newer than the known one.
+    fn configure(&mut self, document: SiteDocument) -> bool {
+        let (version, known) = (document.version, self.state.version());
+        let (routes, accounts) = (document.routes.len(), document.accounts.len());
+        let idle = document.limits.idle_timeout;
+        let newer = self.state.configure(document);
+        log::info!(
+            step = "read site", version:% = version, known:? = known, newer = newer,
+            routes = routes, accounts = accounts, idle:? = idle;
+            "a configuration was read"
+        );
+        newer
+    }
+
     /// Builds the fleet and sends it to the admitting duty.
     fn publish(&mut self) {
         let Some(fleet) = self.state.build_fleet() else {
             return;
         };
         self.serving.set_limits(fleet.limits);
+        log::info!(
+            step = "read site", fleet:% = fleet.version, servers = fleet.servers.len(),
+            version:% = self.state.version().unwrap_or(ConfigVersion::ZERO);
+            "a fleet was built"
+        );
         let fleet = Arc::new(fleet);
         // Sending cannot fail: the admitting duty runs until the process ends.
         let _ = self.admit.send(AdmitMessage::Configured(fleet));
