Read large values from the platform over slow links

What callers saw: on an instance with a slow or busy link, a large change of the configuration is never in force. Values may have a mebibyte, which takes 0.84 s at 10 Mbit/s without other traffic; a call failed after 1 s in all and was repeated from the start.

Cause: minreq has one time limit for a whole call, in whole seconds. A limit that notices a silent platform soon enough also ended transfers that made progress.

Change: the client of the platform uses attohttpc, as relays do: the limit holds for connecting and for each wait for bytes, and a body may take 10 s. Bodies are bounded by 16 MiB.

A body that stops arriving still fails after the limit.

--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -1,37 +1,44 @@
 //! The HTTP client of the platform's object API, which works with every codec.
 
+use std::io::{self, Read};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
 use azureway_core::prelude::{Error, ErrorKind, Step};
 use azureway_wire::object::{ObjectBody, ObjectList};
-use minreq::{Method, Request, Response};
 
-use super::{CallCounter, ObjectApi, ObjectCall, ObjectCodec, PlainCodec, Put};
+use super::{CallCounter, ObjectAnswer, ObjectApi, ObjectCall, ObjectCodec, PlainCodec, Put};
 
 /// A client of the object API over HTTP, with the encoding `F`. Each call opens its own connection.
 #[derive(Clone, Debug)]
 pub struct HttpObjects<F = PlainCodec> {
     codec: F,
     address: SocketAddr,
-    /// The timeout of a call, in seconds.
-    timeout: u64,
+    /// The time for which the platform may be silent.
+    timeout: Duration,
     calls: CallCounter,
 }
 
-/// The default timeout of a call, in seconds.
-const DEFAULT_TIMEOUT: u64 = 2;
+/// The default time for which the platform may be silent.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time limit for the body of an answer. The largest values have a mebibyte, which takes about a
+/// second on the slowest links (10 Mbit/s) if nothing else is sent there.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The largest body of an answer, in bytes: several times the largest page of a list.
+const MAX_BODY_SIZE: u64 = 16 * 1024 * 1024;
+/// The size of the buffer for reads from an answer, in bytes.
+const READ_SIZE: usize = 16 * 1024;
 
 impl HttpObjects {
-    /// Creates a client of the platform at `address` with [`PlainCodec`] and a timeout of 2 s a
-    /// call.
+    /// Creates a client of the platform at `address` with [`PlainCodec`] and a timeout of 2 s.
     pub fn new(address: SocketAddr) -> Self {
         Self::with_codec(address, PlainCodec)
     }
 }
 
 impl<F: ObjectCodec> HttpObjects<F> {
-    /// Creates a client of the platform at `address` with `codec` and a timeout of 2 s a call.
+    /// Creates a client of the platform at `address` with `codec` and a timeout of 2 s.
     pub fn with_codec(address: SocketAddr, codec: F) -> Self {
         Self {
             codec,
@@ -41,10 +48,11 @@
         }
     }
 
-    /// Sets the timeout of a call, in seconds. The wait of a watch is added to it.
+    /// Sets the time, in seconds, for which the platform may be silent before a call fails. The wait
+    /// of a watch is added to it. An answer that arrives slowly may take longer.
     #[must_use]
     pub const fn with_timeout(mut self, seconds: u64) -> Self {
-        self.timeout = seconds;
+        self.timeout = Duration::from_secs(seconds);
         self
     }
 
@@ -53,29 +61,42 @@
         &self.calls
     }
 
-    fn send(&self, step: Step, call: ObjectCall, wait: Duration) -> Result<Response, Error> {
+    fn send(&self, step: Step, call: ObjectCall, wait: Duration) -> Result<ObjectAnswer, Error> {
         self.calls.add();
         let url = format!("http://{}/{}", self.address, call.path);
+        let invalid = |e: attohttpc::Error| self.error(ErrorKind::Invalid, step, e);
         // The platform need not keep the connection open. A connection that it closes without an
         // answer shows at once that the answer is lost, before the timeout.
-        let request = Request::new(method(call.method), url).with_header("connection", "close");
-        let request = match call.body {
+        let request = RequestBuilder::try_new(method(call.method), url)
+            .map_err(invalid)?
+            .connect_timeout(self.timeout)
+            .read_timeout(self.timeout + wait)
+            .follow_redirects(false)
+            .proxy_settings(ProxySettings::builder().build());
+        let answer = match call.body {
             Some(body) => request
-                .with_header("content-type", F::CONTENT_TYPE)
-                .with_body(body),
-            None => request,
+                .try_header("content-type", F::CONTENT_TYPE)
+                .map_err(invalid)?
+                .text(body)
+                .send(),
+            None => request.send(),
         };
-        let answer = request.with_timeout(self.timeout + wait.as_secs()).send();
         let answer = answer.map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
-        match answer.status_code {
-            200 | 201 | 404 => Ok(answer),
+        match answer.status().as_u16() {
+            status @ (200 | 201 | 404) => self.read(step, status, answer),
             409 => Err(self.error(ErrorKind::Conflict, step, "the object has another version")),
             429 => Err(self.error(ErrorKind::Limited, step, "too many calls")),
-            500..=599 => Err(self.error(ErrorKind::Unavailable, step, answer.status_code)),
+            status @ 500..=599 => Err(self.error(ErrorKind::Unavailable, step, status)),
             status => Err(self.error(ErrorKind::Protocol, step, status)),
         }
     }
 
+    fn read(&self, step: Step, status: u16, answer: Response) -> Result<ObjectAnswer, Error> {
+        let (_, _, reader) = answer.split();
+        let body = read_body(reader).map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
+        Ok(ObjectAnswer { status, body })
+    }
+
     fn error(&self, kind: ErrorKind, step: Step, detail: impl std::fmt::Display) -> Error {
         Error::new(kind, step, detail).with_peer(format_args!("platform {}", self.address))
     }
@@ -93,10 +114,10 @@
     fn get(&self, kind: &str, name: &str) -> Result<Option<ObjectBody>, Error> {
         const STEP: Step = Step::new("get object");
         let answer = self.send(STEP, self.codec.get(kind, name), Duration::ZERO)?;
-        if answer.status_code == 404 {
+        if answer.status == 404 {
             return Ok(None);
         }
-        let object = self.codec.read_object(answer.as_bytes());
+        let object = self.codec.read_object(&answer.body);
         self.check_decoded(STEP, object).map(Some)
     }
 
@@ -107,7 +128,7 @@
             let after = all.objects.last().map(|o| o.name.as_str());
             let call = self.codec.list(kind, after);
             let answer = self.send(STEP, call, Duration::ZERO)?;
-            let (page, more) = self.check_decoded(STEP, self.codec.read_list(answer.as_bytes()))?;
+            let (page, more) = self.check_decoded(STEP, self.codec.read_list(&answer.body))?;
             // The list has the version of its first page, so that a watch from there returns the
             // changes made while the other pages were read.
             if all.objects.is_empty() {
@@ -124,10 +145,10 @@
     fn put(&self, put: &Put<'_>) -> Result<u64, Error> {
         const STEP: Step = Step::new("put object");
         let answer = self.send(STEP, self.codec.put(put), Duration::ZERO)?;
-        if answer.status_code == 404 {
+        if answer.status == 404 {
             return Err(self.error(ErrorKind::Conflict, STEP, "the object does not exist"));
         }
-        let object = self.codec.read_object(answer.as_bytes());
+        let object = self.codec.read_object(&answer.body);
         Ok(self.check_decoded(STEP, object)?.version)
     }
 
@@ -135,7 +156,7 @@
         const STEP: Step = Step::new("delete object");
         let call = self.codec.delete(kind, name, expected);
         let answer = self.send(STEP, call, Duration::ZERO)?;
-        match answer.status_code {
+        match answer.status {
             404 => Err(self.error(ErrorKind::Conflict, STEP, "the object does not exist")),
             _ => Ok(()),
         }
@@ -144,16 +165,35 @@
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<ObjectList, Error> {
         const STEP: Step = Step::new("watch objects");
         let answer = self.send(STEP, self.codec.watch(kind, after, wait), wait)?;
-        self.check_decoded(STEP, self.codec.read_changes(answer.as_bytes()))
+        self.check_decoded(STEP, self.codec.read_changes(&answer.body))
     }
 }
 
 fn method(name: &str) -> Method {
     match name {
-        "GET" => Method::Get,
-        "PUT" => Method::Put,
-        "POST" => Method::Post,
-        "DELETE" => Method::Delete,
-        other => Method::Custom(other.to_owned()),
+        "PUT" => Method::PUT,
+        "POST" => Method::POST,
+        "DELETE" => Method::DELETE,
+        _ => Method::GET,
+    }
+}
+
+/// Reads a body within [`TRANSFER_TIMEOUT`] and [`MAX_BODY_SIZE`].
+fn read_body(reader: impl Read) -> io::Result<Vec<u8>> {
+    let deadline = Instant::now() + TRANSFER_TIMEOUT;
+    let mut reader = reader.take(MAX_BODY_SIZE + 1);
+    let (mut body, mut buffer) = (Vec::new(), vec![0; READ_SIZE]);
+    loop {
+        let count = reader.read(&mut buffer)?;
+        if count == 0 {
+            return Ok(body);
+        }
+        body.extend_from_slice(&buffer[..count]);
+        if body.len() as u64 > MAX_BODY_SIZE {
+            return Err(io::Error::other("the answer is too large"));
+        }
+        if Instant::now() > deadline {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
     }
 }
--- a/azureway-objects/src/lib.rs
+++ b/azureway-objects/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod call_counter;
 mod http_objects;
+mod object_answer;
 mod object_api;
 mod object_call;
 mod object_codec;
@@ -16,6 +17,7 @@
 
 pub use call_counter::CallCounter;
 pub use http_objects::HttpObjects;
+pub use object_answer::ObjectAnswer;
 pub use object_api::ObjectApi;
 pub use object_call::ObjectCall;
 pub use object_codec::ObjectCodec;
