Poll servers whose feed is full less often

What callers saw: nothing for certain. After all 59 machines of a grown site lost power, requests were admitted late for five seconds; in that time the readers of all entries polled the 140 servers in step, 4,664 changes between failed and recovered in one second of the log.

Cause: a server holds 8 polls at once and refuses the others. A reader that was refused asked again after 50 to 100 ms and doubled that up to 5 s, and began anew after each success. The jitter was seeded by the server alone, so all instances chose the same delays.

Change: the seed differs between instances, and a refusal is followed by a delay that begins at a second, the time that a poll occupies its place.

--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -95,7 +95,7 @@
         let orderer = orderer(settings, &rings, api.clone(), process_id);
         let monitor = rings.monitor();
         threads.push(spawn_peer(settings, &rings, peers, process_id)?);
-        let decider = decider(settings, &rings);
+        let decider = decider(settings, &rings, process_id);
         let admitter = Admitter::new(
             ChatCalls,
             rings.admit_messages,
@@ -203,6 +203,7 @@
 fn decider(
     settings: &EntrySettings,
     rings: &Rings,
+    process_id: u64,
 ) -> Decider<PrefixLoad, RelayLauncher, FeedReaders<HttpFeed>> {
     let config =
         RouterConfig::new(settings.zone.clone()).with_queue_limit(settings.bounds.queue_limit);
@@ -212,7 +213,7 @@
         rings.meter.clone(),
         settings.bounds.clone(),
     );
-    let readers = FeedReaders::new(HttpFeed, rings.decide.clone());
+    let readers = FeedReaders::new(HttpFeed, rings.decide.clone(), process_id);
     Decider::new(router, rings, launcher, readers, settings.instance.clone())
 }
 
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -115,7 +115,8 @@
         let ready_address = balancer.address();
         let api = HttpObjects::with_codec(settings.platform, codec).with_timeout(CALL_TIMEOUT);
         spawn_peer(settings, &rings, peers, process_id)?;
-        let decider = decider(settings, site_settings, &rings, site.clone(), feed);
+        let readers = FeedReaders::new(feed, rings.decide.clone(), process_id);
+        let decider = decider(settings, site_settings, &rings, site.clone(), readers);
         spawn("decide", move || decider.run())?;
         spawn_watchers(site_settings, &rings, &api, &site, &serving, process_id)?;
         spawn_orderer(settings, site_settings, &rings, &api, link, process_id)?;
@@ -187,7 +188,7 @@
     site_settings: &SiteSettings,
     rings: &Rings,
     site: S,
-    feed: N,
+    readers: FeedReaders<N>,
 ) -> Decider<PrefixLoad, ExchangeLauncher<S>, FeedReaders<N>> {
     let slack = RetrySlack {
         count: site_settings.retry_slack,
@@ -202,7 +203,6 @@
     let router = Router::new(config, PrefixLoad::new());
     let (decide, bounds) = (rings.decide.clone(), settings.bounds.clone());
     let launcher = ExchangeLauncher::new(site, decide, bounds, rings.clock);
-    let readers = FeedReaders::new(feed, rings.decide.clone());
     Decider::new(router, rings, launcher, readers, settings.instance.clone())
 }
 
--- a/azureway-entry/src/feed/feed_reader.rs
+++ b/azureway-entry/src/feed/feed_reader.rs
@@ -17,6 +17,7 @@
     server: ServerId,
     control: Arc<ReaderControl>,
     decide: Sender<DecideMessage>,
+    seed: u64,
     epoch: u64,
     next: u64,
     /// The number of the next cache event of this epoch, if the feed does not number them.
@@ -25,22 +26,28 @@
 
 /// The initial backoff after a failed poll.
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
+/// The initial backoff after a poll that the server refused because others occupy all places for
+/// polls. A place is occupied for about a second.
+const LIMITED_BACKOFF_BASE: Duration = Duration::from_secs(1);
 /// The maximum backoff after a failed poll.
 const BACKOFF_CAP: Duration = Duration::from_secs(5);
 
 impl<S: FeedSource> FeedReader<S> {
-    /// Creates the reader of `server`'s feed.
+    /// Creates the reader of `server`'s feed. `seed` randomizes retries, so that instances do not
+    /// poll a server together.
     pub const fn new(
         source: S,
         server: ServerId,
         control: Arc<ReaderControl>,
         decide: Sender<DecideMessage>,
+        seed: u64,
     ) -> Self {
         Self {
             source,
             server,
             control,
             decide,
+            seed,
             epoch: 0,
             next: 0,
             next_event: 0,
@@ -49,8 +56,9 @@
 
     /// Polls the feed until the control stops the reader.
     pub fn run(mut self) {
-        let seed = Rendezvous::new(PrefixKey::new(0)).weight(&self.server);
+        let seed = self.seed ^ Rendezvous::new(PrefixKey::new(0)).weight(&self.server);
         let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed);
+        let mut limited = Backoff::new(LIMITED_BACKOFF_BASE, BACKOFF_CAP, seed);
         let mut failing = false;
         while !self.control.is_stopped() {
             let (address, snapshot) = (self.control.address(), self.control.take_resync());
@@ -61,6 +69,7 @@
                     }
                     failing = false;
                     backoff.reset();
+                    limited.reset();
                     self.handle_batch(batch);
                     if !S::INTERVAL.is_zero() {
                         std::thread::park_timeout(S::INTERVAL);
@@ -72,7 +81,11 @@
                     }
                     failing = true;
                     self.control.resync();
-                    std::thread::park_timeout(backoff.next_delay());
+                    let delay = match e.kind() {
+                        ErrorKind::Limited => limited.next_delay(),
+                        _ => backoff.next_delay(),
+                    };
+                    std::thread::park_timeout(delay);
                 }
             }
         }
--- a/azureway-entry/src/feed/feed_readers.rs
+++ b/azureway-entry/src/feed/feed_readers.rs
@@ -15,6 +15,7 @@
 pub struct FeedReaders<S> {
     source: S,
     decide: Sender<DecideMessage>,
+    seed: u64,
     controls: BTreeMap<ServerId, Arc<ReaderControl>>,
 }
 
@@ -22,11 +23,13 @@
 const STACK_SIZE: usize = 256 * 1024;
 
 impl<S: FeedSource> FeedReaders<S> {
-    /// Creates an empty set whose threads poll `source` and send updates to `decide`.
-    pub const fn new(source: S, decide: Sender<DecideMessage>) -> Self {
+    /// Creates an empty set whose threads poll `source` and send updates to `decide`. `seed`
+    /// randomizes retries and differs between instances.
+    pub const fn new(source: S, decide: Sender<DecideMessage>, seed: u64) -> Self {
         Self {
             source,
             decide,
+            seed,
             controls: BTreeMap::new(),
         }
     }
@@ -39,6 +42,7 @@
             server.id.clone(),
             Arc::clone(&control),
             self.decide.clone(),
+            self.seed,
         );
         let thread = thread::Builder::new()
             .name("news".to_owned())
