Keep feeds within a fifth of the instance's link

What callers saw: on the grown sites, after a start, requests were read seconds late, and a change of the configuration could come seconds late. The 47 machines with links of 10 Mbit/s then lose the platform, which has no fault at that time, most of them twice, from 38 to 41.5 s and from 44.5 to 46 s: 217 watches end by "the timeout of the request was reached" or "connection timed out", and the platform is away for 3.2 s at the median, 7.7 s at most (the bound of a change is 4 s). The 12 machines with 200 Mbit/s lose nothing.

Cause: each entry reads the cache events of each of 140 servers. A first answer tells of up to 770 events, about 60 KB, so 140 of them take 7 s of a 10 Mbit/s link (calculated); all the while calls to the platform, which had a second in all, and callers' requests wait behind them.

Change: all readers of an instance share a budget of a fifth of its link, whose capacity is a setting that the platform's template fills in. A reader reserves what its last answer had, 64 KiB before the first, and settles it with what came. One reader waits for the budget at a time.

--- a/azureway-config/src/settings/bounds.rs
+++ b/azureway-config/src/settings/bounds.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// The resource limits and timeouts of an entry daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Bounds {
     /// The maximum number of concurrent caller connections.
     pub connections: usize,
@@ -26,6 +26,9 @@
     /// The maximum number of weight loads that start per second over all pools, which limits the
     /// load on the weight store.
     pub load_rate: u32,
+    /// The capacity of the instance's link, in megabits per second, which bounds the traffic of
+    /// feeds.
+    pub link: f64,
 }
 
 impl Bounds {
@@ -42,6 +45,7 @@
             queue_limit: 2_000,
             ring_capacity: 1_024,
             load_rate: 4,
+            link: 1_000.0,
         }
     }
 }
--- a/azureway-config/src/settings/entry_settings.rs
+++ b/azureway-config/src/settings/entry_settings.rs
@@ -7,7 +7,7 @@
 use super::{Bounds, SiteSettings};
 
 /// The settings of one entry daemon.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EntrySettings {
     /// The name of this entry instance.
     pub instance: InstanceId,
--- a/azureway-core/src/admit/token_bucket.rs
+++ b/azureway-core/src/admit/token_bucket.rs
@@ -1,10 +1,10 @@
-//! A token bucket that enforces a client account's limit at this entry.
+//! A token bucket that enforces a rate limit at this entry.
 
 use std::time::Duration;
 
 use crate::domain::{Timestamp, TokenCount};
 
-/// A token bucket that refills at this entry's share of a client account's limit.
+/// A token bucket that refills at a rate, such as this entry's share of a client account's limit.
 ///
 /// A request is admitted while the level is not negative, and may then take the level below
 /// zero. Otherwise a request larger than the bucket would be refused forever.
@@ -42,4 +42,9 @@
         self.level -= cost.get() as f64;
         Ok(())
     }
+
+    /// Replaces a cost that was estimated when it was spent by the actual one.
+    pub fn adjust(&mut self, estimated: TokenCount, actual: TokenCount) {
+        self.level += estimated.get() as f64 - actual.get() as f64;
+    }
 }
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -18,7 +18,7 @@
 use crate::caller::Listener;
 use crate::claim::Claimer;
 use crate::decide::{DecideMessage, Decider, Query};
-use crate::feed::{FeedReaders, HttpFeed};
+use crate::feed::{FeedBudget, FeedReaders, HttpFeed};
 use crate::meter::MeterDuty;
 use crate::order::{HttpOrders, Orderer};
 use crate::peer::PeerMessage;
@@ -213,7 +213,8 @@
         rings.meter.clone(),
         settings.bounds.clone(),
     );
-    let readers = FeedReaders::new(HttpFeed, rings.decide.clone(), process_id);
+    let budget = FeedBudget::new(settings.bounds.link, rings.clock);
+    let readers = FeedReaders::new(HttpFeed, rings.decide.clone(), budget, process_id);
     Decider::new(router, rings, launcher, readers, settings.instance.clone())
 }
 
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -15,7 +15,7 @@
 use crate::admit::{Admitter, RequestIds};
 use crate::decide::{DecideMessage, Decider};
 use crate::exchange::ExchangeLauncher;
-use crate::feed::{FeedReaders, FeedSource};
+use crate::feed::{FeedBudget, FeedReaders, FeedSource};
 use crate::meter::MeterDuty;
 use crate::order::{OrderLink, Orderer};
 use crate::peer::PeerMessage;
@@ -115,7 +115,8 @@
         let ready_address = balancer.address();
         let api = HttpObjects::with_codec(settings.platform, codec).with_timeout(CALL_TIMEOUT);
         spawn_peer(settings, &rings, peers, process_id)?;
-        let readers = FeedReaders::new(feed, rings.decide.clone(), process_id);
+        let budget = FeedBudget::new(settings.bounds.link, rings.clock);
+        let readers = FeedReaders::new(feed, rings.decide.clone(), budget, process_id);
         let decider = decider(settings, site_settings, &rings, site.clone(), readers);
         spawn("decide", move || decider.run())?;
         spawn_watchers(site_settings, &rings, &api, &site, &serving, process_id)?;
--- a/azureway-entry/src/feed/feed_batch.rs
+++ b/azureway-entry/src/feed/feed_batch.rs
@@ -20,6 +20,8 @@
     pub snapshot: bool,
     /// The cache events in order.
     pub ops: Vec<CacheOp>,
+    /// The size of the answer, in bytes.
+    pub bytes: usize,
     /// The load of the server, if the feed reports it.
     pub load: Option<LoadReport>,
 }
--- a/azureway-entry/src/feed/feed_reader.rs
+++ b/azureway-entry/src/feed/feed_reader.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use flume::Sender;
 
-use super::{FeedBatch, FeedSource, ReaderControl};
+use super::{FeedBatch, FeedBudget, FeedSource, ReaderControl};
 use crate::decide::{DecideMessage, OwnedCacheUpdate};
 
 /// Reads the load reports and cache events of one model engine and sends them to the deciding
@@ -17,13 +17,18 @@
     server: ServerId,
     control: Arc<ReaderControl>,
     decide: Sender<DecideMessage>,
+    budget: Arc<FeedBudget>,
     seed: u64,
+    /// The size of the last answer, in bytes, which the next one is expected to have.
+    expected: usize,
     epoch: u64,
     next: u64,
     /// The number of the next cache event of this epoch, if the feed does not number them.
     next_event: u64,
 }
 
+/// The expected size of a server's first answer, in bytes: it may tell of its whole cache.
+const FIRST_SIZE: usize = 64 * 1024;
 /// The initial backoff after a failed poll.
 const BACKOFF_BASE: Duration = Duration::from_millis(100);
 /// The initial backoff after a poll that the server refused because others occupy all places for
@@ -40,6 +45,7 @@
         server: ServerId,
         control: Arc<ReaderControl>,
         decide: Sender<DecideMessage>,
+        budget: Arc<FeedBudget>,
         seed: u64,
     ) -> Self {
         Self {
@@ -47,7 +53,9 @@
             server,
             control,
             decide,
+            budget,
             seed,
+            expected: FIRST_SIZE,
             epoch: 0,
             next: 0,
             next_event: 0,
@@ -62,8 +70,13 @@
         let mut failing = false;
         while !self.control.is_stopped() {
             let (address, snapshot) = (self.control.address(), self.control.take_resync());
-            match self.source.poll(&self.server, address, self.next, snapshot) {
+            self.budget.reserve(self.expected);
+            let answer = self.source.poll(&self.server, address, self.next, snapshot);
+            let received = answer.as_ref().map_or(0, |batch| batch.bytes);
+            self.budget.settle(self.expected, received);
+            match answer {
                 Ok(batch) => {
+                    self.expected = received;
                     if failing {
                         log::info!(step = "news", peer:% = self.server, epoch = batch.epoch; "a server's feed recovered");
                     }
--- a/azureway-entry/src/feed/feed_readers.rs
+++ b/azureway-entry/src/feed/feed_readers.rs
@@ -7,7 +7,7 @@
 use azureway_core::prelude::*;
 use flume::Sender;
 
-use super::{FeedReader, FeedSource, ReaderControl, Subscribe};
+use super::{FeedBudget, FeedReader, FeedSource, ReaderControl, Subscribe};
 use crate::decide::DecideMessage;
 
 /// The threads that read feeds, one for each model engine of the configuration.
@@ -15,6 +15,7 @@
 pub struct FeedReaders<S> {
     source: S,
     decide: Sender<DecideMessage>,
+    budget: Arc<FeedBudget>,
     seed: u64,
     controls: BTreeMap<ServerId, Arc<ReaderControl>>,
 }
@@ -23,12 +24,13 @@
 const STACK_SIZE: usize = 256 * 1024;
 
 impl<S: FeedSource> FeedReaders<S> {
-    /// Creates an empty set whose threads poll `source` and send updates to `decide`. `seed`
-    /// randomizes retries and differs between instances.
-    pub const fn new(source: S, decide: Sender<DecideMessage>, seed: u64) -> Self {
+    /// Creates an empty set whose threads poll `source` within `budget` and send updates to
+    /// `decide`. `seed` randomizes retries and differs between instances.
+    pub fn new(source: S, decide: Sender<DecideMessage>, budget: FeedBudget, seed: u64) -> Self {
         Self {
             source,
             decide,
+            budget: Arc::new(budget),
             seed,
             controls: BTreeMap::new(),
         }
@@ -42,6 +44,7 @@
             server.id.clone(),
             Arc::clone(&control),
             self.decide.clone(),
+            Arc::clone(&self.budget),
             self.seed,
         );
         let thread = thread::Builder::new()
--- a/azureway-entry/src/feed/http_feed.rs
+++ b/azureway-entry/src/feed/http_feed.rs
@@ -36,9 +36,9 @@
              host: {address}\r\nconnection: close\r\n\r\n"
         );
         let answer = BackendConnection::call_once(address, request.as_bytes(), TIMEOUT);
-        let (_, body) = answer.map_err(|e| error(ErrorKind::Unavailable, e.to_string()))?;
+        let (_, text) = answer.map_err(|e| error(ErrorKind::Unavailable, e.to_string()))?;
         let body: FeedBody =
-            serde_json::from_slice(&body).map_err(|e| error(ErrorKind::Protocol, e.to_string()))?;
+            serde_json::from_slice(&text).map_err(|e| error(ErrorKind::Protocol, e.to_string()))?;
         let ops = body.cache_ops();
         Ok(FeedBatch {
             incarnation: Some(Incarnation::new(body.incarnation)),
@@ -48,6 +48,7 @@
             lost: false,
             snapshot: body.whole,
             ops: ops.map_err(|e| error(ErrorKind::Protocol, e.to_string()))?,
+            bytes: text.len(),
             load: Some(body.load_report(server.clone())),
         })
     }
--- a/azureway-entry/src/feed/mod.rs
+++ b/azureway-entry/src/feed/mod.rs
@@ -1,6 +1,7 @@
 //! The feed duty: one thread per model engine, which polls its load reports and cache events.
 
 mod feed_batch;
+mod feed_budget;
 mod feed_reader;
 mod feed_readers;
 mod feed_source;
@@ -9,6 +10,7 @@
 mod subscribe;
 
 pub use feed_batch::FeedBatch;
+pub use feed_budget::FeedBudget;
 pub use feed_reader::FeedReader;
 pub use feed_readers::FeedReaders;
 pub use feed_source::FeedSource;
