--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -178,7 +178,8 @@
         head: AnswerHead,
         framing: Framing,
     ) -> Result<(), AttemptError> {
-        // The deadline applies to the first token, so a stream that has begun is still completed.
+        // The deadline applies to the first token. The router cancels a stream at the time limit of
+        // its route.
         connection.set_deadline(None);
         self.send_chunk(AnswerChunk::StreamHead(Box::new(head.clone())))?;
         let mut body = connection.body(framing);
