Let the lowest link be one megabit a second

Cause: the test that checks the operators' guide against the settings reads whole numbers and failed on the lowest value of the new key, 0.1. It had not run since the key was added.

--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -162,7 +162,7 @@
     let idle_connections = reader.number("idle", base.idle_connections, 0, 10_000, "connections");
     let queue_limit = reader.number("queue", base.queue_limit, 1, 1_000_000, "requests");
     let load_rate = reader.number("loads", base.load_rate, 1, 1_000, "loads a second");
-    let link = reader.number("link", base.link, 0.1, 1_000_000.0, "megabits a second");
+    let link = reader.number("link", base.link, 1.0, 1_000_000.0, "megabits a second");
     let ring_capacity = reader.number("ring", base.ring_capacity, 1, 1_000_000, "messages");
     let mut millis = |key, default: Duration| {
         let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
