Make calls to peers in one place

The permits of announcements counted references to a shared unit value; tokio's semaphore does the same as a well-known type. Its feature was on already, through tonic. Behaviour is the same, but that the log line leaves out the number of unanswered calls, which is four whenever permits are denied.

--- a/azureway-entry/src/peer/call_permits.rs
+++ b/azureway-entry/src/peer/call_permits.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 
 use azureway_core::prelude::InstanceId;
-
-use super::CallPermit;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Bounds the number of announcements to each peer that are under way at once.
 #[derive(Debug, Default)]
 pub struct CallPermits {
-    /// The shared state of each peer's permits, and whether the last request for one was denied.
-    peers: BTreeMap<InstanceId, (Arc<()>, bool)>,
+    /// The permits of each peer, and whether the last request for one was denied.
+    peers: BTreeMap<InstanceId, (Arc<Semaphore>, bool)>,
 }
 
 /// The largest number of unanswered announcements to a peer. An answer normally takes milliseconds.
@@ -25,15 +24,15 @@
 
     /// Returns a permit for a call to `peer`, or `None` if too many calls to it are unanswered. Logs
     /// when permits begin to be denied and when they are granted again.
-    pub fn acquire(&mut self, peer: &InstanceId) -> Option<CallPermit> {
-        let (shared, denied) = self.peers.entry(peer.clone()).or_default();
-        // One reference is the one in the table.
-        let calls = Arc::strong_count(shared) - 1;
-        let deny = calls >= MAX_CALLS;
-        if deny != *denied {
-            *denied = deny;
-            log::info!(step = "announce", peer:% = peer, unanswered = calls, skipped = deny; "announcements to a peer stop or go on");
+    pub fn acquire(&mut self, peer: &InstanceId) -> Option<OwnedSemaphorePermit> {
+        let unused = || (Arc::new(Semaphore::new(MAX_CALLS)), false);
+        let (permits, denied) = self.peers.entry(peer.clone()).or_insert_with(unused);
+        // The semaphore is never closed, so an error means that no permit is left.
+        let permit = Arc::clone(permits).try_acquire_owned().ok();
+        if permit.is_none() != *denied {
+            *denied = permit.is_none();
+            log::info!(step = "announce", peer:% = peer, skipped = *denied; "announcements to a peer stop or go on");
         }
-        (!deny).then(|| CallPermit::new(Arc::clone(shared)))
+        permit
     }
 }
--- a/azureway-entry/src/peer/mod.rs
+++ b/azureway-entry/src/peer/mod.rs
@@ -1,6 +1,5 @@
 //! The peer duty: membership, gossip and configuration exchange between entry instances.
 
-mod call_permit;
 mod call_permits;
 mod document;
 mod peer_call;
@@ -11,7 +10,6 @@
 mod peer_rings;
 mod peer_service;
 
-pub use call_permit::CallPermit;
 pub use call_permits::CallPermits;
 pub use document::Document;
 pub use peer_call::PeerCall;
--- a/azureway-entry/src/peer/peer_call.rs
+++ b/azureway-entry/src/peer/peer_call.rs
@@ -3,10 +3,11 @@
 use azureway_core::prelude::{ConfigVersion, Error, ErrorKind, Heartbeat, Instance, Step};
 use azureway_wire::peer;
 use flume::Sender;
+use tokio::sync::OwnedSemaphorePermit;
 use tonic::Status;
 use tonic::transport::Channel;
 
-use super::{CallPermit, Document, PeerConnections, PeerMessage};
+use super::{Document, PeerConnections, PeerMessage};
 
 /// A single call to a peer, which reports its result to the peer duty.
 #[derive(Debug)]
@@ -44,7 +45,7 @@
     }
 
     /// Sends an announcement once. `permit` is released when the call has ended.
-    pub async fn announce(self, heartbeat: peer::Heartbeat, permit: CallPermit) {
+    pub async fn announce(self, heartbeat: peer::Heartbeat, permit: OwnedSemaphorePermit) {
         if let Err(e) = exchange(self.channel, heartbeat).await {
             log::debug!(step = "announce", peer:% = self.peer.id, error:% = e; "an announcement to a peer failed");
         }
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -217,14 +217,8 @@
     fn send(&mut self, peer: Instance, heartbeat: &Heartbeat) {
         let message = peer::Heartbeat::from(heartbeat);
         self.count_bytes(&message);
-        let messages = self.rings.peer.clone();
-        match self.connections.get(&peer) {
-            Ok(channel) => drop(tokio::spawn(
-                PeerCall::new(peer, channel, messages).exchange(message),
-            )),
-            Err(e) => {
-                log::error!(step = e.step().as_str(), error:% = e; "cannot connect to a peer")
-            }
+        if let Some(call) = self.call(peer) {
+            tokio::spawn(call.exchange(message));
         }
     }
 
@@ -236,29 +230,25 @@
         };
         let message = peer::Heartbeat::from(heartbeat);
         self.count_bytes(&message);
-        let messages = self.rings.peer.clone();
-        match self.connections.get(&peer) {
-            Ok(channel) => drop(tokio::spawn(
-                PeerCall::new(peer, channel, messages).announce(message, permit),
-            )),
-            Err(e) => {
-                log::error!(step = e.step().as_str(), error:% = e; "cannot connect to a peer")
-            }
+        if let Some(call) = self.call(peer) {
+            tokio::spawn(call.announce(message, permit));
         }
     }
 
     fn fetch(&mut self, peer: Instance, known: ConfigVersion) {
-        let messages = self.rings.peer.clone();
-        match self.connections.get(&peer) {
-            Ok(channel) => drop(tokio::spawn(
-                PeerCall::new(peer, channel, messages).fetch(known),
-            )),
-            Err(e) => {
-                log::error!(step = e.step().as_str(), error:% = e; "cannot connect to a peer")
-            }
+        if let Some(call) = self.call(peer) {
+            tokio::spawn(call.fetch(known));
         }
     }
 
+    /// Returns a call to a peer, or logs why there is none.
+    fn call(&mut self, peer: Instance) -> Option<PeerCall> {
+        let channel = self.connections.get(&peer).inspect_err(|e| {
+            log::error!(step = e.step().as_str(), error:% = e; "cannot connect to a peer");
+        });
+        Some(PeerCall::new(peer, channel.ok()?, self.rings.peer.clone()))
+    }
+
     /// Applies a document that was fetched from a peer, if it is newer and valid. The same holds
     /// for documents from the platform.
     async fn apply_document(&mut self, peer: &InstanceId, document: Document) {
