Pass methods on as they are in the client of the platform

The HTTP library parses the name instead, as in the relay, and a bad name is an error. The bound on a body was checked twice; once is enough.

--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -26,7 +26,7 @@
 /// second on the slowest links (10 Mbit/s) if nothing else is sent there.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
 /// The largest body of an answer, in bytes: several times the largest page of a list.
-const MAX_BODY_SIZE: u64 = 16 * 1024 * 1024;
+const MAX_BODY_SIZE: usize = 16 * 1024 * 1024;
 /// The size of the buffer for reads from an answer, in bytes.
 const READ_SIZE: usize = 16 * 1024;
 
@@ -64,10 +64,12 @@
     fn send(&self, step: Step, call: ObjectCall, wait: Duration) -> Result<ObjectAnswer, Error> {
         self.calls.add();
         let url = format!("http://{}/{}", self.address, call.path);
+        let method = Method::from_bytes(call.method.as_bytes());
+        let method = method.map_err(|e| self.error(ErrorKind::Invalid, step, e))?;
         let invalid = |e: attohttpc::Error| self.error(ErrorKind::Invalid, step, e);
         // The platform need not keep the connection open. A connection that it closes without an
         // answer shows at once that the answer is lost, before the timeout.
-        let request = RequestBuilder::try_new(method(call.method), url)
+        let request = RequestBuilder::try_new(method, url)
             .map_err(invalid)?
             .connect_timeout(self.timeout)
             .read_timeout(self.timeout + wait)
@@ -169,19 +171,9 @@
     }
 }
 
-fn method(name: &str) -> Method {
-    match name {
-        "PUT" => Method::PUT,
-        "POST" => Method::POST,
-        "DELETE" => Method::DELETE,
-        _ => Method::GET,
-    }
-}
-
 /// Reads a body within [`TRANSFER_TIMEOUT`] and [`MAX_BODY_SIZE`].
-fn read_body(reader: impl Read) -> io::Result<Vec<u8>> {
+fn read_body(mut reader: impl Read) -> io::Result<Vec<u8>> {
     let deadline = Instant::now() + TRANSFER_TIMEOUT;
-    let mut reader = reader.take(MAX_BODY_SIZE + 1);
     let (mut body, mut buffer) = (Vec::new(), vec![0; READ_SIZE]);
     loop {
         let count = reader.read(&mut buffer)?;
@@ -189,7 +181,7 @@
             return Ok(body);
         }
         body.extend_from_slice(&buffer[..count]);
-        if body.len() as u64 > MAX_BODY_SIZE {
+        if body.len() > MAX_BODY_SIZE {
             return Err(io::Error::other("the answer is too large"));
         }
         if Instant::now() > deadline {
