Write single requests to backend servers in one place

The feed and the orders of both interfaces each wrote a request's head by hand. The connection has a GET and a POST for them now; headers, bodies and limits are the same, in another order.

--- a/azureway-entry/src/feed/http_feed.rs
+++ b/azureway-entry/src/feed/http_feed.rs
@@ -31,11 +31,8 @@
         const STEP: Step = Step::new("hear engine");
         let error = |kind, detail: String| Error::new(kind, STEP, detail).with_peer(server);
         let wait = WAIT.as_millis();
-        let request = format!(
-            "GET /v1/news?after={next}&wait_ms={wait}&whole={snapshot} HTTP/1.1\r\n\
-             host: {address}\r\nconnection: close\r\n\r\n"
-        );
-        let answer = BackendConnection::call_once(address, request.as_bytes(), TIMEOUT);
+        let path = format!("/v1/news?after={next}&wait_ms={wait}&whole={snapshot}");
+        let answer = BackendConnection::get(address, &path, TIMEOUT);
         let (_, text) = answer.map_err(|e| error(ErrorKind::Unavailable, e.to_string()))?;
         let body: FeedBody =
             serde_json::from_slice(&text).map_err(|e| error(ErrorKind::Protocol, e.to_string()))?;
--- a/azureway-entry/src/order/http_orders.rs
+++ b/azureway-entry/src/order/http_orders.rs
@@ -40,12 +40,7 @@
                 return OrderAnswer::Failed;
             }
         };
-        let (address, length) = (order.address, body.len());
-        let request = format!(
-            "POST /v1/orders HTTP/1.1\r\nhost: {address}\r\ncontent-type: application/json\r\n\
-             content-length: {length}\r\nconnection: close\r\n\r\n{body}"
-        );
-        let answer = BackendConnection::call_once(address, request.as_bytes(), TIMEOUT);
+        let answer = BackendConnection::post_json(order.address, "/v1/orders", &[], &body, TIMEOUT);
         match answer.map(|(head, _)| head.status) {
             Ok(200..=299) => OrderAnswer::Taken,
             Ok(409) => OrderAnswer::Fenced,
