--- a/azureway-entry/tests/endless_answers.rs
+++ b/azureway-entry/tests/endless_answers.rs
@@ -1,6 +1,7 @@
 //! Tests of answers without an end: a backend server in trouble may send bytes until its caller
 //! closes the connection.
 
+mod attempt;
 mod dialect;
 
 use std::net::SocketAddr;
@@ -8,6 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
+use attempt::{describe_failure, dispatch};
 use azureway_core::prelude::*;
 use azureway_dev::http::EndlessServer;
 use azureway_entry::admit::{Passthrough, UpstreamRequest};
@@ -35,7 +37,7 @@
     let (decide, reports) = flume::bounded(64);
     let clock = Clock::new();
     let exchange = ExchangeAttempt {
-        dispatch: dispatch(address),
+        dispatch: dispatch(address, StreamPosition::ZERO),
         upstream: Arc::new(upstream(clock.now() + left)),
         chunks,
         decide,
@@ -54,22 +56,6 @@
     reports
 }
 
-fn dispatch(address: SocketAddr) -> Dispatch {
-    Dispatch {
-        attempt: Attempt::new(RequestId::new(1, 1), 1),
-        server: ServerId::new("s"),
-        address,
-        rank: Rank::Urgent,
-        salt: Salt::from_number(1),
-        incarnation: None,
-        weights: WeightsVersion::new(1),
-        position: StreamPosition::ZERO,
-        cached: TokenCount::ZERO,
-        fetch_from: None,
-        expected_ttft: Duration::ZERO,
-    }
-}
-
 fn upstream(deadline: Timestamp) -> UpstreamRequest {
     UpstreamRequest {
         kind: ServiceKind::Plain,
@@ -95,17 +81,10 @@
 /// Returns the reported failure in the notation of the table.
 fn failure(reports: &Receiver<DecideMessage>) -> String {
     let failure = reports.iter().find_map(|message| match message {
-        DecideMessage::Failed(failure) => Some(failure),
+        DecideMessage::Failed(failure) => Some(describe_failure(&failure)),
         _ => None,
     });
-    let Some(failure) = failure else {
-        return "no failure".to_owned();
-    };
-    let position = match failure.position.get() {
-        0 => String::new(),
-        position => format!(" {position}"),
-    };
-    format!("{:?} {:?}{position}", failure.kind, failure.sent)
+    failure.unwrap_or_else(|| "no failure".to_owned())
 }
 
 fn load_order(address: SocketAddr) -> LoadOrder {
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -1,5 +1,6 @@
 //! Tests of the outcome of an attempt for good and faulty answers of a backend server.
 
+mod attempt;
 mod dialect;
 
 use std::io::{Read, Write};
@@ -8,6 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
+use attempt::{describe_failure, dispatch};
 use azureway_core::prelude::*;
 use azureway_entry::admit::{Passthrough, UpstreamRequest};
 use azureway_entry::caller::AnswerChunk;
@@ -60,22 +62,6 @@
     (answer, reports, handle)
 }
 
-fn dispatch(address: SocketAddr, position: StreamPosition) -> Dispatch {
-    Dispatch {
-        attempt: Attempt::new(RequestId::new(1, 1), 1),
-        server: ServerId::new("s"),
-        address,
-        rank: Rank::Urgent,
-        salt: Salt::from_number(1),
-        incarnation: None,
-        weights: WeightsVersion::new(1),
-        position,
-        cached: TokenCount::ZERO,
-        fetch_from: None,
-        expected_ttft: Duration::ZERO,
-    }
-}
-
 fn upstream(once: bool, deadline: Timestamp) -> UpstreamRequest {
     UpstreamRequest {
         kind: ServiceKind::Plain,
@@ -167,13 +153,7 @@
 fn outcome(reports: &Receiver<DecideMessage>) -> String {
     let outcome = reports.iter().find_map(|message| match message {
         DecideMessage::Finished(_) => Some("finished".to_owned()),
-        DecideMessage::Failed(failure) => {
-            let position = match failure.position.get() {
-                0 => String::new(),
-                position => format!(" {position}"),
-            };
-            Some(format!("{:?} {:?}{position}", failure.kind, failure.sent))
-        }
+        DecideMessage::Failed(failure) => Some(describe_failure(&failure)),
         _ => None,
     });
     outcome.unwrap_or_else(|| "nothing".to_owned())
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -31,7 +31,7 @@
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The time limit of the routes under `/brief/`.
-pub const BRIEF_TIMEOUT: Duration = Duration::from_millis(300);
+const BRIEF_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// A site with a header format and objects of its own.
 #[derive(Clone, Copy)]
@@ -84,14 +84,14 @@
         ] {
             routes.insert(route(prefix, kind, public));
         }
-        for kind in [RequestKind::Repeatable, RequestKind::AtMostOnce] {
-            let prefix = match kind {
-                RequestKind::Repeatable => "/brief/",
-                RequestKind::AtMostOnce => "/brief/once/",
-            };
-            let mut route = route(prefix, kind, true);
-            route.timeout = BRIEF_TIMEOUT;
-            routes.insert(route);
+        for (prefix, kind) in [
+            ("/brief/", RequestKind::Repeatable),
+            ("/brief/once/", RequestKind::AtMostOnce),
+        ] {
+            routes.insert(Route {
+                timeout: BRIEF_TIMEOUT,
+                ..route(prefix, kind, true)
+            });
         }
         let account = ClientAccount::new(AccountId::new("small")).with_key(KeyHash::of("good"));
         Ok(Some(SiteDocument {
