Move the serving of peers to the peer service

The function that serves the gRPC service belongs to the service; it is unchanged. What encodes and counts a heartbeat is one step for both senders.

--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -9,8 +9,6 @@
 use azureway_wire::peer;
 use prost::Message;
 use tokio::runtime::{Builder, Runtime};
-use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
 
 use super::{
     CallPermits, Document, PeerCall, PeerConnections, PeerMessage, PeerRings, PeerService,
@@ -40,8 +38,6 @@
 /// The number of heartbeat rounds after which the selection notifier is called again. It drops a
 /// message if a ring is full, so messages have to be repeated.
 const NOTIFY_ROUNDS: u64 = 5;
-/// The maximum size of a message from a peer, in bytes.
-const MESSAGE_MAX: usize = 256 * 1024;
 
 impl PeerDuty {
     /// Creates the duty for `membership`.
@@ -75,7 +71,7 @@
     pub fn run(mut self, runtime: &Runtime, listener: TcpListener) {
         runtime.block_on(async {
             let service = PeerService::new(self.rings.peer.clone());
-            let server = tokio::spawn(serve(service, listener));
+            let server = tokio::spawn(service.serve(listener));
             self.handle(PeerEvent::Tick).await;
             while let Some(message) = self.receive().await {
                 self.handle_message(message).await;
@@ -215,8 +211,7 @@
     }
 
     fn send(&mut self, peer: Instance, heartbeat: &Heartbeat) {
-        let message = peer::Heartbeat::from(heartbeat);
-        self.count_bytes(&message);
+        let message = self.encode(heartbeat);
         if let Some(call) = self.call(peer) {
             tokio::spawn(call.exchange(message));
         }
@@ -228,8 +223,7 @@
         let Some(permit) = self.permits.acquire(&peer.id) else {
             return;
         };
-        let message = peer::Heartbeat::from(heartbeat);
-        self.count_bytes(&message);
+        let message = self.encode(heartbeat);
         if let Some(call) = self.call(peer) {
             tokio::spawn(call.announce(message, permit));
         }
@@ -278,6 +272,13 @@
         self.handle(PeerEvent::Version(version)).await;
     }
 
+    /// Encodes a heartbeat for a peer, and counts its bytes.
+    fn encode(&self, heartbeat: &Heartbeat) -> peer::Heartbeat {
+        let message = peer::Heartbeat::from(heartbeat);
+        self.count_bytes(&message);
+        message
+    }
+
     /// Reports the size of a heartbeat to the measuring duty. The report is dropped if its ring is
     /// full.
     fn count_bytes(&self, message: &peer::Heartbeat) {
@@ -285,19 +286,3 @@
         let _ = self.rings.meter.try_send(event);
     }
 }
-
-/// Serves peers until the task is aborted.
-async fn serve(service: PeerService, listener: TcpListener) {
-    let result = async {
-        listener.set_nonblocking(true)?;
-        let listener = tokio::net::TcpListener::from_std(listener)?;
-        let service = peer::PeerServer::new(service).max_decoding_message_size(MESSAGE_MAX);
-        let server = Server::builder().add_service(service);
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-        let end = server.serve_with_incoming(incoming).await;
-        end.map_err(std::io::Error::other)
-    };
-    if let Err(e) = result.await {
-        log::error!(step = "serve peers", error:% = e; "the peer service failed; peers cannot reach this instance");
-    }
-}
--- a/azureway-entry/src/peer/peer_service.rs
+++ b/azureway-entry/src/peer/peer_service.rs
@@ -1,8 +1,12 @@
 //! Incoming gRPC calls of peers, which the peer duty answers.
 
+use std::net::TcpListener;
+
 use azureway_core::prelude::{ConfigVersion, Heartbeat};
 use azureway_wire::peer;
 use flume::Sender;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 use tonic::{Request, Response, Status};
 
 use super::PeerMessage;
@@ -14,12 +18,31 @@
     peer: Sender<PeerMessage>,
 }
 
+/// The maximum size of a message from a peer, in bytes.
+const MESSAGE_MAX: usize = 256 * 1024;
+
 impl PeerService {
     /// Creates a service that forwards calls to the ring `peer`.
     pub const fn new(peer: Sender<PeerMessage>) -> Self {
         Self { peer }
     }
 
+    /// Serves peers on `listener` until the task is aborted.
+    pub async fn serve(self, listener: TcpListener) {
+        let result = async {
+            listener.set_nonblocking(true)?;
+            let listener = tokio::net::TcpListener::from_std(listener)?;
+            let service = peer::PeerServer::new(self).max_decoding_message_size(MESSAGE_MAX);
+            let server = Server::builder().add_service(service);
+            let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+            let end = server.serve_with_incoming(incoming).await;
+            end.map_err(std::io::Error::other)
+        };
+        if let Err(e) = result.await {
+            log::error!(step = "serve peers", error:% = e; "the peer service failed; peers cannot reach this instance");
+        }
+    }
+
     async fn forward<T>(
         &self,
         message: impl FnOnce(Sender<T>) -> PeerMessage,
