Log answers of the platform that are read late

Change: a line with the lateness, the wait of the call and the number of changes for each answer that takes 0.5 s more than its call allows.

--- a/azureway-core/src/watch/mod.rs
+++ b/azureway-core/src/watch/mod.rs
@@ -1,9 +1,11 @@
 //! Which entries watch the platform's configuration, and when.
 
+mod answered_call;
 mod entry_selector;
 mod watch_schedule;
 mod watch_step;
 
+pub use answered_call::AnsweredCall;
 pub use entry_selector::EntrySelector;
 pub use watch_schedule::WatchSchedule;
 pub use watch_step::WatchStep;
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -64,36 +64,46 @@
     pub fn run(mut self) {
         let kind = self.codec.kind(self.kind);
         loop {
-            let start = self.clock.now();
-            let answer = match self.schedule.next(self.clock.now()) {
+            let started = self.clock.now();
+            let (answer, wait) = match self.schedule.next(started) {
                 WatchStep::Wait(until) => {
-                    thread::park_timeout(until.since(self.clock.now()));
+                    thread::park_timeout(until.since(started));
                     continue;
                 }
                 WatchStep::List => {
                     self.listed = true;
-                    self.api.list(kind)
+                    (self.api.list(kind), Duration::ZERO)
                 }
                 WatchStep::Watch(after, wait) => {
                     self.listed = false;
-                    self.api.watch(kind, after, wait)
+                    (self.api.watch(kind, after, wait), wait)
                 }
             };
-            let now = self.clock.now();
+            let call = AnsweredCall {
+                started,
+                wait,
+                answered: self.clock.now(),
+            };
             // A watch call that blocked returns at the moment of the change.
-            let blocked = !self.listed && now.since(start) > BLOCKED_MIN;
-            self.earliest = if blocked { now } else { self.answered };
-            if !self.handle_answer(answer, now) {
+            let blocked = !self.listed && call.answered.since(started) > BLOCKED_MIN;
+            self.earliest = if blocked {
+                call.answered
+            } else {
+                self.answered
+            };
+            if !self.handle_answer(answer, &call) {
                 return;
             }
         }
     }
 
     /// Handles an answer. Returns whether the site duty still receives updates.
-    fn handle_answer(&mut self, answer: Result<ObjectList, Error>, now: Timestamp) -> bool {
+    fn handle_answer(&mut self, answer: Result<ObjectList, Error>, call: &AnsweredCall) -> bool {
+        let now = call.answered;
         match answer {
             Ok(list) => {
                 self.record_recovery(now);
+                self.log_lateness(call, list.objects.len());
                 self.answered = now;
                 self.schedule.record_success(list.version, now);
                 self.send_updates(&list)
@@ -106,6 +116,17 @@
         }
     }
 
+    /// Logs an answer that took much longer than its call allows. What it reports is out of date.
+    fn log_lateness(&self, call: &AnsweredCall, changes: usize) {
+        let lateness = call.lateness();
+        if lateness > LATE_MIN {
+            log::warn!(
+                step = "watch site", kind = self.kind.as_str(), late:? = lateness, wait:? = call.wait,
+                listed = self.listed, changes = changes; "the platform's answer was read late"
+            );
+        }
+    }
+
     fn record_outage(&mut self, error: &Error, now: Timestamp) {
         if self.lost.is_none() {
             log::warn!(step = "watch site", kind = self.kind.as_str(), error:% = error; "the platform is lost");
@@ -195,5 +216,8 @@
     }
 }
 
+/// The lateness above which an answer is logged. The answer to a list of usual size takes a fraction
+/// of this on the slowest links.
+const LATE_MIN: Duration = Duration::from_millis(500);
 /// The duration above which a watch call counts as having blocked until a change.
 const BLOCKED_MIN: Duration = Duration::from_millis(100);
