Date reported changes by earlier answers, not by their arrival

What callers saw: after an entry had been frozen, their requests were answered by older weights for up to 4 s longer than the users allow.

Cause: a watch that had waited for over 100 ms passed for one that returns at the moment of the change. An entry that was frozen while weights were named read the answer when it went on, dated them by then and let older weights answer for 6 s more. What followed at once was dated by the late answer too.

Change: ChangeBound in the core. A change happened after the time up to which earlier answers have reported every change: the end of a watch that reported nothing, or the start of any other call. How long an answer was on its way no longer matters. In return, weights count as named up to one wait of a watch (2 s) too early.

--- /dev/null
+++ b/azureway-core/src/watch/answered_call.rs
@@ -0,0 +1,24 @@
+//! The times of a call to the platform that was answered.
+
+use std::time::Duration;
+
+use crate::domain::Timestamp;
+
+/// When a call to the platform was sent and answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnsweredCall {
+    /// The time before the call was sent.
+    pub started: Timestamp,
+    /// The time for which the platform holds the call open if nothing changes.
+    pub wait: Duration,
+    /// The time after the answer was read.
+    pub answered: Timestamp,
+}
+
+impl AnsweredCall {
+    /// Returns how long the answer took beyond the wait of the call. It is long if the path to the
+    /// platform, the platform or this process itself was held up.
+    pub fn lateness(&self) -> Duration {
+        self.answered.since(self.started + self.wait)
+    }
+}
--- a/azureway-core/src/watch/mod.rs
+++ b/azureway-core/src/watch/mod.rs
@@ -1,11 +1,13 @@
 //! Which entries watch the platform's configuration, and when.
 
 mod answered_call;
+mod change_bound;
 mod entry_selector;
 mod watch_schedule;
 mod watch_step;
 
 pub use answered_call::AnsweredCall;
+pub use change_bound::ChangeBound;
 pub use entry_selector::EntrySelector;
 pub use watch_schedule::WatchSchedule;
 pub use watch_step::WatchStep;
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -27,8 +27,7 @@
     recovered: Option<Timestamp>,
     /// Whether the last call was a list call, and not a watch call.
     listed: bool,
-    /// The time at which the platform last answered.
-    answered: Timestamp,
+    bound: ChangeBound,
     /// The earliest time at which the changes in the last answer can have happened.
     earliest: Timestamp,
 }
@@ -55,7 +54,7 @@
             lost: None,
             recovered: None,
             listed: false,
-            answered: named_since,
+            bound: ChangeBound::new(named_since),
             earliest: named_since,
         }
     }
@@ -84,13 +83,6 @@
                 wait,
                 answered: self.clock.now(),
             };
-            // A watch call that blocked returns at the moment of the change.
-            let blocked = !self.listed && call.answered.since(started) > BLOCKED_MIN;
-            self.earliest = if blocked {
-                call.answered
-            } else {
-                self.answered
-            };
             if !self.handle_answer(answer, &call) {
                 return;
             }
@@ -104,7 +96,7 @@
             Ok(list) => {
                 self.record_recovery(now);
                 self.log_lateness(call, list.objects.len());
-                self.answered = now;
+                self.earliest = self.bound.record(call, list.objects.len());
                 self.schedule.record_success(list.version, now);
                 self.send_updates(&list)
             }
@@ -219,5 +211,3 @@
 /// The lateness above which an answer is logged. The answer to a list of usual size takes a fraction
 /// of this on the slowest links.
 const LATE_MIN: Duration = Duration::from_millis(500);
-/// The duration above which a watch call counts as having blocked until a change.
-const BLOCKED_MIN: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/azureway-entry/tests/site_watcher.rs
@@ -0,0 +1,155 @@
+//! Tests of how the watcher of a site dates what the platform reports.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_entry::clock::Clock;
+use azureway_entry::site::{SiteCodec, SiteKind, SiteUpdate, SiteWatcher};
+use azureway_objects::{ObjectApi, Put};
+use azureway_wire::object::{ObjectBody, ObjectList};
+use googletest::prelude::*;
+
+/// The time for which a held-up answer is on its way.
+const HOLD_UP: Duration = Duration::from_millis(200);
+
+/// An answer of the scripted platform: the versions of the weights that it reports, and how long it
+/// takes.
+type Answer = (&'static [u64], Duration);
+
+/// A platform that gives its scripted answers in order and records when each call was sent. Then it
+/// reports the same weights again and again.
+#[derive(Clone)]
+struct ScriptedPlatform {
+    answers: Arc<Mutex<VecDeque<Answer>>>,
+    started: Arc<Mutex<Vec<Timestamp>>>,
+    clock: Clock,
+}
+
+impl ScriptedPlatform {
+    fn new(answers: &[Answer], clock: Clock) -> Self {
+        Self {
+            answers: Arc::new(Mutex::new(answers.iter().copied().collect())),
+            started: Arc::default(),
+            clock,
+        }
+    }
+
+    fn call(&self) -> std::result::Result<ObjectList, Error> {
+        self.started
+            .lock()
+            .expect("the lock")
+            .push(self.clock.now());
+        let answer = self.answers.lock().expect("the lock").pop_front();
+        let (versions, delay) = answer.unwrap_or((&[1], Duration::ZERO));
+        thread::sleep(delay);
+        let objects = versions.iter().map(|v| ObjectBody {
+            name: "m".to_owned(),
+            version: *v,
+            value: v.to_string(),
+            deleted: false,
+        });
+        Ok(ObjectList {
+            version: 1,
+            objects: objects.collect(),
+        })
+    }
+}
+
+impl ObjectApi for ScriptedPlatform {
+    fn get(&self, _: &str, _: &str) -> std::result::Result<Option<ObjectBody>, Error> {
+        unreachable!("the watcher gets no single objects")
+    }
+
+    fn list(&self, _: &str) -> std::result::Result<ObjectList, Error> {
+        self.call()
+    }
+
+    fn put(&self, _: &Put<'_>) -> std::result::Result<u64, Error> {
+        unreachable!("the watcher writes nothing")
+    }
+
+    fn delete(&self, _: &str, _: &str, _: u64) -> std::result::Result<(), Error> {
+        unreachable!("the watcher deletes nothing")
+    }
+
+    fn watch(&self, _: &str, _: u64, _: Duration) -> std::result::Result<ObjectList, Error> {
+        self.call()
+    }
+}
+
+/// A codec whose weights are plain numbers.
+#[derive(Clone, Copy)]
+struct PlainWeights;
+
+impl SiteCodec for PlainWeights {
+    fn kind(&self, kind: SiteKind) -> &'static str {
+        kind.as_str()
+    }
+
+    fn document(&self, _: &ObjectBody) -> std::result::Result<Option<SiteDocument>, Error> {
+        Ok(None)
+    }
+
+    fn server(&self, _: &ObjectBody) -> std::result::Result<ListedServer, Error> {
+        unreachable!("no servers are watched")
+    }
+
+    fn weights(&self, object: &ObjectBody) -> std::result::Result<NamedWeights, Error> {
+        let version = object.value.parse().expect("a version");
+        Ok(NamedWeights {
+            model: ModelId::new("m"),
+            version: WeightsVersion::new(version),
+        })
+    }
+}
+
+/// Runs the watcher of weights until it has sent `count` updates. Returns the earliest time of the
+/// last one, and when each call was sent.
+fn watch_weights(answers: &[Answer], count: usize) -> (Timestamp, Vec<Timestamp>) {
+    let clock = Clock::new();
+    let platform = ScriptedPlatform::new(answers, clock);
+    let (tx, rx) = flume::bounded(1);
+    let schedule = WatchSchedule::new(1);
+    let watcher = SiteWatcher::new(
+        platform.clone(),
+        PlainWeights,
+        SiteKind::Weights,
+        tx,
+        clock,
+        schedule,
+        clock.now(),
+    );
+    let thread = thread::spawn(move || watcher.run());
+    let updates: Vec<_> = rx.iter().take(count).collect();
+    drop(rx);
+    thread.join().expect("the watcher ends");
+    let Some(SiteUpdate::Weights(_, earliest)) = updates.last() else {
+        panic!("weights are reported: {updates:?}");
+    };
+    let started = platform.started.lock().expect("the lock").clone();
+    (*earliest, started)
+}
+
+/// Guards against an entry that was frozen while weights were named, and takes them for named when
+/// it goes on.
+#[gtest]
+fn a_watch_that_is_read_late_dates_weights_before_it_was_sent() {
+    let answers: [Answer; 2] = [(&[], Duration::ZERO), (&[2], HOLD_UP)];
+    let (earliest, started) = watch_weights(&answers, 1);
+    expect_that!(earliest, le(started[1]));
+}
+
+/// Guards against the same after several changes, of which the first answer reports only one.
+#[gtest]
+fn weights_that_follow_a_late_answer_are_dated_before_it_was_sent() {
+    let answers: [Answer; 3] = [
+        (&[], Duration::ZERO),
+        (&[2], HOLD_UP),
+        (&[3], Duration::ZERO),
+    ];
+    let (earliest, started) = watch_weights(&answers, 2);
+    expect_that!(earliest, le(started[1]));
+}
