Hold up reads of the store in drawn runs of a site

Cause: the drawn runs dated weights by the moment of the read, as the code did, and knew no read that is held up, so they could not find the fault.

Change: a step that holds an entry's read up for up to 9 s. The rule on older weights holds for the entry again as soon as it has read. The entry dates with ChangeBound.

--- a/azureway-core/tests/site_runs/entry.rs
+++ b/azureway-core/tests/site_runs/entry.rs
@@ -16,6 +16,10 @@
     pub connected: Option<Timestamp>,
     /// The time when the store became readable again; `None` if the last read failed.
     pub restored: Option<Timestamp>,
+    /// When the answer to the read that is held up was asked for, and when it arrives.
+    pub held_up: Option<(Timestamp, Timestamp)>,
+    /// The earliest time at which changes that the next read reports can have happened.
+    bound: ChangeBound,
     pub epoch: u64,
     pub sequence: u64,
 }
@@ -44,13 +48,26 @@
             cut_off: false,
             connected: None,
             restored: None,
+            held_up: None,
+            // A process that has just started cannot know when the weights were named.
+            bound: ChangeBound::new(Timestamp::ZERO),
             epoch,
             sequence: 0,
         }
     }
 
-    /// Reads the store, if it is reachable, and passes the resulting fleet to the router.
+    /// Holds up the answer to a read of the store until a time, as when the process is frozen.
+    pub fn hold_up(&mut self, now: Timestamp, until: Timestamp) {
+        self.held_up.get_or_insert((now, until));
+    }
+
+    /// Reads the store, if it is reachable and no read is held up, and passes the resulting fleet to
+    /// the router.
     pub fn read(&mut self, store: &Store, now: Timestamp, out: &mut Vec<Action>) {
+        if self.held_up.is_some_and(|(_, until)| now < until) {
+            return;
+        }
+        let started = self.held_up.take().map_or(now, |(started, _)| started);
         if store.unavailable || self.cut_off {
             self.connected = None;
             self.restored = None;
@@ -59,9 +76,12 @@
                 self.connected = Some(now);
                 self.restored = Some(now);
             }
-            // A process that has just started cannot know when the weights were named.
-            let first_read = self.site.version().is_none();
-            let since = if first_read { Timestamp::ZERO } else { now };
+            let call = AnsweredCall {
+                started,
+                wait: Duration::ZERO,
+                answered: now,
+            };
+            let since = self.bound.record(&call, 1);
             self.site.configure(store.document.clone());
             let named = NamedWeights {
                 model: ModelId::new(MODEL),
--- a/azureway-core/tests/site_runs/step.rs
+++ b/azureway-core/tests/site_runs/step.rs
@@ -39,6 +39,8 @@
     ExpireList,
     /// The store is available again to all entries and servers.
     Reconnect,
+    /// The answer to an entry's read of the store is held up for some milliseconds.
+    HoldUp(usize, u64),
     /// An entry is killed and restarts.
     Restart(usize),
     /// Some milliseconds of time pass.
@@ -66,6 +68,7 @@
             1 => index().prop_map(move |n| Self::CutOff(number(n))),
             1 => Just(Self::ExpireList),
             2 => Just(Self::Reconnect),
+            2 => (index(), 1..9_000u64).prop_map(move |(n, millis)| Self::HoldUp(number(n), millis)),
             1 => index().prop_map(move |n| Self::Restart(number(n))),
             8 => (1..900u64).prop_map(Self::Advance),
         ]
@@ -100,6 +103,7 @@
             "away" => Self::CutOff(number(1)?),
             "lapse" => Self::ExpireList,
             "back" => Self::Reconnect,
+            "hold" => Self::HoldUp(number(1)?, number(2)? as u64),
             "restart" => Self::Restart(number(1)?),
             "pass" => Self::Advance(number(1)? as u64),
             word => return Err(format!("unknown step {word}")),
--- a/azureway-core/tests/site_runs/world/mod.rs
+++ b/azureway-core/tests/site_runs/world/mod.rs
@@ -121,6 +121,11 @@
             }
             Step::ExpireList => self.expire_list(),
             Step::Reconnect => self.reconnect(),
+            Step::HoldUp(which, millis) => {
+                let until = self.now + Duration::from_millis(millis);
+                self.entries[which % ENTRIES].hold_up(self.now, until);
+                Ok(())
+            }
             Step::Restart(which) => self.restart(which % ENTRIES),
             Step::Advance(millis) => self.advance(Duration::from_millis(millis).min(READ_GAP)),
         }
--- a/azureway-core/tests/site_runs/world/rules.rs
+++ b/azureway-core/tests/site_runs/world/rules.rs
@@ -32,7 +32,9 @@
             .iter()
             .any(|(_, d)| d.attempt.id == dispatch.attempt.id);
         prop_assert!(!running, "a request has two attempts at a time");
-        let connected = |time| self.entries[at].connected_for(self.now, time);
+        // An entry cannot know what happens while its reads are held up, but it must know afterwards.
+        let entry = &self.entries[at];
+        let connected = |time| entry.held_up.is_none() && entry.connected_for(self.now, time);
         if let Some(since) = self.store.leaving.get(&dispatch.server) {
             let late = self.now.since(*since) >= DRAIN_NOTICE && connected(DRAIN_NOTICE);
             prop_assert!(!late, "a leaving server receives a new request");
