Expect the newest weights of a server whose weights are unknown

What callers could see: an answer from weights that had been replaced for longer than the users allow (VERSION).

Cause: a server whose weights are unknown, after it rejected a request as meant for other weights, is not bound by the rollout, and the request that it gets next expects the weights that were the newest when it was admitted.

Change: such a request expects the newest weights, and unknown weights are adopted from answers.

Two of three new rows of testdata/weights.txt failed before: "sent 1" instead of "sent 2" and of "waits".

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -129,7 +129,7 @@
             // The load for which the server rejected requests is complete.
             self.held_until = Timestamp::ZERO;
         }
-        self.weights = newer.or(self.weights);
+        self.weights = newer.or(self.weights).or(sample.weights);
         newer.is_some()
     }
 
--- a/azureway-core/src/router/attempt_plan.rs
+++ b/azureway-core/src/router/attempt_plan.rs
@@ -38,8 +38,12 @@
         best: &Candidate<'_>,
     ) -> Dispatch {
         // During a rollout the server answers from the weights that it has loaded, and its cache
-        // blocks belong to them.
-        let loaded = service.rollout.as_ref().and(best.state.weights);
+        // blocks belong to them. If they are unknown, the newest are expected: older ones may no
+        // longer serve, such as those that were the newest when the request was admitted.
+        let weights = match &service.rollout {
+            Some(_) => best.state.weights.unwrap_or(service.weights),
+            None => request.weights,
+        };
         let known = best.state.incarnation > Incarnation::ZERO;
         Dispatch {
             attempt: self.attempt,
@@ -48,7 +52,7 @@
             rank: request.rank,
             salt: request.prompt.salt(),
             incarnation: known.then_some(best.state.incarnation),
-            weights: loaded.unwrap_or(request.weights),
+            weights,
             position: self.position,
             cached: best.cached,
             fetch_from: None,
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -92,17 +92,21 @@
             }
             "load" => self.load(number(1), number(2)),
             "loaded" => self.load(number(1), 0),
-            "reject" => {
-                let dispatch = self.submit().expect("the request is sent");
-                let failed = failure(&dispatch, FailureKind::Busy, SendState::Rejected, 0);
-                self.fixture.handle(Event::Failed(&failed));
-                self.fixture
-                    .handle(Event::CallerDisconnected(dispatch.attempt.id));
-            }
+            "reject" => self.reject(FailureKind::Busy),
+            "mismatch" => self.reject(FailureKind::Mismatch),
             word => panic!("unknown step {word}"),
         }
     }
 
+    /// Sends a request that the server rejects, and whose caller then gives it up.
+    fn reject(&mut self, kind: FailureKind) {
+        let dispatch = self.submit().expect("the request is sent");
+        let failed = failure(&dispatch, kind, SendState::Rejected, 0);
+        self.fixture.handle(Event::Failed(&failed));
+        self.fixture
+            .handle(Event::CallerDisconnected(dispatch.attempt.id));
+    }
+
     fn load(&mut self, weights: u64, millis: u64) {
         let notice = LoadNotice {
             server: ServerId::new("s"),
@@ -112,11 +116,13 @@
         self.fixture.handle(Event::Loading(&notice));
     }
 
-    /// Handles a new request. Returns its dispatch if it is sent at once.
+    /// Handles a new request, which was admitted when weights 1 were the newest. Returns its
+    /// dispatch if it is sent at once.
     fn submit(&mut self) -> Option<Dispatch> {
         let mut request = self.fixture.request("", &["house"]);
         request.service = ServiceId::new("advice");
         request.rank = Rank::Drafting;
+        request.weights = WeightsVersion::new(1);
         let actions = self.fixture.handle(Event::Arrived(&request));
         dispatches(&actions).first().map(|o| (*o).clone())
     }
