Count the wait of a watch only if its answer came on time

Cause: a watch that the platform cut off early with an empty answer, and whose answer was read late, counted as having reported every change until the end of its wait. A change between could be dated up to 0.5 s too late.

Change: the wait counts only if the answer was read within 0.4 s of its end. The same limit decides which answers are logged as late.

--- a/azureway-core/src/watch/answered_call.rs
+++ b/azureway-core/src/watch/answered_call.rs
@@ -15,10 +15,19 @@
     pub answered: Timestamp,
 }
 
+/// The lateness above which an answer counts as late. An answer of usual size takes a fraction of
+/// this on the slowest links, and the wait of a watch is longer.
+const LATE_MIN: Duration = Duration::from_millis(400);
+
 impl AnsweredCall {
     /// Returns how long the answer took beyond the wait of the call. It is long if the path to the
     /// platform, the platform or this process itself was held up.
     pub fn lateness(&self) -> Duration {
         self.answered.since(self.started + self.wait)
     }
+
+    /// Returns whether the answer was read long after it was due, so that it may be out of date.
+    pub fn is_late(&self) -> bool {
+        self.lateness() > LATE_MIN
+    }
 }
--- a/azureway-core/src/watch/change_bound.rs
+++ b/azureway-core/src/watch/change_bound.rs
@@ -28,8 +28,10 @@
         let earliest = self.reported_until;
         let wait_end = call.started + call.wait;
         // The platform reports nothing only after the whole wait, so the answer includes every
-        // change until then. A watch that was cut off ends sooner.
-        let waited = changes == 0 && call.answered >= wait_end;
+        // change until then. A watch that was cut off ends sooner, and one that was read late may
+        // have been cut off.
+        let on_time = call.answered >= wait_end && !call.is_late();
+        let waited = changes == 0 && on_time;
         let until = if waited { wait_end } else { call.started };
         self.reported_until = earliest.max(until);
         earliest
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -110,10 +110,9 @@
 
     /// Logs an answer that took much longer than its call allows. What it reports is out of date.
     fn log_lateness(&self, call: &AnsweredCall, changes: usize) {
-        let lateness = call.lateness();
-        if lateness > LATE_MIN {
+        if call.is_late() {
             log::warn!(
-                step = "watch site", kind = self.kind.as_str(), late:? = lateness, wait:? = call.wait,
+                step = "watch site", kind = self.kind.as_str(), late:? = call.lateness(), wait:? = call.wait,
                 listed = self.listed, changes = changes; "the platform's answer was read late"
             );
         }
@@ -207,7 +206,3 @@
         self.updates.send(update).is_ok()
     }
 }
-
-/// The lateness above which an answer is logged. The answer to a list of usual size takes a fraction
-/// of this on the slowest links.
-const LATE_MIN: Duration = Duration::from_millis(500);
