Scale the times of a shutdown with the grace period

An entry accepted requests for 2.9 s after the stop signal and gave up 500 ms before the end of the grace period, whatever the period. With a period under 3.4 s it was still accepting when it was due to end, and with one under 3 s it cut answers before the last sixth of the period, in which alone answers may be cut.

--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -10,7 +10,7 @@
 use flume::Sender;
 
 use super::parts::{process_id, spawn_peer, spawn_quarantine_writer, spawn_registrar};
-use super::{ReadyDuty, Rings, Site, spawn};
+use super::{ReadyDuty, Rings, ShutdownTimes, Site, spawn};
 use crate::admit::{Admitter, RequestIds};
 use crate::decide::{DecideMessage, Decider};
 use crate::exchange::ExchangeLauncher;
@@ -28,7 +28,7 @@
     serving: ServingState,
     decide: Sender<DecideMessage>,
     peer: Sender<PeerMessage>,
-    grace: Duration,
+    times: ShutdownTimes,
 }
 
 /// The timeout of a platform call, in seconds. The platform normally answers in milliseconds.
@@ -41,12 +41,6 @@
 const BACKOFF_CAP: Duration = Duration::from_millis(500);
 /// The capacity of the ring from the site watchers to the site duty, in updates.
 const SITE_RING: usize = 256;
-/// The time for which requests are still accepted after the stop signal. The balancer polls
-/// readiness each second and removes an instance after two failures. A request that arrives more
-/// than three seconds after the signal has to end within the grace period.
-const ACCEPT_TIME: Duration = Duration::from_millis(2_900);
-/// The time before the end of the grace period at which the last unfinished answers are abandoned.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// The time for reading and refusing a request that arrives at the end of the accepting time.
 const REFUSE_TIME: Duration = Duration::from_millis(50);
 /// The divisor of the lease term that gives the safety margin before the lease expires. Within the
@@ -152,7 +146,7 @@
             serving,
             decide: rings.decide,
             peer: rings.peer,
-            grace: site_settings.shutdown_grace,
+            times: ShutdownTimes::new(site_settings.shutdown_grace),
         })
     }
 
@@ -170,24 +164,20 @@
     /// sends, then finishes the requests in flight within the grace period.
     pub fn drain(self) {
         let start = Instant::now();
+        let left = |time: Duration| time.saturating_sub(start.elapsed());
         self.serving.start_draining();
         // Sending cannot fail: the peer and deciding duties run until the process ends.
         let _ = self.peer.send(PeerMessage::Leave);
-        std::thread::park_timeout(ACCEPT_TIME);
+        std::thread::park_timeout(left(self.times.accept));
         // From here on, new requests are refused as not run: a stream that starts now may outlast
         // the grace period.
         let _ = self.decide.send(DecideMessage::Drain(None));
         std::thread::park_timeout(REFUSE_TIME);
-        let left = self.serving.in_flight.wait(self.remaining_grace(start));
-        if left > 0 {
-            log::warn!(step = "stop", left = left; "the grace period ends with requests in flight");
+        let unfinished = self.serving.in_flight.wait(left(self.times.exit));
+        if unfinished > 0 {
+            log::warn!(step = "stop", left = unfinished; "the grace period ends with requests in flight");
         }
     }
-
-    /// Returns the time that is left for the requests in flight.
-    fn remaining_grace(&self, start: Instant) -> Duration {
-        self.grace.saturating_sub(start.elapsed() + GRACE_MARGIN)
-    }
 }
 
 /// Returns the deciding duty.
--- a/azureway-entry/src/daemon/mod.rs
+++ b/azureway-entry/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod parts;
 mod ready_duty;
 mod rings;
+mod shutdown_times;
 mod site;
 mod spawn;
 
@@ -17,5 +18,6 @@
 pub use handles::Handles;
 pub use ready_duty::ReadyDuty;
 pub use rings::Rings;
+pub use shutdown_times::ShutdownTimes;
 pub use site::Site;
 pub use spawn::spawn;
