Refuse what cannot end before the instance stops

In a planned stop, a request that waited for a server when the accepting time ended was passed on later in the grace period, and so were retries and requests that a server had rejected. At its end the process exited: callers whose request still waited, or had been passed on and not yet answered, saw the connection close without an answer.

The router now learns when the instance ends. A waiting request whose time limit lies beyond that is refused as not run at once, also when a rejection or failure puts it back; a stream that has begun is resumed until the end.

--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -4,7 +4,7 @@
 use crate::admit::Demand;
 use crate::cache::CacheUpdate;
 use crate::claim::ClaimOutcome;
-use crate::domain::{Attempt, Request, RequestId, ServerId};
+use crate::domain::{Attempt, Request, RequestId, ServerId, Timestamp};
 use crate::fleet::{Fleet, LoadReport, LoadSample};
 use crate::member::{LoadNotice, ServerUpdate};
 use crate::quarantine::{CrashReport, QuarantineChange};
@@ -54,6 +54,8 @@
     Leaving(&'a [ServerId]),
     /// The instance is shutting down and admits no new requests.
     Draining,
+    /// The instance is shutting down, admits no new requests and gives up unfinished ones at a time.
+    Closing(Timestamp),
     /// A timer expired.
     Tick,
 }
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -27,6 +27,8 @@
     pub(super) budgets: RetryBudgets,
     pub(super) tally: OutcomeTally,
     pub(super) draining: bool,
+    /// The time at which a draining instance gives up what is unfinished.
+    pub(super) closing: Option<Timestamp>,
     pub(super) last_event: Timestamp,
 }
 
@@ -44,6 +46,7 @@
             claims: ClaimTable::new(),
             tally: OutcomeTally::new(),
             draining: false,
+            closing: None,
             last_event: Timestamp::ZERO,
         }
     }
@@ -79,6 +82,7 @@
                 self.queues.mark_all_dirty();
             }
             Event::Draining => self.draining = true,
+            Event::Closing(end) => self.close(end),
             Event::Tick => self.queues.mark_all_dirty(),
         }
         self.expire(now, out);
--- a/azureway-core/src/router/expiry.rs
+++ b/azureway-core/src/router/expiry.rs
@@ -6,7 +6,8 @@
 use crate::route::Policy;
 
 impl<P: Policy> Router<P> {
-    /// Gives up the requests whose deadline or time limit has passed.
+    /// Gives up the requests whose deadline or time limit has passed, or that cannot end before the
+    /// instance stops.
     pub(super) fn expire(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         self.claims.expire(now, out);
         self.expire_in_flight(now, out);
@@ -16,6 +17,7 @@
         for retry in self.retries.expire(now) {
             out.push(Action::Refuse(retry.request.id, retry.give_up()));
         }
+        self.give_up_unfinished(now, out);
     }
 
     /// Cancels the requests in flight whose time limit has passed.
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -19,6 +19,7 @@
 mod retry_queue;
 mod route_option;
 mod sharing;
+mod shutdown;
 mod suspects;
 mod views;
 
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -26,7 +26,16 @@
         let refill = self.budgets.next_refill();
         let refill = refill.filter(|_| !self.retries.is_empty());
         let time_limit = self.dispatcher.in_flight().next_limit();
-        let times = [limit, time_limit, server_retry, remote, refill, claims];
+        let closing = self.closing.filter(|t| *t > self.last_event);
+        let times = [
+            limit,
+            time_limit,
+            server_retry,
+            remote,
+            refill,
+            claims,
+            closing,
+        ];
         times.into_iter().flatten().min()
     }
 
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -160,7 +160,7 @@
     pub fn drain(self) {
         let (drained_tx, drained_rx) = flume::bounded(1);
         let _ = self.peer.send(PeerMessage::Leave);
-        let _ = self.decide.send(DecideMessage::Drain(Some(drained_tx)));
+        let _ = self.decide.send(DecideMessage::Drain(drained_tx));
         let _ = drained_rx.recv();
         self.stop.store(true, Ordering::Release);
         // Unblocks the accepting duty, which then reads `stop`.
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -161,7 +161,8 @@
     }
 
     /// Shuts down: reports that it is not ready, serves the requests that the balancer still
-    /// sends, then finishes the requests in flight within the grace period.
+    /// sends, then finishes the requests in flight within the grace period. What cannot end within
+    /// it is refused.
     pub fn drain(self) {
         let start = Instant::now();
         let left = |time: Duration| time.saturating_sub(start.elapsed());
@@ -171,7 +172,8 @@
         std::thread::park_timeout(left(self.times.accept));
         // From here on, new requests are refused as not run: a stream that starts now may outlast
         // the grace period.
-        let _ = self.decide.send(DecideMessage::Drain(None));
+        let close = DecideMessage::Close(left(self.times.finish));
+        let _ = self.decide.send(close);
         std::thread::park_timeout(REFUSE_TIME);
         let unfinished = self.serving.in_flight.wait(left(self.times.exit));
         if unfinished > 0 {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -125,13 +125,7 @@
                 self.orders.forward_report(&report);
                 self.handle_event(Event::Load(&report));
             }
-            DecideMessage::LoadSample(sample) => {
-                log_rate_limit(&self.router, &sample);
-                if let Some(weights) = sample.weights {
-                    self.orders.forward_weights(&sample.server, weights);
-                }
-                self.handle_event(Event::LoadSample(&sample));
-            }
+            DecideMessage::LoadSample(sample) => self.handle_sample(&sample),
             DecideMessage::Cache(update) => self.handle_event(Event::Cache(&update.view())),
             DecideMessage::Configured(fleet) => self.reconfigure(&fleet),
             DecideMessage::ConfigRejected(version) => {
@@ -144,7 +138,11 @@
                 self.handle_event(Event::QuarantineChanged(&change));
             }
             DecideMessage::Leaving(list) => self.handle_event(Event::Leaving(&list)),
-            DecideMessage::Drain(drained) => self.drain(drained),
+            DecideMessage::Drain(drained) => {
+                self.drained = Some(drained);
+                self.drain(Event::Draining);
+            }
+            DecideMessage::Close(time) => self.drain(Event::Closing(self.clock.now() + time)),
         }
     }
 
@@ -162,6 +160,14 @@
         self.handle_event(Event::Started(attempt));
     }
 
+    fn handle_sample(&mut self, sample: &LoadSample) {
+        log_rate_limit(&self.router, sample);
+        if let Some(weights) = sample.weights {
+            self.orders.forward_weights(&sample.server, weights);
+        }
+        self.handle_event(Event::LoadSample(sample));
+    }
+
     /// Applies an update from other entry instances. After a round of heartbeats, sends the demand
     /// at this instance to the peer duty, for the next round.
     fn handle_peer_update(&mut self, update: &PeerUpdate) {
@@ -205,10 +211,9 @@
         self.handle_event(Event::Failed(failure));
     }
 
-    fn drain(&mut self, drained: Option<Sender<()>>) {
+    fn drain(&mut self, event: Event<'_>) {
         self.ready.store(false, Ordering::Release);
-        self.drained = drained;
-        self.handle_event(Event::Draining);
+        self.handle_event(event);
     }
 
     fn execute_actions(&mut self) {
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -1,6 +1,7 @@
 //! The input of the deciding duty, from connections, attempts, feeds, peers and the platform.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use azureway_core::prelude::{
     Attempt, ClaimOutcome, ConfigVersion, Failure, Finish, Fleet, LoadReport, LoadSample,
@@ -46,7 +47,10 @@
     QuarantineChanged(QuarantineChange),
     /// The platform lists exactly these backend servers as leaving.
     Leaving(Vec<ServerId>),
-    /// The daemon is shutting down and refuses new requests. If a sender is given, the duty
-    /// stops once no request is left and no claim is open, and then signals it.
-    Drain(Option<Sender<()>>),
+    /// The daemon is shutting down and refuses new requests. The duty stops once no request is left
+    /// and no claim is open, and then signals the sender.
+    Drain(Sender<()>),
+    /// The daemon is shutting down and refuses new requests. After the time, the duty gives up the
+    /// unfinished ones.
+    Close(Duration),
 }
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Fixtures for tests of a whole site: a test site, its backend server and the entry daemon.
 #![expect(unreachable_pub, reason = "a test's module has no outside")]
+#![allow(dead_code, reason = "each test uses only some of the helpers")]
 
 #[path = "../dialect/mod.rs"]
 mod dialect;
@@ -33,6 +34,9 @@
 /// The time limit of the routes under `/brief/`.
 const BRIEF_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The grace period of an entry daemon for which a test sets none.
+const SHUTDOWN_GRACE: Duration = Duration::from_secs(8);
+
 /// A site with a header format and objects of its own.
 #[derive(Clone, Copy)]
 struct TestSite;
@@ -180,6 +184,11 @@
     pub fn wait_request(&self) {
         self.requests.recv_timeout(TEST_TIMEOUT).expect("a request");
     }
+
+    /// Returns whether another request has arrived, which then counts as seen.
+    pub fn has_request(&self) -> bool {
+        self.requests.try_recv().is_ok()
+    }
 }
 
 fn serve(mut stream: TcpStream, received: &Sender<()>, answer: &impl Fn(&str, &mut TcpStream)) {
@@ -256,13 +265,22 @@
     /// Starts an entry daemon and waits until it is ready. Without a server the platform holds no
     /// configuration, and the daemon never becomes ready.
     pub fn start(server: Option<&Server>) -> Self {
+        Self::start_ready(server, SHUTDOWN_GRACE)
+    }
+
+    /// Starts an entry daemon with a grace period and waits until it is ready.
+    pub fn start_with_grace(server: &Server, grace: Duration) -> Self {
+        Self::start_ready(Some(server), grace)
+    }
+
+    fn start_ready(server: Option<&Server>, grace: Duration) -> Self {
         let platform = Arc::new(Platform::new());
         if let Some(server) = server {
             platform.seed("servers", "s", &server.address.to_string());
             platform.seed("document", "main", "");
         }
         let any = "127.0.0.1:0".parse().expect("an address");
-        let fixture = Self::start_with(platform, any).expect("the entry starts");
+        let fixture = Self::start_with(platform, any, grace).expect("the entry starts");
         while server.is_some() && fixture.ready() != 200 {
             thread::yield_now();
         }
@@ -272,10 +290,14 @@
     /// Starts an entry daemon for callers at `address`. Returns the error's text if it fails.
     pub fn start_on(address: SocketAddr) -> Result<(), String> {
         let platform = Arc::new(Platform::new());
-        Self::start_with(platform, address).map(drop)
+        Self::start_with(platform, address, SHUTDOWN_GRACE).map(drop)
     }
 
-    fn start_with(platform: Arc<Platform>, listen: SocketAddr) -> Result<Self, String> {
+    fn start_with(
+        platform: Arc<Platform>,
+        listen: SocketAddr,
+        grace: Duration,
+    ) -> Result<Self, String> {
         let platform_server = HttpServer::start(platform).map_err(|e| e.to_string())?;
         let (instance, zone) = (InstanceId::new("entry"), ZoneId::new("a"));
         let settings =
@@ -289,7 +311,7 @@
             lease_term: Duration::from_secs(3),
             startup_grace: Duration::ZERO,
             rollout_timeout: Duration::from_secs(8),
-            shutdown_grace: Duration::from_secs(8),
+            shutdown_grace: grace,
         };
         let gateway = Gateway::start(&settings, &site, TestSite, PlainCodec, HttpOrders, HttpFeed);
         let gateway = gateway.map_err(|e| e.to_string())?;
