Bound the read timeout of routes without overflow

A multiple of the target latency was computed before it was bounded. A target latency above a quarter of the longest time ended the admitting duty with the first request on its route, and then no request was admitted at all.

Before, a_route_with_the_longest_times_is_served failed: thread 'admit' panicked with 'overflow when multiplying duration by scalar'.

--- a/azureway-entry/src/routed/call_reader.rs
+++ b/azureway-entry/src/routed/call_reader.rs
@@ -107,8 +107,8 @@
         kind: ServiceKind,
         call: &mut Call,
     ) -> UpstreamRequest {
-        let read_timeout =
-            (route.target_latency * READ_TIMEOUT_FACTOR).clamp(MIN_READ_TIMEOUT, MAX_READ_TIMEOUT);
+        let read_timeout = route.target_latency.saturating_mul(READ_TIMEOUT_FACTOR);
+        let read_timeout = read_timeout.clamp(MIN_READ_TIMEOUT, MAX_READ_TIMEOUT);
         let passthrough = Passthrough {
             attempt_id,
             once: route.kind == RequestKind::AtMostOnce,
--- a/azureway-entry/tests/gateway.rs
+++ b/azureway-entry/tests/gateway.rs
@@ -109,6 +109,20 @@
     }
 }
 
+/// Guards against times of a route whose sums and products overflow and end the admitting duty.
+#[gtest]
+fn a_route_with_the_longest_times_is_served() {
+    let server = Server::start(|_, stream| support::answer(stream, "ok"));
+    let fixture = SiteFixture::start(Some(&server));
+    for path in ["/endless/", "/safe/"] {
+        let answer = fetch(
+            &fixture,
+            &format!("GET {path} HTTP/1.1\r\nhost: one\r\n\r\n"),
+        );
+        expect_that!(answer.as_str(), starts_with("HTTP/1.1 200 OK\r\n"));
+    }
+}
+
 #[gtest]
 fn an_entry_without_a_configuration_refuses_requests_and_is_not_ready() {
     let fixture = SiteFixture::start(None);
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -97,6 +97,11 @@
                 ..route(prefix, kind, true)
             });
         }
+        routes.insert(Route {
+            timeout: Duration::MAX,
+            target_latency: Duration::MAX,
+            ..route("/endless/", RequestKind::Repeatable, true)
+        });
         let account = ClientAccount::new(AccountId::new("small")).with_key(KeyHash::of("good"));
         Ok(Some(SiteDocument {
             version: ConfigVersion::new(object.version),
