Saturate the arithmetic on what servers state

The slots in a server's object and the load in its answers and reports were added and multiplied without bounds. With checks the deciding duty ended; without them a full server looked empty, for one.

Before, a_router_takes_every_slot_count_and_load panicked with 'attempt to multiply with overflow' and a_router_takes_every_load_report with 'attempt to add with overflow'. The sums of estimated times saturate as well; no row made them overflow.

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -117,9 +117,10 @@
     pub fn apply_sample(&mut self, sample: &LoadSample, now: Timestamp) -> bool {
         if let Some((running, queued)) = sample.load {
             self.local.rotate(now);
-            self.reported.sample(running + queued, now);
+            let load = running.saturating_add(queued);
+            self.reported.sample(load, now);
             let own = self.local.total().in_flight;
-            self.share.observe(running + queued, own, now);
+            self.share.observe(load, own, now);
         }
         self.rate.observe(sample.rate_limit, now);
         let newer = sample
@@ -143,7 +144,7 @@
         self.local.rotate(now);
         self.last_report = now;
         self.reported.report(Work {
-            in_flight: report.running + report.queued,
+            in_flight: report.running.saturating_add(report.queued),
             pending: report.pending,
         });
         self.share
@@ -226,7 +227,7 @@
     /// Returns whether this entry may send one more request of `rank`. With `use_reserved`, a
     /// drafting request may use the slots that are otherwise reserved for urgent ones.
     pub fn has_capacity(&self, rank: Rank, use_reserved: bool, now: Timestamp) -> bool {
-        let reserve = self.server.slots * URGENT_RESERVE / 100;
+        let reserve = self.server.slots.saturating_mul(URGENT_RESERVE) / 100;
         // The server runs queued urgent requests before the drafting requests of other entries.
         let extra = if rank == Rank::Urgent { reserve } else { 0 };
         let allowed = self.share.allows(self.in_flight(), extra, now);
@@ -234,7 +235,7 @@
             Rank::Drafting if !use_reserved => reserve,
             Rank::Drafting | Rank::Urgent => 0,
         };
-        allowed && (reserved == 0 || self.load(now) + reserved < self.server.slots)
+        allowed && (reserved == 0 || self.load(now).saturating_add(reserved) < self.server.slots)
     }
 
     /// Returns when a server that failed or rejected a request, or names a limit, is tried again.
@@ -287,9 +288,9 @@
     /// Returns an estimate of the time until a slot is free for a new request.
     pub fn slot_wait(&self, now: Timestamp) -> Duration {
         let slots = self.server.slots.max(1);
-        let excess = (self.load(now) + 1).saturating_sub(slots);
+        let excess = self.load(now).saturating_add(1).saturating_sub(slots);
         // Assumes that the slots become free one by one, evenly spread over the service time.
-        self.service_time * excess / slots
+        self.service_time.saturating_mul(excess) / slots
     }
 
     /// Returns an estimate of the number of requests running or queued at the server.
@@ -298,7 +299,8 @@
             .reported
             .in_flight(now)
             .max(self.local.reported().in_flight);
-        reported + self.local.unreported().in_flight * self.unreported_weight()
+        let unreported = self.local.unreported().in_flight;
+        reported.saturating_add(unreported.saturating_mul(self.unreported_weight()))
     }
 
     /// Returns whether a listed server has free slots by the load estimate.
--- a/azureway-core/src/fleet/slot_share.rs
+++ b/azureway-core/src/fleet/slot_share.rs
@@ -53,7 +53,7 @@
 
     /// Adapts the share to a load report. `own` is the number of this entry's requests there.
     pub fn apply_report(&mut self, report: &LoadReport, own: u32, now: Timestamp) {
-        self.observe(report.running + report.queued, own, now);
+        self.observe(report.running.saturating_add(report.queued), own, now);
     }
 
     /// Adapts the share to `load`, the requests running or queued at the server from all entries.
@@ -61,12 +61,12 @@
     pub fn observe(&mut self, load: u32, own: u32, now: Timestamp) {
         // The load lags: it includes this entry's requests as of the previous load figure.
         let others = load.saturating_sub(self.own);
-        let free = self.slots.saturating_sub(own + others);
+        let free = self.slots.saturating_sub(own.saturating_add(others));
         self.updated = Some(now);
         self.own = own;
         // If the server is over capacity, leaves the other entries the slots they hold.
         let own = own.min(self.slots.saturating_sub(others));
-        let limit = own + free.div_ceil(self.entries);
+        let limit = own.saturating_add(free.div_ceil(self.entries));
         self.limit = limit.max(self.equal_share()).min(self.slots);
     }
 
@@ -80,14 +80,14 @@
     /// is the only evidence that the server can take more.
     pub fn record_success(&mut self, in_flight: u32, now: Timestamp) {
         if !self.is_fresh(now) && in_flight + 1 >= self.limit {
-            self.limit = (self.limit + 1).min(self.slots);
+            self.limit = self.limit.saturating_add(1).min(self.slots);
         }
     }
 
     /// Returns whether this entry may add to its `in_flight` requests there. It may exceed its
     /// share by `extra` requests, but never the slots of the server.
     pub fn allows(&self, in_flight: u32, extra: u32, now: Timestamp) -> bool {
-        let limit = (self.limit(now) + extra).min(self.slots);
+        let limit = self.limit(now).saturating_add(extra).min(self.slots);
         self.paused.is_none_or(|end| end < now) && in_flight < limit
     }
 
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -34,9 +34,13 @@
         let uncached = profile.prompt.saturating_sub(candidate.cached);
         let prefill = server.prefill.time_for(uncached);
         Self {
-            wait: server.prefill.time_for(state.pending_tokens()) + state.slot_wait(now),
+            wait: server
+                .prefill
+                .time_for(state.pending_tokens())
+                .saturating_add(state.slot_wait(now)),
             prefill,
-            interference: prefill.saturating_mul(INTERFERENCE_FACTOR * state.load(now))
+            interference: prefill
+                .saturating_mul(INTERFERENCE_FACTOR.saturating_mul(state.load(now)))
                 / server.slots.max(1),
             round_trip: candidate.link_latency * 2,
             traffic_cost: candidate.traffic_cost,
--- a/azureway-core/src/route/prefix_load.rs
+++ b/azureway-core/src/route/prefix_load.rs
@@ -34,7 +34,8 @@
         now: Timestamp,
     ) -> Option<usize> {
         let cost = |c: &Candidate<'_>| Estimate::new(profile, c, now).cost();
-        let limit = candidates.iter().map(cost).min()? + TIE_MARGIN;
+        let least = candidates.iter().map(cost).min()?;
+        let limit = least.saturating_add(TIE_MARGIN);
         let order = |c: &Candidate<'_>| match c.replica {
             true => (true, mix(c.weight ^ profile.seed)),
             false => (false, c.weight),
