Bound the length of error descriptions

An error quoted what a peer sent in full. An object of a megabyte made log lines of a megabyte, of which the log's channel holds a thousand: more than a small instance's memory.

Before, a_long_description_is_cut_at_a_character failed: a description of 1,000,000 bytes was expected to be under 2,000.

--- a/azureway-core/src/error/report.rs
+++ b/azureway-core/src/error/report.rs
@@ -14,6 +14,9 @@
     detail: Box<str>,
 }
 
+/// The length of the longest description, in bytes. Descriptions may quote what a peer sent.
+const MAX_LENGTH: usize = 512;
+
 impl Error {
     /// Creates an error of `kind` that occurred at `step`.
     pub fn new(kind: ErrorKind, step: Step, detail: impl fmt::Display) -> Self {
@@ -21,14 +24,14 @@
             kind,
             step,
             peer: None,
-            detail: detail.to_string().into(),
+            detail: bounded(detail),
         }
     }
 
     /// Sets the peer with which the step was carried out.
     #[must_use]
     pub fn with_peer(mut self, peer: impl fmt::Display) -> Self {
-        self.peer = Some(peer.to_string().into());
+        self.peer = Some(bounded(peer));
         self
     }
 
@@ -64,3 +67,11 @@
 }
 
 impl std::error::Error for Error {}
+
+/// Returns the text of `value`, cut to [`MAX_LENGTH`].
+fn bounded(value: impl fmt::Display) -> Box<str> {
+    let mut text = value.to_string();
+    let end = (0..=MAX_LENGTH).rev().find(|i| text.is_char_boundary(*i));
+    text.truncate(end.unwrap_or_default());
+    text.into()
+}
