Log an object that cannot be decoded once

A writer that rewrites an odd object with each heartbeat made the watcher log it and remove its server each time, and the fleet was built anew. The object is now logged when it cannot be decoded for the first time, or for another reason than before, and its server is removed once.

Stored quarantines of another writer were ignored already; odd_quarantines_are_ignored is a guard.

--- a/azureway-entry/src/site/mod.rs
+++ b/azureway-entry/src/site/mod.rs
@@ -7,11 +7,13 @@
 mod codec;
 mod duty;
 mod kind;
+mod rejected_objects;
 mod update;
 mod watcher;
 
 pub use codec::SiteCodec;
 pub use duty::SiteDuty;
 pub use kind::SiteKind;
+pub use rejected_objects::RejectedObjects;
 pub use update::SiteUpdate;
 pub use watcher::SiteWatcher;
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -1,5 +1,6 @@
 //! The thread that lists and watches one kind of platform object, also across outages.
 
+use std::cell::RefCell;
 use std::thread;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use azureway_wire::quarantine::QuarantineBody;
 use flume::Sender;
 
-use super::{SiteCodec, SiteKind, SiteUpdate};
+use super::{RejectedObjects, SiteCodec, SiteKind, SiteUpdate};
 use crate::clock::Clock;
 
 /// Watches one kind of platform object of a site and sends the decoded updates to the site duty.
@@ -31,6 +32,7 @@
     answered: Timestamp,
     /// The earliest time at which the changes in the last answer can have happened.
     earliest: Timestamp,
+    rejected: RefCell<RejectedObjects>,
 }
 
 impl<A: ObjectApi, C: SiteCodec> SiteWatcher<A, C> {
@@ -57,6 +59,7 @@
             listed: false,
             answered: named_since,
             earliest: named_since,
+            rejected: RefCell::default(),
         }
     }
 
@@ -133,6 +136,9 @@
     }
 
     fn send_update(&self, object: &ObjectBody) -> bool {
+        if object.deleted {
+            self.rejected.borrow_mut().remove(&object.name);
+        }
         let update = match self.kind {
             SiteKind::Servers if object.deleted => Some(SiteUpdate::Removed(
                 ServerId::new(&object.name),
@@ -140,10 +146,14 @@
             )),
             // An object that cannot be decoded describes no usable server, so the server is removed
             // even if the previous version of the object was valid.
-            SiteKind::Servers => Some(self.check(object, self.codec.server(object)).map_or_else(
-                || SiteUpdate::Removed(ServerId::new(&object.name), None),
-                |server| SiteUpdate::Server(Box::new(server)),
-            )),
+            SiteKind::Servers => {
+                let was_rejected = self.rejected.borrow().contains(&object.name);
+                match self.check(object, self.codec.server(object)) {
+                    Some(server) => Some(SiteUpdate::Server(Box::new(server))),
+                    None if was_rejected => None,
+                    None => Some(SiteUpdate::Removed(ServerId::new(&object.name), None)),
+                }
+            }
             SiteKind::Quarantines => self.quarantine_update(object),
             // Deleting a configuration or weights does not undo them.
             _ if object.deleted => None,
@@ -170,24 +180,33 @@
         let body = serde_json::from_str(&object.value);
         let body: Result<QuarantineBody, _> =
             body.map_err(|e| Error::new(ErrorKind::Protocol, STEP, e));
-        let body = self.check(object, body)?;
-        if body.until <= Clock::unix_seconds() {
+        let record = body.and_then(|b| Ok((QuarantineRecord::try_from(&b)?, b.until)));
+        let (record, until) = self.check(object, record)?;
+        if until <= Clock::unix_seconds() {
             return None;
         }
-        let record = self.check(object, QuarantineRecord::try_from(&body))?;
         Some(SiteUpdate::Quarantine(QuarantineChange::Stored(record)))
     }
 
-    /// Returns the decoded object, or logs the error.
+    /// Returns the decoded object, or logs the error unless the object is known to have it.
     fn check<T>(&self, object: &ObjectBody, decoded: Result<T, Error>) -> Option<T> {
-        decoded
-            .inspect_err(|e| {
-                log::warn!(
-                    step = "read site", kind = self.kind.as_str(), name = object.name.as_str(),
-                    revision = object.version, error:% = e; "an object cannot be decoded"
-                );
-            })
-            .ok()
+        let mut rejected = self.rejected.borrow_mut();
+        let name = object.name.as_str();
+        match decoded {
+            Ok(decoded) => {
+                rejected.remove(name);
+                Some(decoded)
+            }
+            Err(e) => {
+                if rejected.insert(name, &e.to_string()) {
+                    log::warn!(
+                        step = "read site", kind = self.kind.as_str(), name = name,
+                        revision = object.version, error:% = e; "an object cannot be decoded"
+                    );
+                }
+                None
+            }
+        }
     }
 
     fn send(&self, update: SiteUpdate) -> bool {
