--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -137,6 +137,11 @@
                 all.version = page.version;
             }
             let is_empty = page.objects.is_empty();
+            let last = |list: &ObjectList| list.objects.last().map(|o| o.name.clone());
+            if !is_empty && last(&page) == last(&all) {
+                let detail = "a page of the list does not advance";
+                return Err(self.error(ErrorKind::Protocol, STEP, detail));
+            }
             all.objects.extend(page.objects);
             if !more || is_empty {
                 return Ok(all);
