Take over a lease that cannot be decoded

A lease object that could not be decoded counted as a missing answer: it was read four times as often, and no instance ever took it over, so that no weights were loaded any more. It now counts as the lease of another instance, which is taken over after its term. The version of the object stands in for its fencing number: each number cost a write, so no number that was used exceeds it.

Before, a_lease_that_cannot_be_decoded_is_taken_over_after_its_term failed: the lease was never held.

--- a/azureway-entry/src/order/lease_store.rs
+++ b/azureway-entry/src/order/lease_store.rs
@@ -1,5 +1,7 @@
 //! Platform calls for the lease, which lets only one entry instance send load orders.
 
+use std::time::Duration;
+
 use azureway_core::prelude::*;
 use azureway_objects::{ObjectApi, Put};
 use azureway_wire::object::ObjectBody;
@@ -48,9 +50,24 @@
     let Some(object) = object else {
         return Ok(LeaseReply::Absent);
     };
-    let body: LeaseBody = serde_json::from_str(&object.value)
-        .map_err(|e| Error::new(ErrorKind::Protocol, Step::new("read lease"), e))?;
-    Ok(LeaseReply::Found(object.version, body.into()))
+    let body = serde_json::from_str::<LeaseBody>(&object.value).map(LeaseRecord::from);
+    let record = body.unwrap_or_else(|e| {
+        log::warn!(step = "read lease", version = object.version, error:% = e; "the lease cannot be decoded and counts as another instance's");
+        unknown_record(object.version)
+    });
+    Ok(LeaseReply::Found(object.version, record))
+}
+
+/// Returns the record of a lease that cannot be decoded. Each fencing number cost a write, so none
+/// that was used exceeds the version of the object.
+fn unknown_record(version: u64) -> LeaseRecord {
+    LeaseRecord {
+        holder: InstanceId::new(""),
+        process_id: 0,
+        sequence: 0,
+        number: FencingNumber::new(version),
+        cooldown: Duration::ZERO,
+    }
 }
 
 fn reply_of(error: &Error) -> LeaseReply {
