--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -210,3 +210,50 @@
         expect_that!(allowed, eq(allowed_then), "{settle} {after}");
     }
 }
+
+/// Guards against a server of a service that is not configured, and one of an unknown zone, that
+/// change what the others get.
+#[gtest]
+fn a_server_of_an_unknown_service_gets_no_requests_and_the_others_hold() {
+    let mut state = SiteState::new(Vec::new(), Duration::ZERO);
+    let service = SiteService {
+        id: ServiceId::new("orders"),
+        model: Some(ModelId::new("m")),
+        peer_fetch: false,
+        store: None,
+    };
+    state.configure(SiteDocument {
+        services: vec![service],
+        ..document(4)
+    });
+    state.update_server(server("known", false));
+    for name in ["", "unknown", "other"] {
+        state.update_server(ListedServer {
+            service: ServiceId::new(name),
+            zone: ZoneId::new(name),
+            weights: Some(WeightsVersion::new(u64::MAX)),
+            slots: u32::MAX,
+            ..server(&format!("of {name}"), false)
+        });
+    }
+    let fleet = state.build_fleet().expect("a configuration");
+    let service = &fleet.services[&ServiceId::new("orders")];
+    expect_that!(service.weights, eq(WeightsVersion::new(1)));
+    let pool = |s: &&BackendServer| s.pool == service.pool;
+    let names: Vec<_> = fleet
+        .servers
+        .values()
+        .filter(pool)
+        .map(|s| s.id.as_str())
+        .collect();
+    expect_that!(names, elements_are![eq(&"known")]);
+    let mut router = Router::new(RouterConfig::new(ZoneId::new("a")), PrefixLoad::new());
+    let mut out = Vec::new();
+    router.handle(
+        Event::Configured(&fleet),
+        Timestamp::from_millis(1),
+        &mut out,
+    );
+    expect_that!(router.servers().iter().count(), eq(4));
+    expect_that!(router.servers().in_pool(&service.pool).count(), eq(1));
+}
