Keep requests from servers that announce their leaving

Only reports, peers and the platform's list could mark a server as leaving. A server that says so itself with an answer had no way into the decisions, and three gaps weakened the marks of peers: one for an incarnation that was listed later was forgotten with the listing, one about a server not yet listed was dropped, and two entries could renew each other's mark for ever, since a full sync gives it a new term.

Announcements are now remembered by server and incarnation, apart from the list: an older list, a newer one that says ready, and a server that is listed again do not undo them. They end with a new incarnation or after ten minutes, and only the server's own answers renew them. A pool that all servers leave refuses at once what waits or comes; a stream that has begun waits for a new server.

With the announcement ignored, as before, all tests of announced.rs and the drawn runs of promises.rs, which now draw announcements too, fail. The tests of the crate pass.

--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -40,6 +40,8 @@
     ListedEntries(u32),
     /// Another entry instance reported the demand of client accounts there.
     Demand(&'a Demand),
+    /// A backend server said with an answer that one of its incarnations leaves.
+    Announced(&'a ServerUpdate),
     /// Another entry instance reported a status change of a backend server.
     Server(&'a ServerUpdate),
     /// An entry instance is about to order a backend server to load weights, or the load has
--- a/azureway-core/src/fleet/mod.rs
+++ b/azureway-core/src/fleet/mod.rs
@@ -2,6 +2,10 @@
 
 mod configured;
 mod health;
+mod leaving_cause;
+mod leaving_change;
+mod leaving_mark;
+mod leaving_marks;
 mod load_report;
 mod load_sample;
 mod local_work;
@@ -9,6 +13,7 @@
 mod reported_work;
 mod route_table;
 mod server_failure;
+mod server_leaving;
 mod server_state;
 mod server_table;
 mod slot_share;
@@ -16,6 +21,10 @@
 
 pub use configured::Fleet;
 pub use health::Health;
+pub use leaving_cause::LeavingCause;
+pub use leaving_change::LeavingChange;
+pub use leaving_mark::LeavingMark;
+pub use leaving_marks::LeavingMarks;
 pub use load_report::LoadReport;
 pub use load_sample::LoadSample;
 pub use local_work::LocalWork;
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -6,7 +6,7 @@
 use crate::domain::{
     BackendServer, Incarnation, ListedState, Rank, Timestamp, TokenCount, WeightsVersion,
 };
-use crate::member::{LoadNotice, ServerStatus, ServerUpdate};
+use crate::member::LoadNotice;
 
 /// The time without a report after which a server that used to report may be down or unreachable.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -37,6 +37,7 @@
     service_time: Duration,
     last_report: Timestamp,
     listed_leaving: bool,
+    announced: bool,
     pub(super) health: Health,
     pub(super) retry_at: Timestamp,
     /// The time until which the server gets no requests because it loads weights or rejected a
@@ -59,6 +60,7 @@
             service_time: DEFAULT_SERVICE_TIME,
             last_report: Timestamp::ZERO,
             listed_leaving: false,
+            announced: false,
             health: Health::Live,
             retry_at: Timestamp::ZERO,
             held_until: Timestamp::ZERO,
@@ -156,12 +158,9 @@
         };
     }
 
-    /// Applies an update from another entry, unless it is of an earlier incarnation. It can only
-    /// mark the server as draining; only the server's own report can undo that.
-    pub fn apply_update(&mut self, update: &ServerUpdate) {
-        if update.status == ServerStatus::Leaving && update.incarnation >= self.incarnation {
-            self.health = Health::Leaving;
-        }
+    /// Sets whether the server has announced that it leaves, to this entry or to another.
+    pub const fn set_announced(&mut self, announced: bool) {
+        self.announced = announced;
     }
 
     /// Sets whether the platform lists the server as draining. The list lags, so the reports of
@@ -170,9 +169,10 @@
         self.listed_leaving = leaving;
     }
 
-    /// Returns whether the server is draining according to its own reports or another entry.
+    /// Returns whether the server is draining according to its own reports and answers, which another
+    /// entry may have passed on.
     pub fn is_leaving(&self) -> bool {
-        self.health == Health::Leaving
+        self.announced || self.health == Health::Leaving
     }
 
     /// Records a request in flight with `pending` uncached prompt tokens, and returns the period
@@ -208,7 +208,7 @@
     /// Returns the health state, with the server's configuration and the platform's list
     /// included.
     pub const fn health(&self) -> Health {
-        match self.server.leaving || self.listed_leaving {
+        match self.server.leaving || self.listed_leaving || self.announced {
             true => Health::Leaving,
             false => self.health,
         }
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -3,20 +3,21 @@
 use std::collections::HashMap;
 use std::ops::Range;
 
-use super::{Fleet, LoadReport, ServerState};
+use super::{Fleet, LeavingCause, LeavingMarks, LoadReport, ServerState};
 use crate::domain::{PoolId, ServerId, Timestamp};
-use crate::member::{LoadNotice, ServerUpdate};
+use crate::member::LoadNotice;
 
 /// The runtime state of every backend server. The servers of a pool are stored contiguously, in
 /// the order of their names.
 #[derive(Clone, Debug, Default)]
 pub struct ServerTable {
-    servers: Vec<ServerState>,
-    positions: HashMap<ServerId, usize>,
+    pub(super) servers: Vec<ServerState>,
+    pub(super) positions: HashMap<ServerId, usize>,
     pools: HashMap<PoolId, Range<usize>>,
     entries: u32,
     seed: u64,
     leaving: Vec<ServerId>,
+    pub(super) marks: LeavingMarks,
 }
 
 impl ServerTable {
@@ -48,11 +49,16 @@
             let kept = kept.filter(|s| {
                 let same = s.server.address == server.address;
                 invalidated.extend((!same).then(|| id.clone()));
+                if !same && server.listed.is_none() {
+                    self.marks.remove(id, LeavingCause::Restart);
+                }
                 same
             });
             let mut state = kept.unwrap_or_else(|| ServerState::new(server.clone(), entries, seed));
             invalidated.extend(state.reconfigure(server, entries).then(|| id.clone()));
             state.set_listed_leaving(self.leaving.contains(id));
+            self.end_earlier_mark(id, state.incarnation);
+            state.set_announced(self.marks.is_active(id, state.incarnation));
             self.servers.push(state);
         }
         invalidated.extend(old.into_keys());
@@ -76,16 +82,9 @@
 
     /// Applies a load report. Returns the pool of the server, if the server is known.
     pub fn apply_report(&mut self, report: &LoadReport, now: Timestamp) -> Option<&PoolId> {
-        let state = self.get_mut(&report.server)?;
-        state.apply_report(report, now);
-        Some(&state.server.pool)
-    }
-
-    /// Applies an update about a server from another entry.
-    pub fn apply_update(&mut self, update: &ServerUpdate) {
-        if let Some(state) = self.get_mut(&update.server) {
-            state.apply_update(update);
-        }
+        self.get_mut(&report.server)?.apply_report(report, now);
+        self.check_mark(report);
+        self.get(&report.server).map(|s| &s.server.pool)
     }
 
     /// Applies a notice that a server is about to load weights or has loaded them. Returns
@@ -105,9 +104,10 @@
     }
 
     /// Returns the earliest time, not before `now`, at which a server is tried again after a
-    /// failure or rejection.
+    /// failure, a rejection or an announcement that it leaves.
     pub fn next_retry(&self, now: Timestamp) -> Option<Timestamp> {
         let times = self.servers.iter().filter_map(ServerState::retry_at);
+        let times = times.chain(self.marks.next_expiry());
         times.filter(|t| *t >= now).min()
     }
 
--- a/azureway-core/src/router/admission_check.rs
+++ b/azureway-core/src/router/admission_check.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::leaving::all_leave;
 use super::{Queues, RetryDecision};
 use crate::admit::{AccountLimits, PoolQueue};
 use crate::domain::{
@@ -55,6 +56,9 @@
         }
         let service = self.service(request)?;
         let account = self.account(request)?;
+        if self.servers.all_leave(&service.pool) {
+            return Err(all_leave());
+        }
         if self.queues.pool_len(&service.pool) >= self.queue_limit {
             return Err(refusal(RefusalReason::Overloaded, "too many requests wait"));
         }
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -52,6 +52,7 @@
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
         self.last_event = now;
         let start = out.len();
+        self.expire_leaving(now);
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
             Event::CallerDisconnected(id) => self.disconnect(id, now, out),
@@ -67,7 +68,8 @@
             Event::ZoneEntries(count) => self.dispatcher.servers_mut().set_entries(count),
             Event::ListedEntries(count) => self.set_listed_entries(count),
             Event::Demand(demand) => self.limits.share_mut().record(demand, now),
-            Event::Server(update) => self.dispatcher.servers_mut().apply_update(update),
+            Event::Announced(update) => self.apply_announcement(update, now, out),
+            Event::Server(update) => self.apply_server_update(update, now),
             Event::Loading(notice) => {
                 self.dispatcher.apply_loading(notice, now);
                 self.queues.mark_all_dirty();
@@ -225,6 +227,11 @@
                 if let Some(pool) = &pool {
                     self.budgets.for_pool(pool, now).try_spend();
                 }
+            } else if let Some(refusal) = pool
+                .as_ref()
+                .and_then(|p| self.refusal_if_all_leave(p, &retry.plan))
+            {
+                out.push(Action::Refuse(retry.request.id, refusal));
             } else {
                 self.retries.push(retry);
             }
@@ -244,7 +251,7 @@
                 ) {
                     self.queues.take(queued.request.id, now);
                 } else {
-                    self.defer(&queued, &mut blocked, now, out);
+                    self.defer(&pool, &queued, &mut blocked, now, out);
                 }
             }
         }
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod expiry;
 mod in_flight;
 mod in_flight_table;
+mod leaving;
 mod overview;
 mod placement;
 mod placement_request;
--- a/azureway-core/src/router/overview.rs
+++ b/azureway-core/src/router/overview.rs
@@ -26,6 +26,8 @@
     pub suspects: usize,
     /// The number of requests that may not run because two backend servers failed while they ran.
     pub quarantined: usize,
+    /// The number of incarnations of backend servers that have announced their leaving.
+    pub announced: u64,
     /// The counts of ended requests by rank, kind and outcome.
     pub counts: Vec<(Rank, RequestKind, Outcome, OutcomeCount)>,
 }
--- a/azureway-core/src/router/suspects.rs
+++ b/azureway-core/src/router/suspects.rs
@@ -2,7 +2,7 @@
 
 use super::{InFlight, Retry, RetryDecision, Router};
 use crate::admit::{BlockedClasses, QueuedRequest};
-use crate::domain::{Fingerprint, StreamPosition, Timestamp};
+use crate::domain::{Fingerprint, PoolId, StreamPosition, Timestamp};
 use crate::event::{Action, Failure};
 use crate::quarantine::{CrashReport, QuarantineChange, SuspectStatus};
 use crate::route::Policy;
@@ -112,17 +112,23 @@
         }
     }
 
-    /// Handles a queued request that found no server. A suspect moves to the retries, where it
+    /// Handles a queued request that found no server. If all servers of its pool leave, it is refused.
+    /// A suspect moves to the retries, where it
     /// waits for a server without other suspects and does not delay other requests. A quarantined
     /// request is refused. Any other request blocks its class.
     pub(super) fn defer(
         &mut self,
+        pool: &PoolId,
         queued: &QueuedRequest,
         blocked: &mut BlockedClasses,
         now: Timestamp,
         out: &mut Vec<Action>,
     ) {
         let request = &queued.request;
+        if let Some(refusal) = self.refusal_if_all_leave(pool, &queued.plan) {
+            self.queues.remove(request.id);
+            return out.push(Action::Refuse(request.id, refusal));
+        }
         let status = self.dispatcher.guard().request_status(request, now);
         if status == SuspectStatus::Clear {
             return blocked.add(queued);
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -60,6 +60,7 @@
             claims: self.claims.pending(),
             suspects: self.count_with_status(SuspectStatus::Suspect),
             quarantined: self.count_with_status(SuspectStatus::Quarantined),
+            announced: self.servers().leaving_marks().announced(),
             counts: self.counts(),
         }
     }
--- a/azureway-core/tests/promises.rs
+++ b/azureway-core/tests/promises.rs
@@ -43,6 +43,7 @@
     Disconnect(usize),
     Restart(usize),
     Leave(usize),
+    Announce(usize),
     Pass(u64),
     Configure(bool),
     Drain,
@@ -116,6 +117,7 @@
             Step::Disconnect(which) => self.disconnect(which),
             Step::Restart(number) => self.report(number, true, false),
             Step::Leave(number) => self.report(number, false, true),
+            Step::Announce(number) => self.announce(number),
             Step::Pass(millis) => self.fixture.advance(Duration::from_millis(millis)),
             Step::Configure(newer) => self.configure(newer),
             Step::Drain => {
@@ -245,6 +247,18 @@
         self.fixture.handle(Event::Load(&report))
     }
 
+    /// Lets a server say with an answer that it leaves.
+    fn announce(&mut self, number: usize) -> Vec<Action> {
+        let id = server_id(number % SERVERS);
+        self.leaving.insert(id.clone());
+        let update = ServerUpdate {
+            server: id,
+            incarnation: Incarnation::new(self.incarnations[number % SERVERS]),
+            status: ServerStatus::Leaving,
+        };
+        self.fixture.handle(Event::Announced(&update))
+    }
+
     fn configure(&mut self, newer: bool) -> Vec<Action> {
         let version = self.fixture.router.fleet().version.get();
         let next = if newer {
@@ -384,6 +398,7 @@
         1 => which().prop_map(Step::Disconnect),
         1 => which().prop_map(Step::Restart),
         1 => which().prop_map(Step::Leave),
+        1 => which().prop_map(Step::Announce),
         3 => (0..3_000u64).prop_map(Step::Pass),
         1 => any::<bool>().prop_map(Step::Configure),
     ];
