Read what a backend server says of its leaving in its answers

Nothing read the header, so an entry learnt of a leaving server from the list alone, which lags and may be out of reach. The platform's dialect now decodes it, and the exchange reports it with the incarnation that the attempt was sent to, before anything of the answer reaches the caller. A connection is no longer kept from one incarnation to the next: its answers would pass for the later one's.

Each change of belief has a line in the log; the metrics and the status count the servers.

--- a/azureway-cli/src/report/status_report.rs
+++ b/azureway-cli/src/report/status_report.rs
@@ -80,7 +80,8 @@
         f,
         "  crash suspects {}  quarantined {}",
         status.suspects, status.quarantined
-    )
+    )?;
+    writeln!(f, "  servers that announced leaving {}", status.announced)
 }
 
 fn write_outcomes(f: &mut fmt::Formatter<'_>, status: &StatusBody) -> fmt::Result {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::decision_log::{log_crash_report, log_dispatch, log_rate_limit};
+use super::decision_log::{log_crash_report, log_dispatch, log_leaving, log_rate_limit};
 use super::{DecideMessage, PeerUpdate, PendingRequests, VersionTracker};
 use crate::admit::AdmittedRequest;
 use crate::caller::RequestUpdate;
@@ -104,6 +104,9 @@
     fn handle_event(&mut self, event: Event<'_>) {
         self.router
             .handle(event, self.clock.now(), &mut self.actions);
+        for change in self.router.take_leaving_changes() {
+            log_leaving(&self.router, &change);
+        }
     }
 
     fn handle_message(&mut self, message: DecideMessage) {
@@ -132,6 +135,7 @@
                 }
                 self.handle_event(Event::LoadSample(&sample));
             }
+            DecideMessage::Announced(update) => self.handle_event(Event::Announced(&update)),
             DecideMessage::Cache(update) => self.handle_event(Event::Cache(&update.view())),
             DecideMessage::Configured(fleet) => self.reconfigure(&fleet),
             DecideMessage::ConfigRejected(version) => {
--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -1,6 +1,8 @@
 //! The lines that the deciding duty logs about what it learns and decides.
 
-use azureway_core::prelude::{CrashReport, Dispatch, LoadSample, Policy, Router, ServerState};
+use azureway_core::prelude::{
+    CrashReport, Dispatch, LeavingChange, LeavingMark, LoadSample, Policy, Router, ServerState,
+};
 
 use super::PendingRequest;
 
@@ -29,6 +31,26 @@
     }
 }
 
+/// Logs a change of the belief that a server leaves.
+pub(super) fn log_leaving<P: Policy>(router: &Router<P>, change: &LeavingChange) {
+    let state = router.servers().get(&change.server);
+    let known = state.map(|s: &ServerState| s.incarnation.get());
+    let (cause, limit) = (change.cause.as_str(), LeavingMark::TTL);
+    if change.began {
+        log::info!(
+            step = "leaving", peer:% = change.server, incarnation:% = change.incarnation,
+            known:? = known, cause = cause, limit:? = limit;
+            "a server is leaving and gets no new requests"
+        );
+    } else {
+        log::info!(
+            step = "leaving", peer:% = change.server, incarnation:% = change.incarnation,
+            known:? = known, cause = cause;
+            "a server no longer counts as leaving"
+        );
+    }
+}
+
 /// Logs that an attempt is sent, `waited` milliseconds after its request arrived.
 pub(super) fn log_dispatch(dispatch: &Dispatch, pending: &PendingRequest, waited: u64) {
     log::info!(
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -4,7 +4,7 @@
 
 use azureway_core::prelude::{
     Attempt, ClaimOutcome, ConfigVersion, Failure, Finish, Fleet, LoadReport, LoadSample,
-    QuarantineChange, RequestId, ServerId, ShortAnswer,
+    QuarantineChange, RequestId, ServerId, ServerUpdate, ShortAnswer,
 };
 use flume::Sender;
 
@@ -32,6 +32,8 @@
     Load(LoadReport),
     /// An answer carried a load sample of its backend server.
     LoadSample(LoadSample),
+    /// A backend server said with an answer that one of its incarnations leaves.
+    Announced(ServerUpdate),
     /// A backend server reported changes of its cache.
     Cache(OwnedCacheUpdate),
     /// A version of the configuration was read.
--- a/azureway-entry/src/exchange/answer_metadata.rs
+++ b/azureway-entry/src/exchange/answer_metadata.rs
@@ -1,4 +1,4 @@
-//! The content of a site's headers for an answer: signature, rejection, load and weights.
+//! The content of a site's headers for an answer: signature, rejection, load, weights and leaving.
 
 use azureway_core::prelude::{RequestRate, WeightsVersion};
 
@@ -19,4 +19,6 @@
     pub weights: Option<WeightsVersion>,
     /// The rate of requests that the server takes from all senders.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the server states that it is leaving.
+    pub leaving: bool,
 }
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use azureway_core::prelude::Incarnation;
 use socket2::{SockRef, TcpKeepalive};
 
 use super::timed_socket::nonzero;
@@ -15,6 +16,8 @@
     reader: BufReader<TimedSocket>,
     /// The attempt ID of the last request, if the server rejected it.
     rejected: Option<Box<str>>,
+    /// The incarnation of the server that the connection was opened to, if known.
+    incarnation: Option<Incarnation>,
 }
 
 /// The time for which sent bytes may stay unacknowledged before the connection fails: several times
@@ -49,9 +52,23 @@
         Ok(Self {
             reader,
             rejected: None,
+            incarnation: None,
         })
     }
 
+    /// Sets the incarnation of the server that the connection is opened to.
+    #[must_use]
+    pub const fn with_incarnation(mut self, incarnation: Option<Incarnation>) -> Self {
+        self.incarnation = incarnation;
+        self
+    }
+
+    /// Returns whether the connection was opened to this incarnation of the server. What an earlier one
+    /// answers would pass for the words of the current one.
+    pub fn leads_to(&self, incarnation: Option<Incarnation>) -> bool {
+        self.incarnation == incarnation
+    }
+
     /// Records that the server rejected the request with `attempt_id`, or answered another one.
     pub fn set_rejected(&mut self, attempt_id: Option<&str>) {
         self.rejected = attempt_id.map(Into::into);
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -95,17 +95,7 @@
     fn exchange(&mut self, passthrough: &Passthrough) -> Result<(), AttemptError> {
         let (mut connection, head) = self.send_request(passthrough)?;
         let metadata = self.dialect.read(&head);
-        let (load, weights, rate_limit) = (metadata.load, metadata.weights, metadata.rate_limit);
-        if load.is_some() || weights.is_some() || rate_limit.is_some() {
-            let server = self.dispatch.server.clone();
-            let sample = LoadSample {
-                server,
-                load,
-                weights,
-                rate_limit,
-            };
-            let _ = self.decide.send(DecideMessage::LoadSample(sample));
-        }
+        self.report_metadata(&metadata);
         let framing = Framing::from_head(&head, &self.upstream.method);
         let framing = framing.ok_or(BROKEN)?;
         let rejected = metadata.mismatch || metadata.rejected;
--- a/azureway-entry/src/exchange/mod.rs
+++ b/azureway-entry/src/exchange/mod.rs
@@ -18,6 +18,7 @@
 mod framing;
 mod idle_connection;
 mod launcher;
+mod metadata_report;
 mod pool;
 mod raw_event;
 mod send_request;
--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -34,7 +34,9 @@
         let address = self.dispatch.address;
         let attempt_id = self.attempt_id(passthrough);
         let pooled = self.pool.take(address, once);
-        if let Some(connection) = pooled.filter(|c| !c.has_rejected(attempt_id)) {
+        let incarnation = self.dispatch.incarnation;
+        let usable = |c: &BackendConnection| !c.has_rejected(attempt_id) && c.leads_to(incarnation);
+        if let Some(connection) = pooled.filter(usable) {
             match self.send_on(connection, passthrough) {
                 // The server closed the idle connection as the request was sent. Whether it read
                 // the request is unknown, so it is sent again only if it may run more than once.
@@ -50,7 +52,7 @@
             log::debug!(request:% = self.dispatch.attempt.id, step = "connect", peer:% = address, error:% = e; "connecting failed");
             unreachable
         })?;
-        self.send_on(connection, passthrough)
+        self.send_on(connection.with_incarnation(incarnation), passthrough)
     }
 
     fn send_on(
--- a/azureway-entry/src/meter/router_metrics.rs
+++ b/azureway-entry/src/meter/router_metrics.rs
@@ -23,6 +23,7 @@
     claims: Gauge,
     quarantined: Gauge,
     entries: Gauge,
+    announced: Counter,
 }
 
 /// The time that a scrape waits for the deciding duty's state before it uses the last values.
@@ -40,6 +41,7 @@
             claims: Gauge::default(),
             quarantined: Gauge::default(),
             entries: Gauge::default(),
+            announced: Counter::default(),
         };
         let help = "Every request once, by how it ended";
         r.register("requests", help, metrics.requests.clone());
@@ -57,6 +59,8 @@
         r.register("requests_quarantined", help, metrics.quarantined.clone());
         let help = "Entry instances that share the zone's servers, with this one";
         r.register("zone_entries", help, metrics.entries.clone());
+        let help = "Incarnations of backend servers that have announced their leaving";
+        r.register("servers_leaving", help, metrics.announced.clone());
         metrics
     }
 
@@ -81,8 +85,8 @@
     fn apply(&self, overview: &Overview) {
         for (rank, kind, outcome, count) in &overview.counts {
             let label = OutcomeLabel::new(*rank, *kind, *outcome);
-            set_total(&self.requests, &label, count.requests);
-            set_total(&self.worth, &label, count.worth);
+            raise_to(&self.requests.get_or_create(&label), count.requests);
+            raise_to(&self.worth.get_or_create(&label), count.worth);
         }
         for rank in Rank::ALL {
             let queued = self.queued.get_or_create(&rank.into());
@@ -93,11 +97,11 @@
         set_gauge(&self.claims, overview.claims);
         set_gauge(&self.quarantined, overview.quarantined);
         set_gauge(&self.entries, overview.entries);
+        raise_to(&self.announced, overview.announced);
     }
 }
 
-fn set_total(family: &Family<OutcomeLabel, Counter>, label: &OutcomeLabel, total: u64) {
-    let counter = family.get_or_create(label);
+fn raise_to(counter: &Counter, total: u64) {
     counter.inc_by(total.saturating_sub(counter.get()));
 }
 
--- a/azureway-entry/tests/dialect/mod.rs
+++ b/azureway-entry/tests/dialect/mod.rs
@@ -37,6 +37,7 @@
             load: None,
             weights: None,
             rate_limit: None,
+            leaving: head.get("x-leaving") == Some("1"),
         }
     }
 }
--- a/azureway-entry/tests/meter.rs
+++ b/azureway-entry/tests/meter.rs
@@ -40,6 +40,7 @@
         let overview = Overview {
             queued: [5, 8],
             retry_budget: 9,
+            announced: 2,
             counts: vec![(Rank::Urgent, RequestKind::AtMostOnce, Outcome::Late, late)],
             ..Overview::default()
         };
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Fixtures for tests of a whole site: a test site, its backend server and the entry daemon.
 #![expect(unreachable_pub, reason = "a test's module has no outside")]
+#![allow(dead_code, reason = "each test uses only some of the helpers")]
 
 #[path = "../dialect/mod.rs"]
 mod dialect;
@@ -13,7 +14,7 @@
 use azureway_config::settings::{EntrySettings, SiteSettings};
 use azureway_core::prelude::*;
 use azureway_dev::http::HttpServer;
-use azureway_dev::platform::Platform;
+use azureway_dev::platform::{Platform, PlatformFaults};
 use azureway_entry::admit::UpstreamRequest;
 use azureway_entry::caller::Head;
 use azureway_entry::daemon::Gateway;
@@ -104,7 +105,8 @@
     }
 
     fn server(&self, object: &ObjectBody) -> Result<ListedServer, Error> {
-        let address = object.value.parse();
+        let (address, incarnation) = object.value.split_once(' ').unwrap_or((&object.value, "1"));
+        let address = address.parse();
         let bad = |e| Error::new(ErrorKind::Protocol, Step::new("read server"), e);
         Ok(ListedServer {
             id: ServerId::new(&object.name),
@@ -113,7 +115,7 @@
             zone: ZoneId::new("a"),
             slots: 8,
             leaving: false,
-            incarnation: Incarnation::new(1),
+            incarnation: Incarnation::new(incarnation.parse().expect("a number")),
             weights: None,
         })
     }
@@ -241,7 +243,8 @@
 pub struct SiteFixture {
     gateway: Gateway,
     ready: SocketAddr,
-    _platform: HttpServer,
+    platform: Arc<Platform>,
+    _platform_server: HttpServer,
 }
 
 /// An entry daemon that is draining.
@@ -269,6 +272,38 @@
         fixture
     }
 
+    /// Starts an entry daemon in front of several servers, which are listed by their position as `s0`,
+    /// `s1` and so on, and waits until it is ready.
+    pub fn start_in_front_of(servers: &[&Server]) -> Self {
+        let platform = Arc::new(Platform::new());
+        for (number, server) in servers.iter().enumerate() {
+            let address = server.address.to_string();
+            platform.seed("servers", &format!("s{number}"), &address);
+        }
+        platform.seed("document", "main", "");
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let fixture = Self::start_with(platform, any).expect("the entry starts");
+        while fixture.ready() != 200 {
+            thread::yield_now();
+        }
+        fixture
+    }
+
+    /// Lists an incarnation of a server at the platform.
+    pub fn list(&self, name: &str, server: &Server, incarnation: u64) {
+        let value = format!("{} {incarnation}", server.address);
+        self.platform.seed("servers", name, &value);
+    }
+
+    /// Makes every call of the platform fail from now on.
+    pub fn fail_platform(&self) {
+        let faults = PlatformFaults {
+            outage: true,
+            ..PlatformFaults::default()
+        };
+        self.platform.set_faults(faults);
+    }
+
     /// Starts an entry daemon for callers at `address`. Returns the error's text if it fails.
     pub fn start_on(address: SocketAddr) -> Result<(), String> {
         let platform = Arc::new(Platform::new());
@@ -276,7 +311,8 @@
     }
 
     fn start_with(platform: Arc<Platform>, listen: SocketAddr) -> Result<Self, String> {
-        let platform_server = HttpServer::start(platform).map_err(|e| e.to_string())?;
+        let platform_server =
+            HttpServer::start(Arc::clone(&platform)).map_err(|e| e.to_string())?;
         let (instance, zone) = (InstanceId::new("entry"), ZoneId::new("a"));
         let settings =
             EntrySettings::new(instance, zone, platform_server.address()).with_listen(listen);
@@ -296,7 +332,8 @@
         Ok(Self {
             ready: gateway.ready_address().expect("an address"),
             gateway,
-            _platform: platform_server,
+            platform,
+            _platform_server: platform_server,
         })
     }
 
--- a/azureway-wire/src/admin/status_body.rs
+++ b/azureway-wire/src/admin/status_body.rs
@@ -38,6 +38,9 @@
     /// The number of requests that may not run because two backend servers failed while they ran.
     #[serde(default)]
     pub quarantined: usize,
+    /// The number of incarnations of backend servers that have announced their leaving.
+    #[serde(default)]
+    pub announced: u64,
     /// The counts of ended requests by rank, kind and outcome.
     pub counts: Vec<CountBody>,
     /// The backend servers that the instance knows.
@@ -58,6 +61,7 @@
             claims: overview.claims,
             suspects: overview.suspects,
             quarantined: overview.quarantined,
+            announced: overview.announced,
             counts: overview.counts.into_iter().map(Into::into).collect(),
             ..Self::default()
         }
