Let model engines name their leaving in the heads of answers

An engine said that it leaves in its feed alone, which comes up to half a second later and not at all while it is cut off. It now names the incarnation that leaves in the head of each answer, and the relay reports it before anything of the answer is passed on. The stand-in engines can say it ahead of their feed.

--- a/azureway-dev/src/engine/engine_service.rs
+++ b/azureway-dev/src/engine/engine_service.rs
@@ -67,6 +67,12 @@
         self.update(|s| s.leaving = true);
     }
 
+    /// Says from now on in the heads of its answers alone that the engine is shutting down, as long
+    /// as its reports lag.
+    pub fn start_announcing(&self) {
+        self.update(|s| s.announcing = true);
+    }
+
     /// Waits until no request is running.
     pub fn wait_idle(&self) {
         self.wait_while(|s| s.running > 0);
@@ -133,16 +139,22 @@
         };
         let metadata = RequestMetadata::new(&request);
         let prompt = chat.prompt_blocks(metadata.salt);
+        let leaving = self.lock().leaving_incarnation();
         if self.lock().rejecting {
-            return Reply::text(request, 500, "the engine rejects chat requests");
+            return Reply::rejection(request, 500, "the engine rejects chat requests", leaving);
         }
         if let Some(from) = metadata.import_from {
             self.import_blocks(from, &prompt, &metadata);
         }
         let Some(accepted) = self.accept(&metadata, &prompt) else {
-            return Reply::text(request, 409, "the incarnation or the weights differ");
+            return Reply::rejection(
+                request,
+                409,
+                "the incarnation or the weights differ",
+                leaving,
+            );
         };
-        match EventWriter::new(request, &metadata.attempt_id) {
+        match EventWriter::new(request, &metadata.attempt_id, leaving) {
             Ok(writer) => {
                 let handler = ChatHandler::new(self, writer, &metadata, &prompt, accepted);
                 handler.run(&chat.model, chat.max_tokens);
--- a/azureway-dev/src/engine/engine_state.rs
+++ b/azureway-dev/src/engine/engine_state.rs
@@ -30,6 +30,8 @@
     pub pending: TokenCount,
     /// Whether the engine reports that it is shutting down.
     pub leaving: bool,
+    /// Whether the engine says in its answers, and not yet in its reports, that it is shutting down.
+    pub announcing: bool,
     /// Whether new chat requests are refused.
     pub rejecting: bool,
     /// The number of the newest request whose connection is stalled, as are all older ones.
@@ -52,6 +54,7 @@
             waiting: BTreeSet::new(),
             pending: TokenCount::ZERO,
             leaving: false,
+            announcing: false,
             rejecting: false,
             stalled: 0,
             accepted_count: 0,
@@ -139,6 +142,11 @@
         }
     }
 
+    /// Returns the incarnation that leaves, if the engine says so.
+    pub fn leaving_incarnation(&self) -> Option<Incarnation> {
+        (self.leaving || self.announcing).then_some(self.incarnation)
+    }
+
     /// Returns whether a request is first in the queue and a slot is free.
     pub fn is_next(&self, accepted: &AcceptedRequest) -> bool {
         let next = self.waiting.first() == Some(&(accepted.rank, accepted.number));
--- a/azureway-dev/src/http/event_writer.rs
+++ b/azureway-dev/src/http/event_writer.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 
+use azureway_core::prelude::Incarnation;
 use azureway_wire::header;
 use tiny_http::Request;
 
@@ -13,17 +14,19 @@
 
 impl EventWriter {
     /// Takes over the connection of `request` and writes the response head, with the ID of the
-    /// attempt.
+    /// attempt and, if the engine leaves, the incarnation that does.
     ///
     /// # Errors
     ///
     /// Returns an error if the caller has disconnected.
-    pub fn new(request: Request, attempt: &str) -> io::Result<Self> {
+    pub fn new(request: Request, attempt: &str, leaving: Option<Incarnation>) -> io::Result<Self> {
         let mut out = request.into_writer();
+        let leaving = leaving.map(|i| format!("{}: {i}\r\n", header::LEAVING));
+        let leaving = leaving.unwrap_or_default();
         write!(
             out,
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\
-             {}: {attempt}\r\ntransfer-encoding: chunked\r\n\r\n",
+             {}: {attempt}\r\n{leaving}transfer-encoding: chunked\r\n\r\n",
             header::ATTEMPT
         )?;
         out.flush()?;
--- a/azureway-dev/src/http/reply.rs
+++ b/azureway-dev/src/http/reply.rs
@@ -1,5 +1,7 @@
 //! Reads request headers and writes answers that are not streamed.
 
+use azureway_core::prelude::Incarnation;
+use azureway_wire::header;
 use serde::Serialize;
 use tiny_http::{Header, Request, Response};
 
@@ -25,6 +27,14 @@
         let _ = request.respond(Response::from_string(text).with_status_code(status));
     }
 
+    /// Answers with a plain text, and states which incarnation of the server leaves, if one does.
+    pub fn rejection(request: Request, status: u16, text: &str, leaving: Option<Incarnation>) {
+        let leaving = leaving.map(|i| Header::from_bytes(header::LEAVING, i.to_string()));
+        let response = Response::from_string(text).with_status_code(status);
+        let headers = leaving.into_iter().flatten();
+        let _ = request.respond(headers.fold(response, Response::with_header));
+    }
+
     /// Returns the value of the header `name`, in any case of letters.
     pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
         let header = request
--- a/azureway-dev/tests/streams.rs
+++ b/azureway-dev/tests/streams.rs
@@ -149,3 +149,31 @@
     ids.filter_map(|rest| rest.split('"').next())
         .filter_map(|id| id.split('.').next())
 }
+
+// Guards against requests and resumed streams that go to an engine that has said with an answer that it
+// leaves, while its reports still say that it does not.
+#[gtest]
+fn an_engine_that_says_it_leaves_gets_nothing_later() {
+    let system = system(2, INTERVAL, &bounds());
+    let mut stream = open_chat(&system, TOKENS);
+    let mut answer = read_until(&mut stream, "id: 5\n");
+    let first = busy_engine(&system);
+    first.start_announcing();
+    // This stream's head came before; the next request to the engine names the leaving.
+    for _ in 0..12 {
+        let mut next = open_chat(&system, 3);
+        read_all(&mut next);
+    }
+    expect_that!(first.accepted_count(), le(2));
+    let accepted = first.accepted_count();
+    let other = system.engines.iter().find(|e| e.running() == 0);
+    let mut resumed = open_chat(&system, TOKENS);
+    let mut second = read_until(&mut resumed, "id: 5\n");
+    other.expect("an idle engine").crash();
+    second.push_str(&read_all(&mut resumed));
+    answer.push_str(&read_all(&mut stream));
+    expect_complete(&answer);
+    expect_complete(&second);
+    expect_that!(first.accepted_count(), eq(accepted));
+    system.drain();
+}
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -3,6 +3,7 @@
 use std::io::Read;
 use std::sync::Arc;
 
+use attohttpc::header::HeaderMap;
 use attohttpc::{Method, RequestBuilder, Response};
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::*;
@@ -94,6 +95,7 @@
             .build_request()?
             .send()
             .map_err(|e| AttemptError::from_send(&e))?;
+        self.report_leaving(answer.headers());
         match self.upstream.kind {
             ServiceKind::Plain => self.forward_complete(answer),
             ServiceKind::Model => match AttemptError::from_status(answer.status().as_u16()) {
@@ -104,6 +106,20 @@
         }
     }
 
+    /// Reports that a model engine leaves, if its answer says so. Plain services say nothing of
+    /// themselves.
+    fn report_leaving(&self, headers: &HeaderMap) {
+        let value = headers.get(header::LEAVING).and_then(|v| v.to_str().ok());
+        let incarnation = value.and_then(|v| v.trim().parse().ok());
+        if let (Some(incarnation), ServiceKind::Model) = (incarnation, self.upstream.kind) {
+            let _ = self.decide.send(DecideMessage::Announced(ServerUpdate {
+                server: self.dispatch.server.clone(),
+                incarnation: Incarnation::new(incarnation),
+                status: ServerStatus::Leaving,
+            }));
+        }
+    }
+
     fn build_request(
         &self,
     ) -> Result<RequestBuilder<attohttpc::body::Bytes<Arc<[u8]>>>, AttemptError> {
--- a/azureway-wire/src/header.rs
+++ b/azureway-wire/src/header.rs
@@ -22,6 +22,8 @@
 pub const SALT: &str = "azureway-cache-salt";
 /// The incarnation that the server must have to run the request.
 pub const INCARNATION: &str = "azureway-incarnation";
+/// The incarnation of the server that leaves, in answers of model engines.
+pub const LEAVING: &str = "azureway-leaving";
 /// The weights version that the server must have loaded to run the request.
 pub const WEIGHTS: &str = "azureway-weights";
 /// The stream position from which the server resumes.
