--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -50,9 +50,8 @@
 
     /// Handles an event that was seen at `now` and appends the resulting actions to `out`.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
-        self.last_event = now;
+        self.advance_to(now);
         let start = out.len();
-        self.expire_leaving(now);
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
             Event::CallerDisconnected(id) => self.disconnect(id, now, out),
@@ -92,6 +91,11 @@
         self.tally.apply_actions(&out[start..], now);
     }
 
+    fn advance_to(&mut self, now: Timestamp) {
+        self.last_event = now;
+        self.expire_leaving(now);
+    }
+
     fn arrive(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
         self.tally.open(request);
         let mut admission = AdmissionCheck {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -128,13 +128,7 @@
                 self.orders.forward_report(&report);
                 self.handle_event(Event::Load(&report));
             }
-            DecideMessage::LoadSample(sample) => {
-                log_rate_limit(&self.router, &sample);
-                if let Some(weights) = sample.weights {
-                    self.orders.forward_weights(&sample.server, weights);
-                }
-                self.handle_event(Event::LoadSample(&sample));
-            }
+            DecideMessage::LoadSample(sample) => self.handle_sample(&sample),
             DecideMessage::Announced(update) => self.handle_event(Event::Announced(&update)),
             DecideMessage::Cache(update) => self.handle_event(Event::Cache(&update.view())),
             DecideMessage::Configured(fleet) => self.reconfigure(&fleet),
@@ -160,6 +154,14 @@
         self.handle_event(Event::Arrived(&request));
     }
 
+    fn handle_sample(&mut self, sample: &LoadSample) {
+        log_rate_limit(&self.router, sample);
+        if let Some(weights) = sample.weights {
+            self.orders.forward_weights(&sample.server, weights);
+        }
+        self.handle_event(Event::LoadSample(sample));
+    }
+
     fn handle_start(&mut self, attempt: Attempt) {
         let metric = self.requests.record_start(attempt, self.clock.now());
         metric.into_iter().for_each(|m| self.record_metric(m));
