--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -53,7 +53,7 @@
 
     /// Handles an event that was seen at `now` and appends the resulting actions to `out`.
     pub fn handle(&mut self, event: Event<'_>, now: Timestamp, out: &mut Vec<Action>) {
-        self.last_event = now;
+        self.advance_to(now);
         let start = out.len();
         match event {
             Event::Arrived(request) => self.arrive(request, now, out),
@@ -70,7 +70,8 @@
             Event::ZoneEntries(count) => self.dispatcher.servers_mut().set_entries(count),
             Event::ListedEntries(count) => self.set_listed_entries(count),
             Event::Demand(demand) => self.limits.share_mut().record(demand, now),
-            Event::Server(update) => self.dispatcher.servers_mut().apply_update(update),
+            Event::Announced(update) => self.apply_announcement(update, now, out),
+            Event::Server(update) => self.apply_server_update(update, now),
             Event::Loading(notice) => {
                 self.dispatcher.apply_loading(notice, now);
                 self.queues.mark_all_dirty();
@@ -94,6 +95,11 @@
         self.tally.apply_actions(&out[start..], now);
     }
 
+    fn advance_to(&mut self, now: Timestamp) {
+        self.last_event = now;
+        self.expire_leaving(now);
+    }
+
     fn arrive(&mut self, request: &Request, now: Timestamp, out: &mut Vec<Action>) {
         self.tally.open(request);
         let mut admission = AdmissionCheck {
@@ -229,6 +235,11 @@
                 if let Some(pool) = &pool {
                     self.budgets.for_pool(pool, now).try_spend();
                 }
+            } else if let Some(refusal) = pool
+                .as_ref()
+                .and_then(|p| self.refusal_if_all_leave(p, &retry.plan))
+            {
+                out.push(Action::Refuse(retry.request.id, refusal));
             } else {
                 self.retries.push(retry);
             }
@@ -248,7 +259,7 @@
                 ) {
                     self.queues.take(queued.request.id, now);
                 } else {
-                    self.defer(&queued, &mut blocked, now, out);
+                    self.defer(&pool, &queued, &mut blocked, now, out);
                 }
             }
         }
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::decision_log::{log_crash_report, log_dispatch, log_rate_limit};
+use super::decision_log::{log_crash_report, log_dispatch, log_leaving, log_rate_limit};
 use super::{DecideMessage, PeerUpdate, PendingRequests, VersionTracker};
 use crate::admit::AdmittedRequest;
 use crate::caller::RequestUpdate;
@@ -104,6 +104,9 @@
     fn handle_event(&mut self, event: Event<'_>) {
         self.router
             .handle(event, self.clock.now(), &mut self.actions);
+        for change in self.router.take_leaving_changes() {
+            log_leaving(&self.router, &change);
+        }
     }
 
     fn handle_message(&mut self, message: DecideMessage) {
@@ -126,6 +129,7 @@
                 self.handle_event(Event::Load(&report));
             }
             DecideMessage::LoadSample(sample) => self.handle_sample(&sample),
+            DecideMessage::Announced(update) => self.handle_event(Event::Announced(&update)),
             DecideMessage::Cache(update) => self.handle_event(Event::Cache(&update.view())),
             DecideMessage::Configured(fleet) => self.reconfigure(&fleet),
             DecideMessage::ConfigRejected(version) => {
@@ -154,12 +158,6 @@
         self.handle_event(Event::Arrived(&request));
     }
 
-    fn handle_start(&mut self, attempt: Attempt) {
-        let metric = self.requests.record_start(attempt, self.clock.now());
-        metric.into_iter().for_each(|m| self.record_metric(m));
-        self.handle_event(Event::Started(attempt));
-    }
-
     fn handle_sample(&mut self, sample: &LoadSample) {
         log_rate_limit(&self.router, sample);
         if let Some(weights) = sample.weights {
@@ -168,6 +166,12 @@
         self.handle_event(Event::LoadSample(sample));
     }
 
+    fn handle_start(&mut self, attempt: Attempt) {
+        let metric = self.requests.record_start(attempt, self.clock.now());
+        metric.into_iter().for_each(|m| self.record_metric(m));
+        self.handle_event(Event::Started(attempt));
+    }
+
     /// Applies an update from other entry instances. After a round of heartbeats, sends the demand
     /// at this instance to the peer duty, for the next round.
     fn handle_peer_update(&mut self, update: &PeerUpdate) {
