Clear crash reports only by a list that is complete beyond them

Cause: an unchanged incarnation in the platform's list clears crash reports that are more than 5 s old, and every newly built fleet passed for a list of that moment. An entry that was frozen or without the platform for so long, and then heard of something else first, built a fleet of the incarnations from before the crashes, cleared its reports and told its peers so.

Change: the time until which answers have reported every change of the list of servers travels with the fleet, and an unchanged incarnation is proof of life only until then. The time stands still from an outage of the platform until 5 s after it: servers cannot register in it, and entries of servers that ended remain for some seconds. An answer without changes builds no fleet; its time goes with the next one.

The test of the watcher fails if the time is that of the arrival or precedes the servers of its answer, the test of the site duty if each answer builds a fleet.

The test of odd objects counted every update of the watcher. It now expects one time for each answer beside the same updates of servers, exactly; that a time builds no fleet is tested for the site duty.

--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -6,7 +6,7 @@
 use crate::domain::{
     AccountId, AvailabilityZone, BackendServer, BackendServerPool, CallerLimits, ClientAccount,
     ConfigVersion, KeyHash, ModelService, PoolId, RankRules, ServerId, ServiceId, ServiceKind,
-    ZoneId,
+    Timestamp, ZoneId,
 };
 
 /// The accounts, services, servers and rules of one version of the configuration.
@@ -22,6 +22,8 @@
     pub pools: BTreeMap<PoolId, BackendServerPool>,
     /// The backend servers by identifier.
     pub servers: BTreeMap<ServerId, BackendServer>,
+    /// The time until which the platform's list of the servers is complete; zero if nothing is known of it.
+    pub listed_until: Timestamp,
     /// The availability zones and the region of each; empty if no regions are configured.
     pub zones: BTreeMap<ZoneId, AvailabilityZone>,
     /// The rules for urgent and drafting requests.
--- a/azureway-core/src/quarantine/crash_guard.rs
+++ b/azureway-core/src/quarantine/crash_guard.rs
@@ -146,16 +146,18 @@
         unanswered.for_each(|part| add(CrashSubject::Part(*part)));
     }
 
-    /// Records the incarnation that a server reported.
+    /// Records the incarnation that a server reported. Every later one that it reported before `until`
+    /// would be known.
     pub fn observe_incarnation(
         &mut self,
         server: &ServerId,
         incarnation: Incarnation,
+        until: Timestamp,
         now: Timestamp,
     ) {
         let resolved = self
             .quarantine
-            .observe_incarnation(server, incarnation, now);
+            .observe_incarnation(server, incarnation, until, now);
         for report in &resolved {
             if let CrashSubject::Part(part) = report.subject {
                 self.stored.mark_cleared(part);
--- a/azureway-core/src/quarantine/quarantined.rs
+++ b/azureway-core/src/quarantine/quarantined.rs
@@ -24,8 +24,8 @@
     attributed: BTreeMap<CrashSite, Timestamp>,
 }
 
-/// The largest delay with which a server's incarnation becomes known. An incarnation that is seen
-/// later than this after a crash report was added is newer than the crash report.
+/// The largest delay with which a server's incarnation becomes known. An incarnation that is known
+/// until later than this after a crash report was added is newer than the crash report.
 const MAX_REPORT_LAG: Duration = Duration::from_secs(5);
 /// The largest number of subjects with crash reports, which bounds memory.
 const MAX_RECORDS: usize = 4_096;
@@ -91,12 +91,13 @@
         self.resolve(subject, sites, CrashReportState::Cleared, now)
     }
 
-    /// Records the incarnation that a server reported. Returns the crash reports that this
-    /// confirms or clears.
+    /// Records the incarnation that a server reported. Every later one that it reported before `until`
+    /// would be known. Returns the crash reports that this confirms or clears.
     pub fn observe_incarnation(
         &mut self,
         server: &ServerId,
         incarnation: Incarnation,
+        until: Timestamp,
         now: Timestamp,
     ) -> Vec<CrashReport> {
         let mut changed = Vec::new();
@@ -107,7 +108,7 @@
         for subject in subjects {
             let record = &self.records[&subject];
             let resolved = record.active().filter(|(site, ..)| site.server == *server);
-            let resolved = resolved.filter_map(|e| resolution(e, incarnation, now));
+            let resolved = resolved.filter_map(|e| resolution(e, incarnation, until));
             let resolved: Vec<_> = resolved.collect();
             for (site, state) in resolved {
                 changed.extend(self.resolve(subject, vec![site], state, now));
@@ -202,7 +203,7 @@
 fn resolution(
     (site, state, since): (&CrashSite, CrashReportState, Timestamp),
     incarnation: Incarnation,
-    now: Timestamp,
+    until: Timestamp,
 ) -> Option<(CrashSite, CrashReportState)> {
     if !state.is_unresolved() || site.incarnation == Incarnation::ZERO {
         return None;
@@ -210,6 +211,6 @@
     if incarnation > site.incarnation {
         return Some((site.clone(), CrashReportState::Confirmed));
     }
-    let alive = incarnation == site.incarnation && now.since(since) > MAX_REPORT_LAG;
+    let alive = incarnation == site.incarnation && until.since(since) > MAX_REPORT_LAG;
     alive.then(|| (site.clone(), CrashReportState::Cleared))
 }
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -69,8 +69,9 @@
         for server in fleet.servers.values() {
             if let Some(listed) = server.listed {
                 self.index.track(&server.id, listed.incarnation);
+                let until = fleet.listed_until;
                 self.guard
-                    .observe_incarnation(&server.id, listed.incarnation, now);
+                    .observe_incarnation(&server.id, listed.incarnation, until, now);
             }
         }
     }
@@ -95,7 +96,7 @@
     /// Applies a load report. Returns the pool of the server.
     pub fn apply_report(&mut self, report: &LoadReport, now: Timestamp) -> Option<&PoolId> {
         self.guard
-            .observe_incarnation(&report.server, report.incarnation, now);
+            .observe_incarnation(&report.server, report.incarnation, now, now);
         self.servers.apply_report(report, now)
     }
 
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -20,6 +20,7 @@
     grace: Duration,
     document: Option<SiteDocument>,
     servers: BTreeMap<ServerId, ListedServer>,
+    listed_until: Timestamp,
     /// The servers that were no longer listed when the platform came back, with the time at which
     /// they count as removed.
     missing: BTreeMap<ServerId, Timestamp>,
@@ -37,6 +38,9 @@
 /// The time within which the platform guarantees to list a server again whose registration expired
 /// while the platform was unavailable.
 const RELIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time after an outage of the platform within which it lists the restarts of the outage, and no
+/// longer the servers that ended in it.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The client account of requests without a key, on routes that require none.
 pub const ANONYMOUS: &str = "";
 /// The limit of every account, in tokens per second. It exceeds the capacity of any site, because
@@ -60,6 +64,7 @@
             grace,
             document: None,
             servers: BTreeMap::new(),
+            listed_until: Timestamp::ZERO,
             missing: BTreeMap::new(),
             named: BTreeMap::new(),
             revision: ConfigVersion::ZERO,
@@ -123,6 +128,15 @@
         servers.into_iter().for_each(|s| self.update_server(s));
     }
 
+    /// Records that every change of the list of servers until a time was applied. While the platform is
+    /// unavailable, no server can register. So after an outage that ended at `reconnected`, the list
+    /// counts as incomplete until the platform has had time to bring it up to date.
+    pub fn set_listed_until(&mut self, until: Timestamp, reconnected: Option<Timestamp>) {
+        if reconnected.is_none_or(|at| until >= at + SETTLE_TIMEOUT) {
+            self.listed_until = until;
+        }
+    }
+
     /// Adds weights that an operator named no earlier than at `since`. Returns whether they are
     /// newer than the known ones.
     pub fn add_named(&mut self, named: NamedWeights, since: Timestamp) -> bool {
@@ -172,6 +186,7 @@
         let mut fleet = Fleet::new().with_version(self.revision);
         fleet.routes = document.routes.clone();
         fleet.limits = document.limits;
+        fleet.listed_until = self.listed_until;
         let anonymous = ClientAccount::new(AccountId::new(ANONYMOUS)).with_limit(UNLIMITED);
         fleet = fleet.with_account(anonymous);
         for account in &document.accounts {
--- a/azureway-core/src/watch/change_bound.rs
+++ b/azureway-core/src/watch/change_bound.rs
@@ -22,6 +22,11 @@
         }
     }
 
+    /// Returns the time until which answers have reported every change.
+    pub const fn reported_until(&self) -> Timestamp {
+        self.reported_until
+    }
+
     /// Records an answer, which reports `changes` changes. Returns the earliest time at which they
     /// can have happened.
     pub fn record(&mut self, call: &AnsweredCall, changes: usize) -> Timestamp {
--- a/azureway-core/tests/cluster/mod.rs
+++ b/azureway-core/tests/cluster/mod.rs
@@ -18,6 +18,9 @@
 /// An attempt in flight: the index of its entry, the body of its request and its dispatch.
 type RunningAttempt = (usize, String, Dispatch);
 
+/// The incarnation of every server in the platform's list, and the time until which the list is complete.
+pub type Listing = (BTreeMap<ServerId, u64>, Timestamp);
+
 /// Several entries that share the same backend servers.
 pub struct Cluster {
     pub crashes: usize,
@@ -153,19 +156,29 @@
         }
     }
 
-    /// Delivers the platform's list, which gives the incarnation of every server, to every entry.
+    /// Returns the platform's list, which gives the incarnation of every server.
+    pub fn listing(&self) -> Listing {
+        (self.incarnations.clone(), self.entries[0].now)
+    }
+
+    /// Delivers the platform's list to every entry.
     pub fn list_all(&mut self) {
-        for entry in 0..self.entries.len() {
-            let version = self.entries[entry].router.fleet().version.next();
-            let mut fleet = fleet(self.incarnations.len(), 32).with_version(version);
-            for server in fleet.servers.values_mut() {
-                server.listed = Some(ListedState {
-                    incarnation: Incarnation::new(self.incarnations[&server.id]),
-                    weights: None,
-                });
-            }
-            self.handle(entry, Event::Configured(&fleet));
+        let listing = self.listing();
+        (0..self.entries.len()).for_each(|e| self.list_to(e, &listing));
+    }
+
+    /// Delivers a list of the platform, which may be an older one, to an entry.
+    pub fn list_to(&mut self, entry: usize, (incarnations, until): &Listing) {
+        let version = self.entries[entry].router.fleet().version.next();
+        let mut fleet = fleet(incarnations.len(), 32).with_version(version);
+        fleet.listed_until = *until;
+        for server in fleet.servers.values_mut() {
+            server.listed = Some(ListedState {
+                incarnation: Incarnation::new(incarnations[&server.id]),
+                weights: None,
+            });
         }
+        self.handle(entry, Event::Configured(&fleet));
     }
 
     /// Delivers every broadcast crash report to the other entries.
--- a/azureway-core/tests/quarantine.rs
+++ b/azureway-core/tests/quarantine.rs
@@ -60,6 +60,31 @@
     expect_that!(statuses, each(eq(SuspectStatus::Quarantined)));
 }
 
+/// Guards against an entry that builds a fleet of an old list long after a crash, as when the restarts
+/// reach it late, and takes the servers for unharmed.
+#[gtest]
+fn a_list_from_before_a_crash_does_not_clear_its_reports() {
+    let mut cluster = Cluster::new(2, SERVERS);
+    cluster.list_all();
+    let before = cluster.listing();
+    cluster.send(0, POISON);
+    cluster.crash_all(POISON);
+    cluster.share_crash_reports();
+    let after = cluster.listing();
+    cluster.list_to(1, &after);
+    cluster.advance(Duration::from_millis(5_100));
+    cluster.list_to(0, &before);
+    cluster.share_crash_reports();
+    cluster.list_to(0, &after);
+    cluster.share_crash_reports();
+    let statuses = [0, 1].map(|entry| cluster.status(entry, POISON));
+    expect_that!(statuses, each(eq(SuspectStatus::Quarantined)));
+    let crashes = cluster.crashes;
+    cluster.send(0, POISON);
+    cluster.crash_all(POISON);
+    expect_that!(cluster.crashes, eq(crashes));
+}
+
 #[gtest]
 fn a_broken_connection_without_a_restart_does_not_quarantine() {
     let mut cluster = Cluster::new(1, SERVERS);
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -102,6 +102,32 @@
     expect_that!(server_names(&mut state), elements_are![eq("t")]);
 }
 
+/// Each row holds when the platform came back after an outage, if there was one; until when answers
+/// then report every change; and until when the fleet's list of servers counts as complete, which was
+/// 1,000 before. Times are in milliseconds.
+///
+/// Guards against a list from the end of an outage that still names the incarnations from before
+/// it, and clears the reports of crashes in the outage.
+#[gtest]
+fn a_list_counts_as_complete_only_some_time_after_an_outage() {
+    let rows = [
+        (None, 2_000, 2_000),
+        (Some(9_000), 9_000, 1_000),
+        (Some(9_000), 13_999, 1_000),
+        (Some(9_000), 14_000, 14_000),
+        (Some(9_000), 60_000, 60_000),
+    ];
+    for (reconnected, until, expected) in rows {
+        let mut state = state();
+        state.set_listed_until(Timestamp::from_millis(1_000), None);
+        let reconnected = reconnected.map(Timestamp::from_millis);
+        state.set_listed_until(Timestamp::from_millis(until), reconnected);
+        let fleet = state.build_fleet().expect("a configuration");
+        let expected = Timestamp::from_millis(expected);
+        expect_that!(fleet.listed_until, eq(expected), "{reconnected:?} {until}");
+    }
+}
+
 #[gtest]
 fn a_server_with_newer_weights_than_named_keeps_them() {
     let mut state = SiteState::new(Vec::new(), Duration::ZERO);
--- a/azureway-core/tests/site_runs/entry.rs
+++ b/azureway-core/tests/site_runs/entry.rs
@@ -90,6 +90,8 @@
             self.site.add_named(named, since);
             let servers = store.servers.values().cloned().collect();
             self.site.set_servers(servers, self.restored, now);
+            let until = self.bound.reported_until();
+            self.site.set_listed_until(until, self.restored);
         }
         self.site.remove_expired(now);
         if let Some(fleet) = self.site.build_fleet() {
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -92,6 +92,11 @@
                 log::info!(step = "read site", peer:% = id; "a server is no longer listed");
                 self.state.remove_server(&id, recovered, now);
             }
+            SiteUpdate::ListedUntil(until, recovered) => {
+                // The next fleet carries the time. A fleet for each answer would cost every duty too much.
+                self.state.set_listed_until(until, recovered);
+                return false;
+            }
             SiteUpdate::Quarantine(change) => {
                 log::info!(step = "read site", part:% = change.part(), crashes = change.crashes(); "a stored quarantine was read");
                 // Sending cannot fail: the deciding duty runs until the process ends.
@@ -129,6 +134,7 @@
         self.serving.set_limits(fleet.limits);
         log::info!(
             step = "read site", fleet:% = fleet.version, servers = fleet.servers.len(),
+            listed_age:? = self.clock.now().since(fleet.listed_until),
             version:% = self.state.version().unwrap_or(ConfigVersion::ZERO);
             "a fleet was built"
         );
--- a/azureway-entry/src/site/update.rs
+++ b/azureway-entry/src/site/update.rs
@@ -16,6 +16,8 @@
     Server(Box<ListedServer>),
     /// A backend server that is no longer listed or whose object cannot be decoded.
     Removed(ServerId, Option<Timestamp>),
+    /// The time until which the updates before this one include every change of the list of servers.
+    ListedUntil(Timestamp, Option<Timestamp>),
     /// A change of the quarantined parts of prompts.
     Quarantine(QuarantineChange),
     /// Weights that an operator named, and the earliest time at which that can have happened.
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -101,7 +101,7 @@
                 self.log_lateness(call, list.objects.len());
                 self.earliest = self.bound.record(call, list.objects.len());
                 self.schedule.record_success(list.version, now);
-                self.send_updates(&list)
+                self.send_updates(&list) && self.send_listed_until()
             }
             Err(e) => {
                 self.record_outage(&e, now);
@@ -147,6 +147,12 @@
         }
     }
 
+    /// Sends the time until which the list of servers is complete.
+    fn send_listed_until(&self) -> bool {
+        let until = self.bound.reported_until();
+        self.kind != SiteKind::Servers || self.send(SiteUpdate::ListedUntil(until, self.recovered))
+    }
+
     fn send_update(&self, object: &ObjectBody) -> bool {
         if object.deleted {
             self.rejected.borrow_mut().remove(&object.name);
--- a/azureway-entry/tests/odd_objects.rs
+++ b/azureway-entry/tests/odd_objects.rs
@@ -114,6 +114,8 @@
     answers: Sender<ObjectList>,
     updates: Receiver<SiteUpdate>,
     version: u64,
+    /// The number of updates that hold only the time of an answer.
+    times: u64,
 }
 
 impl Fixture {
@@ -129,6 +131,7 @@
             answers,
             updates,
             version: 0,
+            times: 0,
         }
     }
 
@@ -147,12 +150,17 @@
         self.answers.send(list).expect("the watcher runs");
     }
 
-    /// Returns the updates up to the one that lists `server`, as text.
-    fn updates_until(&self, server: &str) -> Vec<String> {
+    /// Returns the updates up to the one that lists `server`, as text. Those that hold only a time are
+    /// counted instead.
+    fn updates_until(&mut self, server: &str) -> Vec<String> {
         let mut seen = Vec::new();
         loop {
             let update = self.updates.recv_timeout(TEST_TIMEOUT).expect("an update");
             seen.push(match update {
+                SiteUpdate::ListedUntil(..) => {
+                    self.times += 1;
+                    continue;
+                }
                 SiteUpdate::Server(listed) if listed.id.as_str() == server => return seen,
                 SiteUpdate::Server(listed) => format!("listed {}", listed.id),
                 SiteUpdate::Removed(id, _) => format!("removed {id}"),
@@ -186,6 +194,8 @@
     expect_that!(second, elements_are![eq("removed s")]);
     let third = fixture.updates_until("last");
     expect_that!(third, elements_are![eq("removed s")]);
+    // Each answer but the last one, whose time follows its servers.
+    expect_that!(fixture.times, eq(fixture.version - 1));
     let lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
     let expected = "s: read server: address `10.0.0.9:70000`";
     expect_that!(*lines, elements_are![eq(expected), eq(expected)]);
--- a/azureway-entry/tests/site_watcher.rs
+++ b/azureway-entry/tests/site_watcher.rs
@@ -15,12 +15,12 @@
 /// The time for which a held-up answer is on its way.
 const HOLD_UP: Duration = Duration::from_millis(200);
 
-/// An answer of the scripted platform: the versions of the weights that it reports, and how long it
+/// An answer of the scripted platform: the versions of the object that it reports, and how long it
 /// takes.
 type Answer = (&'static [u64], Duration);
 
 /// A platform that gives its scripted answers in order and records when each call was sent. Then it
-/// reports the same weights again and again.
+/// reports the same object again and again.
 #[derive(Clone)]
 struct ScriptedPlatform {
     answers: Arc<Mutex<VecDeque<Answer>>>,
@@ -80,11 +80,11 @@
     }
 }
 
-/// A codec whose weights are plain numbers.
+/// A codec whose weights and incarnations are plain numbers.
 #[derive(Clone, Copy)]
-struct PlainWeights;
+struct PlainNumbers;
 
-impl SiteCodec for PlainWeights {
+impl SiteCodec for PlainNumbers {
     fn kind(&self, kind: SiteKind) -> &'static str {
         kind.as_str()
     }
@@ -93,8 +93,18 @@
         Ok(None)
     }
 
-    fn server(&self, _: &ObjectBody) -> std::result::Result<ListedServer, Error> {
-        unreachable!("no servers are watched")
+    fn server(&self, object: &ObjectBody) -> std::result::Result<ListedServer, Error> {
+        let incarnation = object.value.parse().expect("an incarnation");
+        Ok(ListedServer {
+            id: ServerId::new(&object.name),
+            service: ServiceId::new("orders"),
+            address: ([127, 0, 0, 1], 9_001).into(),
+            zone: ZoneId::new("a"),
+            slots: 4,
+            leaving: false,
+            incarnation: Incarnation::new(incarnation),
+            weights: None,
+        })
     }
 
     fn weights(&self, object: &ObjectBody) -> std::result::Result<NamedWeights, Error> {
@@ -106,17 +116,17 @@
     }
 }
 
-/// Runs the watcher of weights until it has sent `count` updates. Returns the earliest time of the
-/// last one, and when each call was sent.
-fn watch_weights(answers: &[Answer], count: usize) -> (Timestamp, Vec<Timestamp>) {
+/// Runs the watcher of a kind until it has sent `count` updates. Returns them, and when each call was
+/// sent.
+fn watch(kind: SiteKind, answers: &[Answer], count: usize) -> (Vec<SiteUpdate>, Vec<Timestamp>) {
     let clock = Clock::new();
     let platform = ScriptedPlatform::new(answers, clock);
     let (tx, rx) = flume::bounded(1);
     let schedule = WatchSchedule::new(1);
     let watcher = SiteWatcher::new(
         platform.clone(),
-        PlainWeights,
-        SiteKind::Weights,
+        PlainNumbers,
+        kind,
         tx,
         clock,
         schedule,
@@ -126,10 +136,17 @@
     let updates: Vec<_> = rx.iter().take(count).collect();
     drop(rx);
     thread.join().expect("the watcher ends");
+    let started = platform.started.lock().expect("the lock").clone();
+    (updates, started)
+}
+
+/// Runs the watcher of weights until it has sent `count` updates. Returns the earliest time of the
+/// last one, and when each call was sent.
+fn watch_weights(answers: &[Answer], count: usize) -> (Timestamp, Vec<Timestamp>) {
+    let (updates, started) = watch(SiteKind::Weights, answers, count);
     let Some(SiteUpdate::Weights(_, earliest)) = updates.last() else {
         panic!("weights are reported: {updates:?}");
     };
-    let started = platform.started.lock().expect("the lock").clone();
     (*earliest, started)
 }
 
@@ -153,3 +170,26 @@
     let (earliest, started) = watch_weights(&answers, 2);
     expect_that!(earliest, le(started[1]));
 }
+
+/// Guards against a list of servers that counts as complete until its answer was read, or before the
+/// servers in the answer were passed on.
+#[gtest]
+fn the_list_of_servers_is_complete_until_its_answer_was_asked_for() {
+    let answers: [Answer; 3] = [(&[1], HOLD_UP), (&[2], HOLD_UP), (&[], HOLD_UP)];
+    let (updates, started) = watch(SiteKind::Servers, &answers, 5);
+    let [
+        SiteUpdate::Servers(listed, _),
+        SiteUpdate::ListedUntil(first, _),
+        SiteUpdate::Server(changed),
+        SiteUpdate::ListedUntil(second, _),
+        SiteUpdate::ListedUntil(third, _),
+    ] = &updates[..]
+    else {
+        panic!("the time follows the servers of each answer: {updates:?}");
+    };
+    expect_that!(listed[0].incarnation, eq(Incarnation::new(1)));
+    expect_that!(changed.incarnation, eq(Incarnation::new(2)));
+    expect_that!(*first, le(started[0]));
+    expect_that!(*second, all!(ge(started[0] + HOLD_UP), le(started[1])));
+    expect_that!(*third, all!(ge(started[1] + HOLD_UP), le(started[2])));
+}
