Tell each caller of the platform when it was restored from a copy

A watch continued from the last version that its watcher had read. After a restore the store assigns versions again. Once it has passed that version, the watch returns only the changes after it, and those between the copy and it are never read. The class: a version number was used beyond the history in which it is valid.

The client now compares the era in each answer with that of its answer before. The first answer of another era fails the call with an error of its own kind, so watchers list again and no writer takes the answer to a conditional write for its own. Answers of an earlier era are dropped. The simulated platform can be restored from a copy and reports its era.

--- a/azureway-core/src/error/kind.rs
+++ b/azureway-core/src/error/kind.rs
@@ -12,6 +12,9 @@
     Conflict,
     /// The peer did not answer in time or cannot be reached.
     Unavailable,
+    /// The platform was restored from a copy since the last call, so no version that the caller knows
+    /// is valid any more. The call may have been carried out.
+    Restored,
     /// The peer refused because one of its limits was exceeded.
     Limited,
     /// The answer of the peer violates its interface.
--- a/azureway-dev/src/http/reply.rs
+++ b/azureway-dev/src/http/reply.rs
@@ -12,14 +12,22 @@
 impl Reply {
     /// Answers with a value as JSON.
     pub fn json(request: Request, status: u16, value: &impl Serialize) {
+        Self::json_with_header(request, status, value, None);
+    }
+
+    /// Answers with a value as JSON and with one more header.
+    pub fn json_with_header(
+        request: Request,
+        status: u16,
+        value: &impl Serialize,
+        header: Option<Header>,
+    ) {
         let body = serde_json::to_string(value).unwrap_or_default();
         let content_type = Header::from_bytes("content-type", "application/json");
         let response = Response::from_string(body).with_status_code(status);
-        let response = content_type
-            .into_iter()
-            .fold(response, Response::with_header);
+        let headers = content_type.into_iter().chain(header);
         // A caller that has disconnected needs no answer.
-        let _ = request.respond(response);
+        let _ = request.respond(headers.fold(response, Response::with_header));
     }
 
     /// Answers with a plain text.
--- a/azureway-dev/src/platform/platform_service.rs
+++ b/azureway-dev/src/platform/platform_service.rs
@@ -4,8 +4,11 @@
 use std::sync::{Condvar, Mutex, MutexGuard};
 use std::time::Duration;
 
-use azureway_wire::object::ObjectList;
-use tiny_http::{Method, Request};
+use azureway_core::prelude::StoreEra;
+use azureway_objects::{ObjectCodec, PlainCodec};
+use azureway_wire::object::{ObjectBody, ObjectList};
+use serde::Serialize;
+use tiny_http::{Header, Method, Request};
 
 use super::{PlatformFaults, Store};
 use crate::http::{Query, Reply, RequestHandler};
@@ -47,6 +50,17 @@
         self.changed.notify_all();
     }
 
+    /// Returns a copy of the objects, to restore later.
+    pub fn copy(&self) -> Store {
+        self.lock().0.clone()
+    }
+
+    /// Restores the objects from a copy, which loses the writes since, and begins the next era.
+    pub fn restore(&self, copy: Store) {
+        self.lock().0.restore(copy);
+        self.changed.notify_all();
+    }
+
     /// Returns the number of calls so far. A watch counts as one, however long it waits.
     pub fn calls(&self) -> u64 {
         self.lock().2
@@ -59,17 +73,20 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    fn count_call(&self) -> Option<u16> {
+    /// Counts a call. Returns the status with which it fails, if it fails, and the era.
+    fn count_call(&self) -> (Option<u16>, StoreEra) {
         let mut state = self.lock();
         state.2 += 1;
-        state.1.count_call()
+        (state.1.count_call(), state.0.era())
     }
 
     fn get(&self, request: Request, kind: &str, name: &str) {
-        let object = self.lock().0.get(kind, name).cloned();
+        let state = self.lock();
+        let (object, era) = (state.0.get(kind, name).cloned(), state.0.era());
+        drop(state);
         match object {
-            Some(object) => Reply::json(request, 200, &object),
-            None => Reply::text(request, 404, "no such object"),
+            Some(object) => answer(request, 200, &object, era),
+            None => answer(request, 404, &"no such object", era),
         }
     }
 
@@ -83,53 +100,61 @@
         let mut state = self.lock();
         let written = state.0.put(kind, name, value, expected);
         let lost = written.is_some() && state.1.take_lost();
+        let era = state.0.era();
         drop(state);
-        self.finish_write(request, written, lost);
+        self.finish_write(request, written, lost, era);
     }
 
     fn delete(&self, request: Request, kind: &str, name: &str, expected: u64) {
         let mut state = self.lock();
         let written = state.0.delete(kind, name, expected);
         let lost = written.is_some() && state.1.take_lost();
+        let era = state.0.era();
         drop(state);
-        self.finish_write(request, written, lost);
+        self.finish_write(request, written, lost, era);
     }
 
     fn finish_write(
         &self,
         request: Request,
-        written: Option<azureway_wire::object::ObjectBody>,
+        written: Option<ObjectBody>,
         lost: bool,
+        era: StoreEra,
     ) {
         self.changed.notify_all();
         match written {
             // Dropping the writer closes the connection without an answer.
             Some(_) if lost => drop(request.into_writer()),
-            Some(object) => Reply::json(request, 200, &object),
-            None => Reply::text(request, 409, "the object has another version"),
+            Some(object) => answer(request, 200, &object, era),
+            None => answer(request, 409, &"the object has another version", era),
         }
     }
 
     fn watch(&self, request: Request, kind: &str, after: u64, wait: Duration) {
         let is_unchanged = |s: &mut (Store, PlatformFaults, u64)| {
-            !s.1.outage && s.0.list(kind, after).objects.is_empty()
+            !s.1.outage && after <= s.0.version() && s.0.list(kind, after).objects.is_empty()
         };
         let state = self.lock();
         let waited = self.changed.wait_timeout_while(state, wait, is_unchanged);
         let (state, _) = waited.unwrap_or_else(std::sync::PoisonError::into_inner);
         let (outage, list): (bool, ObjectList) = (state.1.outage, state.0.list(kind, after));
+        let era = state.0.era();
         drop(state);
         if outage {
-            return Reply::text(request, 503, "the platform is down");
+            return answer(request, 503, &"the platform is down", era);
+        }
+        if after > list.version {
+            return answer(request, 410, &"the version is not known", era);
         }
-        Reply::json(request, 200, &list);
+        answer(request, 200, &list, era);
     }
 }
 
 impl RequestHandler for Platform {
     fn handle(&self, request: Request) {
-        if let Some(status) = self.count_call() {
-            return Reply::text(request, status, "the call failed");
+        let (failure, era) = self.count_call();
+        if let Some(status) = failure {
+            return answer(request, status, &"the call failed", era);
         }
         let url = request.url().to_owned();
         let query = Query::new(&url);
@@ -137,8 +162,10 @@
         let parts: Vec<&str> = query.path.split('/').skip(1).collect();
         match (request.method().clone(), parts.as_slice()) {
             (Method::Get, ["objects", kind]) => {
-                let list = self.lock().0.list(kind, 0);
-                Reply::json(request, 200, &list);
+                let state = self.lock();
+                let (list, era) = (state.0.list(kind, 0), state.0.era());
+                drop(state);
+                answer(request, 200, &list, era);
             }
             (Method::Get, ["objects", kind, name]) => self.get(request, kind, name),
             (Method::Put, ["objects", kind, name]) => self.put(request, kind, name, expected),
@@ -151,3 +178,10 @@
         }
     }
 }
+
+/// Answers a call, with the era of the store at that time.
+fn answer(request: Request, status: u16, value: &impl Serialize, era: StoreEra) {
+    let era = era.to_string();
+    let header = Header::from_bytes(PlainCodec::ERA_HEADER, era).ok();
+    Reply::json_with_header(request, status, value, header);
+}
--- a/azureway-dev/src/platform/store.rs
+++ b/azureway-dev/src/platform/store.rs
@@ -2,12 +2,14 @@
 
 use std::collections::BTreeMap;
 
+use azureway_core::prelude::StoreEra;
 use azureway_wire::object::{ObjectBody, ObjectList};
 
 /// The objects of the platform, which share one version counter. A deleted object stays as a
 /// tombstone.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
+    era: StoreEra,
     version: u64,
     /// The objects by kind and name.
     objects: BTreeMap<(String, String), ObjectBody>,
@@ -19,6 +21,22 @@
         Self::default()
     }
 
+    /// Returns the era, which each restore increases.
+    pub const fn era(&self) -> StoreEra {
+        self.era
+    }
+
+    /// Returns the version of the last change.
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Replaces the objects and the version counter with those of a copy, and begins the next era.
+    pub fn restore(&mut self, copy: Self) {
+        let era = self.era.next();
+        *self = Self { era, ..copy };
+    }
+
     /// Returns an object, or `None` if it does not exist or is deleted.
     pub fn get(&self, kind: &str, name: &str) -> Option<&ObjectBody> {
         self.objects
--- a/azureway-entry/src/meter/control_metrics.rs
+++ b/azureway-entry/src/meter/control_metrics.rs
@@ -17,6 +17,7 @@
 pub struct ControlMetrics {
     retries: Counter,
     platform_calls: Counter,
+    platform_restores: Counter,
     gossip_bytes: Counter,
     ring_waits: Histogram,
     ring_depths: Family<RingLabel, Gauge>,
@@ -34,6 +35,7 @@
         let metrics = Self {
             retries: Counter::default(),
             platform_calls: Counter::default(),
+            platform_restores: Counter::default(),
             gossip_bytes: Counter::default(),
             ring_waits: Histogram::new(WAIT_BOUNDS),
             ring_depths: Family::default(),
@@ -44,6 +46,11 @@
         r.register("retries", "Tries after the first", metrics.retries.clone());
         let help = "Calls to the platform, a waiting watch as one";
         r.register("platform_calls", help, metrics.platform_calls.clone());
+        let (help, restores) = (
+            "Restores of the platform from a copy",
+            &metrics.platform_restores,
+        );
+        r.register("platform_restores", help, restores.clone());
         let help = "Bytes of the heartbeats sent to peers";
         r.register("gossip_bytes", help, metrics.gossip_bytes.clone());
         let help = "Time from the arrival of a request until it was decided on";
@@ -74,6 +81,8 @@
     pub fn refresh(&self) {
         self.platform_calls
             .inc_by(self.calls.get() - self.platform_calls.get());
+        self.platform_restores
+            .inc_by(self.calls.restores() - self.platform_restores.get());
         for (ring, depth) in self.rings.depths() {
             let gauge = self.ring_depths.get_or_create(&RingLabel { ring });
             gauge.set(i64::try_from(depth).unwrap_or(i64::MAX));
--- a/azureway-objects/src/call_counter.rs
+++ b/azureway-objects/src/call_counter.rs
@@ -3,11 +3,16 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// A counter of the calls made to the platform. A watch counts as one call, however long it waits.
-/// Clones share the count.
+use azureway_core::prelude::StoreEra;
+
+/// A counter of the calls made to the platform and of its restores. A watch counts as one call,
+/// however long it waits. Clones share the counts.
 #[derive(Clone, Debug, Default)]
 pub struct CallCounter {
     calls: Arc<AtomicU64>,
+    restores: Arc<AtomicU64>,
+    /// One more than the latest era, or zero before the first answer that reports one.
+    latest: Arc<AtomicU64>,
 }
 
 impl CallCounter {
@@ -25,4 +30,19 @@
     pub fn get(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
     }
+
+    /// Records the era of an answer, and counts the restores before it.
+    pub fn record_era(&self, era: StoreEra) {
+        let next = era.next().get();
+        let before = self.latest.fetch_max(next, Ordering::Relaxed);
+        if before > 0 {
+            let restores = next.saturating_sub(before);
+            self.restores.fetch_add(restores, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the number of restores since the first answer.
+    pub fn restores(&self) -> u64 {
+        self.restores.load(Ordering::Relaxed)
+    }
 }
--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -1,16 +1,21 @@
 //! The HTTP client of the platform's object API, which works with every codec.
 
+use std::cell::Cell;
 use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use attohttpc::header::HeaderMap;
 use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
-use azureway_core::prelude::{Error, ErrorKind, Step};
+use azureway_core::prelude::{Error, ErrorKind, Step, StoreEra};
 use azureway_wire::object::{ObjectBody, ObjectList};
 
 use super::{CallCounter, ObjectAnswer, ObjectApi, ObjectCall, ObjectCodec, PlainCodec, Put};
 
 /// A client of the object API over HTTP, with the encoding `F`. Each call opens its own connection.
+///
+/// Each clone tracks the store's era by itself, so that each caller learns of a restore, and takes no
+/// answer of an earlier era after one of a later era.
 #[derive(Clone, Debug)]
 pub struct HttpObjects<F = PlainCodec> {
     codec: F,
@@ -18,6 +23,8 @@
     /// The time for which the platform may be silent.
     timeout: Duration,
     calls: CallCounter,
+    /// The era of the last answer.
+    era: Cell<Option<StoreEra>>,
 }
 
 /// The default time for which the platform may be silent.
@@ -45,6 +52,7 @@
             address,
             timeout: DEFAULT_TIMEOUT,
             calls: CallCounter::new(),
+            era: Cell::new(None),
         }
     }
 
@@ -84,6 +92,7 @@
             None => request.send(),
         };
         let answer = answer.map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
+        self.check_era(step, answer.headers())?;
         match answer.status().as_u16() {
             status @ (200 | 201 | 404) => self.read(step, status, answer),
             409 => Err(self.error(ErrorKind::Conflict, step, "the object has another version")),
@@ -93,6 +102,29 @@
         }
     }
 
+    /// Compares the era of an answer with that of the answer before it.
+    fn check_era(&self, step: Step, headers: &HeaderMap) -> Result<(), Error> {
+        let Some(era) = read_era(headers, F::ERA_HEADER) else {
+            return Ok(());
+        };
+        let known = self.era.get().unwrap_or(era);
+        if era < known {
+            let detail = format_args!("an answer of the era {era}, before {known}");
+            return Err(self.error(ErrorKind::Unavailable, step, detail));
+        }
+        self.era.set(Some(era));
+        self.calls.record_era(era);
+        if era == known {
+            return Ok(());
+        }
+        log::warn!(step = step.as_str(), era:% = era, known:% = known; "the platform was restored from a copy");
+        Err(self.error(
+            ErrorKind::Restored,
+            step,
+            format_args!("the era {era} began"),
+        ))
+    }
+
     fn read(&self, step: Step, status: u16, answer: Response) -> Result<ObjectAnswer, Error> {
         let (_, _, reader) = answer.split();
         let body = read_body(reader).map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
@@ -113,6 +145,10 @@
 }
 
 impl<F: ObjectCodec> ObjectApi for HttpObjects<F> {
+    fn era(&self) -> Option<StoreEra> {
+        self.era.get()
+    }
+
     fn get(&self, kind: &str, name: &str) -> Result<Option<ObjectBody>, Error> {
         const STEP: Step = Step::new("get object");
         let answer = self.send(STEP, self.codec.get(kind, name), Duration::ZERO)?;
@@ -176,6 +212,19 @@
     }
 }
 
+/// Returns the store's era, if an answer reports one.
+fn read_era(headers: &HeaderMap, name: &str) -> Option<StoreEra> {
+    let value = headers.get(name)?;
+    let number = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
+    if number.is_none() {
+        log::warn!(step = "read era", value:? = value; "the era of the platform cannot be read");
+    }
+    number.map(StoreEra::new)
+}
+
 /// Reads a body within [`TRANSFER_TIMEOUT`] and [`MAX_BODY_SIZE`].
 fn read_body(mut reader: impl Read) -> io::Result<Vec<u8>> {
     let deadline = Instant::now() + TRANSFER_TIMEOUT;
--- a/azureway-objects/src/object_api.rs
+++ b/azureway-objects/src/object_api.rs
@@ -2,27 +2,36 @@
 
 use std::time::Duration;
 
-use azureway_core::prelude::Error;
+use azureway_core::prelude::{Error, StoreEra};
 use azureway_wire::object::{ObjectBody, ObjectList};
 
 use super::Put;
 
 /// The platform's object API: versioned objects with conditional writes and watches.
+///
+/// Versions are valid in the era of the store in which they were read. The first call that is
+/// answered in another era fails with an error of the kind `Restored`, and later ones are answered
+/// in the new era.
 pub trait ObjectApi {
+    /// Returns the era of the store's answers, if the platform reports eras.
+    fn era(&self) -> Option<StoreEra> {
+        None
+    }
+
     /// Returns an object, or `None` if it does not exist.
     ///
     /// # Errors
     ///
-    /// Returns an error if the platform does not answer, rejects the call or limits the rate of
-    /// calls.
+    /// Returns an error if the platform does not answer, rejects the call, limits the rate of calls
+    /// or was restored.
     fn get(&self, kind: &str, name: &str) -> Result<Option<ObjectBody>, Error>;
 
     /// Returns all objects of a kind.
     ///
     /// # Errors
     ///
-    /// Returns an error if the platform does not answer, rejects the call or limits the rate of
-    /// calls.
+    /// Returns an error if the platform does not answer, rejects the call, limits the rate of calls
+    /// or was restored.
     fn list(&self, kind: &str) -> Result<ObjectList, Error>;
 
     /// Writes an object if it has the expected version, and returns the new version.
@@ -45,7 +54,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the platform does not answer, rejects the call or limits the rate of
-    /// calls.
+    /// Returns an error if the platform does not answer, rejects the call, limits the rate of calls
+    /// or was restored.
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<ObjectList, Error>;
 }
--- a/azureway-objects/src/object_codec.rs
+++ b/azureway-objects/src/object_codec.rs
@@ -11,6 +11,8 @@
 pub trait ObjectCodec: Clone {
     /// The media type of request bodies.
     const CONTENT_TYPE: &'static str;
+    /// The name of the header that holds the store's era, in lower case.
+    const ERA_HEADER: &'static str;
 
     /// Returns the call that reads an object.
     fn get(&self, kind: &str, name: &str) -> ObjectCall;
--- a/azureway-objects/src/plain_codec.rs
+++ b/azureway-objects/src/plain_codec.rs
@@ -12,6 +12,7 @@
 
 impl ObjectCodec for PlainCodec {
     const CONTENT_TYPE: &'static str = "text/plain; charset=UTF-8";
+    const ERA_HEADER: &'static str = "azureway-store-era";
 
     fn get(&self, kind: &str, name: &str) -> ObjectCall {
         ObjectCall::new("GET", format!("objects/{kind}/{name}"))
--- a/azureway-objects/tests/pages.rs
+++ b/azureway-objects/tests/pages.rs
@@ -18,6 +18,7 @@
 
 impl ObjectCodec for Endless {
     const CONTENT_TYPE: &'static str = "text/plain";
+    const ERA_HEADER: &'static str = PlainCodec::ERA_HEADER;
 
     fn get(&self, kind: &str, name: &str) -> ObjectCall {
         PlainCodec.get(kind, name)
