Void the lease when the store is restored, and number its holders by era

A copy that is older than the last change of holders names the previous holder, which takes the lease over as its own. A copy that is older than the lease has none, so any instance creates it with the first number. Meanwhile the holder whose record was lost sends orders until its term ends. Its renewal can also take effect on the record of another holder, since versions are assigned again.

The record now names the era in which it was written. A new era voids all that is known of the lease. A record of an earlier era, or none, does not show who held the lease last: other instances wait as long as for a holder that fell silent, with the cooldown counted from the first answer of the new era. Only the instance that held the lease when it learned of the restore goes on at once, until the end of its term, since nobody else can have held it. Fencing numbers hold the era above the number within it, so they never go back.

--- a/azureway-core/src/lease/config.rs
+++ b/azureway-core/src/lease/config.rs
@@ -68,6 +68,12 @@
         self.term / RENEWALS_PER_TERM
     }
 
+    /// Returns the time from the last write of a previous holder until orders to servers that check
+    /// no fencing number are safe. That holder stops one margin before the end of its term.
+    pub fn handover_time(&self) -> Duration {
+        self.term.saturating_sub(self.margin) + self.cooldown
+    }
+
     /// Returns how long a lease has to be unchanged before another entry takes it over.
     pub fn takeover_delay(&self) -> Duration {
         self.term + self.term / DRIFT_DIVISOR
--- a/azureway-core/src/lease/holder.rs
+++ b/azureway-core/src/lease/holder.rs
@@ -1,7 +1,7 @@
 //! The lease protocol, which an entry's order duty drives.
 
-use super::{LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite};
-use crate::domain::{FencingNumber, InstanceId, Timestamp};
+use super::{LeaseConfig, LeaseEra, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite};
+use crate::domain::{FencingNumber, InstanceId, StoreEra, Timestamp};
 
 /// The state machine by which one entry acquires and renews a lease.
 ///
@@ -19,6 +19,9 @@
     next_call: Timestamp,
     /// The time before which servers that check no fencing number get no orders.
     cooldown_end: Timestamp,
+    era: LeaseEra,
+    /// The highest fencing number that was seen.
+    highest: FencingNumber,
 }
 
 impl Lease {
@@ -33,6 +36,8 @@
             write: None,
             next_call: Timestamp::ZERO,
             cooldown_end: Timestamp::ZERO,
+            era: LeaseEra::new(),
+            highest: FencingNumber::ZERO,
         }
     }
 
@@ -44,18 +49,14 @@
         }
         match self.state {
             LeaseState::Unknown if now >= self.next_call => LeaseStep::Read,
-            LeaseState::Free => self.start_write(0, FencingNumber::new(1), now),
-            LeaseState::Reclaimable(version, number) => {
-                self.start_write(version, number.next(), now)
-            }
-            LeaseState::Observed(version, number, since) => {
+            LeaseState::Free => self.start_acquisition(0, now),
+            LeaseState::Reclaimable(version, _) => self.start_acquisition(version, now),
+            LeaseState::Observed(version, _, since) => {
                 let expiry = since + self.config.takeover_delay();
                 if now >= expiry {
-                    // The previous holder wrote at `since` at the latest. It stops sending orders
-                    // one margin before the end of the term that began then.
-                    let last_order = since + self.config.term.saturating_sub(self.config.margin);
-                    self.cooldown_end = last_order + self.config.cooldown;
-                    return self.start_write(version, number.next(), now);
+                    // The previous holder wrote at `since` at the latest.
+                    self.cooldown_end = since + self.config.handover_time();
+                    return self.start_acquisition(version, now);
                 }
                 self.read_or_wait(now, expiry)
             }
@@ -72,22 +73,36 @@
         }
     }
 
+    /// Records the era of the reply to the last step, before the reply is handled. A new era voids
+    /// everything that is known of the lease except the term of the last one that was held, in
+    /// which no other entry can have held it. Returns whether the era is new.
+    pub fn enter_era(&mut self, era: Option<StoreEra>, now: Timestamp) -> bool {
+        let held_until = match self.state {
+            LeaseState::Held(_, _, ends) => ends,
+            _ => Timestamp::ZERO,
+        };
+        let restored = self.era.enter(era, held_until);
+        if restored {
+            self.write = None;
+            self.next_call = now;
+            self.state = LeaseState::Unknown;
+        }
+        restored
+    }
+
     /// Handles the reply to the last step.
     pub fn handle_reply(&mut self, reply: &LeaseReply, now: Timestamp) {
         self.next_call = now + self.config.renew_interval();
         match reply {
             LeaseReply::Written(version) => self.acquire(*version),
-            LeaseReply::Conflict => {
+            LeaseReply::Conflict | LeaseReply::Restored => {
                 self.write = None;
                 self.next_call = now;
                 self.state = LeaseState::Unknown;
             }
             LeaseReply::NoAnswer => self.handle_no_answer(now),
             LeaseReply::Found(version, record) => self.handle_found(*version, record, now),
-            LeaseReply::Absent => {
-                self.write = None;
-                self.state = LeaseState::Free;
-            }
+            LeaseReply::Absent => self.handle_absent(now),
         }
     }
 
@@ -111,6 +126,12 @@
         self.state = LeaseState::Unknown;
     }
 
+    /// Starts the write that acquires the lease, with a number above all earlier ones.
+    fn start_acquisition(&mut self, expected: u64, now: Timestamp) -> LeaseStep {
+        let number = self.highest.next().max(self.era.first_number());
+        self.start_write(expected, number, now)
+    }
+
     fn start_write(&mut self, expected: u64, number: FencingNumber, now: Timestamp) -> LeaseStep {
         self.sequence += 1;
         self.write = Some(LeaseWrite {
@@ -124,6 +145,7 @@
             sequence: self.sequence,
             number,
             cooldown: self.cooldown_end.since(now),
+            era: self.era.get(),
         };
         LeaseStep::Write(expected, record)
     }
@@ -140,6 +162,7 @@
         if let Some(write) = self.write.take() {
             let ends = write.started + self.config.term;
             self.next_call = write.started + self.config.renew_interval();
+            self.highest = self.highest.max(write.number);
             self.state = LeaseState::Held(version, write.number, ends);
         }
     }
@@ -152,7 +175,29 @@
         }
     }
 
+    /// Handles that the object does not exist. A restore may have lost it, and its holder may still
+    /// send orders. That holder is given the time to write it again.
+    fn handle_absent(&mut self, now: Timestamp) {
+        self.write = None;
+        let may_be_lost = self.era.get() > StoreEra::ZERO && !self.era.is_exclusive(now);
+        self.state = match may_be_lost {
+            true => self.observe(0, FencingNumber::ZERO, now),
+            false => LeaseState::Free,
+        };
+    }
+
+    /// Returns the state in which another process is seen to have written `version`.
+    fn observe(&self, version: u64, number: FencingNumber, now: Timestamp) -> LeaseState {
+        match self.state {
+            LeaseState::Observed(observed, _, since) if observed == version => {
+                LeaseState::Observed(version, number, since)
+            }
+            _ => LeaseState::Observed(version, number, now),
+        }
+    }
+
     fn handle_found(&mut self, version: u64, record: &LeaseRecord, now: Timestamp) {
+        self.highest = self.highest.max(record.number);
         let same_process = record.process_id == self.process_id;
         let same_instance = self.config.single_process && record.holder == self.me;
         if same_process && self.write.is_some_and(|w| w.sequence == record.sequence) {
@@ -162,13 +207,22 @@
         if same_instance && !same_process {
             self.cooldown_end = now + record.cooldown;
         }
+        let is_copy = record.era != self.era.get();
+        if !is_copy && !same_process {
+            self.era.end_exclusive();
+        }
         self.state = match self.state {
             LeaseState::Held(_, number, ends) if same_process && number == record.number => {
                 self.next_call = now;
                 LeaseState::Held(version, number, ends)
             }
-            LeaseState::Observed(observed, number, since) if observed == version => {
-                LeaseState::Observed(version, number, since)
+            // Nobody can have acquired the lease between the copy and the restore.
+            _ if is_copy && self.era.is_exclusive(now) => {
+                LeaseState::Reclaimable(version, record.number)
+            }
+            _ if is_copy => self.observe(version, record.number, now),
+            LeaseState::Observed(observed, ..) if observed == version => {
+                self.observe(version, record.number, now)
             }
             // No other entry has acquired the lease since this one held it, so this entry can write
             // a new number at once.
--- a/azureway-core/src/lease/mod.rs
+++ b/azureway-core/src/lease/mod.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod holder;
+mod lease_era;
 mod record;
 mod reply;
 mod state;
@@ -11,6 +12,7 @@
 
 pub use config::LeaseConfig;
 pub use holder::Lease;
+pub use lease_era::LeaseEra;
 pub use record::LeaseRecord;
 pub use reply::LeaseReply;
 pub use state::LeaseState;
--- a/azureway-core/src/lease/record.rs
+++ b/azureway-core/src/lease/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::domain::{FencingNumber, InstanceId};
+use crate::domain::{FencingNumber, InstanceId, StoreEra};
 
 /// The record of a lease as the platform stores it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,4 +22,7 @@
     /// The rest of the holder's cooldown at the time of the write. Until it ends, the holder sends
     /// no orders to servers that check no fencing number.
     pub cooldown: Duration,
+    /// The era of the store in which the record was written. A record of an earlier era does not
+    /// show who held the lease last.
+    pub era: StoreEra,
 }
--- a/azureway-core/src/lease/reply.rs
+++ b/azureway-core/src/lease/reply.rs
@@ -9,6 +9,8 @@
     Written(u64),
     /// The object has another version, so the write did not take effect.
     Conflict,
+    /// The store was restored from a copy, so nothing that was known of the object holds.
+    Restored,
     /// No response arrived, or none that tells whether the write took effect.
     NoAnswer,
     /// The object exists with this version.
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -19,7 +19,7 @@
     ServerState, ServerTable,
 };
 pub use crate::lease::{
-    Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
+    Lease, LeaseConfig, LeaseEra, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
 };
 pub use crate::member::{
     GossipUpdate, Heartbeat, Liveness, LoadNotice, MemberUpdate, Membership, MembershipConfig,
--- a/azureway-core/tests/orders/cluster.rs
+++ b/azureway-core/tests/orders/cluster.rs
@@ -24,6 +24,8 @@
     pub disconnected: bool,
     pub drop_reply: bool,
     pub hold_order: bool,
+    /// The era of the store's last reply.
+    era: Option<StoreEra>,
 }
 
 impl Candidate {
@@ -41,6 +43,7 @@
             disconnected: false,
             drop_reply: false,
             hold_order: false,
+            era: None,
         }
     }
 }
@@ -60,6 +63,11 @@
     pub candidates: Vec<Candidate>,
     pub servers: Vec<Server>,
     object: Option<(u64, LeaseRecord)>,
+    era: StoreEra,
+    /// The object after each write of this era, with the time of the write.
+    history: Vec<(Timestamp, Option<(u64, LeaseRecord)>)>,
+    /// The highest fencing number that was written in any era.
+    highest: FencingNumber,
     fleet: Fleet,
     late_orders: Vec<(LoadOrder, FencingNumber)>,
     pub load_starts: Vec<Timestamp>,
@@ -94,6 +102,9 @@
             candidates: vec![candidate(1), candidate(2)],
             servers,
             object: None,
+            era: StoreEra::ZERO,
+            history: Vec::new(),
+            highest: FencingNumber::ZERO,
             fleet,
             late_orders: Vec::new(),
             load_starts: Vec::new(),
@@ -166,6 +177,15 @@
         }
     }
 
+    /// Restores the store from a copy of the age `age`, which loses the writes since.
+    pub fn restore(&mut self, age: Duration) {
+        let copied = |(at, _): &(Timestamp, _)| self.now.since(*at) >= age;
+        let count = self.history.iter().filter(|write| copied(write)).count();
+        self.history.truncate(count);
+        self.object = self.history.last().and_then(|(_, object)| object.clone());
+        self.era = self.era.next();
+    }
+
     /// Restarts a server with the weights that it had before the current load.
     pub fn crash(&mut self, index: usize) {
         self.servers[index].loading = None;
@@ -178,7 +198,7 @@
 
     /// Returns the highest fencing number that was written.
     pub fn number(&self) -> u64 {
-        self.object.as_ref().map_or(0, |(_, r)| r.number.get())
+        self.highest.get()
     }
 
     /// Returns the number of servers that can serve requests, by weights.
@@ -217,6 +237,13 @@
         let reply = match step {
             LeaseStep::Wait(_) => return,
             _ if self.candidates[at].disconnected => LeaseReply::NoAnswer,
+            // The client takes no answer of another era.
+            step if self.candidates[at].era.is_some_and(|e| e != self.era) => {
+                if let LeaseStep::Write(expected, record) = step {
+                    self.write(expected, record);
+                }
+                LeaseReply::Restored
+            }
             LeaseStep::Read => self.read(),
             LeaseStep::Write(expected, record) => self.write(expected, record),
         };
@@ -228,7 +255,12 @@
     }
 
     fn deliver_reply(&mut self, at: usize, reply: LeaseReply) {
-        self.candidates[at].lease.handle_reply(&reply, self.now);
+        let candidate = &mut self.candidates[at];
+        if reply != LeaseReply::NoAnswer {
+            candidate.era = Some(self.era);
+            candidate.lease.enter_era(Some(self.era), self.now);
+        }
+        candidate.lease.handle_reply(&reply, self.now);
     }
 
     fn read(&self) -> LeaseReply {
@@ -243,7 +275,9 @@
         if version != expected {
             return LeaseReply::Conflict;
         }
+        self.highest = self.highest.max(record.number);
         self.object = Some((version + 1, record));
+        self.history.push((self.now, self.object.clone()));
         LeaseReply::Written(version + 1)
     }
 
--- a/azureway-core/tests/orders/main.rs
+++ b/azureway-core/tests/orders/main.rs
@@ -34,6 +34,10 @@
             let versions: Vec<u64> = words[1..].iter().flat_map(|w| w.parse()).collect();
             cluster.require(&versions);
         }
+        "restore" => {
+            let millis = words[1].parse().expect("milliseconds");
+            cluster.restore(Duration::from_millis(millis));
+        }
         "restart" => cluster.restart(at),
         "pause" => cluster.candidates[at].paused = true,
         "wake" => cluster.candidates[at].paused = false,
@@ -142,6 +146,13 @@
     "restart a",
     "restart b",
 ];
+/// The restores of the store that are chosen at random beside the steps.
+const RESTORES: [&str; 4] = [
+    "restore 0",
+    "restore 900",
+    "restore 5000",
+    "restore 3600000",
+];
 /// The configurations that are chosen at random.
 const WANTS: [&str; 4] = ["wants 1", "wants 2", "wants 1 2", "wants 3"];
 /// The seed of the random cases.
@@ -149,22 +160,31 @@
 
 #[gtest]
 fn random_faults_leave_one_holder_and_the_required_weights() {
-    check_random_faults(LeaseConfig::new());
+    check_random_faults(LeaseConfig::new(), &STEPS);
 }
 
 #[gtest]
 fn random_faults_leave_one_holder_of_a_site_lease() {
-    check_random_faults(SITE_LEASE);
+    check_random_faults(SITE_LEASE, &STEPS);
+}
+
+/// Guards against two holders at a time, and against fencing numbers that go back, after the store
+/// was restored from a copy that is older than the lease or than its last change of holders.
+#[gtest]
+fn random_restores_leave_one_holder_and_the_required_weights() {
+    let steps = [&STEPS[..], &RESTORES, &RESTORES].concat();
+    check_random_faults(LeaseConfig::new(), &steps);
+    check_random_faults(SITE_LEASE, &steps);
 }
 
-fn check_random_faults(lease: LeaseConfig) {
+fn check_random_faults(lease: LeaseConfig, steps: &[&'static str]) {
     let config = Config {
         cases: 400,
         failure_persistence: None,
         ..Config::default()
     };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
-    let faults = prop::collection::vec(prop::sample::select(&STEPS[..]), 2..16);
+    let faults = prop::collection::vec(prop::sample::select(steps.to_vec()), 2..16);
     let wants = prop::collection::vec((0..16_usize, prop::sample::select(&WANTS[..])), 1..4);
     let count = prop::sample::select(&["servers 2", "servers 3", "servers 4"][..]);
     let cases = (count, faults, wants);
--- a/azureway-entry/src/order/lease_store.rs
+++ b/azureway-entry/src/order/lease_store.rs
@@ -22,11 +22,16 @@
         Self { api }
     }
 
+    /// Returns the era of the last reply, if the platform reports eras.
+    pub fn era(&self) -> Option<StoreEra> {
+        self.api.era()
+    }
+
     /// Reads the lease.
     pub fn read(&self) -> LeaseReply {
         let object = self.api.get(LEASE_KIND, LEASE_NAME);
         object
-            .and_then(parse_lease)
+            .map(|object| parse_lease(object, self.era().unwrap_or_default()))
             .unwrap_or_else(|e| reply_of(&e))
     }
 
@@ -46,27 +51,29 @@
     }
 }
 
-fn parse_lease(object: Option<ObjectBody>) -> Result<LeaseReply, Error> {
+fn parse_lease(object: Option<ObjectBody>, era: StoreEra) -> LeaseReply {
     let Some(object) = object else {
-        return Ok(LeaseReply::Absent);
+        return LeaseReply::Absent;
     };
     let body = serde_json::from_str::<LeaseBody>(&object.value).map(LeaseRecord::from);
     let record = body.unwrap_or_else(|e| {
         log::warn!(step = "read lease", version = object.version, error:% = e; "the lease cannot be decoded and counts as another instance's");
-        unknown_record(object.version)
+        unknown_record(object.version, era)
     });
-    Ok(LeaseReply::Found(object.version, record))
+    LeaseReply::Found(object.version, record)
 }
 
 /// Returns the record of a lease that cannot be decoded. Each fencing number cost a write, so none
-/// that was used exceeds the version of the object.
-fn unknown_record(version: u64) -> LeaseRecord {
+/// that was used in this era is further from the era's first one than the version of the object.
+fn unknown_record(version: u64, era: StoreEra) -> LeaseRecord {
+    let first = FencingNumber::first(era).get();
     LeaseRecord {
         holder: InstanceId::new(""),
         process_id: 0,
         sequence: 0,
-        number: FencingNumber::new(version),
+        number: FencingNumber::new(first.saturating_add(version)),
         cooldown: Duration::ZERO,
+        era,
     }
 }
 
@@ -75,5 +82,8 @@
         return LeaseReply::Conflict;
     }
     log::warn!(step = error.step().as_str(), error:% = error; "a platform call for the lease failed");
-    LeaseReply::NoAnswer
+    match error.kind() {
+        ErrorKind::Restored => LeaseReply::Restored,
+        _ => LeaseReply::NoAnswer,
+    }
 }
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -159,7 +159,11 @@
                 LeaseStep::Read => self.store.read(),
                 LeaseStep::Write(expected, record) => self.store.write(expected, &record),
             };
-            self.lease.handle_reply(&reply, self.clock.now());
+            let now = self.clock.now();
+            if self.lease.enter_era(self.store.era(), now) {
+                log::warn!(step = "lease", era:? = self.store.era(); "what is known of the lease is void");
+            }
+            self.lease.handle_reply(&reply, now);
         }
     }
 
--- a/azureway-wire/src/order/lease_body.rs
+++ b/azureway-wire/src/order/lease_body.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azureway_core::prelude::{FencingNumber, InstanceId, LeaseRecord};
+use azureway_core::prelude::{FencingNumber, InstanceId, LeaseRecord, StoreEra};
 use serde::{Deserialize, Serialize};
 
 /// The stored form of a lease.
@@ -20,6 +20,9 @@
     /// number, in milliseconds, rounded up.
     #[serde(default)]
     pub rest: u64,
+    /// The era of the store in which the record was written.
+    #[serde(default)]
+    pub era: u64,
 }
 
 impl From<&LeaseRecord> for LeaseBody {
@@ -30,6 +33,7 @@
             beat: record.sequence,
             number: record.number.get(),
             rest: u64::try_from(record.cooldown.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX),
+            era: record.era.get(),
         }
     }
 }
@@ -42,6 +46,7 @@
             sequence: body.beat,
             number: FencingNumber::new(body.number),
             cooldown: Duration::from_millis(body.rest),
+            era: StoreEra::new(body.era),
         }
     }
 }
