--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -90,6 +90,24 @@
     }
 }
 
+/// Guards against requests to a server that was acknowledged as leaving: a platform that was restored
+/// from a copy lists the server as it was before.
+#[gtest]
+fn a_leaving_server_comes_back_only_in_a_later_incarnation() {
+    let mut state = state();
+    state.update_server(server("s", true));
+    state.set_servers(vec![server("s", false)], None, Timestamp::ZERO);
+    let is_leaving = |state: &mut SiteState| {
+        let fleet = state.build_fleet().expect("a configuration");
+        fleet.servers[&ServerId::new("s")].leaving
+    };
+    expect_that!(is_leaving(&mut state), eq(true));
+    let mut restarted = server("s", false);
+    restarted.incarnation = Incarnation::new(8);
+    state.update_server(restarted);
+    expect_that!(is_leaving(&mut state), eq(false));
+}
+
 #[gtest]
 fn a_missing_server_that_is_not_listed_again_is_removed() {
     let (reconnected, now) = (Timestamp::from_millis(5_000), Timestamp::from_millis(5_010));
