Store quarantines again that a restored platform has lost

A platform that was restored from a copy has lost the quarantines that were stored since. Instances that are restarted later do not know the parts of prompts that crash servers, and every one of them lets them crash servers again. The instances that know them took them for stored and did not write them again.

When the watcher of quarantines learns of the restore, every instance compares the parts that it took for stored with its crash reports and stores those that are still quarantined.

--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -51,6 +51,8 @@
     CrashReport(&'a CrashReport),
     /// The quarantined parts that the platform stores have changed.
     QuarantineChanged(&'a QuarantineChange),
+    /// The platform was restored from a copy and may have lost quarantined parts.
+    QuarantinesLost,
     /// The platform lists exactly these backend servers as leaving. The list is eventually
     /// consistent.
     Leaving(&'a [ServerId]),
--- a/azureway-core/src/quarantine/crash_guard.rs
+++ b/azureway-core/src/quarantine/crash_guard.rs
@@ -190,6 +190,11 @@
         self.stored.remove(part);
     }
 
+    /// Records that the platform may have lost the parts that it stored as quarantined.
+    pub fn mark_lost(&mut self) {
+        self.stored.mark_lost();
+    }
+
     /// Removes and returns the parts whose status may have changed.
     pub fn take_changed_parts(&mut self) -> BTreeSet<PartKey> {
         self.stored.take_changed()
--- a/azureway-core/src/quarantine/stored_parts.rs
+++ b/azureway-core/src/quarantine/stored_parts.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Records that the platform may have lost the stored parts, so that they are compared again.
+    pub fn mark_lost(&mut self) {
+        self.changed.append(&mut self.stored);
+    }
+
     /// Removes and returns the parts whose status may have changed.
     pub fn take_changed(&mut self) -> BTreeSet<PartKey> {
         std::mem::take(&mut self.changed)
--- a/azureway-core/tests/cluster/mod.rs
+++ b/azureway-core/tests/cluster/mod.rs
@@ -209,6 +209,13 @@
         }
     }
 
+    /// Restores the platform from a copy that is older than the stored parts, and tells the entries.
+    pub fn lose_stored(&mut self) {
+        self.stored.clear();
+        let entries = 0..self.entries.len();
+        entries.for_each(|e| self.handle(e, Event::QuarantinesLost));
+    }
+
     /// Returns the suspect status of a body at an entry.
     pub fn status(&self, entry: usize, body: &str) -> SuspectStatus {
         let text = ["house", "shop", body].concat();
--- a/azureway-core/tests/quarantine_parts.rs
+++ b/azureway-core/tests/quarantine_parts.rs
@@ -128,6 +128,23 @@
     expect_that!(cluster.count_running("innocent-later"), eq(1));
 }
 
+/// Guards against entries that are restarted after the platform was restored from a copy, and have
+/// nobody to tell them what crashes servers.
+#[gtest]
+fn a_quarantined_part_is_stored_again_after_the_platform_has_lost_it() {
+    let mut cluster = cluster(ENTRIES, SERVERS);
+    for number in 0..6 {
+        send_deadly(&mut cluster, number % ENTRIES, PART, number);
+        cluster.advance(Duration::from_secs(1));
+    }
+    let crashes = cluster.crashes;
+    cluster.lose_stored();
+    expect_that!(cluster.count_stored(), eq(1));
+    cluster.restart_all();
+    send_deadly(&mut cluster, 0, PART, 6);
+    expect_that!(cluster.crashes, eq(crashes));
+}
+
 /// Guards against the quarantine of a sound part that the platform keeps although its servers live.
 #[gtest]
 fn a_stored_quarantine_is_removed_when_its_reports_are_cleared() {
--- a/azureway-dev/tests/restored.rs
+++ b/azureway-dev/tests/restored.rs
@@ -11,6 +11,7 @@
 use azureway_entry::site::{SiteCodec, SiteKind, SiteUpdate, SiteWatcher};
 use azureway_objects::{HttpObjects, ObjectApi, Put};
 use azureway_wire::object::ObjectBody;
+use azureway_wire::quarantine::QuarantineBody;
 use flume::Receiver;
 use googletest::prelude::*;
 
@@ -159,3 +160,25 @@
     let answer = api.watch("lease", lost, Duration::ZERO);
     expect_that!(answer.map_err(|e| e.kind()), err(eq(&ErrorKind::Protocol)));
 }
+
+/// Guards against quarantines that only running processes know, since the restored platform has lost
+/// them.
+#[gtest]
+fn quarantines_are_reported_lost_after_a_restore() {
+    let platform = Arc::new(Platform::new());
+    let server = HttpServer::start(Arc::clone(&platform)).expect("a free port");
+    let (kind, copy) = (SiteKind::Quarantines, platform.copy());
+    let updates = start_watcher(kind, &server);
+    let record = QuarantineRecord {
+        part: PartKey::of(b"part"),
+        reports: Vec::new(),
+    };
+    let body = serde_json::to_string(&QuarantineBody::new(&record, u64::MAX)).expect("a body");
+    platform.seed(kind.as_str(), &record.part.to_string(), &body);
+    let stored = updates.recv_timeout(TIME_LIMIT);
+    let pattern = matches_pattern!(SiteUpdate::Quarantine(anything()));
+    expect_that!(stored, ok(pattern));
+    platform.restore(copy);
+    let lost = updates.recv_timeout(TIME_LIMIT);
+    expect_that!(lost, ok(matches_pattern!(SiteUpdate::QuarantinesLost)));
+}
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -138,9 +138,8 @@
             }
             DecideMessage::Query(query) => self.answer_query(query),
             DecideMessage::Peer(update) => self.handle_peer_update(&update),
-            DecideMessage::QuarantineChanged(change) => {
-                self.handle_event(Event::QuarantineChanged(&change));
-            }
+            DecideMessage::QuarantineChanged(c) => self.handle_event(Event::QuarantineChanged(&c)),
+            DecideMessage::QuarantinesLost => self.handle_event(Event::QuarantinesLost),
             DecideMessage::Leaving(list) => self.handle_event(Event::Leaving(&list)),
             DecideMessage::Drain(drained) => {
                 self.drained = Some(drained);
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -47,6 +47,8 @@
     Peer(PeerUpdate),
     /// The quarantined parts that the platform stores have changed.
     QuarantineChanged(QuarantineChange),
+    /// The platform was restored from a copy and may have lost quarantined parts.
+    QuarantinesLost,
     /// The platform lists exactly these backend servers as leaving.
     Leaving(Vec<ServerId>),
     /// The daemon is shutting down and refuses new requests. The duty stops once no request is left
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -98,6 +98,11 @@
                 let _ = self.decide.send(DecideMessage::QuarantineChanged(change));
                 return false;
             }
+            SiteUpdate::QuarantinesLost => {
+                log::warn!(step = "read site"; "quarantines known here are stored again");
+                let _ = self.decide.send(DecideMessage::QuarantinesLost);
+                return false;
+            }
             SiteUpdate::Weights(named, since) => {
                 let age = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
                 log::info!(step = "read site", model:% = named.model, weights:% = named.version, age_ms = age; "weights were named");
--- a/azureway-entry/src/site/update.rs
+++ b/azureway-entry/src/site/update.rs
@@ -18,6 +18,8 @@
     Removed(ServerId, Option<Timestamp>),
     /// A change of the quarantined parts of prompts.
     Quarantine(QuarantineChange),
+    /// The platform was restored from a copy and may have lost quarantined parts.
+    QuarantinesLost,
     /// Weights that an operator named, and the earliest time at which that can have happened.
     Weights(NamedWeights, Timestamp),
 }
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -106,7 +106,9 @@
             Err(e) => {
                 self.record_outage(&e, now);
                 self.schedule.record_failure(e.kind(), now);
-                true
+                let restored = e.kind() == ErrorKind::Restored;
+                let lost = restored && self.kind == SiteKind::Quarantines;
+                !lost || self.send(SiteUpdate::QuarantinesLost)
             }
         }
     }
