Register an instance again after the platform was restored

A platform that was restored from a copy may have lost the registration of an instance, which wrote it only once. Instances that start later did not find it through the list. The duty now registers again when it learns of the restore. Before, the new test read an empty list after the restore.

--- a/azureway-dev/tests/restored.rs
+++ b/azureway-dev/tests/restored.rs
@@ -8,8 +8,11 @@
 use azureway_dev::http::HttpServer;
 use azureway_dev::platform::{Platform, PlatformFaults};
 use azureway_entry::clock::Clock;
+use azureway_entry::peer::PeerMessage;
 use azureway_entry::site::{SiteCodec, SiteKind, SiteUpdate, SiteWatcher};
+use azureway_entry::watch::Registrar;
 use azureway_objects::{HttpObjects, ObjectApi, Put};
+use azureway_wire::instance::{INSTANCE_KIND, InstanceBody, InstanceRole};
 use azureway_wire::object::ObjectBody;
 use azureway_wire::quarantine::QuarantineBody;
 use flume::Receiver;
@@ -182,3 +185,28 @@
     let lost = updates.recv_timeout(TIME_LIMIT);
     expect_that!(lost, ok(matches_pattern!(SiteUpdate::QuarantinesLost)));
 }
+
+/// Guards against an instance that its peers do not find, since the restored platform has lost its
+/// registration.
+#[gtest]
+fn an_instance_registers_again_after_a_restore() {
+    let platform = Arc::new(Platform::new());
+    let server = HttpServer::start(Arc::clone(&platform)).expect("a free port");
+    let copy = platform.copy();
+    let body = InstanceBody {
+        role: InstanceRole::Entry,
+        zone: "a".to_owned(),
+        address: ([127, 0, 0, 1], 9).into(),
+        leaving: false,
+    };
+    let (peer, listed) = flume::bounded(8);
+    let api = HttpObjects::new(server.address());
+    let registrar = Registrar::new(api, InstanceId::new("a-1"), body, peer);
+    thread::spawn(move || registrar.run());
+    let first = listed.recv_timeout(TIME_LIMIT);
+    let one = || matches_pattern!(PeerMessage::Listed(len(eq(1))));
+    expect_that!(first, ok(one()));
+    platform.restore(copy);
+    expect_that!(platform.value(INSTANCE_KIND, "a-1"), none());
+    expect_that!(listed.recv_timeout(TIME_LIMIT), ok(one()));
+}
--- a/azureway-entry/src/watch/registrar.rs
+++ b/azureway-entry/src/watch/registrar.rs
@@ -57,6 +57,8 @@
                 Ok(false) => return,
                 Err(e) => {
                     log::warn!(step = e.step().as_str(), error:% = e; "registering or listing instances failed");
+                    // A restore may have lost the registration.
+                    self.written &= e.kind() != ErrorKind::Restored;
                     delay = MIN_DELAY;
                 }
             }
