--- a/azureway-entry/src/site/update.rs
+++ b/azureway-entry/src/site/update.rs
@@ -20,6 +20,8 @@
     ListedUntil(Timestamp, Option<Timestamp>),
     /// A change of the quarantined parts of prompts.
     Quarantine(QuarantineChange),
+    /// The platform was restored from a copy and may have lost quarantined parts.
+    QuarantinesLost,
     /// Weights that an operator named, and the earliest time at which that can have happened.
     Weights(NamedWeights, Timestamp),
 }
