Hold a backend server that asks this entry for a pause

A server that rejects a request with a 503 may name a time for which it wants nothing from the entry. Nothing in the core knew of that: the server was tried again after a tenth or half of a second.

A notice of the answer now holds the server for this entry: no request goes there, nor a retry, a resumed stream or a suspect's own run. The longest notice counts, a new incarnation ends the hold, a gap in a list does not, and no pause lasts longer than a minute. Peers are not told. Where all servers of a pool are held, a request waits if the first pause ends before its deadline, and is refused at once otherwise, with the time of that end; the same goes for what waits already, but not for streams that have begun. After the pause the entry begins with one request, at a time of its own, and reaches its share in two seconds.

--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -5,7 +5,7 @@
 use crate::cache::CacheUpdate;
 use crate::claim::ClaimOutcome;
 use crate::domain::{Attempt, Request, RequestId, ServerId, Timestamp};
-use crate::fleet::{Fleet, LoadReport, LoadSample};
+use crate::fleet::{Fleet, LoadReport, LoadSample, PauseNotice};
 use crate::member::{LoadNotice, ServerUpdate};
 use crate::quarantine::{CrashReport, QuarantineChange};
 
@@ -30,6 +30,8 @@
     Load(&'a LoadReport),
     /// An answer carried a load sample of its backend server.
     LoadSample(&'a LoadSample),
+    /// A backend server rejected a request and asked this entry for a pause.
+    Paused(&'a PauseNotice),
     /// A version of the configuration was read.
     Configured(&'a Fleet),
     /// The number of live entry instances in this availability zone, including this instance,
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::{Health, LoadReport, LoadSample, LocalWork, RateShare, ReportedWork, SlotShare, Work};
+use super::{
+    Health, LoadReport, LoadSample, LocalWork, PauseHold, RateShare, ReportedWork, SlotShare, Work,
+};
 use crate::domain::{
     BackendServer, Incarnation, ListedState, Rank, Timestamp, TokenCount, WeightsVersion,
 };
@@ -31,6 +33,8 @@
     pub weights: Option<WeightsVersion>,
     /// This entry's share of the rate that the server names as its limit, if it names one.
     pub rate: RateShare,
+    /// This entry's hold on the server, if the server asked for a pause.
+    pub pause: PauseHold,
     local: LocalWork,
     pub(super) share: SlotShare,
     reported: ReportedWork,
@@ -52,6 +56,7 @@
         Self {
             share: SlotShare::new(server.slots, entries),
             rate: RateShare::new(entries, seed, &server.id),
+            pause: PauseHold::new(seed, &server.id),
             incarnation: server.listed.map_or(Incarnation::ZERO, |l| l.incarnation),
             weights: server.listed.and_then(|l| l.weights),
             server,
@@ -67,6 +72,14 @@
         }
     }
 
+    /// Keeps the hold on a server that is back on the list, unless it has restarted.
+    #[must_use]
+    pub(super) fn with_hold(mut self, hold: Option<PauseHold>) -> Self {
+        self.pause = hold.unwrap_or(self.pause);
+        self.pause.observe_incarnation(self.incarnation);
+        self
+    }
+
     /// Applies a changed configuration or number of entries. Returns whether the cached blocks
     /// known for the server are invalid.
     pub fn reconfigure(&mut self, server: &BackendServer, entries: u32) -> bool {
@@ -91,6 +104,7 @@
         if restarted {
             self.health = Health::Live;
             self.incarnation = listed.incarnation;
+            self.pause.observe_incarnation(listed.incarnation);
         }
         if restarted || newer {
             self.weights = listed.weights;
@@ -142,6 +156,7 @@
             return;
         }
         self.incarnation = report.incarnation;
+        self.pause.observe_incarnation(report.incarnation);
         self.weights = Some(report.weights);
         self.local.rotate(now);
         self.last_report = now;
@@ -217,13 +232,20 @@
 
     /// Returns whether the server may get new requests at `now`.
     pub fn accepts(&self, now: Timestamp) -> bool {
+        let held = now < self.held_until || self.pause.holds(now);
         match self.health() {
-            Health::Live => now >= self.held_until,
-            Health::Suspect => now > self.retry_at && now >= self.held_until,
+            Health::Live => !held,
+            Health::Suspect => now > self.retry_at && !held,
             Health::Leaving => false,
         }
     }
 
+    /// Returns when this entry may send one more request after a pause that the server asked for.
+    pub fn next_after_pause(&self) -> Timestamp {
+        let slots = self.server.slots.div_ceil(self.share.entries());
+        self.pause.next_request(self.in_flight(), slots)
+    }
+
     /// Returns whether this entry may send one more request of `rank`. With `use_reserved`, a
     /// drafting request may use the slots that are otherwise reserved for urgent ones.
     pub fn has_capacity(&self, rank: Rank, use_reserved: bool, now: Timestamp) -> bool {
@@ -238,13 +260,15 @@
         allowed && (reserved == 0 || self.load(now).saturating_add(reserved) < self.server.slots)
     }
 
-    /// Returns when a server that failed or rejected a request, or names a limit, is tried again.
+    /// Returns when a server that failed or rejected a request, asked for a pause or names a limit, is
+    /// tried again.
     pub fn retry_at(&self) -> Option<Timestamp> {
+        let after_pause = Some(self.next_after_pause());
         match self.health {
-            Health::Suspect => Some(self.retry_at),
+            Health::Suspect => after_pause.max(Some(self.retry_at)),
             Health::Live => {
                 let held = self.share.paused().max(Some(self.held_until));
-                held.max(self.rate.next_request())
+                held.max(self.rate.next_request()).max(after_pause)
             }
             Health::Leaving => None,
         }
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -1,9 +1,10 @@
 //! Finds the runtime state of backend servers by name or pool, and applies updates to it.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::ops::Range;
 
-use super::{Fleet, LeavingCause, LeavingMarks, LoadReport, ServerState};
+use super::{Fleet, LeavingCause, LeavingMarks, LoadReport, PauseHold, ServerState};
 use crate::domain::{PoolId, ServerId, Timestamp};
 use crate::member::LoadNotice;
 
@@ -17,6 +18,12 @@
     entries: u32,
     seed: u64,
     leaving: Vec<ServerId>,
+    /// The holds on servers that the configuration no longer has, with the addresses of the servers.
+    pub(super) gone_holds: HashMap<ServerId, (SocketAddr, PauseHold)>,
+    /// The number of holds that began.
+    pub(super) pauses: u64,
+    /// The latest end of a pause.
+    pub(super) last_pause: Timestamp,
     pub(super) marks: LeavingMarks,
 }
 
@@ -54,14 +61,25 @@
                 }
                 same
             });
-            let mut state = kept.unwrap_or_else(|| ServerState::new(server.clone(), entries, seed));
+            let mut state = kept.unwrap_or_else(|| {
+                let hold = self.gone_holds.remove(id);
+                let hold = hold.filter(|(address, _)| *address == server.address);
+                let state = ServerState::new(server.clone(), entries, seed);
+                state.with_hold(hold.map(|(_, hold)| hold))
+            });
             invalidated.extend(state.reconfigure(server, entries).then(|| id.clone()));
             state.set_listed_leaving(self.leaving.contains(id));
             self.end_earlier_mark(id, state.incarnation);
             state.set_announced(self.marks.is_active(id, state.incarnation));
             self.servers.push(state);
         }
-        invalidated.extend(old.into_keys());
+        for (id, state) in old {
+            if state.pause.until() > Timestamp::ZERO {
+                let hold = (state.server.address, state.pause);
+                self.gone_holds.insert(id.clone(), hold);
+            }
+            invalidated.push(id);
+        }
         self.rebuild_indexes();
         invalidated
     }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -15,8 +15,8 @@
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
 pub use crate::fleet::{
-    Fleet, Health, LeavingCause, LeavingChange, LeavingMark, LoadReport, LoadSample, RouteTable,
-    ServerState, ServerTable,
+    Fleet, Health, LeavingCause, LeavingChange, LeavingMark, LoadReport, LoadSample, PauseNotice,
+    RouteTable, ServerState, ServerTable,
 };
 pub use crate::lease::{
     Lease, LeaseConfig, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
--- a/azureway-core/src/router/admission_check.rs
+++ b/azureway-core/src/router/admission_check.rs
@@ -62,6 +62,7 @@
         if self.queues.pool_len(&service.pool) >= self.queue_limit {
             return Err(refusal(RefusalReason::Overloaded, "too many requests wait"));
         }
+        self.check_pauses(service, request, now)?;
         self.check_wait(service, request, now)?;
         // The limit is checked last, so that a request refused for another reason is not charged.
         self.check_limit(account, request, now)?;
@@ -78,6 +79,20 @@
         account.ok_or_else(|| refusal(RefusalReason::Unauthorized, "the client account is gone"))
     }
 
+    /// Refuses a request if every server of its pool is held until after its deadline.
+    fn check_pauses(
+        &self,
+        service: &ModelService,
+        request: &Request,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let end = self.servers.pause_end(&service.pool, now);
+        match end.filter(|e| request.deadline.timestamp() < *e) {
+            None => Ok(()),
+            Some(end) => Err(RetryDecision::paused(true, end.since(now))),
+        }
+    }
+
     /// Refuses a request whose expected queue wait exceeds its deadline.
     fn check_wait(
         &self,
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -1,13 +1,10 @@
 //! Turns events into actions: admission, queueing, dispatch, retries and claims.
 
-use super::{
-    AdmissionCheck, Dispatcher, InFlight, PlacementRequest, Queues, Retry, RetryDecision,
-    RetryQueue, RouterConfig,
-};
+use super::{AdmissionCheck, Dispatcher, PlacementRequest, Queues, RetryQueue, RouterConfig};
 use crate::admit::{AccountLimits, BlockedClasses, QueuedRequest};
 use crate::claim::{ClaimDecision, ClaimOutcome, ClaimTable};
 use crate::domain::{Attempt, Refusal, RefusalReason, Request, RequestId, Timestamp};
-use crate::event::{Action, Event, Failure, Finish};
+use crate::event::{Action, Event, Finish};
 use crate::fleet::Fleet;
 use crate::retry::RetryBudgets;
 use crate::route::Policy;
@@ -65,6 +62,7 @@
             Event::Cache(update) => self.update_cache(update, out),
             Event::Load(report) => self.apply_report(report, now, out),
             Event::LoadSample(sample) => self.apply_sample(sample, now),
+            Event::Paused(notice) => self.apply_pause(notice, now),
             Event::Configured(fleet) => self.configure(fleet, now),
             Event::ZoneEntries(_) if self.config.shared_servers => {}
             Event::ZoneEntries(count) => self.dispatcher.servers_mut().set_entries(count),
@@ -72,10 +70,7 @@
             Event::Demand(demand) => self.limits.share_mut().record(demand, now),
             Event::Announced(update) => self.apply_announcement(update, now, out),
             Event::Server(update) => self.apply_server_update(update, now),
-            Event::Loading(notice) => {
-                self.dispatcher.apply_loading(notice, now);
-                self.queues.mark_all_dirty();
-            }
+            Event::Loading(notice) => self.apply_loading(notice, now),
             Event::CrashReport(report) => self.apply_crash_report(report, now, out),
             Event::QuarantineChanged(change) => self.apply_quarantine(change, now, out),
             Event::Leaving(list) => {
@@ -87,6 +82,7 @@
             Event::Tick => self.queues.mark_all_dirty(),
         }
         self.expire(now, out);
+        self.refuse_paused(event, now, out);
         self.dispatch_retries(now, out);
         self.dispatch_queued(now, out);
         self.broadcast_crash_reports(out);
@@ -178,36 +174,6 @@
         }
     }
 
-    fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
-        self.claims.fail(failure, out);
-        let Some((flight, cache_lost)) = self.dispatcher.fail(failure, now) else {
-            return;
-        };
-        self.queues.mark_dirty(&flight.pool);
-        if cache_lost {
-            out.push(Action::Resync(flight.server.clone()));
-        }
-        match self.decide_retry(&flight, failure, now, out) {
-            RetryDecision::Retry => self.retries.push(Retry::new(flight, failure, now)),
-            RetryDecision::Requeue => self.requeue(flight, now, out),
-            RetryDecision::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
-        }
-    }
-
-    /// Requeues a request that a server rejected for lack of capacity.
-    fn requeue(&mut self, flight: InFlight, now: Timestamp, out: &mut Vec<Action>) {
-        // Where all entries share the retry budget, capacity rejections are charged to it too.
-        if self.budgets.is_shared() && !self.budgets.for_pool(&flight.pool, now).try_spend() {
-            let refusal = RetryDecision::give_up(false, true);
-            return out.push(Action::Refuse(flight.attempt.id, refusal));
-        }
-        let account = self.fleet.accounts.get(&flight.request.account);
-        let weight = account.map_or(1, |a| a.weight);
-        let (pool, plan) = (flight.pool.clone(), flight.requeue_plan());
-        let queued = QueuedRequest::with_plan(flight.request, weight, plan);
-        self.queues.push(pool, queued, now);
-    }
-
     fn configure(&mut self, fleet: &Fleet, now: Timestamp) {
         // Versions must increase, so that a slow read or a late peer cannot restore an old one.
         if fleet.version <= self.fleet.version {
--- a/azureway-core/src/router/exclusion_reason.rs
+++ b/azureway-core/src/router/exclusion_reason.rs
@@ -11,6 +11,8 @@
     Leaving,
     /// The server failed recently and is not retried yet.
     Suspect,
+    /// The server asked this entry for a pause.
+    Paused,
     /// The server has other weights loaded.
     WeightsNotLoaded,
     /// The server has no free slot for this request, by this entry's share of its slots.
@@ -32,6 +34,7 @@
         if !state.accepts(now) {
             return match state.health() {
                 Health::Leaving => Self::Leaving,
+                _ if state.pause.holds(now) => Self::Paused,
                 Health::Live | Health::Suspect => Self::Suspect,
             };
         }
@@ -49,6 +52,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::Suspect => "suspect",
+            Self::Paused => "paused",
             Self::WeightsNotLoaded => "weights",
             Self::NoCapacity => "full",
             Self::NearerAvailable => "far",
--- a/azureway-core/src/router/overview.rs
+++ b/azureway-core/src/router/overview.rs
@@ -26,6 +26,10 @@
     pub suspects: usize,
     /// The number of requests that may not run because two backend servers failed while they ran.
     pub quarantined: usize,
+    /// The number of holds on backend servers that asked for a pause, since the start.
+    pub pauses: u64,
+    /// The number of backend servers that are held now.
+    pub paused: usize,
     /// The number of incarnations of backend servers that have announced their leaving.
     pub announced: u64,
     /// The counts of ended requests by rank, kind and outcome.
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -72,10 +72,10 @@
         has_weights && state.accepts(now)
     }
 
-    /// Returns whether a server has a free slot for the request and is within the limit that it names.
-    /// A stream that has begun may use any slot.
+    /// Returns whether a server has a free slot for the request, is within the limit that it names and
+    /// is taken up again after a pause. A stream that has begun may use any slot.
     pub fn has_capacity(&self, state: &ServerState, now: Timestamp) -> bool {
-        if !state.rate.allows(now) {
+        if !state.rate.allows(now) || now < state.next_after_pause() {
             false
         } else if self.is_begun() {
             state.in_flight() < state.server.slots
--- a/azureway-core/src/router/reports.rs
+++ b/azureway-core/src/router/reports.rs
@@ -5,6 +5,7 @@
 use crate::domain::Timestamp;
 use crate::event::Action;
 use crate::fleet::{LoadReport, LoadSample};
+use crate::member::LoadNotice;
 use crate::route::Policy;
 
 impl<P: Policy> Router<P> {
@@ -30,6 +31,11 @@
         }
     }
 
+    pub(super) fn apply_loading(&mut self, notice: &LoadNotice, now: Timestamp) {
+        self.dispatcher.apply_loading(notice, now);
+        self.queues.mark_all_dirty();
+    }
+
     /// Sets the number of listed entries of all availability zones.
     pub(super) fn set_listed_entries(&mut self, count: u32) {
         self.limits.share_mut().set_entries(count);
--- a/azureway-core/src/router/retry_decision.rs
+++ b/azureway-core/src/router/retry_decision.rs
@@ -1,5 +1,7 @@
 //! Decides whether a request is retried, requeued or refused after a failed attempt.
 
+use std::time::Duration;
+
 use super::InFlight;
 use crate::domain::{Refusal, RefusalReason, RequestKind, StreamPosition, Timestamp};
 use crate::event::Failure;
@@ -71,6 +73,17 @@
         }
     }
 
+    /// Returns the refusal of a request whose pool has no server that wants requests within its
+    /// deadline. The first of them is used again after `wait`.
+    pub fn paused(not_run: bool, wait: Duration) -> Refusal {
+        if not_run {
+            let detail = "every backend server has asked for a pause";
+            Refusal::not_run(RefusalReason::NoServer, detail).with_retry(wait)
+        } else {
+            Self::give_up(false, false)
+        }
+    }
+
     /// Returns the refusal of a request that is not retried.
     pub fn give_up(begun: bool, not_run: bool) -> Refusal {
         match (begun, not_run) {
--- a/azureway-core/src/router/retry_queue.rs
+++ b/azureway-core/src/router/retry_queue.rs
@@ -43,13 +43,13 @@
         Some(self.retries.remove(index))
     }
 
-    /// Removes and returns every retry that is `quarantined` and whose stream has not begun.
-    pub fn remove_quarantined(&mut self, quarantined: impl Fn(&Retry) -> bool) -> Vec<Retry> {
+    /// Removes and returns every retry for which `removed` is true and whose stream has not begun.
+    pub fn remove_fresh(&mut self, removed: impl Fn(&Retry) -> bool) -> Vec<Retry> {
         let fresh = |r: &Retry| r.plan.position == StreamPosition::ZERO;
-        let removed = |r: &Retry| fresh(r) && quarantined(r);
-        let (quarantined, remaining) = self.take().into_iter().partition(removed);
+        let removed = |r: &Retry| fresh(r) && removed(r);
+        let (removed, remaining) = self.take().into_iter().partition(removed);
         self.retries = remaining;
-        quarantined
+        removed
     }
 
     /// Removes and returns every retry that expired before `now`.
--- a/azureway-core/src/router/suspects.rs
+++ b/azureway-core/src/router/suspects.rs
@@ -84,7 +84,7 @@
     fn refuse_quarantined(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let guard = self.dispatcher.guard();
         let quarantined = |retry: &Retry| guard.is_quarantined(&retry.request, now);
-        for retry in self.retries.remove_quarantined(quarantined) {
+        for retry in self.retries.remove_fresh(quarantined) {
             let refusal = RetryDecision::quarantined(retry.plan.not_run);
             out.push(Action::Refuse(retry.request.id, refusal));
         }
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -69,6 +69,8 @@
             claims: self.claims.pending(),
             suspects: self.count_with_status(SuspectStatus::Suspect),
             quarantined: self.count_with_status(SuspectStatus::Quarantined),
+            pauses: self.dispatcher.servers().pauses(),
+            paused: self.count_paused(),
             announced: self.servers().leaving_marks().announced(),
             counts: self.counts(),
         }
@@ -101,6 +103,11 @@
         self.dispatcher.guard().count(status, self.last_event)
     }
 
+    fn count_paused(&self) -> usize {
+        let servers = self.dispatcher.servers().iter();
+        servers.filter(|s| s.pause.holds(self.last_event)).count()
+    }
+
     fn counts(&self) -> Vec<(Rank, RequestKind, Outcome, OutcomeCount)> {
         let kinds = [RequestKind::Repeatable, RequestKind::AtMostOnce];
         let mut counts = Vec::new();
