Read the pause that a backend server of the platform asks for

A 503 with Retry-After tells the entry that the server wants nothing from it for so long. The header was not read. The notice goes to the deciding duty before the outcome of its request. A line of the log tells of each notice, with the end of the hold. The server's cache events are not polled either until then, or until a new incarnation is listed; the feed of the chat interface goes on, since it alone tells of a new incarnation there.

--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::decision_log::{log_crash_report, log_dispatch, log_leaving, log_rate_limit};
+use super::decision_log::{log_crash_report, log_dispatch, log_leaving};
 use super::{DecideMessage, PeerUpdate, PendingRequests, VersionTracker};
 use crate::admit::AdmittedRequest;
 use crate::caller::RequestUpdate;
@@ -28,9 +28,9 @@
     pub(super) clock: Clock,
     requests: PendingRequests,
     claims: ClaimClient,
-    orders: OrderClient,
+    pub(super) orders: OrderClient,
     relays: L,
-    feeds: S,
+    pub(super) feeds: S,
     peers: PeerClient,
     quarantines: QuarantineClient,
     meter: Sender<MetricEvent>,
@@ -101,7 +101,7 @@
         }
     }
 
-    fn handle_event(&mut self, event: Event<'_>) {
+    pub(super) fn handle_event(&mut self, event: Event<'_>) {
         self.router
             .handle(event, self.clock.now(), &mut self.actions);
         for change in self.router.take_leaving_changes() {
@@ -129,6 +129,7 @@
                 self.handle_event(Event::Load(&report));
             }
             DecideMessage::LoadSample(sample) => self.handle_sample(&sample),
+            DecideMessage::Paused(notice) => self.handle_pause(&notice),
             DecideMessage::Announced(update) => self.handle_event(Event::Announced(&update)),
             DecideMessage::Cache(update) => self.handle_event(Event::Cache(&update.view())),
             DecideMessage::Configured(fleet) => self.reconfigure(&fleet),
@@ -158,14 +159,6 @@
         self.handle_event(Event::Arrived(&request));
     }
 
-    fn handle_sample(&mut self, sample: &LoadSample) {
-        log_rate_limit(&self.router, sample);
-        if let Some(weights) = sample.weights {
-            self.orders.forward_weights(&sample.server, weights);
-        }
-        self.handle_event(Event::LoadSample(sample));
-    }
-
     fn handle_start(&mut self, attempt: Attempt) {
         let metric = self.requests.record_start(attempt, self.clock.now());
         metric.into_iter().for_each(|m| self.record_metric(m));
--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -1,7 +1,8 @@
 //! The lines that the deciding duty logs about what it learns and decides.
 
 use azureway_core::prelude::{
-    CrashReport, Dispatch, LeavingChange, LeavingMark, LoadSample, Policy, Router, ServerState,
+    CrashReport, Dispatch, LeavingChange, LeavingMark, LoadSample, PauseNotice, Policy, Router,
+    ServerState, Timestamp,
 };
 
 use super::PendingRequest;
@@ -31,6 +32,24 @@
     }
 }
 
+/// Logs that a server asked this entry for a pause, and until when it is held, in milliseconds on
+/// this entry's clock.
+pub(super) fn log_pause<P: Policy>(router: &Router<P>, notice: &PauseNotice, now: Timestamp) {
+    let Some(state) = router.servers().get(&notice.server) else {
+        return;
+    };
+    let mut hold = state.pause;
+    let (before, known) = (hold.until(), state.incarnation);
+    let changed = hold.apply(notice, known, now);
+    let (pause, answered) = (notice.pause.duration(), notice.incarnation);
+    let (left, until) = (before.since(now), hold.until().as_micros() / 1000);
+    log::info!(
+        step = "pause", peer:% = notice.server, incarnation:? = answered, known:% = known,
+        pause:? = pause, left:? = left, until = until, changed = changed;
+        "a server asked for a pause"
+    );
+}
+
 /// Logs a change of the belief that a server leaves.
 pub(super) fn log_leaving<P: Policy>(router: &Router<P>, change: &LeavingChange) {
     let state = router.servers().get(&change.server);
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -5,7 +5,7 @@
 
 use azureway_core::prelude::{
     Attempt, ClaimOutcome, ConfigVersion, Failure, Finish, Fleet, LoadReport, LoadSample,
-    QuarantineChange, RequestId, ServerId, ServerUpdate, ShortAnswer,
+    PauseNotice, QuarantineChange, RequestId, ServerId, ServerUpdate, ShortAnswer,
 };
 use flume::Sender;
 
@@ -33,6 +33,8 @@
     Load(LoadReport),
     /// An answer carried a load sample of its backend server.
     LoadSample(LoadSample),
+    /// A backend server rejected a request and asked for a pause.
+    Paused(PauseNotice),
     /// A backend server said with an answer that one of its incarnations leaves.
     Announced(ServerUpdate),
     /// A backend server reported changes of its cache.
--- a/azureway-entry/src/decide/mod.rs
+++ b/azureway-entry/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod pending_requests;
 mod queries;
 mod query;
+mod server_notices;
 mod version_tracker;
 
 pub use daemon_status::DaemonStatus;
--- a/azureway-entry/src/exchange/answer_metadata.rs
+++ b/azureway-entry/src/exchange/answer_metadata.rs
@@ -1,6 +1,7 @@
-//! The content of a site's headers for an answer: signature, rejection, load, weights and leaving.
+//! The content of a site's headers for an answer: signature, rejection, load, weights, and what the
+//! server says of itself.
 
-use azureway_core::prelude::{RequestRate, WeightsVersion};
+use azureway_core::prelude::{Pause, RequestRate, WeightsVersion};
 
 /// The metadata of an answer, read from the site's own headers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -19,6 +20,8 @@
     pub weights: Option<WeightsVersion>,
     /// The rate of requests that the server takes from all senders.
     pub rate_limit: Option<RequestRate>,
+    /// The pause that the server asks this entry for as it rejects the request.
+    pub pause: Option<Pause>,
     /// Whether the server states that it is leaving.
     pub leaving: bool,
 }
--- a/azureway-entry/src/exchange/metadata_report.rs
+++ b/azureway-entry/src/exchange/metadata_report.rs
@@ -1,6 +1,6 @@
 //! Reports what a backend server states of itself with the head of an answer.
 
-use azureway_core::prelude::{Incarnation, LoadSample, ServerStatus, ServerUpdate};
+use azureway_core::prelude::{Incarnation, LoadSample, PauseNotice, ServerStatus, ServerUpdate};
 
 use super::{AnswerMetadata, BackendDialect, ExchangeAttempt};
 use crate::decide::DecideMessage;
@@ -13,6 +13,13 @@
         if metadata.leaving {
             let _ = self.decide.send(DecideMessage::Announced(self.leaving()));
         }
+        if let Some(pause) = metadata.pause {
+            let _ = self.decide.send(DecideMessage::Paused(PauseNotice {
+                server: self.dispatch.server.clone(),
+                incarnation: self.dispatch.incarnation,
+                pause,
+            }));
+        }
         let (load, weights, rate_limit) = (metadata.load, metadata.weights, metadata.rate_limit);
         if load.is_some() || weights.is_some() || rate_limit.is_some() {
             let _ = self.decide.send(DecideMessage::LoadSample(LoadSample {
--- a/azureway-entry/src/feed/feed_reader.rs
+++ b/azureway-entry/src/feed/feed_reader.rs
@@ -68,7 +68,7 @@
         let mut backoff = Backoff::new(BACKOFF_BASE, BACKOFF_CAP, seed);
         let mut limited = Backoff::new(LIMITED_BACKOFF_BASE, BACKOFF_CAP, seed);
         let mut failing = false;
-        while !self.control.is_stopped() {
+        while self.wait_turn() {
             match self.poll() {
                 Ok(batch) => {
                     if failing {
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Waits until the server may be polled. Returns `false` if the reader must stop.
+    fn wait_turn(&self) -> bool {
+        if S::PAUSES {
+            self.control.wait_hold();
+        }
+        !self.control.is_stopped()
+    }
+
     /// Polls the server once the budget allows it.
     fn poll(&mut self) -> Result<FeedBatch, Error> {
         self.budget.reserve(self.expected);
--- a/azureway-entry/src/feed/feed_readers.rs
+++ b/azureway-entry/src/feed/feed_readers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::thread;
+use std::time::Instant;
 
 use azureway_core::prelude::*;
 use flume::Sender;
@@ -91,6 +92,12 @@
         }
     }
 
+    fn hold(&self, server: &ServerId, until: Instant) {
+        if let Some(control) = self.controls.get(server) {
+            control.hold(until);
+        }
+    }
+
     fn stop(&self) {
         self.controls.values().for_each(|c| c.stop());
     }
--- a/azureway-entry/src/feed/feed_source.rs
+++ b/azureway-entry/src/feed/feed_source.rs
@@ -11,6 +11,9 @@
 pub trait FeedSource: Clone + Send + 'static {
     /// The pause between two polls, in which events accumulate at the server.
     const INTERVAL: Duration;
+    /// Whether a server that asks for a pause is not polled either. A feed that alone tells of a new
+    /// incarnation, with which the pause ends, goes on.
+    const PAUSES: bool;
 
     /// Requests the events from position `next` on, or a full snapshot of the cache if `snapshot`
     /// is set, and waits for the answer.
--- a/azureway-entry/src/feed/http_feed.rs
+++ b/azureway-entry/src/feed/http_feed.rs
@@ -20,6 +20,7 @@
 
 impl FeedSource for HttpFeed {
     const INTERVAL: Duration = Duration::ZERO;
+    const PAUSES: bool = false;
 
     fn poll(
         &mut self,
--- a/azureway-entry/src/feed/reader_control.rs
+++ b/azureway-entry/src/feed/reader_control.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use azureway_core::prelude::Incarnation;
 
@@ -12,6 +14,8 @@
     listed: AtomicU64,
     stopped: AtomicBool,
     resync: AtomicBool,
+    held_until: Mutex<Option<Instant>>,
+    released: Condvar,
 }
 
 impl ReaderControl {
@@ -24,6 +28,8 @@
             listed: AtomicU64::new(0),
             stopped,
             resync,
+            held_until: Mutex::new(None),
+            released: Condvar::new(),
         }
     }
 
@@ -32,9 +38,43 @@
         self.address
     }
 
-    /// Sets the incarnation that the platform lists.
+    /// Sets the incarnation that the platform lists. A new one ends a hold.
     pub fn set_listed(&self, incarnation: Incarnation) {
-        self.listed.store(incarnation.get(), Ordering::Release);
+        let before = self.listed.swap(incarnation.get(), Ordering::AcqRel);
+        if before < incarnation.get() {
+            self.release();
+        }
+    }
+
+    /// Holds the reader until a server's pause has ended.
+    pub fn hold(&self, until: Instant) {
+        *self.lock() = Some(until);
+    }
+
+    /// Waits until the reader is no longer held or must stop.
+    pub fn wait_hold(&self) {
+        let mut held = self.lock();
+        while let Some(until) = held.filter(|_| !self.is_stopped()) {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                *held = None;
+            } else {
+                let waited = self.released.wait_timeout(held, left);
+                held = waited.unwrap_or_else(PoisonError::into_inner).0;
+            }
+        }
+    }
+
+    fn release(&self) {
+        *self.lock() = None;
+        self.released.notify_all();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Instant>> {
+        // The time is whole even if a thread panicked while it held the lock.
+        self.held_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the incarnation that the platform lists, or zero.
@@ -45,6 +85,7 @@
     /// Requests the reader to stop.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Release);
+        self.release();
     }
 
     /// Returns whether the reader must stop.
--- a/azureway-entry/src/feed/subscribe.rs
+++ b/azureway-entry/src/feed/subscribe.rs
@@ -1,5 +1,7 @@
 //! The interface that the deciding duty requires of the feeds of backend servers.
 
+use std::time::Instant;
+
 use azureway_core::prelude::{Fleet, ServerId};
 
 /// Subscribes to the load reports and cache events of the configured backend servers.
@@ -10,6 +12,9 @@
     /// Requests a full snapshot of a server's cache.
     fn resync(&self, server: &ServerId);
 
+    /// Stops polling a server that asked for a pause, until it has ended or the server has restarted.
+    fn hold(&self, server: &ServerId, until: Instant);
+
     /// Stops every subscription.
     fn stop(&self);
 }
--- a/azureway-entry/tests/dialect/mod.rs
+++ b/azureway-entry/tests/dialect/mod.rs
@@ -4,11 +4,11 @@
 use std::fmt::Write as _;
 use std::time::Duration;
 
-use azureway_core::prelude::Dispatch;
+use azureway_core::prelude::{Dispatch, Pause};
 use azureway_entry::admit::UpstreamRequest;
 use azureway_entry::exchange::{AnswerHead, AnswerMetadata, BackendDialect};
 
-/// A backend dialect with test headers (`x-server`, `x-left`).
+/// A backend dialect with test headers (`x-server`, `x-left`, `x-pause`).
 #[derive(Clone, Copy)]
 pub struct TestDialect;
 
@@ -37,7 +37,13 @@
             load: None,
             weights: None,
             rate_limit: None,
+            pause: pause(head),
             leaving: head.get("x-leaving") == Some("1"),
         }
     }
 }
+
+fn pause(head: &AnswerHead) -> Option<Pause> {
+    let seconds = head.get("x-pause")?.parse().ok()?;
+    Pause::from_seconds(seconds).filter(|_| head.status == 503)
+}
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -28,24 +28,26 @@
 /// The bound on a wait, so that a failing test cannot hang. No result depends on it.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Starts an attempt at `address`. Returns the rings of its answer and of its reports, and its
-/// handle.
-fn start_attempt(
-    address: SocketAddr,
-    pool: &ConnectionPool,
-    once: bool,
-    position: u64,
-) -> (
+/// The rings of an attempt's answer and of its reports, and its handle.
+type Started = (
     Receiver<AnswerChunk>,
     Receiver<DecideMessage>,
     Arc<CancelHandle>,
-) {
+);
+
+/// Starts an attempt at `address`.
+fn start_attempt(address: SocketAddr, pool: &ConnectionPool, once: bool, position: u64) -> Started {
+    let dispatch = dispatch(address, StreamPosition::new(position));
+    start_dispatch(dispatch, pool, once)
+}
+
+fn start_dispatch(dispatch: Dispatch, pool: &ConnectionPool, once: bool) -> Started {
     let (chunks, answer) = flume::bounded(64);
     let (decide, reports) = flume::bounded(64);
     let (clock, handle) = (Clock::new(), Arc::new(CancelHandle::new()));
-    let position = StreamPosition::new(position);
+    let position = dispatch.position;
     let exchange = ExchangeAttempt {
-        dispatch: dispatch(address, position),
+        dispatch,
         upstream: Arc::new(upstream(once, clock.now() + TEST_TIMEOUT)),
         chunks,
         decide,
@@ -378,3 +380,76 @@
         expect_that!(outcome(&reports).as_str(), eq("nothing"), "{script}");
     }
 }
+
+/// Returns the pauses that an attempt reports before its outcome, each with the incarnation that asked
+/// for it.
+fn pauses(reports: &Receiver<DecideMessage>) -> Vec<(Duration, Option<u64>)> {
+    let messages = reports
+        .iter()
+        .take_while(|m| !matches!(m, DecideMessage::Finished(_) | DecideMessage::Failed(_)));
+    let notices = messages.filter_map(|message| match message {
+        DecideMessage::Paused(notice) => Some(notice),
+        _ => None,
+    });
+    let read = |n: PauseNotice| (n.pause.duration(), n.incarnation.map(Incarnation::get));
+    notices.map(read).collect()
+}
+
+/// Guards against a pause that is heard of only after the decision about its request, or that is read
+/// from an answer that rejects nothing or belongs to another request.
+#[gtest]
+fn a_pause_is_reported_before_the_outcome_of_its_request() {
+    let rows = [
+        (
+            "503 Full~x-not-run: 1~x-pause: 2~content-length: 0~~",
+            Some(2),
+        ),
+        (
+            "503 Full~x-sign: 1~x-pause: 3~content-length: 2~~no",
+            Some(3),
+        ),
+        ("503 Full~x-not-run: 1~content-length: 0~~", None),
+        ("200 OK~x-sign: 1~x-pause: 2~content-length: 2~~ok", None),
+        ("429 Many~x-not-run: 1~x-pause: 2~content-length: 0~~", None),
+        (
+            "503 Full~x-attempt: other~x-pause: 2~content-length: 0~~\
+             HTTP/1.1 200 OK~x-sign: 1~x-attempt: {}~content-length: 2~~ok",
+            None,
+        ),
+    ];
+    for (answer, seconds) in rows {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (chunks, reports, _) = start_attempt(address, &ConnectionPool::new(8), true, 0);
+        let (_stream, _) = serve(&listener, &format!("HTTP/1.1 {answer} hold"));
+        chunks.iter().for_each(drop);
+        let expected: Vec<_> = seconds
+            .map(|s| (Duration::from_secs(s), None))
+            .into_iter()
+            .collect();
+        expect_that!(pauses(&reports), eq(&expected), "{answer}");
+    }
+}
+
+/// Guards against a process that is about to end and speaks for the one that follows it, over a
+/// connection that was kept.
+#[gtest]
+fn a_connection_to_an_earlier_incarnation_is_not_used_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let pool = ConnectionPool::new(8);
+    let at = |incarnation| Dispatch {
+        incarnation: Some(Incarnation::new(incarnation)),
+        ..dispatch(address, StreamPosition::ZERO)
+    };
+    let (answer, reports, _) = start_dispatch(at(1), &pool, false);
+    let (_kept, _) = serve(&listener, GOOD);
+    answer.iter().for_each(drop);
+    outcome(&reports);
+    let (answer, reports, _) = start_dispatch(at(2), &pool, false);
+    let pause = "HTTP/1.1 503 Full~x-not-run: 1~x-pause: 2~content-length: 0~~ hold";
+    thread::spawn(move || serve(&listener, pause));
+    answer.iter().for_each(drop);
+    let expected = vec![(Duration::from_secs(2), Some(2))];
+    expect_that!(pauses(&reports), eq(&expected));
+}
--- a/azureway-entry/tests/feed.rs
+++ b/azureway-entry/tests/feed.rs
@@ -26,6 +26,7 @@
 
 impl FeedSource for TestFeed {
     const INTERVAL: Duration = Duration::ZERO;
+    const PAUSES: bool = true;
 
     fn poll(&mut self, _: &ServerId, _: SocketAddr, _: u64, _: bool) -> PollResult {
         // The test has ended if nobody receives.
@@ -108,3 +109,46 @@
     budget.settle(size, 0);
     expect_that!(next.recv_timeout(TEST_TIMEOUT), ok(eq(())));
 }
+
+/// An answer without events.
+fn answer_briefly() -> PollResult {
+    answer_at_length().map(|batch| FeedBatch { bytes: 0, ..batch })
+}
+
+// Guards against polls that reach a server during the pause that it asked for. One may be on the way.
+#[gtest]
+fn a_held_reader_does_not_poll() {
+    let (polls, control) = start_reader(answer_briefly, 1_000.0);
+    polls.recv_timeout(TEST_TIMEOUT).expect("a poll");
+    let end = Instant::now() + Duration::from_millis(700);
+    control.hold(end);
+    let held = Instant::now();
+    let mut during = 0;
+    loop {
+        let poll = polls.recv_timeout(TEST_TIMEOUT).expect("a poll");
+        if poll >= end {
+            break;
+        }
+        during += usize::from(poll > held);
+    }
+    control.stop();
+    expect_that!(during, le(1));
+}
+
+// Guards against holds that outlive the process that asked for them.
+#[gtest]
+fn a_new_incarnation_releases_a_reader() {
+    let (polls, control) = start_reader(answer_briefly, 1_000.0);
+    polls.recv_timeout(TEST_TIMEOUT).expect("a poll");
+    control.set_listed(Incarnation::new(1));
+    control.hold(Instant::now() + 10 * TEST_TIMEOUT);
+    let held = Instant::now();
+    let quiet = Duration::from_millis(200);
+    while polls.recv_timeout(quiet).is_ok() {
+        assert!(held.elapsed() < TEST_TIMEOUT, "the reader goes on");
+    }
+    control.set_listed(Incarnation::new(2));
+    let poll = polls.recv_timeout(TEST_TIMEOUT).expect("a poll");
+    control.stop();
+    expect_that!(poll, gt(held));
+}
--- a/azureway-entry/tests/gateway.rs
+++ b/azureway-entry/tests/gateway.rs
@@ -340,3 +340,54 @@
         err(contains_substring("listen for callers"))
     );
 }
+
+/// Rejects the request and asks for a pause of some seconds.
+fn reject_with_pause(stream: &mut TcpStream, pause: &str) {
+    let head = format!(
+        "HTTP/1.1 503 Full\r\nx-not-run: 1\r\nx-pause: {pause}\r\ncontent-length: 0\r\n\r\n"
+    );
+    let _ = stream.write_all(head.as_bytes());
+}
+
+/// Guards against requests that reach a server during the pause that it asked for, and against callers
+/// that wait in vain for its end.
+#[gtest]
+fn a_server_gets_nothing_during_the_pause_that_it_asked_for() {
+    let (arrived, arrivals) = flume::bounded(64);
+    let server = Server::start(move |_, stream| {
+        let _ = arrived.send(());
+        reject_with_pause(stream, "59");
+    });
+    let fixture = SiteFixture::start(Some(&server));
+    for number in 0..5 {
+        let head = "GET /safe/x HTTP/1.1\r\nhost: one\r\nx-wait: 9000\r\n\r\n";
+        let answer = fetch(&fixture, head);
+        expect_that!(answer.as_str(), starts_with("HTTP/1.1 503 "), "{number}");
+        expect_that!(answer.as_str(), contains_substring("\"not_run\":true"));
+        let after = answer.lines().find_map(|l| l.strip_prefix("retry-after: "));
+        let after: f64 = after.expect("a time").parse().expect("seconds");
+        expect_that!(after, ge(10.0), "{number}");
+    }
+    expect_that!(arrivals.len(), eq(1));
+}
+
+/// Guards against requests that are refused though the pause ends in time, and against ones that are
+/// sent before.
+#[gtest]
+fn a_request_waits_for_the_end_of_a_pause() {
+    let (arrived, arrivals) = flume::bounded(64);
+    let server = Server::start(move |_, stream| {
+        let first = arrived.is_empty();
+        let _ = arrived.send(Instant::now());
+        match first {
+            true => reject_with_pause(stream, "1.5"),
+            false => support::answer(stream, "ok"),
+        }
+    });
+    let fixture = SiteFixture::start(Some(&server));
+    let answer = fetch(&fixture, "GET /safe/x HTTP/1.1\r\nhost: one\r\n\r\n");
+    expect_that!(answer.as_str(), starts_with("HTTP/1.1 200 "));
+    let times: Vec<Instant> = arrivals.drain().collect();
+    expect_that!(times.len(), eq(2));
+    expect_that!(times[1] - times[0], ge(Duration::from_millis(1_500)));
+}
