Let model engines of the chat interface ask for a pause

The chat interface had no way to say it. An engine that rejects a request with a 503 may add azureway-pause-ms, in whole milliseconds; stand-in engines can, and count what arrives.

--- a/azureway-dev/src/engine/engine_service.rs
+++ b/azureway-dev/src/engine/engine_service.rs
@@ -62,6 +62,17 @@
         self.update(|s| s.rejecting = rejecting);
     }
 
+    /// Refuses new chat requests from now on, until the engine restarts, and asks for a pause with
+    /// the text `pause`.
+    pub fn ask_pause(&self, pause: &str) {
+        self.update(|s| s.pause = Some(pause.into()));
+    }
+
+    /// Returns the number of chat requests that arrived so far, refused ones included.
+    pub fn arrival_count(&self) -> u64 {
+        self.lock().arrival_count
+    }
+
     /// Reports from now on that the engine is shutting down.
     pub fn start_draining(&self) {
         self.update(|s| s.leaving = true);
@@ -139,8 +150,13 @@
         };
         let metadata = RequestMetadata::new(&request);
         let prompt = chat.prompt_blocks(metadata.salt);
+        self.update(|s| s.arrival_count += 1);
+        let (rejecting, pause) = self.refusal();
+        if let Some(pause) = pause {
+            return Reply::pause(request, &pause);
+        }
         let leaving = self.lock().leaving_incarnation();
-        if self.lock().rejecting {
+        if rejecting {
             return Reply::rejection(request, 500, "the engine rejects chat requests", leaving);
         }
         if let Some(from) = metadata.import_from {
@@ -163,6 +179,12 @@
         }
     }
 
+    /// Returns whether chat requests are refused, and the pause that is asked for with that.
+    fn refusal(&self) -> (bool, Option<Box<str>>) {
+        let state = self.lock();
+        (state.rejecting, state.pause.clone())
+    }
+
     /// Accepts a request if the engine has the incarnation and weights that it requires.
     fn accept(&self, metadata: &RequestMetadata, prompt: &PromptBlocks) -> Option<AcceptedRequest> {
         self.update(|s| s.matches(metadata).then(|| s.enqueue(metadata, prompt)))
--- a/azureway-dev/src/engine/engine_state.rs
+++ b/azureway-dev/src/engine/engine_state.rs
@@ -34,6 +34,10 @@
     pub announcing: bool,
     /// Whether new chat requests are refused.
     pub rejecting: bool,
+    /// The value of the pause header with which new chat requests are refused, if they are.
+    pub pause: Option<Box<str>>,
+    /// The number of chat requests that arrived so far, refused ones included.
+    pub arrival_count: u64,
     /// The number of the newest request whose connection is stalled, as are all older ones.
     pub stalled: u64,
     /// The number of requests accepted so far.
@@ -56,6 +60,8 @@
             leaving: false,
             announcing: false,
             rejecting: false,
+            pause: None,
+            arrival_count: 0,
             stalled: 0,
             accepted_count: 0,
         }
@@ -91,6 +97,7 @@
     /// Starts the next incarnation with an empty cache and queue, as after a crash.
     pub fn restart(&mut self) {
         self.incarnation = self.incarnation.next();
+        self.pause = None;
         self.weights = self.orders.abort_load(self.weights);
         self.cache.clear();
         self.log.clear();
--- a/azureway-dev/src/http/reply.rs
+++ b/azureway-dev/src/http/reply.rs
@@ -27,6 +27,14 @@
         let _ = request.respond(Response::from_string(text).with_status_code(status));
     }
 
+    /// Rejects a request and asks for a pause with the text `pause`.
+    pub fn pause(request: Request, pause: &str) {
+        let response = Response::from_string("the engine wants a pause").with_status_code(503);
+        let header = Header::from_bytes(header::PAUSE, pause);
+        let response = header.into_iter().fold(response, Response::with_header);
+        let _ = request.respond(response);
+    }
+
     /// Answers with a plain text, and states which incarnation of the server leaves, if one does.
     pub fn rejection(request: Request, status: u16, text: &str, leaving: Option<Incarnation>) {
         let leaving = leaving.map(|i| Header::from_bytes(header::LEAVING, i.to_string()));
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -95,6 +95,7 @@
             .build_request()?
             .send()
             .map_err(|e| AttemptError::from_send(&e))?;
+        self.report_pause(answer.status().as_u16(), answer.headers());
         self.report_leaving(answer.headers());
         match self.upstream.kind {
             ServiceKind::Plain => self.forward_complete(answer),
@@ -106,6 +107,22 @@
         }
     }
 
+    /// Reports that the server asks for a pause. The report goes first, so that it holds for the
+    /// decision about this request too.
+    fn report_pause(&self, status: u16, headers: &HeaderMap) {
+        let named = headers.get_all(header::PAUSE).iter();
+        let named = named.filter_map(|v| v.to_str().ok()?.trim().parse().ok());
+        let pause = named.filter_map(|ms: u64| Pause::from_seconds(ms as f64 / 1_000.0));
+        if let Some(pause) = pause.max().filter(|_| status == 503) {
+            let notice = PauseNotice {
+                server: self.dispatch.server.clone(),
+                incarnation: self.dispatch.incarnation,
+                pause,
+            };
+            let _ = self.decide.send(DecideMessage::Paused(notice));
+        }
+    }
+
     /// Reports that a model engine leaves, if its answer says so. Plain services say nothing of
     /// themselves.
     fn report_leaving(&self, headers: &HeaderMap) {
--- a/azureway-wire/src/header.rs
+++ b/azureway-wire/src/header.rs
@@ -30,3 +30,6 @@
 pub const RESUME: &str = "azureway-resume";
 /// The address of an engine from which the server can fetch cache blocks.
 pub const IMPORT: &str = "azureway-import";
+/// The time for which a backend server wants nothing from the entry whose request it rejects with
+/// status 503, in whole milliseconds.
+pub const PAUSE: &str = "azureway-pause-ms";
