Count holds on backend servers in metrics and status

Operators could not see how many servers are held, nor how often. The metrics get server_pauses_total and servers_paused, and the command status a line with both.

--- a/azureway-cli/src/report/status_report.rs
+++ b/azureway-cli/src/report/status_report.rs
@@ -81,6 +81,11 @@
         "  crash suspects {}  quarantined {}",
         status.suspects, status.quarantined
     )?;
+    writeln!(
+        f,
+        "  servers held for a pause {}  holds since the start {}",
+        status.paused, status.pauses
+    )?;
     writeln!(f, "  servers that announced leaving {}", status.announced)
 }
 
--- a/azureway-entry/src/meter/router_metrics.rs
+++ b/azureway-entry/src/meter/router_metrics.rs
@@ -22,6 +22,8 @@
     retry_budget: Gauge,
     claims: Gauge,
     quarantined: Gauge,
+    pauses: Counter,
+    paused: Gauge,
     entries: Gauge,
     announced: Counter,
 }
@@ -40,6 +42,8 @@
             retry_budget: Gauge::default(),
             claims: Gauge::default(),
             quarantined: Gauge::default(),
+            pauses: Counter::default(),
+            paused: Gauge::default(),
             entries: Gauge::default(),
             announced: Counter::default(),
         };
@@ -57,6 +61,10 @@
         r.register("claims_open", help, metrics.claims.clone());
         let help = "Requests that do not run, since two backend servers broke under them";
         r.register("requests_quarantined", help, metrics.quarantined.clone());
+        let help = "Holds on backend servers that asked for a pause";
+        r.register("server_pauses", help, metrics.pauses.clone());
+        let help = "Backend servers that are held now, since they asked for a pause";
+        r.register("servers_paused", help, metrics.paused.clone());
         let help = "Entry instances that share the zone's servers, with this one";
         r.register("zone_entries", help, metrics.entries.clone());
         let help = "Incarnations of backend servers that have announced their leaving";
@@ -96,6 +104,9 @@
         set_gauge(&self.retry_budget, overview.retry_budget);
         set_gauge(&self.claims, overview.claims);
         set_gauge(&self.quarantined, overview.quarantined);
+        let pauses = overview.pauses.saturating_sub(self.pauses.get());
+        self.pauses.inc_by(pauses);
+        set_gauge(&self.paused, overview.paused);
         set_gauge(&self.entries, overview.entries);
         raise_to(&self.announced, overview.announced);
     }
--- a/azureway-entry/tests/meter.rs
+++ b/azureway-entry/tests/meter.rs
@@ -40,6 +40,8 @@
         let overview = Overview {
             queued: [5, 8],
             retry_budget: 9,
+            pauses: 6,
+            paused: 2,
             announced: 2,
             counts: vec![(Rank::Urgent, RequestKind::AtMostOnce, Outcome::Late, late)],
             ..Overview::default()
--- a/azureway-wire/src/admin/status_body.rs
+++ b/azureway-wire/src/admin/status_body.rs
@@ -38,6 +38,12 @@
     /// The number of requests that may not run because two backend servers failed while they ran.
     #[serde(default)]
     pub quarantined: usize,
+    /// The number of holds on backend servers that asked for a pause, since the start.
+    #[serde(default)]
+    pub pauses: u64,
+    /// The number of backend servers that are held now.
+    #[serde(default)]
+    pub paused: usize,
     /// The number of incarnations of backend servers that have announced their leaving.
     #[serde(default)]
     pub announced: u64,
@@ -61,6 +67,8 @@
             claims: overview.claims,
             suspects: overview.suspects,
             quarantined: overview.quarantined,
+            pauses: overview.pauses,
+            paused: overview.paused,
             announced: overview.announced,
             counts: overview.counts.into_iter().map(Into::into).collect(),
             ..Self::default()
