--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -74,10 +74,7 @@
             Event::CrashReport(report) => self.apply_crash_report(report, now, out),
             Event::QuarantineChanged(change) => self.apply_quarantine(change, now, out),
             Event::QuarantinesLost => self.dispatcher.guard_mut().mark_lost(),
-            Event::Leaving(list) => {
-                self.dispatcher.servers_mut().set_listed_leaving(list);
-                self.queues.mark_all_dirty();
-            }
+            Event::Leaving(list) => self.set_listed_leaving(list),
             Event::Draining => self.draining = true,
             Event::Closing(end) => self.close(end),
             Event::Tick => self.queues.mark_all_dirty(),
--- a/azureway-core/src/router/reports.rs
+++ b/azureway-core/src/router/reports.rs
@@ -2,7 +2,7 @@
 
 use super::Router;
 use crate::cache::CacheUpdate;
-use crate::domain::Timestamp;
+use crate::domain::{ServerId, Timestamp};
 use crate::event::Action;
 use crate::fleet::{LoadReport, LoadSample};
 use crate::member::LoadNotice;
@@ -36,6 +36,12 @@
         self.queues.mark_all_dirty();
     }
 
+    /// Applies the platform's complete list of leaving servers.
+    pub(super) fn set_listed_leaving(&mut self, list: &[ServerId]) {
+        self.dispatcher.servers_mut().set_listed_leaving(list);
+        self.queues.mark_all_dirty();
+    }
+
     /// Sets the number of listed entries of all availability zones.
     pub(super) fn set_listed_entries(&mut self, count: u32) {
         self.limits.share_mut().set_entries(count);
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -80,14 +80,7 @@
                 log::info!(step = "read site", servers = servers.len(); "the list of servers was read");
                 self.state.set_servers(servers, recovered, now);
             }
-            SiteUpdate::Server(server) => {
-                log::info!(
-                    step = "read site", peer:% = server.id, service:% = server.service,
-                    leaving = server.leaving, incarnation:% = server.incarnation,
-                    weights:? = server.weights; "a server was listed"
-                );
-                self.state.update_server(*server);
-            }
+            SiteUpdate::Server(server) => self.update_server(*server),
             SiteUpdate::Removed(id, recovered) => {
                 log::info!(step = "read site", peer:% = id; "a server is no longer listed");
                 self.state.remove_server(&id, recovered, now);
@@ -108,15 +101,28 @@
                 let _ = self.decide.send(DecideMessage::QuarantinesLost);
                 return false;
             }
-            SiteUpdate::Weights(named, since) => {
-                let age = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
-                log::info!(step = "read site", model:% = named.model, weights:% = named.version, age_ms = age; "weights were named");
-                return self.state.add_named(named, since);
-            }
+            SiteUpdate::Weights(named, since) => return self.add_named(named, since, now),
         }
         true
     }
 
+    fn update_server(&mut self, server: ListedServer) {
+        log::info!(
+            step = "read site", peer:% = server.id, service:% = server.service,
+            leaving = server.leaving, incarnation:% = server.incarnation,
+            weights:? = server.weights; "a server was listed"
+        );
+        self.state.update_server(server);
+    }
+
+    /// Adds weights that were named no earlier than at `since`. Returns whether they are newer than
+    /// the known ones.
+    fn add_named(&mut self, named: NamedWeights, since: Timestamp, now: Timestamp) -> bool {
+        let age = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+        log::info!(step = "read site", model:% = named.model, weights:% = named.version, age_ms = age; "weights were named");
+        self.state.add_named(named, since)
+    }
+
     /// Applies a configuration. Returns whether it is newer than the known one.
     fn configure(&mut self, document: SiteDocument) -> bool {
         let (version, known) = (document.version, self.state.version());
