--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -72,17 +72,11 @@
             Event::Demand(demand) => self.limits.share_mut().record(demand, now),
             Event::Announced(update) => self.apply_announcement(update, now, out),
             Event::Server(update) => self.apply_server_update(update, now),
-            Event::Loading(notice) => {
-                self.dispatcher.apply_loading(notice, now);
-                self.queues.mark_all_dirty();
-            }
+            Event::Loading(notice) => self.apply_loading(notice, now),
             Event::CrashReport(report) => self.apply_crash_report(report, now, out),
             Event::QuarantineChanged(change) => self.apply_quarantine(change, now, out),
             Event::QuarantinesLost => self.dispatcher.guard_mut().mark_lost(),
-            Event::Leaving(list) => {
-                self.dispatcher.servers_mut().set_listed_leaving(list);
-                self.queues.mark_all_dirty();
-            }
+            Event::Leaving(list) => self.set_listed_leaving(list),
             Event::Draining => self.draining = true,
             Event::Closing(end) => self.close(end),
             Event::Tick => self.queues.mark_all_dirty(),
--- a/azureway-core/src/router/reports.rs
+++ b/azureway-core/src/router/reports.rs
@@ -2,9 +2,10 @@
 
 use super::Router;
 use crate::cache::CacheUpdate;
-use crate::domain::Timestamp;
+use crate::domain::{ServerId, Timestamp};
 use crate::event::Action;
 use crate::fleet::{LoadReport, LoadSample};
+use crate::member::LoadNotice;
 use crate::route::Policy;
 
 impl<P: Policy> Router<P> {
@@ -39,6 +40,17 @@
         }
     }
 
+    pub(super) fn apply_loading(&mut self, notice: &LoadNotice, now: Timestamp) {
+        self.dispatcher.apply_loading(notice, now);
+        self.queues.mark_all_dirty();
+    }
+
+    /// Sets which servers the platform lists as leaving.
+    pub(super) fn set_listed_leaving(&mut self, list: &[ServerId]) {
+        self.dispatcher.servers_mut().set_listed_leaving(list);
+        self.queues.mark_all_dirty();
+    }
+
     pub(super) fn apply_sample(&mut self, sample: &LoadSample, now: Timestamp) {
         if let Some(pool) = self.dispatcher.apply_sample(sample, now) {
             self.queues.mark_dirty(pool);
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -108,15 +108,18 @@
                 let _ = self.decide.send(DecideMessage::QuarantinesLost);
                 return false;
             }
-            SiteUpdate::Weights(named, since) => {
-                let age = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
-                log::info!(step = "read site", model:% = named.model, weights:% = named.version, age_ms = age; "weights were named");
-                return self.state.add_named(named, since);
-            }
+            SiteUpdate::Weights(named, since) => return self.add_named(named, since, now),
         }
         true
     }
 
+    /// Adds named weights. Returns whether they are newer than the known ones.
+    fn add_named(&mut self, named: NamedWeights, since: Timestamp, now: Timestamp) -> bool {
+        let age = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+        log::info!(step = "read site", model:% = named.model, weights:% = named.version, age_ms = age; "weights were named");
+        self.state.add_named(named, since)
+    }
+
     /// Applies a configuration. Returns whether it is newer than the known one.
     fn configure(&mut self, document: SiteDocument) -> bool {
         let (version, known) = (document.version, self.state.version());
