Keep a leaving server out of use when a copy lists an earlier incarnation

Cause: an incarnation that is leaving stayed so only against a listing of the same incarnation. A store that is restored from a copy may list the incarnation from before the server's restart, as ready.

Change: listings of earlier incarnations do not end it either.

Found by the review; an_earlier_incarnation_in_a_copy_does_not_bring_a_leaving_ server_back failed before (leaving was false).

--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -87,11 +87,11 @@
     }
 
     /// Adds a listed server, or replaces its previous state. An incarnation that is leaving never
-    /// comes back, even if a restored platform lists the state from before.
+    /// comes back, even if a restored platform lists the state from before, or an earlier one.
     pub fn update_server(&mut self, mut server: ListedServer) {
         self.missing.remove(&server.id);
         let known = self.servers.get(&server.id);
-        let known = known.filter(|k| k.incarnation == server.incarnation);
+        let known = known.filter(|k| k.incarnation >= server.incarnation);
         server.leaving |= known.is_some_and(|k| k.leaving);
         self.servers.insert(server.id.clone(), server);
     }
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -301,3 +301,17 @@
     expect_that!(router.servers().iter().count(), eq(4));
     expect_that!(router.servers().in_pool(&service.pool).count(), eq(1));
 }
+
+/// Guards against a leaving server that gets requests again because a restored platform lists an
+/// incarnation from before its restart.
+#[gtest]
+fn an_earlier_incarnation_in_a_copy_does_not_bring_a_leaving_server_back() {
+    let mut state = state();
+    let mut newest = server("s", true);
+    newest.incarnation = Incarnation::new(8);
+    state.update_server(newest);
+    let now = Timestamp::from_millis(5_000);
+    state.set_servers(vec![server("s", false)], Some(now), now);
+    let fleet = state.build_fleet().expect("a fleet");
+    expect_true!(fleet.servers["s"].leaving);
+}
