Take any other era of the store for a restore

Cause: an answer with a wrong era header (99 after 0) made the client reject every later answer as one of an earlier era until the process ended; the watchers read nothing any more. Eras above two million would also have lost bits of the fencing numbers that are made of them.

Change: calls are answered one after the other, so an earlier era is no late answer; any other era counts as a restore. Eras above StoreEra::LAST are ignored with a log line.

--- a/azureway-core/src/domain/store_era.rs
+++ b/azureway-core/src/domain/store_era.rs
@@ -5,3 +5,8 @@
     /// what it acknowledged since the copy was made, and assigns the lost versions again.
     StoreEra
 }
+
+impl StoreEra {
+    /// The last era for which fencing numbers are exact integers in JSON.
+    pub const LAST: Self = Self::new((1 << 21) - 1);
+}
--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -14,8 +14,7 @@
 
 /// A client of the object API over HTTP, with the encoding `F`. Each call opens its own connection.
 ///
-/// Each clone tracks the store's era by itself, so that each caller learns of a restore, and takes no
-/// answer of an earlier era after one of a later era.
+/// Each clone tracks the store's era by itself, so that each caller learns of a restore.
 #[derive(Clone, Debug)]
 pub struct HttpObjects<F = PlainCodec> {
     codec: F,
@@ -102,16 +101,14 @@
         }
     }
 
-    /// Compares the era of an answer with that of the answer before it.
+    /// Compares the era of an answer with that of the answer before it. Any other era counts as a
+    /// restore, also an earlier one: an answer that reported a wrong era must not make the client
+    /// reject all later ones.
     fn check_era(&self, step: Step, headers: &HeaderMap) -> Result<(), Error> {
         let Some(era) = read_era(headers, F::ERA_HEADER) else {
             return Ok(());
         };
         let known = self.era.get().unwrap_or(era);
-        if era < known {
-            let detail = format_args!("an answer of the era {era}, before {known}");
-            return Err(self.error(ErrorKind::Unavailable, step, detail));
-        }
         self.era.set(Some(era));
         self.calls.record_era(era);
         if era == known {
@@ -219,10 +216,11 @@
         .to_str()
         .ok()
         .and_then(|text| text.trim().parse().ok());
-    if number.is_none() {
+    let era = number.map(StoreEra::new).filter(|e| *e <= StoreEra::LAST);
+    if era.is_none() {
         log::warn!(step = "read era", value:? = value; "the era of the platform cannot be read");
     }
-    number.map(StoreEra::new)
+    era
 }
 
 /// Reads a body within [`TRANSFER_TIMEOUT`] and [`MAX_BODY_SIZE`].
