Let a holder go on after two restores within its term

Cause: a second restore, before the holder had written its lease again, replaced the end of the term that excludes other holders by zero. The holder then waited as any other instance, and nobody gave orders for about 5 s.

Change: the later of the two ends is kept. No other instance can have acquired the lease before it.

Found by the review; a_holder_goes_on_after_two_restores_within_its_term failed before (a wait instead of the write).

--- a/azureway-core/src/lease/lease_era.rs
+++ b/azureway-core/src/lease/lease_era.rs
@@ -32,7 +32,8 @@
         let restored = self.era.is_some();
         *self = Self {
             era,
-            exclusive_until: held_until,
+            // After a second restore the term from before the first still excludes others.
+            exclusive_until: held_until.max(self.exclusive_until),
         };
         restored
     }
