Pause after each restore that the lease learns of

Cause: a reply from a new era was followed by the next call at once. With a store whose era changes with each answer the ordering duty called without end and gave no orders.

Change: the next call follows after a quarter of the interval between renewals, as after a call without an answer.

Found by the review; each_restore_is_followed_by_a_pause failed before (a read at once in each of 19 eras).

--- a/azureway-core/src/lease/holder.rs
+++ b/azureway-core/src/lease/holder.rs
@@ -24,6 +24,9 @@
     highest: FencingNumber,
 }
 
+/// The part of the interval between renewals after which a call that failed is made again.
+const RETRY_DIVISOR: u32 = 4;
+
 impl Lease {
     /// Creates the state of the process `process_id` of instance `me`.
     pub const fn new(config: LeaseConfig, me: InstanceId, process_id: u64) -> Self {
@@ -95,11 +98,17 @@
         self.next_call = now + self.config.renew_interval();
         match reply {
             LeaseReply::Written(version) => self.acquire(*version),
-            LeaseReply::Conflict | LeaseReply::Restored => {
+            LeaseReply::Conflict => {
                 self.write = None;
                 self.next_call = now;
                 self.state = LeaseState::Unknown;
             }
+            LeaseReply::Restored => {
+                self.write = None;
+                // A store whose era changes with each answer must not be called without a pause.
+                self.next_call = now + self.config.renew_interval() / RETRY_DIVISOR;
+                self.state = LeaseState::Unknown;
+            }
             LeaseReply::NoAnswer => self.handle_no_answer(now),
             LeaseReply::Found(version, record) => self.handle_found(*version, record, now),
             LeaseReply::Absent => self.handle_absent(now),
@@ -169,7 +178,7 @@
 
     /// Keeps a held lease until its end, and retries soon.
     fn handle_no_answer(&mut self, now: Timestamp) {
-        self.next_call = now + self.config.renew_interval() / 4;
+        self.next_call = now + self.config.renew_interval() / RETRY_DIVISOR;
         if !matches!(self.state, LeaseState::Held(..)) {
             self.state = LeaseState::Unknown;
         }
--- a/azureway-core/tests/lease_era.rs
+++ b/azureway-core/tests/lease_era.rs
@@ -44,3 +44,15 @@
     let step = lease.next(millis(1_601));
     expect_that!(step, matches_pattern!(LeaseStep::Write(eq(&0), _)));
 }
+
+/// Guards against a lease that calls the store without a pause if its era changes with each answer.
+#[gtest]
+fn each_restore_is_followed_by_a_pause() {
+    let mut lease = held_lease();
+    lease.next(millis(1_000));
+    for era in 1..20 {
+        reply(&mut lease, era, LeaseReply::Restored, 1_001);
+        let step = lease.next(millis(1_001));
+        expect_that!(step, matches_pattern!(LeaseStep::Wait(_)), "era {era}");
+    }
+}
