List the document again when the list of instances learns of a restore

Cause: the watcher of the operators' document reads the list of instances with the same client, which reports a restore once. If that list was the first call in the new era, the watch of the document went on from a version of the era before and could miss a change.

Change: a restore that the list of instances learns of counts for the document too.

--- a/azureway-entry/src/watch/config_watcher.rs
+++ b/azureway-entry/src/watch/config_watcher.rs
@@ -30,11 +30,12 @@
     clock: Clock,
     schedule: WatchSchedule,
     gate: VersionGate,
+    list_interval: Duration,
     /// The time at which the list of instances is read next.
     next_list: Timestamp,
 }
 
-/// The interval between two reads of the list of instances.
+/// The default interval between two reads of the list of instances.
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// The largest number of faults of an invalid document that are logged, each on a line of its own.
 const MAX_FAULTS: usize = 20;
@@ -59,10 +60,18 @@
             clock: Clock::new(),
             schedule: WatchSchedule::new(seed),
             gate: VersionGate::new(),
+            list_interval: LIST_INTERVAL,
             next_list: Timestamp::ZERO,
         }
     }
 
+    /// Sets the interval between two reads of the list of instances. The default is 10 s.
+    #[must_use]
+    pub const fn with_list_interval(mut self, interval: Duration) -> Self {
+        self.list_interval = interval;
+        self
+    }
+
     /// Runs until the daemon shuts down.
     pub fn run(mut self) {
         let mut until = self.clock.now();
@@ -111,7 +120,7 @@
 
     /// Reads the platform's list of instances and sends it to the peer and deciding duties.
     fn list_instances(&mut self, now: Timestamp) {
-        self.next_list = now + LIST_INTERVAL;
+        self.next_list = now + self.list_interval;
         match self.api.list(INSTANCE_KIND) {
             Ok(list) => {
                 let InstanceList { entries, leaving } = InstanceList::from(&list);
@@ -119,7 +128,12 @@
                 let _ = self.decide.send(DecideMessage::Leaving(leaving));
             }
             Err(e) => {
-                log::warn!(step = e.step().as_str(), error:% = e; "the list of instances cannot be read")
+                log::warn!(step = e.step().as_str(), error:% = e; "the list of instances cannot be read");
+                // The client reports a restore once, and the document is read with the same client.
+                if e.kind() == ErrorKind::Restored {
+                    self.schedule.record_failure(e.kind(), now);
+                    self.next_list = now;
+                }
             }
         }
     }
