Keep a pause that a server asks for while the list lacks it

A server whose entry lapses from the list for a moment may still answer a request with a pause. The notice was dropped because the configuration did not have the server, and nothing was kept of a server without a hold, so requests went to the same process as soon as it was listed again.

Before, the rows of a_hold_outlasts_a_gap_in_the_list that ask in the gap and are back with the same incarnation dispatched a request (1 instead of 0).

--- a/azureway-core/src/fleet/mod.rs
+++ b/azureway-core/src/fleet/mod.rs
@@ -1,6 +1,8 @@
 //! The configured fleet and the runtime state of its backend servers.
 
 mod configured;
+mod gone_server;
+mod gone_servers;
 mod health;
 mod leaving_cause;
 mod leaving_change;
@@ -40,3 +42,6 @@
 pub use server_table::ServerTable;
 pub use slot_share::SlotShare;
 pub use work::Work;
+
+use gone_server::GoneServer;
+use gone_servers::GoneServers;
--- a/azureway-core/src/fleet/server_pauses.rs
+++ b/azureway-core/src/fleet/server_pauses.rs
@@ -2,24 +2,41 @@
 
 use smallvec::SmallVec;
 
-use super::{Health, PauseNotice, ServerState, ServerTable};
-use crate::domain::{PoolId, Timestamp};
+use super::{Health, PauseHold, PauseNotice, ServerState, ServerTable};
+use crate::domain::{Incarnation, PoolId, ServerId, Timestamp};
 
 impl ServerTable {
-    /// Holds a server that asked this entry for a pause.
+    /// Holds a server that asked this entry for a pause, also one that the configuration no longer
+    /// has: it may be back before the pause ends.
     pub fn apply_pause(&mut self, notice: &PauseNotice, now: Timestamp) {
-        self.gone_holds.retain(|_, (_, hold)| hold.holds(now));
-        let Some(state) = self.get_mut(&notice.server) else {
+        let Some((hold, known)) = self.find_hold(&notice.server) else {
             return;
         };
-        let (known, held) = (state.incarnation, state.pause.holds(now));
-        if state.pause.apply(notice, known, now) {
-            let until = state.pause.until();
+        let held = hold.holds(now);
+        if hold.apply(notice, known, now) {
+            let until = hold.until();
             self.last_pause = self.last_pause.max(until);
             self.pauses += u64::from(!held);
         }
     }
 
+    /// Returns the hold on a server that the configuration has or had, with the latest known
+    /// incarnation.
+    pub fn hold(&self, server: &ServerId) -> Option<(PauseHold, Incarnation)> {
+        let listed = self.get(server).map(|s| (s.pause, s.incarnation));
+        let gone = || self.gone.get(server).map(|s| (s.hold, s.incarnation));
+        listed.or_else(gone)
+    }
+
+    fn find_hold(&mut self, server: &ServerId) -> Option<(&mut PauseHold, Incarnation)> {
+        if let Some(position) = self.positions.get(server) {
+            let state = &mut self.servers[*position];
+            return Some((&mut state.pause, state.incarnation));
+        }
+        let gone = self.gone.get_mut(server)?;
+        Some((&mut gone.hold, gone.incarnation))
+    }
+
     /// Returns whether any server may be held after a pause that it asked for.
     pub fn has_pauses(&self, now: Timestamp) -> bool {
         now < self.last_pause
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -1,10 +1,9 @@
 //! Finds the runtime state of backend servers by name or pool, and applies updates to it.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::ops::Range;
 
-use super::{Fleet, LeavingCause, LeavingMarks, LoadReport, PauseHold, ServerState};
+use super::{Fleet, GoneServer, GoneServers, LeavingCause, LeavingMarks, LoadReport, ServerState};
 use crate::domain::{PoolId, ServerId, Timestamp};
 use crate::member::LoadNotice;
 
@@ -18,8 +17,8 @@
     entries: u32,
     seed: u64,
     leaving: Vec<ServerId>,
-    /// The holds on servers that the configuration no longer has, with the addresses of the servers.
-    pub(super) gone_holds: HashMap<ServerId, (SocketAddr, PauseHold)>,
+    /// The servers that the configuration no longer has.
+    pub(super) gone: GoneServers,
     /// The number of holds that began.
     pub(super) pauses: u64,
     /// The latest end of a pause.
@@ -62,10 +61,8 @@
                 same
             });
             let mut state = kept.unwrap_or_else(|| {
-                let hold = self.gone_holds.remove(id);
-                let hold = hold.filter(|(address, _)| *address == server.address);
                 let state = ServerState::new(server.clone(), entries, seed);
-                state.with_hold(hold.map(|(_, hold)| hold))
+                state.with_hold(self.gone.take_hold(server))
             });
             invalidated.extend(state.reconfigure(server, entries).then(|| id.clone()));
             state.set_listed_leaving(self.leaving.contains(id));
@@ -74,10 +71,8 @@
             self.servers.push(state);
         }
         for (id, state) in old {
-            if state.pause.until() > Timestamp::ZERO {
-                let hold = (state.server.address, state.pause);
-                self.gone_holds.insert(id.clone(), hold);
-            }
+            // A request may still run there, and its answer may ask for a pause.
+            self.gone.insert(GoneServer::new(&state));
             invalidated.push(id);
         }
         self.rebuild_indexes();
--- a/azureway-core/tests/server_pause.rs
+++ b/azureway-core/tests/server_pause.rs
@@ -262,11 +262,23 @@
     }
 }
 
-/// Guards against a hold that ends because a list that lags leaves a server out for a while. Each row
-/// holds the incarnation with which the server is back, and whether it is held.
+/// Guards against a hold that ends because a list that lags leaves a server out for a while, and
+/// against one that is lost because the server asks for it meanwhile. Each row holds whether the server
+/// asks in the gap, the incarnation that asks, the one with which the server is back, and whether it is
+/// held.
 #[gtest]
 fn a_hold_outlasts_a_gap_in_the_list() {
-    for (incarnation, held) in [(1, true), (2, false)] {
+    let rows = [
+        (false, None, 1, true),
+        (false, None, 2, false),
+        (true, None, 1, true),
+        (true, None, 2, false),
+        (true, Some(1), 1, true),
+        (true, Some(1), 2, false),
+        (true, Some(2), 2, true),
+        (true, Some(0), 1, false),
+    ];
+    for (in_gap, answered, incarnation, held) in rows {
         let fleet_with = |version, incarnation| {
             let mut fleet = support::fleet(1, 4).with_version(ConfigVersion::new(version));
             let server = fleet.servers.get_mut(&ServerId::new(SERVER));
@@ -278,12 +290,19 @@
         };
         let mut fixture = RouterFixture::new(1, 4);
         fixture.handle(Event::Configured(&fleet_with(2, 1)));
-        pause(&mut fixture, SERVER, 5.0);
+        let notice = notice(SERVER, answered, 5.0);
+        if !in_gap {
+            fixture.handle(Event::Paused(&notice));
+        }
         let empty = support::fleet(0, 4).with_version(ConfigVersion::new(3));
         fixture.handle(Event::Configured(&empty));
+        if in_gap {
+            fixture.handle(Event::Paused(&notice));
+        }
         fixture.handle(Event::Configured(&fleet_with(4, incarnation)));
         let sent = dispatches(&arrive(&mut fixture)).len();
-        expect_that!(sent, eq(usize::from(!held)), "{incarnation}");
+        let row = (in_gap, answered, incarnation);
+        expect_that!(sent, eq(usize::from(!held)), "{row:?}");
     }
 }
 
--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -35,17 +35,23 @@
 /// Logs that a server asked this entry for a pause, and until when it is held, in milliseconds on
 /// this entry's clock.
 pub(super) fn log_pause<P: Policy>(router: &Router<P>, notice: &PauseNotice, now: Timestamp) {
-    let Some(state) = router.servers().get(&notice.server) else {
+    let servers = router.servers();
+    let Some((mut hold, known)) = servers.hold(&notice.server) else {
+        log::info!(
+            step = "pause", peer:% = notice.server, incarnation:? = notice.incarnation,
+            pause:? = notice.pause.duration();
+            "an unknown server asked for a pause"
+        );
         return;
     };
-    let mut hold = state.pause;
-    let (before, known) = (hold.until(), state.incarnation);
+    let (before, listed) = (hold.until(), servers.get(&notice.server).is_some());
     let changed = hold.apply(notice, known, now);
     let (pause, answered) = (notice.pause.duration(), notice.incarnation);
     let (left, until) = (before.since(now), hold.until().as_micros() / 1000);
     log::info!(
         step = "pause", peer:% = notice.server, incarnation:? = answered, known:% = known,
-        pause:? = pause, left:? = left, until = until, changed = changed;
+        pause:? = pause, left:? = left, until = until, changed = changed,
+        listed = listed;
         "a server asked for a pause"
     );
 }
--- a/azureway-entry/src/decide/server_notices.rs
+++ b/azureway-entry/src/decide/server_notices.rs
@@ -20,9 +20,10 @@
     pub(super) fn handle_pause(&mut self, notice: &PauseNotice) {
         log_pause(&self.router, notice, self.clock.now());
         self.handle_event(Event::Paused(notice));
-        let state = self.router.servers().get(&notice.server);
-        if let Some(until) = state.map(|s| s.pause.until()) {
-            self.feeds.hold(&notice.server, self.clock.instant(until));
+        let hold = self.router.servers().hold(&notice.server);
+        if let Some((hold, _)) = hold {
+            let until = self.clock.instant(hold.until());
+            self.feeds.hold(&notice.server, until);
         }
     }
 }
