Hold the feed of a server that is back on the list during its pause

A server that lapsed from the list got a new reader when it was listed again, whose control knew of no hold, so the reader polled it though its pause held. The deciding duty now passes the servers whose pause has not ended with each configuration, and a reader that is started then waits before its first poll.

--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -183,7 +183,8 @@
             return;
         }
         self.handle_event(Event::Configured(fleet));
-        self.feeds.reconfigure(fleet);
+        let held = self.held_servers();
+        self.feeds.reconfigure(fleet, &held);
         self.orders.reconfigure(fleet);
         self.record_metric(MetricEvent::Configured(fleet.version));
         self.ready.store(self.drained.is_none(), Ordering::Release);
--- a/azureway-entry/src/decide/server_notices.rs
+++ b/azureway-entry/src/decide/server_notices.rs
@@ -1,6 +1,8 @@
 //! What backend servers say of themselves with their answers.
 
-use azureway_core::prelude::{Event, LoadSample, PauseNotice, Policy};
+use std::time::Instant;
+
+use azureway_core::prelude::{Event, LoadSample, PauseNotice, Policy, ServerId};
 
 use super::Decider;
 use super::decision_log::{log_pause, log_rate_limit};
@@ -16,6 +18,15 @@
         self.handle_event(Event::LoadSample(sample));
     }
 
+    /// Returns the servers whose pause has not ended, each with its end.
+    pub(super) fn held_servers(&self) -> Vec<(ServerId, Instant)> {
+        let (servers, now) = (self.router.servers(), self.clock.now());
+        let held = servers.iter().filter(|s| s.pause.holds(now));
+        let end = |until| self.clock.instant(until);
+        held.map(|s| (s.server.id.clone(), end(s.pause.until())))
+            .collect()
+    }
+
     /// Holds a server that asked for a pause, and the reader of its feed.
     pub(super) fn handle_pause(&mut self, notice: &PauseNotice) {
         log_pause(&self.router, notice, self.clock.now());
--- a/azureway-entry/src/feed/feed_readers.rs
+++ b/azureway-entry/src/feed/feed_readers.rs
@@ -37,9 +37,13 @@
         }
     }
 
-    fn start(&mut self, server: &BackendServer) {
+    /// Starts the reader of a server, which waits until `held` if the server asked for a pause.
+    fn start(&mut self, server: &BackendServer, held: Option<Instant>) {
         let control = Arc::new(ReaderControl::new(server.address));
         control.set_listed(server.listed.map_or(Incarnation::ZERO, |l| l.incarnation));
+        if let Some(until) = held {
+            control.hold(until);
+        }
         let reader = FeedReader::new(
             self.source.clone(),
             server.id.clone(),
@@ -64,7 +68,7 @@
 
 impl<S: FeedSource> Subscribe for FeedReaders<S> {
     /// Starts and stops threads so that each model engine of `fleet` has exactly one reader.
-    fn reconfigure(&mut self, fleet: &Fleet) {
+    fn reconfigure(&mut self, fleet: &Fleet, held: &[(ServerId, Instant)]) {
         let engines = engines(fleet);
         self.controls.retain(|id, control| {
             let kept = engines
@@ -81,7 +85,8 @@
                 control.set_listed(listed);
             }
             if !self.controls.contains_key(&server.id) {
-                self.start(server);
+                let hold = held.iter().find(|(id, _)| *id == server.id);
+                self.start(server, hold.map(|(_, until)| *until));
             }
         }
     }
--- a/azureway-entry/src/feed/subscribe.rs
+++ b/azureway-entry/src/feed/subscribe.rs
@@ -6,8 +6,9 @@
 
 /// Subscribes to the load reports and cache events of the configured backend servers.
 pub trait Subscribe {
-    /// Subscribes to exactly the servers of `fleet`.
-    fn reconfigure(&mut self, fleet: &Fleet);
+    /// Subscribes to exactly the servers of `fleet`. Those in `held` asked for a pause: none of them is
+    /// polled before the time given with it, even if its subscription is new.
+    fn reconfigure(&mut self, fleet: &Fleet, held: &[(ServerId, Instant)]);
 
     /// Requests a full snapshot of a server's cache.
     fn resync(&self, server: &ServerId);
--- a/azureway-entry/tests/feed.rs
+++ b/azureway-entry/tests/feed.rs
@@ -6,8 +6,15 @@
 use std::time::{Duration, Instant};
 
 use azureway_core::prelude::*;
+use azureway_entry::admit::UpstreamRequest;
+use azureway_entry::caller::AnswerChunk;
 use azureway_entry::clock::Clock;
-use azureway_entry::feed::{FeedBatch, FeedBudget, FeedReader, FeedSource, ReaderControl};
+use azureway_entry::daemon::Rings;
+use azureway_entry::decide::{DecideMessage, Decider};
+use azureway_entry::feed::{
+    FeedBatch, FeedBudget, FeedReader, FeedReaders, FeedSource, ReaderControl,
+};
+use azureway_entry::relay::Launch;
 use flume::{Receiver, Sender};
 use googletest::prelude::*;
 
@@ -152,3 +159,121 @@
     control.stop();
     expect_that!(poll, gt(held));
 }
+
+/// Starts no attempt.
+struct NoLaunch;
+
+impl Launch for NoLaunch {
+    fn launch(&mut self, _: Dispatch, _: Arc<UpstreamRequest>) -> Receiver<AnswerChunk> {
+        flume::bounded(1).1
+    }
+
+    fn cancel(&mut self, _: Attempt) {}
+}
+
+/// Returns a configuration with the server `s` of the given incarnation, or without it.
+fn list(version: u64, incarnation: Option<u64>) -> DecideMessage {
+    let pool = PoolId::new("engines");
+    let fleet = Fleet::new()
+        .with_version(ConfigVersion::new(version))
+        .with_pool(BackendServerPool::new(pool.clone()))
+        .with_service(ModelService::new(ServiceId::new("advice"), pool.clone()));
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let fleet = incarnation.into_iter().fold(fleet, |fleet, incarnation| {
+        let (id, zone) = (ServerId::new("s"), ZoneId::new("a"));
+        let mut server = BackendServer::new(id, pool.clone(), zone, address);
+        server.listed = Some(ListedState {
+            incarnation: Incarnation::new(incarnation),
+            weights: None,
+        });
+        fleet.with_server(server)
+    });
+    DecideMessage::Configured(Arc::new(fleet))
+}
+
+/// Starts a deciding duty with the feeds of its servers. Returns its ring and the times of the polls.
+fn start_decider() -> (Sender<DecideMessage>, Receiver<Instant>) {
+    let (polled, polls) = flume::bounded(8);
+    let rings = Rings::new(64);
+    let source = TestFeed {
+        polled,
+        answer: answer_briefly,
+    };
+    let budget = FeedBudget::new(1_000.0, rings.clock);
+    let readers = FeedReaders::new(source, rings.decide.clone(), budget, 1);
+    let config = RouterConfig::new(ZoneId::new("a"));
+    let router = Router::new(config, PrefixLoad::new());
+    let messages = rings.decide.clone();
+    thread::spawn(move || {
+        let me = InstanceId::new("one");
+        Decider::new(router, &rings, NoLaunch, readers, me).run();
+    });
+    (messages, polls)
+}
+
+/// Ends a deciding duty and the readers that it started.
+fn stop(decide: &Sender<DecideMessage>) {
+    let (drained, end) = flume::bounded(1);
+    decide.send(DecideMessage::Drain(drained)).expect("sent");
+    end.recv_timeout(TEST_TIMEOUT).expect("the end");
+}
+
+/// Waits until no reader polls.
+fn await_quiet(polls: &Receiver<Instant>) {
+    let start = Instant::now();
+    while polls.recv_timeout(Duration::from_millis(200)).is_ok() {
+        assert!(start.elapsed() < TEST_TIMEOUT, "a reader goes on");
+    }
+}
+
+/// Lets the server `s` ask for a pause of some seconds, lapse from the list, before that or after it,
+/// and come back with an incarnation. Returns the time of the return.
+fn pause_around_gap(
+    decide: &Sender<DecideMessage>,
+    polls: &Receiver<Instant>,
+    (in_gap, seconds, incarnation): (bool, f64, u64),
+) -> Instant {
+    decide.send(list(1, Some(1))).expect("sent");
+    polls.recv_timeout(TEST_TIMEOUT).expect("a poll");
+    let pause = DecideMessage::Paused(PauseNotice {
+        server: ServerId::new("s"),
+        incarnation: Some(Incarnation::new(1)),
+        pause: Pause::from_seconds(seconds).expect("a pause"),
+    });
+    let gap = list(2, None);
+    let (first, second) = if in_gap { (gap, pause) } else { (pause, gap) };
+    decide.send(first).expect("sent");
+    await_quiet(polls);
+    decide.send(second).expect("sent");
+    let back = Instant::now();
+    decide.send(list(3, Some(incarnation))).expect("sent");
+    back
+}
+
+// Guards against a reader that is started anew when a server is back on the list, and polls it though
+// its pause holds.
+#[gtest]
+fn a_server_that_is_back_on_the_list_is_not_polled_during_its_pause() {
+    for in_gap in [false, true] {
+        let (decide, polls) = start_decider();
+        let end = Instant::now() + Duration::from_secs(2);
+        let back = pause_around_gap(&decide, &polls, (in_gap, 2.0, 1));
+        let times = std::iter::from_fn(|| polls.recv_timeout(TEST_TIMEOUT).ok());
+        let during = times.take_while(|t| *t < end).filter(|t| *t > back).count();
+        stop(&decide);
+        expect_that!(during, eq(0), "in the gap: {in_gap}");
+    }
+}
+
+// Guards against a hold that outlives the process that asked for it, at a reader that is started anew.
+#[gtest]
+fn a_server_that_is_back_with_a_new_incarnation_is_polled() {
+    for in_gap in [false, true] {
+        let (decide, polls) = start_decider();
+        let back = pause_around_gap(&decide, &polls, (in_gap, 60.0, 2));
+        let mut times = std::iter::from_fn(|| polls.recv_timeout(TEST_TIMEOUT).ok());
+        let polled = times.any(|t| t > back);
+        stop(&decide);
+        expect_that!(polled, eq(true), "in the gap: {in_gap}");
+    }
+}
