Leave a request that broke late on a kept connection to the router

An attempt whose kept connection broke sent its request again in place, at any age, past the hold on the server and the retry budget, even if the server had worked on it for seconds. It now does so only within 300 ms of sending, in which a connection that the server closed while it was idle breaks; after a later break the attempt reports Broken/MaybeRun. If the new connection is refused, it reports Broken/MaybeRun as well: the first sending may have run, so Unreachable/Unsent could become a false "not run".

The limit is a field of the attempt, so that the tests need no clock.

--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -38,6 +38,9 @@
     pub handle: Arc<CancelHandle>,
     /// The time limit for opening a connection.
     pub connect_timeout: Duration,
+    /// The time after sending within which a kept connection that breaks counts as closed by the server
+    /// while it was idle.
+    pub resend_limit: Duration,
     /// The clock that the deadline refers to.
     pub clock: Clock,
     /// The position of the next event that the caller has not received.
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Weak};
 use std::thread;
+use std::time::Duration;
 
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::*;
@@ -34,6 +35,9 @@
 const CHUNK_CAPACITY: usize = 64;
 /// The stack size of an attempt's thread, in bytes.
 const STACK_SIZE: usize = 128 * 1024;
+/// The time within which a request breaks that was sent as the server closed the idle connection: a
+/// round trip between zones and a retransmission.
+const RESEND_LIMIT: Duration = Duration::from_millis(300);
 /// The smallest number of handles at which those of ended attempts are removed.
 const MIN_SWEEP: usize = 64;
 
@@ -84,6 +88,7 @@
             memory: self.memory.clone(),
             handle,
             connect_timeout: self.bounds.connect_timeout,
+            resend_limit: RESEND_LIMIT,
             clock: self.clock,
             output: TokenCount::ZERO,
         };
--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use azureway_core::prelude::*;
 
@@ -30,21 +30,42 @@
         &self,
         passthrough: &Passthrough,
     ) -> Result<(BackendConnection, AnswerHead), AttemptError> {
-        let once = passthrough.once;
-        let address = self.dispatch.address;
         let attempt_id = self.attempt_id(passthrough);
-        let pooled = self.pool.take(address, once);
+        let pooled = self.pool.take(self.dispatch.address, passthrough.once);
         let incarnation = self.dispatch.incarnation;
         let usable = |c: &BackendConnection| !c.has_rejected(attempt_id) && c.leads_to(incarnation);
-        if let Some(connection) = pooled.filter(usable) {
-            match self.send_on(connection, passthrough) {
-                // The server closed the idle connection as the request was sent. Whether it read
-                // the request is unknown, so it is sent again only if it may run more than once.
-                Err(AttemptError::Server(FailureKind::Broken, _))
-                    if !once && !self.handle.is_cancelled() => {}
-                result => return result,
+        let Some(connection) = pooled.filter(usable) else {
+            return self.send_on_new(passthrough);
+        };
+        let begin = Instant::now();
+        match self.send_on(connection, passthrough) {
+            Err(AttemptError::Server(FailureKind::Broken, _))
+                if self.may_resend(passthrough, begin) =>
+            {
+                let result = self.send_on_new(passthrough);
+                result.map_err(|e| match e {
+                    // The server may have read the request on the first connection.
+                    AttemptError::Server(_, SendState::Unsent) => BROKEN,
+                    e => e,
+                })
             }
+            result => result,
         }
+    }
+
+    /// Returns whether the request, sent at `begin` on a kept connection that broke, is sent again in
+    /// place. The server likely closed the idle connection as the request was sent, but whether it read
+    /// the request is unknown, so the request must be one that may run more than once. Later the server
+    /// may have worked on it, and the router decides.
+    fn may_resend(&self, passthrough: &Passthrough, begin: Instant) -> bool {
+        !passthrough.once && !self.handle.is_cancelled() && begin.elapsed() < self.resend_limit
+    }
+
+    fn send_on_new(
+        &self,
+        passthrough: &Passthrough,
+    ) -> Result<(BackendConnection, AnswerHead), AttemptError> {
+        let address = self.dispatch.address;
         let limit = self.connect_timeout.min(self.time_left(passthrough));
         let opened = BackendConnection::open(address, limit);
         let unreachable = AttemptError::Server(FailureKind::Unreachable, SendState::Unsent);
@@ -52,7 +73,10 @@
             log::debug!(request:% = self.dispatch.attempt.id, step = "connect", peer:% = address, error:% = e; "connecting failed");
             unreachable
         })?;
-        self.send_on(connection.with_incarnation(incarnation), passthrough)
+        self.send_on(
+            connection.with_incarnation(self.dispatch.incarnation),
+            passthrough,
+        )
     }
 
     fn send_on(
--- a/azureway-entry/tests/endless_answers.rs
+++ b/azureway-entry/tests/endless_answers.rs
@@ -46,6 +46,7 @@
         memory: AnswerMemory::new(),
         handle: Arc::new(CancelHandle::new()),
         connect_timeout: Duration::from_secs(1),
+        resend_limit: Duration::ZERO,
         clock,
         next_position: StreamPosition::ZERO,
         output: TokenCount::ZERO,
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -42,6 +42,15 @@
 }
 
 fn start_dispatch(dispatch: Dispatch, pool: &ConnectionPool, once: bool) -> Started {
+    start_exchange(dispatch, pool, once, TEST_TIMEOUT)
+}
+
+fn start_exchange(
+    dispatch: Dispatch,
+    pool: &ConnectionPool,
+    once: bool,
+    resend_limit: Duration,
+) -> Started {
     let (chunks, answer) = flume::bounded(64);
     let (decide, reports) = flume::bounded(64);
     let (clock, handle) = (Clock::new(), Arc::new(CancelHandle::new()));
@@ -56,6 +65,7 @@
         memory: AnswerMemory::new(),
         handle: Arc::clone(&handle),
         connect_timeout: Duration::from_secs(1),
+        resend_limit,
         clock,
         next_position: position,
         output: TokenCount::ZERO,
@@ -313,6 +323,49 @@
     }
 }
 
+/// Guards against a request that is sent again past the router's holds and budget, after a server that
+/// may have worked on it broke the connection, and against one that may have run and is said to be
+/// unsent. Each row: the fault, the time within which a request is sent again, whether the server still
+/// accepts connections, and the outcome. The request reaches the server once in each.
+#[gtest]
+fn a_request_that_may_have_run_is_left_to_the_router() {
+    let rows = [
+        ("a late break", Duration::ZERO, true, "Broken MaybeRun"),
+        (
+            "a late break and no listener",
+            Duration::ZERO,
+            false,
+            "Broken MaybeRun",
+        ),
+        (
+            "a break and no listener",
+            TEST_TIMEOUT,
+            false,
+            "Broken MaybeRun",
+        ),
+    ];
+    for (fault, limit, listens, expected) in rows {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let pool = ConnectionPool::new(8);
+        let (answer, reports, _) = start_attempt(address, &pool, false, 0);
+        let (mut kept, _) = serve(&listener, GOOD);
+        answer.iter().for_each(drop);
+        outcome(&reports);
+        let dispatch = dispatch(address, StreamPosition::ZERO);
+        let (answer, reports, _) = start_exchange(dispatch, &pool, false, limit);
+        read_request(&mut kept);
+        let listener = Some(listener).filter(|_| listens);
+        run_script(&mut kept, "close");
+        answer.iter().for_each(drop);
+        expect_that!(outcome(&reports).as_str(), eq(expected), "{fault}");
+        if let Some(listener) = listener {
+            listener.set_nonblocking(true).expect("nonblocking");
+            expect_that!(listener.accept().is_err(), eq(true), "{fault}");
+        }
+    }
+}
+
 // Guards against a server that writes an earlier refusal once more: taken for the answer to the next
 // sending, it says that the request has not run although it runs.
 #[gtest]
