--- a/azureway-core/tests/server_pause.rs
+++ b/azureway-core/tests/server_pause.rs
@@ -306,6 +306,29 @@
     }
 }
 
+/// Guards against a hold on another process that has the name of one that asked for a pause. Each row
+/// holds whether the server asks after it has left the list.
+#[gtest]
+fn a_hold_is_not_kept_for_a_server_at_another_address() {
+    for in_gap in [false, true] {
+        let mut fixture = RouterFixture::new(1, 4);
+        if !in_gap {
+            pause(&mut fixture, SERVER, 5.0);
+        }
+        let empty = support::fleet(0, 4).with_version(ConfigVersion::new(2));
+        fixture.handle(Event::Configured(&empty));
+        if in_gap {
+            pause(&mut fixture, SERVER, 5.0);
+        }
+        let mut moved = support::fleet(1, 4).with_version(ConfigVersion::new(3));
+        let server = moved.servers.get_mut(&ServerId::new(SERVER));
+        server.expect("a server").address = ([127, 0, 0, 1], 8_000).into();
+        fixture.handle(Event::Configured(&moved));
+        let sent = dispatches(&arrive(&mut fixture)).len();
+        expect_that!(sent, eq(1), "in the gap: {in_gap}");
+    }
+}
+
 /// Guards against requests that wait in vain for a pool whose servers all want nothing until after
 /// the deadline, which the callers could use to ask elsewhere; and against refusals of requests that
 /// can wait.
