Keep load orders of the lease holder from servers that asked for a pause

Cause: the planner knew of no pause. A failed order was sent again after a second, and again each second, also to a server that had asked this entry for a pause. Change: the planner records the pause of a server. Such a server gets an order only if no other server of its pool without required weights can load, and one order at most until the pause ends; an order that failed before the pause waits for its end. A pause that ends early allows orders again.

--- a/azureway-core/src/order/mod.rs
+++ b/azureway-core/src/order/mod.rs
@@ -1,6 +1,7 @@
 //! Orders to backend servers: which server loads which weights, and when.
 
 mod config;
+mod held_server;
 mod load_mode;
 mod load_order;
 mod pending_load;
@@ -9,6 +10,7 @@
 mod store_limiter;
 
 pub use config::OrderConfig;
+pub use held_server::HeldServer;
 pub use load_mode::LoadMode;
 pub use load_order::LoadOrder;
 pub use pending_load::PendingLoad;
--- a/azureway-core/src/order/pending_load.rs
+++ b/azureway-core/src/order/pending_load.rs
@@ -11,4 +11,6 @@
     pub slot_until: Timestamp,
     /// The time from which the load no longer counts as pending.
     pub expires: Timestamp,
+    /// Whether the order failed.
+    pub failed: bool,
 }
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{LoadOrder, OrderConfig, PendingLoad, PoolView, StoreLimiter};
+use super::{HeldServer, LoadOrder, OrderConfig, PendingLoad, PoolView, StoreLimiter};
 use crate::domain::{
     BackendServer, BackendServerPool, ConfigVersion, ModelId, ModelService, ServerId, ServiceKind,
     Timestamp, WeightsVersion,
@@ -22,6 +22,7 @@
     fleet: Fleet,
     reported: BTreeMap<ServerId, WeightsVersion>,
     loads: BTreeMap<ServerId, PendingLoad>,
+    held: BTreeMap<ServerId, HeldServer>,
     store_limiter: StoreLimiter,
     /// The number of loads that occupied a slot when planning last ran.
     active_loads: usize,
@@ -38,6 +39,7 @@
             fleet: Fleet::new(),
             reported: BTreeMap::new(),
             loads: BTreeMap::new(),
+            held: BTreeMap::new(),
             active_loads: 0,
             changed: false,
         }
@@ -102,6 +104,7 @@
                 weights,
                 slot_until,
                 expires,
+                failed: false,
             };
             self.loads.entry(server.clone()).or_insert(load);
         }
@@ -121,21 +124,40 @@
     }
 
     /// Records that an order failed. Its load slot becomes free, and the order is sent again after
-    /// a delay unless the server reports the weights.
+    /// a delay, and after the server's pause, unless the server reports the weights.
     pub fn record_failure(&mut self, server: &ServerId, now: Timestamp) {
         if let Some(load) = self.loads.get_mut(server) {
             load.slot_until = now;
             load.expires = now + RETRY_DELAY;
+            load.failed = true;
             self.changed = true;
+            if let Some(held) = self.held.get_mut(server) {
+                held.ordered = true;
+            }
+        }
+    }
+
+    /// Records that a server asked this entry for a pause that ends at `until`. A time that has
+    /// passed ends the pause.
+    pub fn hold(&mut self, server: &ServerId, until: Timestamp, now: Timestamp) {
+        self.held.retain(|_, held| held.until > now);
+        self.changed = true;
+        if until <= now {
+            self.held.remove(server);
+            return;
         }
+        let ordered = self.loads.get(server).is_some_and(|l| l.failed);
+        let new = HeldServer { until, ordered };
+        self.held.entry(server.clone()).or_insert(new).until = until;
     }
 
     /// Returns the next order, if one may be sent at `now`, and records its load as pending.
     pub fn next_order(&mut self, now: Timestamp) -> Option<LoadOrder> {
-        let before = self.loads.len();
+        let before = self.loads.len() + self.held.len();
         self.loads.retain(|_, load| load.expires > now);
+        self.held.retain(|_, held| held.until > now);
         let active = self.loads.values().filter(|l| l.slot_until > now).count();
-        self.changed |= self.loads.len() < before || active < self.active_loads;
+        self.changed |= self.loads.len() + self.held.len() < before || active < self.active_loads;
         self.active_loads = active;
         if now < self.store_limiter.available_at() || !self.changed {
             return None;
@@ -151,7 +173,11 @@
             weights: order.weights,
             slot_until: now + self.config.slot_timeout,
             expires: now + self.config.load_timeout,
+            failed: false,
         };
+        if let Some(held) = self.held.get_mut(&order.server) {
+            held.ordered = true;
+        }
         self.loads.insert(order.server.clone(), load);
         self.active_loads += 1;
         self.store_limiter.record_load(now);
@@ -162,7 +188,11 @@
     pub fn next_wakeup(&self, now: Timestamp) -> Option<Timestamp> {
         let available = self.store_limiter.available_at();
         let ends = self.loads.values().flat_map(|l| [l.slot_until, l.expires]);
-        ends.chain([available]).filter(|t| *t > now).min()
+        let pauses = self.held.values().map(|held| held.until);
+        ends.chain(pauses)
+            .chain([available])
+            .filter(|t| *t > now)
+            .min()
     }
 
     fn plan_order(&self, pool: &BackendServerPool, now: Timestamp) -> Option<LoadOrder> {
@@ -200,6 +230,7 @@
             required: services.map(|s| s.weights).collect(),
             servers: servers.filter_map(|s| Some((s, reported(s)?))).collect(),
             loads: &self.loads,
+            held: &self.held,
         }
     }
 }
--- a/azureway-core/src/order/pool_view.rs
+++ b/azureway-core/src/order/pool_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::PendingLoad;
+use super::{HeldServer, PendingLoad};
 use crate::domain::{BackendServer, ServerId, Timestamp, WeightsVersion};
 
 /// The weights of one pool: required, loaded and being loaded.
@@ -14,6 +14,8 @@
     pub servers: Vec<(&'a BackendServer, WeightsVersion)>,
     /// The pending loads, also those of other pools.
     pub loads: &'a BTreeMap<ServerId, PendingLoad>,
+    /// The servers that asked for a pause, also those of other pools.
+    pub held: &'a BTreeMap<ServerId, HeldServer>,
 }
 
 impl<'a> PoolView<'a> {
@@ -23,9 +25,13 @@
         // The missing weights that the fewest servers have or are loading come first.
         let weights = *missing.min_by_key(|w| self.expected_count(**w))?;
         let replaceable = self.idle().filter(|(_, loaded)| self.can_replace(*loaded));
-        // Weights that no service requires are replaced first, and of these the oldest.
-        let server =
-            replaceable.min_by_key(|(s, loaded)| (self.required.contains(loaded), *loaded, &s.id));
+        let open = replaceable.filter(|(s, _)| self.held.get(&s.id).is_none_or(|h| !h.ordered));
+        // Weights that no service requires are replaced first, then those of servers without a
+        // pause, and of these the oldest.
+        let server = open.min_by_key(|(s, loaded)| {
+            let held = self.held.contains_key(&s.id);
+            (self.required.contains(loaded), held, *loaded, &s.id)
+        });
         server.map(|(server, _)| (server, weights))
     }
 
--- a/azureway-core/tests/orders/main.rs
+++ b/azureway-core/tests/orders/main.rs
@@ -1,6 +1,7 @@
 //! Orders to backend servers by the holder of the lease, under tabulated and random faults.
 
 mod cluster;
+mod holds;
 #[path = "../support/mod.rs"]
 mod support;
 
