Tell the ordering duty of pauses, and let its polls wait for their end

Cause: nothing told the ordering duty that a server had asked this entry for a pause. After an order it polled the server for its weights every 150 ms for up to four seconds, also during the pause. Change: the deciding duty forwards each pause of a server, and its early end by a new incarnation; one that does not fit into the ring follows with the next event. A held server is not polled before the pause has ended, from when the four seconds are counted. A report, an answer or the list that tells of the ordered weights ends the polls and notifies the peers, as a poll does. The duty reads the messages that wait in its ring before each poll, so that a pause counts from the next call on.

--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -102,8 +102,9 @@
     }
 
     pub(super) fn handle_event(&mut self, event: Event<'_>) {
-        self.router
-            .handle(event, self.clock.now(), &mut self.actions);
+        let now = self.clock.now();
+        self.router.handle(event, now, &mut self.actions);
+        self.orders.update_holds(self.router.servers(), now);
         for change in self.router.take_leaving_changes() {
             log_leaving(&self.router, &change);
         }
--- a/azureway-entry/src/decide/server_notices.rs
+++ b/azureway-entry/src/decide/server_notices.rs
@@ -16,9 +16,10 @@
         self.handle_event(Event::LoadSample(sample));
     }
 
-    /// Holds a server that asked for a pause, and the reader of its feed.
+    /// Holds a server that asked for a pause, the reader of its feed and the ordering duty's calls.
     pub(super) fn handle_pause(&mut self, notice: &PauseNotice) {
         log_pause(&self.router, notice, self.clock.now());
+        self.orders.hold(&notice.server);
         self.handle_event(Event::Paused(notice));
         let state = self.router.servers().get(&notice.server);
         if let Some(until) = state.map(|s| s.pause.until()) {
--- a/azureway-entry/src/order/order_client.rs
+++ b/azureway-entry/src/order/order_client.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use azureway_core::prelude::{Fleet, LoadReport, ServerId, WeightsVersion};
+use azureway_core::prelude::{Fleet, LoadReport, ServerId, ServerTable, Timestamp, WeightsVersion};
 use flume::Sender;
 
 use super::OrderMessage;
@@ -17,6 +17,8 @@
     pending: Option<Arc<Fleet>>,
     /// The weights of each server as last forwarded, and whether the server is leaving.
     forwarded: BTreeMap<ServerId, (WeightsVersion, bool)>,
+    /// The servers that are held, each with the end of its pause as last forwarded.
+    held: BTreeMap<ServerId, Timestamp>,
 }
 
 impl OrderClient {
@@ -26,6 +28,7 @@
             messages,
             pending: None,
             forwarded: BTreeMap::new(),
+            held: BTreeMap::new(),
         }
     }
 
@@ -64,6 +67,27 @@
         }
     }
 
+    /// Begins to forward the pause of a server.
+    pub fn hold(&mut self, server: &ServerId) {
+        self.held.entry(server.clone()).or_default();
+    }
+
+    /// Forwards the pauses of held servers that have changed, among them those that ended with a new
+    /// incarnation. If the ring is full, they are forwarded at the next call.
+    pub fn update_holds(&mut self, servers: &ServerTable, now: Timestamp) {
+        let messages = &self.messages;
+        self.held.retain(|server, forwarded| {
+            let pause = servers.get(server).map(|s| s.pause.until());
+            let until = pause.unwrap_or_default();
+            let message = || OrderMessage::Held(server.clone(), until);
+            if until != *forwarded && messages.try_send(message()).is_ok() {
+                *forwarded = until;
+            }
+            // A pause that was not forwarded in time needs no end.
+            now < until || now < *forwarded
+        });
+    }
+
     fn flush(&mut self) {
         if let Some(fleet) = self.pending.take() {
             let sent = self
--- a/azureway-entry/src/order/order_message.rs
+++ b/azureway-entry/src/order/order_message.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{Fleet, LoadReport, ServerId, WeightsVersion};
+use azureway_core::prelude::{Fleet, LoadReport, ServerId, Timestamp, WeightsVersion};
 
 /// A message to the ordering duty.
 #[derive(Clone, Debug)]
@@ -13,6 +13,9 @@
     Report(LoadReport),
     /// A backend server answered a request with these weights.
     WeightsObserved(ServerId, WeightsVersion),
+    /// A backend server asked this entry for a pause that ends at this time. A time that has passed
+    /// ends the pause.
+    Held(ServerId, Timestamp),
     /// Whether this entry instance is one of the few of its availability zone that contend for the
     /// lease.
     Selected(bool),
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -83,7 +83,10 @@
     pub fn run(mut self) {
         loop {
             match self.receive() {
-                Ok(message) => self.handle_message(message),
+                Ok(message) => {
+                    self.handle_message(message);
+                    self.handle_waiting();
+                }
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
@@ -104,15 +107,47 @@
 
     fn handle_message(&mut self, message: OrderMessage) {
         match message {
-            OrderMessage::Configured(fleet) => self.planner.adopt(&fleet),
-            OrderMessage::Report(report) => self.planner.apply_report(&report, self.clock.now()),
+            OrderMessage::Configured(fleet) => {
+                self.planner.adopt(&fleet);
+                for server in fleet.servers.values() {
+                    if let Some(weights) = server.listed.and_then(|l| l.weights) {
+                        self.complete_check(&server.id, weights);
+                    }
+                }
+            }
+            OrderMessage::Report(report) => {
+                self.planner.apply_report(&report, self.clock.now());
+                self.complete_check(&report.server, report.weights);
+            }
             OrderMessage::WeightsObserved(server, weights) => {
-                self.planner.observe_weights(&server, weights)
+                self.planner.observe_weights(&server, weights);
+                self.complete_check(&server, weights);
+            }
+            OrderMessage::Held(server, until) => {
+                self.planner.hold(&server, until, self.clock.now());
+                self.checks.hold(&server, until);
             }
             OrderMessage::Selected(selected) => self.selected = selected,
         }
     }
 
+    /// Handles the messages that are already in the ring, so that a call to a server waits for the
+    /// pause that the server asked for during the call before.
+    fn handle_waiting(&mut self) {
+        let waiting: Vec<_> = self.messages.drain().collect();
+        for message in waiting {
+            self.handle_message(message);
+        }
+    }
+
+    /// Ends the checks of a server that has told of the weights that it was to load.
+    fn complete_check(&mut self, server: &ServerId, weights: WeightsVersion) {
+        if let Some(order) = self.checks.complete(server, weights) {
+            log::info!(step = "order", peer:% = server, weights:% = weights; "loaded");
+            self.notify_peers(&order, Duration::ZERO);
+        }
+    }
+
     /// Renews the lease and sends the orders that are due. An entry instance that is no longer
     /// selected lets its lease expire, and sends orders until then.
     fn advance(&mut self) {
@@ -174,6 +209,7 @@
         }
         while let Some(order) = self.checks.next_due(self.clock.now()) {
             let weights = self.link.weights(&order);
+            self.handle_waiting();
             let Some(weights) = weights.filter(|w| *w >= order.weights) else {
                 continue;
             };
