--- a/azureway-entry/src/decide/server_notices.rs
+++ b/azureway-entry/src/decide/server_notices.rs
@@ -27,9 +27,10 @@
             .collect()
     }
 
-    /// Holds a server that asked for a pause, and the reader of its feed.
+    /// Holds a server that asked for a pause, the reader of its feed and the ordering duty's calls.
     pub(super) fn handle_pause(&mut self, notice: &PauseNotice) {
         log_pause(&self.router, notice, self.clock.now());
+        self.orders.hold(&notice.server);
         self.handle_event(Event::Paused(notice));
         let hold = self.router.servers().hold(&notice.server);
         if let Some((hold, _)) = hold {
