--- a/azureway-core/src/fleet/server_leaving.rs
+++ b/azureway-core/src/fleet/server_leaving.rs
@@ -26,7 +26,8 @@
     }
 
     /// Returns whether the pool has servers and all of them are known to leave, by their own words or
-    /// by the configuration. A mark in the platform's list alone does not count: it lags.
+    /// by the configuration, which includes the list of a site. A mark that an operator set in the
+    /// list of instances does not count: it may be withdrawn.
     pub fn all_leave(&self, pool: &PoolId) -> bool {
         let mut servers = self.in_pool(pool).peekable();
         let leaves = |s: &ServerState| s.server.leaving || s.is_leaving();
--- a/azureway-core/src/router/suspects.rs
+++ b/azureway-core/src/router/suspects.rs
@@ -113,9 +113,8 @@
     }
 
     /// Handles a queued request that found no server. If all servers of its pool leave, it is refused.
-    /// A suspect moves to the retries, where it
-    /// waits for a server without other suspects and does not delay other requests. A quarantined
-    /// request is refused. Any other request blocks its class.
+    /// A suspect moves to the retries, where it waits for a server without other suspects and does not
+    /// delay other requests. A quarantined request is refused. Any other request blocks its class.
     pub(super) fn defer(
         &mut self,
         pool: &PoolId,
