Drop the fencing numbers that the states of a lease no longer need

The highest number that was seen decides about the next one, so those of the states Observed and Reclaimable were written and never read. Four places that dropped what is known of the lease share one function. Behaviour is the same; the tests of the lease and of orders pass unchanged.

--- a/azureway-core/src/lease/holder.rs
+++ b/azureway-core/src/lease/holder.rs
@@ -53,8 +53,8 @@
         match self.state {
             LeaseState::Unknown if now >= self.next_call => LeaseStep::Read,
             LeaseState::Free => self.start_acquisition(0, now),
-            LeaseState::Reclaimable(version, _) => self.start_acquisition(version, now),
-            LeaseState::Observed(version, _, since) => {
+            LeaseState::Reclaimable(version) => self.start_acquisition(version, now),
+            LeaseState::Observed(version, since) => {
                 let expiry = since + self.config.takeover_delay();
                 if now >= expiry {
                     // The previous holder wrote at `since` at the latest.
@@ -86,9 +86,7 @@
         };
         let restored = self.era.enter(era, held_until);
         if restored {
-            self.write = None;
-            self.next_call = now;
-            self.state = LeaseState::Unknown;
+            self.forget(now);
         }
         restored
     }
@@ -98,16 +96,10 @@
         self.next_call = now + self.config.renew_interval();
         match reply {
             LeaseReply::Written(version) => self.acquire(*version),
-            LeaseReply::Conflict => {
-                self.write = None;
-                self.next_call = now;
-                self.state = LeaseState::Unknown;
-            }
+            LeaseReply::Conflict => self.forget(now),
+            // A store whose era changes with each answer must not be called without a pause.
             LeaseReply::Restored => {
-                self.write = None;
-                // A store whose era changes with each answer must not be called without a pause.
-                self.next_call = now + self.config.renew_interval() / RETRY_DIVISOR;
-                self.state = LeaseState::Unknown;
+                self.forget(now + self.config.renew_interval() / RETRY_DIVISOR);
             }
             LeaseReply::NoAnswer => self.handle_no_answer(now),
             LeaseReply::Found(version, record) => self.handle_found(*version, record, now),
@@ -130,8 +122,13 @@
 
     /// Gives up the lease because a server has received a higher fencing number.
     pub fn step_down(&mut self, now: Timestamp) {
+        self.forget(now);
+    }
+
+    /// Drops what is known of the object, which is read again at `next_call`.
+    const fn forget(&mut self, next_call: Timestamp) {
         self.write = None;
-        self.next_call = now;
+        self.next_call = next_call;
         self.state = LeaseState::Unknown;
     }
 
@@ -190,18 +187,18 @@
         self.write = None;
         let may_be_lost = self.era.get() > StoreEra::ZERO && !self.era.is_exclusive(now);
         self.state = match may_be_lost {
-            true => self.observe(0, FencingNumber::ZERO, now),
+            true => self.observe(0, now),
             false => LeaseState::Free,
         };
     }
 
     /// Returns the state in which another process is seen to have written `version`.
-    fn observe(&self, version: u64, number: FencingNumber, now: Timestamp) -> LeaseState {
+    fn observe(&self, version: u64, now: Timestamp) -> LeaseState {
         match self.state {
-            LeaseState::Observed(observed, _, since) if observed == version => {
-                LeaseState::Observed(version, number, since)
+            LeaseState::Observed(observed, since) if observed == version => {
+                LeaseState::Observed(version, since)
             }
-            _ => LeaseState::Observed(version, number, now),
+            _ => LeaseState::Observed(version, now),
         }
     }
 
@@ -220,23 +217,20 @@
         if !is_copy && !same_process {
             self.era.end_exclusive();
         }
+        let is_observed = matches!(self.state, LeaseState::Observed(v, _) if v == version);
         self.state = match self.state {
             LeaseState::Held(_, number, ends) if same_process && number == record.number => {
                 self.next_call = now;
                 LeaseState::Held(version, number, ends)
             }
             // Nobody can have acquired the lease between the copy and the restore.
-            _ if is_copy && self.era.is_exclusive(now) => {
-                LeaseState::Reclaimable(version, record.number)
-            }
-            _ if is_copy => self.observe(version, record.number, now),
-            LeaseState::Observed(observed, ..) if observed == version => {
-                self.observe(version, record.number, now)
-            }
+            _ if is_copy && self.era.is_exclusive(now) => LeaseState::Reclaimable(version),
             // No other entry has acquired the lease since this one held it, so this entry can write
             // a new number at once.
-            _ if same_process || same_instance => LeaseState::Reclaimable(version, record.number),
-            _ => LeaseState::Observed(version, record.number, now),
+            _ if !is_copy && !is_observed && (same_process || same_instance) => {
+                LeaseState::Reclaimable(version)
+            }
+            _ => self.observe(version, now),
         };
     }
 }
--- a/azureway-core/src/lease/state.rs
+++ b/azureway-core/src/lease/state.rs
@@ -9,12 +9,11 @@
     Unknown,
     /// Nobody has held it yet.
     Free,
-    /// Another process holds the lease or held it last: the object's version, its fencing number,
-    /// and when this entry first read that version.
-    Observed(u64, FencingNumber, Timestamp),
-    /// This entry held it last and may acquire it again at once: the object's version and its
-    /// fencing number.
-    Reclaimable(u64, FencingNumber),
+    /// Another process holds the lease or held it last: the object's version, and when this entry
+    /// first read that version.
+    Observed(u64, Timestamp),
+    /// This entry held it last and may acquire it again at once: the object's version.
+    Reclaimable(u64),
     /// This entry holds it: the object's version, the fencing number and the end of the term.
     Held(u64, FencingNumber, Timestamp),
 }
