Build refusals that may have run or not in one way

Two places chose between not_run and maybe_run with the same reason and detail; both call Refusal::new now. The end of an instance takes waiting retries from the queue's own remove_fresh instead of sorting them again. Behaviour is the same.

--- a/azureway-core/src/domain/refusal.rs
+++ b/azureway-core/src/domain/refusal.rs
@@ -28,7 +28,9 @@
         Self::new(reason, false, detail)
     }
 
-    fn new(reason: RefusalReason, not_run: bool, detail: &str) -> Self {
+    /// Creates a refusal of a request that no backend server has run if `not_run` is set, and that may
+    /// have run otherwise.
+    pub fn new(reason: RefusalReason, not_run: bool, detail: &str) -> Self {
         let retry_after = reason.retry_after().filter(|_| not_run);
         Self {
             reason,
--- a/azureway-core/src/router/retry_decision.rs
+++ b/azureway-core/src/router/retry_decision.rs
@@ -66,11 +66,7 @@
     /// while they ran it.
     pub fn quarantined(not_run: bool) -> Refusal {
         let detail = "backend servers crashed while they ran this request";
-        if not_run {
-            Refusal::not_run(RefusalReason::Quarantined, detail)
-        } else {
-            Refusal::maybe_run(RefusalReason::Quarantined, detail)
-        }
+        Refusal::new(RefusalReason::Quarantined, not_run, detail)
     }
 
     /// Returns the refusal of a request whose pool has no server that wants requests within its
--- a/azureway-core/src/router/shutdown.rs
+++ b/azureway-core/src/router/shutdown.rs
@@ -1,7 +1,7 @@
 //! Giving up the requests that cannot end before the instance stops.
 
 use super::Router;
-use crate::domain::{Refusal, RefusalReason, Request, StreamPosition, Timestamp};
+use crate::domain::{Refusal, RefusalReason, Request, Timestamp};
 use crate::event::Action;
 use crate::route::Policy;
 
@@ -20,22 +20,15 @@
         };
         let over = now >= end;
         let outlasts = |r: &Request| over || r.time_limit.is_none_or(|limit| limit > end);
-        for queued in self.queues.remove_if(|q| outlasts(&q.request)) {
-            out.push(Action::Refuse(
-                queued.request.id,
-                refusal(queued.plan.not_run),
-            ));
-        }
-        for retry in self.retries.take() {
-            let begun = retry.plan.position > StreamPosition::ZERO;
-            if outlasts(&retry.request) && (over || !begun) {
-                out.push(Action::Refuse(
-                    retry.request.id,
-                    refusal(retry.plan.not_run),
-                ));
-            } else {
-                self.retries.push(retry);
-            }
+        let queued = self.queues.remove_if(|q| outlasts(&q.request));
+        let queued = queued.into_iter().map(|q| (q.request.id, q.plan.not_run));
+        let retries = match over {
+            true => self.retries.take(),
+            false => self.retries.remove_fresh(|r| outlasts(&r.request)),
+        };
+        let retries = retries.into_iter().map(|r| (r.request.id, r.plan.not_run));
+        for (id, not_run) in queued.chain(retries) {
+            out.push(Action::Refuse(id, refusal(not_run)));
         }
         if over {
             self.give_up_all_in_flight(now, out);
@@ -57,8 +50,5 @@
 
 fn refusal(not_run: bool) -> Refusal {
     let detail = "the instance stops before the answer would be complete";
-    match not_run {
-        true => Refusal::not_run(RefusalReason::Draining, detail),
-        false => Refusal::maybe_run(RefusalReason::Draining, detail),
-    }
+    Refusal::new(RefusalReason::Draining, not_run, detail)
 }
