Compute an entry's place among the others in one place

The holds on servers that ask for a pause repeated the fraction of a rendezvous weight that the shares of rate limits use. Behaviour is the same.

--- a/azureway-core/src/fleet/pause_hold.rs
+++ b/azureway-core/src/fleet/pause_hold.rs
@@ -30,9 +30,9 @@
 impl PauseHold {
     /// Creates the hold of `server`, which has asked for no pause. `seed` differs between entries.
     pub fn new(seed: u64, server: &ServerId) -> Self {
-        let hash = Rendezvous::new(PrefixKey::new(u128::from(seed))).weight(server);
+        let order = Rendezvous::new(PrefixKey::new(u128::from(seed)));
         Self {
-            phase: hash as f64 / u64::MAX as f64,
+            phase: order.fraction(server),
             incarnation: Incarnation::ZERO,
             until: Timestamp::ZERO,
             ramp: Duration::ZERO,
--- a/azureway-core/src/fleet/rate_share.rs
+++ b/azureway-core/src/fleet/rate_share.rs
@@ -33,10 +33,10 @@
     /// Creates the share of `server`, which names no limit yet, for one of `entries` entries. `seed`
     /// differs between entries.
     pub fn new(entries: u32, seed: u64, server: &ServerId) -> Self {
-        let hash = Rendezvous::new(PrefixKey::new(u128::from(seed))).weight(server);
+        let order = Rendezvous::new(PrefixKey::new(u128::from(seed)));
         Self {
             entries: entries.max(1),
-            phase: hash as f64 / u64::MAX as f64,
+            phase: order.fraction(server),
             limit: None,
             level: 0.0,
             updated: Timestamp::ZERO,
--- a/azureway-core/src/route/rendezvous.rs
+++ b/azureway-core/src/route/rendezvous.rs
@@ -31,6 +31,11 @@
         });
         mix(hash)
     }
+
+    /// Returns the weight of `server` as a fraction from 0 to 1.
+    pub fn fraction(&self, server: &ServerId) -> f64 {
+        self.weight(server) as f64 / u64::MAX as f64
+    }
 }
 
 /// Mixes the last input bytes into all bits, which FNV-1a alone does not.
