--- a/azureway-entry/src/meter/router_metrics.rs
+++ b/azureway-entry/src/meter/router_metrics.rs
@@ -104,8 +104,7 @@
         set_gauge(&self.retry_budget, overview.retry_budget);
         set_gauge(&self.claims, overview.claims);
         set_gauge(&self.quarantined, overview.quarantined);
-        let pauses = overview.pauses.saturating_sub(self.pauses.get());
-        self.pauses.inc_by(pauses);
+        raise_to(&self.pauses, overview.pauses);
         set_gauge(&self.paused, overview.paused);
         set_gauge(&self.entries, overview.entries);
         raise_to(&self.announced, overview.announced);
