--- a/azureway-dev/src/http/reply.rs
+++ b/azureway-dev/src/http/reply.rs
@@ -32,23 +32,24 @@
 
     /// Answers with a plain text.
     pub fn text(request: Request, status: u16, text: &str) {
-        let _ = request.respond(Response::from_string(text).with_status_code(status));
+        Self::text_with_header(request, status, text, None);
     }
 
     /// Rejects a request and asks for a pause with the text `pause`.
     pub fn pause(request: Request, pause: &str) {
-        let response = Response::from_string("the engine wants a pause").with_status_code(503);
-        let header = Header::from_bytes(header::PAUSE, pause);
-        let response = header.into_iter().fold(response, Response::with_header);
-        let _ = request.respond(response);
+        let header = Header::from_bytes(header::PAUSE, pause).ok();
+        Self::text_with_header(request, 503, "the engine wants a pause", header);
     }
 
     /// Answers with a plain text, and states which incarnation of the server leaves, if one does.
     pub fn rejection(request: Request, status: u16, text: &str, leaving: Option<Incarnation>) {
         let leaving = leaving.map(|i| Header::from_bytes(header::LEAVING, i.to_string()));
+        Self::text_with_header(request, status, text, leaving.and_then(Result::ok));
+    }
+
+    fn text_with_header(request: Request, status: u16, text: &str, header: Option<Header>) {
         let response = Response::from_string(text).with_status_code(status);
-        let headers = leaving.into_iter().flatten();
-        let _ = request.respond(headers.fold(response, Response::with_header));
+        let _ = request.respond(header.into_iter().fold(response, Response::with_header));
     }
 
     /// Returns the value of the header `name`, in any case of letters.
