Begin the grace period of older weights anew after a disturbance of the platform

Cause: weights that are named around an outage of the platform are dated before it, and the grace period of the older weights ran through the outage, in which nobody could be ordered to load them. With the holder of the orders frozen, no server had weights that were allowed for some seconds, and requests waited for their deadline. Change: two failed calls in a row that fail in time show a disturbance, and the grace period begins no earlier than its end, after a restore when the platform is stable.

--- a/azureway-core/src/domain/rollout.rs
+++ b/azureway-core/src/domain/rollout.rs
@@ -19,6 +19,9 @@
     pub versions: SmallVec<[(WeightsVersion, Timestamp); 4]>,
     /// The time for which older weights may still answer after newer ones are named.
     pub grace: Duration,
+    /// The end of the platform's last disturbance. The grace period does not begin earlier, since
+    /// nobody could order servers to load the newer weights.
+    pub undisturbed: Timestamp,
 }
 
 /// The time after newer weights are named for which answers from older ones keep their full worth.
@@ -36,7 +39,7 @@
     /// Returns whether weights `loaded` may answer a request that is sent at `now`.
     pub fn allows(&self, loaded: WeightsVersion, now: Timestamp) -> bool {
         self.superseded_at(loaded)
-            .is_none_or(|at| now < at + self.grace)
+            .is_none_or(|at| now < at.max(self.undisturbed) + self.grace)
     }
 
     /// Returns the time at which the first weights newer than `loaded` were named.
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -39,4 +39,7 @@
 pub use crate::site::{ListedServer, NamedWeights, SiteDocument, SiteService, SiteState};
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Outcome, OutcomeCount, OutcomeTally};
-pub use crate::watch::{AnsweredCall, ChangeBound, EntrySelector, WatchSchedule, WatchStep};
+pub use crate::watch::{
+    AnsweredCall, ChangeBound, Disturbance, DisturbanceMeter, EntrySelector, WatchSchedule,
+    WatchStep,
+};
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -12,6 +12,7 @@
     TokenRate, WeightsVersion,
 };
 use crate::fleet::Fleet;
+use crate::watch::Disturbance;
 
 /// The latest state of a site, from which fleets are built.
 #[derive(Clone, Debug)]
@@ -25,6 +26,10 @@
     /// they count as removed.
     missing: BTreeMap<ServerId, Timestamp>,
     named: BTreeMap<ModelId, NamedVersions>,
+    /// The time after a restore of the platform until it counts as stable.
+    settle: Duration,
+    /// The end of the platform's last disturbance.
+    undisturbed: Timestamp,
     revision: ConfigVersion,
 }
 
@@ -67,10 +72,29 @@
             listed_until: Timestamp::ZERO,
             missing: BTreeMap::new(),
             named: BTreeMap::new(),
+            settle: Duration::ZERO,
+            undisturbed: Timestamp::ZERO,
             revision: ConfigVersion::ZERO,
         }
     }
 
+    /// Sets the time after a restore of the platform until it counts as stable.
+    #[must_use]
+    pub const fn with_settle(mut self, settle: Duration) -> Self {
+        self.settle = settle;
+        self
+    }
+
+    /// Records a disturbance of the platform, after which the grace period of older weights begins
+    /// anew. After a restore, which disturbs all entries alike, the platform first has to become stable.
+    pub fn record_disturbance(&mut self, disturbance: Disturbance) {
+        let settle = match disturbance.restored {
+            true => self.settle,
+            false => Duration::ZERO,
+        };
+        self.undisturbed = self.undisturbed.max(disturbance.until + settle);
+    }
+
     /// Adopts a configuration if it is newer, so that a slow read cannot restore an old one.
     /// Returns whether it is.
     pub fn configure(&mut self, document: SiteDocument) -> bool {
@@ -221,6 +245,7 @@
             model: model.clone(),
             versions: named,
             grace: self.grace,
+            undisturbed: self.undisturbed,
         };
         service
             .with_weights(self.required_weights(site, model))
--- a/azureway-core/src/watch/mod.rs
+++ b/azureway-core/src/watch/mod.rs
@@ -2,12 +2,16 @@
 
 mod answered_call;
 mod change_bound;
+mod disturbance;
+mod disturbance_meter;
 mod entry_selector;
 mod watch_schedule;
 mod watch_step;
 
 pub use answered_call::AnsweredCall;
 pub use change_bound::ChangeBound;
+pub use disturbance::Disturbance;
+pub use disturbance_meter::DisturbanceMeter;
 pub use entry_selector::EntrySelector;
 pub use watch_schedule::WatchSchedule;
 pub use watch_step::WatchStep;
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -10,6 +10,8 @@
 
 /// The grace period in which older weights may serve requests.
 const GRACE: Duration = Duration::from_secs(6);
+/// The time after a restore until the platform is stable.
+const SETTLE: Duration = Duration::from_secs(3);
 /// The start time of each case: an hour after the clock's origin.
 const START: Timestamp = Timestamp::from_millis(3_600_000);
 
@@ -22,7 +24,7 @@
 
 impl Site {
     fn new() -> Self {
-        let mut state = SiteState::new(Vec::new(), GRACE);
+        let mut state = SiteState::new(Vec::new(), GRACE).with_settle(SETTLE);
         state.configure(SiteDocument {
             version: ConfigVersion::new(4),
             services: vec![service()],
@@ -66,6 +68,14 @@
                 self.state.add_named(named, Timestamp::from_micros(since));
                 self.reconfigure();
             }
+            "disturbed" => {
+                let until = self.fixture.now.as_micros() - number(1) * 1_000;
+                self.state.record_disturbance(Disturbance {
+                    until: Timestamp::from_micros(until),
+                    restored: words.get(2) == Some(&"restored"),
+                });
+                self.reconfigure();
+            }
             "pass" => drop(self.fixture.advance(Duration::from_millis(number(1)))),
             "list" => self.list(number(1)),
             "born" => {
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -19,7 +19,7 @@
 use crate::order::{OrderLink, Orderer};
 use crate::peer::PeerMessage;
 use crate::routed::{DisconnectWatcher, RoutedCallReader, RoutedListener, ServingState};
-use crate::site::{SiteDuty, SiteKind, SiteUpdate, SiteWatcher};
+use crate::site::{SITE_CALL_TIMEOUT, SiteDuty, SiteKind, SiteUpdate, SiteWatcher};
 
 /// A running entry daemon that serves a [`Site`].
 pub struct Gateway {
@@ -31,8 +31,6 @@
     times: ShutdownTimes,
 }
 
-/// The timeout of a platform call, in seconds. The platform normally answers in milliseconds.
-const CALL_TIMEOUT: u64 = 1;
 /// The delay before the next watch call, in which changes accumulate. Without it each change
 /// would cost a call of its own, and a change has seconds to come into force.
 const BATCH_DELAY: Duration = Duration::from_millis(200);
@@ -105,7 +103,8 @@
             rings.meter.clone(),
         )?;
         let ready_address = balancer.address();
-        let api = HttpObjects::with_codec(settings.platform, codec).with_timeout(CALL_TIMEOUT);
+        let api = HttpObjects::with_codec(settings.platform, codec);
+        let api = api.with_timeout(SITE_CALL_TIMEOUT.as_secs());
         spawn_peer(settings, &rings, peers, process_id)?;
         let budget = FeedBudget::new(settings.bounds.link, rings.clock);
         let readers = FeedReaders::new(feed, rings.decide.clone(), budget, process_id);
@@ -219,7 +218,8 @@
 ) -> Result<(), Error> {
     let (update_tx, update_rx): (Sender<SiteUpdate>, _) = flume::bounded(SITE_RING);
     let rollout_grace = site_settings.rollout_timeout.saturating_sub(ROLLOUT_MARGIN);
-    let state = SiteState::new(site_settings.zones.clone(), rollout_grace);
+    let state = SiteState::new(site_settings.zones.clone(), rollout_grace)
+        .with_settle(site_settings.startup_grace);
     let named_since = state.named_since(
         rings.clock.now(),
         site_settings.startup_grace.saturating_sub(ROLLOUT_MARGIN),
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -85,6 +85,15 @@
                 log::info!(step = "read site", peer:% = id; "a server is no longer listed");
                 self.state.remove_server(&id, recovered, now);
             }
+            SiteUpdate::Disturbed(disturbance) => {
+                let age =
+                    u64::try_from(now.since(disturbance.until).as_millis()).unwrap_or(u64::MAX);
+                log::info!(
+                    step = "read site", age_ms = age, restored = disturbance.restored;
+                    "the grace period of older weights begins anew after a disturbance of the platform"
+                );
+                self.state.record_disturbance(disturbance);
+            }
             SiteUpdate::ListedUntil(until, recovered) => {
                 // The next fleet carries the time. A fleet for each answer would cost every duty too much.
                 self.state.set_listed_until(until, recovered);
--- a/azureway-entry/src/site/kind.rs
+++ b/azureway-entry/src/site/kind.rs
@@ -15,6 +15,9 @@
     Quarantines,
 }
 
+/// The time for which a site's platform may be silent before a call fails. It normally answers in
+/// milliseconds.
+pub const SITE_CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time for which the platform holds a watch call open when nothing changes. It is short enough
 /// that a connection that fails silently is noticed within the time limit of a change.
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
--- a/azureway-entry/src/site/mod.rs
+++ b/azureway-entry/src/site/mod.rs
@@ -13,7 +13,7 @@
 
 pub use codec::SiteCodec;
 pub use duty::SiteDuty;
-pub use kind::SiteKind;
+pub use kind::{SITE_CALL_TIMEOUT, SiteKind};
 pub use rejected_objects::RejectedObjects;
 pub use update::SiteUpdate;
 pub use watcher::SiteWatcher;
--- a/azureway-entry/src/site/update.rs
+++ b/azureway-entry/src/site/update.rs
@@ -1,7 +1,7 @@
 //! The input of the site duty: configurations, backend servers and named weights.
 
 use azureway_core::prelude::{
-    ListedServer, NamedWeights, QuarantineChange, ServerId, SiteDocument, Timestamp,
+    Disturbance, ListedServer, NamedWeights, QuarantineChange, ServerId, SiteDocument, Timestamp,
 };
 
 /// An update from a site watcher. An optional time is when the platform last recovered from an
@@ -22,6 +22,8 @@
     Quarantine(QuarantineChange),
     /// The platform was restored from a copy and may have lost quarantined parts.
     QuarantinesLost,
+    /// A disturbance of the platform has ended.
+    Disturbed(Disturbance),
     /// Weights that an operator named, and the earliest time at which that can have happened.
     Weights(NamedWeights, Timestamp),
 }
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -10,7 +10,7 @@
 use azureway_wire::quarantine::QuarantineBody;
 use flume::Sender;
 
-use super::{RejectedObjects, SiteCodec, SiteKind, SiteUpdate};
+use super::{RejectedObjects, SITE_CALL_TIMEOUT, SiteCodec, SiteKind, SiteUpdate};
 use crate::clock::Clock;
 
 /// Watches one kind of platform object of a site and sends the decoded updates to the site duty.
@@ -31,6 +31,7 @@
     bound: ChangeBound,
     /// The earliest time at which the changes in the last answer can have happened.
     earliest: Timestamp,
+    disturbances: DisturbanceMeter,
     rejected: RefCell<RejectedObjects>,
 }
 
@@ -58,6 +59,7 @@
             listed: false,
             bound: ChangeBound::new(named_since),
             earliest: named_since,
+            disturbances: DisturbanceMeter::new(SITE_CALL_TIMEOUT),
             rejected: RefCell::default(),
         }
     }
@@ -101,11 +103,12 @@
                 self.log_lateness(call, list.objects.len());
                 self.earliest = self.bound.record(call, list.objects.len());
                 self.schedule.record_success(list.version, now);
-                self.send_updates(&list) && self.send_listed_until()
+                self.send_disturbance() && self.send_updates(&list) && self.send_listed_until()
             }
             Err(e) => {
                 self.record_outage(&e, now);
                 self.schedule.record_failure(e.kind(), now);
+                self.disturbances.record_failure(e.kind(), call);
                 let restored = e.kind() == ErrorKind::Restored;
                 let lost = restored && self.kind == SiteKind::Quarantines;
                 !lost || self.send(SiteUpdate::QuarantinesLost)
@@ -149,6 +152,13 @@
         }
     }
 
+    /// Sends the disturbance that an answer ends, before the weights that were named meanwhile.
+    fn send_disturbance(&mut self) -> bool {
+        let ended = self.disturbances.record_success();
+        let ended = ended.filter(|_| self.kind == SiteKind::Weights);
+        ended.is_none_or(|d| self.send(SiteUpdate::Disturbed(d)))
+    }
+
     /// Sends the time until which the list of servers is complete.
     fn send_listed_until(&self) -> bool {
         let until = self.bound.reported_until();
--- a/azureway-entry/tests/site_watcher.rs
+++ b/azureway-entry/tests/site_watcher.rs
@@ -19,6 +19,9 @@
 /// takes.
 type Answer = (&'static [u64], Duration);
 
+/// The versions of an answer that is an error.
+const UNAVAILABLE: &[u64] = &[0];
+
 /// A platform that gives its scripted answers in order and records when each call was sent. Then it
 /// reports the same object again and again.
 #[derive(Clone)]
@@ -45,6 +48,10 @@
         let answer = self.answers.lock().expect("the lock").pop_front();
         let (versions, delay) = answer.unwrap_or((&[1], Duration::ZERO));
         thread::sleep(delay);
+        if versions == UNAVAILABLE {
+            let step = Step::new("list objects");
+            return Err(Error::new(ErrorKind::Unavailable, step, "no answer"));
+        }
         let objects = versions.iter().map(|v| ObjectBody {
             name: "m".to_owned(),
             version: *v,
@@ -193,3 +200,22 @@
     expect_that!(*second, all!(ge(started[0] + HOLD_UP), le(started[1])));
     expect_that!(*third, all!(ge(started[1] + HOLD_UP), le(started[2])));
 }
+
+/// Guards against older weights that end early because nobody could be asked when newer ones were named.
+#[gtest]
+fn a_disturbance_is_reported_before_the_weights_that_were_named_meanwhile() {
+    let failure = (UNAVAILABLE, Duration::ZERO);
+    let answers: [Answer; 4] = [(&[1], Duration::ZERO), failure, failure, (&[2], HOLD_UP)];
+    let (updates, started) = watch(SiteKind::Weights, &answers, 3);
+    let [
+        SiteUpdate::Weights(..),
+        SiteUpdate::Disturbed(ended),
+        SiteUpdate::Weights(named, _),
+    ] = &updates[..]
+    else {
+        panic!("the disturbance comes before the weights: {updates:?}");
+    };
+    expect_that!(ended.until, all!(ge(started[1]), le(started[2])));
+    expect_that!(ended.restored, eq(false));
+    expect_that!(named.version, eq(WeightsVersion::new(2)));
+}
