Read how long work takes on a server's machine, and weigh it by its age

Cause: servers that share their machines state their pace as a fourth figure of their load, which was dropped. It changes many times a second, so the last figure says much about the next moments only. A meter expects work to begin at the last figure and to return to the average. The estimate uses it for prompts, and for the answer of requests without one.

--- a/azureway-core/src/fleet/load_report.rs
+++ b/azureway-core/src/fleet/load_report.rs
@@ -1,6 +1,6 @@
 //! The load that a backend server reports periodically, by which requests are placed.
 
-use crate::domain::{Incarnation, ServerId, TokenCount, WeightsVersion};
+use crate::domain::{Incarnation, Pace, ServerId, TokenCount, WeightsVersion};
 
 /// A load report from a backend server. It may lag behind the actual load.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,4 +19,6 @@
     pub pending: TokenCount,
     /// Whether the server is draining.
     pub leaving: bool,
+    /// How long work takes on the server's machine, if the server states it.
+    pub pace: Option<Pace>,
 }
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    Health, LoadReport, LoadSample, LocalWork, PauseHold, RateShare, ReportedWork, SlotShare, Work,
+    Health, LoadReport, LoadSample, LocalWork, PaceMeter, PauseHold, RateShare, ReportedWork,
+    SlotShare, Work,
 };
 use crate::domain::{
     BackendServer, Incarnation, ListedState, Rank, Timestamp, TokenCount, WeightsVersion,
@@ -35,6 +36,8 @@
     pub rate: RateShare,
     /// This entry's hold on the server, if the server asked for a pause.
     pub pause: PauseHold,
+    /// The pace of the server's machine, if the server states it.
+    pub pace: PaceMeter,
     local: LocalWork,
     pub(super) share: SlotShare,
     reported: ReportedWork,
@@ -57,6 +60,7 @@
             share: SlotShare::new(server.slots, entries),
             rate: RateShare::new(entries, seed, &server.id),
             pause: PauseHold::new(seed, &server.id),
+            pace: PaceMeter::new(),
             incarnation: server.listed.map_or(Incarnation::ZERO, |l| l.incarnation),
             weights: server.listed.and_then(|l| l.weights),
             server,
@@ -139,6 +143,9 @@
             self.share.observe(load, own, now);
         }
         self.rate.observe(sample.rate_limit, now);
+        if let Some(pace) = sample.pace {
+            self.pace.observe(pace, now);
+        }
         let newer = sample
             .weights
             .filter(|w| self.weights.is_some_and(|known| known < *w));
@@ -160,6 +167,9 @@
         self.weights = Some(report.weights);
         self.local.rotate(now);
         self.last_report = now;
+        if let Some(pace) = report.pace {
+            self.pace.observe(pace, now);
+        }
         self.reported.report(Work {
             in_flight: report.running.saturating_add(report.queued),
             pending: report.pending,
@@ -317,6 +327,12 @@
         self.service_time.saturating_mul(excess) / slots
     }
 
+    /// Returns how much longer than usual a request without a prompt takes, if it is sent at `now`.
+    pub fn slowdown(&self, now: Timestamp) -> Duration {
+        let usual = self.pace.usual(self.service_time);
+        self.pace.time_for(usual, now).saturating_sub(usual)
+    }
+
     /// Returns an estimate of the number of requests running or queued at the server.
     pub fn load(&self, now: Timestamp) -> u32 {
         let reported = self
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -15,8 +15,8 @@
 pub use crate::error::{Error, ErrorKind, Step};
 pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, SendState};
 pub use crate::fleet::{
-    Fleet, Health, LeavingCause, LeavingChange, LeavingMark, LoadReport, LoadSample, PauseNotice,
-    RouteTable, ServerState, ServerTable,
+    Fleet, Health, LeavingCause, LeavingChange, LeavingMark, LoadReport, LoadSample, PaceMeter,
+    PauseNotice, RouteTable, ServerState, ServerTable,
 };
 pub use crate::lease::{
     Lease, LeaseConfig, LeaseEra, LeaseRecord, LeaseReply, LeaseState, LeaseStep, LeaseWrite,
@@ -40,6 +40,6 @@
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Outcome, OutcomeCount, OutcomeTally};
 pub use crate::watch::{
-    AnsweredCall, ChangeBound, Disturbance, DisturbanceMeter, EntrySelector, WatchSchedule,
-    WatchStep,
+    AnsweredCall, ChangeBound, Disturbance, DisturbanceMeter, EntrySelector,
+    WatchSchedule, WatchStep,
 };
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Candidate, RequestProfile};
-use crate::domain::Timestamp;
+use crate::domain::{Timestamp, TokenCount};
 
 /// The components of the estimated time to first token and of the cost at a candidate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -14,6 +14,9 @@
     pub prefill: Duration,
     /// The round-trip time of the network link.
     pub round_trip: Duration,
+    /// How much longer than usual the answer takes on the server's machine, if the request has no
+    /// prompt.
+    pub slowdown: Duration,
     /// The delay that the prefill causes to the other requests at the server.
     pub interference: Duration,
     /// The cost of the traffic to the server, converted to time.
@@ -32,13 +35,18 @@
         let state = candidate.state;
         let server = &state.server;
         let uncached = profile.prompt.saturating_sub(candidate.cached);
-        let prefill = server.prefill.time_for(uncached);
+        let prefill = state.pace.time_for(server.prefill.time_for(uncached), now);
+        let pending = server.prefill.time_for(state.pending_tokens());
+        let slowdown = match profile.prompt {
+            TokenCount::ZERO => state.slowdown(now),
+            _ => Duration::ZERO,
+        };
         Self {
-            wait: server
-                .prefill
-                .time_for(state.pending_tokens())
-                .saturating_add(state.slot_wait(now)),
+            wait: state
+                .pace
+                .time_for(pending.saturating_add(state.slot_wait(now)), now),
             prefill,
+            slowdown,
             interference: prefill
                 .saturating_mul(INTERFERENCE_FACTOR.saturating_mul(state.load(now)))
                 / server.slots.max(1),
@@ -54,6 +62,7 @@
     pub const fn time_to_first_token(&self) -> Duration {
         self.wait
             .saturating_add(self.prefill)
+            .saturating_add(self.slowdown)
             .saturating_add(self.round_trip)
     }
 
--- a/azureway-core/tests/announced.rs
+++ b/azureway-core/tests/announced.rs
@@ -20,6 +20,7 @@
 
 fn report(incarnation: u64, leaving: bool) -> LoadReport {
     LoadReport {
+        pace: None,
         server: ServerId::new(ENGINE),
         incarnation: Incarnation::new(incarnation),
         weights: WeightsVersion::new(1),
--- a/azureway-core/tests/cluster/mod.rs
+++ b/azureway-core/tests/cluster/mod.rs
@@ -144,6 +144,7 @@
     pub fn report_all(&mut self) {
         for (server, incarnation) in self.incarnations.clone() {
             let report = LoadReport {
+                pace: None,
                 server,
                 incarnation: Incarnation::new(incarnation),
                 weights: WeightsVersion::new(1),
--- a/azureway-core/tests/explain.rs
+++ b/azureway-core/tests/explain.rs
@@ -63,6 +63,7 @@
     far.zone = ZoneId::new("b");
     fixture.handle(Event::Configured(&spread));
     fixture.handle(Event::Load(&LoadReport {
+        pace: None,
         server: ServerId::new("engine-1"),
         incarnation: Incarnation::new(1),
         weights: WeightsVersion::new(9),
--- a/azureway-core/tests/large_numbers.rs
+++ b/azureway-core/tests/large_numbers.rs
@@ -25,6 +25,7 @@
         for rank in Rank::ALL {
             let mut fixture = RouterFixture::new(2, slots);
             let sample = LoadSample {
+                pace: None,
                 server: ServerId::new("engine-1"),
                 load,
                 weights: Some(WeightsVersion::new(u64::MAX)),
@@ -49,6 +50,7 @@
 fn a_router_takes_every_load_report() {
     let mut fixture = RouterFixture::new(2, 4);
     let report = LoadReport {
+        pace: None,
         server: ServerId::new("engine-1"),
         incarnation: Incarnation::new(u64::MAX),
         weights: WeightsVersion::new(1),
@@ -72,6 +74,7 @@
             let mut fixture = RouterFixture::new(2, slots);
             for server in ["engine-1", "engine-2"] {
                 let sample = LoadSample {
+                    pace: None,
                     server: ServerId::new(server),
                     load: Some((load, load)),
                     weights: None,
--- a/azureway-core/tests/leaving.rs
+++ b/azureway-core/tests/leaving.rs
@@ -9,6 +9,7 @@
 
 fn report(incarnation: u64, leaving: bool) -> LoadReport {
     LoadReport {
+        pace: None,
         server: ServerId::new("engine-1"),
         incarnation: Incarnation::new(incarnation),
         weights: WeightsVersion::new(1),
--- a/azureway-core/tests/orders/cluster.rs
+++ b/azureway-core/tests/orders/cluster.rs
@@ -219,6 +219,7 @@
                 None => server.weights,
             };
             let report = LoadReport {
+                pace: None,
                 server: server.id.clone(),
                 incarnation: Incarnation::new(1),
                 weights,
--- a/azureway-core/tests/promises.rs
+++ b/azureway-core/tests/promises.rs
@@ -236,6 +236,7 @@
             self.leaving.insert(id.clone());
         }
         let report = LoadReport {
+            pace: None,
             leaving: self.leaving.contains(&id),
             server: id,
             incarnation: Incarnation::new(self.incarnations[number]),
--- a/azureway-core/tests/routing/engine.rs
+++ b/azureway-core/tests/routing/engine.rs
@@ -76,6 +76,7 @@
 
     pub fn report(&self, leaving: bool) -> LoadReport {
         LoadReport {
+            pace: None,
             server: self.id.clone(),
             incarnation: Incarnation::new(self.incarnation),
             weights: self.weights,
--- a/azureway-core/tests/server_limit.rs
+++ b/azureway-core/tests/server_limit.rs
@@ -15,6 +15,7 @@
 /// Returns what an idle server states with an answer that names `limit`.
 fn sample(server: &str, limit: Option<f64>) -> LoadSample {
     LoadSample {
+        pace: None,
         server: ServerId::new(server),
         load: Some((0, 0)),
         weights: None,
--- a/azureway-core/tests/server_pause.rs
+++ b/azureway-core/tests/server_pause.rs
@@ -27,6 +27,7 @@
 
 fn report(server: &str, incarnation: u64) -> LoadReport {
     LoadReport {
+        pace: None,
         server: ServerId::new(server),
         incarnation: Incarnation::new(incarnation),
         weights: WeightsVersion::new(1),
@@ -131,6 +132,7 @@
     fixture.advance(Duration::from_millis(100));
     pause(&mut fixture, SERVER, 1.0);
     let sample = LoadSample {
+        pace: None,
         server: ServerId::new(SERVER),
         load: Some((0, 0)),
         weights: Some(WeightsVersion::new(1)),
--- a/azureway-core/tests/server_pause_runs.rs
+++ b/azureway-core/tests/server_pause_runs.rs
@@ -142,6 +142,7 @@
         for entry in 0..self.entries.len() {
             if self.draw.chance(10) {
                 let report = LoadReport {
+                    pace: None,
                     server: server_id(server),
                     incarnation: Incarnation::new(self.incarnations[server]),
                     weights: WeightsVersion::new(1),
--- a/azureway-core/tests/sharing.rs
+++ b/azureway-core/tests/sharing.rs
@@ -93,6 +93,7 @@
 fn report(in_flight: &[u32], slots: u32) -> LoadReport {
     let all: u32 = in_flight.iter().sum();
     LoadReport {
+        pace: None,
         server: ServerId::new("engine-1"),
         incarnation: Incarnation::new(1),
         weights: WeightsVersion::new(1),
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -84,6 +84,7 @@
             }
             "answer" => {
                 let sample = LoadSample {
+                    pace: None,
                     server: ServerId::new("s"),
                     load: Some((0, 0)),
                     weights: Some(WeightsVersion::new(number(1))),
@@ -93,6 +94,7 @@
             }
             "busy" => {
                 let sample = LoadSample {
+                    pace: None,
                     server: ServerId::new("s"),
                     load: Some((number(1) as u32, 0)),
                     weights: None,
--- a/azureway-dev/src/engine/engine_state.rs
+++ b/azureway-dev/src/engine/engine_state.rs
@@ -88,6 +88,7 @@
             queued: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             pending: self.pending.get(),
             leaving: self.leaving,
+            pace: None,
             first,
             whole: snapshot,
             events: ops.iter().map(|op| CacheEvent::from(*op)).collect(),
--- a/azureway-dev/src/replay/engine_model.rs
+++ b/azureway-dev/src/replay/engine_model.rs
@@ -172,6 +172,7 @@
     fn report(&self) -> LoadReport {
         let all = self.running.iter().chain(&self.waiting);
         LoadReport {
+            pace: None,
             server: self.id.clone(),
             incarnation: self.incarnation,
             weights: self.weights,
--- a/azureway-entry/src/exchange/answer_metadata.rs
+++ b/azureway-entry/src/exchange/answer_metadata.rs
@@ -1,7 +1,7 @@
 //! The content of a site's headers for an answer: signature, rejection, load, weights, and what the
 //! server says of itself.
 
-use azureway_core::prelude::{Pause, RequestRate, WeightsVersion};
+use azureway_core::prelude::{Pace, Pause, RequestRate, WeightsVersion};
 
 /// The metadata of an answer, read from the site's own headers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     pub mismatch: bool,
     /// The number of requests running and queued at the server.
     pub load: Option<(u32, u32)>,
+    /// How long work takes on the server's machine at this moment.
+    pub pace: Option<Pace>,
     /// The version of the weights that the server answers with.
     pub weights: Option<WeightsVersion>,
     /// The rate of requests that the server takes from all senders.
--- a/azureway-entry/src/exchange/metadata_report.rs
+++ b/azureway-entry/src/exchange/metadata_report.rs
@@ -21,10 +21,12 @@
             }));
         }
         let (load, weights, rate_limit) = (metadata.load, metadata.weights, metadata.rate_limit);
-        if load.is_some() || weights.is_some() || rate_limit.is_some() {
+        let pace = metadata.pace;
+        if load.is_some() || pace.is_some() || weights.is_some() || rate_limit.is_some() {
             let _ = self.decide.send(DecideMessage::LoadSample(LoadSample {
                 server: self.dispatch.server.clone(),
                 load,
+                pace,
                 weights,
                 rate_limit,
             }));
--- a/azureway-entry/tests/dialect/mod.rs
+++ b/azureway-entry/tests/dialect/mod.rs
@@ -35,6 +35,7 @@
             rejected: head.get("x-not-run").is_some(),
             mismatch: head.status == 421,
             load: None,
+            pace: None,
             weights: None,
             rate_limit: None,
             pause: pause(head),
--- a/azureway-entry/tests/order.rs
+++ b/azureway-entry/tests/order.rs
@@ -108,6 +108,7 @@
 /// Returns the report of a server that has loaded weights version 1.
 fn report(name: &str) -> OrderMessage {
     OrderMessage::Report(LoadReport {
+        pace: None,
         server: ServerId::new(name),
         incarnation: Incarnation::new(1),
         weights: WeightsVersion::new(1),
--- a/azureway-entry/tests/order_holds.rs
+++ b/azureway-entry/tests/order_holds.rs
@@ -93,6 +93,7 @@
 /// Returns the report of a server that has loaded weights version 1.
 fn report(name: &str, incarnation: u64) -> LoadReport {
     LoadReport {
+        pace: None,
         server: ServerId::new(name),
         incarnation: Incarnation::new(incarnation),
         weights: WeightsVersion::new(1),
--- a/azureway-entry/tests/pause_forwarding.rs
+++ b/azureway-entry/tests/pause_forwarding.rs
@@ -32,6 +32,8 @@
 impl Subscribe for Unused {
     fn reconfigure(&mut self, _: &Fleet, _: &[(ServerId, Instant)]) {}
 
+    fn set_audience(&mut self, _: _: &Fleet, _: &[(ServerId, Instant)]) {}
+
     fn resync(&self, _: &ServerId) {}
 
     fn hold(&self, _: &ServerId, _: Instant) {}
@@ -51,6 +53,7 @@
 
 fn report(incarnation: u64) -> DecideMessage {
     DecideMessage::Load(LoadReport {
+        pace: None,
         server: ServerId::new("one"),
         incarnation: Incarnation::new(incarnation),
         weights: WeightsVersion::new(1),
--- a/azureway-wire/src/engine/feed_body.rs
+++ b/azureway-wire/src/engine/feed_body.rs
@@ -1,14 +1,14 @@
 //! The answer to a poll, from which an entry instance updates load and cache index.
 
 use azureway_core::prelude::{
-    CacheOp, Incarnation, LoadReport, ServerId, TokenCount, WeightsVersion,
+    CacheOp, Incarnation, LoadReport, Pace, ServerId, TokenCount, WeightsVersion,
 };
 use serde::{Deserialize, Serialize};
 
 use super::CacheEvent;
 
 /// The answer of an engine to a poll: its load and the events of its prefix cache.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct FeedBody {
     /// The incarnation of the engine.
     pub incarnation: u64,
@@ -23,6 +23,9 @@
     /// Whether the engine is shutting down.
     #[serde(default)]
     pub leaving: bool,
+    /// How long work takes on the engine's machine, in percent of the usual time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<f64>,
     /// The sequence number of the first event in `events`, or of the next event to come if `whole`
     /// is set.
     pub first: u64,
@@ -55,6 +58,7 @@
             queued: self.queued,
             pending: TokenCount::new(self.pending),
             leaving: self.leaving,
+            pace: self.pace.and_then(Pace::from_percent),
         }
     }
 
