--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -127,6 +127,7 @@
         millis("rollout", 8_000.0, 1.0),
     );
     let startup_grace = millis("settle", 0.0, 0.0);
+    let change_limit = millis("apply", 1_000.0, 1.0).min(millis("drain", 1_000.0, 1.0));
     let mut seconds = |key, default: f64| {
         Duration::from_secs_f64(reader.number(key, default, 1.0, 3_600.0, "seconds"))
     };
@@ -141,6 +142,7 @@
         lease_term,
         rollout_timeout,
         startup_grace,
+        change_limit,
         shutdown_grace,
     })
 }
--- a/azureway-config/src/settings/site_settings.rs
+++ b/azureway-config/src/settings/site_settings.rs
@@ -27,6 +27,8 @@
     pub rollout_timeout: Duration,
     /// The time after its start during which a process is not held to the platform's bounds.
     pub startup_grace: Duration,
+    /// The time within which a change of the platform's objects must be in force.
+    pub change_limit: Duration,
     /// The time from the signal to stop until the process must have ended.
     pub shutdown_grace: Duration,
 }
--- a/azureway-core/src/domain/model_service.rs
+++ b/azureway-core/src/domain/model_service.rs
@@ -20,6 +20,8 @@
     pub rollout: Option<Rollout>,
     /// Whether its servers can fetch cached blocks from one another.
     pub peer_fetch: bool,
+    /// The number of polls of its feed that a server holds at once, if it is bounded.
+    pub feed_limit: Option<u32>,
 }
 
 impl ModelService {
@@ -34,6 +36,7 @@
             request_kind: RequestKind::Repeatable,
             rollout: None,
             peer_fetch: false,
+            feed_limit: None,
         }
     }
 
@@ -72,6 +75,13 @@
         self
     }
 
+    /// Sets the number of polls of its feed that a server holds at once.
+    #[must_use]
+    pub fn with_feed_limit(mut self, limit: Option<u32>) -> Self {
+        self.feed_limit = limit;
+        self
+    }
+
     /// Returns whether a server that has loaded version `loaded` may answer a request for version
     /// `wanted` at `now`. A plain service has no weights and accepts any version.
     pub fn accepts_weights(
--- a/azureway-core/src/domain/pace.rs
+++ b/azureway-core/src/domain/pace.rs
@@ -37,7 +37,7 @@
     }
 
     /// Returns the pace of a factor, or the nearest one that the type can hold.
-    const fn from_factor(factor: f64) -> Self {
+    fn from_factor(factor: f64) -> Self {
         Self((factor / UNIT).round() as u32)
     }
 }
--- a/azureway-core/src/domain/timestamp.rs
+++ b/azureway-core/src/domain/timestamp.rs
@@ -32,6 +32,13 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the time that is `duration` earlier, or the origin if that is later.
+    #[must_use]
+    pub fn before(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Timestamp {
--- a/azureway-core/src/site/service.rs
+++ b/azureway-core/src/site/service.rs
@@ -13,6 +13,8 @@
     pub model: Option<ModelId>,
     /// Whether the servers fetch cached blocks from one another.
     pub peer_fetch: bool,
+    /// The number of polls of its feed that a server holds at once, if it is bounded.
+    pub feed_limit: Option<u32>,
     /// The address of the service if it is a store of cached blocks rather than a pool of servers.
     pub store: Option<SocketAddr>,
 }
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -251,6 +251,7 @@
             .with_weights(self.required_weights(site, model))
             .with_rollout(rollout)
             .with_peer_fetch(site.peer_fetch)
+            .with_feed_limit(site.feed_limit)
     }
 
     /// Returns the weights that a service should use. A server may already have newer ones than
--- a/azureway-core/src/watch/change_bound.rs
+++ b/azureway-core/src/watch/change_bound.rs
@@ -41,4 +41,12 @@
         self.reported_until = earliest.max(until);
         earliest
     }
+
+    /// Records an answer of a peer that knows every change until `until`, by this entry's clock. Returns the
+    /// earliest time at which the changes in it can have happened.
+    pub fn record_relayed(&mut self, until: Timestamp) -> Timestamp {
+        let earliest = self.reported_until;
+        self.reported_until = earliest.max(until);
+        earliest
+    }
 }
--- a/azureway-core/src/watch/entry_selector.rs
+++ b/azureway-core/src/watch/entry_selector.rs
@@ -1,5 +1,9 @@
 //! Selection of the entries that watch the platform, or do another task, for their zone.
 
+use std::cmp::Reverse;
+
+use smallvec::SmallVec;
+
 use crate::domain::{InstanceId, PrefixKey, ServerId};
 use crate::route::Rendezvous;
 
@@ -32,6 +36,18 @@
         higher.count() < self.count
     }
 
+    /// Returns the selected ones of `live` and `me`, the most preferred first.
+    pub fn select<'a>(
+        &self,
+        me: &'a InstanceId,
+        live: &'a [InstanceId],
+    ) -> SmallVec<[&'a InstanceId; 4]> {
+        let mut all: Vec<_> = live.iter().filter(|id| *id != me).collect();
+        all.push(me);
+        all.sort_by_cached_key(|id| Reverse((self.weight(id), *id)));
+        all.into_iter().take(self.count).collect()
+    }
+
     fn weight(&self, id: &InstanceId) -> u64 {
         self.rendezvous.weight(&ServerId::new(id.as_str()))
     }
--- a/azureway-core/src/watch/mod.rs
+++ b/azureway-core/src/watch/mod.rs
@@ -5,13 +5,17 @@
 mod disturbance;
 mod disturbance_meter;
 mod entry_selector;
+mod feed_audience;
 mod watch_schedule;
 mod watch_step;
+mod zone_readers;
 
 pub use answered_call::AnsweredCall;
 pub use change_bound::ChangeBound;
 pub use disturbance::Disturbance;
 pub use disturbance_meter::DisturbanceMeter;
 pub use entry_selector::EntrySelector;
+pub use feed_audience::FeedAudience;
 pub use watch_schedule::WatchSchedule;
 pub use watch_step::WatchStep;
+pub use zone_readers::ZoneReaders;
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -150,6 +150,7 @@
 fn a_server_with_newer_weights_than_named_keeps_them() {
     let mut state = SiteState::new(Vec::new(), Duration::ZERO);
     let service = SiteService {
+        feed_limit: None,
         id: ServiceId::new("orders"),
         model: Some(ModelId::new("m")),
         peer_fetch: true,
@@ -262,6 +263,7 @@
 fn a_server_of_an_unknown_service_gets_no_requests_and_the_others_hold() {
     let mut state = SiteState::new(Vec::new(), Duration::ZERO);
     let service = SiteService {
+        feed_limit: None,
         id: ServiceId::new("orders"),
         model: Some(ModelId::new("m")),
         peer_fetch: false,
--- a/azureway-core/tests/site_runs/store.rs
+++ b/azureway-core/tests/site_runs/store.rs
@@ -33,6 +33,7 @@
             document: SiteDocument {
                 version: ConfigVersion::new(1),
                 services: vec![SiteService {
+                    feed_limit: None,
                     id: ServiceId::new(SERVICE),
                     model: Some(ModelId::new(MODEL)),
                     peer_fetch: true,
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -142,6 +142,7 @@
 
 fn service() -> SiteService {
     SiteService {
+        feed_limit: None,
         id: ServiceId::new("advice"),
         model: Some(ModelId::new("m")),
         peer_fetch: true,
--- /dev/null
+++ b/azureway-core/tests/zone_readers.rs
@@ -0,0 +1,62 @@
+//! Tests of which entries read the platform for their zone. The pattern: hundreds of entries that would each
+//! ask the platform for the same.
+
+use azureway_core::prelude::*;
+use googletest::prelude::*;
+
+fn entries(count: usize) -> Vec<InstanceId> {
+    (0..count)
+        .map(|n| InstanceId::new(&format!("entry-{n}")))
+        .collect()
+}
+
+fn others(all: &[InstanceId], me: &InstanceId) -> Vec<InstanceId> {
+    all.iter().filter(|id| *id != me).cloned().collect()
+}
+
+fn readers(all: &[InstanceId]) -> Vec<&InstanceId> {
+    let reads = |me: &&InstanceId| ZoneReaders::choose(me, &others(all, me), 0).is_none();
+    all.iter().filter(reads).collect()
+}
+
+#[gtest]
+fn two_entries_of_a_zone_read_the_platform_whatever_their_number() {
+    for (count, expected) in [(1, 1), (2, 2), (3, 2), (5, 2), (50, 2), (400, 2)] {
+        expect_that!(readers(&entries(count)).len(), eq(expected), "{count}");
+    }
+}
+
+#[gtest]
+fn the_others_ask_a_reader_and_another_one_after_a_failure() {
+    let all = entries(50);
+    let readers = readers(&all);
+    let mut asked = std::collections::BTreeSet::new();
+    for me in all.iter().filter(|id| !readers.contains(id)) {
+        let known = others(&all, me);
+        let first = ZoneReaders::choose(me, &known, 0).expect("a reader");
+        let second = ZoneReaders::choose(me, &known, 1).expect("a reader");
+        expect_true!(readers.contains(&first) && readers.contains(&second));
+        expect_that!(first, not(eq(second)));
+        expect_that!(ZoneReaders::choose(me, &known, 2), some(eq(first)));
+        asked.insert(first.clone());
+    }
+    // Both readers are asked, so neither has to answer all.
+    expect_that!(asked.len(), eq(2));
+}
+
+#[gtest]
+fn a_lost_reader_is_replaced() {
+    let all = entries(50);
+    let lost = readers(&all)[0].clone();
+    let left = others(&all, &lost);
+    let now = readers(&left);
+    expect_that!(now.len(), eq(2));
+    expect_true!(!now.contains(&&lost));
+}
+
+/// An entry that no peer reaches must keep every bound by itself.
+#[gtest]
+fn an_entry_that_knows_no_peer_reads_the_platform() {
+    let me = InstanceId::new("entry-1");
+    expect_that!(ZoneReaders::choose(&me, &[], 0), none());
+}
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -20,6 +20,7 @@
 use crate::peer::PeerMessage;
 use crate::routed::{DisconnectWatcher, RoutedCallReader, RoutedListener, ServingState};
 use crate::site::{SITE_CALL_TIMEOUT, SiteDuty, SiteKind, SiteUpdate, SiteWatcher};
+use crate::zone::{ZoneClient, ZoneLink};
 
 /// A running entry daemon that serves a [`Site`].
 pub struct Gateway {
@@ -230,6 +231,9 @@
             BATCH_DELAY,
             BACKOFF_CAP,
         );
+        let relays = site_settings.change_limit >= ZoneLink::MIN_LIMIT;
+        let client = ZoneClient::new(rings.peer.clone());
+        let zone = relays.then(|| ZoneLink::new(client, Arc::clone(&rings.zone)));
         let (api, updates) = (api.clone(), update_tx.clone());
         let watcher = SiteWatcher::new(
             api,
@@ -239,7 +243,8 @@
             rings.clock,
             schedule,
             named_since,
-        );
+        )
+        .with_zone(zone);
         spawn(kind.as_str(), move || watcher.run())?;
     }
     let duty = SiteDuty::new(
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -14,6 +14,7 @@
 use crate::order::OrderMessage;
 use crate::peer::{PeerMessage, PeerRings};
 use crate::watch::{SelectionNotifier, WatchMessage};
+use crate::zone::ZoneCache;
 
 /// Both ends of every ring between the duties, and the state that the duties share.
 #[derive(Debug)]
@@ -54,6 +55,8 @@
     pub ready_rx: Receiver<()>,
     /// Whether the daemon is ready to serve requests.
     pub ready: Arc<AtomicBool>,
+    /// What the entry reads of the platform, for its zone.
+    pub zone: Arc<ZoneCache>,
     /// The daemon's monotonic clock.
     pub clock: Clock,
 }
@@ -73,7 +76,9 @@
         let (watch, watch_messages) = flume::bounded(WATCH_RING);
         let (guard, closed) = flume::bounded(0);
         let (ready_tx, ready_rx) = flume::bounded(1);
+        let clock = Clock::new();
         Self {
+            zone: Arc::new(ZoneCache::new(clock)),
             admit,
             admit_messages,
             decide,
@@ -92,7 +97,7 @@
             ready_tx,
             ready_rx,
             ready: Arc::new(AtomicBool::new(false)),
-            clock: Clock::new(),
+            clock,
         }
     }
 
@@ -113,6 +118,7 @@
             decide: self.decide.clone(),
             meter: self.meter.clone(),
             selection,
+            zone: Arc::clone(&self.zone),
             clock: self.clock,
         }
     }
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -140,6 +140,7 @@
             }
             DecideMessage::Query(query) => self.answer_query(query),
             DecideMessage::Peer(update) => self.handle_peer_update(&update),
+            DecideMessage::Audience(audience) => self.set_audience(audience),
             DecideMessage::QuarantineChanged(c) => self.handle_event(Event::QuarantineChanged(&c)),
             DecideMessage::QuarantinesLost => self.handle_event(Event::QuarantinesLost),
             DecideMessage::Leaving(list) => self.handle_event(Event::Leaving(&list)),
@@ -195,6 +196,12 @@
         log::info!(step = "configure", version:% = fleet.version; "a configuration is in force");
     }
 
+    fn set_audience(&mut self, audience: FeedAudience) {
+        let held = self.held_servers();
+        self.feeds
+            .set_audience(audience, self.router.fleet(), &held);
+    }
+
     fn handle_finish(&mut self, finish: &Finish) {
         let metric = self.requests.finish(finish, self.clock.now());
         metric.into_iter().for_each(|m| self.record_metric(m));
--- a/azureway-entry/src/decide/message.rs
+++ b/azureway-entry/src/decide/message.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use azureway_core::prelude::{
-    Attempt, ClaimOutcome, ConfigVersion, Failure, Finish, Fleet, LoadReport, LoadSample,
-    PauseNotice, QuarantineChange, RequestId, ServerId, ServerUpdate, ShortAnswer,
+    Attempt, ClaimOutcome, ConfigVersion, Failure, FeedAudience, Finish, Fleet, LoadReport,
+    LoadSample, PauseNotice, QuarantineChange, RequestId, ServerId, ServerUpdate, ShortAnswer,
 };
 use flume::Sender;
 
@@ -47,6 +47,8 @@
     Query(Query),
     /// An update from other entry instances.
     Peer(PeerUpdate),
+    /// The live entry instances have changed, and with them the feeds that this one reads.
+    Audience(FeedAudience),
     /// The quarantined parts that the platform stores have changed.
     QuarantineChanged(QuarantineChange),
     /// The platform was restored from a copy and may have lost quarantined parts.
--- a/azureway-entry/src/feed/feed_readers.rs
+++ b/azureway-entry/src/feed/feed_readers.rs
@@ -19,6 +19,7 @@
     budget: Arc<FeedBudget>,
     seed: u64,
     controls: BTreeMap<ServerId, Arc<ReaderControl>>,
+    audience: Option<FeedAudience>,
 }
 
 /// The stack size of a reader thread, in bytes.
@@ -34,6 +35,7 @@
             budget: Arc::new(budget),
             seed,
             controls: BTreeMap::new(),
+            audience: None,
         }
     }
 
@@ -67,9 +69,10 @@
 }
 
 impl<S: FeedSource> Subscribe for FeedReaders<S> {
-    /// Starts and stops threads so that each model engine of `fleet` has exactly one reader.
+    /// Starts and stops threads so that each model engine of `fleet` whose feed this entry reads has
+    /// exactly one reader.
     fn reconfigure(&mut self, fleet: &Fleet, held: &[(ServerId, Instant)]) {
-        let engines = engines(fleet);
+        let engines = engines(fleet, self.audience.as_ref());
         self.controls.retain(|id, control| {
             let kept = engines
                 .iter()
@@ -91,6 +94,17 @@
         }
     }
 
+    fn set_audience(
+        &mut self,
+        audience: FeedAudience,
+        fleet: &Fleet,
+        held: &[(ServerId, Instant)],
+    ) {
+        self.audience = Some(audience);
+        self.reconfigure(fleet, held);
+        log::info!(step = "news", read = self.controls.len(), servers = fleet.servers.len(); "the feeds that are read here were selected");
+    }
+
     fn resync(&self, server: &ServerId) {
         if let Some(control) = self.controls.get(server) {
             control.resync();
@@ -108,11 +122,15 @@
     }
 }
 
-/// Returns the backend servers whose pool serves a model.
-fn engines(fleet: &Fleet) -> Vec<&BackendServer> {
-    let serves = |s: &&BackendServer| {
-        let of_pool = |m: &ModelService| m.pool == s.pool && m.kind == ServiceKind::Model;
-        fleet.services.values().any(of_pool)
+/// Returns the backend servers whose pool serves a model, as far as this entry reads their feeds.
+fn engines<'a>(fleet: &'a Fleet, audience: Option<&FeedAudience>) -> Vec<&'a BackendServer> {
+    let is_read = |server: &&BackendServer| {
+        let of_pool = |m: &&ModelService| m.pool == server.pool && m.kind == ServiceKind::Model;
+        let mut services = fleet.services.values().filter(of_pool);
+        services.any(|service| match service.feed_limit {
+            Some(limit) => audience.is_some_and(|a| a.includes(server, limit)),
+            None => true,
+        })
     };
-    fleet.servers.values().filter(serves).collect()
+    fleet.servers.values().filter(is_read).collect()
 }
--- a/azureway-entry/src/feed/subscribe.rs
+++ b/azureway-entry/src/feed/subscribe.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use azureway_core::prelude::{Fleet, ServerId};
+use azureway_core::prelude::{FeedAudience, Fleet, ServerId};
 
 /// Subscribes to the load reports and cache events of the configured backend servers.
 pub trait Subscribe {
@@ -10,6 +10,10 @@
     /// polled before the time given with it, even if its subscription is new.
     fn reconfigure(&mut self, fleet: &Fleet, held: &[(ServerId, Instant)]);
 
+    /// Selects the servers whose feed this entry reads, of those whose number of polls is bounded. Before
+    /// the first call it reads none of these.
+    fn set_audience(&mut self, audience: FeedAudience, fleet: &Fleet, held: &[(ServerId, Instant)]);
+
     /// Requests a full snapshot of a server's cache.
     fn resync(&self, server: &ServerId);
 
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod routed;
 pub mod site;
 pub mod watch;
+pub mod zone;
--- a/azureway-entry/src/peer/peer_call.rs
+++ b/azureway-entry/src/peer/peer_call.rs
@@ -1,6 +1,11 @@
 //! One outgoing call to a peer, run as a task of the peer duty.
 
-use azureway_core::prelude::{ConfigVersion, Error, ErrorKind, Heartbeat, Instance, Step};
+use std::time::Duration;
+
+use azureway_core::prelude::{
+    ConfigVersion, Error, ErrorKind, Heartbeat, Instance, Step, StoreEra,
+};
+use azureway_wire::object::ObjectList;
 use azureway_wire::peer;
 use flume::Sender;
 use tokio::sync::OwnedSemaphorePermit;
@@ -8,6 +13,7 @@
 use tonic::transport::Channel;
 
 use super::{Document, PeerConnections, PeerMessage};
+use crate::zone::{ZoneChanges, ZoneClient, ZoneRequest};
 
 /// A single call to a peer, which reports its result to the peer duty.
 #[derive(Debug)]
@@ -74,6 +80,33 @@
         let _ = self.messages.send_async(message).await;
     }
 
+    /// Asks the peer for changes of the platform, and passes them to `reply`.
+    pub async fn changes(
+        self,
+        request: ZoneRequest,
+        reply: Sender<Option<Result<ZoneChanges, ()>>>,
+    ) {
+        let message = peer::ChangesRequest {
+            kind: request.kind as u32,
+            era: request.era.map(StoreEra::get),
+            after: request.after,
+            wait_ms: u32::try_from(request.wait.as_millis()).unwrap_or(u32::MAX),
+        };
+        let mut client = peer::PeerClient::new(self.channel.clone());
+        let limit = request.wait + ZoneClient::TIMEOUT;
+        let answer = tokio::time::timeout(limit, client.changes(message)).await;
+        let answer = match answer {
+            Ok(Ok(answer)) => Ok(read_changes(answer.into_inner())),
+            Ok(Err(status)) => Err(status),
+            Err(_) => Err(Status::deadline_exceeded("no answer")),
+        };
+        let answer = answer.map_err(|e| {
+            log::debug!(step = "ask zone", peer:% = self.peer.id, kind = request.kind.as_str(), error:% = e; "a peer has no recent changes of the platform");
+        });
+        // The watcher may have given up.
+        let _ = reply.try_send(Some(answer));
+    }
+
     fn error(&self, status: &Status) -> Error {
         Error::new(ErrorKind::Unavailable, Step::new("exchange"), status).with_peer(&self.peer.id)
     }
@@ -87,3 +120,15 @@
 fn read(answer: &peer::Heartbeat) -> Result<Heartbeat, Error> {
     answer.try_into()
 }
+
+fn read_changes(reply: peer::ChangesReply) -> ZoneChanges {
+    ZoneChanges {
+        list: ObjectList {
+            version: reply.version,
+            objects: reply.objects.into_iter().map(Into::into).collect(),
+        },
+        age: Duration::from_micros(reply.age_us),
+        held: Duration::from_micros(reply.held_us),
+        recovered: reply.recovered_us.map(Duration::from_micros),
+    }
+}
--- a/azureway-entry/src/peer/peer_connections.rs
+++ b/azureway-entry/src/peer/peer_connections.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Default)]
 pub struct PeerConnections {
     connections: BTreeMap<InstanceId, (SocketAddr, Channel)>,
+    /// The open connection to the peer that reads the platform for this one.
+    long: BTreeMap<InstanceId, (SocketAddr, Channel)>,
 }
 
 /// The maximum number of connections that are kept for reuse. Beyond it, the connection to the peer
@@ -47,10 +49,29 @@
         Ok(channel)
     }
 
+    /// Returns the stored connection for long calls to a peer, or a new one. Calls over it set their own
+    /// limits, and do not hold up heartbeats.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer's address is invalid.
+    pub fn get_long(&mut self, peer: &Instance) -> Result<Channel, Error> {
+        match self.long.get(&peer.id) {
+            Some((address, channel)) if *address == peer.address => return Ok(channel.clone()),
+            _ => {}
+        }
+        let channel = Self::endpoint(peer)?.connect_lazy();
+        let entry = (peer.address, channel.clone());
+        self.long.clear();
+        self.long.insert(peer.id.clone(), entry);
+        Ok(channel)
+    }
+
     /// Drops the stored connection to a peer that did not answer, so that the next call opens a new
     /// one. The old connection may be stuck while the peer is reachable.
     pub fn close(&mut self, peer: &InstanceId) {
         self.connections.remove(peer);
+        self.long.remove(peer);
     }
 
     /// Returns a new connection to a peer without storing it for reuse.
@@ -59,13 +80,14 @@
     ///
     /// Returns an error if the peer's address is invalid.
     pub fn open(peer: &Instance) -> Result<Channel, Error> {
+        Ok(Self::endpoint(peer)?.timeout(CALL_TIMEOUT).connect_lazy())
+    }
+
+    fn endpoint(peer: &Instance) -> Result<Endpoint, Error> {
         const STEP: Step = Step::new("open peer link");
         let endpoint = Endpoint::from_shared(format!("http://{}", peer.address));
         let endpoint =
             endpoint.map_err(|e| Error::new(ErrorKind::Invalid, STEP, e).with_peer(&peer.id))?;
-        Ok(endpoint
-            .connect_timeout(CONNECT_TIMEOUT)
-            .timeout(CALL_TIMEOUT)
-            .connect_lazy())
+        Ok(endpoint.connect_timeout(CONNECT_TIMEOUT))
     }
 }
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -16,6 +16,7 @@
 use crate::admit::AdmitMessage;
 use crate::decide::{DecideMessage, PeerUpdate};
 use crate::meter::MetricEvent;
+use crate::zone::{ZoneChanges, ZoneRequest};
 
 /// The peer duty: feeds events into the membership protocol and executes its actions.
 ///
@@ -31,6 +32,10 @@
     gate: VersionGate,
     actions: Vec<PeerAction>,
     rounds: u64,
+    /// Whether the platform's list of entry instances was read.
+    listed: bool,
+    /// The audience of feeds that the deciding duty was told last.
+    audience: Option<FeedAudience>,
 }
 
 /// The longest wait for a message. The next wake-up may lie too far in the future for a timer.
@@ -51,6 +56,8 @@
             gate: VersionGate::new(),
             actions: Vec::new(),
             rounds: 0,
+            listed: false,
+            audience: None,
         }
     }
 
@@ -70,7 +77,7 @@
     /// Runs until the daemon stops, and serves peers on `listener`.
     pub fn run(mut self, runtime: &Runtime, listener: TcpListener) {
         runtime.block_on(async {
-            let service = PeerService::new(self.rings.peer.clone());
+            let service = PeerService::new(self.rings.peer.clone(), Arc::clone(&self.rings.zone));
             let server = tokio::spawn(service.serve(listener));
             self.handle(PeerEvent::Tick).await;
             while let Some(message) = self.receive().await {
@@ -96,7 +103,11 @@
         match message {
             None | Some(PeerMessage::Stop) => self.handle(PeerEvent::Tick).await,
             Some(PeerMessage::Configured(document)) => self.record_document(document).await,
-            Some(PeerMessage::Listed(list)) => self.handle(PeerEvent::Listed(&list)).await,
+            Some(PeerMessage::Listed(list)) => {
+                self.listed = true;
+                self.handle(PeerEvent::Listed(&list)).await;
+                self.send_audience().await;
+            }
             Some(PeerMessage::Demand(demand)) => self.handle(PeerEvent::Demand(&demand)).await,
             Some(PeerMessage::CrashReport(report)) => {
                 self.handle(PeerEvent::CrashReport(&report)).await
@@ -125,6 +136,7 @@
             Some(PeerMessage::FetchFailed(peer)) => {
                 self.handle(PeerEvent::FetchFailed(&peer)).await
             }
+            Some(PeerMessage::AskZone(request, reply)) => self.ask_zone(request, reply),
             Some(PeerMessage::Leave) => self.handle(PeerEvent::Leaving).await,
         }
     }
@@ -192,11 +204,33 @@
         if self.rounds % NOTIFY_ROUNDS == 1 {
             self.notify_selection();
         }
+        self.send_audience().await;
         let known = self.membership.peers().known_count() + 1;
         self.send_decide(DecideMessage::Peer(PeerUpdate::HeartbeatRound(known)))
             .await;
     }
 
+    /// Tells the deciding duty which entries read feeds, if they have changed. Before the first list of
+    /// entries this one cannot know how many there are, and reads none.
+    async fn send_audience(&mut self) {
+        if !self.listed {
+            return;
+        }
+        // Instances that were listed and not heard yet count, since all may have started at once.
+        let peers = self.membership.peers().iter();
+        let peers = peers.filter(|m| !m.latest.liveness.is_gone());
+        let others = peers.map(|m| {
+            let instance = &m.latest.instance;
+            (instance.id.clone(), instance.zone.clone())
+        });
+        let me = self.membership.me();
+        let audience = FeedAudience::new(me.id.clone(), me.zone.clone(), others.collect());
+        if self.audience.as_ref() != Some(&audience) {
+            self.audience = Some(audience.clone());
+            self.send_decide(DecideMessage::Audience(audience)).await;
+        }
+    }
+
     /// Sends to the deciding duty and waits while its ring is full. The deciding duty never waits
     /// for this one, so they cannot deadlock.
     async fn send_decide(&self, message: DecideMessage) {
@@ -204,10 +238,48 @@
     }
 
     fn notify_selection(&self) {
+        self.rings.selection.notify(&self.live_in_zone());
+    }
+
+    fn live_in_zone(&self) -> Vec<InstanceId> {
         let zone = &self.membership.me().zone;
         let live = self.membership.peers().live_in_zone(zone);
-        let live: Vec<_> = live.map(|m| m.latest.instance.id.clone()).collect();
-        self.rings.selection.notify(&live);
+        live.map(|m| m.latest.instance.id.clone()).collect()
+    }
+
+    /// Returns the peers of the zone that may live. Those that were listed and not heard yet are among them,
+    /// since all may have started at once.
+    fn known_in_zone(&self) -> Vec<InstanceId> {
+        let peers = self.membership.peers();
+        let known = peers.in_zone(&self.membership.me().zone);
+        let known = known.filter(|m| !m.latest.liveness.is_gone());
+        known.map(|m| m.latest.instance.id.clone()).collect()
+    }
+
+    /// Asks a peer that reads the platform for the zone, unless this instance does so.
+    fn ask_zone(
+        &mut self,
+        request: ZoneRequest,
+        reply: flume::Sender<Option<Result<ZoneChanges, ()>>>,
+    ) {
+        let known = self.known_in_zone();
+        let me = &self.membership.me().id;
+        let reader = ZoneReaders::choose(me, &known, request.attempt);
+        let member = reader.and_then(|id| self.membership.peers().get(id));
+        let Some(instance) = member.map(|m| m.latest.instance.clone()) else {
+            let _ = reply.try_send(None);
+            return;
+        };
+        match self.connections.get_long(&instance) {
+            Ok(channel) => {
+                let call = PeerCall::new(instance, channel, self.rings.peer.clone());
+                tokio::spawn(call.changes(request, reply));
+            }
+            Err(e) => {
+                log::error!(step = e.step().as_str(), error:% = e; "cannot connect to a peer");
+                let _ = reply.try_send(Some(Err(())));
+            }
+        }
     }
 
     fn send(&mut self, peer: Instance, heartbeat: &Heartbeat) {
--- a/azureway-entry/src/peer/peer_rings.rs
+++ b/azureway-entry/src/peer/peer_rings.rs
@@ -1,5 +1,7 @@
 //! The parts of the daemon that the peer duty needs: rings, clock and selection notifier.
 
+use std::sync::Arc;
+
 use flume::{Receiver, Sender};
 
 use super::PeerMessage;
@@ -8,6 +10,7 @@
 use crate::decide::DecideMessage;
 use crate::meter::MetricEvent;
 use crate::watch::SelectionNotifier;
+use crate::zone::ZoneCache;
 
 /// The rings that the peer duty sends to and receives from.
 #[derive(Debug)]
@@ -24,6 +27,8 @@
     pub meter: Sender<MetricEvent>,
     /// Notifies the duties that only a few selected entry instances of the zone perform.
     pub selection: SelectionNotifier,
+    /// What this entry reads of the platform, from which peers are answered.
+    pub zone: Arc<ZoneCache>,
     /// The clock of the daemon.
     pub clock: Clock,
 }
--- a/azureway-entry/src/peer/peer_service.rs
+++ b/azureway-entry/src/peer/peer_service.rs
@@ -1,8 +1,10 @@
 //! Incoming gRPC calls of peers, which the peer duty answers.
 
 use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
 
-use azureway_core::prelude::{ConfigVersion, Heartbeat};
+use azureway_core::prelude::{ConfigVersion, Heartbeat, StoreEra};
 use azureway_wire::peer;
 use flume::Sender;
 use tonic::transport::Server;
@@ -10,21 +12,28 @@
 use tonic::{Request, Response, Status};
 
 use super::PeerMessage;
+use crate::site::SiteKind;
+use crate::zone::{ZoneCache, ZoneRequest};
 
 /// The gRPC service that peers call. It forwards each call to the peer duty and waits for the
 /// answer.
 #[derive(Clone, Debug)]
 pub struct PeerService {
     peer: Sender<PeerMessage>,
+    zone: Arc<ZoneCache>,
 }
 
 /// The maximum size of a message from a peer, in bytes.
 const MESSAGE_MAX: usize = 256 * 1024;
 
+/// The longest time for which a peer's request is held.
+const WAIT_MAX: Duration = Duration::from_secs(10);
+
 impl PeerService {
-    /// Creates a service that forwards calls to the ring `peer`.
-    pub const fn new(peer: Sender<PeerMessage>) -> Self {
-        Self { peer }
+    /// Creates a service that forwards calls to the ring `peer`, and answers those for changes of the
+    /// platform from `zone`.
+    pub const fn new(peer: Sender<PeerMessage>, zone: Arc<ZoneCache>) -> Self {
+        Self { peer, zone }
     }
 
     /// Serves peers on `listener` until the task is aborted.
@@ -84,4 +93,34 @@
         });
         Ok(Response::new(reply))
     }
+
+    async fn changes(
+        &self,
+        request: Request<peer::ChangesRequest>,
+    ) -> Result<Response<peer::ChangesReply>, Status> {
+        let request = read_request(request.get_ref())?;
+        let changes = self.zone.wait(&request).await;
+        let unknown = || Status::unavailable("the changes are not known here");
+        let changes = changes.ok_or_else(unknown)?;
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        Ok(Response::new(peer::ChangesReply {
+            version: changes.list.version,
+            age_us: micros(changes.age),
+            held_us: micros(changes.held),
+            recovered_us: changes.recovered.map(micros),
+            objects: changes.list.objects.into_iter().map(Into::into).collect(),
+        }))
+    }
+}
+
+fn read_request(request: &peer::ChangesRequest) -> Result<ZoneRequest, Status> {
+    let index = usize::try_from(request.kind).ok();
+    let kind = index.and_then(|i| SiteKind::ALL.get(i).copied());
+    Ok(ZoneRequest {
+        kind: kind.ok_or_else(|| Status::invalid_argument("no such kind of objects"))?,
+        era: request.era.map(StoreEra::new),
+        after: request.after,
+        wait: Duration::from_millis(request.wait_ms.into()).min(WAIT_MAX),
+        attempt: 0,
+    })
 }
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -12,6 +12,7 @@
 
 use super::{RejectedObjects, SITE_CALL_TIMEOUT, SiteCodec, SiteKind, SiteUpdate};
 use crate::clock::Clock;
+use crate::zone::{ZoneChanges, ZoneLink};
 
 /// Watches one kind of platform object of a site and sends the decoded updates to the site duty.
 #[derive(Debug)]
@@ -32,6 +33,8 @@
     /// The earliest time at which the changes in the last answer can have happened.
     earliest: Timestamp,
     disturbances: DisturbanceMeter,
+    /// The link to the readers of the zone, if the platform may be read through them.
+    zone: Option<ZoneLink>,
     rejected: RefCell<RejectedObjects>,
 }
 
@@ -60,10 +63,18 @@
             bound: ChangeBound::new(named_since),
             earliest: named_since,
             disturbances: DisturbanceMeter::new(SITE_CALL_TIMEOUT),
+            zone: None,
             rejected: RefCell::default(),
         }
     }
 
+    /// Sets the link to the readers of the zone.
+    #[must_use]
+    pub fn with_zone(mut self, zone: Option<ZoneLink>) -> Self {
+        self.zone = zone;
+        self
+    }
+
     /// Runs until the site duty ends.
     pub fn run(mut self) {
         let kind = self.codec.kind(self.kind);
@@ -79,6 +90,12 @@
                     (self.api.list(kind), Duration::ZERO)
                 }
                 WatchStep::Watch(after, wait) => {
+                    if let Some(changes) = self.ask_zone(after, wait, started) {
+                        if !self.handle_changes(&changes, after, started) {
+                            return;
+                        }
+                        continue;
+                    }
                     self.listed = false;
                     (self.api.watch(kind, after, wait), wait)
                 }
@@ -103,6 +120,7 @@
                 self.log_lateness(call, list.objects.len());
                 self.earliest = self.bound.record(call, list.objects.len());
                 self.schedule.record_success(list.version, now);
+                self.keep_for_zone(&list);
                 self.send_disturbance() && self.send_updates(&list) && self.send_listed_until()
             }
             Err(e) => {
@@ -116,6 +134,43 @@
         }
     }
 
+    /// Asks a reader of the zone, unless the platform has just failed: then this entry finds out itself when
+    /// it is back.
+    fn ask_zone(&mut self, after: u64, wait: Duration, now: Timestamp) -> Option<ZoneChanges> {
+        let zone = self.zone.as_mut().filter(|_| !wait.is_zero())?;
+        zone.ask(self.kind, self.api.era(), after, now)
+    }
+
+    /// Handles the answer of a reader of the zone to a request that was sent at `started`. Returns whether
+    /// the site duty still receives updates.
+    fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, started: Timestamp) -> bool {
+        // The reader took the request after it was sent, so this is the earliest time of its answer.
+        let answered = started + changes.held;
+        let until = answered.before(changes.age);
+        let now = self.clock.now();
+        self.listed = false;
+        self.earliest = self.bound.record_relayed(until);
+        if let Some(ago) = changes.recovered {
+            self.recovered = self.recovered.max(Some(answered.before(ago)));
+        }
+        let version = changes.list.version.max(after);
+        self.schedule.record_success(version, now);
+        if let Some(zone) = &mut self.zone
+            && now > self.bound.reported_until() + ZoneLink::MIN_LIMIT
+        {
+            zone.reject(now);
+        }
+        self.send_updates(&changes.list) && self.send_listed_until()
+    }
+
+    /// Keeps an answer of the platform for the other entries of the zone.
+    fn keep_for_zone(&self, list: &ObjectList) {
+        if let Some(zone) = &self.zone {
+            let times = (self.bound.reported_until(), self.recovered);
+            zone.record(self.kind, self.api.era(), self.listed, list, times);
+        }
+    }
+
     /// Logs an answer that took much longer than its call allows. What it reports is out of date.
     fn log_lateness(&self, call: &AnsweredCall, changes: usize) {
         if call.is_late() {
--- a/azureway-entry/src/watch/registrar.rs
+++ b/azureway-entry/src/watch/registrar.rs
@@ -30,6 +30,10 @@
 /// The longest delay between two reads of the list.
 const MAX_DELAY: Duration = Duration::from_secs(60);
 
+/// The delay from which on an older list will do. Instances that started together have found each other by
+/// then.
+const STALE_DELAY: Duration = Duration::from_millis(4_000);
+
 impl<A: ObjectApi> Registrar<A> {
     /// Creates the duty that registers the instance `me` with `body`.
     pub const fn new(
@@ -51,7 +55,7 @@
     pub fn run(mut self) {
         let mut delay = MIN_DELAY;
         loop {
-            let result = self.register().and_then(|()| self.list());
+            let result = self.register().and_then(|()| self.list(delay));
             match result {
                 Ok(true) => delay = (delay * 2).min(MAX_DELAY),
                 Ok(false) => return,
@@ -102,8 +106,11 @@
     }
 
     /// Reads the list and sends it to the peer duty. Returns whether the peer duty still runs.
-    fn list(&self) -> Result<bool, Error> {
-        let list = self.api.list(INSTANCE_KIND)?;
+    fn list(&self, delay: Duration) -> Result<bool, Error> {
+        let list = match delay < STALE_DELAY {
+            true => self.api.list(INSTANCE_KIND)?,
+            false => self.api.list_stale(INSTANCE_KIND)?,
+        };
         let InstanceList { entries, .. } = InstanceList::from(&list);
         Ok(self.peer.send(PeerMessage::Listed(entries)).is_ok())
     }
--- /dev/null
+++ b/azureway-entry/src/zone/kind_cache.rs
@@ -0,0 +1,80 @@
+//! The objects of one kind, as this entry last read them from the platform.
+
+use std::collections::BTreeMap;
+
+use azureway_core::prelude::{StoreEra, Timestamp};
+use azureway_wire::object::{ObjectBody, ObjectList};
+
+/// The objects of a kind with the versions at which they changed, deleted ones included.
+#[derive(Clone, Debug, Default)]
+pub struct KindCache {
+    era: Option<StoreEra>,
+    /// The version from which on every change is known. It is `None` before the first list.
+    first: Option<u64>,
+    version: u64,
+    /// The time until which every change is known.
+    until: Timestamp,
+    recovered: Option<Timestamp>,
+    objects: BTreeMap<String, ObjectBody>,
+}
+
+/// The largest number of objects that are kept, which bounds memory. Beyond it callers read the platform
+/// themselves.
+const MAX_OBJECTS: usize = 8_192;
+
+impl KindCache {
+    /// Records an answer of the platform, which is a list of all objects if `listed`. Every change until
+    /// `until` is known with it.
+    pub fn record(
+        &mut self,
+        era: Option<StoreEra>,
+        listed: bool,
+        list: &ObjectList,
+        until: Timestamp,
+        recovered: Option<Timestamp>,
+    ) {
+        if era != self.era || listed {
+            // A list does not tell what was deleted before, so changes are known from here on.
+            self.objects.clear();
+            self.first = listed.then_some(list.version);
+        }
+        self.era = era;
+        for object in &list.objects {
+            let mut object = object.clone();
+            if object.deleted {
+                object.value = String::new();
+            }
+            if object.deleted || object.version == 0 {
+                // The version of the change is not told. It is at most that of the answer.
+                object.version = list.version;
+            }
+            self.objects.insert(object.name.clone(), object);
+        }
+        if self.objects.len() > MAX_OBJECTS {
+            self.objects.clear();
+            self.first = None;
+        }
+        (self.version, self.until, self.recovered) = (list.version, until, recovered);
+    }
+
+    /// Returns the changes after version `after`, or `None` if they are not all known or the caller knows
+    /// another era.
+    pub fn changes(&self, era: Option<StoreEra>, after: u64) -> Option<ObjectList> {
+        let known = self.first.is_some_and(|first| after >= first) && era == self.era;
+        let changed = self.objects.values().filter(|o| o.version > after);
+        known.then(|| ObjectList {
+            version: self.version.max(after),
+            objects: changed.cloned().collect(),
+        })
+    }
+
+    /// Returns the time until which every change is known.
+    pub const fn until(&self) -> Timestamp {
+        self.until
+    }
+
+    /// Returns the time at which this entry recovered from the last outage of the platform that it saw.
+    pub const fn recovered(&self) -> Option<Timestamp> {
+        self.recovered
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/zone/zone_cache.rs
@@ -0,0 +1,84 @@
+//! What this entry reads of the platform, from which it answers the other entries of its zone.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azureway_core::prelude::{StoreEra, Timestamp};
+use azureway_wire::object::ObjectList;
+use tokio::sync::watch;
+
+use super::{KindCache, ZoneChanges, ZoneRequest};
+use crate::clock::Clock;
+use crate::site::SiteKind;
+
+/// The objects of each kind, as this entry last read them from the platform, and a signal of each change.
+#[derive(Debug)]
+pub struct ZoneCache {
+    kinds: [(Mutex<KindCache>, watch::Sender<()>); SiteKind::ALL.len()],
+    clock: Clock,
+}
+
+/// The longest time beyond a watch for which this entry answers by its last one. A watch that takes longer
+/// may hang, and what it would have reported is missing.
+const OVERDUE_TIME: Duration = Duration::from_millis(400);
+
+impl ZoneCache {
+    /// Creates an empty cache.
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            kinds: std::array::from_fn(|_| (Mutex::default(), watch::Sender::new(()))),
+            clock,
+        }
+    }
+
+    /// Records an answer of the platform, as [`KindCache::record`] does.
+    pub fn record(
+        &self,
+        kind: SiteKind,
+        era: Option<StoreEra>,
+        listed: bool,
+        list: &ObjectList,
+        (until, recovered): (Timestamp, Option<Timestamp>),
+    ) {
+        self.lock(kind).record(era, listed, list, until, recovered);
+        self.kinds[kind as usize].1.send_replace(());
+    }
+
+    /// Waits for the changes that a peer requests. Returns `None` if this entry does not know them, or has
+    /// not heard from the platform for too long.
+    pub async fn wait(&self, request: &ZoneRequest) -> Option<ZoneChanges> {
+        let received = self.clock.now();
+        let mut signal = self.kinds[request.kind as usize].1.subscribe();
+        loop {
+            let now = self.clock.now();
+            let (list, until, recovered) = {
+                let known = self.lock(request.kind);
+                let list = known.changes(request.era, request.after)?;
+                (list, known.until(), known.recovered())
+            };
+            let overdue = until + request.kind.poll_timeout() + OVERDUE_TIME;
+            if now > overdue {
+                return None;
+            }
+            let end = received + request.wait;
+            if !list.objects.is_empty() || now >= end {
+                return Some(ZoneChanges {
+                    list,
+                    age: now.since(until),
+                    held: now.since(received),
+                    recovered: recovered.map(|at| now.since(at)),
+                });
+            }
+            let wakeup = tokio::time::Instant::from_std(self.clock.instant(end.min(overdue)));
+            // Both the signal and the end of the wait lead to another look at the cache.
+            let _ = tokio::time::timeout_at(wakeup, signal.changed()).await;
+        }
+    }
+
+    fn lock(&self, kind: SiteKind) -> MutexGuard<'_, KindCache> {
+        // The cache is whole even if a thread panicked while it held the lock: it is filled again
+        // with the next answer.
+        let cache = self.kinds[kind as usize].0.lock();
+        cache.unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/azureway-entry/src/zone/zone_changes.rs
@@ -0,0 +1,19 @@
+//! The changes of a kind of platform objects, as an entry reads them for its zone.
+
+use std::time::Duration;
+
+use azureway_wire::object::ObjectList;
+
+/// The answer of the entry that reads the platform for a zone. Times are ages, since instances share no
+/// clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneChanges {
+    /// The changed objects, and the version up to which they are complete.
+    pub list: ObjectList,
+    /// The time since the platform was last known to have reported every change.
+    pub age: Duration,
+    /// The time for which the reader held the request.
+    pub held: Duration,
+    /// The time since the reader recovered from the last outage of the platform, if it saw one.
+    pub recovered: Option<Duration>,
+}
--- /dev/null
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -0,0 +1,97 @@
+//! The way by which a watcher takes part in reading the platform once for its zone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use azureway_core::prelude::{StoreEra, Timestamp};
+use azureway_wire::object::ObjectList;
+
+use super::{ZoneCache, ZoneChanges, ZoneClient, ZoneRequest};
+use crate::site::SiteKind;
+
+/// The part of a watcher that asks the reader of its zone, or keeps what it reads for the zone.
+#[derive(Debug)]
+pub struct ZoneLink {
+    client: ZoneClient,
+    cache: Arc<ZoneCache>,
+    /// The number of requests to readers that failed.
+    failures: usize,
+    /// The time before which the platform is read without asking a reader.
+    retry_at: Timestamp,
+    /// Whether the last news came from a reader.
+    relayed: bool,
+}
+
+/// The time for which a watcher reads the platform itself after a reader failed.
+const RETRY_DELAY: Duration = Duration::from_secs(2);
+/// The shortest time for which a reader is asked to wait for changes. Waiting there costs the platform
+/// nothing.
+const MIN_WAIT: Duration = Duration::from_secs(2);
+
+impl ZoneLink {
+    /// The shortest limit on when a change must be in force with which news may come through a reader: a
+    /// watch of the reader hangs, its answer is late, and then this entry reads the platform itself.
+    pub const MIN_LIMIT: Duration = Duration::from_millis(2_900);
+
+    /// Creates a link that asks through `client` and keeps what is read in `cache`.
+    pub const fn new(client: ZoneClient, cache: Arc<ZoneCache>) -> Self {
+        Self {
+            client,
+            cache,
+            failures: 0,
+            retry_at: Timestamp::ZERO,
+            relayed: false,
+        }
+    }
+
+    /// Keeps an answer of the platform for the zone, as [`ZoneCache::record`] does.
+    pub fn record(
+        &self,
+        kind: SiteKind,
+        era: Option<StoreEra>,
+        listed: bool,
+        list: &ObjectList,
+        times: (Timestamp, Option<Timestamp>),
+    ) {
+        self.cache.record(kind, era, listed, list, times);
+    }
+
+    /// Asks the reader of the zone for the changes of `kind` after version `after`. Returns `None` if the
+    /// platform is to be read instead.
+    pub fn ask(
+        &mut self,
+        kind: SiteKind,
+        era: Option<StoreEra>,
+        after: u64,
+        now: Timestamp,
+    ) -> Option<ZoneChanges> {
+        if now < self.retry_at {
+            return None;
+        }
+        let request = ZoneRequest {
+            kind,
+            era,
+            after,
+            wait: kind.poll_timeout().max(MIN_WAIT),
+            attempt: self.failures,
+        };
+        let answer = self.client.ask(request);
+        let relayed = matches!(answer, Some(Ok(_)));
+        if relayed != self.relayed {
+            self.relayed = relayed;
+            let failed = answer.is_some();
+            log::info!(step = "watch site", kind = kind.as_str(), relayed = relayed, failed = failed, after = after; "the source of news has changed");
+        }
+        let answer = answer?;
+        if answer.is_err() {
+            self.reject(now + request.wait);
+        }
+        answer.ok()
+    }
+
+    /// Records that the reader failed at `now`, or that its news are too old.
+    pub fn reject(&mut self, now: Timestamp) {
+        self.failures += 1;
+        self.retry_at = now + RETRY_DELAY;
+    }
+}
--- a/azureway-entry/tests/pause_forwarding.rs
+++ b/azureway-entry/tests/pause_forwarding.rs
@@ -32,7 +32,7 @@
 impl Subscribe for Unused {
     fn reconfigure(&mut self, _: &Fleet, _: &[(ServerId, Instant)]) {}
 
-    fn set_audience(&mut self, _: _: &Fleet, _: &[(ServerId, Instant)]) {}
+    fn set_audience(&mut self, _: FeedAudience, _: &Fleet, _: &[(ServerId, Instant)]) {}
 
     fn resync(&self, _: &ServerId) {}
 
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -139,6 +139,7 @@
 
 fn service() -> SiteService {
     SiteService {
+        feed_limit: None,
         id: ServiceId::new("orders"),
         model: None,
         peer_fetch: false,
@@ -350,6 +351,7 @@
             retry_window: Duration::from_secs(10),
             lease_term: Duration::from_secs(3),
             startup_grace: Duration::ZERO,
+            change_limit: Duration::from_secs(1),
             rollout_timeout: Duration::from_secs(8),
             shutdown_grace: grace,
         };
--- /dev/null
+++ b/azureway-entry/tests/zone.rs
@@ -0,0 +1,323 @@
+//! Tests of reading the platform once for a zone.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_entry::clock::Clock;
+use azureway_entry::peer::PeerMessage;
+use azureway_entry::site::{SiteCodec, SiteKind, SiteUpdate, SiteWatcher};
+use azureway_entry::zone::{KindCache, ZoneCache, ZoneChanges, ZoneClient, ZoneLink, ZoneRequest};
+use azureway_objects::{ObjectApi, Put};
+use azureway_wire::object::{ObjectBody, ObjectList};
+use flume::Receiver;
+use googletest::prelude::*;
+
+const WAIT: Duration = Duration::from_millis(100);
+
+fn object(name: &str, version: u64, deleted: bool) -> ObjectBody {
+    ObjectBody {
+        name: name.to_owned(),
+        version,
+        value: version.to_string(),
+        deleted,
+    }
+}
+
+fn list(version: u64, objects: &[ObjectBody]) -> ObjectList {
+    ObjectList {
+        version,
+        objects: objects.to_vec(),
+    }
+}
+
+fn names(list: &ObjectList) -> Vec<(&str, bool)> {
+    let objects = list.objects.iter();
+    objects.map(|o| (o.name.as_str(), o.deleted)).collect()
+}
+
+const AT: Timestamp = Timestamp::from_millis(1_000);
+
+#[gtest]
+fn a_cache_answers_with_the_changes_after_a_version() {
+    let mut cache = KindCache::default();
+    expect_that!(cache.changes(None, 0), none());
+    cache.record(
+        None,
+        true,
+        &list(10, &[object("a", 3, false), object("b", 9, false)]),
+        AT,
+        None,
+    );
+    // What was deleted before the list is not known.
+    expect_that!(cache.changes(None, 9), none());
+    expect_that!(cache.changes(None, 10).expect("known").objects, is_empty());
+    cache.record(
+        None,
+        false,
+        &list(14, &[object("a", 12, false), object("b", 9, true)]),
+        AT,
+        None,
+    );
+    let changes = cache.changes(None, 10).expect("known");
+    expect_that!(
+        names(&changes),
+        elements_are![eq(&("a", false)), eq(&("b", true))]
+    );
+    let changes = cache.changes(None, 13).expect("known");
+    expect_that!(names(&changes), elements_are![eq(&("b", true))]);
+    expect_that!(changes.version, eq(14));
+    // A caller that has read the platform itself may know more. It is not set back.
+    let changes = cache.changes(None, 20).expect("known");
+    expect_that!((changes.version, changes.objects.len()), eq((20, 0)));
+}
+
+/// Guards against an answer across a restore: versions of two eras cannot be compared.
+#[gtest]
+fn a_cache_of_another_era_answers_nothing() {
+    let (old, new) = (Some(StoreEra::new(1)), Some(StoreEra::new(2)));
+    let mut cache = KindCache::default();
+    cache.record(old, true, &list(10, &[object("a", 3, false)]), AT, None);
+    expect_that!(cache.changes(old, 10), some(anything()));
+    expect_that!(cache.changes(new, 10), none());
+    cache.record(new, true, &list(5, &[object("a", 2, false)]), AT, None);
+    expect_that!(cache.changes(old, 10), none());
+    expect_that!(cache.changes(new, 5), some(anything()));
+}
+
+fn request(kind: SiteKind, after: u64) -> ZoneRequest {
+    ZoneRequest {
+        kind,
+        era: None,
+        after,
+        wait: WAIT,
+        attempt: 0,
+    }
+}
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build();
+    runtime.expect("a runtime").block_on(future)
+}
+
+#[gtest]
+fn a_reader_answers_at_once_on_a_change_and_else_after_the_wait() {
+    let clock = Clock::new();
+    let cache = Arc::new(ZoneCache::new(clock));
+    let kind = SiteKind::Document;
+    cache.record(kind, None, true, &list(10, &[]), (clock.now(), None));
+    let quiet = block_on(cache.wait(&request(kind, 10))).expect("known");
+    expect_that!(quiet.held, ge(WAIT));
+    expect_that!(quiet.list.objects, is_empty());
+    let writer = Arc::clone(&cache);
+    let thread = thread::spawn(move || {
+        let changed = list(11, &[object("a", 11, false)]);
+        writer.record(kind, None, false, &changed, (clock.now(), None));
+    });
+    let mut long = request(kind, 10);
+    long.wait = Duration::from_secs(60);
+    let changes = block_on(cache.wait(&long)).expect("known");
+    expect_that!(names(&changes.list), elements_are![eq(&("a", false))]);
+    thread.join().expect("the writer ends");
+}
+
+/// Guards against a reader that is cut off from the platform and goes on answering that nothing changes.
+#[gtest]
+fn a_reader_whose_watch_is_overdue_answers_nothing() {
+    let clock = Clock::new();
+    let cache = ZoneCache::new(clock);
+    let kind = SiteKind::Weights;
+    let overdue = kind.poll_timeout() + Duration::from_secs(1);
+    cache.record(
+        kind,
+        None,
+        true,
+        &list(10, &[]),
+        (clock.now().before(overdue), None),
+    );
+    expect_that!(block_on(cache.wait(&request(kind, 10))), none());
+}
+
+/// A platform that counts its calls and reports the same object with each.
+#[derive(Clone, Default)]
+struct CountingPlatform(Arc<AtomicUsize>);
+
+impl CountingPlatform {
+    fn call(&self) -> std::result::Result<ObjectList, Error> {
+        self.0.fetch_add(1, Ordering::AcqRel);
+        Ok(list(10, &[object("m", 10, false)]))
+    }
+}
+
+impl ObjectApi for CountingPlatform {
+    fn get(&self, _: &str, _: &str) -> std::result::Result<Option<ObjectBody>, Error> {
+        unreachable!("the watcher gets no single objects")
+    }
+
+    fn list(&self, _: &str) -> std::result::Result<ObjectList, Error> {
+        self.call()
+    }
+
+    fn put(&self, _: &Put<'_>) -> std::result::Result<u64, Error> {
+        unreachable!("the watcher writes nothing")
+    }
+
+    fn delete(&self, _: &str, _: &str, _: u64) -> std::result::Result<(), Error> {
+        unreachable!("the watcher deletes nothing")
+    }
+
+    fn watch(&self, _: &str, _: u64, _: Duration) -> std::result::Result<ObjectList, Error> {
+        self.call()
+    }
+}
+
+/// A codec whose weights are plain numbers.
+#[derive(Clone, Copy)]
+struct PlainNumbers;
+
+impl SiteCodec for PlainNumbers {
+    fn kind(&self, kind: SiteKind) -> &'static str {
+        kind.as_str()
+    }
+
+    fn document(&self, _: &ObjectBody) -> std::result::Result<Option<SiteDocument>, Error> {
+        unreachable!("only weights are watched")
+    }
+
+    fn server(&self, _: &ObjectBody) -> std::result::Result<ListedServer, Error> {
+        unreachable!("only weights are watched")
+    }
+
+    fn weights(&self, object: &ObjectBody) -> std::result::Result<NamedWeights, Error> {
+        let version = object.value.parse().expect("a version");
+        Ok(NamedWeights {
+            model: ModelId::new("m"),
+            version: WeightsVersion::new(version),
+        })
+    }
+}
+
+/// Runs the watcher of weights of an entry whose reader answers with `answers`, and then no more, until it
+/// has sent `count` updates. Returns them with the number of calls to the platform.
+fn watch(
+    answers: Vec<Option<std::result::Result<ZoneChanges, ()>>>,
+    count: usize,
+) -> (Vec<SiteUpdate>, usize) {
+    let clock = Clock::new();
+    let platform = CountingPlatform::default();
+    let (peer_tx, peer_rx): (_, Receiver<PeerMessage>) = flume::bounded(1);
+    let link = ZoneLink::new(ZoneClient::new(peer_tx), Arc::new(ZoneCache::new(clock)));
+    let (tx, rx) = flume::bounded(1);
+    let schedule = WatchSchedule::new(1);
+    let (api, since) = (platform.clone(), clock.now());
+    let watcher = SiteWatcher::new(
+        api,
+        PlainNumbers,
+        SiteKind::Weights,
+        tx,
+        clock,
+        schedule,
+        since,
+    )
+    .with_zone(Some(link));
+    let watcher = thread::spawn(move || watcher.run());
+    let reader = thread::spawn(move || {
+        for answer in answers {
+            let Ok(PeerMessage::AskZone(_, reply)) = peer_rx.recv() else {
+                return;
+            };
+            let _ = reply.send(answer);
+        }
+    });
+    let updates: Vec<_> = rx.iter().take(count).collect();
+    drop(rx);
+    reader.join().expect("the reader ends");
+    watcher.join().expect("the watcher ends");
+    (updates, platform.0.load(Ordering::Acquire))
+}
+
+fn relayed(
+    version: u64,
+    age: Duration,
+    held: Duration,
+) -> Option<std::result::Result<ZoneChanges, ()>> {
+    Some(Ok(ZoneChanges {
+        list: list(version, &[object("m", version, false)]),
+        age,
+        held,
+        recovered: None,
+    }))
+}
+
+fn versions(updates: &[SiteUpdate]) -> Vec<u64> {
+    let version = |update: &SiteUpdate| match update {
+        SiteUpdate::Weights(named, _) => named.version.get(),
+        _ => 0,
+    };
+    updates.iter().map(version).collect()
+}
+
+/// After its own list an entry hears from the reader of its zone, and asks the platform nothing.
+#[gtest]
+fn changes_come_from_the_reader_without_a_call_to_the_platform() {
+    let answers = vec![
+        relayed(11, Duration::ZERO, Duration::ZERO),
+        relayed(12, Duration::ZERO, Duration::ZERO),
+    ];
+    let (updates, calls) = watch(answers, 3);
+    expect_that!(versions(&updates), elements_are![eq(&10), eq(&11), eq(&12)]);
+    // The list, and at most one watch as the reader falls silent at the end.
+    expect_that!(calls, le(2));
+}
+
+/// Guards against an entry whose readers are all lost or cut off, and which waits for them.
+#[gtest]
+fn an_entry_whose_reader_fails_reads_the_platform_itself() {
+    for failure in [Some(Err(())), None] {
+        let (updates, calls) = watch(vec![failure], 2);
+        expect_that!(versions(&updates), elements_are![eq(&10), eq(&10)]);
+        expect_that!(calls, ge(2));
+    }
+}
+
+/// Guards against weights that count as named when they were heard of: the way from the reader takes time.
+#[gtest]
+fn relayed_changes_are_dated_before_the_request_for_them() {
+    let clock = Clock::new();
+    let (peer_tx, peer_rx): (_, Receiver<PeerMessage>) = flume::bounded(1);
+    let link = ZoneLink::new(ZoneClient::new(peer_tx), Arc::new(ZoneCache::new(clock)));
+    let (tx, rx) = flume::bounded(1);
+    let (api, since) = (CountingPlatform::default(), clock.now());
+    let watcher = SiteWatcher::new(
+        api,
+        PlainNumbers,
+        SiteKind::Weights,
+        tx,
+        clock,
+        WatchSchedule::new(1),
+        since,
+    )
+    .with_zone(Some(link));
+    let watcher = thread::spawn(move || watcher.run());
+    let mut asked = Vec::new();
+    let mut updates = vec![rx.recv().expect("the listed weights")];
+    for version in [11, 12] {
+        let Ok(PeerMessage::AskZone(_, reply)) = peer_rx.recv() else {
+            panic!("the watcher asks the reader");
+        };
+        asked.push(clock.now());
+        thread::sleep(WAIT);
+        let _ = reply.send(relayed(version, Duration::ZERO, Duration::ZERO));
+        updates.push(rx.recv().expect("the changed weights"));
+    }
+    let Some(SiteUpdate::Weights(_, earliest)) = updates.last() else {
+        panic!("weights are reported: {updates:?}");
+    };
+    expect_that!(*earliest, le(asked[0]));
+    drop((rx, peer_rx));
+    watcher.join().expect("the watcher ends");
+}
--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -128,6 +128,32 @@
         Ok(ObjectAnswer { status, body })
     }
 
+    fn list_pages(&self, kind: &str, stale: bool) -> Result<ObjectList, Error> {
+        const STEP: Step = Step::new("list objects");
+        let mut all = ObjectList::default();
+        loop {
+            let after = all.objects.last().map(|o| o.name.as_str());
+            let call = self.codec.list(kind, after, stale);
+            let answer = self.send(STEP, call, Duration::ZERO)?;
+            let (page, more) = self.check_decoded(STEP, self.codec.read_list(&answer.body))?;
+            // The list has the version of its first page, so that a watch from there returns the
+            // changes made while the other pages were read.
+            if all.objects.is_empty() {
+                all.version = page.version;
+            }
+            let is_empty = page.objects.is_empty();
+            let last = |list: &ObjectList| list.objects.last().map(|o| o.name.clone());
+            if !is_empty && last(&page) == last(&all) {
+                let detail = "a page of the list does not advance";
+                return Err(self.error(ErrorKind::Protocol, STEP, detail));
+            }
+            all.objects.extend(page.objects);
+            if !more || is_empty {
+                return Ok(all);
+            }
+        }
+    }
+
     fn error(&self, kind: ErrorKind, step: Step, detail: impl std::fmt::Display) -> Error {
         Error::new(kind, step, detail).with_peer(format_args!("platform {}", self.address))
     }
@@ -157,29 +183,11 @@
     }
 
     fn list(&self, kind: &str) -> Result<ObjectList, Error> {
-        const STEP: Step = Step::new("list objects");
-        let mut all = ObjectList::default();
-        loop {
-            let after = all.objects.last().map(|o| o.name.as_str());
-            let call = self.codec.list(kind, after);
-            let answer = self.send(STEP, call, Duration::ZERO)?;
-            let (page, more) = self.check_decoded(STEP, self.codec.read_list(&answer.body))?;
-            // The list has the version of its first page, so that a watch from there returns the
-            // changes made while the other pages were read.
-            if all.objects.is_empty() {
-                all.version = page.version;
-            }
-            let is_empty = page.objects.is_empty();
-            let last = |list: &ObjectList| list.objects.last().map(|o| o.name.clone());
-            if !is_empty && last(&page) == last(&all) {
-                let detail = "a page of the list does not advance";
-                return Err(self.error(ErrorKind::Protocol, STEP, detail));
-            }
-            all.objects.extend(page.objects);
-            if !more || is_empty {
-                return Ok(all);
-            }
-        }
+        self.list_pages(kind, false)
+    }
+
+    fn list_stale(&self, kind: &str) -> Result<ObjectList, Error> {
+        self.list_pages(kind, true)
     }
 
     fn put(&self, put: &Put<'_>) -> Result<u64, Error> {
--- a/azureway-objects/src/object_api.rs
+++ b/azureway-objects/src/object_api.rs
@@ -34,6 +34,16 @@
     /// or was restored.
     fn list(&self, kind: &str) -> Result<ObjectList, Error>;
 
+    /// Returns all objects of a kind, as they were up to some seconds ago. A platform may charge less for
+    /// this than for [`list`](Self::list).
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`list`](Self::list).
+    fn list_stale(&self, kind: &str) -> Result<ObjectList, Error> {
+        self.list(kind)
+    }
+
     /// Writes an object if it has the expected version, and returns the new version.
     ///
     /// # Errors
--- a/azureway-objects/src/object_codec.rs
+++ b/azureway-objects/src/object_codec.rs
@@ -18,8 +18,8 @@
     fn get(&self, kind: &str, name: &str) -> ObjectCall;
 
     /// Returns the call that lists the objects of a kind, or only those whose names sort after
-    /// `after`.
-    fn list(&self, kind: &str, after: Option<&str>) -> ObjectCall;
+    /// `after`. With `stale`, they may be some seconds old.
+    fn list(&self, kind: &str, after: Option<&str>, stale: bool) -> ObjectCall;
 
     /// Returns the call that writes an object if it has the expected version.
     fn put(&self, put: &Put<'_>) -> ObjectCall;
--- a/azureway-objects/src/plain_codec.rs
+++ b/azureway-objects/src/plain_codec.rs
@@ -18,7 +18,7 @@
         ObjectCall::new("GET", format!("objects/{kind}/{name}"))
     }
 
-    fn list(&self, kind: &str, _: Option<&str>) -> ObjectCall {
+    fn list(&self, kind: &str, _: Option<&str>, _: bool) -> ObjectCall {
         ObjectCall::new("GET", format!("objects/{kind}"))
     }
 
--- a/azureway-objects/tests/pages.rs
+++ b/azureway-objects/tests/pages.rs
@@ -24,8 +24,8 @@
         PlainCodec.get(kind, name)
     }
 
-    fn list(&self, kind: &str, after: Option<&str>) -> ObjectCall {
-        PlainCodec.list(kind, after)
+    fn list(&self, kind: &str, after: Option<&str>, stale: bool) -> ObjectCall {
+        PlainCodec.list(kind, after, stale)
     }
 
     fn put(&self, put: &Put<'_>) -> ObjectCall {
--- a/azureway-wire/src/gen/azureway.peer.v1.rs
+++ b/azureway-wire/src/gen/azureway.peer.v1.rs
@@ -132,6 +132,53 @@
     #[prost(string, tag = "2")]
     pub text: ::prost::alloc::string::String,
 }
+/// A request for the changes of a kind of platform objects.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ChangesRequest {
+    /// The position of the kind among the kinds of a site.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// The era of the platform's store that the caller knows, if the store reports eras.
+    #[prost(uint64, optional, tag = "2")]
+    pub era: ::core::option::Option<u64>,
+    /// The version up to which the caller knows every change.
+    #[prost(uint64, tag = "3")]
+    pub after: u64,
+    /// The time for which the callee waits while nothing changes, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
+}
+/// The changes of a kind of platform objects.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ChangesReply {
+    /// The version up to which the changes are complete.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The time since the platform was last known to have reported every change, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_us: u64,
+    /// The time for which the callee held the request, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub held_us: u64,
+    /// The time since the callee recovered from the last outage of the platform, in microseconds, if it
+    /// saw one.
+    #[prost(uint64, optional, tag = "4")]
+    pub recovered_us: ::core::option::Option<u64>,
+    #[prost(message, repeated, tag = "5")]
+    pub objects: ::prost::alloc::vec::Vec<Object>,
+}
+/// A platform object.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Object {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(string, tag = "3")]
+    pub value: ::prost::alloc::string::String,
+    #[prost(bool, tag = "4")]
+    pub deleted: bool,
+}
 /// Generated client implementations.
 pub mod peer_client {
     #![allow(
@@ -239,6 +286,21 @@
                 .insert(GrpcMethod::new("azureway.peer.v1.Peer", "Fetch"));
             self.inner.unary(req, path, codec).await
         }
+        /// Waits for changes of a kind of platform objects that the callee reads for its zone.
+        pub async fn changes(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ChangesRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangesReply>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/azureway.peer.v1.Peer/Changes");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("azureway.peer.v1.Peer", "Changes"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -264,6 +326,11 @@
             &self,
             request: tonic::Request<super::FetchRequest>,
         ) -> std::result::Result<tonic::Response<super::FetchReply>, tonic::Status>;
+        /// Waits for changes of a kind of platform objects that the callee reads for its zone.
+        async fn changes(
+            &self,
+            request: tonic::Request<super::ChangesRequest>,
+        ) -> std::result::Result<tonic::Response<super::ChangesReply>, tonic::Status>;
     }
     /// The interface that an entry instance offers to the other entry instances.
     #[derive(Debug)]
@@ -413,6 +480,43 @@
                     };
                     Box::pin(fut)
                 }
+                "/azureway.peer.v1.Peer/Changes" => {
+                    #[allow(non_camel_case_types)]
+                    struct ChangesSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::ChangesRequest> for ChangesSvc<T> {
+                        type Response = super::ChangesReply;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ChangesRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Peer>::changes(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ChangesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- a/azureway-wire/src/peer/mod.rs
+++ b/azureway-wire/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod instance;
 mod invalid_field;
 mod news;
+mod object;
 
 #[path = "../gen/azureway.peer.v1.rs"]
 #[allow(
@@ -18,6 +19,6 @@
 pub use generated::peer_client::PeerClient;
 pub use generated::peer_server::{Peer, PeerServer};
 pub use generated::{
-    Demand, FetchReply, FetchRequest, Heartbeat, Instance, Loading, Member, News, Server, Strike,
-    news::Subject,
+    ChangesReply, ChangesRequest, Demand, FetchReply, FetchRequest, Heartbeat, Instance, Loading,
+    Member, News, Object, Server, Strike, news::Subject,
 };
