--- a/azureway-entry/src/peer/peer_call.rs
+++ b/azureway-entry/src/peer/peer_call.rs
@@ -13,7 +13,7 @@
 use tonic::transport::Channel;
 
 use super::{Document, PeerConnections, PeerMessage};
-use crate::zone::{ZoneChanges, ZoneClient, ZoneRequest};
+use crate::zone::{ZoneChanges, ZoneClient, ZoneReply, ZoneRequest};
 
 /// A single call to a peer, which reports its result to the peer duty.
 #[derive(Debug)]
@@ -81,11 +81,7 @@
     }
 
     /// Asks the peer for changes of the platform, and passes them to `reply`.
-    pub async fn changes(
-        self,
-        request: ZoneRequest,
-        reply: Sender<Option<Result<ZoneChanges, ()>>>,
-    ) {
+    pub async fn changes(self, request: ZoneRequest, reply: ZoneReply) {
         let message = peer::ChangesRequest {
             kind: request.kind as u32,
             era: request.era.map(StoreEra::get),
--- a/azureway-entry/src/peer/peer_connections.rs
+++ b/azureway-entry/src/peer/peer_connections.rs
@@ -17,7 +17,7 @@
 
 /// The maximum number of connections that are kept for reuse. Beyond it, the connection to the peer
 /// with the lowest ID is dropped.
-const CONNECTIONS_MAX: usize = 64;
+const CONNECTIONS_MAX: usize = 16;
 /// The time limit for establishing a connection to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// The time that a peer may take to answer a call before the call fails.
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -16,7 +16,7 @@
 use crate::admit::AdmitMessage;
 use crate::decide::{DecideMessage, PeerUpdate};
 use crate::meter::MetricEvent;
-use crate::zone::{ZoneChanges, ZoneRequest};
+use crate::zone::{ZoneReply, ZoneRequest};
 
 /// The peer duty: feeds events into the membership protocol and executes its actions.
 ///
@@ -34,6 +34,8 @@
     rounds: u64,
     /// Whether the platform's list of entry instances was read.
     listed: bool,
+    /// The requests to readers of the zone that wait for that list.
+    waiting: Vec<(ZoneRequest, ZoneReply)>,
     /// The audience of feeds that the deciding duty was told last.
     audience: Option<FeedAudience>,
 }
@@ -57,6 +59,7 @@
             actions: Vec::new(),
             rounds: 0,
             listed: false,
+            waiting: Vec::new(),
             audience: None,
         }
     }
@@ -107,6 +110,7 @@
                 self.listed = true;
                 self.handle(PeerEvent::Listed(&list)).await;
                 self.send_audience().await;
+                self.ask_waiting();
             }
             Some(PeerMessage::Demand(demand)) => self.handle(PeerEvent::Demand(&demand)).await,
             Some(PeerMessage::CrashReport(report)) => {
@@ -136,6 +140,11 @@
             Some(PeerMessage::FetchFailed(peer)) => {
                 self.handle(PeerEvent::FetchFailed(&peer)).await
             }
+            // All entries may have started at once. One that has not seen the list yet would take itself for
+            // the only one, and read the platform as all the others do.
+            Some(PeerMessage::AskZone(request, reply)) if !self.listed => {
+                self.waiting.push((request, reply))
+            }
             Some(PeerMessage::AskZone(request, reply)) => self.ask_zone(request, reply),
             Some(PeerMessage::Leave) => self.handle(PeerEvent::Leaving).await,
         }
@@ -201,6 +210,7 @@
 
     async fn end_round(&mut self) {
         self.rounds += 1;
+        self.ask_waiting();
         if self.rounds % NOTIFY_ROUNDS == 1 {
             self.notify_selection();
         }
@@ -256,12 +266,16 @@
         known.map(|m| m.latest.instance.id.clone()).collect()
     }
 
+    /// Makes the requests that waited for the first list of entries. Without one they wait for a round of
+    /// heartbeats, and the platform is read then.
+    fn ask_waiting(&mut self) {
+        for (request, reply) in std::mem::take(&mut self.waiting) {
+            self.ask_zone(request, reply);
+        }
+    }
+
     /// Asks a peer that reads the platform for the zone, unless this instance does so.
-    fn ask_zone(
-        &mut self,
-        request: ZoneRequest,
-        reply: flume::Sender<Option<Result<ZoneChanges, ()>>>,
-    ) {
+    fn ask_zone(&mut self, request: ZoneRequest, reply: ZoneReply) {
         let known = self.known_in_zone();
         let me = &self.membership.me().id;
         let reader = ZoneReaders::choose(me, &known, request.attempt);
--- a/azureway-entry/src/peer/peer_message.rs
+++ b/azureway-entry/src/peer/peer_message.rs
@@ -6,7 +6,7 @@
 use flume::Sender;
 
 use super::Document;
-use crate::zone::{ZoneChanges, ZoneRequest};
+use crate::zone::{ZoneReply, ZoneRequest};
 
 /// A message to the peer duty.
 #[derive(Debug)]
@@ -38,7 +38,7 @@
     FetchFailed(InstanceId),
     /// A watcher asks the entry that reads the platform for the zone. The sender takes the answer: nothing if
     /// this instance is a reader itself, and an error if no reader has recent changes.
-    AskZone(ZoneRequest, Sender<Option<Result<ZoneChanges, ()>>>),
+    AskZone(ZoneRequest, ZoneReply),
     /// The daemon shuts down and announces this to its peers.
     Leave,
     /// The daemon stops, and this duty with it.
--- a/azureway-entry/src/site/kind.rs
+++ b/azureway-entry/src/site/kind.rs
@@ -27,6 +27,9 @@
 /// The same for quarantined parts, which peers also tell of. Fewer calls cost less.
 const QUARANTINE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The time that a watch and the pause before it take beyond the wait, on a machine that is busy.
+const OVERDUE_TIME: Duration = Duration::from_millis(600);
+
 impl SiteKind {
     /// Every kind, each of which has a watcher of its own.
     pub const ALL: [Self; 4] = [
@@ -45,6 +48,12 @@
         }
     }
 
+    /// Returns the time for which an entry that reads the platform for its zone answers by its last watch. A
+    /// watch that takes longer may hang, and what it would have reported is missing.
+    pub fn relay_limit(self) -> Duration {
+        self.poll_timeout().max(POLL_TIMEOUT) + OVERDUE_TIME
+    }
+
     /// Returns the name of the kind in logs and thread names.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -155,10 +155,8 @@
         }
         let version = changes.list.version.max(after);
         self.schedule.record_success(version, now);
-        if let Some(zone) = &mut self.zone
-            && now > self.bound.reported_until() + ZoneLink::MIN_LIMIT
-        {
-            zone.reject(now);
+        if let Some(zone) = &mut self.zone {
+            zone.check_age(self.kind, self.bound.reported_until(), now);
         }
         self.send_updates(&changes.list) && self.send_listed_until()
     }
--- a/azureway-entry/src/watch/registrar.rs
+++ b/azureway-entry/src/watch/registrar.rs
@@ -30,6 +30,9 @@
 /// The longest delay between two reads of the list.
 const MAX_DELAY: Duration = Duration::from_secs(60);
 
+/// The time within which instances that start together have written themselves into the list: they start within
+/// 0.3 s of one another.
+const START_SPREAD: Duration = Duration::from_millis(350);
 /// The delay from which on an older list will do. Instances that started together have found each other by
 /// then.
 const STALE_DELAY: Duration = Duration::from_millis(4_000);
@@ -93,6 +96,8 @@
             }
         }
         self.written = true;
+        // Otherwise the first list would show only some of the instances that start together.
+        thread::park_timeout(START_SPREAD);
         Ok(())
     }
 
--- a/azureway-entry/src/zone/mod.rs
+++ b/azureway-entry/src/zone/mod.rs
@@ -14,6 +14,6 @@
 pub use kind_cache::KindCache;
 pub use zone_cache::ZoneCache;
 pub use zone_changes::ZoneChanges;
-pub use zone_client::ZoneClient;
+pub use zone_client::{ZoneClient, ZoneReply};
 pub use zone_link::ZoneLink;
 pub use zone_request::ZoneRequest;
--- a/azureway-entry/src/zone/zone_cache.rs
+++ b/azureway-entry/src/zone/zone_cache.rs
@@ -1,7 +1,6 @@
 //! What this entry reads of the platform, from which it answers the other entries of its zone.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use azureway_core::prelude::{StoreEra, Timestamp};
 use azureway_wire::object::ObjectList;
@@ -18,10 +17,6 @@
     clock: Clock,
 }
 
-/// The longest time beyond a watch for which this entry answers by its last one. A watch that takes longer
-/// may hang, and what it would have reported is missing.
-const OVERDUE_TIME: Duration = Duration::from_millis(400);
-
 impl ZoneCache {
     /// Creates an empty cache.
     pub fn new(clock: Clock) -> Self {
@@ -56,7 +51,7 @@
                 let list = known.changes(request.era, request.after)?;
                 (list, known.until(), known.recovered())
             };
-            let overdue = until + request.kind.poll_timeout() + OVERDUE_TIME;
+            let overdue = until + request.kind.relay_limit();
             if now > overdue {
                 return None;
             }
--- a/azureway-entry/src/zone/zone_client.rs
+++ b/azureway-entry/src/zone/zone_client.rs
@@ -7,6 +7,10 @@
 use super::{ZoneChanges, ZoneRequest};
 use crate::peer::PeerMessage;
 
+/// Takes the answer to a request: nothing if this entry reads the platform for its zone itself, and an error
+/// if no reader answers with recent changes.
+pub type ZoneReply = Sender<Option<Result<ZoneChanges, ()>>>;
+
 /// A watcher's handle to the peer duty, which asks a reader of the zone.
 #[derive(Clone, Debug)]
 pub struct ZoneClient {
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -31,7 +31,7 @@
 impl ZoneLink {
     /// The shortest limit on when a change must be in force with which news may come through a reader: a
     /// watch of the reader hangs, its answer is late, and then this entry reads the platform itself.
-    pub const MIN_LIMIT: Duration = Duration::from_millis(2_900);
+    pub const MIN_LIMIT: Duration = Duration::from_millis(3_100);
 
     /// Creates a link that asks through `client` and keeps what is read in `cache`.
     pub const fn new(client: ZoneClient, cache: Arc<ZoneCache>) -> Self {
@@ -89,8 +89,18 @@
         answer.ok()
     }
 
-    /// Records that the reader failed at `now`, or that its news are too old.
-    pub fn reject(&mut self, now: Timestamp) {
+    /// Records at `now` that the reader's news reach until `until`. If they are too old, the platform is read
+    /// instead for a while.
+    pub fn check_age(&mut self, kind: SiteKind, until: Timestamp, now: Timestamp) {
+        let age = now.since(until);
+        if age > kind.relay_limit() + ZoneClient::TIMEOUT {
+            log::info!(step = "watch site", kind = kind.as_str(), age:? = age; "the reader's news are too old");
+            self.reject(now);
+        }
+    }
+
+    /// Records that the reader failed at `now`.
+    fn reject(&mut self, now: Timestamp) {
         self.failures += 1;
         self.retry_at = now + RETRY_DELAY;
     }
