--- a/azureway-core/src/fleet/pace_meter.rs
+++ b/azureway-core/src/fleet/pace_meter.rs
@@ -67,9 +67,10 @@
         }
     }
 
-    /// Returns the usual time of work that took `time` on average.
-    pub fn usual(&self, time: Duration) -> Duration {
-        time.div_f64(self.average.factor())
+    /// Returns how much longer than usual work takes that starts at `now` and took `time` on average.
+    pub fn slowdown(&self, time: Duration, now: Timestamp) -> Duration {
+        let usual = time.div_f64(self.average.factor());
+        self.time_for(usual, now).saturating_sub(usual)
     }
 }
 
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -329,8 +329,7 @@
 
     /// Returns how much longer than usual a request without a prompt takes, if it is sent at `now`.
     pub fn slowdown(&self, now: Timestamp) -> Duration {
-        let usual = self.pace.usual(self.service_time);
-        self.pace.time_for(usual, now).saturating_sub(usual)
+        self.pace.slowdown(self.service_time, now)
     }
 
     /// Returns an estimate of the number of requests running or queued at the server.
--- a/azureway-entry/src/peer/mod.rs
+++ b/azureway-entry/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod peer_message;
 mod peer_rings;
 mod peer_service;
+mod zone_asker;
 
 pub use call_permits::CallPermits;
 pub use document::Document;
@@ -19,3 +20,4 @@
 pub use peer_message::PeerMessage;
 pub use peer_rings::PeerRings;
 pub use peer_service::PeerService;
+pub use zone_asker::ZoneAsker;
--- a/azureway-entry/src/peer/peer_connections.rs
+++ b/azureway-entry/src/peer/peer_connections.rs
@@ -11,8 +11,6 @@
 #[derive(Debug, Default)]
 pub struct PeerConnections {
     connections: BTreeMap<InstanceId, (SocketAddr, Channel)>,
-    /// The open connection to the peer that reads the platform for this one.
-    long: BTreeMap<InstanceId, (SocketAddr, Channel)>,
 }
 
 /// The maximum number of connections that are kept for reuse. Beyond it, the connection to the peer
@@ -49,29 +47,19 @@
         Ok(channel)
     }
 
-    /// Returns the stored connection for long calls to a peer, or a new one. Calls over it set their own
-    /// limits, and do not hold up heartbeats.
+    /// Returns a new connection to a peer for calls that set their own limits.
     ///
     /// # Errors
     ///
     /// Returns an error if the peer's address is invalid.
-    pub fn get_long(&mut self, peer: &Instance) -> Result<Channel, Error> {
-        match self.long.get(&peer.id) {
-            Some((address, channel)) if *address == peer.address => return Ok(channel.clone()),
-            _ => {}
-        }
-        let channel = Self::endpoint(peer)?.connect_lazy();
-        let entry = (peer.address, channel.clone());
-        self.long.clear();
-        self.long.insert(peer.id.clone(), entry);
-        Ok(channel)
+    pub fn open_long(peer: &Instance) -> Result<Channel, Error> {
+        Ok(Self::endpoint(peer)?.connect_lazy())
     }
 
     /// Drops the stored connection to a peer that did not answer, so that the next call opens a new
     /// one. The old connection may be stuck while the peer is reachable.
     pub fn close(&mut self, peer: &InstanceId) {
         self.connections.remove(peer);
-        self.long.remove(peer);
     }
 
     /// Returns a new connection to a peer without storing it for reuse.
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -12,11 +12,11 @@
 
 use super::{
     CallPermits, Document, PeerCall, PeerConnections, PeerMessage, PeerRings, PeerService,
+    ZoneAsker,
 };
 use crate::admit::AdmitMessage;
 use crate::decide::{DecideMessage, PeerUpdate};
 use crate::meter::MetricEvent;
-use crate::zone::{ZoneReply, ZoneRequest};
 
 /// The peer duty: feeds events into the membership protocol and executes its actions.
 ///
@@ -32,12 +32,7 @@
     gate: VersionGate,
     actions: Vec<PeerAction>,
     rounds: u64,
-    /// Whether the platform's list of entry instances was read.
-    listed: bool,
-    /// The requests to readers of the zone that wait for that list.
-    waiting: Vec<(ZoneRequest, ZoneReply)>,
-    /// The audience of feeds that the deciding duty was told last.
-    audience: Option<FeedAudience>,
+    zone: ZoneAsker,
 }
 
 /// The longest wait for a message. The next wake-up may lie too far in the future for a timer.
@@ -49,6 +44,7 @@
 impl PeerDuty {
     /// Creates the duty for `membership`.
     pub fn new(membership: Membership, rings: PeerRings) -> Self {
+        let zone = ZoneAsker::new(rings.peer.clone());
         Self {
             membership,
             rings,
@@ -58,9 +54,7 @@
             gate: VersionGate::new(),
             actions: Vec::new(),
             rounds: 0,
-            listed: false,
-            waiting: Vec::new(),
-            audience: None,
+            zone,
         }
     }
 
@@ -106,22 +100,13 @@
         match message {
             None | Some(PeerMessage::Stop) => self.handle(PeerEvent::Tick).await,
             Some(PeerMessage::Configured(document)) => self.record_document(document).await,
-            Some(PeerMessage::Listed(list)) => {
-                self.listed = true;
-                self.handle(PeerEvent::Listed(&list)).await;
-                self.send_audience().await;
-                self.ask_waiting();
-            }
+            Some(PeerMessage::Listed(list)) => self.apply_list(&list).await,
             Some(PeerMessage::Demand(demand)) => self.handle(PeerEvent::Demand(&demand)).await,
             Some(PeerMessage::CrashReport(report)) => {
                 self.handle(PeerEvent::CrashReport(&report)).await
             }
             Some(PeerMessage::Server(update)) => self.handle(PeerEvent::Server(&update)).await,
-            Some(PeerMessage::Loading(loading)) => {
-                self.handle(PeerEvent::Loading(&loading)).await;
-                self.send_decide(DecideMessage::Peer(PeerUpdate::Loading(loading)))
-                    .await;
-            }
+            Some(PeerMessage::Loading(loading)) => self.announce_loading(loading).await,
             Some(PeerMessage::Heartbeat(heartbeat, reply)) => {
                 self.answer_heartbeat(&heartbeat, &reply).await
             }
@@ -132,6 +117,7 @@
             Some(PeerMessage::Reply(heartbeat)) => self.handle(PeerEvent::Reply(&heartbeat)).await,
             Some(PeerMessage::Timeout(peer)) => {
                 self.connections.close(&peer);
+                self.zone.close(&peer);
                 self.handle(PeerEvent::Timeout(&peer)).await;
             }
             Some(PeerMessage::Fetched(peer, document)) => {
@@ -140,12 +126,9 @@
             Some(PeerMessage::FetchFailed(peer)) => {
                 self.handle(PeerEvent::FetchFailed(&peer)).await
             }
-            // All entries may have started at once. One that has not seen the list yet would take itself for
-            // the only one, and read the platform as all the others do.
-            Some(PeerMessage::AskZone(request, reply)) if !self.listed => {
-                self.waiting.push((request, reply))
+            Some(PeerMessage::AskZone(request, reply)) => {
+                self.zone.ask(request, reply, &self.membership)
             }
-            Some(PeerMessage::AskZone(request, reply)) => self.ask_zone(request, reply),
             Some(PeerMessage::Leave) => self.handle(PeerEvent::Leaving).await,
         }
     }
@@ -181,25 +164,16 @@
                 PeerAction::Reply(_) => {}
                 PeerAction::LiveCount(count) => {
                     log::info!(step = "membership", count = count; "the number of live entry instances in the zone changed");
-                    self.send_decide(DecideMessage::Peer(PeerUpdate::ZoneEntries(count)))
-                        .await;
+                    self.send_update(PeerUpdate::ZoneEntries(count)).await;
                     self.notify_selection();
                 }
-                PeerAction::Demand(demand) => {
-                    self.send_decide(DecideMessage::Peer(PeerUpdate::Demand(demand)))
-                        .await
-                }
-                PeerAction::Server(update) => {
-                    self.send_decide(DecideMessage::Peer(PeerUpdate::Server(update)))
-                        .await
-                }
+                PeerAction::Demand(demand) => self.send_update(PeerUpdate::Demand(demand)).await,
+                PeerAction::Server(update) => self.send_update(PeerUpdate::Server(update)).await,
                 PeerAction::Loading(loading) => {
-                    self.send_decide(DecideMessage::Peer(PeerUpdate::Loading(loading)))
-                        .await
+                    self.send_update(PeerUpdate::Loading(loading)).await
                 }
                 PeerAction::CrashReport(report) => {
-                    self.send_decide(DecideMessage::Peer(PeerUpdate::CrashReport(report)))
-                        .await
+                    self.send_update(PeerUpdate::CrashReport(report)).await
                 }
             }
         }
@@ -210,37 +184,26 @@
 
     async fn end_round(&mut self) {
         self.rounds += 1;
-        self.ask_waiting();
+        self.zone.ask_waiting(&self.membership);
         if self.rounds % NOTIFY_ROUNDS == 1 {
             self.notify_selection();
         }
         self.send_audience().await;
         let known = self.membership.peers().known_count() + 1;
-        self.send_decide(DecideMessage::Peer(PeerUpdate::HeartbeatRound(known)))
-            .await;
+        self.send_update(PeerUpdate::HeartbeatRound(known)).await;
     }
 
-    /// Tells the deciding duty which entries read feeds, if they have changed. Before the first list of
-    /// entries this one cannot know how many there are, and reads none.
+    /// Tells the deciding duty which entries read feeds, if they have changed.
     async fn send_audience(&mut self) {
-        if !self.listed {
-            return;
-        }
-        // Instances that were listed and not heard yet count, since all may have started at once.
-        let peers = self.membership.peers().iter();
-        let peers = peers.filter(|m| !m.latest.liveness.is_gone());
-        let others = peers.map(|m| {
-            let instance = &m.latest.instance;
-            (instance.id.clone(), instance.zone.clone())
-        });
-        let me = self.membership.me();
-        let audience = FeedAudience::new(me.id.clone(), me.zone.clone(), others.collect());
-        if self.audience.as_ref() != Some(&audience) {
-            self.audience = Some(audience.clone());
+        if let Some(audience) = self.zone.changed_audience(&self.membership) {
             self.send_decide(DecideMessage::Audience(audience)).await;
         }
     }
 
+    async fn send_update(&self, update: PeerUpdate) {
+        self.send_decide(DecideMessage::Peer(update)).await;
+    }
+
     /// Sends to the deciding duty and waits while its ring is full. The deciding duty never waits
     /// for this one, so they cannot deadlock.
     async fn send_decide(&self, message: DecideMessage) {
@@ -248,52 +211,21 @@
     }
 
     fn notify_selection(&self) {
-        self.rings.selection.notify(&self.live_in_zone());
-    }
-
-    fn live_in_zone(&self) -> Vec<InstanceId> {
         let zone = &self.membership.me().zone;
         let live = self.membership.peers().live_in_zone(zone);
-        live.map(|m| m.latest.instance.id.clone()).collect()
-    }
-
-    /// Returns the peers of the zone that may live. Those that were listed and not heard yet are among them,
-    /// since all may have started at once.
-    fn known_in_zone(&self) -> Vec<InstanceId> {
-        let peers = self.membership.peers();
-        let known = peers.in_zone(&self.membership.me().zone);
-        let known = known.filter(|m| !m.latest.liveness.is_gone());
-        known.map(|m| m.latest.instance.id.clone()).collect()
+        let live: Vec<_> = live.map(|m| m.latest.instance.id.clone()).collect();
+        self.rings.selection.notify(&live);
     }
 
-    /// Makes the requests that waited for the first list of entries. Without one they wait for a round of
-    /// heartbeats, and the platform is read then.
-    fn ask_waiting(&mut self) {
-        for (request, reply) in std::mem::take(&mut self.waiting) {
-            self.ask_zone(request, reply);
-        }
+    async fn apply_list(&mut self, list: &[Instance]) {
+        self.handle(PeerEvent::Listed(list)).await;
+        self.zone.record_list(&self.membership);
+        self.send_audience().await;
     }
 
-    /// Asks a peer that reads the platform for the zone, unless this instance does so.
-    fn ask_zone(&mut self, request: ZoneRequest, reply: ZoneReply) {
-        let known = self.known_in_zone();
-        let me = &self.membership.me().id;
-        let reader = ZoneReaders::choose(me, &known, request.attempt);
-        let member = reader.and_then(|id| self.membership.peers().get(id));
-        let Some(instance) = member.map(|m| m.latest.instance.clone()) else {
-            let _ = reply.try_send(None);
-            return;
-        };
-        match self.connections.get_long(&instance) {
-            Ok(channel) => {
-                let call = PeerCall::new(instance, channel, self.rings.peer.clone());
-                tokio::spawn(call.changes(request, reply));
-            }
-            Err(e) => {
-                log::error!(step = e.step().as_str(), error:% = e; "cannot connect to a peer");
-                let _ = reply.try_send(Some(Err(())));
-            }
-        }
+    async fn announce_loading(&mut self, loading: LoadNotice) {
+        self.handle(PeerEvent::Loading(&loading)).await;
+        self.send_update(PeerUpdate::Loading(loading)).await;
     }
 
     fn send(&mut self, peer: Instance, heartbeat: &Heartbeat) {
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -85,15 +85,7 @@
                 log::info!(step = "read site", peer:% = id; "a server is no longer listed");
                 self.state.remove_server(&id, recovered, now);
             }
-            SiteUpdate::Disturbed(disturbance) => {
-                let age =
-                    u64::try_from(now.since(disturbance.until).as_millis()).unwrap_or(u64::MAX);
-                log::info!(
-                    step = "read site", age_ms = age, restored = disturbance.restored;
-                    "the grace period of older weights begins anew after a disturbance of the platform"
-                );
-                self.state.record_disturbance(disturbance);
-            }
+            SiteUpdate::Disturbed(disturbance) => self.record_disturbance(disturbance, now),
             SiteUpdate::ListedUntil(until, recovered) => {
                 // The next fleet carries the time. A fleet for each answer would cost every duty too much.
                 self.state.set_listed_until(until, recovered);
@@ -115,6 +107,15 @@
         true
     }
 
+    fn record_disturbance(&mut self, disturbance: Disturbance, now: Timestamp) {
+        let age = u64::try_from(now.since(disturbance.until).as_millis()).unwrap_or(u64::MAX);
+        log::info!(
+            step = "read site", age_ms = age, restored = disturbance.restored;
+            "the grace period of older weights begins anew after a disturbance of the platform"
+        );
+        self.state.record_disturbance(disturbance);
+    }
+
     fn update_server(&mut self, server: ListedServer) {
         log::info!(
             step = "read site", peer:% = server.id, service:% = server.service,
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -90,13 +90,13 @@
                     (self.api.list(kind), Duration::ZERO)
                 }
                 WatchStep::Watch(after, wait) => {
+                    self.listed = false;
                     if let Some(changes) = self.ask_zone(after, wait, started) {
                         if !self.handle_changes(&changes, after, started) {
                             return;
                         }
                         continue;
                     }
-                    self.listed = false;
                     (self.api.watch(kind, after, wait), wait)
                 }
             };
@@ -148,13 +148,12 @@
         let answered = started + changes.held;
         let until = answered.before(changes.age);
         let now = self.clock.now();
-        self.listed = false;
         self.earliest = self.bound.record_relayed(until);
         if let Some(ago) = changes.recovered {
             self.recovered = self.recovered.max(Some(answered.before(ago)));
         }
-        let version = changes.list.version.max(after);
-        self.schedule.record_success(version, now);
+        self.schedule
+            .record_success(changes.list.version.max(after), now);
         if let Some(zone) = &mut self.zone {
             zone.check_age(self.kind, self.bound.reported_until(), now);
         }
