Log a reader that failed only where one did, and name the wait for a reader once

Cause: the line on the source of news said failed=true whenever a reader was asked, also where it had answered, against docs/OPERATIONS.md. The wait for a reader was written in two places, from two constants of the same length. Change: the field follows from the answer; the kind of objects states its wait and derives its limit from it. Waits, limits and decisions are as before. Result: formatter, linter and the tests of zones, site watchers and the gateway pass.

--- a/azureway-entry/src/site/kind.rs
+++ b/azureway-entry/src/site/kind.rs
@@ -48,10 +48,16 @@
         }
     }
 
+    /// Returns the time for which an entry that reads the platform for its zone holds a request open when
+    /// nothing changes. Waiting there costs the platform nothing, so it is not as short as some watches.
+    pub fn relay_wait(self) -> Duration {
+        self.poll_timeout().max(POLL_TIMEOUT)
+    }
+
     /// Returns the time for which an entry that reads the platform for its zone answers by its last watch. A
     /// watch that takes longer may hang, and what it would have reported is missing.
     pub fn relay_limit(self) -> Duration {
-        self.poll_timeout().max(POLL_TIMEOUT) + OVERDUE_TIME
+        self.relay_wait() + OVERDUE_TIME
     }
 
     /// Returns the name of the kind in logs and thread names.
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -24,9 +24,6 @@
 
 /// The time for which a watcher reads the platform itself after a reader failed.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
-/// The shortest time for which a reader is asked to wait for changes. Waiting there costs the platform
-/// nothing.
-const MIN_WAIT: Duration = Duration::from_secs(2);
 
 impl ZoneLink {
     /// The shortest limit on when a change must be in force with which news may come through a reader: a
@@ -72,14 +69,14 @@
             kind,
             era,
             after,
-            wait: kind.poll_timeout().max(MIN_WAIT),
+            wait: kind.relay_wait(),
             attempt: self.failures,
         };
         let answer = self.client.ask(request);
         let relayed = matches!(answer, Some(Ok(_)));
         if relayed != self.relayed {
             self.relayed = relayed;
-            let failed = answer.is_some();
+            let failed = matches!(answer, Some(Err(())));
             log::info!(step = "watch site", kind = kind.as_str(), relayed = relayed, failed = failed, after = after; "the source of news has changed");
         }
         let answer = answer?;
