--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -121,7 +121,8 @@
     /// meanwhile, or has loaded them. Returns whether the cached blocks known for the server are
     /// invalid.
     pub fn apply_loading(&mut self, loading: &LoadNotice, now: Timestamp) -> bool {
-        let newer = self.weights.is_none_or(|known| known < loading.weights);
+        let named = loading.weights > WeightsVersion::ZERO;
+        let newer = named && self.weights.is_none_or(|known| known < loading.weights);
         let done = loading.duration.is_zero();
         if newer && done {
             self.weights = Some(loading.weights);
--- /dev/null
+++ b/azureway-core/src/order/answers.rs
@@ -0,0 +1,107 @@
+//! The planner's methods that handle what servers answer to orders and tell of them.
+
+use super::{
+    HeldServer, LoadOrder, LoadProgress, OrderAnswer, OrderPlanner, OrderStatus, RETRY_DELAY,
+};
+use crate::domain::{ServerId, Timestamp};
+
+impl OrderPlanner {
+    /// Records the answer to an order.
+    pub fn record_answer(&mut self, order: &LoadOrder, answer: OrderAnswer, now: Timestamp) {
+        let server = &order.server;
+        if answer != OrderAnswer::Unanswered {
+            self.unanswered.remove(server);
+        }
+        match answer {
+            OrderAnswer::Taken => {
+                self.counts.set(server, order.accepted + 1);
+                self.extend_load(server, now);
+            }
+            // The server is asked for its state, which tells whether it loads these weights.
+            OrderAnswer::Held | OrderAnswer::Conflict => {
+                if let Some(load) = self.loads.get_mut(server) {
+                    load.expires = now + RETRY_DELAY;
+                }
+            }
+            OrderAnswer::Fenced | OrderAnswer::Failed => self.record_failure(server, now),
+            OrderAnswer::Unanswered => self.record_unanswered(server, now),
+        }
+    }
+
+    /// Records that an order failed. Its load slot becomes free, and the order is sent again after
+    /// a delay, and after the server's pause, unless the server reports the weights.
+    pub fn record_failure(&mut self, server: &ServerId, now: Timestamp) {
+        self.fail_load(server, now, now + RETRY_DELAY);
+    }
+
+    /// Records that an order got no answer. It is repeated soon: the server carries out only one of
+    /// the two, since both name the same number of accepted orders.
+    fn record_unanswered(&mut self, server: &ServerId, now: Timestamp) {
+        let delay = self.unanswered.record(server);
+        self.fail_load(server, now, now + delay);
+    }
+
+    fn fail_load(&mut self, server: &ServerId, now: Timestamp, expires: Timestamp) {
+        if let Some(load) = self.loads.get_mut(server) {
+            load.slot_until = now;
+            load.expires = expires;
+            load.failed = true;
+            self.changed = true;
+            if let Some(held) = self.held.get_mut(server) {
+                held.ordered = true;
+            }
+        }
+    }
+
+    /// Records what a server that was ordered to load weights tells of its orders. Returns how far the
+    /// load has come.
+    pub fn record_status(
+        &mut self,
+        order: &LoadOrder,
+        status: &OrderStatus,
+        now: Timestamp,
+    ) -> LoadProgress {
+        let server = &order.server;
+        if status.busy {
+            self.extend_load(server, now);
+            return LoadProgress::Loading;
+        }
+        if status.weights >= order.weights {
+            self.counts.set(server, status.accepted);
+            self.observe_weights(server, status.weights);
+            self.loads.remove(server);
+            self.changed = true;
+            return LoadProgress::Loaded;
+        }
+        if status.accepted < self.counts.get(server) {
+            // The state is from before the order.
+            return LoadProgress::Loading;
+        }
+        self.counts.set(server, status.accepted);
+        self.loads.remove(server);
+        self.changed = true;
+        LoadProgress::Idle
+    }
+
+    /// Lets the load of a server count as pending from now on.
+    fn extend_load(&mut self, server: &ServerId, now: Timestamp) {
+        if let Some(load) = self.loads.get_mut(server) {
+            load.slot_until = now + self.config.slot_timeout;
+            load.expires = now + self.config.load_timeout;
+        }
+    }
+
+    /// Records that a server asked this entry for a pause that ends at `until`. A time that has
+    /// passed ends the pause.
+    pub fn hold(&mut self, server: &ServerId, until: Timestamp, now: Timestamp) {
+        self.held.retain(|_, held| held.until > now);
+        self.changed = true;
+        if until <= now {
+            self.held.remove(server);
+            return;
+        }
+        let ordered = self.loads.get(server).is_some_and(|l| l.failed);
+        let new = HeldServer { until, ordered };
+        self.held.entry(server.clone()).or_insert(new).until = until;
+    }
+}
--- a/azureway-core/src/order/load_order.rs
+++ b/azureway-core/src/order/load_order.rs
@@ -7,8 +7,8 @@
 
 /// An order to a backend server to load weights.
 ///
-/// It is idempotent: a server that already has the weights does nothing, so that a late or
-/// duplicate order does no harm.
+/// It is idempotent: a server that already has the weights does nothing. A server that counts its orders
+/// rejects one that names another number of accepted orders, so a late or duplicate order does no harm.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoadOrder {
     /// The server that loads the weights.
@@ -25,4 +25,8 @@
     pub mode: LoadMode,
     /// The configuration version that requires the weights.
     pub config: ConfigVersion,
+    /// The number of orders that the server must have accepted before this one.
+    pub accepted: u64,
+    /// Whether an earlier order to the server got no answer.
+    pub repeated: bool,
 }
--- a/azureway-core/src/order/pending_load.rs
+++ b/azureway-core/src/order/pending_load.rs
@@ -11,6 +11,6 @@
     pub slot_until: Timestamp,
     /// The time from which the load no longer counts as pending.
     pub expires: Timestamp,
-    /// Whether the order failed.
+    /// Whether the order failed or got no answer.
     pub failed: bool,
 }
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -1,33 +1,33 @@
 //! The decision which server loads which weights next, and when.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-use super::{HeldServer, LoadOrder, OrderConfig, PendingLoad, PoolView, StoreLimiter};
+use super::{
+    HeldServer, LoadOrder, OrderConfig, OrderCounts, PendingLoad, PoolView, StoreLimiter,
+    UnansweredOrders,
+};
 use crate::domain::{
     BackendServer, BackendServerPool, ConfigVersion, ModelId, ModelService, ServerId, ServiceKind,
     Timestamp, WeightsVersion,
 };
 use crate::fleet::{Fleet, LoadReport};
 
-/// The delay before a failed order is sent again. By then, a server that is merely slow has
-/// replied. A server that crashed needs longer than this to restart.
-const RETRY_DELAY: Duration = Duration::from_secs(1);
-
 /// Plans load orders, one at a time, by comparing the weights that the configuration requires with
 /// those that the servers report.
 #[derive(Clone, Debug)]
 pub struct OrderPlanner {
-    config: OrderConfig,
+    pub(super) config: OrderConfig,
     fleet: Fleet,
     reported: BTreeMap<ServerId, WeightsVersion>,
-    loads: BTreeMap<ServerId, PendingLoad>,
-    held: BTreeMap<ServerId, HeldServer>,
+    pub(super) loads: BTreeMap<ServerId, PendingLoad>,
+    pub(super) held: BTreeMap<ServerId, HeldServer>,
+    pub(super) counts: OrderCounts,
+    pub(super) unanswered: UnansweredOrders,
     store_limiter: StoreLimiter,
     /// The number of loads that occupied a slot when planning last ran.
     active_loads: usize,
     /// Whether anything has changed since planning last found no order.
-    changed: bool,
+    pub(super) changed: bool,
 }
 
 impl OrderPlanner {
@@ -40,6 +40,8 @@
             reported: BTreeMap::new(),
             loads: BTreeMap::new(),
             held: BTreeMap::new(),
+            counts: OrderCounts::new(),
+            unanswered: UnansweredOrders::new(),
             active_loads: 0,
             changed: false,
         }
@@ -58,6 +60,8 @@
             let servers = &self.fleet.servers;
             self.reported.retain(|id, _| servers.contains_key(id));
             self.loads.retain(|id, _| servers.contains_key(id));
+            self.counts.retain(|id| servers.contains_key(id));
+            self.unanswered.retain(|id| servers.contains_key(id));
             self.apply_listed_weights();
         }
     }
@@ -65,6 +69,11 @@
     /// Applies the weights of the servers in the platform's list.
     fn apply_listed_weights(&mut self) {
         for server in self.fleet.servers.values() {
+            if self.counts.observe_listing(server) {
+                // The load of an earlier incarnation has ended with it.
+                self.loads.remove(&server.id);
+                self.reported.remove(&server.id);
+            }
             let Some(weights) = server.listed.and_then(|l| l.weights) else {
                 continue;
             };
@@ -123,34 +132,6 @@
         }
     }
 
-    /// Records that an order failed. Its load slot becomes free, and the order is sent again after
-    /// a delay, and after the server's pause, unless the server reports the weights.
-    pub fn record_failure(&mut self, server: &ServerId, now: Timestamp) {
-        if let Some(load) = self.loads.get_mut(server) {
-            load.slot_until = now;
-            load.expires = now + RETRY_DELAY;
-            load.failed = true;
-            self.changed = true;
-            if let Some(held) = self.held.get_mut(server) {
-                held.ordered = true;
-            }
-        }
-    }
-
-    /// Records that a server asked this entry for a pause that ends at `until`. A time that has
-    /// passed ends the pause.
-    pub fn hold(&mut self, server: &ServerId, until: Timestamp, now: Timestamp) {
-        self.held.retain(|_, held| held.until > now);
-        self.changed = true;
-        if until <= now {
-            self.held.remove(server);
-            return;
-        }
-        let ordered = self.loads.get(server).is_some_and(|l| l.failed);
-        let new = HeldServer { until, ordered };
-        self.held.entry(server.clone()).or_insert(new).until = until;
-    }
-
     /// Returns the next order, if one may be sent at `now`, and records its load as pending.
     pub fn next_order(&mut self, now: Timestamp) -> Option<LoadOrder> {
         let before = self.loads.len() + self.held.len();
@@ -210,6 +191,8 @@
             weights,
             mode: self.config.mode,
             config: self.fleet.version,
+            accepted: self.counts.get(&server.id),
+            repeated: self.unanswered.contains(&server.id),
         })
     }
 
--- a/azureway-core/src/order/pool_view.rs
+++ b/azureway-core/src/order/pool_view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{HeldServer, PendingLoad};
-use crate::domain::{BackendServer, ServerId, Timestamp, WeightsVersion};
+use crate::domain::{BackendServer, ServerId, Timestamp, WeightsVersion, ZoneId};
 
 /// The weights of one pool: required, loaded and being loaded.
 #[derive(Clone, Debug)]
@@ -27,14 +27,38 @@
         let replaceable = self.idle().filter(|(_, loaded)| self.can_replace(*loaded));
         let open = replaceable.filter(|(s, _)| self.held.get(&s.id).is_none_or(|h| !h.ordered));
         // Weights that no service requires are replaced first, then those of servers without a
-        // pause, and of these the oldest.
+        // pause, and of these the oldest. The zones take turns, since the servers of a zone are the
+        // nearest to its callers.
+        let zones = self.zone_progress(weights);
         let server = open.min_by_key(|(s, loaded)| {
             let held = self.held.contains_key(&s.id);
-            (self.required.contains(loaded), held, *loaded, &s.id)
+            let progress = zones.get(&s.zone).copied();
+            (
+                self.required.contains(loaded),
+                held,
+                *loaded,
+                progress,
+                &s.id,
+            )
         });
         server.map(|(server, _)| (server, weights))
     }
 
+    /// Returns the share of each zone's servers that have the weights or are loading them, in thousandths.
+    fn zone_progress(&self, weights: WeightsVersion) -> BTreeMap<&'a ZoneId, usize> {
+        let mut counts: BTreeMap<&ZoneId, (usize, usize)> = BTreeMap::new();
+        for (server, loaded) in &self.servers {
+            let (done, all) = counts.entry(&server.zone).or_default();
+            let load = self.loads.get(&server.id).map(|l| l.weights);
+            *done += usize::from(load.unwrap_or(*loaded) == weights);
+            *all += 1;
+        }
+        let shares = counts.into_iter();
+        shares
+            .map(|(zone, (done, all))| (zone, done * 1_000 / all))
+            .collect()
+    }
+
     /// Returns the number of loads that occupy a slot at `now`.
     pub fn active_loads(&self, now: Timestamp) -> usize {
         let loads = self
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -25,7 +25,10 @@
     GossipUpdate, Heartbeat, Liveness, LoadNotice, MemberUpdate, Membership, MembershipConfig,
     PeerAction, PeerEvent, ServerStatus, ServerUpdate,
 };
-pub use crate::order::{LoadMode, LoadOrder, OrderConfig, OrderPlanner, StoreLimiter};
+pub use crate::order::{
+    LoadMode, LoadOrder, LoadProgress, OrderAnswer, OrderConfig, OrderPlanner, OrderStatus,
+    StoreLimiter,
+};
 pub use crate::quarantine::{
     CrashReport, CrashReportState, CrashSite, CrashSubject, Quarantine, QuarantineChange,
     QuarantineRecord, SuspectStatus,
--- a/azureway-core/tests/orders/main.rs
+++ b/azureway-core/tests/orders/main.rs
@@ -2,8 +2,10 @@
 
 mod cluster;
 mod holds;
+mod late_servers;
 #[path = "../support/mod.rs"]
 mod support;
+mod unanswered;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/azureway-core/tests/orders/unanswered.rs
@@ -0,0 +1,140 @@
+//! Orders that get no answer and are carried out late, by servers of a large pool.
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use googletest::prelude::*;
+
+use crate::late_servers::{LateCluster, LateServer};
+
+/// The time for which older weights may answer requests on the larger sites, less the margin for
+/// requests that wait in a server.
+const GRACE: Duration = Duration::from_secs(8);
+/// The time after which no server of a larger site may have older weights.
+const LIMIT: Duration = Duration::from_secs(14);
+/// The seeds of the drawn runs.
+const SEEDS: std::ops::Range<u64> = 1..7;
+
+/// Guards against a rollout that waits for the servers that do not answer: older weights end before
+/// most servers have newer ones.
+#[gtest]
+fn a_pool_loads_in_time_although_half_of_the_orders_get_no_answer() {
+    for seed in SEEDS.take(3) {
+        let mut cluster = LateCluster::new(140, 6, 28, seed);
+        cluster.lost = 50;
+        for (version, time) in [(2, 600), (3, 700)] {
+            cluster.require(version);
+            cluster.run(Duration::from_millis(time));
+        }
+        cluster.require(4);
+        cluster.run(GRACE);
+        let newest = |s: &&LateServer| s.weights == WeightsVersion::new(4);
+        let loaded = cluster.servers.iter().filter(newest).count();
+        expect_that!(loaded, ge(126), "seed {seed}");
+        let rest = cluster.run_until_loaded(4, LIMIT.saturating_sub(GRACE));
+        expect_that!(rest, some(anything()), "seed {seed}");
+    }
+}
+
+/// Guards against an order that is carried out after a newer one and takes its server back to older
+/// weights, which nobody notices.
+#[gtest]
+fn late_orders_leave_no_server_on_older_weights() {
+    for seed in SEEDS {
+        let mut cluster = LateCluster::new(9, 3, 2, seed);
+        cluster.lost = 50;
+        for (version, time) in [(2, 600), (3, 700), (4, 6_700)] {
+            cluster.require(version);
+            cluster.run(Duration::from_millis(time));
+        }
+        cluster.lost = 0;
+        cluster.run(Duration::from_secs(4));
+        cluster.require(5);
+        cluster.run(Duration::from_secs(20));
+        let newest = |s: &LateServer| s.weights == WeightsVersion::new(5);
+        expect_that!(cluster.servers.iter().all(newest), eq(true), "seed {seed}");
+        expect_that!(cluster.reverted, eq(false), "seed {seed}");
+    }
+}
+
+/// Shows that servers which do not count their orders are taken back, so that the test above can fail.
+#[gtest]
+fn servers_that_count_no_orders_are_taken_back_by_late_ones() {
+    let reverted = SEEDS.filter(|seed| {
+        let mut cluster = LateCluster::new(9, 3, 2, *seed);
+        (cluster.lost, cluster.uncounted) = (50, true);
+        for (version, time) in [(2, 600), (3, 700), (4, 6_700)] {
+            cluster.require(version);
+            cluster.run(Duration::from_millis(time));
+        }
+        cluster.lost = 0;
+        cluster.run(Duration::from_secs(20));
+        cluster.reverted
+    });
+    expect_that!(reverted.count(), gt(0));
+}
+
+/// Guards against servers that never answer and take the places of those that do.
+#[gtest]
+fn silent_servers_do_not_hold_up_the_others() {
+    let mut cluster = LateCluster::new(140, 6, 28, 1);
+    for server in cluster.servers.iter_mut().take(28) {
+        server.silent = true;
+    }
+    cluster.require(2);
+    expect_that!(cluster.run_until_loaded(2, GRACE), some(lt(GRACE)));
+}
+
+/// Guards against a silent server that gets as many orders as the network carries.
+#[gtest]
+fn a_silent_server_is_ordered_at_most_each_second() {
+    let mut cluster = LateCluster::new(2, 1, 2, 1);
+    cluster.servers[0].silent = true;
+    cluster.require(2);
+    cluster.run(Duration::from_secs(5));
+    cluster.take_sent();
+    cluster.run(Duration::from_secs(10));
+    expect_that!(cluster.take_sent(), all![ge(5), le(10)]);
+}
+
+/// Guards against zones that lose all of their servers at once, since servers are ordered by name.
+#[gtest]
+fn zones_take_turns_in_a_rollout() {
+    let mut cluster = LateCluster::new(120, 6, 24, 1);
+    cluster.require(2);
+    // Two of five rounds.
+    cluster.run(Duration::from_millis(1_800));
+    for zone in 0..6 {
+        let servers = &cluster.servers[zone * 20..][..20];
+        let new = servers
+            .iter()
+            .filter(|s| s.weights == WeightsVersion::new(2));
+        expect_that!(new.count(), all![ge(4), le(12)], "zone {zone}");
+    }
+}
+
+/// Guards against a new holder of the lease whose orders all servers reject, since it does not know how
+/// many they have accepted.
+#[gtest]
+fn a_new_holder_learns_how_many_orders_servers_have_accepted() {
+    let mut cluster = LateCluster::new(9, 3, 2, 1);
+    cluster.require(2);
+    expect_that!(cluster.run_until_loaded(2, GRACE), some(anything()));
+    cluster.replace_holder();
+    cluster.require(3);
+    expect_that!(cluster.run_until_loaded(3, GRACE), some(anything()));
+}
+
+/// Guards against a server that restarts during its load under its name, and is not ordered again
+/// before older weights end.
+#[gtest]
+fn a_server_that_restarts_during_its_load_is_ordered_again() {
+    let mut cluster = LateCluster::new(3, 1, 2, 1);
+    cluster.require(2);
+    expect_that!(cluster.run_until_loaded(2, GRACE), some(anything()));
+    cluster.require(3);
+    cluster.run(Duration::from_millis(200));
+    cluster.restart(0);
+    let limit = Duration::from_secs(5);
+    expect_that!(cluster.run_until_loaded(3, limit), some(anything()));
+}
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -103,6 +103,7 @@
                 self.fixture.handle(Event::LoadSample(&sample));
             }
             "load" => self.load(number(1), number(2)),
+            "withdrawn" => self.load(0, 0),
             "loaded" => self.load(number(1), 0),
             "reject" => self.reject(FailureKind::Busy),
             "mismatch" => self.reject(FailureKind::Mismatch),
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -23,6 +23,7 @@
 use crate::order::{HttpOrders, Orderer};
 use crate::peer::PeerMessage;
 use crate::relay::RelayLauncher;
+use crate::runtime;
 use crate::watch::{ConfigWatcher, WatchMessage};
 
 /// A running entry daemon that serves the product's own interface.
@@ -93,6 +94,7 @@
         let calls = api.calls().clone();
         spawn_claimers(&api, &rings, process_id)?;
         let orderer = orderer(settings, &rings, api.clone(), process_id);
+        let order_runtime = runtime::create()?;
         let monitor = rings.monitor();
         threads.push(spawn_peer(settings, &rings, peers, process_id)?);
         let decider = decider(settings, &rings, process_id);
@@ -118,7 +120,7 @@
         spawn("meter", move || meter.run())?;
         spawn("admit", move || admitter.run())?;
         spawn("watch", move || watcher.run())?;
-        spawn("order", move || orderer.run())?;
+        spawn("order", move || orderer.run(&order_runtime))?;
         Ok(Self {
             address,
             admin,
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -19,6 +19,7 @@
 use crate::order::{OrderLink, Orderer};
 use crate::peer::PeerMessage;
 use crate::routed::{DisconnectWatcher, RoutedCallReader, RoutedListener, ServingState};
+use crate::runtime;
 use crate::site::{SITE_CALL_TIMEOUT, SiteDuty, SiteKind, SiteUpdate, SiteWatcher};
 use crate::zone::{ZoneClient, ZoneLink};
 
@@ -281,6 +282,7 @@
     let messages = rings.order_messages.clone();
     let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
     let orderer = orderer.with_peers(rings.peer.clone());
-    spawn("order", move || orderer.run())?;
+    let runtime = runtime::create()?;
+    spawn("order", move || orderer.run(&runtime))?;
     Ok(())
 }
--- a/azureway-entry/src/daemon/parts.rs
+++ b/azureway-entry/src/daemon/parts.rs
@@ -12,6 +12,7 @@
 use super::{Rings, spawn};
 use crate::peer::PeerDuty;
 use crate::quarantine::{QuarantineClient, QuarantineWriter};
+use crate::runtime;
 use crate::watch::{Registrar, SelectionNotifier};
 
 /// The capacity of the ring to the duty that stores quarantined parts. Parts that crash servers are
@@ -43,7 +44,7 @@
         now,
     );
     let (runtime, duty) = (
-        PeerDuty::runtime()?,
+        runtime::create()?,
         PeerDuty::new(membership, rings.peers(selection)),
     );
     spawn("peer", move || duty.run(&runtime, listener))
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -123,30 +123,6 @@
         Self::open(address, limit)?.call(request.as_bytes(), limit)
     }
 
-    /// Makes a `POST` [`call`](Self::call) with a JSON body on a new connection to `address`.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if connecting takes longer than `limit`, or if the call fails.
-    pub fn post_json(
-        address: SocketAddr,
-        path: &str,
-        headers: &[(&str, &str)],
-        body: &str,
-        limit: Duration,
-    ) -> io::Result<(AnswerHead, Vec<u8>)> {
-        let headers: String = headers
-            .iter()
-            .map(|(name, value)| format!("{name}: {value}\r\n"))
-            .collect();
-        let length = body.len();
-        let request = format!(
-            "POST {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\
-             content-type: application/json\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
-        );
-        Self::open(address, limit)?.call(request.as_bytes(), limit)
-    }
-
     /// Sends the bytes of a request.
     ///
     /// # Errors
--- /dev/null
+++ b/azureway-entry/src/exchange/server_call.rs
@@ -0,0 +1,115 @@
+//! A call to a backend server, made by a duty that waits for many of them at once.
+
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use azureway_core::prelude::{Error, ErrorKind, Step};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::client::conn::http1;
+use hyper::http::request::Builder;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+use super::{CallAnswer, CallError};
+
+/// One call to a backend server, on a connection of its own.
+#[derive(Debug)]
+pub struct ServerCall {
+    address: SocketAddr,
+    request: Builder,
+    body: Bytes,
+    limit: Duration,
+}
+
+/// The step that errors name.
+const STEP: Step = Step::new("call server");
+/// The largest answer body, in bytes. A report of a server's orders and runs has some kilobytes.
+const MAX_BODY: usize = 1024 * 1024;
+
+impl ServerCall {
+    /// Creates a `GET` call, which fails after `limit`.
+    pub fn get(address: SocketAddr, path: &str, limit: Duration) -> Self {
+        let request = Request::get(path).header("host", address.to_string());
+        Self {
+            address,
+            request: request.header("connection", "close"),
+            body: Bytes::new(),
+            limit,
+        }
+    }
+
+    /// Creates a `POST` call with a JSON body, which fails after `limit`.
+    pub fn post_json(address: SocketAddr, path: &str, body: String, limit: Duration) -> Self {
+        let request = Request::post(path).header("host", address.to_string());
+        let request = request.header("connection", "close");
+        Self {
+            address,
+            request: request.header("content-type", "application/json"),
+            body: body.into(),
+            limit,
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        self.request = self.request.header(name, value);
+        self
+    }
+
+    /// Makes the call and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells whether the server may have received the call.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a runtime with sockets and timers.
+    pub async fn run(self) -> Result<CallAnswer, CallError> {
+        let (address, deadline) = (self.address, Instant::now() + self.limit);
+        let not_sent = |e: &dyn Display| CallError::NotSent(error(address, e));
+        let unanswered = |e: &dyn Display| CallError::Unanswered(error(address, e));
+        let request = self.request.body(Full::new(self.body));
+        let request = request.map_err(|e| not_sent(&e))?;
+        let stream = timeout_at(deadline, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|e| not_sent(&e))?;
+        let stream = stream.map_err(|e| not_sent(&e))?;
+        stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
+        let answer = timeout_at(deadline, exchange(stream, request)).await;
+        let answer = answer.map_err(|e| unanswered(&e))?;
+        answer.map_err(|e| unanswered(&e))
+    }
+}
+
+/// Sends a request and reads the answer. The connection ends with the returned future.
+async fn exchange(
+    stream: TcpStream,
+    request: Request<Full<Bytes>>,
+) -> Result<CallAnswer, Box<dyn std::error::Error + Send + Sync>> {
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let answer = async {
+        let response: Response<Incoming> = sender.send_request(request).await?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_BODY);
+        let body = body.collect().await?.to_bytes();
+        Ok(CallAnswer { status, body })
+    };
+    tokio::pin!(connection, answer);
+    tokio::select! {
+        answer = &mut answer => answer,
+        ended = &mut connection => {
+            ended?;
+            // The connection ends with the last byte, before the answer was taken up.
+            answer.await
+        }
+    }
+}
+
+fn error(address: SocketAddr, cause: &dyn Display) -> Error {
+    Error::new(ErrorKind::Unavailable, STEP, cause.to_string()).with_peer(address)
+}
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod quarantine;
 pub mod relay;
 pub mod routed;
+pub mod runtime;
 pub mod site;
 pub mod watch;
 pub mod zone;
--- a/azureway-entry/src/order/http_orders.rs
+++ b/azureway-entry/src/order/http_orders.rs
@@ -1,12 +1,13 @@
 //! Load orders to backend servers of azureway's own HTTP interface.
 
+use std::future::{self, Future};
 use std::time::Duration;
 
-use azureway_core::prelude::{FencingNumber, LoadOrder, WeightsVersion};
+use azureway_core::prelude::{FencingNumber, LoadOrder, OrderAnswer, OrderStatus};
 use azureway_wire::order::OrderBody;
 
-use super::{OrderAnswer, OrderLink};
-use crate::exchange::BackendConnection;
+use super::OrderLink;
+use crate::exchange::ServerCall;
 
 /// Sends load orders over HTTP, as `POST /v1/orders`.
 ///
@@ -15,7 +16,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HttpOrders;
 
-/// The time after which an order that a server has not answered counts as failed.
+/// The time after which an order that a server has not answered counts as unanswered.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 impl HttpOrders {
@@ -26,28 +27,40 @@
 }
 
 impl OrderLink for HttpOrders {
-    /// Returns `None`, since the servers of this interface report new weights at once by
-    /// themselves.
-    fn weights(&self, _: &LoadOrder) -> Option<WeightsVersion> {
-        None
-    }
-
-    fn send(&self, order: &LoadOrder, number: FencingNumber) -> OrderAnswer {
-        let body = match serde_json::to_string(&OrderBody::new(order, number)) {
-            Ok(body) => body,
-            Err(e) => {
-                log::error!(step = "order", peer:% = order.server, error:% = e; "a load order cannot be serialized");
-                return OrderAnswer::Failed;
-            }
-        };
-        let answer = BackendConnection::post_json(order.address, "/v1/orders", &[], &body, TIMEOUT);
-        match answer.map(|(head, _)| head.status) {
-            Ok(200..=299) => OrderAnswer::Taken,
-            Ok(409) => OrderAnswer::Fenced,
-            other => {
-                log::warn!(step = "order", peer:% = order.server, answer:? = other; "a load order failed");
-                OrderAnswer::Failed
+    fn send(
+        &self,
+        order: &LoadOrder,
+        number: FencingNumber,
+    ) -> impl Future<Output = OrderAnswer> + Send + 'static {
+        let body = serde_json::to_string(&OrderBody::new(order, number));
+        let (server, address) = (order.server.clone(), order.address);
+        async move {
+            let body = match body {
+                Ok(body) => body,
+                Err(e) => {
+                    log::error!(step = "order", peer:% = server, error:% = e; "a load order cannot be serialized");
+                    return OrderAnswer::Failed;
+                }
+            };
+            let call = ServerCall::post_json(address, "/v1/orders", body, TIMEOUT);
+            match call.run().await {
+                Ok(answer) if (200..300).contains(&answer.status) => OrderAnswer::Taken,
+                Ok(answer) if answer.status == 409 => OrderAnswer::Fenced,
+                Ok(answer) => {
+                    log::warn!(step = "order", peer:% = server, status = answer.status; "a load order failed");
+                    OrderAnswer::Failed
+                }
+                Err(e) => {
+                    log::warn!(step = "order", peer:% = server, error:% = e; "a load order failed");
+                    OrderAnswer::from(&e)
+                }
             }
         }
     }
+
+    /// Returns `None`, since the servers of this interface report new weights at once by
+    /// themselves.
+    fn status(&self, _: &LoadOrder) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
+        future::ready(None)
+    }
 }
--- a/azureway-entry/src/order/load_checks.rs
+++ b/azureway-entry/src/order/load_checks.rs
@@ -31,9 +31,17 @@
 
     /// Adds a load that was ordered at `now`.
     pub fn push(&mut self, order: LoadOrder, now: Timestamp) {
-        self.pending.retain(|(_, _, o)| o.server != order.server);
-        self.pending
-            .push((now + FIRST_DELAY, now + CHECK_TIMEOUT, order));
+        self.insert(order, now + FIRST_DELAY, now);
+    }
+
+    /// Adds a load whose server is checked at once, since its answer to the order left its state open.
+    pub fn push_due(&mut self, order: LoadOrder, now: Timestamp) {
+        self.insert(order, now, now);
+    }
+
+    fn insert(&mut self, order: LoadOrder, first: Timestamp, now: Timestamp) {
+        self.remove(&order);
+        self.pending.push((first, now + CHECK_TIMEOUT, order));
     }
 
     /// Records that a server asked for a pause that ends at `until`. The server is not polled before
@@ -65,7 +73,7 @@
         Some(self.pending.swap_remove(index).2)
     }
 
-    /// Removes a load that has completed.
+    /// Removes the load of a server.
     pub fn remove(&mut self, order: &LoadOrder) {
         self.pending.retain(|(_, _, o)| o.server != order.server);
     }
--- a/azureway-entry/src/order/order_link.rs
+++ b/azureway-entry/src/order/order_link.rs
@@ -1,16 +1,23 @@
 //! The protocol of load orders, which differs between kinds of backend servers.
 
-use azureway_core::prelude::{FencingNumber, LoadOrder, WeightsVersion};
+use std::future::Future;
 
-use super::OrderAnswer;
+use azureway_core::prelude::{FencingNumber, LoadOrder, OrderAnswer, OrderStatus};
 
-/// The transport of load orders to backend servers.
+/// The transport of load orders to backend servers. The calls of one duty run at the same time.
 pub trait OrderLink {
-    /// Sends an order and waits for the answer. The wait must be much shorter than the safety
-    /// margin before the lease expires.
-    fn send(&self, order: &LoadOrder, number: FencingNumber) -> OrderAnswer;
+    /// Returns the call that sends an order. It must end much sooner than the safety margin before the
+    /// lease expires.
+    fn send(
+        &self,
+        order: &LoadOrder,
+        number: FencingNumber,
+    ) -> impl Future<Output = OrderAnswer> + Send + 'static;
 
-    /// Requests the weights version that the server of an order has loaded. Returns `None` if the
-    /// server is still loading or does not report it.
-    fn weights(&self, order: &LoadOrder) -> Option<WeightsVersion>;
+    /// Returns the call that asks the server of an order for the state of its orders. The result is `None`
+    /// if the server does not tell it.
+    fn status(
+        &self,
+        order: &LoadOrder,
+    ) -> impl Future<Output = Option<OrderStatus>> + Send + 'static;
 }
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -4,9 +4,11 @@
 
 use azureway_core::prelude::*;
 use azureway_objects::ObjectApi;
-use flume::{Receiver, RecvTimeoutError, Sender};
+use flume::{Receiver, RecvError, Sender};
+use tokio::runtime::Runtime;
+use tokio::time::{Instant, sleep_until};
 
-use super::{LeaseStore, LoadChecks, OrderAnswer, OrderLink, OrderMessage};
+use super::{LeaseStore, LoadChecks, OrderCalls, OrderLink, OrderMessage, OrderReply};
 use crate::claim::Sweeper;
 use crate::clock::Clock;
 use crate::peer::PeerMessage;
@@ -16,7 +18,7 @@
 #[derive(Debug)]
 pub struct Orderer<A, L> {
     store: LeaseStore<A>,
-    link: L,
+    calls: OrderCalls<L>,
     messages: Receiver<OrderMessage>,
     clock: Clock,
     lease: Lease,
@@ -34,6 +36,8 @@
 /// The delay from the announcement of a load to its order. During the delay peers receive the
 /// announcement, and the requests that are queued in the server start.
 const ANNOUNCE_DELAY: Duration = Duration::from_millis(300);
+/// The longest wait for a message.
+const WAIT_MAX: Duration = Duration::from_secs(60);
 /// The wake-up time if there is nothing to do until the next message.
 const IDLE: Timestamp = Timestamp::MAX;
 
@@ -50,7 +54,7 @@
         Self {
             sweeper: None,
             store: LeaseStore::new(api),
-            link,
+            calls: OrderCalls::new(link),
             messages,
             clock,
             lease,
@@ -79,30 +83,34 @@
         self
     }
 
-    /// Runs until every sender of messages is gone.
-    pub fn run(mut self) {
-        loop {
-            match self.receive() {
-                Ok(message) => {
-                    self.handle_message(message);
-                    self.handle_waiting();
-                }
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+    /// Runs until every sender of messages is gone and the calls to servers have ended.
+    pub fn run(mut self, runtime: &Runtime) {
+        runtime.block_on(async {
+            while self.handle_next().await.is_ok() {
+                self.advance();
             }
-            self.advance();
-        }
+            while !self.calls.is_empty() {
+                let reply = self.calls.next().await;
+                self.handle_reply(reply);
+            }
+        });
     }
 
-    fn receive(&self) -> Result<OrderMessage, RecvTimeoutError> {
-        if self.next_wakeup == IDLE {
-            return self
-                .messages
-                .recv()
-                .map_err(|_| RecvTimeoutError::Disconnected);
+    /// Waits for a message, a reply or the next wake-up, and handles what has arrived.
+    async fn handle_next(&mut self) -> Result<(), RecvError> {
+        // The wake-up of an idle duty is too far in the future for a timer.
+        let wakeup = self.next_wakeup.min(self.clock.now() + WAIT_MAX);
+        let wakeup = Instant::from_std(self.clock.instant(wakeup));
+        tokio::select! {
+            message = self.messages.recv_async() => {
+                self.handle_message(message?);
+                let waiting: Vec<_> = self.messages.drain().collect();
+                waiting.into_iter().for_each(|m| self.handle_message(m));
+            }
+            reply = self.calls.next() => self.handle_reply(reply),
+            () = sleep_until(wakeup) => {}
         }
-        self.messages
-            .recv_deadline(self.clock.instant(self.next_wakeup))
+        Ok(())
     }
 
     fn handle_message(&mut self, message: OrderMessage) {
@@ -131,15 +139,6 @@
         }
     }
 
-    /// Handles the messages that are already in the ring, so that a call to a server waits for the
-    /// pause that the server asked for during the call before.
-    fn handle_waiting(&mut self) {
-        let waiting: Vec<_> = self.messages.drain().collect();
-        for message in waiting {
-            self.handle_message(message);
-        }
-    }
-
     /// Ends the checks of a server that has told of the weights that it was to load.
     fn complete_check(&mut self, server: &ServerId, weights: WeightsVersion) {
         if let Some(order) = self.checks.complete(server, weights) {
@@ -159,11 +158,11 @@
             let Some(order) = self.planner.next_order(self.clock.now()) else {
                 break;
             };
-            if self.peers.is_some() {
+            // An order that got no answer was announced when it was first sent.
+            if self.peers.is_some() && !order.repeated {
                 self.announce(order);
             } else {
-                self.send(&order);
-                self.renew_lease();
+                self.send(order);
             }
         }
         let now = self.clock.now();
@@ -202,22 +201,68 @@
         }
     }
 
-    /// Checks whether pending loads have completed, and notifies the peers of those that have.
+    /// Asks the servers whose checks are due whether their loads have completed.
     fn check_loads(&mut self) {
         if self.peers.is_none() {
             return;
         }
         while let Some(order) = self.checks.next_due(self.clock.now()) {
-            let weights = self.link.weights(&order);
-            self.handle_waiting();
-            let Some(weights) = weights.filter(|w| *w >= order.weights) else {
-                continue;
-            };
-            log::info!(step = "order", peer:% = order.server, weights:% = weights; "loaded");
-            self.checks.remove(&order);
-            self.planner.observe_weights(&order.server, weights);
-            self.notify_peers(&order, Duration::ZERO);
+            self.calls.check(order);
+        }
+    }
+
+    fn handle_reply(&mut self, reply: OrderReply) {
+        match reply {
+            OrderReply::Ordered(order, answer) => self.handle_answer(order, answer),
+            OrderReply::Checked(order, Some(status)) => self.handle_status(&order, &status),
+            OrderReply::Checked(_, None) => {}
+        }
+    }
+
+    fn handle_answer(&mut self, order: LoadOrder, answer: OrderAnswer) {
+        let now = self.clock.now();
+        log::info!(
+            step = "order", peer:% = order.server, weights:% = order.weights, accepted = order.accepted,
+            repeated = order.repeated, answer:? = answer; "an order was answered"
+        );
+        self.planner.record_answer(&order, answer, now);
+        match answer {
+            OrderAnswer::Taken => {
+                if order.repeated {
+                    self.notify_peers(&order, self.load_time);
+                }
+                self.checks.push(order, now);
+            }
+            OrderAnswer::Held | OrderAnswer::Conflict => self.checks.push_due(order, now),
+            OrderAnswer::Failed => self.withdraw(&order),
+            // The answer to the order's repetition is awaited once before others use the server again.
+            OrderAnswer::Unanswered if order.repeated => self.withdraw(&order),
+            OrderAnswer::Unanswered => {}
+            OrderAnswer::Fenced => {
+                self.withdraw(&order);
+                self.lease.step_down(now);
+                self.renew_lease();
+            }
+        }
+    }
+
+    fn handle_status(&mut self, order: &LoadOrder, status: &OrderStatus) {
+        let progress = self.planner.record_status(order, status, self.clock.now());
+        match progress {
+            LoadProgress::Loading => return,
+            LoadProgress::Loaded => {
+                log::info!(step = "order", peer:% = order.server, weights:% = status.weights; "loaded");
+                self.notify_peers(order, Duration::ZERO);
+            }
+            LoadProgress::Idle => {
+                log::warn!(
+                    step = "order", peer:% = order.server, weights:% = status.weights,
+                    wanted:% = order.weights, accepted = status.accepted; "the server does not load"
+                );
+                self.withdraw(order);
+            }
         }
+        self.checks.remove(order);
     }
 
     /// Announces a load to all peers. When the order arrives, the server rejects the requests that
@@ -234,43 +279,42 @@
         let all = std::mem::take(&mut self.announced);
         let (due, remaining): (Vec<_>, Vec<_>) = all.into_iter().partition(|(at, _)| *at <= now);
         self.announced = remaining;
-        for (_, order) in due {
-            self.send(&order);
-            self.renew_lease();
-        }
+        due.into_iter().for_each(|(_, order)| self.send(order));
     }
 
     /// Notifies all peers of a load and the time that it still takes.
     fn notify_peers(&self, order: &LoadOrder, remaining: Duration) {
-        let Some(peers) = &self.peers else {
-            return;
-        };
-        let notice = LoadNotice {
+        self.notify(LoadNotice {
             server: order.server.clone(),
             weights: order.weights,
             duration: remaining,
-        };
-        // The peer duty ends only with the process, when no further order is sent.
-        let _ = peers.send(PeerMessage::Loading(notice));
+        });
     }
 
-    fn send(&mut self, order: &LoadOrder) {
+    /// Notifies all peers that a server does not load for now, so that they use it again.
+    fn withdraw(&self, order: &LoadOrder) {
+        self.notify(LoadNotice::withdrawn(order.server.clone()));
+    }
+
+    fn notify(&self, notice: LoadNotice) {
+        if let Some(peers) = &self.peers {
+            // The peer duty ends only with the process, when no further order is sent.
+            let _ = peers.send(PeerMessage::Loading(notice));
+        }
+    }
+
+    fn send(&mut self, order: LoadOrder) {
         // The lease is checked again, since this thread may have been paused since the order was
         // planned.
-        let Some(number) = self.lease.fencing_number(self.clock.now(), order.fenced) else {
-            self.planner.record_failure(&order.server, self.clock.now());
-            return;
-        };
-        let answer = self.link.send(order, number);
-        log::info!(step = "order", peer:% = order.server, weights:% = order.weights, number:% = number, answer:? = answer; "ordered");
-        match answer {
-            OrderAnswer::Taken => self.checks.push(order.clone(), self.clock.now()),
-            OrderAnswer::Fenced | OrderAnswer::Failed => {
+        match self.lease.fencing_number(self.clock.now(), order.fenced) {
+            Some(number) => {
+                log::info!(step = "order", peer:% = order.server, weights:% = order.weights, number:% = number; "ordered");
+                self.calls.send(order, number);
+            }
+            None => {
                 self.planner.record_failure(&order.server, self.clock.now());
+                self.withdraw(&order);
             }
         }
-        if answer == OrderAnswer::Fenced {
-            self.lease.step_down(self.clock.now());
-        }
     }
 }
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -8,7 +8,7 @@
 use azureway_core::prelude::*;
 use azureway_wire::peer;
 use prost::Message;
-use tokio::runtime::{Builder, Runtime};
+use tokio::runtime::Runtime;
 
 use super::{
     CallPermits, Document, PeerCall, PeerConnections, PeerMessage, PeerRings, PeerService,
@@ -20,8 +20,7 @@
 
 /// The peer duty: feeds events into the membership protocol and executes its actions.
 ///
-/// Its thread runs the daemon's only asynchronous runtime, which the gRPC connections to peers
-/// need.
+/// Its thread runs an asynchronous runtime, which the gRPC connections to peers need.
 #[derive(Debug)]
 pub struct PeerDuty {
     membership: Membership,
@@ -58,19 +57,6 @@
         }
     }
 
-    /// Creates the asynchronous runtime of the duty.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the system cannot create the runtime.
-    pub fn runtime() -> Result<Runtime, Error> {
-        let runtime = Builder::new_current_thread()
-            .enable_io()
-            .enable_time()
-            .build();
-        runtime.map_err(|e| Error::new(ErrorKind::System, Step::new("start runtime"), e))
-    }
-
     /// Runs until the daemon stops, and serves peers on `listener`.
     pub fn run(mut self, runtime: &Runtime, listener: TcpListener) {
         runtime.block_on(async {
