--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -27,8 +27,8 @@
     lost: Option<Timestamp>,
     /// The time at which the platform last recovered from an outage.
     recovered: Option<Timestamp>,
-    /// Whether the last call was a list call, and not a watch call.
-    listed: bool,
+    /// The version after which the last call asked for changes, or `None` if it asked for a list.
+    after: Option<u64>,
     bound: ChangeBound,
     /// The earliest time at which the changes in the last answer can have happened.
     earliest: Timestamp,
@@ -59,7 +59,7 @@
             schedule,
             lost: None,
             recovered: None,
-            listed: false,
+            after: None,
             bound: ChangeBound::new(named_since),
             earliest: named_since,
             disturbances: DisturbanceMeter::new(SITE_CALL_TIMEOUT),
@@ -86,11 +86,11 @@
                     continue;
                 }
                 WatchStep::List => {
-                    self.listed = true;
+                    self.after = None;
                     (self.api.list(kind), Duration::ZERO)
                 }
                 WatchStep::Watch(after, wait) => {
-                    self.listed = false;
+                    self.after = Some(after);
                     if let Some(changes) = self.ask_zone(after, wait, started) {
                         if !self.handle_changes(&changes, after, started) {
                             return;
@@ -164,7 +164,7 @@
     fn keep_for_zone(&self, list: &ObjectList) {
         if let Some(zone) = &self.zone {
             let times = (self.bound.reported_until(), self.recovered);
-            zone.record(self.kind, self.api.era(), self.listed, list, times);
+            zone.record(self.kind, self.api.era(), self.after, list, times);
         }
     }
 
@@ -173,7 +173,7 @@
         if call.is_late() {
             log::warn!(
                 step = "watch site", kind = self.kind.as_str(), late:? = call.lateness(), wait:? = call.wait,
-                listed = self.listed, changes = changes; "the platform's answer was read late"
+                listed = self.after.is_none(), changes = changes; "the platform's answer was read late"
             );
         }
     }
@@ -195,7 +195,7 @@
 
     fn send_updates(&self, list: &ObjectList) -> bool {
         match self.kind {
-            SiteKind::Servers if self.listed => {
+            SiteKind::Servers if self.after.is_none() => {
                 let objects = list.objects.iter().filter(|o| !o.deleted);
                 let servers = objects.filter_map(|o| self.check(o, self.codec.server(o)));
                 self.send(SiteUpdate::Servers(servers.collect(), self.recovered))
--- a/azureway-entry/src/zone/kind_cache.rs
+++ b/azureway-entry/src/zone/kind_cache.rs
@@ -23,20 +23,24 @@
 const MAX_OBJECTS: usize = 8_192;
 
 impl KindCache {
-    /// Records an answer of the platform, which is a list of all objects if `listed`. Every change until
-    /// `until` is known with it.
+    /// Records an answer of the platform: the changes after version `after`, or a list of all objects if it
+    /// is `None`. Every change until `until` is known with it.
     pub fn record(
         &mut self,
         era: Option<StoreEra>,
-        listed: bool,
+        after: Option<u64>,
         list: &ObjectList,
         until: Timestamp,
         recovered: Option<Timestamp>,
     ) {
-        if era != self.era || listed {
-            // A list does not tell what was deleted before, so changes are known from here on.
+        let same_era = era == self.era;
+        // An entry that has heard some changes from a reader itself does not have them here.
+        let gap = after.is_none_or(|after| after > self.version);
+        if !same_era || gap {
             self.objects.clear();
-            self.first = listed.then_some(list.version);
+            // A list does not tell what was deleted before, so changes are known from here on.
+            let first = after.unwrap_or(list.version);
+            self.first = (same_era || after.is_none()).then_some(first);
         }
         self.era = era;
         for object in &list.objects {
--- a/azureway-entry/src/zone/zone_cache.rs
+++ b/azureway-entry/src/zone/zone_cache.rs
@@ -31,11 +31,11 @@
         &self,
         kind: SiteKind,
         era: Option<StoreEra>,
-        listed: bool,
+        after: Option<u64>,
         list: &ObjectList,
         (until, recovered): (Timestamp, Option<Timestamp>),
     ) {
-        self.lock(kind).record(era, listed, list, until, recovered);
+        self.lock(kind).record(era, after, list, until, recovered);
         self.kinds[kind as usize].1.send_replace(());
     }
 
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -46,11 +46,11 @@
         &self,
         kind: SiteKind,
         era: Option<StoreEra>,
-        listed: bool,
+        after: Option<u64>,
         list: &ObjectList,
         times: (Timestamp, Option<Timestamp>),
     ) {
-        self.cache.record(kind, era, listed, list, times);
+        self.cache.record(kind, era, after, list, times);
     }
 
     /// Asks the reader of the zone for the changes of `kind` after version `after`. Returns `None` if the
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -46,7 +46,7 @@
     expect_that!(cache.changes(None, 0), none());
     cache.record(
         None,
-        true,
+        None,
         &list(10, &[object("a", 3, false), object("b", 9, false)]),
         AT,
         None,
@@ -56,7 +56,7 @@
     expect_that!(cache.changes(None, 10).expect("known").objects, is_empty());
     cache.record(
         None,
-        false,
+        Some(10),
         &list(14, &[object("a", 12, false), object("b", 9, true)]),
         AT,
         None,
@@ -74,15 +74,32 @@
     expect_that!((changes.version, changes.objects.len()), eq((20, 0)));
 }
 
+/// Guards against weights that an entry never hears of: its reader had itself heard of them from another reader,
+/// and did not have them.
+#[gtest]
+fn a_cache_with_a_gap_does_not_answer_from_before_it() {
+    let mut cache = KindCache::default();
+    cache.record(None, None, &list(10, &[]), AT, None);
+    // Version 11 came from a reader. Then this entry was selected as one, and read on from there.
+    let later = list(15, &[object("b", 15, false)]);
+    cache.record(None, Some(11), &later, AT, None);
+    expect_that!(cache.changes(None, 10), none());
+    let changes = cache.changes(None, 11).expect("known");
+    expect_that!(names(&changes), elements_are![eq(&("b", false))]);
+    // Overlapping answers leave no gap.
+    cache.record(None, Some(13), &list(16, &[]), AT, None);
+    expect_that!(cache.changes(None, 11), some(anything()));
+}
+
 /// Guards against an answer across a restore: versions of two eras cannot be compared.
 #[gtest]
 fn a_cache_of_another_era_answers_nothing() {
     let (old, new) = (Some(StoreEra::new(1)), Some(StoreEra::new(2)));
     let mut cache = KindCache::default();
-    cache.record(old, true, &list(10, &[object("a", 3, false)]), AT, None);
+    cache.record(old, None, &list(10, &[object("a", 3, false)]), AT, None);
     expect_that!(cache.changes(old, 10), some(anything()));
     expect_that!(cache.changes(new, 10), none());
-    cache.record(new, true, &list(5, &[object("a", 2, false)]), AT, None);
+    cache.record(new, None, &list(5, &[object("a", 2, false)]), AT, None);
     expect_that!(cache.changes(old, 10), none());
     expect_that!(cache.changes(new, 5), some(anything()));
 }
@@ -109,14 +126,14 @@
     let clock = Clock::new();
     let cache = Arc::new(ZoneCache::new(clock));
     let kind = SiteKind::Document;
-    cache.record(kind, None, true, &list(10, &[]), (clock.now(), None));
+    cache.record(kind, None, None, &list(10, &[]), (clock.now(), None));
     let quiet = block_on(cache.wait(&request(kind, 10))).expect("known");
     expect_that!(quiet.held, ge(WAIT));
     expect_that!(quiet.list.objects, is_empty());
     let writer = Arc::clone(&cache);
     let thread = thread::spawn(move || {
         let changed = list(11, &[object("a", 11, false)]);
-        writer.record(kind, None, false, &changed, (clock.now(), None));
+        writer.record(kind, None, Some(10), &changed, (clock.now(), None));
     });
     let mut long = request(kind, 10);
     long.wait = Duration::from_secs(60);
@@ -135,7 +152,7 @@
     cache.record(
         kind,
         None,
-        true,
+        None,
         &list(10, &[]),
         (clock.now().before(overdue), None),
     );
