--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -40,6 +40,6 @@
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Outcome, OutcomeCount, OutcomeTally};
 pub use crate::watch::{
-    AnsweredCall, ChangeBound, Disturbance, DisturbanceMeter, EntrySelector, FeedAudience,
-    WatchSchedule, WatchStep, ZoneReaders,
+    AnsweredCall, ChangeBound, ChangeTimes, Disturbance, DisturbanceMeter, EntrySelector,
+    FeedAudience, WatchSchedule, WatchStep, ZoneReaders,
 };
--- a/azureway-core/src/watch/change_bound.rs
+++ b/azureway-core/src/watch/change_bound.rs
@@ -42,11 +42,12 @@
         earliest
     }
 
-    /// Records an answer of a peer that knows every change until `until`, by this entry's clock. Returns the
-    /// earliest time at which the changes in it can have happened.
-    pub fn record_relayed(&mut self, until: Timestamp) -> Timestamp {
-        let earliest = self.reported_until;
-        self.reported_until = earliest.max(until);
-        earliest
+    /// Records an answer of a peer that knows every change until `until`, by this entry's clock. The peer may
+    /// also know that the changes in it happened no earlier than at `since`. Returns the earliest time at which
+    /// they can have happened.
+    pub fn record_relayed(&mut self, until: Timestamp, since: Option<Timestamp>) -> Timestamp {
+        let reported = self.reported_until;
+        self.reported_until = reported.max(until);
+        since.map_or(reported, |since| since.max(reported))
     }
 }
--- a/azureway-core/src/watch/mod.rs
+++ b/azureway-core/src/watch/mod.rs
@@ -2,6 +2,7 @@
 
 mod answered_call;
 mod change_bound;
+mod change_times;
 mod disturbance;
 mod disturbance_meter;
 mod entry_selector;
@@ -12,6 +13,7 @@
 
 pub use answered_call::AnsweredCall;
 pub use change_bound::ChangeBound;
+pub use change_times::ChangeTimes;
 pub use disturbance::Disturbance;
 pub use disturbance_meter::DisturbanceMeter;
 pub use entry_selector::EntrySelector;
--- a/azureway-entry/src/peer/peer_call.rs
+++ b/azureway-entry/src/peer/peer_call.rs
@@ -125,6 +125,7 @@
         },
         age: Duration::from_micros(reply.age_us),
         held: Duration::from_micros(reply.held_us),
+        changed: reply.changed_us.map(Duration::from_micros),
         recovered: reply.recovered_us.map(Duration::from_micros),
     }
 }
--- a/azureway-entry/src/peer/peer_service.rs
+++ b/azureway-entry/src/peer/peer_service.rs
@@ -107,6 +107,7 @@
             version: changes.list.version,
             age_us: micros(changes.age),
             held_us: micros(changes.held),
+            changed_us: changes.changed.map(micros),
             recovered_us: changes.recovered.map(micros),
             objects: changes.list.objects.into_iter().map(Into::into).collect(),
         }))
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -12,7 +12,7 @@
 
 use super::{RejectedObjects, SITE_CALL_TIMEOUT, SiteCodec, SiteKind, SiteUpdate};
 use crate::clock::Clock;
-use crate::zone::{ZoneChanges, ZoneLink};
+use crate::zone::{ReadTimes, ZoneChanges, ZoneLink};
 
 /// Watches one kind of platform object of a site and sends the decoded updates to the site duty.
 #[derive(Debug)]
@@ -148,7 +148,8 @@
         let answered = started + changes.held;
         let until = answered.before(changes.age);
         let now = self.clock.now();
-        self.earliest = self.bound.record_relayed(until);
+        let since = changes.changed.map(|ago| answered.before(ago));
+        self.earliest = self.bound.record_relayed(until, since);
         if let Some(ago) = changes.recovered {
             self.recovered = self.recovered.max(Some(answered.before(ago)));
         }
@@ -163,7 +164,11 @@
     /// Keeps an answer of the platform for the other entries of the zone.
     fn keep_for_zone(&self, list: &ObjectList) {
         if let Some(zone) = &self.zone {
-            let times = (self.bound.reported_until(), self.recovered);
+            let times = ReadTimes {
+                since: self.earliest,
+                until: self.bound.reported_until(),
+                recovered: self.recovered,
+            };
             zone.record(self.kind, self.api.era(), self.after, list, times);
         }
     }
--- a/azureway-entry/src/zone/kind_cache.rs
+++ b/azureway-entry/src/zone/kind_cache.rs
@@ -2,9 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use azureway_core::prelude::{StoreEra, Timestamp};
+use azureway_core::prelude::{ChangeTimes, StoreEra, Timestamp};
 use azureway_wire::object::{ObjectBody, ObjectList};
 
+use super::ReadTimes;
+
 /// The objects of a kind with the versions at which they changed, deleted ones included.
 #[derive(Clone, Debug, Default)]
 pub struct KindCache {
@@ -12,9 +14,9 @@
     /// The version from which on every change is known. It is `None` before the first list.
     first: Option<u64>,
     version: u64,
-    /// The time until which every change is known.
-    until: Timestamp,
-    recovered: Option<Timestamp>,
+    /// The times of the last answer.
+    times: ReadTimes,
+    changes: ChangeTimes,
     objects: BTreeMap<String, ObjectBody>,
 }
 
@@ -24,14 +26,13 @@
 
 impl KindCache {
     /// Records an answer of the platform: the changes after version `after`, or a list of all objects if it
-    /// is `None`. Every change until `until` is known with it.
+    /// is `None`.
     pub fn record(
         &mut self,
         era: Option<StoreEra>,
         after: Option<u64>,
         list: &ObjectList,
-        until: Timestamp,
-        recovered: Option<Timestamp>,
+        times: ReadTimes,
     ) {
         let same_era = era == self.era;
         // An entry that has heard some changes from a reader itself does not have them here.
@@ -41,8 +42,12 @@
             // A list does not tell what was deleted before, so changes are known from here on.
             let first = after.unwrap_or(list.version);
             self.first = (same_era || after.is_none()).then_some(first);
+            self.changes = ChangeTimes::new(first);
         }
         self.era = era;
+        if after.is_some() && !list.objects.is_empty() {
+            self.changes.record(list.version, times.since);
+        }
         for object in &list.objects {
             let mut object = object.clone();
             if object.deleted {
@@ -58,7 +63,7 @@
             self.objects.clear();
             self.first = None;
         }
-        (self.version, self.until, self.recovered) = (list.version, until, recovered);
+        (self.version, self.times) = (list.version, times);
     }
 
     /// Returns the changes after version `after`, or `None` if they are not all known or the caller knows
@@ -72,13 +77,13 @@
         })
     }
 
-    /// Returns the time until which every change is known.
-    pub const fn until(&self) -> Timestamp {
-        self.until
+    /// Returns the earliest time at which the changes after version `after` can have happened, if it is known.
+    pub fn since(&self, after: u64) -> Option<Timestamp> {
+        self.changes.since(after)
     }
 
-    /// Returns the time at which this entry recovered from the last outage of the platform that it saw.
-    pub const fn recovered(&self) -> Option<Timestamp> {
-        self.recovered
+    /// Returns the times of the last answer.
+    pub const fn times(&self) -> ReadTimes {
+        self.times
     }
 }
--- a/azureway-entry/src/zone/mod.rs
+++ b/azureway-entry/src/zone/mod.rs
@@ -5,6 +5,7 @@
 //! reader answers with recent news.
 
 mod kind_cache;
+mod read_times;
 mod zone_cache;
 mod zone_changes;
 mod zone_client;
@@ -12,6 +13,7 @@
 mod zone_request;
 
 pub use kind_cache::KindCache;
+pub use read_times::ReadTimes;
 pub use zone_cache::ZoneCache;
 pub use zone_changes::ZoneChanges;
 pub use zone_client::{ZoneClient, ZoneReply};
--- a/azureway-entry/src/zone/zone_cache.rs
+++ b/azureway-entry/src/zone/zone_cache.rs
@@ -2,11 +2,11 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use azureway_core::prelude::{StoreEra, Timestamp};
+use azureway_core::prelude::StoreEra;
 use azureway_wire::object::ObjectList;
 use tokio::sync::watch;
 
-use super::{KindCache, ZoneChanges, ZoneRequest};
+use super::{KindCache, ReadTimes, ZoneChanges, ZoneRequest};
 use crate::clock::Clock;
 use crate::site::SiteKind;
 
@@ -33,9 +33,9 @@
         era: Option<StoreEra>,
         after: Option<u64>,
         list: &ObjectList,
-        (until, recovered): (Timestamp, Option<Timestamp>),
+        times: ReadTimes,
     ) {
-        self.lock(kind).record(era, after, list, until, recovered);
+        self.lock(kind).record(era, after, list, times);
         self.kinds[kind as usize].1.send_replace(());
     }
 
@@ -46,12 +46,12 @@
         let mut signal = self.kinds[request.kind as usize].1.subscribe();
         loop {
             let now = self.clock.now();
-            let (list, until, recovered) = {
+            let (list, since, times) = {
                 let known = self.lock(request.kind);
                 let list = known.changes(request.era, request.after)?;
-                (list, known.until(), known.recovered())
+                (list, known.since(request.after), known.times())
             };
-            let overdue = until + request.kind.relay_limit();
+            let overdue = times.until + request.kind.relay_limit();
             if now > overdue {
                 return None;
             }
@@ -59,9 +59,10 @@
             if !list.objects.is_empty() || now >= end {
                 return Some(ZoneChanges {
                     list,
-                    age: now.since(until),
+                    age: now.since(times.until),
                     held: now.since(received),
-                    recovered: recovered.map(|at| now.since(at)),
+                    changed: since.map(|at| now.since(at)),
+                    recovered: times.recovered.map(|at| now.since(at)),
                 });
             }
             let wakeup = tokio::time::Instant::from_std(self.clock.instant(end.min(overdue)));
--- a/azureway-entry/src/zone/zone_changes.rs
+++ b/azureway-entry/src/zone/zone_changes.rs
@@ -14,6 +14,8 @@
     pub age: Duration,
     /// The time for which the reader held the request.
     pub held: Duration,
+    /// The longest time since the changes can have happened, if the reader knows it.
+    pub changed: Option<Duration>,
     /// The time since the reader recovered from the last outage of the platform, if it saw one.
     pub recovered: Option<Duration>,
 }
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::{StoreEra, Timestamp};
 use azureway_wire::object::ObjectList;
 
-use super::{ZoneCache, ZoneChanges, ZoneClient, ZoneRequest};
+use super::{ReadTimes, ZoneCache, ZoneChanges, ZoneClient, ZoneRequest};
 use crate::site::SiteKind;
 
 /// The part of a watcher that asks the reader of its zone, or keeps what it reads for the zone.
@@ -48,7 +48,7 @@
         era: Option<StoreEra>,
         after: Option<u64>,
         list: &ObjectList,
-        times: (Timestamp, Option<Timestamp>),
+        times: ReadTimes,
     ) {
         self.cache.record(kind, era, after, list, times);
     }
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -9,7 +9,9 @@
 use azureway_entry::clock::Clock;
 use azureway_entry::peer::PeerMessage;
 use azureway_entry::site::{SiteCodec, SiteKind, SiteUpdate, SiteWatcher};
-use azureway_entry::zone::{KindCache, ZoneCache, ZoneChanges, ZoneClient, ZoneLink, ZoneRequest};
+use azureway_entry::zone::{
+    KindCache, ReadTimes, ZoneCache, ZoneChanges, ZoneClient, ZoneLink, ZoneReply, ZoneRequest,
+};
 use azureway_objects::{ObjectApi, Put};
 use azureway_wire::object::{ObjectBody, ObjectList};
 use flume::Receiver;
@@ -40,6 +42,17 @@
 
 const AT: Timestamp = Timestamp::from_millis(1_000);
 
+const READ: ReadTimes = read(AT);
+
+/// The times of an answer that told every change until `until`.
+const fn read(until: Timestamp) -> ReadTimes {
+    ReadTimes {
+        since: Timestamp::ZERO,
+        until,
+        recovered: None,
+    }
+}
+
 #[gtest]
 fn a_cache_answers_with_the_changes_after_a_version() {
     let mut cache = KindCache::default();
@@ -48,8 +61,7 @@
         None,
         None,
         &list(10, &[object("a", 3, false), object("b", 9, false)]),
-        AT,
-        None,
+        READ,
     );
     // What was deleted before the list is not known.
     expect_that!(cache.changes(None, 9), none());
@@ -58,8 +70,7 @@
         None,
         Some(10),
         &list(14, &[object("a", 12, false), object("b", 9, true)]),
-        AT,
-        None,
+        READ,
     );
     let changes = cache.changes(None, 10).expect("known");
     expect_that!(
@@ -79,15 +90,15 @@
 #[gtest]
 fn a_cache_with_a_gap_does_not_answer_from_before_it() {
     let mut cache = KindCache::default();
-    cache.record(None, None, &list(10, &[]), AT, None);
+    cache.record(None, None, &list(10, &[]), READ);
     // Version 11 came from a reader. Then this entry was selected as one, and read on from there.
     let later = list(15, &[object("b", 15, false)]);
-    cache.record(None, Some(11), &later, AT, None);
+    cache.record(None, Some(11), &later, READ);
     expect_that!(cache.changes(None, 10), none());
     let changes = cache.changes(None, 11).expect("known");
     expect_that!(names(&changes), elements_are![eq(&("b", false))]);
     // Overlapping answers leave no gap.
-    cache.record(None, Some(13), &list(16, &[]), AT, None);
+    cache.record(None, Some(13), &list(16, &[]), READ);
     expect_that!(cache.changes(None, 11), some(anything()));
 }
 
@@ -96,10 +107,10 @@
 fn a_cache_of_another_era_answers_nothing() {
     let (old, new) = (Some(StoreEra::new(1)), Some(StoreEra::new(2)));
     let mut cache = KindCache::default();
-    cache.record(old, None, &list(10, &[object("a", 3, false)]), AT, None);
+    cache.record(old, None, &list(10, &[object("a", 3, false)]), READ);
     expect_that!(cache.changes(old, 10), some(anything()));
     expect_that!(cache.changes(new, 10), none());
-    cache.record(new, None, &list(5, &[object("a", 2, false)]), AT, None);
+    cache.record(new, None, &list(5, &[object("a", 2, false)]), READ);
     expect_that!(cache.changes(old, 10), none());
     expect_that!(cache.changes(new, 5), some(anything()));
 }
@@ -126,14 +137,14 @@
     let clock = Clock::new();
     let cache = Arc::new(ZoneCache::new(clock));
     let kind = SiteKind::Document;
-    cache.record(kind, None, None, &list(10, &[]), (clock.now(), None));
+    cache.record(kind, None, None, &list(10, &[]), read(clock.now()));
     let quiet = block_on(cache.wait(&request(kind, 10))).expect("known");
     expect_that!(quiet.held, ge(WAIT));
     expect_that!(quiet.list.objects, is_empty());
     let writer = Arc::clone(&cache);
     let thread = thread::spawn(move || {
         let changed = list(11, &[object("a", 11, false)]);
-        writer.record(kind, None, Some(10), &changed, (clock.now(), None));
+        writer.record(kind, None, Some(10), &changed, read(clock.now()));
     });
     let mut long = request(kind, 10);
     long.wait = Duration::from_secs(60);
@@ -154,7 +165,7 @@
         None,
         None,
         &list(10, &[]),
-        (clock.now().before(overdue), None),
+        read(clock.now().before(overdue)),
     );
     expect_that!(block_on(cache.wait(&request(kind, 10))), none());
 }
@@ -272,6 +283,7 @@
         list: list(version, &[object("m", version, false)]),
         age,
         held,
+        changed: None,
         recovered: None,
     }))
 }
@@ -307,40 +319,131 @@
     }
 }
 
+/// A watcher of weights that is being watched: the requests to its reader, and what it sends.
+struct Watched {
+    requests: Receiver<PeerMessage>,
+    updates: Receiver<SiteUpdate>,
+    watcher: thread::JoinHandle<()>,
+}
+
+impl Watched {
+    /// Starts a watcher, which has listed weights 10.
+    fn new(clock: Clock) -> Self {
+        let (peer_tx, requests) = flume::bounded(1);
+        let link = ZoneLink::new(ZoneClient::new(peer_tx), Arc::new(ZoneCache::new(clock)));
+        let (tx, updates) = flume::bounded(1);
+        let (api, since) = (CountingPlatform::default(), clock.now());
+        let (kind, schedule) = (SiteKind::Weights, WatchSchedule::new(1));
+        let watcher = SiteWatcher::new(api, PlainNumbers, kind, tx, clock, schedule, since);
+        let watcher = watcher.with_zone(Some(link));
+        let watcher = thread::spawn(move || watcher.run());
+        updates.recv().expect("the listed weights");
+        Self {
+            requests,
+            updates,
+            watcher,
+        }
+    }
+
+    /// Returns the next request to the reader.
+    fn request(&self) -> (ZoneRequest, ZoneReply) {
+        let Ok(PeerMessage::AskZone(request, reply)) = self.requests.recv() else {
+            panic!("the watcher asks the reader");
+        };
+        (request, reply)
+    }
+
+    /// Returns the earliest time at which the next weights can have been named.
+    fn earliest(&self) -> Timestamp {
+        let update = self.updates.recv().expect("the changed weights");
+        let SiteUpdate::Weights(_, earliest) = update else {
+            panic!("weights are reported: {update:?}");
+        };
+        earliest
+    }
+
+    fn end(self) {
+        drop((self.requests, self.updates));
+        self.watcher.join().expect("the watcher ends");
+    }
+}
+
 /// Guards against weights that count as named when they were heard of: the way from the reader takes time.
 #[gtest]
 fn relayed_changes_are_dated_before_the_request_for_them() {
     let clock = Clock::new();
-    let (peer_tx, peer_rx): (_, Receiver<PeerMessage>) = flume::bounded(1);
-    let link = ZoneLink::new(ZoneClient::new(peer_tx), Arc::new(ZoneCache::new(clock)));
-    let (tx, rx) = flume::bounded(1);
-    let (api, since) = (CountingPlatform::default(), clock.now());
-    let watcher = SiteWatcher::new(
-        api,
-        PlainNumbers,
-        SiteKind::Weights,
-        tx,
-        clock,
-        WatchSchedule::new(1),
-        since,
-    )
-    .with_zone(Some(link));
-    let watcher = thread::spawn(move || watcher.run());
+    let watched = Watched::new(clock);
     let mut asked = Vec::new();
-    let mut updates = vec![rx.recv().expect("the listed weights")];
+    let mut earliest = Vec::new();
     for version in [11, 12] {
-        let Ok(PeerMessage::AskZone(_, reply)) = peer_rx.recv() else {
-            panic!("the watcher asks the reader");
-        };
+        let (_, reply) = watched.request();
         asked.push(clock.now());
         thread::sleep(WAIT);
         let _ = reply.send(relayed(version, Duration::ZERO, Duration::ZERO));
-        updates.push(rx.recv().expect("the changed weights"));
+        earliest.push(watched.earliest());
+    }
+    expect_that!(earliest[1], le(asked[0]));
+    watched.end();
+}
+
+/// Guards against weights that count as named long before they were, although their reader knows better: what is
+/// lost of their time is lost to loading them.
+#[gtest]
+fn relayed_changes_are_dated_as_closely_as_their_reader_can() {
+    let clock = Clock::new();
+    let watched = Watched::new(clock);
+    let reader = Arc::new(ZoneCache::new(clock));
+    let kind = SiteKind::Weights;
+    reader.record(kind, None, None, &list(10, &[]), read(clock.now()));
+    let (request, reply) = watched.request();
+    let writer = Arc::clone(&reader);
+    let writer = thread::spawn(move || {
+        // The reader's own watches report nothing for a while, and then weights 11.
+        thread::sleep(WAIT * 3);
+        let since = clock.now();
+        let changed = list(11, &[object("m", 11, false)]);
+        writer.record(
+            kind,
+            None,
+            Some(10),
+            &changed,
+            ReadTimes {
+                since,
+                ..read(since)
+            },
+        );
+        since
+    });
+    let changes = block_on(reader.wait(&request)).expect("known");
+    let since = writer.join().expect("the writer ends");
+    let _ = reply.send(Some(Ok(changes)));
+    let earliest = watched.earliest();
+    expect_that!(earliest, le(since));
+    expect_that!(earliest, ge(since.before(WAIT)));
+    watched.end();
+}
+
+/// Guards against weights that are dated too late by a reader's time: its answer, or the request for it, was held up
+/// on its way.
+#[gtest]
+fn a_held_up_way_to_the_reader_dates_changes_no_later_than_they_happened() {
+    for (before, after) in [(WAIT * 2, Duration::ZERO), (Duration::ZERO, WAIT * 2)] {
+        let clock = Clock::new();
+        let watched = Watched::new(clock);
+        let (request, reply) = watched.request();
+        thread::sleep(before);
+        let reader = ZoneCache::new(clock);
+        let since = clock.now();
+        let times = ReadTimes {
+            since,
+            ..read(since)
+        };
+        let changed = list(11, &[object("m", 11, false)]);
+        reader.record(request.kind, None, Some(10), &changed, times);
+        let changes = block_on(reader.wait(&request)).expect("known");
+        thread::sleep(after);
+        let _ = reply.send(Some(Ok(changes)));
+        expect_that!(watched.earliest(), le(since));
+        watched.end();
     }
-    let Some(SiteUpdate::Weights(_, earliest)) = updates.last() else {
-        panic!("weights are reported: {updates:?}");
-    };
-    expect_that!(*earliest, le(asked[0]));
-    drop((rx, peer_rx));
-    watcher.join().expect("the watcher ends");
 }
--- a/azureway-wire/src/gen/azureway.peer.v1.rs
+++ b/azureway-wire/src/gen/azureway.peer.v1.rs
@@ -166,6 +166,9 @@
     pub recovered_us: ::core::option::Option<u64>,
     #[prost(message, repeated, tag = "5")]
     pub objects: ::prost::alloc::vec::Vec<Object>,
+    /// The longest time since the changes can have happened, in microseconds, if the callee knows it.
+    #[prost(uint64, optional, tag = "6")]
+    pub changed_us: ::core::option::Option<u64>,
 }
 /// A platform object.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
