--- a/azureway-entry/src/zone/zone_client.rs
+++ b/azureway-entry/src/zone/zone_client.rs
@@ -1,8 +1,8 @@
 //! Asks the entry that reads the platform for this zone.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use flume::Sender;
+use flume::{SendTimeoutError, Sender};
 
 use super::{ZoneChanges, ZoneRequest};
 use crate::peer::PeerMessage;
@@ -35,11 +35,12 @@
     pub fn ask(&self, request: ZoneRequest) -> Option<Result<ZoneChanges, ()>> {
         let (reply, answer) = flume::bounded(1);
         let message = PeerMessage::AskZone(request, reply);
-        // The peer duty runs until the process ends, and answers within the limit of its call.
-        self.peer.send(message).ok()?;
-        match answer.recv_timeout(request.wait + Self::TIMEOUT * 2) {
-            Ok(answer) => answer,
-            Err(_) => Some(Err(())),
+        // The peer duty answers within the limit of its call, unless it is held up by its other work.
+        let deadline = Instant::now() + request.wait + Self::TIMEOUT * 2;
+        match self.peer.send_deadline(message, deadline) {
+            Ok(()) => answer.recv_deadline(deadline).unwrap_or(Some(Err(()))),
+            Err(SendTimeoutError::Timeout(_)) => Some(Err(())),
+            Err(SendTimeoutError::Disconnected(_)) => None,
         }
     }
 }
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -319,6 +319,19 @@
     }
 }
 
+/// Guards against a watcher that hears of nothing while the peer duty is held up and takes no requests.
+#[gtest]
+fn a_request_that_nobody_takes_fails_in_time() {
+    let (peer, _full) = flume::bounded(0);
+    let (tx, rx) = flume::bounded(1);
+    thread::spawn(move || {
+        let failed = ZoneClient::new(peer).ask(request(SiteKind::Weights, 10));
+        let _ = tx.send(failed);
+    });
+    let failed = rx.recv_timeout(WAIT + ZoneClient::TIMEOUT * 3);
+    expect_that!(failed, ok(some(err(eq(&())))));
+}
+
 /// A watcher of weights that is being watched: the requests to its reader, and what it sends.
 struct Watched {
     requests: Receiver<PeerMessage>,
