--- a/azureway-entry/src/peer/peer_call.rs
+++ b/azureway-entry/src/peer/peer_call.rs
@@ -9,8 +9,8 @@
 use azureway_wire::peer;
 use flume::Sender;
 use tokio::sync::OwnedSemaphorePermit;
-use tonic::Status;
 use tonic::transport::Channel;
+use tonic::{Code, Status};
 
 use super::{Document, PeerConnections, PeerMessage};
 use crate::zone::{ZoneChanges, ZoneClient, ZoneReply, ZoneRequest};
@@ -37,7 +37,10 @@
     pub async fn exchange(self, heartbeat: peer::Heartbeat) {
         let first = exchange(self.channel.clone(), heartbeat.clone()).await;
         let answer = match (first, PeerConnections::open(&self.peer)) {
-            (Err(_), Ok(channel)) => exchange(channel, heartbeat).await,
+            (Err(e), Ok(channel)) => {
+                self.report_link(&e).await;
+                exchange(channel, heartbeat).await
+            }
             (first, _) => first,
         };
         let message = match answer.map_err(|e| self.error(&e)).and_then(|a| read(&a)) {
@@ -52,8 +55,9 @@
 
     /// Sends an announcement once. `permit` is released when the call has ended.
     pub async fn announce(self, heartbeat: peer::Heartbeat, permit: OwnedSemaphorePermit) {
-        if let Err(e) = exchange(self.channel, heartbeat).await {
+        if let Err(e) = exchange(self.channel.clone(), heartbeat).await {
             log::debug!(step = "announce", peer:% = self.peer.id, error:% = e; "an announcement to a peer failed");
+            self.report_link(&e).await;
         }
         drop(permit);
     }
@@ -91,16 +95,23 @@
         let mut client = peer::PeerClient::new(self.channel.clone());
         let limit = request.wait + ZoneClient::TIMEOUT;
         let answer = tokio::time::timeout(limit, client.changes(message)).await;
-        let answer = match answer {
-            Ok(Ok(answer)) => Ok(read_changes(answer.into_inner())),
-            Ok(Err(status)) => Err(status),
-            Err(_) => Err(Status::deadline_exceeded("no answer")),
-        };
-        let answer = answer.map_err(|e| {
-            log::debug!(step = "ask zone", peer:% = self.peer.id, kind = request.kind.as_str(), error:% = e; "a peer has no recent changes of the platform");
-        });
+        let answer = answer.unwrap_or_else(|_| Err(Status::deadline_exceeded("no answer")));
+        let changes = answer.as_ref().ok().map(|a| read_changes(a.get_ref()));
         // The watcher may have given up.
-        let _ = reply.try_send(Some(answer));
+        let _ = reply.try_send(Some(changes.ok_or(())));
+        if let Err(e) = answer {
+            log::debug!(step = "ask zone", peer:% = self.peer.id, kind = request.kind.as_str(), error:% = e; "a peer has no recent changes of the platform");
+            self.report_link(&e).await;
+        }
+    }
+
+    /// Reports a connection over which no answer came. One that fails is opened anew by itself.
+    async fn report_link(&self, status: &Status) {
+        if matches!(status.code(), Code::Cancelled | Code::DeadlineExceeded) {
+            log::debug!(step = "peer link", peer:% = self.peer.id, error:% = status; "a connection to a peer gave no answer");
+            let message = PeerMessage::LinkFailed(self.peer.id.clone());
+            let _ = self.messages.send_async(message).await;
+        }
     }
 
     fn error(&self, status: &Status) -> Error {
@@ -117,11 +128,12 @@
     answer.try_into()
 }
 
-fn read_changes(reply: peer::ChangesReply) -> ZoneChanges {
+fn read_changes(reply: &peer::ChangesReply) -> ZoneChanges {
+    let objects = reply.objects.iter().cloned();
     ZoneChanges {
         list: ObjectList {
             version: reply.version,
-            objects: reply.objects.into_iter().map(Into::into).collect(),
+            objects: objects.map(Into::into).collect(),
         },
         age: Duration::from_micros(reply.age_us),
         held: Duration::from_micros(reply.held_us),
--- a/azureway-entry/src/peer/peer_message.rs
+++ b/azureway-entry/src/peer/peer_message.rs
@@ -32,6 +32,8 @@
     Reply(Box<Heartbeat>),
     /// A peer did not reply to a heartbeat.
     Timeout(InstanceId),
+    /// A connection to a peer gave no answer, though the peer may be reachable over a new one.
+    LinkFailed(InstanceId),
     /// A peer returned its configuration document.
     Fetched(InstanceId, Document),
     /// A peer was asked for its configuration document and did not return a newer one.
