--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -25,13 +25,11 @@
     schedule: WatchSchedule,
     /// The time at which the current outage of the platform began.
     lost: Option<Timestamp>,
-    /// The time at which the platform last recovered from an outage.
-    recovered: Option<Timestamp>,
     /// The version after which the last call asked for changes, or `None` if it asked for a list.
     after: Option<u64>,
     bound: ChangeBound,
-    /// The earliest time at which the changes in the last answer can have happened.
-    earliest: Timestamp,
+    /// The times of the last answer.
+    times: ReadTimes,
     disturbances: DisturbanceMeter,
     /// The link to the readers of the zone, if the platform may be read through them.
     zone: Option<ZoneLink>,
@@ -58,10 +56,9 @@
             clock,
             schedule,
             lost: None,
-            recovered: None,
             after: None,
             bound: ChangeBound::new(named_since),
-            earliest: named_since,
+            times: ReadTimes::default(),
             disturbances: DisturbanceMeter::new(SITE_CALL_TIMEOUT),
             zone: None,
             rejected: RefCell::default(),
@@ -118,7 +115,8 @@
             Ok(list) => {
                 self.record_recovery(now);
                 self.log_lateness(call, list.objects.len());
-                self.earliest = self.bound.record(call, list.objects.len());
+                self.times.since = self.bound.record(call, list.objects.len());
+                self.times.until = self.bound.reported_until();
                 self.schedule.record_success(list.version, now);
                 self.keep_for_zone(&list);
                 self.send_disturbance() && self.send_updates(&list) && self.send_listed_until()
@@ -149,14 +147,14 @@
         let until = answered.before(changes.age);
         let now = self.clock.now();
         let since = changes.changed.map(|ago| answered.before(ago));
-        self.earliest = self.bound.record_relayed(until, since);
-        if let Some(ago) = changes.recovered {
-            self.recovered = self.recovered.max(Some(answered.before(ago)));
-        }
+        self.times.since = self.bound.record_relayed(until, since);
+        self.times.until = self.bound.reported_until();
+        let recovered = changes.recovered.map(|ago| answered.before(ago));
+        self.times.recovered = self.times.recovered.max(recovered);
         self.schedule
             .record_success(changes.list.version.max(after), now);
         if let Some(zone) = &mut self.zone {
-            zone.check_age(self.kind, self.bound.reported_until(), now);
+            zone.check_age(self.kind, self.times.until, now);
         }
         self.send_updates(&changes.list) && self.send_listed_until()
     }
@@ -164,12 +162,7 @@
     /// Keeps an answer of the platform for the other entries of the zone.
     fn keep_for_zone(&self, list: &ObjectList) {
         if let Some(zone) = &self.zone {
-            let times = ReadTimes {
-                since: self.earliest,
-                until: self.bound.reported_until(),
-                recovered: self.recovered,
-            };
-            zone.record(self.kind, self.api.era(), self.after, list, times);
+            zone.record(self.kind, self.api.era(), self.after, list, self.times);
         }
     }
 
@@ -194,7 +187,7 @@
         if let Some(since) = self.lost.take() {
             let millis = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
             log::info!(step = "watch site", kind = self.kind.as_str(), away_ms = millis; "the platform is back");
-            self.recovered = Some(now);
+            self.times.recovered = Some(now);
         }
     }
 
@@ -203,7 +196,7 @@
             SiteKind::Servers if self.after.is_none() => {
                 let objects = list.objects.iter().filter(|o| !o.deleted);
                 let servers = objects.filter_map(|o| self.check(o, self.codec.server(o)));
-                self.send(SiteUpdate::Servers(servers.collect(), self.recovered))
+                self.send(SiteUpdate::Servers(servers.collect(), self.times.recovered))
             }
             _ => list.objects.iter().all(|o| self.send_update(o)),
         }
@@ -218,8 +211,10 @@
 
     /// Sends the time until which the list of servers is complete.
     fn send_listed_until(&self) -> bool {
-        let until = self.bound.reported_until();
-        self.kind != SiteKind::Servers || self.send(SiteUpdate::ListedUntil(until, self.recovered))
+        let ReadTimes {
+            until, recovered, ..
+        } = self.times;
+        self.kind != SiteKind::Servers || self.send(SiteUpdate::ListedUntil(until, recovered))
     }
 
     fn send_update(&self, object: &ObjectBody) -> bool {
@@ -229,7 +224,7 @@
         let update = match self.kind {
             SiteKind::Servers if object.deleted => Some(SiteUpdate::Removed(
                 ServerId::new(&object.name),
-                self.recovered,
+                self.times.recovered,
             )),
             // An object that cannot be decoded describes no usable server, so the server is removed
             // even if the previous version of the object was valid.
@@ -250,7 +245,7 @@
                 .map(|d| SiteUpdate::Document(Box::new(d))),
             SiteKind::Weights => self
                 .check(object, self.codec.weights(object))
-                .map(|named| SiteUpdate::Weights(named, self.earliest)),
+                .map(|named| SiteUpdate::Weights(named, self.times.since)),
         };
         update.is_none_or(|u| self.send(u))
     }
@@ -264,9 +259,8 @@
             let part = self.check(object, part)?;
             return Some(SiteUpdate::Quarantine(QuarantineChange::Removed(part)));
         }
-        let body = serde_json::from_str(&object.value);
-        let body: Result<QuarantineBody, _> =
-            body.map_err(|e| Error::new(ErrorKind::Protocol, STEP, e));
+        let body = serde_json::from_str::<QuarantineBody>(&object.value);
+        let body = body.map_err(|e| Error::new(ErrorKind::Protocol, STEP, e));
         let record = body.and_then(|b| Ok((QuarantineRecord::try_from(&b)?, b.until)));
         let (record, until) = self.check(object, record)?;
         if until <= Clock::unix_seconds() {
