Drop the connections to a peer in one place

Change: the first failure of a heartbeat reports the connection, whatever it was; the second is only evidence against the peer. An announcement reports any failure too.

--- a/azureway-entry/src/peer/peer_call.rs
+++ b/azureway-entry/src/peer/peer_call.rs
@@ -101,17 +101,17 @@
         let _ = reply.try_send(Some(changes.ok_or(())));
         if let Err(e) = answer {
             log::debug!(step = "ask zone", peer:% = self.peer.id, kind = request.kind.as_str(), error:% = e; "a peer has no recent changes of the platform");
-            self.report_link(&e).await;
+            if e.code() == Code::DeadlineExceeded {
+                self.report_link(&e).await;
+            }
         }
     }
 
-    /// Reports a connection over which no answer came. One that fails is opened anew by itself.
+    /// Reports a connection over which no answer came. It may be stuck while the peer is reachable.
     async fn report_link(&self, status: &Status) {
-        if matches!(status.code(), Code::Cancelled | Code::DeadlineExceeded) {
-            log::debug!(step = "peer link", peer:% = self.peer.id, error:% = status; "a connection to a peer gave no answer");
-            let message = PeerMessage::LinkFailed(self.peer.id.clone());
-            let _ = self.messages.send_async(message).await;
-        }
+        log::debug!(step = "peer link", peer:% = self.peer.id, error:% = status; "a connection to a peer gave no answer");
+        let message = PeerMessage::LinkFailed(self.peer.id.clone());
+        let _ = self.messages.send_async(message).await;
     }
 
     fn error(&self, status: &Status) -> Error {
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -115,11 +115,11 @@
                 let _ = reply.try_send(newer.cloned());
             }
             Some(PeerMessage::Reply(heartbeat)) => self.handle(PeerEvent::Reply(&heartbeat)).await,
-            Some(PeerMessage::Timeout(peer)) => {
-                self.close(&peer);
-                self.handle(PeerEvent::Timeout(&peer)).await;
+            Some(PeerMessage::Timeout(peer)) => self.handle(PeerEvent::Timeout(&peer)).await,
+            Some(PeerMessage::LinkFailed(peer)) => {
+                self.connections.close(&peer);
+                self.zone.close(&peer);
             }
-            Some(PeerMessage::LinkFailed(peer)) => self.close(&peer),
             Some(PeerMessage::Fetched(peer, document)) => {
                 self.apply_document(&peer, document).await
             }
@@ -228,12 +228,6 @@
         self.send_update(PeerUpdate::Loading(loading)).await;
     }
 
-    /// Drops the connections to a peer. They may be stuck while the peer is reachable.
-    fn close(&mut self, peer: &InstanceId) {
-        self.connections.close(peer);
-        self.zone.close(peer);
-    }
-
     fn send(&mut self, peer: Instance, heartbeat: &Heartbeat) {
         let message = self.encode(heartbeat);
         if let Some(call) = self.call(peer) {
