Build the core without a feature that only the entry daemon enables

Cause: ChangeTimes used SmallVec::new_const, whose feature is enabled in the workspace by azureway-entry alone, so that cargo test -p azureway-core failed to compile (E0599). Change: its constructor is no const function. Result: cargo test -p azureway-core builds; change_times passes.

--- a/azureway-core/src/watch/change_times.rs
+++ b/azureway-core/src/watch/change_times.rs
@@ -22,9 +22,9 @@
 
 impl ChangeTimes {
     /// Creates the times of the changes after version `first`.
-    pub const fn new(first: u64) -> Self {
+    pub fn new(first: u64) -> Self {
         Self {
-            answers: SmallVec::new_const(),
+            answers: SmallVec::new(),
             first,
         }
     }
