--- a/azureway-core/src/watch/answered_call.rs
+++ b/azureway-core/src/watch/answered_call.rs
@@ -26,6 +26,15 @@
         self.answered.since(self.started + self.wait)
     }
 
+    /// Returns whether the failed call ended when a call can fail: within its wait, or when a time limit of
+    /// `timeout`, for the connection or for the answer, ran out. Otherwise this process was held up.
+    pub fn failed_on_time(&self, timeout: Duration) -> bool {
+        let elapsed = self.answered.since(self.started);
+        let due = [timeout, self.wait + timeout, self.wait + timeout * 2];
+        let timed_out = |due: &Duration| elapsed.checked_sub(*due).is_some_and(|l| l <= LATE_MIN);
+        self.lateness() <= LATE_MIN || due.iter().any(timed_out)
+    }
+
     /// Returns whether the answer was read long after it was due, so that it may be out of date.
     pub fn is_late(&self) -> bool {
         self.lateness() > LATE_MIN
--- a/azureway-core/src/watch/disturbance_meter.rs
+++ b/azureway-core/src/watch/disturbance_meter.rs
@@ -9,12 +9,12 @@
 /// Observes disturbances of the platform through the calls of one duty.
 ///
 /// A call also fails if this process was paused while it waited, which disturbs nobody else. So a
-/// disturbance takes several failures in a row, and a call that took longer than it can take does not
-/// count.
+/// disturbance takes several failures in a row, and a call that did not end when one of its time-outs
+/// ran out does not count.
 #[derive(Clone, Copy, Debug)]
 pub struct DisturbanceMeter {
-    /// The longest time that a failed call takes beyond its wait.
-    limit: Duration,
+    /// The time for which the platform may be silent.
+    timeout: Duration,
     failures: u32,
     last: Timestamp,
     restored: bool,
@@ -28,7 +28,7 @@
     /// both when a connection is opened and when an answer is awaited.
     pub const fn new(timeout: Duration) -> Self {
         Self {
-            limit: timeout.saturating_mul(2),
+            timeout,
             failures: 0,
             last: Timestamp::ZERO,
             restored: false,
@@ -40,7 +40,7 @@
         match kind {
             ErrorKind::Restored => self.restored = true,
             // The platform may limit this entry alone, without a disturbance.
-            ErrorKind::Unavailable if call.lateness() <= self.limit => {
+            ErrorKind::Unavailable if call.failed_on_time(self.timeout) => {
                 self.failures += 1;
                 self.last = call.started;
             }
