Test that an answer to a peer carries when changes can have happened

Cause: the closer date of weights that a reader tells of crosses the wire between two types, and no test ran both. Change: a test with the service and a call. Result: it passes. With the field left out of the answer: an_answer_carries_when_changes_can_have_happened_if_the_reader_knows Value of: latest.changed; expected: has a value which is greater than or equal to 300ms; actual: None

--- a/azureway-entry/tests/peer_call.rs
+++ b/azureway-entry/tests/peer_call.rs
@@ -1,4 +1,4 @@
-//! Tests of calls to peers over connections that have gone silent.
+//! Tests of calls to peers: what they carry, and connections that have gone silent.
 
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -8,7 +8,8 @@
 use azureway_entry::clock::Clock;
 use azureway_entry::peer::{PeerCall, PeerConnections, PeerMessage, PeerService};
 use azureway_entry::site::SiteKind;
-use azureway_entry::zone::{ZoneCache, ZoneRequest};
+use azureway_entry::zone::{ReadTimes, ZoneCache, ZoneChanges, ZoneRequest};
+use azureway_wire::object::{ObjectBody, ObjectList};
 use azureway_wire::peer;
 use flume::{Receiver, Sender};
 use googletest::prelude::*;
@@ -129,3 +130,58 @@
     let answered = matches!(silent.messages.try_recv(), Ok(PeerMessage::Reply(_)));
     expect_that!(answered, eq(true));
 }
+
+/// Calls the reader at `instance` for changes after `after`.
+async fn ask(silent: &SilentPeer, after: u64) -> Option<ZoneChanges> {
+    let (reply, answer) = flume::bounded(1);
+    let request = ZoneRequest {
+        kind: SiteKind::Weights,
+        era: None,
+        after,
+        wait: Duration::from_secs(1),
+        attempt: 0,
+    };
+    let channel = PeerConnections::open_long(&silent.instance).expect("a channel");
+    silent.call(channel).changes(request, reply).await;
+    answer.try_recv().ok()??.ok()
+}
+
+/// Guards against a time that a reader knows and its answer does not carry, and against one that it does not know
+/// and that counts as now.
+#[gtest]
+fn an_answer_carries_when_changes_can_have_happened_if_the_reader_knows() {
+    let peer = SilentPeer::new();
+    let listener = peer.listener.try_clone().expect("a listener");
+    let clock = Clock::new();
+    let zone = Arc::new(ZoneCache::new(clock));
+    let age = Duration::from_millis(300);
+    let times = |age| ReadTimes {
+        since: clock.now().before(age),
+        until: clock.now(),
+        recovered: None,
+    };
+    let list = |version, objects| ObjectList { version, objects };
+    let weights = |version| ObjectBody {
+        name: "m".to_owned(),
+        version,
+        value: version.to_string(),
+        deleted: false,
+    };
+    let kind = SiteKind::Weights;
+    zone.record(kind, None, None, &list(1, Vec::new()), times(age));
+    for version in 2..=30 {
+        let changed = list(version, vec![weights(version)]);
+        zone.record(kind, None, Some(version - 1), &changed, times(age));
+    }
+    let (latest, oldest) = block_on(async {
+        let (peer_tx, _peer_rx) = flume::bounded(1);
+        tokio::spawn(PeerService::new(peer_tx, zone).serve(listener));
+        (ask(&peer, 29).await, ask(&peer, 1).await)
+    });
+    let latest = latest.expect("the last change");
+    expect_that!(latest.list.objects, len(eq(1)));
+    expect_that!(latest.changed, some(ge(age)));
+    let oldest = oldest.expect("all changes");
+    expect_that!(oldest.list.objects, len(eq(1)));
+    expect_that!(oldest.changed, none());
+}
