--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -101,10 +101,10 @@
                 let _ = reply.try_send(newer.cloned());
             }
             Some(PeerMessage::Reply(heartbeat)) => self.handle(PeerEvent::Reply(&heartbeat)).await,
-            Some(PeerMessage::Timeout(peer)) => {
+            Some(PeerMessage::Timeout(peer)) => self.handle(PeerEvent::Timeout(&peer)).await,
+            Some(PeerMessage::LinkFailed(peer)) => {
                 self.connections.close(&peer);
                 self.zone.close(&peer);
-                self.handle(PeerEvent::Timeout(&peer)).await;
             }
             Some(PeerMessage::Fetched(peer, document)) => {
                 self.apply_document(&peer, document).await
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::{StoreEra, Timestamp};
 use azureway_wire::object::ObjectList;
 
-use super::{ZoneCache, ZoneChanges, ZoneClient, ZoneRequest};
+use super::{ReadTimes, ZoneCache, ZoneChanges, ZoneClient, ZoneRequest};
 use crate::site::SiteKind;
 
 /// The part of a watcher that asks the reader of its zone, or keeps what it reads for the zone.
@@ -46,11 +46,11 @@
         &self,
         kind: SiteKind,
         era: Option<StoreEra>,
-        listed: bool,
+        after: Option<u64>,
         list: &ObjectList,
-        times: (Timestamp, Option<Timestamp>),
+        times: ReadTimes,
     ) {
-        self.cache.record(kind, era, listed, list, times);
+        self.cache.record(kind, era, after, list, times);
     }
 
     /// Asks the reader of the zone for the changes of `kind` after version `after`. Returns `None` if the
