--- a/azureway-entry/tests/peer_call.rs
+++ b/azureway-entry/tests/peer_call.rs
@@ -64,7 +64,7 @@
 }
 
 fn block_on<T>(future: impl Future<Output = T>) -> T {
-    let runtime = azureway_entry::peer::PeerDuty::runtime();
+    let runtime = azureway_entry::runtime::create();
     runtime.expect("a runtime").block_on(future)
 }
 
