Withdraw an announced order whose weights were replaced before it is sent

An order is announced 300 ms before it is sent. If newer weights were named in between, the server loaded weights that were replaced, and then the newer ones. Now the server is planned for anew.

The methods of the ordering duty for replies and for sending have files of their own.

Test: an_announced_order_of_replaced_weights_is_not_sent.

--- a/azureway-core/src/order/answers.rs
+++ b/azureway-core/src/order/answers.rs
@@ -28,6 +28,17 @@
         }
     }
 
+    /// Withdraws an order that was not sent, if newer weights were named after it was planned. Returns
+    /// whether it was withdrawn. The server is then planned for anew.
+    pub fn withdraw_outdated(&mut self, order: &LoadOrder) -> bool {
+        let outdated = order.config < self.version() && !self.is_required(order);
+        if outdated {
+            self.loads.remove(&order.server);
+            self.changed = true;
+        }
+        outdated
+    }
+
     /// Records that an order failed. Its load slot becomes free, and the order is sent again after
     /// a delay, and after the server's pause, unless the server reports the weights.
     pub fn record_failure(&mut self, server: &ServerId, now: Timestamp) {
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -196,6 +196,15 @@
         })
     }
 
+    /// Returns whether a service of the server's pool requires the weights of an order.
+    pub(super) fn is_required(&self, order: &LoadOrder) -> bool {
+        let server = self.fleet.servers.get(&order.server);
+        server.is_some_and(|server| {
+            let mut services = self.fleet.services.values();
+            services.any(|s| s.pool == server.pool && s.weights == order.weights)
+        })
+    }
+
     /// Returns the model that a service of the pool requires with these weights.
     fn model_for(&self, pool: &BackendServerPool, weights: WeightsVersion) -> Option<ModelId> {
         let mut services = self.fleet.services.values();
--- a/azureway-core/tests/orders/unanswered.rs
+++ b/azureway-core/tests/orders/unanswered.rs
@@ -138,3 +138,33 @@
     let limit = Duration::from_secs(5);
     expect_that!(cluster.run_until_loaded(3, limit), some(anything()));
 }
+
+/// Guards against a load of weights that were replaced between the announcement and the order.
+#[gtest]
+fn an_announced_order_of_replaced_weights_is_not_sent() {
+    let mut fleet = crate::support::fleet(2, 1);
+    let require = |fleet: &mut Fleet, version| {
+        fleet.version = fleet.version.next();
+        for service in fleet.services.values_mut() {
+            service.weights = WeightsVersion::new(version);
+        }
+    };
+    let now = Timestamp::from_millis(3_600_000);
+    let mut planner = OrderPlanner::new(OrderConfig::new().with_store_rate(1_000));
+    require(&mut fleet, 2);
+    planner.adopt(&fleet);
+    for server in fleet.servers.keys() {
+        planner.observe_weights(server, WeightsVersion::new(1));
+    }
+    let order = planner.next_order(now).expect("an order");
+    fleet.version = fleet.version.next();
+    planner.adopt(&fleet);
+    expect_that!(planner.withdraw_outdated(&order), eq(false));
+    require(&mut fleet, 3);
+    planner.adopt(&fleet);
+    expect_that!(planner.withdraw_outdated(&order), eq(true));
+    let later = now + Duration::from_millis(10);
+    let next = planner.next_order(later).expect("an order");
+    expect_that!(next.server, eq(&order.server));
+    expect_that!(next.weights, eq(WeightsVersion::new(3)));
+}
--- a/azureway-entry/src/order/mod.rs
+++ b/azureway-entry/src/order/mod.rs
@@ -9,6 +9,8 @@
 mod order_message;
 mod order_reply;
 mod orderer;
+mod replies;
+mod sending;
 
 pub use http_orders::HttpOrders;
 pub use lease_store::LeaseStore;
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -8,7 +8,7 @@
 use tokio::runtime::Runtime;
 use tokio::time::{Instant, sleep_until};
 
-use super::{LeaseStore, LoadChecks, OrderCalls, OrderLink, OrderMessage, OrderReply};
+use super::{LeaseStore, LoadChecks, OrderCalls, OrderLink, OrderMessage};
 use crate::claim::Sweeper;
 use crate::clock::Clock;
 use crate::peer::PeerMessage;
@@ -18,24 +18,21 @@
 #[derive(Debug)]
 pub struct Orderer<A, L> {
     store: LeaseStore<A>,
-    calls: OrderCalls<L>,
+    pub(super) calls: OrderCalls<L>,
     messages: Receiver<OrderMessage>,
-    clock: Clock,
-    lease: Lease,
-    planner: OrderPlanner,
+    pub(super) clock: Clock,
+    pub(super) lease: Lease,
+    pub(super) planner: OrderPlanner,
     sweeper: Option<Sweeper<A>>,
     selected: bool,
     next_wakeup: Timestamp,
-    peers: Option<Sender<PeerMessage>>,
-    load_time: Duration,
-    checks: LoadChecks,
+    pub(super) peers: Option<Sender<PeerMessage>>,
+    pub(super) load_time: Duration,
+    pub(super) checks: LoadChecks,
     /// The loads that were announced, each with the time at which its order is due.
-    announced: Vec<(Timestamp, LoadOrder)>,
+    pub(super) announced: Vec<(Timestamp, LoadOrder)>,
 }
 
-/// The delay from the announcement of a load to its order. During the delay peers receive the
-/// announcement, and the requests that are queued in the server start.
-const ANNOUNCE_DELAY: Duration = Duration::from_millis(300);
 /// The longest wait for a message.
 const WAIT_MAX: Duration = Duration::from_secs(60);
 /// The wake-up time if there is nothing to do until the next message.
@@ -183,7 +180,7 @@
         Some(sweeper.due())
     }
 
-    fn renew_lease(&mut self) {
+    pub(super) fn renew_lease(&mut self) {
         while self.selected {
             let reply = match self.lease.next(self.clock.now()) {
                 LeaseStep::Wait(until) => {
@@ -210,111 +207,4 @@
             self.calls.check(order);
         }
     }
-
-    fn handle_reply(&mut self, reply: OrderReply) {
-        match reply {
-            OrderReply::Ordered(order, answer) => self.handle_answer(order, answer),
-            OrderReply::Checked(order, Some(status)) => self.handle_status(&order, &status),
-            OrderReply::Checked(_, None) => {}
-        }
-    }
-
-    fn handle_answer(&mut self, order: LoadOrder, answer: OrderAnswer) {
-        let now = self.clock.now();
-        log::info!(
-            step = "order", peer:% = order.server, weights:% = order.weights, accepted = order.accepted,
-            repeated = order.repeated, answer:? = answer; "an order was answered"
-        );
-        self.planner.record_answer(&order, answer, now);
-        match answer {
-            OrderAnswer::Taken => {
-                if order.repeated {
-                    self.notify_peers(&order, self.load_time);
-                }
-                self.checks.push(order, now);
-            }
-            OrderAnswer::Held | OrderAnswer::Conflict => self.checks.push_due(order, now),
-            OrderAnswer::Failed => self.withdraw(&order),
-            // The answer to the order's repetition is awaited once before others use the server again.
-            OrderAnswer::Unanswered if order.repeated => self.withdraw(&order),
-            OrderAnswer::Unanswered => {}
-            OrderAnswer::Fenced => {
-                self.withdraw(&order);
-                self.lease.step_down(now);
-                self.renew_lease();
-            }
-        }
-    }
-
-    fn handle_status(&mut self, order: &LoadOrder, status: &OrderStatus) {
-        let progress = self.planner.record_status(order, status, self.clock.now());
-        match progress {
-            LoadProgress::Loading => return,
-            LoadProgress::Loaded => {
-                log::info!(step = "order", peer:% = order.server, weights:% = status.weights; "loaded");
-                self.notify_peers(order, Duration::ZERO);
-            }
-            LoadProgress::Idle => {
-                log::warn!(
-                    step = "order", peer:% = order.server, weights:% = status.weights,
-                    wanted:% = order.weights, accepted = status.accepted; "the server does not load"
-                );
-                self.withdraw(order);
-            }
-        }
-        self.checks.remove(order);
-    }
-
-    /// Announces a load to all peers. When the order arrives, the server rejects the requests that
-    /// have not started, so the order is delayed until the queued requests have started.
-    fn announce(&mut self, order: LoadOrder) {
-        self.notify_peers(&order, self.load_time);
-        self.announced
-            .push((self.clock.now() + ANNOUNCE_DELAY, order));
-    }
-
-    /// Sends the orders whose announcement delay has passed.
-    fn send_announced(&mut self) {
-        let now = self.clock.now();
-        let all = std::mem::take(&mut self.announced);
-        let (due, remaining): (Vec<_>, Vec<_>) = all.into_iter().partition(|(at, _)| *at <= now);
-        self.announced = remaining;
-        due.into_iter().for_each(|(_, order)| self.send(order));
-    }
-
-    /// Notifies all peers of a load and the time that it still takes.
-    fn notify_peers(&self, order: &LoadOrder, remaining: Duration) {
-        self.notify(LoadNotice {
-            server: order.server.clone(),
-            weights: order.weights,
-            duration: remaining,
-        });
-    }
-
-    /// Notifies all peers that a server does not load for now, so that they use it again.
-    fn withdraw(&self, order: &LoadOrder) {
-        self.notify(LoadNotice::withdrawn(order.server.clone()));
-    }
-
-    fn notify(&self, notice: LoadNotice) {
-        if let Some(peers) = &self.peers {
-            // The peer duty ends only with the process, when no further order is sent.
-            let _ = peers.send(PeerMessage::Loading(notice));
-        }
-    }
-
-    fn send(&mut self, order: LoadOrder) {
-        // The lease is checked again, since this thread may have been paused since the order was
-        // planned.
-        match self.lease.fencing_number(self.clock.now(), order.fenced) {
-            Some(number) => {
-                log::info!(step = "order", peer:% = order.server, weights:% = order.weights, number:% = number; "ordered");
-                self.calls.send(order, number);
-            }
-            None => {
-                self.planner.record_failure(&order.server, self.clock.now());
-                self.withdraw(&order);
-            }
-        }
-    }
 }
