--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -76,7 +76,7 @@
     pub fn run(mut self) {
         let kind = self.codec.kind(self.kind);
         loop {
-            let started = self.clock.now();
+            let mut started = self.clock.now();
             let (answer, wait) = match self.schedule.next(started) {
                 WatchStep::Wait(until) => {
                     thread::park_timeout(until.since(started));
@@ -94,6 +94,8 @@
                         }
                         continue;
                     }
+                    // A request to a reader that failed took its time.
+                    started = self.clock.now();
                     (self.api.watch(kind, after, wait), wait)
                 }
             };
@@ -221,11 +223,9 @@
         if object.deleted {
             self.rejected.borrow_mut().remove(&object.name);
         }
+        let removed = |recovered| SiteUpdate::Removed(ServerId::new(&object.name), recovered);
         let update = match self.kind {
-            SiteKind::Servers if object.deleted => Some(SiteUpdate::Removed(
-                ServerId::new(&object.name),
-                self.times.recovered,
-            )),
+            SiteKind::Servers if object.deleted => Some(removed(self.times.recovered)),
             // An object that cannot be decoded describes no usable server, so the server is removed
             // even if the previous version of the object was valid.
             SiteKind::Servers => {
@@ -233,7 +233,7 @@
                 match self.check(object, self.codec.server(object)) {
                     Some(server) => Some(SiteUpdate::Server(Box::new(server))),
                     None if was_rejected => None,
-                    None => Some(SiteUpdate::Removed(ServerId::new(&object.name), None)),
+                    None => Some(removed(None)),
                 }
             }
             SiteKind::Quarantines => self.quarantine_update(object),
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -460,3 +460,18 @@
         watched.end();
     }
 }
+
+/// Guards against a read of the platform that counts from before a request to a reader that failed first.
+#[gtest]
+fn a_read_of_the_platform_after_a_failed_request_is_dated_from_when_it_was_sent() {
+    let clock = Clock::new();
+    let watched = Watched::new(clock);
+    let (_, reply) = watched.request();
+    thread::sleep(WAIT * 2);
+    let failed = clock.now();
+    let _ = reply.send(Some(Err(())));
+    // The platform's first answer reports changes until it was asked for, by which the second one dates its own.
+    watched.earliest();
+    expect_that!(watched.earliest(), ge(failed));
+    watched.end();
+}
