--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -88,8 +88,8 @@
                 }
                 WatchStep::Watch(after, wait) => {
                     self.after = Some(after);
-                    if let Some(changes) = self.ask_zone(after, wait, started) {
-                        if !self.handle_changes(&changes, after, started) {
+                    if let Some((asked, changes)) = self.ask_zone(after, wait) {
+                        if !self.handle_changes(&changes, after, asked) {
                             return;
                         }
                         continue;
@@ -136,16 +136,16 @@
 
     /// Asks a reader of the zone, unless the platform has just failed: then this entry finds out itself when
     /// it is back.
-    fn ask_zone(&mut self, after: u64, wait: Duration, now: Timestamp) -> Option<ZoneChanges> {
+    fn ask_zone(&mut self, after: u64, wait: Duration) -> Option<(Timestamp, ZoneChanges)> {
         let zone = self.zone.as_mut().filter(|_| !wait.is_zero())?;
-        zone.ask(self.kind, self.api.era(), after, now)
+        zone.ask(self.kind, self.api.era(), after, self.clock)
     }
 
-    /// Handles the answer of a reader of the zone to a request that was sent at `started`. Returns whether
+    /// Handles the answer of a reader of the zone to a request that was sent at `asked`. Returns whether
     /// the site duty still receives updates.
-    fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, started: Timestamp) -> bool {
+    fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, asked: Timestamp) -> bool {
         // The reader took the request after it was sent, so this is the earliest time of its answer.
-        let answered = started + changes.held;
+        let answered = asked + changes.held;
         let until = answered.before(changes.age);
         let now = self.clock.now();
         let since = changes.changed.map(|ago| answered.before(ago));
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -7,6 +7,7 @@
 use azureway_wire::object::ObjectList;
 
 use super::{ReadTimes, ZoneCache, ZoneChanges, ZoneClient, ZoneRequest};
+use crate::clock::Clock;
 use crate::site::SiteKind;
 
 /// The part of a watcher that asks the reader of its zone, or keeps what it reads for the zone.
@@ -22,6 +23,9 @@
     relayed: bool,
 }
 
+/// The time for which a request can take longer than the wait that was asked for, unless this process is
+/// paused: the limit of [`ZoneClient::ask`], and as much for a busy machine.
+const MAX_WAIT: Duration = ZoneClient::TIMEOUT.saturating_mul(3);
 /// The time for which a watcher reads the platform itself after a reader failed.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
@@ -53,16 +57,17 @@
         self.cache.record(kind, era, after, list, times);
     }
 
-    /// Asks the reader of the zone for the changes of `kind` after version `after`. Returns `None` if the
-    /// platform is to be read instead.
+    /// Asks the reader of the zone for the changes of `kind` after version `after`. Returns them with the time
+    /// before they were asked for, or `None` if the platform is to be read instead.
     pub fn ask(
         &mut self,
         kind: SiteKind,
         era: Option<StoreEra>,
         after: u64,
-        now: Timestamp,
-    ) -> Option<ZoneChanges> {
-        if now < self.retry_at {
+        clock: Clock,
+    ) -> Option<(Timestamp, ZoneChanges)> {
+        let mut asked = clock.now();
+        if asked < self.retry_at {
             return None;
         }
         let request = ZoneRequest {
@@ -72,7 +77,14 @@
             wait: kind.relay_wait(),
             attempt: self.failures,
         };
-        let answer = self.client.ask(request);
+        let mut answer = self.client.ask(request);
+        if matches!(answer, Some(Err(()))) && clock.now() > asked + request.wait + MAX_WAIT {
+            // This process was paused, so the reader may be well. It dates changes better than a first
+            // look at the platform.
+            log::info!(step = "watch site", kind = kind.as_str(), waited:? = clock.now().since(asked); "a reader is asked again after a pause");
+            asked = clock.now();
+            answer = self.client.ask(request);
+        }
         let relayed = matches!(answer, Some(Ok(_)));
         if relayed != self.relayed {
             self.relayed = relayed;
@@ -81,9 +93,9 @@
         }
         let answer = answer?;
         if answer.is_err() {
-            self.reject(now + request.wait);
+            self.reject(asked + request.wait);
         }
-        answer.ok()
+        answer.ok().map(|changes| (asked, changes))
     }
 
     /// Records at `now` that the reader's news reach until `until`. If they are too old, the platform is read
