--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -76,7 +76,7 @@
     pub fn run(mut self) {
         let kind = self.codec.kind(self.kind);
         loop {
-            let started = self.clock.now();
+            let mut started = self.clock.now();
             let (answer, wait) = match self.schedule.next(started) {
                 WatchStep::Wait(until) => {
                     thread::park_timeout(until.since(started));
@@ -88,12 +88,14 @@
                 }
                 WatchStep::Watch(after, wait) => {
                     self.after = Some(after);
-                    if let Some(changes) = self.ask_zone(after, wait, started) {
-                        if !self.handle_changes(&changes, after, started) {
+                    if let Some((asked, changes)) = self.ask_zone(after, wait) {
+                        if !self.handle_changes(&changes, after, asked) {
                             return;
                         }
                         continue;
                     }
+                    // A request to a reader that failed took its time.
+                    started = self.clock.now();
                     (self.api.watch(kind, after, wait), wait)
                 }
             };
@@ -134,16 +136,16 @@
 
     /// Asks a reader of the zone, unless the platform has just failed: then this entry finds out itself when
     /// it is back.
-    fn ask_zone(&mut self, after: u64, wait: Duration, now: Timestamp) -> Option<ZoneChanges> {
+    fn ask_zone(&mut self, after: u64, wait: Duration) -> Option<(Timestamp, ZoneChanges)> {
         let zone = self.zone.as_mut().filter(|_| !wait.is_zero())?;
-        zone.ask(self.kind, self.api.era(), after, now)
+        zone.ask(self.kind, self.api.era(), after, self.clock)
     }
 
-    /// Handles the answer of a reader of the zone to a request that was sent at `started`. Returns whether
+    /// Handles the answer of a reader of the zone to a request that was sent at `asked`. Returns whether
     /// the site duty still receives updates.
-    fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, started: Timestamp) -> bool {
+    fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, asked: Timestamp) -> bool {
         // The reader took the request after it was sent, so this is the earliest time of its answer.
-        let answered = started + changes.held;
+        let answered = asked + changes.held;
         let until = answered.before(changes.age);
         let now = self.clock.now();
         let since = changes.changed.map(|ago| answered.before(ago));
@@ -221,11 +223,9 @@
         if object.deleted {
             self.rejected.borrow_mut().remove(&object.name);
         }
+        let removed = |recovered| SiteUpdate::Removed(ServerId::new(&object.name), recovered);
         let update = match self.kind {
-            SiteKind::Servers if object.deleted => Some(SiteUpdate::Removed(
-                ServerId::new(&object.name),
-                self.times.recovered,
-            )),
+            SiteKind::Servers if object.deleted => Some(removed(self.times.recovered)),
             // An object that cannot be decoded describes no usable server, so the server is removed
             // even if the previous version of the object was valid.
             SiteKind::Servers => {
@@ -233,7 +233,7 @@
                 match self.check(object, self.codec.server(object)) {
                     Some(server) => Some(SiteUpdate::Server(Box::new(server))),
                     None if was_rejected => None,
-                    None => Some(SiteUpdate::Removed(ServerId::new(&object.name), None)),
+                    None => Some(removed(None)),
                 }
             }
             SiteKind::Quarantines => self.quarantine_update(object),
