Send to older weights only what is expected to begin in time

Cause: whether older weights may still serve followed from the time of sending alone. The margin of 2 s is less than the wait in a busy server. Change: the rollout knows its limit beside the end of the grace period. A server with older weights is a candidate only if twice the expected time to the first token ends before the limit; the margin stays, so the rule is only stricter. The line of the dispatch shows the time that was left.

Measured: the core's test.

--- a/azureway-core/src/domain/model_service.rs
+++ b/azureway-core/src/domain/model_service.rs
@@ -82,6 +82,12 @@
         self
     }
 
+    /// Returns the time at which requests may no longer begin on weights `loaded`, if there is one.
+    pub fn start_limit(&self, loaded: WeightsVersion) -> Option<Timestamp> {
+        let rollout = self.rollout.as_ref();
+        rollout.and_then(|r| r.start_limit(loaded))
+    }
+
     /// Returns whether a server that has loaded version `loaded` may answer a request for version
     /// `wanted` at `now`. A plain service has no weights and accepts any version.
     pub fn accepts_weights(
--- a/azureway-core/src/domain/rollout.rs
+++ b/azureway-core/src/domain/rollout.rs
@@ -17,8 +17,11 @@
     /// The versions in the order in which they were named, each with the earliest time at which
     /// it can have been named.
     pub versions: SmallVec<[(WeightsVersion, Timestamp); 4]>,
-    /// The time for which older weights may still answer after newer ones are named.
+    /// The time for which requests may still be sent to older weights after newer ones are named.
     pub grace: Duration,
+    /// The time from the end of the grace period to the limit, at which requests may no longer begin
+    /// on older weights.
+    pub margin: Duration,
     /// The end of the platform's last disturbance. The grace period does not begin earlier, since
     /// nobody could order servers to load the newer weights.
     pub undisturbed: Timestamp,
@@ -28,6 +31,10 @@
 /// The rollout needs this time to start.
 const FULL_WORTH_TIME: Duration = Duration::from_millis(1_500);
 
+/// The factor by which a wait may exceed its estimate. The load of a server that the estimate rests on
+/// lags, and other entries send to the same server.
+const WAIT_FACTOR: u32 = 2;
+
 impl Rollout {
     /// Returns whether answers from weights `loaded` are worth less than their full worth at `now`,
     /// because newer weights were named some time ago.
@@ -38,8 +45,27 @@
 
     /// Returns whether weights `loaded` may answer a request that is sent at `now`.
     pub fn allows(&self, loaded: WeightsVersion, now: Timestamp) -> bool {
-        self.superseded_at(loaded)
-            .is_none_or(|at| now < at.max(self.undisturbed) + self.grace)
+        self.grace_end(loaded).is_none_or(|end| now < end)
+    }
+
+    /// Returns whether a request that is sent at `now` to a server with weights `loaded`, where it is
+    /// expected to wait for `wait`, may begin there.
+    pub fn allows_start(&self, loaded: WeightsVersion, now: Timestamp, wait: Duration) -> bool {
+        let latest = now + wait.saturating_mul(WAIT_FACTOR);
+        self.allows(loaded, now) && self.start_limit(loaded).is_none_or(|limit| latest < limit)
+    }
+
+    /// Returns the time at which requests may no longer begin on weights `loaded`, or `None` if no
+    /// newer ones are named.
+    pub fn start_limit(&self, loaded: WeightsVersion) -> Option<Timestamp> {
+        self.grace_end(loaded).map(|end| end + self.margin)
+    }
+
+    /// Returns the time at which requests may no longer be sent to weights `loaded`, or `None` if no
+    /// newer ones are named.
+    fn grace_end(&self, loaded: WeightsVersion) -> Option<Timestamp> {
+        let named = self.superseded_at(loaded)?;
+        Some(named.max(self.undisturbed) + self.grace)
     }
 
     /// Returns the time at which the first weights newer than `loaded` were named.
--- a/azureway-core/src/event/dispatch.rs
+++ b/azureway-core/src/event/dispatch.rs
@@ -5,7 +5,7 @@
 
 use crate::cache::Salt;
 use crate::domain::{
-    Attempt, Incarnation, Rank, ServerId, StreamPosition, TokenCount, WeightsVersion,
+    Attempt, Incarnation, Rank, ServerId, StreamPosition, Timestamp, TokenCount, WeightsVersion,
 };
 
 /// An instruction to send a request to a backend server, with the state that the server is
@@ -35,4 +35,6 @@
     pub fetch_from: Option<SocketAddr>,
     /// The estimated time to first token.
     pub expected_ttft: Duration,
+    /// The time at which the request may no longer begin on the weights, if newer ones are named.
+    pub start_limit: Option<Timestamp>,
 }
--- a/azureway-core/src/router/attempt_plan.rs
+++ b/azureway-core/src/router/attempt_plan.rs
@@ -44,6 +44,7 @@
             Some(_) => best.state.weights.unwrap_or(service.weights),
             None => request.weights,
         };
+        let start_limit = service.start_limit(weights);
         let known = best.state.incarnation > Incarnation::ZERO;
         Dispatch {
             attempt: self.attempt,
@@ -57,6 +58,7 @@
             cached: best.cached,
             fetch_from: None,
             expected_ttft: Duration::ZERO,
+            start_limit,
         }
     }
 }
--- a/azureway-core/src/router/exclusion_reason.rs
+++ b/azureway-core/src/router/exclusion_reason.rs
@@ -13,7 +13,7 @@
     Suspect,
     /// The server asked this entry for a pause.
     Paused,
-    /// The server has other weights loaded.
+    /// The server has other weights loaded, or is too busy to begin before its weights are outdated.
     WeightsNotLoaded,
     /// The server has no free slot for this request, by this entry's share of its slots.
     NoCapacity,
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -79,7 +79,14 @@
                 .any(|c| c.state.server.id == state.server.id);
             let exclusion = || match listed {
                 true => ExclusionReason::Outranked,
-                false => ExclusionReason::for_server(query, state, service, now),
+                false => match ExclusionReason::for_server(query, state, service, now) {
+                    ExclusionReason::NearerAvailable
+                        if !starts_in_time(profile, &candidate, service, now) =>
+                    {
+                        ExclusionReason::WeightsNotLoaded
+                    }
+                    reason => reason,
+                },
             };
             RouteOption {
                 server: state.server.id.clone(),
@@ -126,6 +133,7 @@
         if !self.collect_candidates(false, profile, query, service, now, &mut candidates) {
             self.collect_candidates(true, profile, query, service, now, &mut candidates);
         }
+        candidates.retain(|c| starts_in_time(profile, c, service, now));
         let other = |c: &Candidate<'_>| Some(&c.state.server.id) != query.failed_server;
         if candidates.iter().any(other) {
             candidates.retain(|c| other(c));
@@ -285,6 +293,21 @@
     }
 }
 
+/// Returns whether a request may begin at a candidate by the time at which its server is expected to
+/// start on it.
+fn starts_in_time(
+    profile: RequestProfile,
+    candidate: &Candidate<'_>,
+    service: &ModelService,
+    now: Timestamp,
+) -> bool {
+    let rollout = service.rollout.as_ref().zip(candidate.state.weights);
+    rollout.is_none_or(|(rollout, loaded)| {
+        let wait = Estimate::new(profile, candidate, now).time_to_first_token();
+        rollout.allows_start(loaded, now, wait)
+    })
+}
+
 /// Assumes that the replicas hold the prefix if no server is known to hold all of it, so that
 /// later requests with the prefix find it there.
 fn assume_replicas_cached(candidates: &mut Candidates<'_>, request: &Request) {
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -19,6 +19,9 @@
 pub struct SiteState {
     zones: Vec<AvailabilityZone>,
     grace: Duration,
+    /// The time from the end of the grace period to the limit, at which requests may no longer begin
+    /// on older weights.
+    margin: Duration,
     document: Option<SiteDocument>,
     servers: BTreeMap<ServerId, ListedServer>,
     listed_until: Timestamp,
@@ -67,6 +70,7 @@
         Self {
             zones,
             grace,
+            margin: Duration::ZERO,
             document: None,
             servers: BTreeMap::new(),
             listed_until: Timestamp::ZERO,
@@ -85,6 +89,14 @@
         self
     }
 
+    /// Sets the time from the end of the grace period of older weights to the limit, at which requests
+    /// may no longer begin on them.
+    #[must_use]
+    pub const fn with_rollout_margin(mut self, margin: Duration) -> Self {
+        self.margin = margin;
+        self
+    }
+
     /// Records a disturbance of the platform, after which the grace period of older weights begins
     /// anew. After a restore, which disturbs all entries alike, the platform first has to become stable.
     pub fn record_disturbance(&mut self, disturbance: Disturbance) {
@@ -245,6 +257,7 @@
             model: model.clone(),
             versions: named,
             grace: self.grace,
+            margin: self.margin,
             undisturbed: self.undisturbed,
         };
         service
--- /dev/null
+++ b/azureway-core/tests/rollout_end.rs
@@ -0,0 +1,111 @@
+//! Tests of what becomes of requests near the time at which older weights may no longer answer.
+
+mod support;
+
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use googletest::prelude::*;
+use support::{RouterFixture, dispatches, fleet};
+
+/// The time for which requests may be sent to older weights.
+const GRACE: Duration = Duration::from_secs(8);
+/// The time from the end of the grace period until requests may no longer begin on older weights.
+const MARGIN: Duration = Duration::from_secs(2);
+/// The time at which weights 2 are named: an hour after the clock's origin.
+const NAMED: Timestamp = Timestamp::from_millis(3_600_000);
+/// The number of slots of each backend server.
+const SLOTS: u32 = 4;
+/// The bytes of a prompt of 40,000 tokens, which a server computes in 1.3 s.
+const LONG_PROMPT: usize = 160_000;
+
+/// A router whose servers have the given weights. Weights 2 are named at [`NAMED`].
+struct Rig {
+    fixture: RouterFixture,
+    version: u64,
+    prompts: u64,
+}
+
+impl Rig {
+    fn new(loaded: &[u64]) -> Self {
+        let mut fixture = RouterFixture::new(0, SLOTS);
+        fixture.now = NAMED;
+        let mut rig = Self {
+            fixture,
+            version: 1,
+            prompts: 0,
+        };
+        rig.list(loaded);
+        rig
+    }
+
+    /// Lists one server for each of the weights.
+    fn list(&mut self, loaded: &[u64]) {
+        self.version += 1;
+        let mut fleet = fleet(loaded.len(), SLOTS).with_version(ConfigVersion::new(self.version));
+        for (server, weights) in fleet.servers.values_mut().zip(loaded) {
+            server.prefill = TokenRate::new(30_000);
+            server.listed = Some(ListedState {
+                incarnation: Incarnation::new(1),
+                weights: Some(WeightsVersion::new(*weights)),
+            });
+        }
+        let rollout = Rollout {
+            model: ModelId::new("m"),
+            versions: [(WeightsVersion::new(2), NAMED)].into_iter().collect(),
+            grace: GRACE,
+            margin: MARGIN,
+            undisturbed: Timestamp::ZERO,
+        };
+        let service = &fleet.services[&ServiceId::new("advice")];
+        let service = service.clone().with_weights(WeightsVersion::new(2));
+        let fleet = fleet.with_service(service.with_rollout(rollout));
+        self.fixture.handle(Event::Configured(&fleet));
+    }
+
+    /// Moves the clock to `millis` milliseconds after the weights were named.
+    fn pass_to(&mut self, millis: u64) -> Vec<Action> {
+        let target = NAMED + Duration::from_millis(millis);
+        let time = target.since(self.fixture.now);
+        self.fixture.advance(time)
+    }
+
+    /// Handles a new request with a prompt of its own of `bytes` bytes. Returns its dispatch, if it is
+    /// sent.
+    fn send(&mut self, bytes: usize) -> Option<Dispatch> {
+        self.prompts += 1;
+        let prompt = format!("{}{}", self.prompts, "p".repeat(bytes));
+        let request = self.fixture.request("small", &["house", "shop", &prompt]);
+        let actions = self.fixture.handle(Event::Arrived(&request));
+        dispatches(&actions).first().map(|d| (*d).clone())
+    }
+}
+
+/// Guards against a request that is sent to a busy server shortly before its weights are outdated, and
+/// begins there after that.
+#[gtest]
+fn busy_servers_with_older_weights_get_no_request_that_would_begin_too_late() {
+    for (loaded, queued, sent_at, expected) in [
+        // The two long prompts take 2.7 s, and the wait may be twice as long as expected.
+        (1, 2, 4_000, true),
+        (1, 2, 5_000, false),
+        // The margin holds at idle servers too, and no longer.
+        (1, 0, 7_990, true),
+        (1, 0, 8_000, false),
+        (2, 2, 5_000, true),
+        (2, 2, 20_000, true),
+    ] {
+        let mut rig = Rig::new(&[loaded]);
+        rig.pass_to(3_900);
+        for _ in 0..queued {
+            expect_that!(rig.send(LONG_PROMPT), some(anything()));
+        }
+        rig.pass_to(sent_at);
+        let dispatch = rig.send(40);
+        let case = format!("weights {loaded}, {queued} queued, at {sent_at} ms");
+        expect_that!(dispatch.is_some(), eq(expected), "{case}");
+        let limit = dispatch.and_then(|d| d.start_limit);
+        let expected = (loaded == 1 && expected).then(|| NAMED + GRACE + MARGIN);
+        expect_that!(limit, eq(expected), "{case}");
+    }
+}
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -249,6 +249,7 @@
             model: ModelId::new("m"),
             versions: [(WeightsVersion::new(2), since)].into_iter().collect(),
             grace,
+            margin: Duration::ZERO,
             undisturbed: Timestamp::ZERO,
         };
         let now = start + Duration::from_millis(after);
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -56,8 +56,8 @@
 /// servers load at once, each load takes several times as long as a single one.
 const SLOT_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// The time before a rollout's time limit at which the older weights are given up. For a process
-/// that has just started, the limit applies earlier by the same margin. It covers the time for
-/// which a request may wait in a busy server before it begins.
+/// that has just started, the limit applies earlier by the same margin. It covers what the expected
+/// wait in a server leaves out: the requests that other entries send there at the same time.
 const ROLLOUT_MARGIN: Duration = Duration::from_millis(2_000);
 
 impl Gateway {
@@ -220,6 +220,7 @@
     let (update_tx, update_rx): (Sender<SiteUpdate>, _) = flume::bounded(SITE_RING);
     let rollout_grace = site_settings.rollout_timeout.saturating_sub(ROLLOUT_MARGIN);
     let state = SiteState::new(site_settings.zones.clone(), rollout_grace)
+        .with_rollout_margin(ROLLOUT_MARGIN.min(site_settings.rollout_timeout))
         .with_settle(site_settings.startup_grace);
     let named_since = state.named_since(
         rings.clock.now(),
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -261,7 +261,7 @@
             return;
         };
         let now = self.clock.now();
-        log_dispatch(&dispatch, pending, pending.elapsed_ms(now));
+        log_dispatch(&dispatch, pending, now);
         let attempt = dispatch.attempt;
         let metric = pending.sent_metric(attempt, now);
         let chunks = self.relays.launch(dispatch, Arc::clone(&pending.upstream));
--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -76,11 +76,12 @@
     }
 }
 
-/// Logs that an attempt is sent, `waited` milliseconds after its request arrived.
-pub(super) fn log_dispatch(dispatch: &Dispatch, pending: &PendingRequest, waited: u64) {
+/// Logs that an attempt is sent at `now`. With older weights, `left` is the time in which it must begin.
+pub(super) fn log_dispatch(dispatch: &Dispatch, pending: &PendingRequest, now: Timestamp) {
+    let left = dispatch.start_limit.map(|limit| limit.since(now));
     log::info!(
         request:% = dispatch.attempt.id, step = "dispatch", attempt = dispatch.attempt.number,
-        waited = waited, expected:? = dispatch.expected_ttft, peer:% = dispatch.server,
+        waited = pending.elapsed_ms(now), expected:? = dispatch.expected_ttft, left:? = left, peer:% = dispatch.server,
         weights:% = dispatch.weights, prompt = pending.prompt.get(), prefix:% = pending.prefix,
         cached = dispatch.cached.get(), position:% = dispatch.position,
         source:? = dispatch.fetch_from;
--- a/azureway-entry/tests/attempt/mod.rs
+++ b/azureway-entry/tests/attempt/mod.rs
@@ -20,6 +20,7 @@
         cached: TokenCount::ZERO,
         fetch_from: None,
         expected_ttft: Duration::ZERO,
+        start_limit: None,
     }
 }
 
