Recall requests that have not begun before older weights end

When the weights of most servers had ended, all entries sent to the few servers with version 2 at once, and the requests waited there for 3.3 s although the expected wait was below 0.2 s.

Cause: what a busy server does after a request is sent to it was left alone, whatever its weights. Change: half a second before the limit the router recalls the attempts on older weights that have not begun, all in one go from an index by service and weights. The driver closes the connection unless the answer has begun, under the lock under which the answer begins, and reports the attempt as failed, with the position that the caller has. A request that may run twice is tried again within the retry budget; else it is answered at once as possibly run. A recall is no evidence against the server or the request.

The core's tests failed without the step in the router: requests_that_wait_in_a_flooded_server_are_recalled_and_run_on_newer_weights Value of: attempts; Expected: has elements: 0. is equal to Attempt {..}; Actual: [] a_mass_of_recalls_stays_within_the_retry_budget_and_the_rest_is_answered_at_once Value of: recalls(&actions).len(); Expected: is equal to 16; Actual: 0

--- a/azureway-core/src/domain/rollout.rs
+++ b/azureway-core/src/domain/rollout.rs
@@ -34,6 +34,9 @@
 /// The factor by which a wait may exceed its estimate. The load of a server that the estimate rests on
 /// lags, and other entries send to the same server.
 const WAIT_FACTOR: u32 = 2;
+/// The time before the limit at which attempts that have not begun are recalled. A closed connection
+/// must reach the server before the limit, also over a slow link.
+const RECALL_MARGIN: Duration = Duration::from_millis(500);
 
 impl Rollout {
     /// Returns whether answers from weights `loaded` are worth less than their full worth at `now`,
@@ -61,6 +64,13 @@
         self.grace_end(loaded).map(|end| end + self.margin)
     }
 
+    /// Returns the time at which requests that were sent to weights `loaded` and have not begun are
+    /// recalled, or `None` if no newer weights are named.
+    pub fn recall_at(&self, loaded: WeightsVersion) -> Option<Timestamp> {
+        let wait = self.margin.saturating_sub(RECALL_MARGIN);
+        self.grace_end(loaded).map(|end| end + wait)
+    }
+
     /// Returns the time at which requests may no longer be sent to weights `loaded`, or `None` if no
     /// newer ones are named.
     fn grace_end(&self, loaded: WeightsVersion) -> Option<Timestamp> {
--- a/azureway-core/src/event/action.rs
+++ b/azureway-core/src/event/action.rs
@@ -1,6 +1,6 @@
 //! The output of the router: the side effects that its driver carries out.
 
-use super::Dispatch;
+use super::{Dispatch, Recall};
 use crate::claim::{ClaimCommand, ShortAnswer};
 use crate::domain::{Attempt, Refusal, RequestId, ServerId};
 use crate::member::ServerUpdate;
@@ -20,6 +20,9 @@
     Claim(ClaimCommand),
     /// Cancel an attempt.
     Cancel(Attempt),
+    /// Cancel an attempt unless its answer has begun, and report it with
+    /// [`FailureKind::Recalled`](super::FailureKind::Recalled).
+    Recall(Recall),
     /// Send a status change of a backend server to the other entry instances.
     BroadcastServer(ServerUpdate),
     /// Send a crash report to the other entry instances.
--- a/azureway-core/src/event/failure_kind.rs
+++ b/azureway-core/src/event/failure_kind.rs
@@ -13,6 +13,8 @@
     Broken,
     /// The connection delivered no data within its timeout.
     Silent,
+    /// The router recalled the attempt before the server began to answer.
+    Recalled,
     /// The server answered with an error that does not indicate a fault of the server.
     Declined,
     /// The server answered with an error or violated its protocol.
--- a/azureway-core/src/event/mod.rs
+++ b/azureway-core/src/event/mod.rs
@@ -6,6 +6,7 @@
 mod failure_kind;
 mod finish;
 mod input;
+mod recall;
 mod send_state;
 
 pub use action::Action;
@@ -14,4 +15,5 @@
 pub use failure_kind::FailureKind;
 pub use finish::Finish;
 pub use input::Event;
+pub use recall::Recall;
 pub use send_state::SendState;
--- /dev/null
+++ b/azureway-core/src/event/recall.rs
@@ -0,0 +1,19 @@
+//! The data that a driver needs to recall an attempt that has not begun.
+
+use crate::domain::{Attempt, ServerId, Timestamp, WeightsVersion};
+
+/// An instruction to cancel an attempt unless its answer has begun, because its server has weights
+/// that may soon no longer answer.
+///
+/// The driver reports a recalled attempt as failed, since only it knows what the caller has received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Recall {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The server that it was sent to.
+    pub server: ServerId,
+    /// The weights version of the server.
+    pub weights: WeightsVersion,
+    /// The time at which the attempt was sent.
+    pub sent: Timestamp,
+}
--- a/azureway-core/src/fleet/server_failure.rs
+++ b/azureway-core/src/fleet/server_failure.rs
@@ -41,7 +41,10 @@
             }
             // A silent connection is no evidence against the server: a middlebox may have dropped
             // the connection while new ones work.
-            FailureKind::Busy | FailureKind::Silent | FailureKind::Declined => {}
+            FailureKind::Busy
+            | FailureKind::Silent
+            | FailureKind::Recalled
+            | FailureKind::Declined => {}
             FailureKind::Unreachable | FailureKind::Broken | FailureKind::Faulty => {
                 self.mark_suspect(now);
             }
--- a/azureway-core/src/quarantine/crash_guard.rs
+++ b/azureway-core/src/quarantine/crash_guard.rs
@@ -123,6 +123,7 @@
             FailureKind::Unreachable
             | FailureKind::Mismatch
             | FailureKind::Busy
+            | FailureKind::Recalled
             | FailureKind::Declined => return,
             _ if restarted => CrashReportState::Confirmed,
             FailureKind::Broken => CrashReportState::Unconfirmed,
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -80,6 +80,7 @@
             Event::Tick => self.queues.mark_all_dirty(),
         }
         self.expire(now, out);
+        self.recall_outdated(now, out);
         self.refuse_paused(event, now, out);
         self.dispatch_retries(now, out);
         self.dispatch_queued(now, out);
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -3,7 +3,7 @@
 use super::{InFlight, InFlightTable, Placement, PlacementRequest, RouteOption, RouterConfig};
 use crate::cache::{CacheIndex, CacheUpdate};
 use crate::domain::{Attempt, Incarnation, PoolId, RequestId, Timestamp, TokenCount};
-use crate::event::{Dispatch, Failure, Finish};
+use crate::event::{Dispatch, Failure, Finish, Recall};
 use crate::fleet::{Fleet, LoadReport, LoadSample, ServerTable};
 use crate::member::{LoadNotice, ServerStatus, ServerUpdate};
 use crate::quarantine::{CrashGuard, CrashSite};
@@ -174,7 +174,7 @@
         if let Some(state) = self.servers.get_mut(&flight.server) {
             state.finish_prefill(flight.period, flight.pending_prefill());
         }
-        flight.started = true;
+        self.in_flight.start(attempt);
         true
     }
 
@@ -204,6 +204,23 @@
         Some((flight, lost))
     }
 
+    /// Returns the recalls of the attempts that must not begin any more, each of them once. At a server
+    /// that has loaded newer weights since, a request that is in flight runs already.
+    pub fn take_recalls(&mut self, fleet: &Fleet, now: Timestamp) -> Vec<Recall> {
+        let due = self.in_flight.take_recalls(fleet, now);
+        let outdated = due.into_iter().filter(|flight| {
+            let state = self.servers.get(&flight.server);
+            state.and_then(|s| s.weights) <= Some(flight.weights)
+        });
+        let recalls = outdated.map(|flight| Recall {
+            attempt: flight.attempt,
+            server: flight.server.clone(),
+            weights: flight.weights,
+            sent: flight.sent,
+        });
+        recalls.collect()
+    }
+
     /// Removes a request in flight, whatever its current attempt.
     pub fn remove(&mut self, id: RequestId, now: Timestamp) -> Option<InFlight> {
         let flight = self.in_flight.remove(id)?;
--- a/azureway-core/src/router/failures.rs
+++ b/azureway-core/src/router/failures.rs
@@ -16,7 +16,8 @@
         if cache_lost {
             out.push(Action::Resync(flight.server.clone()));
         }
-        match self.decide_retry(&flight, failure, now, out) {
+        let decision = self.decide_retry(&flight, failure, now, out);
+        match self.limit_recalled(decision, &flight, failure, now) {
             RetryDecision::Retry => self.retries.push(Retry::new(flight, failure, now)),
             RetryDecision::Requeue => self.requeue(flight, now, out),
             RetryDecision::Refuse(refusal) => out.push(Action::Refuse(failure.attempt.id, refusal)),
--- a/azureway-core/src/router/in_flight.rs
+++ b/azureway-core/src/router/in_flight.rs
@@ -3,6 +3,7 @@
 use super::AttemptPlan;
 use crate::domain::{
     Attempt, Incarnation, PoolId, Request, ServerId, StreamPosition, Timestamp, TokenCount,
+    WeightsVersion,
 };
 use crate::event::{Dispatch, Failure, FailureKind, SendState};
 
@@ -19,6 +20,8 @@
     pub server: ServerId,
     /// The expected incarnation of the server, or zero if it is unknown.
     pub incarnation: Incarnation,
+    /// The weights version of the server.
+    pub weights: WeightsVersion,
     /// The prompt tokens that the server is expected to compute.
     pub prefill: TokenCount,
     /// Whether the server has begun to answer.
@@ -44,6 +47,7 @@
             attempt: dispatch.attempt,
             server: dispatch.server.clone(),
             incarnation: dispatch.incarnation.unwrap_or(Incarnation::ZERO),
+            weights: dispatch.weights,
             prefill: request.prompt.tokens().saturating_sub(dispatch.cached),
             started: false,
             not_run: plan.not_run,
--- a/azureway-core/src/router/in_flight_table.rs
+++ b/azureway-core/src/router/in_flight_table.rs
@@ -2,8 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::InFlight;
+use super::{InFlight, RecallIndex};
 use crate::domain::{Attempt, RequestId, ServerId, Timestamp};
+use crate::fleet::Fleet;
 
 /// The requests in flight by their id.
 #[derive(Debug, Default)]
@@ -11,6 +12,7 @@
     requests: BTreeMap<RequestId, InFlight>,
     /// The requests with a time limit, in its order.
     limits: BTreeSet<(Timestamp, RequestId)>,
+    recalls: RecallIndex,
 }
 
 impl InFlightTable {
@@ -34,9 +36,19 @@
         let id = flight.attempt.id;
         self.limits
             .extend(flight.request.time_limit.map(|limit| (limit, id)));
+        self.recalls.insert(&flight);
         self.requests.insert(id, flight);
     }
 
+    /// Records that the answer of an attempt has begun, unless the attempt is stale.
+    pub fn start(&mut self, attempt: Attempt) {
+        let flight = self.requests.get_mut(&attempt.id);
+        if let Some(flight) = flight.filter(|f| f.attempt == attempt) {
+            flight.started = true;
+            self.recalls.remove(flight);
+        }
+    }
+
     /// Returns the request of an attempt, or `None` if the attempt is stale, that is, not the
     /// current one of its request.
     pub fn current(&mut self, attempt: Attempt) -> Option<&mut InFlight> {
@@ -57,6 +69,7 @@
         if let Some(limit) = flight.request.time_limit {
             self.limits.remove(&(limit, id));
         }
+        self.recalls.remove(&flight);
         Some(flight)
     }
 
@@ -71,6 +84,17 @@
         self.requests.get(id).filter(|_| *limit < now)
     }
 
+    /// Returns the time at which the next requests that have not begun are to be recalled.
+    pub fn next_recall(&self, fleet: &Fleet) -> Option<Timestamp> {
+        self.recalls.next_recall(fleet)
+    }
+
+    /// Returns the requests that are to be recalled at `now`, each of them once.
+    pub fn take_recalls(&mut self, fleet: &Fleet, now: Timestamp) -> Vec<&InFlight> {
+        let due = self.recalls.take_due(fleet, now);
+        due.iter().filter_map(|id| self.requests.get(id)).collect()
+    }
+
     /// Returns all requests in flight.
     pub fn iter(&self) -> impl Iterator<Item = &InFlight> {
         self.requests.values()
--- a/azureway-core/src/router/retry_decision.rs
+++ b/azureway-core/src/router/retry_decision.rs
@@ -4,7 +4,7 @@
 
 use super::InFlight;
 use crate::domain::{Refusal, RefusalReason, RequestKind, StreamPosition, Timestamp};
-use crate::event::Failure;
+use crate::event::{Failure, FailureKind};
 
 /// The decision about a request after a failed attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +26,9 @@
     pub fn new(flight: &InFlight, failure: &Failure, max_attempts: u32, now: Timestamp) -> Self {
         let not_run = failure.sent.is_not_run();
         if !not_run && flight.request.kind == RequestKind::AtMostOnce {
+            if failure.kind == FailureKind::Recalled {
+                return Self::Refuse(Self::recalled(failure));
+            }
             let detail = "the backend server failed after it may have run the request";
             return Self::Refuse(Refusal::maybe_run(RefusalReason::ServerFailed, detail));
         }
@@ -62,6 +65,16 @@
         Refusal::maybe_run(RefusalReason::Deadline, detail)
     }
 
+    /// Returns the refusal of a request that was recalled and is not retried.
+    pub fn recalled(failure: &Failure) -> Refusal {
+        if failure.position > StreamPosition::ZERO {
+            return Self::give_up(true, false);
+        }
+        let detail =
+            "the backend server did not begin the request before its weights were outdated";
+        Refusal::maybe_run(RefusalReason::ServerFailed, detail)
+    }
+
     /// Returns the refusal of a request that is quarantined because backend servers crashed
     /// while they ran it.
     pub fn quarantined(not_run: bool) -> Refusal {
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -26,10 +26,12 @@
         let refill = self.budgets.next_refill();
         let refill = refill.filter(|_| !self.retries.is_empty());
         let time_limit = self.dispatcher.in_flight().next_limit();
+        let recall = self.dispatcher.in_flight().next_recall(&self.fleet);
         let closing = self.closing.filter(|t| *t > self.last_event);
         let times = [
             limit,
             time_limit,
+            recall,
             server_retry,
             remote,
             refill,
--- a/azureway-core/tests/rollout_end.rs
+++ b/azureway-core/tests/rollout_end.rs
@@ -6,7 +6,7 @@
 
 use azureway_core::prelude::*;
 use googletest::prelude::*;
-use support::{RouterFixture, dispatches, fleet};
+use support::{RouterFixture, dispatches, failure, fleet, refusals};
 
 /// The time for which requests may be sent to older weights.
 const GRACE: Duration = Duration::from_secs(8);
@@ -109,3 +109,94 @@
         expect_that!(limit, eq(expected), "{case}");
     }
 }
+
+/// Returns the recalls among `actions`.
+fn recalls(actions: &[Action]) -> Vec<&Recall> {
+    let recalls = actions.iter().filter_map(|a| match a {
+        Action::Recall(recall) => Some(recall),
+        _ => None,
+    });
+    recalls.collect()
+}
+
+/// Returns the report of the attempt of `dispatch` after it was recalled.
+fn recalled(dispatch: &Dispatch) -> Failure {
+    failure(dispatch, FailureKind::Recalled, SendState::MaybeRun, 0)
+}
+
+/// Guards against a request that waits in a flooded server, longer than expected, and begins there after
+/// the limit of its weights.
+#[gtest]
+fn requests_that_wait_in_a_flooded_server_are_recalled_and_run_on_newer_weights() {
+    let mut rig = Rig::new(&[1, 1]);
+    rig.pass_to(7_900);
+    let (waiting, begun) = (rig.send(40), rig.send(40));
+    let (waiting, begun) = (waiting.expect("sent"), begun.expect("sent"));
+    rig.fixture.handle(Event::Started(begun.attempt));
+    rig.list(&[1, 1, 2]);
+    expect_that!(recalls(&rig.pass_to(9_499)), is_empty());
+    let at = NAMED + Duration::from_millis(9_500);
+    expect_that!(rig.fixture.router.next_wakeup(), some(eq(at)));
+    let actions = rig.pass_to(9_500);
+    let attempts: Vec<Attempt> = recalls(&actions).iter().map(|r| r.attempt).collect();
+    expect_that!(attempts, elements_are![eq(&waiting.attempt)]);
+    expect_that!(rig.fixture.router.next_wakeup(), none().or(some(gt(at))));
+    expect_that!(recalls(&rig.pass_to(9_600)), is_empty());
+    let actions = rig.fixture.handle(Event::Failed(&recalled(&waiting)));
+    let again = dispatches(&actions);
+    expect_that!(again.len(), eq(1));
+    expect_that!(again[0].server.as_str(), eq("engine-3"));
+    expect_that!(again[0].attempt.number, eq(2));
+}
+
+/// Guards against a recall of a request that a server runs already, because it has loaded newer weights
+/// since, or because no newer ones are named.
+#[gtest]
+fn requests_at_servers_whose_weights_may_answer_are_not_recalled() {
+    for (loaded, then) in [(1, 2), (2, 2)] {
+        let mut rig = Rig::new(&[loaded]);
+        rig.pass_to(7_900);
+        expect_that!(rig.send(40), some(anything()));
+        rig.list(&[then]);
+        expect_that!(recalls(&rig.pass_to(9_500)), is_empty(), "{loaded} {then}");
+        expect_that!(recalls(&rig.pass_to(20_000)), is_empty(), "{loaded} {then}");
+    }
+}
+
+/// Guards against a recalled request that runs twice although it must not, and against an answer that
+/// claims that it did not run.
+#[gtest]
+fn a_recalled_request_that_must_not_run_twice_is_answered_at_once_as_possibly_run() {
+    let mut rig = Rig::new(&[1]);
+    rig.pass_to(7_900);
+    let mut request = rig.fixture.request("small", &["house"]);
+    request.kind = RequestKind::AtMostOnce;
+    let actions = rig.fixture.handle(Event::Arrived(&request));
+    let dispatch = dispatches(&actions)[0].clone();
+    rig.list(&[1, 2]);
+    rig.pass_to(9_500);
+    let actions = rig.fixture.handle(Event::Failed(&recalled(&dispatch)));
+    expect_that!(dispatches(&actions), is_empty());
+    let not_run: Vec<bool> = refusals(&actions).iter().map(|r| r.not_run).collect();
+    expect_that!(not_run, elements_are![eq(&false)]);
+}
+
+/// Guards against a mass of recalled requests that exceeds the retry budget, or waits for it.
+#[gtest]
+fn a_mass_of_recalls_stays_within_the_retry_budget_and_the_rest_is_answered_at_once() {
+    let mut rig = Rig::new(&[1; 4]);
+    rig.pass_to(7_900);
+    let sent: Vec<Dispatch> = (0..16).map(|_| rig.send(40).expect("sent")).collect();
+    rig.list(&[1, 1, 1, 1, 2, 2, 2, 2]);
+    let actions = rig.pass_to(9_500);
+    expect_that!(recalls(&actions).len(), eq(sent.len()));
+    let budget = rig.fixture.router.overview().retry_budget as usize;
+    let (mut retried, mut refused) = (0, 0);
+    for dispatch in &sent {
+        let actions = rig.fixture.handle(Event::Failed(&recalled(dispatch)));
+        retried += dispatches(&actions).len();
+        refused += refusals(&actions).iter().filter(|r| !r.not_run).count();
+    }
+    expect_that!(retried, eq(budget));
+    expect_that!(refused, eq(sent.len() - budget));
+}
--- a/azureway-dev/src/replay/replay_driver.rs
+++ b/azureway-dev/src/replay/replay_driver.rs
@@ -253,9 +253,10 @@
                 let (time, reply) = self.state.platform.answer(&command);
                 self.state.schedule(time, ReplayEvent::ClaimAnswered(reply));
             }
-            // No request of a trace is repeated with its idempotency key, and a replay has no other
-            // entry to broadcast to.
+            // No request of a trace is repeated with its idempotency key, a replay has no rollout of
+            // weights and no other entry to broadcast to.
             Action::ReplayAnswer(..)
+            | Action::Recall(_)
             | Action::BroadcastServer(_)
             | Action::BroadcastCrashReport(_)
             | Action::StoreQuarantine(_) => {}
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,7 +6,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::decision_log::{log_crash_report, log_dispatch, log_leaving};
+use super::decision_log::{log_crash_report, log_dispatch, log_leaving, log_recall};
 use super::{DecideMessage, PeerUpdate, PendingRequests, VersionTracker};
 use crate::admit::AdmittedRequest;
 use crate::caller::RequestUpdate;
@@ -238,6 +238,10 @@
                     self.relays.cancel(attempt);
                     self.record_metric(MetricEvent::Cancelled(attempt));
                 }
+                Action::Recall(recall) => {
+                    log_recall(&recall, self.clock.now());
+                    self.relays.recall(recall.attempt);
+                }
                 Action::BroadcastServer(update) => self.peers.send_server(update),
                 Action::BroadcastCrashReport(report) => {
                     log_crash_report(&report, "own");
--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -1,8 +1,8 @@
 //! The lines that the deciding duty logs about what it learns and decides.
 
 use azureway_core::prelude::{
-    CrashReport, Dispatch, LeavingChange, LeavingMark, LoadSample, PauseNotice, Policy, Router,
-    ServerState, Timestamp,
+    CrashReport, Dispatch, LeavingChange, LeavingMark, LoadSample, PauseNotice, Policy, Recall,
+    Router, ServerState, Timestamp,
 };
 
 use super::PendingRequest;
@@ -88,3 +88,13 @@
         "sent"
     );
 }
+
+/// Logs that an attempt whose answer has not begun by `now` is recalled.
+pub(super) fn log_recall(recall: &Recall, now: Timestamp) {
+    let age = now.since(recall.sent).as_millis();
+    log::info!(
+        request:% = recall.attempt.id, step = "recall", attempt = recall.attempt.number,
+        peer:% = recall.server, weights:% = recall.weights, age = age as u64;
+        "recalled: newer weights replace those of its server"
+    );
+}
--- a/azureway-entry/src/exchange/cancel_handle.rs
+++ b/azureway-entry/src/exchange/cancel_handle.rs
@@ -2,14 +2,23 @@
 
 use std::io;
 use std::net::{Shutdown, TcpStream};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// Cancels an attempt from another thread by closing its connection, which wakes the thread that
 /// reads from it.
 #[derive(Debug, Default)]
 pub struct CancelHandle {
-    /// Whether the attempt was cancelled, and the connection that it uses.
-    state: Mutex<(bool, Option<TcpStream>)>,
+    state: Mutex<HandleState>,
+}
+
+#[derive(Debug, Default)]
+struct HandleState {
+    cancelled: bool,
+    recalled: bool,
+    /// Whether the answer has begun.
+    begun: bool,
+    /// The connection that the attempt uses.
+    stream: Option<TcpStream>,
 }
 
 impl CancelHandle {
@@ -18,38 +27,75 @@
         Self::default()
     }
 
-    /// Stores the connection that the attempt uses. Returns `false` if the attempt was cancelled.
+    /// Stores the connection that the attempt uses. Returns `false` if the attempt was cancelled or
+    /// recalled.
     ///
     /// # Errors
     ///
     /// Returns an error if the socket cannot be duplicated.
     pub fn attach(&self, stream: &TcpStream) -> io::Result<bool> {
         let duplicate = stream.try_clone()?;
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.1 = Some(duplicate);
-        Ok(!state.0)
+        let mut state = self.lock();
+        state.stream = Some(duplicate);
+        Ok(!state.is_stopped())
     }
 
     /// Removes the connection from the handle, so that it can return to the pool. Returns `false`
-    /// if the attempt was cancelled.
+    /// if the attempt was cancelled or recalled.
     pub fn detach(&self) -> bool {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.1 = None;
-        !state.0
+        let mut state = self.lock();
+        state.stream = None;
+        !state.is_stopped()
+    }
+
+    /// Records that the answer begins, after which the attempt is not recalled any more. Returns `false`
+    /// if it was recalled before.
+    pub fn begin(&self) -> bool {
+        let mut state = self.lock();
+        state.begun |= !state.recalled;
+        state.begun
     }
 
     /// Cancels the attempt.
     pub fn cancel(&self) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.0 = true;
-        if let Some(stream) = state.1.take() {
-            // An error means that the connection is closed already.
-            let _ = stream.shutdown(Shutdown::Both);
+        let mut state = self.lock();
+        state.cancelled = true;
+        state.close();
+    }
+
+    /// Recalls the attempt, that is, cancels it unless its answer has begun.
+    pub fn recall(&self) {
+        let mut state = self.lock();
+        if !state.begun {
+            state.recalled = true;
+            state.close();
         }
     }
 
     /// Returns whether the attempt was cancelled.
     pub fn is_cancelled(&self) -> bool {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner).0
+        self.lock().cancelled
+    }
+
+    /// Returns whether the attempt was recalled.
+    pub fn is_recalled(&self) -> bool {
+        self.lock().recalled
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HandleState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl HandleState {
+    const fn is_stopped(&self) -> bool {
+        self.cancelled || self.recalled
+    }
+
+    fn close(&mut self) {
+        if let Some(stream) = self.stream.take() {
+            // An error means that the connection is closed already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
     }
 }
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -74,6 +74,7 @@
             // No report is needed: a disconnect is reported by the caller's connection, and whoever
             // cancelled the attempt has reported why.
             Err(_) if self.handle.is_cancelled() => return,
+            Err(error) if self.handle.is_recalled() => self.recalled_message(error),
             Err(AttemptError::CallerDisconnected) => return,
             Err(AttemptError::Server(kind, sent)) => self.failure_message(kind, sent),
         };
@@ -81,6 +82,22 @@
         let _ = self.decide.send(message);
     }
 
+    /// Returns the report of an attempt that was recalled and ended with `error`.
+    fn recalled_message(&self, error: AttemptError) -> DecideMessage {
+        let (kind, sent) = match error {
+            // The server rejected the request before its connection was closed.
+            AttemptError::Server(kind, SendState::Rejected) => (kind, SendState::Rejected),
+            AttemptError::Server(_, sent) => (FailureKind::Recalled, sent),
+            AttemptError::CallerDisconnected => (FailureKind::Recalled, SendState::MaybeRun),
+        };
+        DecideMessage::Failed(Failure {
+            attempt: self.dispatch.attempt,
+            kind,
+            sent,
+            position: self.next_position,
+        })
+    }
+
     /// Returns the report of a failure and drops idle connections that it likely affects.
     fn failure_message(&self, kind: FailureKind, sent: SendState) -> DecideMessage {
         if matches!(kind, FailureKind::Unreachable | FailureKind::Broken) {
@@ -134,7 +151,7 @@
         head: AnswerHead,
         framing: Framing,
     ) -> Result<(), AttemptError> {
-        self.report_start();
+        self.report_start()?;
         let body = self.read_body(connection.body(framing))?;
         self.release(connection, &head)?;
         if matches!(head.status, 200..=299) {
@@ -195,7 +212,7 @@
                 break;
             }
             splitter.push(&buffer[..count]);
-            let events = self.new_events(&mut splitter);
+            let events = self.new_events(&mut splitter)?;
             since_event = if events.is_empty() {
                 since_event + count
             } else {
@@ -220,7 +237,7 @@
     }
 
     /// Returns the bytes of the complete events that the caller has not received yet.
-    fn new_events(&mut self, splitter: &mut EventSplitter) -> Vec<u8> {
+    fn new_events(&mut self, splitter: &mut EventSplitter) -> Result<Vec<u8>, AttemptError> {
         let mut bytes = Vec::new();
         while let Some(event) = splitter.next_event() {
             let position = event.id.map(StreamPosition::new);
@@ -228,13 +245,13 @@
                 continue;
             }
             if self.output == TokenCount::ZERO {
-                self.report_start();
+                self.report_start()?;
             }
             bytes.extend_from_slice(event.bytes);
             self.next_position = position.map_or(self.next_position, StreamPosition::next);
             self.output += TokenCount::new(1);
         }
-        bytes
+        Ok(bytes)
     }
 
     /// Reads a body into memory.
@@ -256,10 +273,19 @@
         }
     }
 
-    fn report_start(&self) {
+    /// Reports that the answer has begun.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the attempt was recalled before.
+    fn report_start(&self) -> Result<(), AttemptError> {
+        if !self.handle.begin() {
+            return Err(BROKEN);
+        }
         let _ = self
             .decide
             .send(DecideMessage::Started(self.dispatch.attempt));
+        Ok(())
     }
 
     fn send_chunk(&self, chunk: AnswerChunk) -> Result<(), AttemptError> {
@@ -272,7 +298,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the attempt was cancelled. Cancelling closes the connection, which then
+    /// Returns an error if the attempt was cancelled or recalled. Cancelling closes the connection, which then
     /// looks like the end of a body that ends with its connection.
     fn release(
         &self,
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -108,4 +108,11 @@
             handle.cancel();
         }
     }
+
+    fn recall(&mut self, attempt: Attempt) {
+        let handle = self.handles.get(&attempt.id);
+        if let Some(handle) = handle.and_then(Weak::upgrade) {
+            handle.recall();
+        }
+    }
 }
--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -58,7 +58,8 @@
     /// the request is unknown, so the request must be one that may run more than once. Later the server
     /// may have worked on it, and the router decides.
     fn may_resend(&self, passthrough: &Passthrough, begin: Instant) -> bool {
-        !passthrough.once && !self.handle.is_cancelled() && begin.elapsed() < self.resend_limit
+        let stopped = self.handle.is_cancelled() || self.handle.is_recalled();
+        !passthrough.once && !stopped && begin.elapsed() < self.resend_limit
     }
 
     fn send_on_new(
--- a/azureway-entry/src/relay/launch.rs
+++ b/azureway-entry/src/relay/launch.rs
@@ -19,4 +19,8 @@
 
     /// Cancels an attempt if it still runs.
     fn cancel(&mut self, attempt: Attempt);
+
+    /// Cancels an attempt if its answer has not begun. The attempt is then reported as failed with
+    /// [`FailureKind::Recalled`](azureway_core::prelude::FailureKind::Recalled).
+    fn recall(&mut self, attempt: Attempt);
 }
--- a/azureway-entry/src/relay/relay_launcher.rs
+++ b/azureway-entry/src/relay/relay_launcher.rs
@@ -66,4 +66,7 @@
 
     /// Does nothing: an attempt ends by itself when the receiver of its chunks is dropped.
     fn cancel(&mut self, _: Attempt) {}
+
+    /// Does nothing: no configuration of the product's own interface has a rollout.
+    fn recall(&mut self, _: Attempt) {}
 }
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -434,6 +434,37 @@
     }
 }
 
+/// Guards against a recalled attempt that goes on in its server, and one whose request is then lost.
+#[gtest]
+fn a_recalled_attempt_closes_its_connection_and_reports_that_it_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (answer, reports, handle) = start_attempt(address, &ConnectionPool::new(8), false, 0);
+    let (mut stream, _) = serve(&listener, "hold");
+    handle.recall();
+    expect_that!(stream.read(&mut [0]).expect("the close"), eq(0));
+    expect_that!(answer.iter().count(), eq(0));
+    expect_that!(outcome(&reports).as_str(), eq("Recalled MaybeRun"));
+}
+
+/// Guards against an event that reaches the caller twice: its answer begins as the attempt is recalled.
+#[gtest]
+fn an_attempt_whose_answer_has_begun_is_not_recalled() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (answer, reports, handle) = start_attempt(address, &ConnectionPool::new(8), false, 0);
+    let head = "HTTP/1.1 200 OK~x-sign: 1~content-type: text/event-stream~~";
+    let (mut stream, _) = serve(&listener, &format!("{head}id: 0#data: a## hold"));
+    let begun = reports.recv_timeout(TEST_TIMEOUT);
+    expect_that!(matches!(begun, Ok(DecideMessage::Started(_))), eq(true));
+    handle.recall();
+    stream.write_all(b"id: 1\ndata: b\n\n").expect("the event");
+    drop(stream);
+    let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
+    expect_that!(chunks.last(), some(eq("end")));
+    expect_that!(outcome(&reports).as_str(), eq("finished"));
+}
+
 /// Returns the pauses that an attempt reports before its outcome, each with the incarnation that asked
 /// for it.
 fn pauses(reports: &Receiver<DecideMessage>) -> Vec<(Duration, Option<u64>)> {
--- a/azureway-entry/tests/feed.rs
+++ b/azureway-entry/tests/feed.rs
@@ -169,6 +169,8 @@
     }
 
     fn cancel(&mut self, _: Attempt) {}
+
+    fn recall(&mut self, _: Attempt) {}
 }
 
 /// Returns a configuration with the server `s` of the given incarnation, or without it.
--- a/azureway-entry/tests/pause_forwarding.rs
+++ b/azureway-entry/tests/pause_forwarding.rs
@@ -27,6 +27,8 @@
     }
 
     fn cancel(&mut self, _: Attempt) {}
+
+    fn recall(&mut self, _: Attempt) {}
 }
 
 impl Subscribe for Unused {
