--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -1,8 +1,8 @@
 //! The lines that the deciding duty logs about what it learns and decides.
 
 use azureway_core::prelude::{
-    CrashReport, Dispatch, LeavingChange, LeavingMark, LoadSample, PauseNotice, Policy, Router,
-    ServerState, Timestamp,
+    CrashReport, Dispatch, LeavingChange, LeavingMark, LoadSample, PauseNotice, Policy, Recall,
+    Router, ServerState, Timestamp,
 };
 
 use super::PendingRequest;
@@ -76,14 +76,25 @@
     }
 }
 
-/// Logs that an attempt is sent, `waited` milliseconds after its request arrived.
-pub(super) fn log_dispatch(dispatch: &Dispatch, pending: &PendingRequest, waited: u64) {
+/// Logs that an attempt is sent at `now`. With older weights, `left` is the time in which it must begin.
+pub(super) fn log_dispatch(dispatch: &Dispatch, pending: &PendingRequest, now: Timestamp) {
+    let left = dispatch.start_limit.map(|limit| limit.since(now));
     log::info!(
         request:% = dispatch.attempt.id, step = "dispatch", attempt = dispatch.attempt.number,
-        waited = waited, expected:? = dispatch.expected_ttft, peer:% = dispatch.server,
+        waited = pending.elapsed_ms(now), expected:? = dispatch.expected_ttft, left:? = left, peer:% = dispatch.server,
         weights:% = dispatch.weights, prompt = pending.prompt.get(), prefix:% = pending.prefix,
         cached = dispatch.cached.get(), position:% = dispatch.position,
         source:? = dispatch.fetch_from;
         "sent"
     );
 }
+
+/// Logs that an attempt whose answer has not begun by `now` is recalled.
+pub(super) fn log_recall(recall: &Recall, now: Timestamp) {
+    let age = now.since(recall.sent).as_millis();
+    log::info!(
+        request:% = recall.attempt.id, step = "recall", attempt = recall.attempt.number,
+        peer:% = recall.server, weights:% = recall.weights, age = age as u64;
+        "recalled: newer weights replace those of its server"
+    );
+}
