--- a/azureway-core/src/order/answers.rs
+++ b/azureway-core/src/order/answers.rs
@@ -9,32 +9,54 @@
     /// Records the answer to an order.
     pub fn record_answer(&mut self, order: &LoadOrder, answer: OrderAnswer, now: Timestamp) {
         let server = &order.server;
-        if answer != OrderAnswer::Unanswered {
-            self.unanswered.remove(server);
+        if !self.is_current(order) {
+            return;
         }
         match answer {
             OrderAnswer::Taken => {
+                self.unanswered.remove(server);
                 self.counts.set(server, order.accepted + 1);
                 self.extend_load(server, now);
             }
             // The server is asked for its state, which tells whether it loads these weights.
             OrderAnswer::Held | OrderAnswer::Conflict => {
+                self.unanswered.remove(server);
+                self.unanswered.mark(server);
                 if let Some(load) = self.loads.get_mut(server) {
                     load.expires = now + RETRY_DELAY;
                 }
             }
-            OrderAnswer::Fenced | OrderAnswer::Failed => self.record_failure(server, now),
+            OrderAnswer::Fenced | OrderAnswer::Failed => {
+                self.unanswered.remove(server);
+                self.record_failure(server, now);
+            }
             OrderAnswer::Unanswered => self.record_unanswered(server, now),
         }
     }
 
+    /// Returns the number of orders in a row to which a server gave no answer.
+    pub fn unanswered(&self, server: &ServerId) -> u32 {
+        self.unanswered.count(server)
+    }
+
+    /// Returns whether a server gave no answer to several orders in a row.
+    pub fn is_silent(&self, server: &ServerId) -> bool {
+        self.unanswered.is_silent(server)
+    }
+
+    /// Returns whether an order is the last one to its server, in the server's present incarnation.
+    fn is_current(&self, order: &LoadOrder) -> bool {
+        let load = self.loads.get(&order.server);
+        let incarnation = self.counts.incarnation(&order.server);
+        incarnation == order.incarnation && load.is_some_and(|l| l.weights == order.weights)
+    }
+
     /// Withdraws an order that was not sent, if newer weights were named after it was planned. Returns
     /// whether it was withdrawn. The server is then planned for anew.
     pub fn withdraw_outdated(&mut self, order: &LoadOrder) -> bool {
         let outdated = order.config < self.version() && !self.is_required(order);
-        if outdated {
-            self.loads.remove(&order.server);
-            self.changed = true;
+        if outdated && self.is_current(order) {
+            self.end_load(&order.server);
         }
         outdated
     }
@@ -73,22 +95,23 @@
         now: Timestamp,
     ) -> LoadProgress {
         let server = &order.server;
+        if !self.is_current(order) {
+            return LoadProgress::Outdated;
+        }
         if status.busy {
             self.extend_load(server, now);
             return LoadProgress::Loading;
         }
-        if status.weights >= order.weights {
-            self.counts.set(server, status.accepted);
-            self.observe_weights(server, status.weights);
-            self.loads.remove(server);
-            self.changed = true;
-            return LoadProgress::Loaded;
-        }
-        if status.accepted < self.counts.get(server) {
+        if status.weights < order.weights && status.accepted < self.counts.get(server) {
             // The state is from before the order.
             return LoadProgress::Loading;
         }
         self.counts.set(server, status.accepted);
+        self.reported.insert(server.clone(), status.weights);
+        if status.weights >= order.weights {
+            self.end_load(server);
+            return LoadProgress::Loaded;
+        }
         self.loads.remove(server);
         self.changed = true;
         LoadProgress::Idle
--- a/azureway-core/src/order/load_order.rs
+++ b/azureway-core/src/order/load_order.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::LoadMode;
-use crate::domain::{ConfigVersion, ModelId, ServerId, WeightsVersion};
+use crate::domain::{ConfigVersion, Incarnation, ModelId, ServerId, WeightsVersion};
 
 /// An order to a backend server to load weights.
 ///
@@ -25,6 +25,8 @@
     pub mode: LoadMode,
     /// The configuration version that requires the weights.
     pub config: ConfigVersion,
+    /// The incarnation of the server for which the order was planned, or zero if it is not known.
+    pub incarnation: Incarnation,
     /// The number of orders that the server must have accepted before this one.
     pub accepted: u64,
     /// Whether an earlier order to the server got no answer.
--- a/azureway-core/src/order/load_progress.rs
+++ b/azureway-core/src/order/load_progress.rs
@@ -7,6 +7,8 @@
     Loading,
     /// The server has the weights.
     Loaded,
+    /// The state is that of an earlier order or of an earlier incarnation.
+    Outdated,
     /// The server carries out no order and has other weights, so the load has to be ordered again.
     Idle,
 }
--- a/azureway-core/src/order/mod.rs
+++ b/azureway-core/src/order/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod config;
 mod held_server;
+mod listing;
 mod load_mode;
 mod load_order;
 mod load_progress;
--- a/azureway-core/src/order/order_counts.rs
+++ b/azureway-core/src/order/order_counts.rs
@@ -27,6 +27,12 @@
         self.counts.get(server).map_or(0, |(_, count)| *count)
     }
 
+    /// Returns the listed incarnation of a server, or zero if it is not listed.
+    pub fn incarnation(&self, server: &ServerId) -> Incarnation {
+        let known = self.counts.get(server);
+        known.map_or(Incarnation::ZERO, |(incarnation, _)| *incarnation)
+    }
+
     /// Records the number of orders that a server has accepted.
     pub fn set(&mut self, server: &ServerId, count: u64) {
         self.counts.entry(server.clone()).or_default().1 = count;
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -17,8 +17,8 @@
 #[derive(Clone, Debug)]
 pub struct OrderPlanner {
     pub(super) config: OrderConfig,
-    fleet: Fleet,
-    reported: BTreeMap<ServerId, WeightsVersion>,
+    pub(super) fleet: Fleet,
+    pub(super) reported: BTreeMap<ServerId, WeightsVersion>,
     pub(super) loads: BTreeMap<ServerId, PendingLoad>,
     pub(super) held: BTreeMap<ServerId, HeldServer>,
     pub(super) counts: OrderCounts,
@@ -55,38 +55,14 @@
     /// Adopts `fleet` if its version is newer.
     pub fn adopt(&mut self, fleet: &Fleet) {
         if fleet.version > self.fleet.version {
-            self.fleet = fleet.clone();
+            let old = std::mem::replace(&mut self.fleet, fleet.clone());
             self.changed = true;
             let servers = &self.fleet.servers;
             self.reported.retain(|id, _| servers.contains_key(id));
             self.loads.retain(|id, _| servers.contains_key(id));
             self.counts.retain(|id| servers.contains_key(id));
             self.unanswered.retain(|id| servers.contains_key(id));
-            self.apply_listed_weights();
-        }
-    }
-
-    /// Applies the weights of the servers in the platform's list.
-    fn apply_listed_weights(&mut self) {
-        for server in self.fleet.servers.values() {
-            if self.counts.observe_listing(server) {
-                // The load of an earlier incarnation has ended with it.
-                self.loads.remove(&server.id);
-                self.reported.remove(&server.id);
-            }
-            let Some(weights) = server.listed.and_then(|l| l.weights) else {
-                continue;
-            };
-            // The list lags behind the servers' responses, and weights only become newer.
-            let known = self.reported.get(&server.id).copied().unwrap_or_default();
-            self.reported.insert(server.id.clone(), known.max(weights));
-            if self
-                .loads
-                .get(&server.id)
-                .is_some_and(|l| l.weights <= weights)
-            {
-                self.loads.remove(&server.id);
-            }
+            self.apply_listed_weights(&old);
         }
     }
 
@@ -95,14 +71,13 @@
         let (server, weights) = (&report.server, report.weights);
         if report.leaving {
             self.changed |= self.reported.remove(server).is_some();
-            self.loads.remove(server);
+            self.end_load(server);
             return;
         }
         let previous = self.reported.insert(server.clone(), weights);
         self.changed |= previous != Some(weights);
         if self.loads.get(server).is_some_and(|l| l.weights == weights) {
-            self.loads.remove(server);
-            self.changed = true;
+            self.end_load(server);
         }
         // A server that reports no weights is loading some, possibly on an order of the previous
         // holder of the lease.
@@ -127,11 +102,17 @@
             .is_none_or(|previous| *previous < weights);
         if newer && self.fleet.servers.contains_key(server) {
             self.reported.insert(server.clone(), weights);
-            self.loads.remove(server);
-            self.changed = true;
+            self.end_load(server);
         }
     }
 
+    /// Records that a server no longer loads, since its weights are known or it has restarted.
+    pub(super) fn end_load(&mut self, server: &ServerId) {
+        self.loads.remove(server);
+        self.unanswered.remove(server);
+        self.changed = true;
+    }
+
     /// Returns the next order, if one may be sent at `now`, and records its load as pending.
     pub fn next_order(&mut self, now: Timestamp) -> Option<LoadOrder> {
         let before = self.loads.len() + self.held.len();
@@ -191,6 +172,7 @@
             weights,
             mode: self.config.mode,
             config: self.fleet.version,
+            incarnation: self.counts.incarnation(&server.id),
             accepted: self.counts.get(&server.id),
             repeated: self.unanswered.contains(&server.id),
         })
@@ -219,6 +201,7 @@
         let servers = servers.filter(|s| s.pool == pool.id && !s.leaving);
         let reported = |s: &BackendServer| self.reported.get(&s.id).copied();
         PoolView {
+            forward: services.clone().any(|s| s.rollout.is_some()),
             required: services.map(|s| s.weights).collect(),
             servers: servers.filter_map(|s| Some((s, reported(s)?))).collect(),
             loads: &self.loads,
--- a/azureway-core/src/order/pool_view.rs
+++ b/azureway-core/src/order/pool_view.rs
@@ -8,6 +8,8 @@
 /// The weights of one pool: required, loaded and being loaded.
 #[derive(Clone, Debug)]
 pub struct PoolView<'a> {
+    /// Whether weights only become newer, as those do that operators name one after another.
+    pub forward: bool,
     /// The weights that the services of the pool require.
     pub required: BTreeSet<WeightsVersion>,
     /// The servers that can get orders, each with the weights that it last reported.
@@ -24,7 +26,9 @@
         let missing = self.required.iter().filter(|w| self.missing_count(**w) > 0);
         // The missing weights that the fewest servers have or are loading come first.
         let weights = *missing.min_by_key(|w| self.expected_count(**w))?;
-        let replaceable = self.idle().filter(|(_, loaded)| self.can_replace(*loaded));
+        let older = |loaded| !self.forward || loaded < weights;
+        let replaceable = self.idle().filter(|(_, loaded)| older(*loaded));
+        let replaceable = replaceable.filter(|(_, loaded)| self.can_replace(*loaded));
         let open = replaceable.filter(|(s, _)| self.held.get(&s.id).is_none_or(|h| !h.ordered));
         // Weights that no service requires are replaced first, then those of servers without a
         // pause, and of these the oldest. The zones take turns, since the servers of a zone are the
--- a/azureway-core/src/order/unanswered_orders.rs
+++ b/azureway-core/src/order/unanswered_orders.rs
@@ -1,4 +1,4 @@
-//! The orders to each backend server that got no answer.
+//! The orders to each backend server that have to be repeated.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,7 +6,8 @@
 use super::RETRY_DELAY;
 use crate::domain::ServerId;
 
-/// The number of orders to each server that got no answer since it last answered one.
+/// The servers whose last order has to be repeated, each with the number of orders in a row that got no
+/// answer.
 #[derive(Clone, Debug, Default)]
 pub struct UnansweredOrders {
     counts: BTreeMap<ServerId, u32>,
@@ -26,20 +27,34 @@
 
     /// Records an order that got no answer. Returns the delay before it is repeated.
     pub fn record(&mut self, server: &ServerId) -> Duration {
-        let count = self.counts.entry(server.clone()).or_default();
-        *count += 1;
-        match *count < SILENT_AFTER {
-            true => Duration::ZERO,
-            false => RETRY_DELAY,
+        *self.counts.entry(server.clone()).or_default() += 1;
+        match self.is_silent(server) {
+            true => RETRY_DELAY,
+            false => Duration::ZERO,
         }
     }
 
-    /// Returns whether the last order to a server got no answer.
+    /// Records that an order has to be repeated although the server has answered it.
+    pub fn mark(&mut self, server: &ServerId) {
+        self.counts.entry(server.clone()).or_default();
+    }
+
+    /// Returns whether the last order to a server has to be repeated.
     pub fn contains(&self, server: &ServerId) -> bool {
         self.counts.contains_key(server)
     }
 
-    /// Records that a server has answered.
+    /// Returns the number of orders in a row to which a server gave no answer.
+    pub fn count(&self, server: &ServerId) -> u32 {
+        self.counts.get(server).copied().unwrap_or_default()
+    }
+
+    /// Returns whether a server counts as silent.
+    pub fn is_silent(&self, server: &ServerId) -> bool {
+        self.count(server) >= SILENT_AFTER
+    }
+
+    /// Records that the last order to a server need not be repeated.
     pub fn remove(&mut self, server: &ServerId) {
         self.counts.remove(server);
     }
--- a/azureway-core/tests/orders/unanswered.rs
+++ b/azureway-core/tests/orders/unanswered.rs
@@ -139,6 +139,164 @@
     expect_that!(cluster.run_until_loaded(3, limit), some(anything()));
 }
 
+/// A planner and the fleet that it knows, whose servers all have the same state.
+struct Planned {
+    planner: OrderPlanner,
+    fleet: Fleet,
+    now: Timestamp,
+}
+
+impl Planned {
+    /// Creates a planner of `count` servers with weights 1 that are to load weights 2.
+    fn new(count: usize) -> Self {
+        let config = OrderConfig::new().with_store_rate(1_000);
+        let mut planned = Self {
+            planner: OrderPlanner::new(config),
+            fleet: crate::support::fleet(count, 1),
+            now: Timestamp::from_millis(3_600_000),
+        };
+        planned.list(2, 1, 1);
+        planned
+    }
+
+    /// Lists the servers with these weights and this incarnation, and requires `wanted`.
+    fn list(&mut self, wanted: u64, weights: u64, incarnation: u64) {
+        self.fleet.version = self.fleet.version.next();
+        for service in self.fleet.services.values_mut() {
+            service.weights = WeightsVersion::new(wanted);
+        }
+        for server in self.fleet.servers.values_mut() {
+            server.listed = Some(ListedState {
+                incarnation: Incarnation::new(incarnation),
+                weights: Some(WeightsVersion::new(weights)),
+            });
+        }
+        self.planner.adopt(&self.fleet);
+    }
+
+    /// Returns the next order, a moment later.
+    fn next(&mut self) -> Option<LoadOrder> {
+        self.now = self.now + Duration::from_millis(10);
+        self.planner.next_order(self.now)
+    }
+
+    fn answer(&mut self, order: &LoadOrder, answer: OrderAnswer) {
+        self.planner.record_answer(order, answer, self.now);
+    }
+
+    /// Records what the server of an order tells: its weights and the number of its accepted orders.
+    fn status(&mut self, order: &LoadOrder, weights: u64, accepted: u64) -> LoadProgress {
+        let status = OrderStatus {
+            weights: WeightsVersion::new(weights),
+            busy: false,
+            accepted,
+        };
+        self.planner.record_status(order, &status, self.now)
+    }
+}
+
+/// Guards against a server that rejects every order since its restart: the answer of its earlier
+/// incarnation, which arrived late, raised the number of its accepted orders.
+#[gtest]
+fn an_answer_of_an_earlier_incarnation_does_not_count() {
+    let mut planned = Planned::new(1);
+    let order = planned.next().expect("an order");
+    planned.list(2, 1, 2);
+    planned.answer(&order, OrderAnswer::Taken);
+    expect_that!(planned.status(&order, 1, 1), eq(LoadProgress::Outdated));
+    let next = planned.next().expect("an order");
+    expect_that!(next.accepted, eq(0));
+    expect_that!(next.incarnation, eq(Incarnation::new(2)));
+}
+
+/// Guards against an order without an announcement, because an order of earlier weights had got no answer.
+#[gtest]
+fn a_silence_ends_with_the_load() {
+    let mut planned = Planned::new(1);
+    let order = planned.next().expect("an order");
+    planned.answer(&order, OrderAnswer::Unanswered);
+    let repeated = planned.next().expect("an order");
+    expect_that!(repeated.repeated, eq(true));
+    planned
+        .planner
+        .observe_weights(&order.server, WeightsVersion::new(2));
+    planned.list(3, 2, 1);
+    let next = planned.next().expect("an order");
+    expect_that!(next.repeated, eq(false));
+}
+
+/// Guards against a server that stays on older weights, since what the list tells of it is not believed.
+#[gtest]
+fn a_server_that_the_list_shows_with_older_weights_again_is_ordered() {
+    let mut planned = Planned::new(2);
+    planned.list(2, 2, 1);
+    expect_that!(planned.next(), none());
+    planned.list(2, 1, 1);
+    let order = planned.next().expect("an order");
+    expect_that!(order.weights, eq(WeightsVersion::new(2)));
+}
+
+/// Guards against an order back to older weights by a holder that hears late of newer ones, where
+/// weights only become newer.
+#[gtest]
+fn a_server_with_newer_weights_is_not_ordered_back() {
+    for forward in [true, false] {
+        let mut planned = Planned::new(2);
+        for service in planned.fleet.services.values_mut() {
+            service.rollout = forward.then(|| Rollout {
+                model: ModelId::new("m"),
+                versions: [].into_iter().collect(),
+                grace: GRACE,
+                margin: Duration::ZERO,
+                undisturbed: Timestamp::ZERO,
+            });
+        }
+        planned.list(2, 2, 1);
+        let server = planned.fleet.servers.keys().next().expect("a server");
+        planned
+            .planner
+            .observe_weights(server, WeightsVersion::new(3));
+        let ordered = planned.next().map(|o| o.weights.get());
+        expect_that!(ordered, eq((!forward).then_some(2)));
+    }
+}
+
+/// Guards against a load that is dropped, and ordered again, by what its server told of the one before.
+#[gtest]
+fn the_state_of_an_earlier_order_does_not_end_a_load() {
+    let mut planned = Planned::new(1);
+    let first = planned.next().expect("an order");
+    planned.answer(&first, OrderAnswer::Taken);
+    planned
+        .planner
+        .observe_weights(&first.server, WeightsVersion::new(2));
+    planned.list(3, 2, 1);
+    let second = planned.next().expect("an order");
+    expect_that!(second.accepted, eq(1));
+    planned.answer(&second, OrderAnswer::Taken);
+    expect_that!(planned.status(&first, 2, 1), eq(LoadProgress::Outdated));
+    expect_that!(planned.next(), none());
+    // A state from before the second order does not end its load either.
+    expect_that!(planned.status(&second, 2, 1), eq(LoadProgress::Loading));
+    expect_that!(planned.next(), none());
+    expect_that!(planned.status(&second, 3, 2), eq(LoadProgress::Loaded));
+    planned.list(4, 3, 1);
+    expect_that!(planned.next().map(|o| o.accepted), some(eq(2)));
+}
+
+/// Guards against a server that carries out orders but answers late, and is ordered without end.
+#[gtest]
+fn a_server_that_only_answers_late_is_counted_by_what_it_tells() {
+    let mut planned = Planned::new(1);
+    let mut order = planned.next().expect("an order");
+    while !planned.planner.is_silent(&order.server) {
+        planned.answer(&order, OrderAnswer::Unanswered);
+        order = planned.next().unwrap_or(order);
+    }
+    expect_that!(planned.status(&order, 1, 1), eq(LoadProgress::Idle));
+    expect_that!(planned.next().map(|o| o.accepted), some(eq(1)));
+}
+
 /// Guards against a load of weights that were replaced between the announcement and the order.
 #[gtest]
 fn an_announced_order_of_replaced_weights_is_not_sent() {
--- a/azureway-entry/src/exchange/server_call.rs
+++ b/azureway-entry/src/exchange/server_call.rs
@@ -22,7 +22,7 @@
     address: SocketAddr,
     request: Builder,
     body: Bytes,
-    limit: Duration,
+    deadline: Instant,
 }
 
 /// The step that errors name.
@@ -31,18 +31,20 @@
 const MAX_BODY: usize = 1024 * 1024;
 
 impl ServerCall {
-    /// Creates a `GET` call, which fails after `limit`.
+    /// Creates a `GET` call, which ends `limit` from now, also if it is
+    /// made later.
     pub fn get(address: SocketAddr, path: &str, limit: Duration) -> Self {
         let request = Request::get(path).header("host", address.to_string());
         Self {
             address,
             request: request.header("connection", "close"),
             body: Bytes::new(),
-            limit,
+            deadline: Instant::now() + limit,
         }
     }
 
-    /// Creates a `POST` call with a JSON body, which fails after `limit`.
+    /// Creates a `POST` call with a JSON body, which ends `limit` from now, also if it is
+    /// made later.
     pub fn post_json(address: SocketAddr, path: &str, body: String, limit: Duration) -> Self {
         let request = Request::post(path).header("host", address.to_string());
         let request = request.header("connection", "close");
@@ -50,7 +52,7 @@
             address,
             request: request.header("content-type", "application/json"),
             body: body.into(),
-            limit,
+            deadline: Instant::now() + limit,
         }
     }
 
@@ -71,7 +73,7 @@
     ///
     /// Panics outside a runtime with sockets and timers.
     pub async fn run(self) -> Result<CallAnswer, CallError> {
-        let (address, deadline) = (self.address, Instant::now() + self.limit);
+        let (address, deadline) = (self.address, self.deadline);
         let not_sent = |e: &dyn Display| CallError::NotSent(error(address, e));
         let unanswered = |e: &dyn Display| CallError::Unanswered(error(address, e));
         let request = self.request.body(Full::new(self.body));
@@ -80,6 +82,10 @@
         let stream = stream.map_err(|e| not_sent(&e))?;
         let stream = stream.map_err(|e| not_sent(&e))?;
         stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
+        // Other work of the thread may have held it up. Nothing is sent after the limit.
+        if Instant::now() >= deadline {
+            return Err(not_sent(&"the time limit has passed"));
+        }
         let answer = timeout_at(deadline, exchange(stream, request)).await;
         let answer = answer.map_err(|e| unanswered(&e))?;
         answer.map_err(|e| unanswered(&e))
@@ -100,7 +106,9 @@
         Ok(CallAnswer { status, body })
     };
     tokio::pin!(connection, answer);
+    // The request is handed over before the connection is driven, so that it is sent at once.
     tokio::select! {
+        biased;
         answer = &mut answer => answer,
         ended = &mut connection => {
             ended?;
--- a/azureway-entry/src/order/http_orders.rs
+++ b/azureway-entry/src/order/http_orders.rs
@@ -34,15 +34,15 @@
     ) -> impl Future<Output = OrderAnswer> + Send + 'static {
         let body = serde_json::to_string(&OrderBody::new(order, number));
         let (server, address) = (order.server.clone(), order.address);
+        let call = body.map(|b| ServerCall::post_json(address, "/v1/orders", b, TIMEOUT));
         async move {
-            let body = match body {
-                Ok(body) => body,
+            let call = match call {
+                Ok(call) => call,
                 Err(e) => {
                     log::error!(step = "order", peer:% = server, error:% = e; "a load order cannot be serialized");
                     return OrderAnswer::Failed;
                 }
             };
-            let call = ServerCall::post_json(address, "/v1/orders", body, TIMEOUT);
             match call.run().await {
                 Ok(answer) if (200..300).contains(&answer.status) => OrderAnswer::Taken,
                 Ok(answer) if answer.status == 409 => OrderAnswer::Fenced,
--- a/azureway-entry/src/order/load_checks.rs
+++ b/azureway-entry/src/order/load_checks.rs
@@ -40,7 +40,7 @@
     }
 
     fn insert(&mut self, order: LoadOrder, first: Timestamp, now: Timestamp) {
-        self.remove(&order);
+        self.pending.retain(|(_, _, o)| o.server != order.server);
         self.pending.push((first, now + CHECK_TIMEOUT, order));
     }
 
@@ -73,9 +73,17 @@
         Some(self.pending.swap_remove(index).2)
     }
 
-    /// Removes the load of a server.
+    /// Records at `now` that the server of an order is still loading.
+    pub fn extend(&mut self, order: &LoadOrder, now: Timestamp) {
+        let mut pending = self.pending.iter_mut();
+        if let Some((_, expires, _)) = pending.find(|(_, _, o)| o == order) {
+            *expires = now + CHECK_TIMEOUT;
+        }
+    }
+
+    /// Removes the load of an order, unless its server got another order since.
     pub fn remove(&mut self, order: &LoadOrder) {
-        self.pending.retain(|(_, _, o)| o.server != order.server);
+        self.pending.retain(|(_, _, o)| o != order);
     }
 
     /// Returns the time of the next check.
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -140,7 +140,7 @@
     fn complete_check(&mut self, server: &ServerId, weights: WeightsVersion) {
         if let Some(order) = self.checks.complete(server, weights) {
             log::info!(step = "order", peer:% = server, weights:% = weights; "loaded");
-            self.notify_peers(&order, Duration::ZERO);
+            self.notify_peers(&order, weights, Duration::ZERO);
         }
     }
 
@@ -166,6 +166,7 @@
         let planned = self.planner.next_wakeup(now);
         let swept = self.sweep(now);
         let checked = self.checks.next_wakeup();
+        let checked = checked.filter(|_| self.peers.is_some());
         let announced = self.announced.iter().map(|(at, _)| *at).min();
         let wakeups = [planned, swept, checked, announced].into_iter().flatten();
         self.next_wakeup = wakeups.fold(self.next_wakeup, Timestamp::min);
--- a/azureway-entry/src/order/replies.rs
+++ b/azureway-entry/src/order/replies.rs
@@ -7,6 +7,9 @@
 
 use super::{OrderLink, OrderReply, Orderer};
 
+/// The number of unanswered orders in a row after which peers use the server again.
+const WITHDRAWN_AFTER: u32 = 2;
+
 impl<A: ObjectApi, L: OrderLink> Orderer<A, L> {
     pub(super) fn handle_reply(&mut self, reply: OrderReply) {
         match reply {
@@ -26,15 +29,13 @@
         match answer {
             OrderAnswer::Taken => {
                 if order.repeated {
-                    self.notify_peers(&order, self.load_time);
+                    self.notify_peers(&order, order.weights, self.load_time);
                 }
                 self.checks.push(order, now);
             }
             OrderAnswer::Held | OrderAnswer::Conflict => self.checks.push_due(order, now),
             OrderAnswer::Failed => self.withdraw(&order),
-            // The answer to the order's repetition is awaited once before others use the server again.
-            OrderAnswer::Unanswered if order.repeated => self.withdraw(&order),
-            OrderAnswer::Unanswered => {}
+            OrderAnswer::Unanswered => self.handle_silence(order, now),
             OrderAnswer::Fenced => {
                 self.withdraw(&order);
                 self.lease.step_down(now);
@@ -43,20 +44,36 @@
         }
     }
 
+    /// Handles an order that got no answer. The answer to its repetition is awaited once before peers use the
+    /// server again. A server that stays silent is asked for its state, since its answers may only be late.
+    fn handle_silence(&mut self, order: LoadOrder, now: Timestamp) {
+        if self.planner.unanswered(&order.server) == WITHDRAWN_AFTER {
+            self.withdraw(&order);
+        }
+        if self.planner.is_silent(&order.server) {
+            self.checks.push_due(order, now);
+        }
+    }
+
     fn handle_status(&mut self, order: &LoadOrder, status: &OrderStatus) {
-        let progress = self.planner.record_status(order, status, self.clock.now());
-        match progress {
-            LoadProgress::Loading => return,
+        let now = self.clock.now();
+        match self.planner.record_status(order, status, now) {
+            LoadProgress::Loading => {
+                if status.busy {
+                    self.checks.extend(order, now);
+                }
+                return;
+            }
+            LoadProgress::Outdated => {}
             LoadProgress::Loaded => {
                 log::info!(step = "order", peer:% = order.server, weights:% = status.weights; "loaded");
-                self.notify_peers(order, Duration::ZERO);
+                self.notify_peers(order, status.weights, Duration::ZERO);
             }
             LoadProgress::Idle => {
                 log::warn!(
                     step = "order", peer:% = order.server, weights:% = status.weights,
                     wanted:% = order.weights, accepted = status.accepted; "the server does not load"
                 );
-                self.withdraw(order);
             }
         }
         self.checks.remove(order);
--- a/azureway-entry/src/order/sending.rs
+++ b/azureway-entry/src/order/sending.rs
@@ -15,7 +15,7 @@
     /// Announces a load to all peers. When the order arrives, the server rejects the requests that
     /// have not started, so the order is delayed until the queued requests have started.
     pub(super) fn announce(&mut self, order: LoadOrder) {
-        self.notify_peers(&order, self.load_time);
+        self.notify_peers(&order, order.weights, self.load_time);
         self.announced
             .push((self.clock.now() + ANNOUNCE_DELAY, order));
     }
@@ -34,11 +34,16 @@
         }
     }
 
-    /// Notifies all peers of a load and the time that it still takes.
-    pub(super) fn notify_peers(&self, order: &LoadOrder, remaining: Duration) {
+    /// Notifies all peers of a load of `weights` and the time that it still takes.
+    pub(super) fn notify_peers(
+        &self,
+        order: &LoadOrder,
+        weights: WeightsVersion,
+        remaining: Duration,
+    ) {
         self.notify(LoadNotice {
             server: order.server.clone(),
-            weights: order.weights,
+            weights,
             duration: remaining,
         });
     }
--- a/azureway-entry/tests/endless_answers.rs
+++ b/azureway-entry/tests/endless_answers.rs
@@ -98,6 +98,7 @@
         weights: WeightsVersion::new(1),
         mode: LoadMode::Drain,
         config: ConfigVersion::new(1),
+        incarnation: Incarnation::ZERO,
         accepted: 0,
         repeated: false,
     }
--- a/azureway-entry/tests/order_holds.rs
+++ b/azureway-entry/tests/order_holds.rs
@@ -122,6 +122,7 @@
         weights: WeightsVersion::new(2),
         mode: LoadMode::Drain,
         config: ConfigVersion::new(1),
+        incarnation: Incarnation::ZERO,
         accepted: 0,
         repeated: false,
     }
