--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -88,7 +88,7 @@
                 }
                 WatchStep::Watch(after, wait) => {
                     self.after = Some(after);
-                    if let Some((asked, changes)) = self.ask_zone(after, wait) {
+                    if let Some((asked, changes)) = self.ask_zone(after) {
                         if !self.handle_changes(&changes, after, asked) {
                             return;
                         }
@@ -134,20 +134,20 @@
         }
     }
 
-    /// Asks a reader of the zone, unless the platform has just failed: then this entry finds out itself when
-    /// it is back.
-    fn ask_zone(&mut self, after: u64, wait: Duration) -> Option<(Timestamp, ZoneChanges)> {
-        let zone = self.zone.as_mut().filter(|_| !wait.is_zero())?;
-        zone.ask(self.kind, self.api.era(), after, self.clock)
+    /// Asks a reader of the zone.
+    fn ask_zone(&mut self, after: u64) -> Option<(Timestamp, ZoneChanges)> {
+        let zone = self.zone.as_mut()?;
+        zone.ask(self.kind, self.api.era(), after, self.lost, self.clock)
     }
 
     /// Handles the answer of a reader of the zone to a request that was sent at `asked`. Returns whether
     /// the site duty still receives updates.
     fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, asked: Timestamp) -> bool {
-        // The reader took the request after it was sent, so this is the earliest time of its answer.
-        let answered = asked + changes.held;
-        let until = answered.before(changes.age);
+        let (answered, until) = (changes.answered(asked), changes.known_until(asked));
         let now = self.clock.now();
+        self.record_recovery(now);
+        // Calls that failed here do not show that the platform was disturbed for its readers.
+        let _ = self.disturbances.record_success();
         let since = changes.changed.map(|ago| answered.before(ago));
         self.times.since = self.bound.record_relayed(until, since);
         self.times.until = self.bound.reported_until();
--- a/azureway-entry/src/zone/zone_changes.rs
+++ b/azureway-entry/src/zone/zone_changes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use azureway_core::prelude::Timestamp;
 use azureway_wire::object::ObjectList;
 
 /// The answer of the entry that reads the platform for a zone. Times are ages, since instances share no
@@ -19,3 +20,16 @@
     /// The time since the reader recovered from the last outage of the platform, if it saw one.
     pub recovered: Option<Duration>,
 }
+
+impl ZoneChanges {
+    /// Returns the time of the answer to a request that was sent at `asked`, or an earlier one. The reader took
+    /// the request after it was sent.
+    pub fn answered(&self, asked: Timestamp) -> Timestamp {
+        asked + self.held
+    }
+
+    /// Returns the time until which the answer to a request that was sent at `asked` tells every change.
+    pub fn known_until(&self, asked: Timestamp) -> Timestamp {
+        self.answered(asked).before(self.age)
+    }
+}
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -59,11 +59,15 @@
 
     /// Asks the reader of the zone for the changes of `kind` after version `after`. Returns them with the time
     /// before they were asked for, or `None` if the platform is to be read instead.
+    ///
+    /// If calls to the platform fail since `lost`, the reader tells at once what it knows, and only what the
+    /// platform has told it later counts. It may be this entry alone that the platform turns away.
     pub fn ask(
         &mut self,
         kind: SiteKind,
         era: Option<StoreEra>,
         after: u64,
+        lost: Option<Timestamp>,
         clock: Clock,
     ) -> Option<(Timestamp, ZoneChanges)> {
         let mut asked = clock.now();
@@ -74,7 +78,7 @@
             kind,
             era,
             after,
-            wait: kind.relay_wait(),
+            wait: lost.map_or(kind.relay_wait(), |_| Duration::ZERO),
             attempt: self.failures,
         };
         let mut answer = self.client.ask(request);
@@ -85,6 +89,10 @@
             asked = clock.now();
             answer = self.client.ask(request);
         }
+        let is_known = |c: &ZoneChanges| Some(c.known_until(asked)) < lost;
+        if matches!(&answer, Some(Ok(changes)) if is_known(changes)) {
+            answer = Some(Err(()));
+        }
         let relayed = matches!(answer, Some(Ok(_)));
         if relayed != self.relayed {
             self.relayed = relayed;
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -172,11 +172,15 @@
 
 /// A platform that counts its calls and reports the same object with each.
 #[derive(Clone, Default)]
-struct CountingPlatform(Arc<AtomicUsize>);
+struct CountingPlatform {
+    calls: Arc<AtomicUsize>,
+    /// Whether it rejects watches.
+    rejects: bool,
+}
 
 impl CountingPlatform {
     fn call(&self) -> std::result::Result<ObjectList, Error> {
-        self.0.fetch_add(1, Ordering::AcqRel);
+        self.calls.fetch_add(1, Ordering::AcqRel);
         Ok(list(10, &[object("m", 10, false)]))
     }
 }
@@ -199,6 +203,10 @@
     }
 
     fn watch(&self, _: &str, _: u64, _: Duration) -> std::result::Result<ObjectList, Error> {
+        if self.rejects {
+            let step = Step::new("watch objects");
+            return Err(Error::new(ErrorKind::Unavailable, step, "turned away"));
+        }
         self.call()
     }
 }
@@ -267,7 +275,7 @@
         drop(held);
     });
     let updates: Vec<_> = rx.iter().take(count).collect();
-    let calls = platform.0.load(Ordering::Acquire);
+    let calls = platform.calls.load(Ordering::Acquire);
     drop((rx, end_tx));
     reader.join().expect("the reader ends");
     watcher.join().expect("the watcher ends");
@@ -342,10 +350,15 @@
 impl Watched {
     /// Starts a watcher, which has listed weights 10.
     fn new(clock: Clock) -> Self {
+        Self::with_platform(clock, CountingPlatform::default())
+    }
+
+    /// Starts a watcher of a platform from which it has listed weights 10.
+    fn with_platform(clock: Clock, api: CountingPlatform) -> Self {
         let (peer_tx, requests) = flume::bounded(1);
         let link = ZoneLink::new(ZoneClient::new(peer_tx), Arc::new(ZoneCache::new(clock)));
         let (tx, updates) = flume::bounded(1);
-        let (api, since) = (CountingPlatform::default(), clock.now());
+        let since = clock.now();
         let (kind, schedule) = (SiteKind::Weights, WatchSchedule::new(1));
         let watcher = SiteWatcher::new(api, PlainNumbers, kind, tx, clock, schedule, since);
         let watcher = watcher.with_zone(Some(link));
@@ -360,7 +373,8 @@
 
     /// Returns the next request to the reader.
     fn request(&self) -> (ZoneRequest, ZoneReply) {
-        let Ok(PeerMessage::AskZone(request, reply)) = self.requests.recv() else {
+        let message = self.requests.recv_timeout(Duration::from_secs(10));
+        let Ok(PeerMessage::AskZone(request, reply)) = message else {
             panic!("the watcher asks the reader");
         };
         (request, reply)
@@ -475,3 +489,28 @@
     expect_that!(watched.earliest(), ge(failed));
     watched.end();
 }
+
+/// Guards against an entry that the platform turns away and that, once a reader has failed, hears of nothing until
+/// the platform takes its calls again, though another reader is well.
+#[gtest]
+fn an_entry_that_is_turned_away_goes_on_to_ask_readers() {
+    let platform = CountingPlatform {
+        rejects: true,
+        ..CountingPlatform::default()
+    };
+    let watched = Watched::with_platform(Clock::new(), platform);
+    let (_, reply) = watched.request();
+    let _ = reply.send(Some(Err(())));
+    // What the reader knew before this entry's calls failed does not show that the platform answers.
+    let (request, reply) = watched.request();
+    expect_that!(request.wait, eq(Duration::ZERO));
+    let old = Duration::from_secs(60);
+    let _ = reply.send(relayed(11, old, Duration::ZERO));
+    let (_, reply) = watched.request();
+    let _ = reply.send(relayed(12, Duration::ZERO, Duration::ZERO));
+    let update = watched.updates.recv().expect("the changed weights");
+    expect_that!(versions(&[update]), elements_are![eq(&12)]);
+    let (request, _reply) = watched.request();
+    expect_that!(request.wait, eq(SiteKind::Weights.relay_wait()));
+    // The watcher has nothing more to send, by which it would notice the end.
+}
--- a/azureway-entry/tests/zone_pause.rs
+++ b/azureway-entry/tests/zone_pause.rs
@@ -48,7 +48,7 @@
         drop(held);
         resumed
     });
-    let answer = link.ask(SiteKind::Weights, None, 10, clock);
+    let answer = link.ask(SiteKind::Weights, None, 10, None, clock);
     let Some((asked, _)) = answer else {
         panic!("the reader answers");
     };
