Refuse at once what no allowed weights can serve before its deadline

When older weights end before many servers have newer ones, requests waited in the queue for servers that might not serve them, some until their deadline, and the load of a whole pool fell on the few servers that remained.

Cause: early refusal knew the pace of the pool from the time when all of it served, and nothing at all while no request left the queue. Change: while some servers of a pool have ended weights, a request is checked against the servers whose weights may answer and those whose load is announced to end before its deadline: their slots, service times and this entry's share, of which twice the equal part is counted. What they can't serve in time is refused as not run, with Retry-After from the end of the next announced load. Waiting requests are refused once no such server is left. Requests that a load will still serve in time wait as before. The line of a refusal shows its detail and the time to try again.

The core's tests failed without the two checks: requests_that_no_allowed_weights_can_serve_in_time_are_refused_at_once Expected: is equal to Refused(Some(1000)); Actual: Waits (load None, deadline 4000) waiting_requests_are_refused_when_the_last_announced_load_ends_without_newer_weights Value of: matches!(refused, Fate::Refused(_)); Actual: false the_load_of_a_whole_pool_on_one_server_with_newer_weights_is_cut_to_what_it_serves Value of: refusals > 0; Expected: is equal to true; Actual: false ([1, 1, 1, 2])

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -250,6 +250,28 @@
         }
     }
 
+    /// Returns the time from which the server is expected to take requests, not before `now`, or `None` if
+    /// it leaves.
+    pub fn available_from(&self, now: Timestamp) -> Option<Timestamp> {
+        let held = now.max(self.held_until).max(self.next_after_pause());
+        match self.health() {
+            Health::Live => Some(held),
+            Health::Suspect => Some(held.max(self.retry_at)),
+            Health::Leaving => None,
+        }
+    }
+
+    /// Returns whether the server loads weights, or rejects requests as if it did.
+    pub fn is_held(&self, now: Timestamp) -> bool {
+        now < self.held_until
+    }
+
+    /// Returns the number of requests per second that the server ends when all its slots are taken.
+    pub fn request_rate(&self) -> f64 {
+        let time = self.service_time.as_secs_f64().max(f64::EPSILON);
+        f64::from(self.server.slots) / time
+    }
+
     /// Returns when this entry may send one more request after a pause that the server asked for.
     pub fn next_after_pause(&self) -> Timestamp {
         let slots = self.server.slots.div_ceil(self.share.entries());
--- a/azureway-core/src/router/admission_check.rs
+++ b/azureway-core/src/router/admission_check.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::leaving::all_leave;
-use super::{Queues, RetryDecision};
+use super::{Outlook, Queues, RetryDecision};
 use crate::admit::{AccountLimits, PoolQueue};
 use crate::domain::{
     ClientAccount, ModelService, Rank, Refusal, RefusalReason, Request, Timestamp,
@@ -63,6 +63,7 @@
             return Err(refusal(RefusalReason::Overloaded, "too many requests wait"));
         }
         self.check_pauses(service, request, now)?;
+        self.check_outlook(service, request, now)?;
         self.check_wait(service, request, now)?;
         // The limit is checked last, so that a request refused for another reason is not charged.
         self.check_limit(account, request, now)?;
@@ -93,6 +94,33 @@
         }
     }
 
+    /// Refuses a request that the servers whose weights may answer cannot serve before its deadline.
+    fn check_outlook(
+        &self,
+        service: &ModelService,
+        request: &Request,
+        now: Timestamp,
+    ) -> Result<(), Refusal> {
+        let Some(outlook) = Outlook::new(service, self.servers, now) else {
+            return Ok(());
+        };
+        let ahead = self.requests_ahead(service, request);
+        match outlook.allows(ahead, request.deadline.timestamp()) {
+            true => Ok(()),
+            false => Err(RetryDecision::outdated(true, outlook.next_server(now))),
+        }
+    }
+
+    /// Returns the number of queued requests that are served before `request`.
+    fn requests_ahead(&self, service: &ModelService, request: &Request) -> usize {
+        let queue = self.queues.get(&service.pool);
+        let depth = |rank| queue.map_or(0, |q| q.depth(rank));
+        match request.rank {
+            Rank::Urgent => depth(Rank::Urgent),
+            Rank::Drafting => depth(Rank::Urgent) + depth(Rank::Drafting),
+        }
+    }
+
     /// Refuses a request whose expected queue wait exceeds its deadline.
     fn check_wait(
         &self,
@@ -120,12 +148,7 @@
         now: Timestamp,
     ) -> Option<Duration> {
         let rate = self.servers.limited_rate(&service.pool, now)?;
-        let queue = self.queues.get(&service.pool);
-        let depth = |rank| queue.map_or(0, |q| q.depth(rank));
-        let ahead = match request.rank {
-            Rank::Urgent => depth(Rank::Urgent),
-            Rank::Drafting => depth(Rank::Urgent) + depth(Rank::Drafting),
-        };
+        let ahead = self.requests_ahead(service, request);
         let wait = Duration::try_from_secs_f64(ahead as f64 / rate);
         Some(wait.unwrap_or(Duration::MAX))
     }
--- a/azureway-core/src/router/retry_decision.rs
+++ b/azureway-core/src/router/retry_decision.rs
@@ -65,6 +65,20 @@
         Refusal::maybe_run(RefusalReason::Deadline, detail)
     }
 
+    /// Returns the refusal of a request that no server may serve before its deadline because of its
+    /// weights. The next server is expected to after `wait`, if any is.
+    pub fn outdated(not_run: bool, wait: Option<Duration>) -> Refusal {
+        if !not_run {
+            return Self::give_up(false, false);
+        }
+        let detail = "no backend server has weights that may answer in time";
+        let refusal = Refusal::not_run(RefusalReason::NoServer, detail);
+        match wait {
+            Some(wait) => refusal.with_retry(wait),
+            None => refusal,
+        }
+    }
+
     /// Returns the refusal of a request that was recalled and is not retried.
     pub fn recalled(failure: &Failure) -> Refusal {
         if failure.position > StreamPosition::ZERO {
--- a/azureway-core/tests/rollout_end.rs
+++ b/azureway-core/tests/rollout_end.rs
@@ -200,3 +200,94 @@
     expect_that!(retried, eq(budget));
     expect_that!(refused, eq(sent.len() - budget));
 }
+
+/// What becomes of a request.
+#[derive(Debug, PartialEq)]
+enum Fate {
+    Sent,
+    Waits,
+    /// Refused as not run, with the time after which the caller may send it again, in milliseconds.
+    Refused(Option<u128>),
+}
+
+impl Rig {
+    /// Announces that a server loads weights 2 within `millis` milliseconds, or has loaded them.
+    fn load(&mut self, server: &str, millis: u64) -> Vec<Action> {
+        let notice = LoadNotice {
+            server: ServerId::new(server),
+            weights: WeightsVersion::new(2),
+            duration: Duration::from_millis(millis),
+        };
+        self.fixture.handle(Event::Loading(&notice))
+    }
+
+    /// Handles a new request whose first token is due within `millis` milliseconds.
+    fn submit(&mut self, millis: u64) -> Fate {
+        let mut request = self.fixture.request("small", &["house"]);
+        request.deadline = Deadline::new(self.fixture.now + Duration::from_millis(millis));
+        fate(&self.fixture.handle(Event::Arrived(&request)))
+    }
+}
+
+fn fate(actions: &[Action]) -> Fate {
+    match (dispatches(actions).len(), refusals(actions).first()) {
+        (0, None) => Fate::Waits,
+        (0, Some(refusal)) if refusal.not_run => {
+            Fate::Refused(refusal.retry_after.map(|t| t.as_millis()))
+        }
+        (1, None) => Fate::Sent,
+        outcome => panic!("{outcome:?}"),
+    }
+}
+
+/// Guards against callers that wait in vain until their deadlines while all weights are outdated, and
+/// against the refusal of what a server that loads newer ones can still serve.
+#[gtest]
+fn requests_that_no_allowed_weights_can_serve_in_time_are_refused_at_once() {
+    let default = RefusalReason::NoServer.retry_after().map(|t| t.as_millis());
+    for (load, deadline, expected) in [
+        (None, 4_000, Fate::Refused(default)),
+        (Some(3_000), 4_000, Fate::Waits),
+        (Some(3_000), 2_000, Fate::Refused(Some(3_000))),
+        (Some(0), 400, Fate::Sent),
+    ] {
+        let mut rig = Rig::new(&[1, 1]);
+        rig.pass_to(8_000);
+        if let Some(millis) = load {
+            rig.load("engine-1", millis);
+        }
+        let case = format!("load {load:?}, deadline {deadline}");
+        expect_that!(rig.submit(deadline), eq(&expected), "{case}");
+    }
+}
+
+/// Guards against requests that go on waiting although the load that they waited for has failed.
+#[gtest]
+fn waiting_requests_are_refused_when_the_last_announced_load_ends_without_newer_weights() {
+    let mut rig = Rig::new(&[1]);
+    rig.pass_to(8_000);
+    rig.load("engine-1", 1_000);
+    expect_that!(rig.submit(4_000), eq(&Fate::Waits));
+    expect_that!(fate(&rig.pass_to(8_999)), eq(&Fate::Waits));
+    let refused = fate(&rig.pass_to(9_001));
+    expect_that!(matches!(refused, Fate::Refused(_)), eq(true), "{refused:?}");
+}
+
+/// Guards against a flood of the few servers that have newer weights: what exceeds their capacity is
+/// refused at once, and what they can serve is not.
+#[gtest]
+fn the_load_of_a_whole_pool_on_one_server_with_newer_weights_is_cut_to_what_it_serves() {
+    for (loaded, refused) in [([1, 1, 1, 2], true), ([2, 2, 2, 2], false)] {
+        let mut rig = Rig::new(&loaded);
+        rig.pass_to(8_000);
+        let fates: Vec<Fate> = (0..60).map(|_| rig.submit(4_000)).collect();
+        let count = |wanted: fn(&Fate) -> bool| fates.iter().filter(|f| wanted(f)).count();
+        // One server ends four requests a second, so 16 within the deadline of those that wait. An
+        // entry without peers may hope for twice that.
+        let waiting = count(|f| *f == Fate::Waits);
+        expect_that!(waiting, ge(16), "{loaded:?}");
+        expect_that!(waiting <= 32, eq(refused), "{loaded:?}");
+        let refusals = count(|f| matches!(f, Fate::Refused(_)));
+        expect_that!(refusals > 0, eq(refused), "{loaded:?}");
+    }
+}
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -228,7 +228,7 @@
             match action {
                 Action::Dispatch(dispatch) => self.dispatch(dispatch),
                 Action::Refuse(id, refusal) => {
-                    log::info!(request:% = id, step = "decide", code = refusal.reason.code(); "refused");
+                    log::info!(request:% = id, step = "decide", code = refusal.reason.code(), detail:% = refusal.detail, retry:? = refusal.retry_after; "refused");
                     self.record_metric(MetricEvent::Refused(refusal.reason));
                     self.requests.refuse(id, refusal);
                 }
