Remove an unused import from a test

Cause: zone_pause imported the core's prelude without using it, which the linter refuses (unused-imports). Change: the import is gone.

--- a/azureway-entry/tests/zone_pause.rs
+++ b/azureway-entry/tests/zone_pause.rs
@@ -6,7 +6,6 @@
 use std::thread;
 use std::time::Duration;
 
-use azureway_core::prelude::*;
 use azureway_entry::clock::Clock;
 use azureway_entry::peer::PeerMessage;
 use azureway_entry::site::SiteKind;
