--- a/azureway-core/src/fleet/mod.rs
+++ b/azureway-core/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 mod route_table;
 mod server_failure;
 mod server_leaving;
+mod server_outlook;
 mod server_pauses;
 mod server_state;
 mod server_table;
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use super::sharing::assume_replicas_cached;
 use super::{ExclusionReason, PlacementRequest, RouteOption, RouterConfig};
 use crate::cache::CacheIndex;
 use crate::domain::{ModelService, Request, Timestamp};
@@ -31,7 +32,7 @@
 }
 
 /// Candidates on the stack for up to 16 servers.
-type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
+pub(super) type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
 
 /// The estimated time to first token above which servers of the next locality are considered:
 /// a fifth of the target.
@@ -81,7 +82,7 @@
                 true => ExclusionReason::Outranked,
                 false => match ExclusionReason::for_server(query, state, service, now) {
                     ExclusionReason::NearerAvailable
-                        if !starts_in_time(profile, &candidate, service, now) =>
+                        if !query.starts_in_time(profile, &candidate, service, now) =>
                     {
                         ExclusionReason::WeightsNotLoaded
                     }
@@ -133,7 +134,7 @@
         if !self.collect_candidates(false, profile, query, service, now, &mut candidates) {
             self.collect_candidates(true, profile, query, service, now, &mut candidates);
         }
-        candidates.retain(|c| starts_in_time(profile, c, service, now));
+        candidates.retain(|c| query.starts_in_time(profile, c, service, now));
         let other = |c: &Candidate<'_>| Some(&c.state.server.id) != query.failed_server;
         if candidates.iter().any(other) {
             candidates.retain(|c| other(c));
@@ -292,28 +293,3 @@
         }
     }
 }
-
-/// Returns whether a request may begin at a candidate by the time at which its server is expected to
-/// start on it.
-fn starts_in_time(
-    profile: RequestProfile,
-    candidate: &Candidate<'_>,
-    service: &ModelService,
-    now: Timestamp,
-) -> bool {
-    let rollout = service.rollout.as_ref().zip(candidate.state.weights);
-    rollout.is_none_or(|(rollout, loaded)| {
-        let wait = Estimate::new(profile, candidate, now).time_to_first_token();
-        rollout.allows_start(loaded, now, wait)
-    })
-}
-
-/// Assumes that the replicas hold the prefix if no server is known to hold all of it, so that
-/// later requests with the prefix find it there.
-fn assume_replicas_cached(candidates: &mut Candidates<'_>, request: &Request) {
-    let shared = request.prompt.prefix_tokens();
-    if candidates.iter().all(|c| c.cached < shared) {
-        let replicas = candidates.iter_mut().filter(|c| c.replica);
-        replicas.for_each(|c| c.cached = c.cached.max(shared));
-    }
-}
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -5,7 +5,7 @@
     ModelService, Request, ServerId, ServiceKind, StreamPosition, Timestamp, TokenCount,
 };
 use crate::fleet::ServerState;
-use crate::route::RequestProfile;
+use crate::route::{Candidate, Estimate, RequestProfile};
 
 /// A request to be placed on a backend server.
 #[derive(Clone, Copy, Debug)]
@@ -72,6 +72,22 @@
         has_weights && state.accepts(now)
     }
 
+    /// Returns whether the request may begin at a candidate by the time at which its server is expected to
+    /// start on it.
+    pub fn starts_in_time(
+        &self,
+        profile: RequestProfile,
+        candidate: &Candidate<'_>,
+        service: &ModelService,
+        now: Timestamp,
+    ) -> bool {
+        let rollout = service.rollout.as_ref().zip(candidate.state.weights);
+        rollout.is_none_or(|(rollout, loaded)| {
+            let wait = Estimate::new(profile, candidate, now).time_to_first_token();
+            rollout.allows_start(loaded, now, wait)
+        })
+    }
+
     /// Returns whether a server has a free slot for the request, is within the limit that it names and
     /// is taken up again after a pause. A stream that has begun may use any slot.
     pub fn has_capacity(&self, state: &ServerState, now: Timestamp) -> bool {
--- a/azureway-core/src/router/sharing.rs
+++ b/azureway-core/src/router/sharing.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use super::Placement;
+use super::placement::Candidates;
 use crate::domain::{ModelService, Request, Timestamp};
 use crate::fleet::ServerState;
 use crate::route::{Candidate, Rendezvous};
@@ -76,3 +77,13 @@
         self.config.traffic_rate.time_for(request.prompt.tokens())
     }
 }
+
+/// Assumes that the replicas hold the prefix if no server is known to hold all of it, so that
+/// later requests with the prefix find it there.
+pub(super) fn assume_replicas_cached(candidates: &mut Candidates<'_>, request: &Request) {
+    let shared = request.prompt.prefix_tokens();
+    if candidates.iter().all(|c| c.cached < shared) {
+        let replicas = candidates.iter_mut().filter(|c| c.replica);
+        replicas.for_each(|c| c.cached = c.cached.max(shared));
+    }
+}
--- a/azureway-dev/src/replay/mod.rs
+++ b/azureway-dev/src/replay/mod.rs
@@ -4,6 +4,7 @@
 //! come from the trace and load the simulated engines, whose cache events and load reports
 //! reach the core late and with gaps.
 
+mod actions;
 mod command;
 mod compare;
 mod engine_model;
--- a/azureway-dev/src/replay/replay_driver.rs
+++ b/azureway-dev/src/replay/replay_driver.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use azureway_core::prelude::{
-    Action, Attempt, Dispatch, Event, Failure, FailureKind, Finish, Policy, Refusal, RequestId,
-    Router, SendState, StreamPosition, Timestamp, WeightsVersion, ZoneId,
+    Attempt, Dispatch, Event, Failure, FailureKind, Finish, Policy, Refusal, RequestId, Router,
+    SendState, StreamPosition, Timestamp, WeightsVersion, ZoneId,
 };
 
 use super::{EngineUpdate, Environment, ReplayEvent, RequestFactory, RequestLog, Tally};
@@ -15,7 +15,7 @@
 pub struct ReplayDriver<'a, P> {
     trace: &'a Trace,
     router: Router<P>,
-    state: Environment,
+    pub(super) state: Environment,
     factory: RequestFactory<'a>,
     version: u64,
     epoch: u64,
@@ -240,35 +240,7 @@
         }
     }
 
-    fn apply(&mut self, action: Action) {
-        match action {
-            Action::Dispatch(dispatch) => self.dispatch(&dispatch),
-            Action::Refuse(id, refusal) => self.refuse(id, refusal),
-            Action::Cancel(attempt) => {
-                if let Some(current) = self.state.in_flight.remove(&attempt.id) {
-                    self.state.engines.at_mut(current.engine).cancel(attempt);
-                }
-            }
-            Action::Claim(command) => {
-                let (time, reply) = self.state.platform.answer(&command);
-                self.state.schedule(time, ReplayEvent::ClaimAnswered(reply));
-            }
-            // No request of a trace is repeated with its idempotency key, a replay has no rollout of
-            // weights and no other entry to broadcast to.
-            Action::ReplayAnswer(..)
-            | Action::Recall(_)
-            | Action::BroadcastServer(_)
-            | Action::BroadcastCrashReport(_)
-            | Action::StoreQuarantine(_) => {}
-            Action::Resync(server) => {
-                if let Some(index) = self.state.engines.index_of(server.as_str()) {
-                    self.state.request_snapshot(index);
-                }
-            }
-        }
-    }
-
-    fn refuse(&mut self, id: RequestId, refusal: Refusal) {
+    pub(super) fn refuse(&mut self, id: RequestId, refusal: Refusal) {
         self.state.in_flight.remove(&id);
         let tally = &mut self.state.tally;
         if let Some(log) = tally.logs.get_mut(&id.sequence()) {
@@ -277,7 +249,7 @@
         }
     }
 
-    fn dispatch(&mut self, dispatch: &Dispatch) {
+    pub(super) fn dispatch(&mut self, dispatch: &Dispatch) {
         let index = self.state.engines.index_of(dispatch.server.as_str());
         let task = self.factory.dispatched_task(dispatch);
         if let (Some(index), Some(task)) = (index, task) {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -6,10 +6,9 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, RecvTimeoutError, Sender};
 
-use super::decision_log::{log_crash_report, log_dispatch, log_leaving, log_recall};
+use super::decision_log::{log_crash_report, log_leaving, log_recall};
 use super::{DecideMessage, PeerUpdate, PendingRequests, VersionTracker};
 use crate::admit::AdmittedRequest;
-use crate::caller::RequestUpdate;
 use crate::claim::ClaimClient;
 use crate::clock::Clock;
 use crate::daemon::Rings;
@@ -26,10 +25,10 @@
     pub(super) router: Router<P>,
     messages: Receiver<DecideMessage>,
     pub(super) clock: Clock,
-    requests: PendingRequests,
+    pub(super) requests: PendingRequests,
     claims: ClaimClient,
     pub(super) orders: OrderClient,
-    relays: L,
+    pub(super) relays: L,
     pub(super) feeds: S,
     peers: PeerClient,
     quarantines: QuarantineClient,
@@ -260,26 +259,8 @@
         }
     }
 
-    fn dispatch(&mut self, dispatch: Dispatch) {
-        let Some(pending) = self.requests.record_dispatch(&dispatch) else {
-            return;
-        };
-        let now = self.clock.now();
-        log_dispatch(&dispatch, pending, now);
-        let attempt = dispatch.attempt;
-        let metric = pending.sent_metric(attempt, now);
-        let chunks = self.relays.launch(dispatch, Arc::clone(&pending.upstream));
-        let started = RequestUpdate::AttemptStarted {
-            attempt,
-            streamed: pending.upstream.streamed,
-            chunks,
-        };
-        let _ = pending.updates.try_send(started);
-        self.record_metric(metric);
-    }
-
     /// Passes a metric event on. It is dropped if the ring is full, since decisions must not wait.
-    fn record_metric(&self, metric: MetricEvent) {
+    pub(super) fn record_metric(&self, metric: MetricEvent) {
         let _ = self.meter.try_send(metric);
     }
 }
--- a/azureway-entry/src/decide/mod.rs
+++ b/azureway-entry/src/decide/mod.rs
@@ -3,6 +3,7 @@
 mod daemon_status;
 mod decider;
 mod decision_log;
+mod dispatches;
 mod message;
 mod owned_cache_update;
 mod peer_update;
--- a/azureway-entry/src/exchange/cancel_handle.rs
+++ b/azureway-entry/src/exchange/cancel_handle.rs
@@ -1,9 +1,11 @@
 //! A handle by which the deciding duty's thread stops an attempt that is blocked in a read.
 
 use std::io;
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use super::HandleState;
+
 /// Cancels an attempt from another thread by closing its connection, which wakes the thread that
 /// reads from it.
 #[derive(Debug, Default)]
@@ -11,16 +13,6 @@
     state: Mutex<HandleState>,
 }
 
-#[derive(Debug, Default)]
-struct HandleState {
-    cancelled: bool,
-    recalled: bool,
-    /// Whether the answer has begun.
-    begun: bool,
-    /// The connection that the attempt uses.
-    stream: Option<TcpStream>,
-}
-
 impl CancelHandle {
     /// Creates the handle of an attempt without a connection.
     pub fn new() -> Self {
@@ -86,16 +78,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl HandleState {
-    const fn is_stopped(&self) -> bool {
-        self.cancelled || self.recalled
-    }
-
-    fn close(&mut self) {
-        if let Some(stream) = self.stream.take() {
-            // An error means that the connection is closed already.
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-}
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -82,36 +82,6 @@
         let _ = self.decide.send(message);
     }
 
-    /// Returns the report of an attempt that was recalled and ended with `error`.
-    fn recalled_message(&self, error: AttemptError) -> DecideMessage {
-        let (kind, sent) = match error {
-            // The server rejected the request before its connection was closed.
-            AttemptError::Server(kind, SendState::Rejected) => (kind, SendState::Rejected),
-            AttemptError::Server(_, sent) => (FailureKind::Recalled, sent),
-            AttemptError::CallerDisconnected => (FailureKind::Recalled, SendState::MaybeRun),
-        };
-        DecideMessage::Failed(Failure {
-            attempt: self.dispatch.attempt,
-            kind,
-            sent,
-            position: self.next_position,
-        })
-    }
-
-    /// Returns the report of a failure and drops idle connections that it likely affects.
-    fn failure_message(&self, kind: FailureKind, sent: SendState) -> DecideMessage {
-        if matches!(kind, FailureKind::Unreachable | FailureKind::Broken) {
-            // The cause has most likely broken the idle connections to the server as well.
-            self.pool.purge(self.dispatch.address);
-        }
-        DecideMessage::Failed(Failure {
-            attempt: self.dispatch.attempt,
-            kind,
-            sent,
-            position: self.next_position,
-        })
-    }
-
     fn exchange(&mut self, passthrough: &Passthrough) -> Result<(), AttemptError> {
         let (mut connection, head) = self.send_request(passthrough)?;
         let metadata = self.dialect.read(&head);
--- a/azureway-entry/src/exchange/server_call.rs
+++ b/azureway-entry/src/exchange/server_call.rs
@@ -74,35 +74,32 @@
     /// Panics outside a runtime with sockets and timers.
     pub async fn run(self) -> Result<CallAnswer, CallError> {
         let (address, deadline) = (self.address, self.deadline);
-        let not_sent = |e: &dyn Display| CallError::NotSent(error(address, e));
-        let unanswered = |e: &dyn Display| CallError::Unanswered(error(address, e));
         let request = self.request.body(Full::new(self.body));
-        let request = request.map_err(|e| not_sent(&e))?;
+        let request = request.map_err(|e| not_sent(address, e))?;
         let stream = timeout_at(deadline, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|e| not_sent(&e))?;
-        let stream = stream.map_err(|e| not_sent(&e))?;
-        stream.set_nodelay(true).map_err(|e| not_sent(&e))?;
+        let stream = stream.map_err(|e| not_sent(address, e))?;
+        let stream = stream.map_err(|e| not_sent(address, e))?;
+        stream.set_nodelay(true).map_err(|e| not_sent(address, e))?;
         // Other work of the thread may have held it up. Nothing is sent after the limit.
         if Instant::now() >= deadline {
-            return Err(not_sent(&"the time limit has passed"));
+            return Err(not_sent(address, "the time limit has passed"));
         }
         let answer = timeout_at(deadline, exchange(stream, request)).await;
-        let answer = answer.map_err(|e| unanswered(&e))?;
-        answer.map_err(|e| unanswered(&e))
+        let answer = answer.map_err(|e| unanswered(address, e))?;
+        answer.map_err(|e| unanswered(address, e))
     }
 }
 
 /// Sends a request and reads the answer. The connection ends with the returned future.
-async fn exchange(
-    stream: TcpStream,
-    request: Request<Full<Bytes>>,
-) -> Result<CallAnswer, Box<dyn std::error::Error + Send + Sync>> {
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+async fn exchange(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<CallAnswer, String> {
+    let opened = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = opened.map_err(|e| e.to_string())?;
     let answer = async {
-        let response: Response<Incoming> = sender.send_request(request).await?;
+        let response = sender.send_request(request).await;
+        let response: Response<Incoming> = response.map_err(|e| e.to_string())?;
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_BODY);
-        let body = body.collect().await?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
+        let body = body.map_err(|e| e.to_string())?.to_bytes();
         Ok(CallAnswer { status, body })
     };
     tokio::pin!(connection, answer);
@@ -111,13 +108,21 @@
         biased;
         answer = &mut answer => answer,
         ended = &mut connection => {
-            ended?;
+            ended.map_err(|e| e.to_string())?;
             // The connection ends with the last byte, before the answer was taken up.
             answer.await
         }
     }
 }
 
-fn error(address: SocketAddr, cause: &dyn Display) -> Error {
+fn not_sent(address: SocketAddr, cause: impl Display) -> CallError {
+    CallError::NotSent(error(address, cause))
+}
+
+fn unanswered(address: SocketAddr, cause: impl Display) -> CallError {
+    CallError::Unanswered(error(address, cause))
+}
+
+fn error(address: SocketAddr, cause: impl Display) -> Error {
     Error::new(ErrorKind::Unavailable, STEP, cause.to_string()).with_peer(address)
 }
