Share what the change wrote twice, and estimate waits only during a rollout

- Waiting requests are refused in one way, whether their servers are held or have outdated weights; both looks have one condition for when they are worth it.
- The expected wait of each candidate was computed for every request; it is now only where newer weights are named.
A start looks its request up once.
- A planner copied every server at each change of the list; it reads the new fleet.
- One condition says whether loads are checked, one method reports a loaded server, one builds the report of a failed attempt, one a call's head.
The two tests of the ordering duty share their platform.

--- a/azureway-core/src/domain/rollout.rs
+++ b/azureway-core/src/domain/rollout.rs
@@ -52,10 +52,16 @@
     }
 
     /// Returns whether a request that is sent at `now` to a server with weights `loaded`, where it is
-    /// expected to wait for `wait`, may begin there.
-    pub fn allows_start(&self, loaded: WeightsVersion, now: Timestamp, wait: Duration) -> bool {
-        let latest = now + wait.saturating_mul(WAIT_FACTOR);
-        self.allows(loaded, now) && self.start_limit(loaded).is_none_or(|limit| latest < limit)
+    /// expected to wait for `wait`, may begin there. The wait is asked for only if newer weights are named.
+    pub fn allows_start(
+        &self,
+        loaded: WeightsVersion,
+        now: Timestamp,
+        wait: impl FnOnce() -> Duration,
+    ) -> bool {
+        let latest = || now + wait().saturating_mul(WAIT_FACTOR);
+        let end = self.grace_end(loaded);
+        end.is_none_or(|end| now < end && latest() < end + self.margin)
     }
 
     /// Returns the time at which requests may no longer begin on weights `loaded`, or `None` if no
--- a/azureway-core/src/order/answers.rs
+++ b/azureway-core/src/order/answers.rs
@@ -20,7 +20,6 @@
             }
             // The server is asked for its state, which tells whether it loads these weights.
             OrderAnswer::Held | OrderAnswer::Conflict => {
-                self.unanswered.remove(server);
                 self.unanswered.mark(server);
                 if let Some(load) = self.loads.get_mut(server) {
                     load.expires = now + RETRY_DELAY;
--- a/azureway-core/src/order/listing.rs
+++ b/azureway-core/src/order/listing.rs
@@ -5,10 +5,9 @@
 use crate::fleet::Fleet;
 
 impl OrderPlanner {
-    /// Applies the state of the servers in the platform's list, after that of `old`.
-    pub(super) fn apply_listed_weights(&mut self, old: &Fleet) {
-        let servers: Vec<_> = self.fleet.servers.values().cloned().collect();
-        for server in &servers {
+    /// Applies the state of the servers in the platform's list as `fleet` has it, after that of `old`.
+    pub(super) fn apply_listed_weights(&mut self, fleet: &Fleet, old: &Fleet) {
+        for server in fleet.servers.values() {
             if self.counts.observe_listing(server) {
                 // The load of an earlier incarnation has ended with it.
                 self.end_load(&server.id);
--- a/azureway-core/src/order/planner.rs
+++ b/azureway-core/src/order/planner.rs
@@ -62,7 +62,7 @@
             self.loads.retain(|id, _| servers.contains_key(id));
             self.counts.retain(|id| servers.contains_key(id));
             self.unanswered.retain(|id| servers.contains_key(id));
-            self.apply_listed_weights(&old);
+            self.apply_listed_weights(fleet, &old);
         }
     }
 
--- a/azureway-core/src/order/unanswered_orders.rs
+++ b/azureway-core/src/order/unanswered_orders.rs
@@ -36,7 +36,7 @@
 
     /// Records that an order has to be repeated although the server has answered it.
     pub fn mark(&mut self, server: &ServerId) {
-        self.counts.entry(server.clone()).or_default();
+        self.counts.insert(server.clone(), 0);
     }
 
     /// Returns whether the last order to a server has to be repeated.
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -81,8 +81,7 @@
         }
         self.expire(now, out);
         self.recall_outdated(now, out);
-        self.refuse_paused(event, now, out);
-        self.refuse_outdated(event, now, out);
+        self.refuse_hopeless(event, now, out);
         self.dispatch_retries(now, out);
         self.dispatch_queued(now, out);
         self.broadcast_crash_reports(out);
--- a/azureway-core/src/router/in_flight_table.rs
+++ b/azureway-core/src/router/in_flight_table.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::{InFlight, RecallIndex};
-use crate::domain::{Attempt, RequestId, ServerId, Timestamp};
+use crate::domain::{Attempt, RequestId, ServerId, Timestamp, TokenCount};
 use crate::fleet::Fleet;
 
 /// The requests in flight by their id.
@@ -40,13 +40,15 @@
         self.requests.insert(id, flight);
     }
 
-    /// Records that the answer of an attempt has begun, unless the attempt is stale.
-    pub fn start(&mut self, attempt: Attempt) {
+    /// Records that the answer of an attempt has begun. Returns its request with the prompt tokens that
+    /// were pending until then, or `None` if the attempt is stale.
+    pub fn start(&mut self, attempt: Attempt) -> Option<(&InFlight, TokenCount)> {
         let flight = self.requests.get_mut(&attempt.id);
-        if let Some(flight) = flight.filter(|f| f.attempt == attempt) {
-            flight.started = true;
-            self.recalls.remove(flight);
-        }
+        let flight = flight.filter(|f| f.attempt == attempt)?;
+        let pending = flight.pending_prefill();
+        flight.started = true;
+        self.recalls.remove(flight);
+        Some((flight, pending))
     }
 
     /// Returns the request of an attempt, or `None` if the attempt is stale, that is, not the
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -20,6 +20,7 @@
 mod queues;
 mod recall_index;
 mod recalls;
+mod refusals;
 mod reports;
 mod retry;
 mod retry_decision;
--- a/azureway-core/src/router/outdated.rs
+++ b/azureway-core/src/router/outdated.rs
@@ -4,26 +4,16 @@
 
 use super::{Outlook, RetryDecision, Router};
 use crate::domain::{Request, ServiceId, Timestamp};
-use crate::event::{Action, Event};
+use crate::event::Action;
 use crate::route::Policy;
 
 /// The services of which some servers have outdated weights.
 type Outlooks = SmallVec<[(ServiceId, Outlook); 4]>;
 
 impl<P: Policy> Router<P> {
-    /// Refuses the waiting requests, after `event`, that no server may serve before their deadline because
-    /// of its weights. Streams that have begun go on waiting, since nobody else can resume them.
-    pub(super) fn refuse_outdated(
-        &mut self,
-        event: Event<'_>,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let outlooks = match event {
-            // The most frequent events end no weights, and what arrives has been checked.
-            Event::Arrived(_) | Event::Started(_) | Event::Finished(_) | Event::Cache(_) => return,
-            _ => self.outlooks(now),
-        };
+    /// Refuses the waiting requests that no server may serve before their deadline because of its weights.
+    pub(super) fn refuse_outdated(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let outlooks = self.outlooks(now);
         if outlooks.is_empty() {
             return;
         }
@@ -35,23 +25,14 @@
             let deadline = request.deadline.timestamp();
             outlook_of(request).is_some_and(|o| !o.allows(0, deadline))
         };
-        let queued = self.queues.remove_if(|q| hopeless(&q.request));
-        let queued = queued.into_iter().map(|q| (q.request, q.plan.not_run));
-        let retries = self.retries.remove_fresh(|r| hopeless(&r.request));
-        let retries = retries.into_iter().map(|r| (r.request, r.plan.not_run));
-        for (request, not_run) in queued.chain(retries) {
-            let wait = outlook_of(&request).and_then(|o| o.next_server(now));
-            out.push(Action::Refuse(
-                request.id,
-                RetryDecision::outdated(not_run, wait),
-            ));
-        }
+        let refusal = |request: &Request, not_run| {
+            let wait = outlook_of(request).and_then(|o| o.next_server(now));
+            RetryDecision::outdated(not_run, wait)
+        };
+        self.refuse_waiting(hopeless, refusal, out);
     }
 
     fn outlooks(&self, now: Timestamp) -> Outlooks {
-        if self.queues.is_empty() && self.retries.is_empty() {
-            return Outlooks::new();
-        }
         let servers = self.dispatcher.servers();
         let services = self.fleet.services.values();
         let outlooks =
--- a/azureway-core/src/router/outlook.rs
+++ b/azureway-core/src/router/outlook.rs
@@ -45,7 +45,7 @@
     }
 
     /// Returns the time from which the first server may serve, if there is one.
-    pub fn first(&self) -> Option<Timestamp> {
+    fn first(&self) -> Option<Timestamp> {
         self.servers.iter().map(|(from, _)| *from).min()
     }
 
--- a/azureway-core/src/router/pauses.rs
+++ b/azureway-core/src/router/pauses.rs
@@ -4,7 +4,7 @@
 
 use super::{RetryDecision, Router};
 use crate::domain::{Request, ServiceId, Timestamp};
-use crate::event::{Action, Event};
+use crate::event::Action;
 use crate::fleet::PauseNotice;
 use crate::route::Policy;
 
@@ -17,20 +17,10 @@
         self.dispatcher.servers_mut().apply_pause(notice, now);
     }
 
-    /// Refuses waiting requests that cannot be served in time, after `event`, because every server of
-    /// their pool is held. Streams that have begun go on waiting: a new server may still resume them,
-    /// and nobody else can.
-    pub(super) fn refuse_paused(
-        &mut self,
-        event: Event<'_>,
-        now: Timestamp,
-        out: &mut Vec<Action>,
-    ) {
-        let held = match event {
-            // The most frequent events hold no server, and what arrives has been checked.
-            Event::Arrived(_) | Event::Started(_) | Event::Finished(_) | Event::Cache(_) => return,
-            _ => self.held_services(now),
-        };
+    /// Refuses waiting requests that cannot be served in time, because every server of their pool is
+    /// held.
+    pub(super) fn refuse_paused(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        let held = self.held_services(now);
         if held.is_empty() {
             return;
         }
@@ -41,21 +31,16 @@
         let hopeless = |request: &Request| {
             end_of(request).is_some_and(|end| request.deadline.timestamp() < end)
         };
-        let queued = self.queues.remove_if(|q| hopeless(&q.request));
-        let queued = queued.into_iter().map(|q| (q.request, q.plan.not_run));
-        let retries = self.retries.remove_fresh(|r| hopeless(&r.request));
-        let retries = retries.into_iter().map(|r| (r.request, r.plan.not_run));
-        for (request, not_run) in queued.chain(retries) {
-            let wait = end_of(&request).unwrap_or(now).since(now);
-            let refusal = RetryDecision::paused(not_run, wait);
-            out.push(Action::Refuse(request.id, refusal));
-        }
+        let refusal = |request: &Request, not_run| {
+            let wait = end_of(request).unwrap_or(now).since(now);
+            RetryDecision::paused(not_run, wait)
+        };
+        self.refuse_waiting(hopeless, refusal, out);
     }
 
     fn held_services(&self, now: Timestamp) -> HeldServices {
         let servers = self.dispatcher.servers();
-        let waiting = !self.queues.is_empty() || !self.retries.is_empty();
-        if !waiting || !servers.has_pauses(now) {
+        if !servers.has_pauses(now) {
             return HeldServices::new();
         }
         let services = self.fleet.services.values();
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -83,7 +83,7 @@
     ) -> bool {
         let rollout = service.rollout.as_ref().zip(candidate.state.weights);
         rollout.is_none_or(|(rollout, loaded)| {
-            let wait = Estimate::new(profile, candidate, now).time_to_first_token();
+            let wait = || Estimate::new(profile, candidate, now).time_to_first_token();
             rollout.allows_start(loaded, now, wait)
         })
     }
--- a/azureway-core/src/router/recalls.rs
+++ b/azureway-core/src/router/recalls.rs
@@ -22,15 +22,14 @@
         failure: &Failure,
         now: Timestamp,
     ) -> RetryDecision {
+        if failure.kind != FailureKind::Recalled || decision != RetryDecision::Retry {
+            return decision;
+        }
         let available = self.budgets.for_pool(&flight.pool, now).available();
         let waiting = u64::try_from(self.retries.len()).unwrap_or(u64::MAX);
-        match decision {
-            RetryDecision::Retry
-                if failure.kind == FailureKind::Recalled && available <= waiting =>
-            {
-                RetryDecision::Refuse(RetryDecision::recalled(failure))
-            }
-            decision => decision,
+        match available <= waiting {
+            true => RetryDecision::Refuse(RetryDecision::recalled(failure)),
+            false => decision,
         }
     }
 }
--- a/azureway-entry/src/exchange/attempt_reports.rs
+++ b/azureway-entry/src/exchange/attempt_reports.rs
@@ -15,12 +15,7 @@
             AttemptError::Server(_, sent) => (FailureKind::Recalled, sent),
             AttemptError::CallerDisconnected => (FailureKind::Recalled, SendState::MaybeRun),
         };
-        DecideMessage::Failed(Failure {
-            attempt: self.dispatch.attempt,
-            kind,
-            sent,
-            position: self.next_position,
-        })
+        self.failed(kind, sent)
     }
 
     /// Returns the report of a failure and drops idle connections that it likely affects.
@@ -29,6 +24,10 @@
             // The cause has most likely broken the idle connections to the server as well.
             self.pool.purge(self.dispatch.address);
         }
+        self.failed(kind, sent)
+    }
+
+    fn failed(&self, kind: FailureKind, sent: SendState) -> DecideMessage {
         DecideMessage::Failed(Failure {
             attempt: self.dispatch.attempt,
             kind,
--- a/azureway-entry/src/exchange/server_call.rs
+++ b/azureway-entry/src/exchange/server_call.rs
@@ -31,27 +31,23 @@
 const MAX_BODY: usize = 1024 * 1024;
 
 impl ServerCall {
-    /// Creates a `GET` call, which ends `limit` from now, also if it is
-    /// made later.
+    /// Creates a `GET` call, which ends `limit` from now, also if it is made later.
     pub fn get(address: SocketAddr, path: &str, limit: Duration) -> Self {
-        let request = Request::get(path).header("host", address.to_string());
-        Self {
-            address,
-            request: request.header("connection", "close"),
-            body: Bytes::new(),
-            deadline: Instant::now() + limit,
-        }
+        Self::new(address, Request::get(path), Bytes::new(), limit)
     }
 
-    /// Creates a `POST` call with a JSON body, which ends `limit` from now, also if it is
-    /// made later.
+    /// Creates a `POST` call with a JSON body, which ends `limit` from now, also if it is made later.
     pub fn post_json(address: SocketAddr, path: &str, body: String, limit: Duration) -> Self {
-        let request = Request::post(path).header("host", address.to_string());
-        let request = request.header("connection", "close");
+        let request = Request::post(path).header("content-type", "application/json");
+        Self::new(address, request, body.into(), limit)
+    }
+
+    fn new(address: SocketAddr, request: Builder, body: Bytes, limit: Duration) -> Self {
+        let request = request.header("host", address.to_string());
         Self {
             address,
-            request: request.header("content-type", "application/json"),
-            body: body.into(),
+            request: request.header("connection", "close"),
+            body,
             deadline: Instant::now() + limit,
         }
     }
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -139,8 +139,7 @@
     /// Ends the checks of a server that has told of the weights that it was to load.
     fn complete_check(&mut self, server: &ServerId, weights: WeightsVersion) {
         if let Some(order) = self.checks.complete(server, weights) {
-            log::info!(step = "order", peer:% = server, weights:% = weights; "loaded");
-            self.notify_peers(&order, weights, Duration::ZERO);
+            self.report_loaded(&order, weights);
         }
     }
 
@@ -148,7 +147,7 @@
     /// selected lets its lease expire, and sends orders until then.
     fn advance(&mut self) {
         self.next_wakeup = IDLE;
-        self.check_loads();
+        let checked = self.check_loads();
         self.renew_lease();
         self.send_announced();
         while self.lease.fencing_number(self.clock.now(), false).is_some() {
@@ -165,8 +164,6 @@
         let now = self.clock.now();
         let planned = self.planner.next_wakeup(now);
         let swept = self.sweep(now);
-        let checked = self.checks.next_wakeup();
-        let checked = checked.filter(|_| self.peers.is_some());
         let announced = self.announced.iter().map(|(at, _)| *at).min();
         let wakeups = [planned, swept, checked, announced].into_iter().flatten();
         self.next_wakeup = wakeups.fold(self.next_wakeup, Timestamp::min);
@@ -199,13 +196,13 @@
         }
     }
 
-    /// Asks the servers whose checks are due whether their loads have completed.
-    fn check_loads(&mut self) {
-        if self.peers.is_none() {
-            return;
-        }
+    /// Asks the servers whose checks are due whether their loads have completed. Returns the time of the
+    /// next check. Without peers to notify, the servers' own reports suffice.
+    fn check_loads(&mut self) -> Option<Timestamp> {
+        self.peers.as_ref()?;
         while let Some(order) = self.checks.next_due(self.clock.now()) {
             self.calls.check(order);
         }
+        self.checks.next_wakeup()
     }
 }
--- a/azureway-entry/src/order/replies.rs
+++ b/azureway-entry/src/order/replies.rs
@@ -1,7 +1,5 @@
 //! The ordering duty's methods that handle the results of its calls to servers.
 
-use std::time::Duration;
-
 use azureway_core::prelude::*;
 use azureway_objects::ObjectApi;
 
@@ -66,8 +64,7 @@
             }
             LoadProgress::Outdated => {}
             LoadProgress::Loaded => {
-                log::info!(step = "order", peer:% = order.server, weights:% = status.weights; "loaded");
-                self.notify_peers(order, status.weights, Duration::ZERO);
+                self.report_loaded(order, status.weights);
             }
             LoadProgress::Idle => {
                 log::warn!(
--- a/azureway-entry/src/order/sending.rs
+++ b/azureway-entry/src/order/sending.rs
@@ -48,6 +48,12 @@
         });
     }
 
+    /// Logs that a server has loaded weights, and notifies all peers.
+    pub(super) fn report_loaded(&self, order: &LoadOrder, weights: WeightsVersion) {
+        log::info!(step = "order", peer:% = order.server, weights:% = weights; "loaded");
+        self.notify_peers(order, weights, Duration::ZERO);
+    }
+
     /// Notifies all peers that a server does not load for now, so that they use it again.
     pub(super) fn withdraw(&self, order: &LoadOrder) {
         self.notify(LoadNotice::withdrawn(order.server.clone()));
--- a/azureway-entry/tests/order_calls.rs
+++ b/azureway-entry/tests/order_calls.rs
@@ -1,5 +1,7 @@
 //! Tests of the ordering duty with servers that do not answer orders.
 
+mod lease_platform;
+
 use std::collections::VecDeque;
 use std::future::Future;
 use std::sync::{Arc, Mutex};
@@ -11,42 +13,13 @@
 use azureway_entry::order::{OrderLink, OrderMessage, Orderer};
 use azureway_entry::peer::PeerMessage;
 use azureway_entry::runtime;
-use azureway_objects::{ObjectApi, Put};
-use azureway_wire::object::{ObjectBody, ObjectList};
 use flume::{Receiver, Sender};
 use googletest::prelude::*;
-
-/// The result of a platform call.
-type CallResult<T> = std::result::Result<T, Error>;
+use lease_platform::LeasePlatform;
 
 /// The bound on a wait, so that a failing test cannot hang. No result depends on it.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// A platform that accepts every write of the lease.
-struct Platform;
-
-impl ObjectApi for Platform {
-    fn get(&self, _: &str, _: &str) -> CallResult<Option<ObjectBody>> {
-        Ok(None)
-    }
-
-    fn list(&self, _: &str) -> CallResult<ObjectList> {
-        Ok(ObjectList::default())
-    }
-
-    fn put(&self, put: &Put<'_>) -> CallResult<u64> {
-        Ok(put.expected + 1)
-    }
-
-    fn delete(&self, _: &str, _: &str, _: u64) -> CallResult<()> {
-        unreachable!("no claim is old")
-    }
-
-    fn watch(&self, _: &str, _: u64, _: Duration) -> CallResult<ObjectList> {
-        unreachable!("the duty does not watch")
-    }
-}
-
 /// Servers that give the listed answers one after another, and then none.
 struct Servers {
     answers: Arc<Mutex<VecDeque<OrderAnswer>>>,
@@ -117,7 +90,7 @@
         };
         let lease = Lease::new(LeaseConfig::new(), InstanceId::new("a-entry-1"), 7);
         let config = OrderConfig::new().with_store_rate(1_000);
-        let duty = Orderer::new(Platform, link, received, Clock::new(), lease, config);
+        let duty = Orderer::new(LeasePlatform, link, received, Clock::new(), lease, config);
         thread::spawn(move || {
             let runtime = runtime::create().expect("a runtime");
             duty.with_peers(peers).run(&runtime);
--- a/azureway-entry/tests/order_holds.rs
+++ b/azureway-entry/tests/order_holds.rs
@@ -1,5 +1,7 @@
 //! Tests of the lease holder's calls to servers that asked it for a pause.
 
+mod lease_platform;
+
 use std::future::{self, Future};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -8,13 +10,9 @@
 use azureway_entry::clock::Clock;
 use azureway_entry::order::{LoadChecks, OrderClient, OrderLink, OrderMessage, Orderer};
 use azureway_entry::runtime;
-use azureway_objects::{ObjectApi, Put};
-use azureway_wire::object::{ObjectBody, ObjectList};
 use flume::Sender;
 use googletest::prelude::*;
-
-/// The result of a platform call.
-type CallResult<T> = std::result::Result<T, Error>;
+use lease_platform::LeasePlatform;
 
 /// The time at which the load of a test of [`LoadChecks`] is ordered.
 const START: Timestamp = Timestamp::from_millis(3_600_000);
@@ -23,31 +21,6 @@
 /// The time after the answer within which calls that are on their way may still arrive.
 const GRACE: Duration = Duration::from_millis(500);
 
-/// A platform that accepts every write of the lease.
-struct Platform;
-
-impl ObjectApi for Platform {
-    fn get(&self, _: &str, _: &str) -> CallResult<Option<ObjectBody>> {
-        Ok(None)
-    }
-
-    fn list(&self, _: &str) -> CallResult<ObjectList> {
-        Ok(ObjectList::default())
-    }
-
-    fn put(&self, put: &Put<'_>) -> CallResult<u64> {
-        Ok(put.expected + 1)
-    }
-
-    fn delete(&self, _: &str, _: &str, _: u64) -> CallResult<()> {
-        unreachable!("no claim is old")
-    }
-
-    fn watch(&self, _: &str, _: u64, _: Duration) -> CallResult<ObjectList> {
-        unreachable!("the duty does not watch")
-    }
-}
-
 /// Servers that take every order and never complete it. The first one that is polled asks for a
 /// pause at the same time. The duty's messages end once others were polled five times.
 struct Servers {
@@ -222,7 +195,7 @@
     };
     let lease = Lease::new(LeaseConfig::new(), InstanceId::new("a-entry-1"), 7);
     let config = OrderConfig::new();
-    let orderer = Orderer::new(Platform, link, messages, Clock::new(), lease, config);
+    let orderer = Orderer::new(LeasePlatform, link, messages, Clock::new(), lease, config);
     let runtime = runtime::create().expect("a runtime");
     orderer.with_peers(peers).run(&runtime);
     let polls = polls.lock().expect("the lock");
