review: bodies of requests take more memory than the machine has

Cause: bodies are read before the caller is known and copied for each attempt, and only their single size is bounded. Fifteen callers with 4 MB each exceed 110 MB, and the platform kills the process.

Adds the case with its script.

--- a/review/stand/entry.rs
+++ b/review/stand/entry.rs
@@ -35,13 +35,31 @@
 ];
 
 impl Entry {
-    /// Writes the settings of machine `node` into `folder` and starts the process.
+    /// Writes the settings of machine `node` into `folder` and starts the process. If another program takes
+    /// one of the free ports first, the process ends, and others are tried.
     pub fn start(
         folder: &Path,
         node: &str,
         zone: &str,
         zones: &[(&str, &str)],
         store: SocketAddr,
+    ) -> Self {
+        for _ in 0..4 {
+            let mut entry = Self::start_once(folder, node, zone, zones, store);
+            thread::sleep(Duration::from_millis(300));
+            if matches!(entry.child.try_wait(), Ok(None)) {
+                return entry;
+            }
+        }
+        Self::start_once(folder, node, zone, zones, store)
+    }
+
+    fn start_once(
+        folder: &Path,
+        node: &str,
+        zone: &str,
+        zones: &[(&str, &str)],
+        store: SocketAddr,
     ) -> Self {
         let ports: Vec<_> = (0..3)
             .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and checks of the review's cases: `stand CASE FOLDER`.
 
 mod case_extra;
+mod case_memory;
 mod client;
 mod entry;
 mod http;
@@ -40,6 +41,7 @@
     record.say(format_args!("case {case}, trouble {trouble}"));
     let run = || match case.as_str() {
         "extra" => case_extra::run(&record, &temp, trouble),
+        "memory" => case_memory::run(&record, &temp, trouble),
         _ => NOT_RUN,
     };
     let code = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)).unwrap_or(NOT_RUN);
