review: an isolated tenant's cached parts are used by another one

Cause: the salt of accounts that are not isolated is the same in every version of the configuration, so what an account left under it before it was isolated is still found.

Adds the case with its script.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -2,6 +2,7 @@
 
 mod case_extra;
 mod case_memory;
+mod case_wall;
 mod client;
 mod entry;
 mod http;
@@ -42,6 +43,7 @@
     let run = || match case.as_str() {
         "extra" => case_extra::run(&record, &temp, trouble),
         "memory" => case_memory::run(&record, &temp, trouble),
+        "wall" => case_wall::run(&record, &temp, trouble),
         _ => NOT_RUN,
     };
     let code = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run)).unwrap_or(NOT_RUN);
