review: a page stays refused for ten minutes after a short cut

Cause: broken connections count as unconfirmed crash reports, and two of them quarantine all requests with the same account, target and body. They are cleared only when a fleet is built, which needs a change in the store. Without one, lookups of the page are refused until the reports expire after 600 s.

Adds the case with its script and a proxy that cuts links.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and checks of the review's cases: `stand CASE FOLDER`.
 
+mod case_cut;
 mod case_extra;
 mod case_memory;
 mod case_wall;
@@ -7,6 +8,7 @@
 mod entry;
 mod http;
 mod json;
+mod proxy;
 mod record;
 mod socket;
 mod store;
@@ -42,6 +44,7 @@
     record.say(format_args!("case {case}, trouble {trouble}"));
     let run = || match case.as_str() {
         "extra" => case_extra::run(&record, &temp, trouble),
+        "cut" => case_cut::run(&record, &temp, trouble),
         "memory" => case_memory::run(&record, &temp, trouble),
         "wall" => case_wall::run(&record, &temp, trouble),
         _ => NOT_RUN,
--- /dev/null
+++ b/review/stand/proxy.rs
@@ -0,0 +1,96 @@
+//! A link that can be cut: a proxy that resets its connections.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// The value of `SO_LINGER`.
+#[repr(C)]
+struct Linger {
+    on: i32,
+    seconds: i32,
+}
+
+unsafe extern "C" {
+    fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
+}
+
+const SOL_SOCKET: i32 = 1;
+const SO_LINGER: i32 = 13;
+/// How long a read waits before it looks whether the link is cut.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// Listens on a free loopback port and passes connections on to `target`. While `cut` is set, it resets its
+/// connections and every new one.
+pub fn link(target: SocketAddr, cut: Arc<AtomicBool>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let cut = cut.clone();
+            if cut.load(Ordering::Relaxed) {
+                reset(&near);
+                continue;
+            }
+            thread::spawn(move || pass(near, target, cut));
+        }
+    });
+    Ok(address)
+}
+
+fn pass(near: TcpStream, target: SocketAddr, cut: Arc<AtomicBool>) -> io::Result<()> {
+    let far = TcpStream::connect(target)?;
+    for stream in [&near, &far] {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(LOOK))?;
+    }
+    let (near_copy, far_copy, cut_copy) = (near.try_clone()?, far.try_clone()?, cut.clone());
+    let back = thread::spawn(move || copy(&far_copy, &near_copy, &cut_copy));
+    copy(&near, &far, &cut);
+    let _ = back.join();
+    if cut.load(Ordering::Relaxed) {
+        reset(&near);
+        reset(&far);
+    }
+    Ok(())
+}
+
+fn copy(mut from: &TcpStream, mut to: &TcpStream, cut: &AtomicBool) {
+    let mut buffer = [0; 16 * 1024];
+    while !cut.load(Ordering::Relaxed) {
+        match from.read(&mut buffer) {
+            Ok(0) => {
+                let _ = to.shutdown(std::net::Shutdown::Write);
+                return;
+            }
+            // What was on its way as the link was cut is lost.
+            Ok(_) if cut.load(Ordering::Relaxed) => return,
+            Ok(count) if to.write_all(&buffer[..count]).is_ok() => {}
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                ) => {}
+            _ => return,
+        }
+    }
+}
+
+/// Lets the connection be reset when it is closed.
+fn reset(stream: &TcpStream) {
+    let linger = Linger { on: 1, seconds: 0 };
+    // SAFETY: the descriptor is open, and the value has the length that is given.
+    unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            SO_LINGER,
+            &linger,
+            size_of::<Linger>() as u32,
+        )
+    };
+}
