review: a machine cuts its streams when another one's connections are reset

Cause: unconfirmed crash reports of three broken connections quarantine a part of a prompt, and every entry cancels the requests with that part whose answer has not begun. A caller who has the head of a stream counts as one whose answer has not begun, and is cut.

Adds the case with its script.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -3,6 +3,7 @@
 mod case_cut;
 mod case_extra;
 mod case_memory;
+mod case_parts;
 mod case_wall;
 mod client;
 mod entry;
@@ -46,6 +47,7 @@
         "extra" => case_extra::run(&record, &temp, trouble),
         "cut" => case_cut::run(&record, &temp, trouble),
         "memory" => case_memory::run(&record, &temp, trouble),
+        "parts" => case_parts::run(&record, &temp, trouble),
         "wall" => case_wall::run(&record, &temp, trouble),
         _ => NOT_RUN,
     };
--- a/review/stand/proxy.rs
+++ b/review/stand/proxy.rs
@@ -24,6 +24,20 @@
 /// How long a read waits before it looks whether the link is cut.
 const LOOK: Duration = Duration::from_millis(1);
 
+/// Like [`link`], but while `cut` is set only every second connection that is open is reset, and new ones work.
+pub fn shaky_link(target: SocketAddr, cut: Arc<AtomicBool>) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for (number, near) in listener.incoming().flatten().enumerate() {
+            let sound = number % 2 == 0 || cut.load(Ordering::Relaxed);
+            let cut = if sound { Arc::default() } else { cut.clone() };
+            thread::spawn(move || pass(near, target, cut));
+        }
+    });
+    Ok(address)
+}
+
 /// Listens on a free loopback port and passes connections on to `target`. While `cut` is set, it resets its
 /// connections and every new one.
 pub fn link(target: SocketAddr, cut: Arc<AtomicBool>) -> io::Result<SocketAddr> {
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -44,6 +44,8 @@
     state: Arc<(Mutex<State>, Condvar)>,
     /// Whether the store is down, that is, resets each connection.
     pub down: Arc<AtomicBool>,
+    /// The addresses that this view of the store tells differently.
+    rewritten: Vec<(String, String)>,
     record: Record,
 }
 
@@ -55,10 +57,20 @@
         Self {
             state: Arc::default(),
             down: Arc::default(),
+            rewritten: Vec::new(),
             record,
         }
     }
 
+    /// Returns a view of the store for one machine, to which the first address of each pair is told as the
+    /// second: that of a link of the machine's own.
+    pub fn view(&self, rewritten: Vec<(String, String)>) -> Self {
+        Self {
+            rewritten,
+            ..self.clone()
+        }
+    }
+
     /// Serves the store on a free port of the loopback address.
     pub fn serve(&self) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -105,6 +117,8 @@
                 return;
             }
             let (status, text) = self.answer(&head, &String::from_utf8_lossy(&body));
+            let rewrite = |text: String, (from, to): &(String, String)| text.replace(from, to);
+            let text = self.rewritten.iter().fold(text, rewrite);
             let answer = format!(
                 "HTTP/1.1 {status} x\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{text}",
                 text.len()
