--- a/review/stand/entry.rs
+++ b/review/stand/entry.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -121,12 +122,6 @@
         }
         false
     }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args(["-s", name, &id]).status();
-    }
 }
 
 impl Drop for Entry {
@@ -136,6 +131,13 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, value: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// Starts the program with the words of `run` in the deploy file.
 fn spawn(settings: &Path, log: &Path) -> Child {
     let deploy = fs::read_to_string("deploy/system.toml").unwrap();
@@ -146,7 +148,16 @@
     let mut words = run.split(' ');
     let log = fs::OpenOptions::new().create(true).append(true).open(log);
     let log = log.unwrap();
-    Command::new(words.next().unwrap())
+    let mut command = Command::new(words.next().unwrap());
+    // The process ends with this one, also if this one is killed.
+    // SAFETY: the hook makes one system call.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        })
+    };
+    command
         .args(words)
         .env_clear()
         .env("PATH", std::env::var("PATH").unwrap_or_default())
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -42,8 +41,6 @@
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
-    /// Whether the store is down, that is, resets each connection.
-    pub down: Arc<AtomicBool>,
     /// The addresses that this view of the store tells differently.
     rewritten: Vec<(String, String)>,
     record: Record,
@@ -56,7 +53,6 @@
     pub fn new(record: Record) -> Self {
         Self {
             state: Arc::default(),
-            down: Arc::default(),
             rewritten: Vec::new(),
             record,
         }
@@ -93,29 +89,10 @@
         self.state.1.notify_all();
     }
 
-    /// Removes an object as the platform does.
-    pub fn remove(&self, kind: &str, name: &str) {
-        self.record
-            .add(format_args!("store: {kind}/{name} removed"));
-        let mut state = self.state.0.lock().unwrap();
-        erase(&mut state, kind, name);
-        self.state.1.notify_all();
-    }
-
-    /// Returns the value of an object.
-    pub fn get(&self, kind: &str, name: &str) -> Option<String> {
-        let state = self.state.0.lock().unwrap();
-        let key = (kind.to_owned(), name.to_owned());
-        state.objects.get(&key).map(|o| o.spec.clone())
-    }
-
     fn run(&self, stream: TcpStream) {
         let mut conn = Conn::new(stream);
         while let Ok(Some(head)) = conn.head() {
             let Ok(body) = conn.body(&head) else { return };
-            if self.down.load(Ordering::Relaxed) {
-                return;
-            }
             let (status, text) = self.answer(&head, &String::from_utf8_lossy(&body));
             let rewrite = |text: String, (from, to): &(String, String)| text.replace(from, to);
             let text = self.rewritten.iter().fold(text, rewrite);
