--- a/review/stand/proxy.rs
+++ b/review/stand/proxy.rs
@@ -2,25 +2,13 @@
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-/// The value of `SO_LINGER`.
-#[repr(C)]
-struct Linger {
-    on: i32,
-    seconds: i32,
-}
-
-unsafe extern "C" {
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
-}
+use crate::socket::reset_on_close;
 
-const SOL_SOCKET: i32 = 1;
-const SO_LINGER: i32 = 13;
 /// How long a read waits before it looks whether the link is cut.
 const LOOK: Duration = Duration::from_millis(1);
 
@@ -47,7 +35,7 @@
         for near in listener.incoming().flatten() {
             let cut = cut.clone();
             if cut.load(Ordering::Relaxed) {
-                reset(&near);
+                reset_on_close(&near);
                 continue;
             }
             thread::spawn(move || pass(near, target, cut));
@@ -67,8 +55,8 @@
     copy(&near, &far, &cut);
     let _ = back.join();
     if cut.load(Ordering::Relaxed) {
-        reset(&near);
-        reset(&far);
+        reset_on_close(&near);
+        reset_on_close(&far);
     }
     Ok(())
 }
@@ -93,18 +81,3 @@
         }
     }
 }
-
-/// Lets the connection be reset when it is closed.
-fn reset(stream: &TcpStream) {
-    let linger = Linger { on: 1, seconds: 0 };
-    // SAFETY: the descriptor is open, and the value has the length that is given.
-    unsafe {
-        setsockopt(
-            stream.as_raw_fd(),
-            SOL_SOCKET,
-            SO_LINGER,
-            &linger,
-            size_of::<Linger>() as u32,
-        )
-    };
-}
