review: show the growth of memory with bodies of the site's size

The case used bodies of 4 MB, the limit of the configuration. It now uses 110,000 bytes, the largest of the site's notes, and more callers.

--- a/review/stand/case_memory.rs
+++ b/review/stand/case_memory.rs
@@ -16,21 +16,21 @@
 use crate::store::Store;
 use crate::{BROKEN, HELD, NOT_RUN};
 
-const REPLICAS: usize = 3;
+const REPLICAS: usize = 9;
 const SLOTS: u32 = 64;
 /// The memory of a machine, in KB.
 const MEMORY_KB: u64 = 110 * 1024;
 /// The clients that send long requests, usually and in a burst of 2.5 times the traffic.
-const USUAL: usize = 6;
-const BURST: usize = 15;
+const USUAL: usize = 180;
+const BURST: usize = 450;
 /// The burst lasts for 7 s and comes each 12 s.
 const LASTS: Duration = Duration::from_millis(7_000);
 const PERIOD: Duration = Duration::from_millis(12_000);
 /// The clients that send short requests.
 const SHORT: usize = 40;
 /// The size of a long request: `max_body_bytes` is 4,194,304.
-const LONG_SIZE: usize = 4_000_000;
-const LONG_WORK: Duration = Duration::from_millis(2_000);
+const LONG_SIZE: usize = 110_000;
+const LONG_WORK: Duration = Duration::from_millis(4_000);
 const SHORT_WORK: Duration = Duration::from_millis(60);
 const RUN: Duration = Duration::from_secs(45);
 /// The rule counts more than this many lost requests.
@@ -185,7 +185,7 @@
     for number in 0..BURST {
         let shared = shared.clone();
         clients.push(thread::spawn(move || {
-            thread::sleep(Duration::from_millis(100 * number as u64));
+            thread::sleep(Duration::from_millis(8 * number as u64));
             send(&shared, "/notes/a", LONG_SIZE, move || {
                 number < USUAL || bursts()
             });
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -4,6 +4,7 @@
 mod case_extra;
 mod case_memory;
 mod case_parts;
+mod case_shed;
 mod case_wall;
 mod client;
 mod entry;
@@ -48,6 +49,7 @@
         "cut" => case_cut::run(&record, &temp, trouble),
         "memory" => case_memory::run(&record, &temp, trouble),
         "parts" => case_parts::run(&record, &temp, trouble),
+        "shed" => case_shed::run(&record, &temp, trouble),
         "wall" => case_wall::run(&record, &temp, trouble),
         _ => NOT_RUN,
     };
