--- a/review/stand/case_cut.rs
+++ b/review/stand/case_cut.rs
@@ -91,6 +91,9 @@
             TIMEOUT.as_millis() as u64,
             body.as_bytes(),
         );
+        shared
+            .record
+            .add(format_args!("client: {id} {method} {path} sent"));
         let conn = kept
             .take()
             .map_or_else(|| client::connect(shared.front), Ok);
--- a/review/stand/case_memory.rs
+++ b/review/stand/case_memory.rs
@@ -84,6 +84,7 @@
         let id = attempt_id();
         let bytes = request("POST", path, &id, 5_000, &body);
         let was_kept = kept.is_some();
+        shared.record.add(format_args!("client: {id} {path} sent"));
         let conn = kept
             .take()
             .map_or_else(|| client::connect(shared.front), Ok);
@@ -93,6 +94,10 @@
         };
         match exchange(&mut conn, &bytes) {
             Ok((head, _)) => {
+                shared.record.add(format_args!(
+                    "client: {id} {path} answered {}",
+                    head.status()
+                ));
                 *shared
                     .answered
                     .lock()
--- a/review/stand/case_parts.rs
+++ b/review/stand/case_parts.rs
@@ -80,6 +80,7 @@
          Azureway-Token-Usage: 1460,10\r\nAzureway-Prompt-Prefix: {part}:1200,{id}:250\r\n\
          Azureway-Deadline-Ms: 15000\r\nAuthorization: Token {KEY}\r\nContent-Length: 16\r\n\r\n{id}"
     );
+    record.add(format_args!("client of {name}: {id} with part {part} sent"));
     let (status, error) = match conn.send(text.as_bytes()).and_then(|()| conn.head()) {
         Ok(Some(head)) => (head.status(), conn.body(&head).err()),
         Ok(None) => (0, Some(io::ErrorKind::UnexpectedEof.into())),
--- a/review/stand/case_wall.rs
+++ b/review/stand/case_wall.rs
@@ -197,6 +197,7 @@
                      Azureway-Prompt-Prefix: {SHARED_PARTS},{id}:250\r\nAzureway-Deadline-Ms: 5000\r\n\
                      Authorization: Token {key}\r\nContent-Length: 5\r\n\r\nnotes"
                 );
+                record.add(format_args!("client {name}: {id} sent"));
                 let result = client::connect(front).and_then(|mut c| exchange(&mut c, request.as_bytes()));
                 match result {
                     Ok((head, _)) => {
