--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,6 +1,5 @@
 //! Stand-ins and checks of the review's cases: `stand CASE FOLDER`.
 
-mod case_cut;
 mod case_extra;
 mod case_memory;
 mod case_parts;
@@ -46,7 +45,6 @@
     record.say(format_args!("case {case}, trouble {trouble}"));
     let run = || match case.as_str() {
         "extra" => case_extra::run(&record, &temp, trouble),
-        "cut" => case_cut::run(&record, &temp, trouble),
         "memory" => case_memory::run(&record, &temp, trouble),
         "parts" => case_parts::run(&record, &temp, trouble),
         "shed" => case_shed::run(&record, &temp, trouble),
--- a/review/stand/proxy.rs
+++ b/review/stand/proxy.rs
@@ -1,4 +1,4 @@
-//! A link that can be cut: a proxy that resets its connections.
+//! A link whose connections can be reset.
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -12,7 +12,8 @@
 /// How long a read waits before it looks whether the link is cut.
 const LOOK: Duration = Duration::from_millis(1);
 
-/// Like [`link`], but while `cut` is set only every second connection that is open is reset, and new ones work.
+/// Listens on a free loopback port and passes connections on to `target`. While `cut` is set, it resets every
+/// second one of the connections that are open; new ones work.
 pub fn shaky_link(target: SocketAddr, cut: Arc<AtomicBool>) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
@@ -26,24 +27,6 @@
     Ok(address)
 }
 
-/// Listens on a free loopback port and passes connections on to `target`. While `cut` is set, it resets its
-/// connections and every new one.
-pub fn link(target: SocketAddr, cut: Arc<AtomicBool>) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0")?;
-    let address = listener.local_addr()?;
-    thread::spawn(move || {
-        for near in listener.incoming().flatten() {
-            let cut = cut.clone();
-            if cut.load(Ordering::Relaxed) {
-                reset_on_close(&near);
-                continue;
-            }
-            thread::spawn(move || pass(near, target, cut));
-        }
-    });
-    Ok(address)
-}
-
 fn pass(near: TcpStream, target: SocketAddr, cut: Arc<AtomicBool>) -> io::Result<()> {
     let far = TcpStream::connect(target)?;
     for stream in [&near, &far] {
