Compare the attempt ID of early answers too

Callers saw the answer to another caller's request. If writing a long request failed, the answer that the server had sent early was returned without the comparison that every other answer gets, so a late second copy of an earlier answer passed for the rejection behind it.

Early answers now go through the same loop. The test failed before: it received "full other" and "finished" instead of nothing and "Busy Rejected".

--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -107,24 +107,28 @@
             .map_err(|e| failed(&e))?;
         connection.set_deadline(Some(self.clock.instant(passthrough.deadline)));
         let bytes = self.encode(passthrough, left);
-        if let Err(e) = connection.send(&bytes, timeout) {
+        let unread = connection.send(&bytes, timeout).err();
+        if let Some(e) = &unread {
             // A server that rejects a long request may answer before it has read all of it.
             connection
                 .set_read_timeout(EARLY_ANSWER_TIMEOUT)
-                .map_err(|_| failed(&e))?;
-            let head = connection.read_head().map_err(|_| failed(&e))?;
-            return Ok((connection, with_connection_close(head)));
+                .map_err(|_| failed(e))?;
         }
+        let failed = |e: io::Error| failed(unread.as_ref().unwrap_or(&e));
         for _ in 0..MAX_ANSWERS {
-            let head = connection.read_head().map_err(|e| failed(&e))?;
+            let head = connection.read_head().map_err(failed)?;
             let attempt_id = self.dialect.read(&head).attempt_id;
             if attempt_id.is_none_or(|a| Some(a) == self.attempt_id(passthrough)) {
+                let head = match unread {
+                    Some(_) => with_connection_close(head),
+                    None => head,
+                };
                 return Ok((connection, head));
             }
             log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server; "dropped an answer to another request");
             let framing = Framing::from_head(&head, &self.upstream.method);
             let framing = framing.filter(|f| *f != Framing::Closing).ok_or(BROKEN)?;
-            discard_body(connection.body(framing), MAX_OTHER_SIZE).map_err(|e| failed(&e))?;
+            discard_body(connection.body(framing), MAX_OTHER_SIZE).map_err(failed)?;
         }
         Err(BROKEN)
     }
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -28,6 +28,9 @@
 /// The bound on a wait, so that a failing test cannot hang. No result depends on it.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The size of a body that no socket buffers whole, in bytes.
+const UNREAD_SIZE: usize = 64 * 1024 * 1024;
+
 /// The rings of an attempt's answer and of its reports, and its handle.
 type Started = (
     Receiver<AnswerChunk>,
@@ -50,6 +53,16 @@
     pool: &ConnectionPool,
     once: bool,
     resend_limit: Duration,
+) -> Started {
+    let deadline = Clock::new().now() + TEST_TIMEOUT;
+    start_upstream(dispatch, upstream(once, deadline), pool, resend_limit)
+}
+
+fn start_upstream(
+    dispatch: Dispatch,
+    upstream: UpstreamRequest,
+    pool: &ConnectionPool,
+    resend_limit: Duration,
 ) -> Started {
     let (chunks, answer) = flume::bounded(64);
     let (decide, reports) = flume::bounded(64);
@@ -57,7 +70,7 @@
     let position = dispatch.position;
     let exchange = ExchangeAttempt {
         dispatch,
-        upstream: Arc::new(upstream(once, clock.now() + TEST_TIMEOUT)),
+        upstream: Arc::new(upstream),
         chunks,
         decide,
         dialect: TestDialect,
@@ -390,6 +403,33 @@
     expect_that!(outcome(&reports).as_str(), eq("finished"));
 }
 
+// Guards against a caller that gets the answer to another caller's request: a late second copy of it
+// precedes the rejection of a request that the server does not read to its end.
+#[gtest]
+fn an_early_answer_to_another_request_is_skipped() {
+    let other = "HTTP/1.1 200 OK~x-sign: 1~x-attempt: other~content-length: 5~~other";
+    let rejection = "HTTP/1.1 503 Full~x-not-run: 1~x-attempt: {}~connection: close~\
+                     content-length: 0~~";
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let pool = ConnectionPool::new(8);
+    let (answer, reports, _) = start_attempt(address, &pool, true, 0);
+    let (mut kept, _) = serve(&listener, GOOD);
+    answer.iter().for_each(drop);
+    outcome(&reports);
+    let long = UpstreamRequest {
+        body: Arc::from(vec![b'a'; UNREAD_SIZE]),
+        ..upstream(true, Clock::new().now() + TEST_TIMEOUT)
+    };
+    let dispatch = dispatch(address, StreamPosition::ZERO);
+    let (answer, reports, _) = start_upstream(dispatch, long, &pool, TEST_TIMEOUT);
+    kept.read_exact(&mut [0; 64]).expect("a part of the request");
+    run_script(&mut kept, &format!("{other}{rejection} hold"));
+    let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
+    expect_that!(chunks, is_empty());
+    expect_that!(outcome(&reports).as_str(), eq("Busy Rejected"));
+}
+
 #[gtest]
 fn a_request_to_an_unreachable_server_is_unsent() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
