Do not cut streams at sound servers because of a suspected part

Callers of one instance lost their streams when connections of another instance were reset: three broken connections quarantined a part, and every request in flight with it that had had no event was cancelled. Their callers had the head already, so they could not be answered.

A quarantine now recalls an attempt only if its server has not sent a head, which the attempt decides under its lock. The head of a stream is forwarded with its first event, so each failure before it (quarantine, recall, a server that breaks off) is answered with its status or retried.

--- a/azureway-core/src/event/action.rs
+++ b/azureway-core/src/event/action.rs
@@ -20,7 +20,7 @@
     Claim(ClaimCommand),
     /// Cancel an attempt.
     Cancel(Attempt),
-    /// Cancel an attempt unless its answer has begun, and report it with
+    /// Cancel an attempt unless its answer has begun for the cause, and report it with
     /// [`FailureKind::Recalled`](super::FailureKind::Recalled).
     Recall(Recall),
     /// Send a status change of a backend server to the other entry instances.
--- a/azureway-core/src/event/mod.rs
+++ b/azureway-core/src/event/mod.rs
@@ -7,6 +7,7 @@
 mod finish;
 mod input;
 mod recall;
+mod recall_cause;
 mod send_state;
 
 pub use action::Action;
@@ -16,4 +17,5 @@
 pub use finish::Finish;
 pub use input::Event;
 pub use recall::Recall;
+pub use recall_cause::RecallCause;
 pub use send_state::SendState;
--- a/azureway-core/src/event/recall.rs
+++ b/azureway-core/src/event/recall.rs
@@ -1,9 +1,9 @@
 //! The data that a driver needs to recall an attempt that has not begun.
 
-use crate::domain::{Attempt, ServerId, Timestamp, WeightsVersion};
+use super::RecallCause;
+use crate::domain::{Attempt, ServerId, Timestamp};
 
-/// An instruction to cancel an attempt unless its answer has begun, because its server has weights
-/// that may soon no longer answer.
+/// An instruction to cancel an attempt unless its answer has begun.
 ///
 /// The driver reports a recalled attempt as failed, since only it knows what the caller has received.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,8 +12,8 @@
     pub attempt: Attempt,
     /// The server that it was sent to.
     pub server: ServerId,
-    /// The weights version of the server.
-    pub weights: WeightsVersion,
+    /// The reason.
+    pub cause: RecallCause,
     /// The time at which the attempt was sent.
     pub sent: Timestamp,
 }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -13,7 +13,9 @@
 };
 pub use crate::domain::*;
 pub use crate::error::{Error, ErrorKind, Step};
-pub use crate::event::{Action, Dispatch, Event, Failure, FailureKind, Finish, Recall, SendState};
+pub use crate::event::{
+    Action, Dispatch, Event, Failure, FailureKind, Finish, Recall, RecallCause, SendState,
+};
 pub use crate::fleet::{
     Fleet, Health, LeavingCause, LeavingChange, LeavingMark, LoadReport, LoadSample, PaceMeter,
     PauseNotice, RouteTable, ServerState, ServerTable,
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -3,7 +3,7 @@
 use super::{InFlight, InFlightTable, Placement, PlacementRequest, RouteOption, RouterConfig};
 use crate::cache::{CacheIndex, CacheUpdate};
 use crate::domain::{Attempt, Incarnation, PoolId, RequestId, Timestamp, TokenCount};
-use crate::event::{Dispatch, Failure, Finish, Recall};
+use crate::event::{Dispatch, Failure, Finish, Recall, RecallCause};
 use crate::fleet::{Fleet, LoadReport, LoadSample, ServerTable};
 use crate::member::{LoadNotice, ServerStatus, ServerUpdate};
 use crate::quarantine::{CrashGuard, CrashSite};
@@ -211,11 +211,19 @@
             let state = self.servers.get(&flight.server);
             state.and_then(|s| s.weights) <= Some(flight.weights)
         });
-        let recalls = outdated.map(|flight| Recall {
-            attempt: flight.attempt,
-            server: flight.server.clone(),
-            weights: flight.weights,
-            sent: flight.sent,
+        let recalls = outdated.map(|flight| flight.recall(RecallCause::Outdated(flight.weights)));
+        recalls.collect()
+    }
+
+    /// Returns the recalls of the attempts whose answer has not begun and that have a quarantined part,
+    /// each of them once.
+    pub fn recall_quarantined(&mut self, now: Timestamp) -> Vec<Recall> {
+        let guard = &self.guard;
+        let waiting = self.in_flight.unstarted_mut().filter(|f| !f.recalled);
+        let doomed = waiting.filter(|f| guard.has_quarantined_part(&f.request, now));
+        let recalls = doomed.map(|flight| {
+            flight.recalled = true;
+            flight.recall(RecallCause::Quarantined)
         });
         recalls.collect()
     }
--- a/azureway-core/src/router/in_flight.rs
+++ b/azureway-core/src/router/in_flight.rs
@@ -5,7 +5,7 @@
     Attempt, Incarnation, PoolId, Request, ServerId, StreamPosition, Timestamp, TokenCount,
     WeightsVersion,
 };
-use crate::event::{Dispatch, Failure, FailureKind, SendState};
+use crate::event::{Dispatch, Failure, FailureKind, Recall, RecallCause, SendState};
 
 /// A request that a backend server is running.
 #[derive(Clone, Debug)]
@@ -26,6 +26,8 @@
     pub prefill: TokenCount,
     /// Whether the server has begun to answer.
     pub started: bool,
+    /// Whether the attempt was recalled because a part of the prompt is quarantined.
+    pub recalled: bool,
     /// Whether no earlier attempt can have run the request.
     pub not_run: bool,
     /// The number of earlier attempts that servers rejected for lack of capacity.
@@ -50,6 +52,7 @@
             weights: dispatch.weights,
             prefill: request.prompt.tokens().saturating_sub(dispatch.cached),
             started: false,
+            recalled: false,
             not_run: plan.not_run,
             rejections: plan.rejections,
             sent: Timestamp::ZERO,
@@ -78,6 +81,16 @@
         }
     }
 
+    /// Returns the instruction to recall the current attempt for `cause`.
+    pub fn recall(&self, cause: RecallCause) -> Recall {
+        Recall {
+            attempt: self.attempt,
+            server: self.server.clone(),
+            cause,
+            sent: self.sent,
+        }
+    }
+
     /// Returns the plan of the next attempt after the server rejected this one for lack of
     /// capacity.
     pub const fn requeue_plan(&self) -> AttemptPlan {
--- a/azureway-core/src/router/in_flight_table.rs
+++ b/azureway-core/src/router/in_flight_table.rs
@@ -102,6 +102,11 @@
         self.requests.values()
     }
 
+    /// Returns the requests whose answer has not begun for modification.
+    pub fn unstarted_mut(&mut self) -> impl Iterator<Item = &mut InFlight> {
+        self.requests.values_mut().filter(|f| !f.started)
+    }
+
     /// Returns the requests in flight at one server.
     pub fn at_server<'a>(&'a self, server: &'a ServerId) -> impl Iterator<Item = &'a InFlight> {
         self.requests.values().filter(move |f| f.server == *server)
--- a/azureway-core/src/router/retry_decision.rs
+++ b/azureway-core/src/router/retry_decision.rs
@@ -84,8 +84,7 @@
         if failure.position > StreamPosition::ZERO {
             return Self::give_up(true, false);
         }
-        let detail =
-            "the backend server did not begin the request before its weights were outdated";
+        let detail = "the request was recalled before the backend server began it";
         Refusal::maybe_run(RefusalReason::ServerFailed, detail)
     }
 
--- a/azureway-core/src/router/suspects.rs
+++ b/azureway-core/src/router/suspects.rs
@@ -3,7 +3,7 @@
 use super::{InFlight, Retry, RetryDecision, Router};
 use crate::admit::{BlockedClasses, QueuedRequest};
 use crate::domain::{Fingerprint, PoolId, StreamPosition, Timestamp};
-use crate::event::{Action, Failure};
+use crate::event::{Action, Failure, FailureKind};
 use crate::quarantine::{CrashReport, QuarantineChange, SuspectStatus};
 use crate::route::Policy;
 
@@ -31,7 +31,11 @@
             if !resumable {
                 let not_run = flight.not_run && failure.sent.is_not_run();
                 let begun = failure.position > StreamPosition::ZERO;
-                return RetryDecision::Refuse(RetryDecision::give_up(begun, not_run));
+                let refusal = match failure.kind {
+                    FailureKind::Recalled if !begun => RetryDecision::quarantined(not_run),
+                    _ => RetryDecision::give_up(begun, not_run),
+                };
+                return RetryDecision::Refuse(refusal);
             }
         }
         RetryDecision::new(flight, failure, self.config.max_attempts, now)
@@ -79,8 +83,9 @@
     }
 
     /// Refuses every queued request that is quarantined, and every waiting retry whose stream has
-    /// not begun. Requests in flight go on, unless a part of their prompt is quarantined: a few
-    /// crashes cannot tell a request that causes them from one that merely ran beside it.
+    /// not begun. Requests in flight go on, since a few crashes cannot tell a request that causes them
+    /// from one that merely ran beside it. Those with a quarantined part are recalled before they
+    /// crash their servers, unless their servers have begun to answer.
     fn refuse_quarantined(&mut self, now: Timestamp, out: &mut Vec<Action>) {
         let guard = self.dispatcher.guard();
         let quarantined = |retry: &Retry| guard.is_quarantined(&retry.request, now);
@@ -95,21 +100,8 @@
             let refusal = RetryDecision::quarantined(queued.plan.not_run);
             out.push(Action::Refuse(queued.request.id, refusal));
         }
-        self.cancel_quarantined_parts(now, out);
-    }
-
-    /// Cancels the requests in flight with a quarantined part whose answer has not begun, before
-    /// they crash their servers.
-    fn cancel_quarantined_parts(&mut self, now: Timestamp, out: &mut Vec<Action>) {
-        let guard = self.dispatcher.guard();
-        let in_flight = self.dispatcher.in_flight().iter().filter(|f| !f.started);
-        let doomed = in_flight.filter(|f| guard.has_quarantined_part(&f.request, now));
-        let doomed: Vec<_> = doomed.map(|f| f.attempt.id).collect();
-        for id in doomed {
-            if let Some(flight) = self.dispatcher.remove(id, now) {
-                self.give_up_in_flight(&flight, RetryDecision::quarantined(false), out);
-            }
-        }
+        let recalls = self.dispatcher.recall_quarantined(now);
+        out.extend(recalls.into_iter().map(Action::Recall));
     }
 
     /// Handles a queued request that found no server. If all servers of its pool leave, it is refused.
--- a/azureway-core/tests/cluster/mod.rs
+++ b/azureway-core/tests/cluster/mod.rs
@@ -25,10 +25,14 @@
 pub struct Cluster {
     pub crashes: usize,
     pub finished: usize,
+    /// The number of attempts that were cancelled after their servers had begun to answer.
+    pub cut: usize,
     pub refused: Vec<Refusal>,
     entries: Vec<RouterFixture>,
     bodies: BTreeMap<(usize, RequestId), String>,
     running: Vec<RunningAttempt>,
+    /// The attempts whose servers have sent the head of an answer.
+    answered: Vec<(usize, Attempt)>,
     incarnations: BTreeMap<ServerId, u64>,
     crash_reports: Vec<(usize, CrashReport)>,
     stored: BTreeMap<PartKey, QuarantineRecord>,
@@ -41,12 +45,14 @@
         let mut cluster = Self {
             crashes: 0,
             finished: 0,
+            cut: 0,
             refused: Vec::new(),
             entries: (0..entries)
                 .map(|_| RouterFixture::new(servers, 32))
                 .collect(),
             bodies: BTreeMap::new(),
             running: Vec::new(),
+            answered: Vec::new(),
             incarnations: incarnations.collect(),
             crash_reports: Vec::new(),
             stored: BTreeMap::new(),
@@ -93,6 +99,12 @@
         }
     }
 
+    /// Lets the server of every attempt of a body that is in flight send the head of its answer.
+    pub fn send_heads(&mut self, body: &str) {
+        let attempts = self.running.iter().filter(|a| a.1 == body);
+        self.answered.extend(attempts.map(|a| (a.0, a.2.attempt)));
+    }
+
     /// Returns the number of attempts of a body that are in flight.
     pub fn count_running(&self, body: &str) -> usize {
         self.running.iter().filter(|a| a.1 == body).count()
@@ -297,9 +309,15 @@
                 }
                 Action::Refuse(_, refusal) => self.refused.push(refusal),
                 Action::Cancel(attempt) => {
+                    self.cut += usize::from(self.answered.contains(&(entry, attempt)));
                     self.running
                         .retain(|a| (a.0, a.2.attempt) != (entry, attempt));
                 }
+                Action::Recall(recall) if !self.answered.contains(&(entry, recall.attempt)) => {
+                    let recalled =
+                        |a: &RunningAttempt| (a.0, a.2.attempt) == (entry, recall.attempt);
+                    self.fail(recalled, FailureKind::Recalled, 0);
+                }
                 Action::BroadcastCrashReport(report) => self.crash_reports.push((entry, report)),
                 Action::StoreQuarantine(QuarantineChange::Stored(record)) => {
                     self.stored.insert(record.part, record);
--- a/azureway-core/tests/quarantine_parts.rs
+++ b/azureway-core/tests/quarantine_parts.rs
@@ -109,6 +109,23 @@
     expect_that!(last, some(eq((RefusalReason::Quarantined, false))));
 }
 
+/// Guards against streams that are cut at sound servers because connections of another entry broke.
+#[gtest]
+fn requests_whose_servers_have_begun_to_answer_go_on_when_their_part_is_quarantined() {
+    let mut cluster = cluster(2, SERVERS);
+    cluster.send_prompt(1, "rare", "innocent-stream");
+    cluster.send_heads("innocent-stream");
+    for number in 0..4 {
+        let body = format!("innocent-{number}");
+        cluster.send_prompt(0, "rare", &body);
+        cluster.break_connections(&body);
+    }
+    cluster.share_crash_reports();
+    expect_that!(cluster.count_stored(), eq(1));
+    expect_that!(cluster.cut, eq(0));
+    expect_that!(cluster.count_running("innocent-stream"), eq(1));
+}
+
 /// Guards against entries that are all restarted, or lose power, and forget what crashes servers.
 #[gtest]
 fn a_quarantined_part_outlasts_the_entries() {
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -239,7 +239,7 @@
                 }
                 Action::Recall(recall) => {
                     log_recall(&recall, self.clock.now());
-                    self.relays.recall(recall.attempt);
+                    self.relays.recall(&recall);
                 }
                 Action::BroadcastServer(update) => self.peers.send_server(update),
                 Action::BroadcastCrashReport(report) => {
--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -94,7 +94,7 @@
     let age = now.since(recall.sent).as_millis();
     log::info!(
         request:% = recall.attempt.id, step = "recall", attempt = recall.attempt.number,
-        peer:% = recall.server, weights:% = recall.weights, age = age as u64;
-        "recalled: newer weights replace those of its server"
+        peer:% = recall.server, cause:? = recall.cause, age = age as u64;
+        "recalled"
     );
 }
--- a/azureway-entry/src/exchange/cancel_handle.rs
+++ b/azureway-entry/src/exchange/cancel_handle.rs
@@ -4,6 +4,8 @@
 use std::net::TcpStream;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use azureway_core::prelude::RecallCause;
+
 use super::HandleState;
 
 /// Cancels an attempt from another thread by closing its connection, which wakes the thread that
@@ -40,11 +42,20 @@
         !state.is_stopped()
     }
 
+    /// Records that the server has sent the head of its answer, after which the attempt is not recalled
+    /// for a quarantined part any more. Returns `false` if it was recalled before.
+    pub fn answer(&self) -> bool {
+        let mut state = self.lock();
+        state.answered |= !state.recalled;
+        state.answered
+    }
+
     /// Records that the answer begins, after which the attempt is not recalled any more. Returns `false`
     /// if it was recalled before.
     pub fn begin(&self) -> bool {
         let mut state = self.lock();
         state.begun |= !state.recalled;
+        state.answered |= state.begun;
         state.begun
     }
 
@@ -55,10 +66,14 @@
         state.close();
     }
 
-    /// Recalls the attempt, that is, cancels it unless its answer has begun.
-    pub fn recall(&self) {
+    /// Recalls the attempt, that is, cancels it unless its answer has begun for `cause`.
+    pub fn recall(&self, cause: RecallCause) {
         let mut state = self.lock();
-        if !state.begun {
+        let begun = match cause {
+            RecallCause::Outdated(_) => state.begun,
+            RecallCause::Quarantined => state.answered,
+        };
+        if !begun {
             state.recalled = true;
             state.close();
         }
@@ -69,6 +84,11 @@
         self.lock().cancelled
     }
 
+    /// Returns whether the server has sent the head of its answer.
+    pub fn is_answered(&self) -> bool {
+        self.lock().answered
+    }
+
     /// Returns whether the attempt was recalled.
     pub fn is_recalled(&self) -> bool {
         self.lock().recalled
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -159,7 +159,7 @@
         ))
     }
 
-    /// Forwards the events of a stream as they become complete.
+    /// Forwards the events of a stream as they become complete, and the head with the first of them.
     fn forward_stream(
         &mut self,
         mut connection: BackendConnection,
@@ -169,7 +169,11 @@
         // The deadline applies to the first token. The router cancels a stream at the time limit of
         // its route.
         connection.set_deadline(None);
-        self.send_chunk(AnswerChunk::StreamHead(Box::new(head.clone())))?;
+        if !self.handle.answer() {
+            return Err(BROKEN);
+        }
+        // Until the caller has the head, a failed attempt can still be answered as one.
+        let mut start = Some(AnswerChunk::StreamHead(Box::new(head.clone())));
         let mut body = connection.body(framing);
         let mut splitter = EventSplitter::new();
         let mut buffer = vec![0; READ_SIZE];
@@ -193,6 +197,7 @@
                 return Err(BROKEN);
             }
             if !events.is_empty() {
+                start.take().map_or(Ok(()), |head| self.send_chunk(head))?;
                 self.send_chunk(AnswerChunk::StreamBytes(events))?;
             }
         }
@@ -203,6 +208,7 @@
         }
         drop(body);
         self.release(connection, &head)?;
+        start.map_or(Ok(()), |head| self.send_chunk(head))?;
         self.send_chunk(AnswerChunk::End)
     }
 
--- a/azureway-entry/src/exchange/handle_state.rs
+++ b/azureway-entry/src/exchange/handle_state.rs
@@ -9,6 +9,8 @@
     pub cancelled: bool,
     /// Whether the attempt was recalled.
     pub recalled: bool,
+    /// Whether the server has sent the head of its answer.
+    pub answered: bool,
     /// Whether the answer has begun.
     pub begun: bool,
     /// The connection that the attempt uses.
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -109,10 +109,10 @@
         }
     }
 
-    fn recall(&mut self, attempt: Attempt) {
-        let handle = self.handles.get(&attempt.id);
+    fn recall(&mut self, recall: &Recall) {
+        let handle = self.handles.get(&recall.attempt.id);
         if let Some(handle) = handle.and_then(Weak::upgrade) {
-            handle.recall();
+            handle.recall(recall.cause);
         }
     }
 }
--- a/azureway-entry/src/relay/launch.rs
+++ b/azureway-entry/src/relay/launch.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use azureway_core::prelude::{Attempt, Dispatch};
+use azureway_core::prelude::{Attempt, Dispatch, Recall};
 use flume::Receiver;
 
 use crate::admit::UpstreamRequest;
@@ -20,7 +20,8 @@
     /// Cancels an attempt if it still runs.
     fn cancel(&mut self, attempt: Attempt);
 
-    /// Cancels an attempt if its answer has not begun. The attempt is then reported as failed with
+    /// Cancels an attempt unless its answer has begun for the cause of the recall. The attempt is then
+    /// reported as failed with
     /// [`FailureKind::Recalled`](azureway_core::prelude::FailureKind::Recalled).
-    fn recall(&mut self, attempt: Attempt);
+    fn recall(&mut self, recall: &Recall);
 }
--- a/azureway-entry/src/relay/mod.rs
+++ b/azureway-entry/src/relay/mod.rs
@@ -6,7 +6,7 @@
 mod launch;
 mod relay_attempt;
 mod relay_launcher;
-mod report_unsent;
+mod report_failure;
 
 pub use attempt_error::{AttemptError, BROKEN};
 pub use event_reader::EventReader;
@@ -14,4 +14,4 @@
 pub use launch::Launch;
 pub use relay_attempt::RelayAttempt;
 pub use relay_launcher::RelayLauncher;
-pub use report_unsent::report_unsent;
+pub use report_failure::{report_failure, report_unsent};
--- a/azureway-entry/src/relay/relay_launcher.rs
+++ b/azureway-entry/src/relay/relay_launcher.rs
@@ -7,7 +7,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{GapMeter, Launch, RelayAttempt, report_unsent};
+use super::{GapMeter, Launch, RelayAttempt, report_failure, report_unsent};
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::decide::DecideMessage;
@@ -67,6 +67,9 @@
     /// Does nothing: an attempt ends by itself when the receiver of its chunks is dropped.
     fn cancel(&mut self, _: Attempt) {}
 
-    /// Does nothing: no configuration of the product's own interface has a rollout.
-    fn recall(&mut self, _: Attempt) {}
+    /// Reports the attempt as recalled. It ends by itself when the receiver of its chunks is dropped.
+    fn recall(&mut self, recall: &Recall) {
+        let (attempt, kind) = (recall.attempt, FailureKind::Recalled);
+        report_failure(&self.decide, attempt, kind, SendState::MaybeRun);
+    }
 }
