Keep cached parts from before an account was isolated from the others

Callers of one account ran on cached prompts of an account that had been isolated since. The salt of all accounts that are not isolated was the same in every version of the configuration, and servers keep what an account left under it.

The shared salt is now derived from the set of isolated accounts, without any state. It is derived again when a request is sent, since the request may have been admitted under an earlier configuration.

--- a/azureway-core/src/cache/prompt_blocks.rs
+++ b/azureway-core/src/cache/prompt_blocks.rs
@@ -19,6 +19,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PromptBlocks {
     salt: Salt,
+    shared: bool,
     blocks: SmallVec<[Block; 6]>,
     prefix: PrefixKey,
     prefix_tokens: TokenCount,
@@ -30,6 +31,7 @@
     pub fn new<'a>(salt: Salt, levels: impl IntoIterator<Item = &'a [u8]>) -> Self {
         let mut prompt = Self {
             salt,
+            shared: false,
             blocks: SmallVec::new(),
             prefix: PrefixKey::new(salt.number()),
             prefix_tokens: TokenCount::ZERO,
@@ -60,6 +62,7 @@
         let prefix_tokens = blocks.iter().take(prefix_blocks).map(|b| b.tokens).sum();
         Self {
             salt,
+            shared: false,
             blocks,
             prefix,
             prefix_tokens,
@@ -94,6 +97,18 @@
         }
     }
 
+    /// Marks the salt as one that accounts may share, which changes with the accounts that may not.
+    #[must_use]
+    pub const fn with_shared_salt(mut self) -> Self {
+        self.shared = true;
+        self
+    }
+
+    /// Returns whether accounts may share the salt.
+    pub const fn has_shared_salt(&self) -> bool {
+        self.shared
+    }
+
     /// Returns the salt that the block keys were derived with.
     pub const fn salt(&self) -> Salt {
         self.salt
--- a/azureway-core/src/cache/salt.rs
+++ b/azureway-core/src/cache/salt.rs
@@ -18,6 +18,19 @@
         Self(digest.finish())
     }
 
+    /// Derives the salt that all accounts but the `isolated` ones share at a service, with any weights.
+    ///
+    /// Servers keep what an account has left under the salt of a time when it was not isolated, so each
+    /// set of isolated accounts has a salt of its own.
+    pub fn shared<'a>(service: &ServiceId, isolated: impl Iterator<Item = &'a AccountId>) -> Self {
+        let digest = TruncatedSha256::new()
+            .with_part(&[])
+            .with_part(service.as_str().as_bytes())
+            .with_bytes(&WeightsVersion::ZERO.get().to_le_bytes());
+        let digest = isolated.fold(digest, |d, id| d.with_part(id.as_str().as_bytes()));
+        Self(digest.finish())
+    }
+
     /// Creates a salt from its numeric value.
     pub const fn from_number(number: u128) -> Self {
         Self(number.to_le_bytes())
--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use super::RouteTable;
+use crate::cache::Salt;
 use crate::domain::{
     AccountId, AvailabilityZone, BackendServer, BackendServerPool, CallerLimits, ClientAccount,
     ConfigVersion, KeyHash, ModelService, PoolId, RankRules, ServerId, ServiceId, ServiceKind,
-    Timestamp, ZoneId,
+    Timestamp, WeightsVersion, ZoneId,
 };
 
 /// The accounts, services, servers and rules of one version of the configuration.
@@ -100,6 +101,18 @@
         service.is_some_and(|s| s.kind == ServiceKind::Plain)
     }
 
+    /// Returns the salt of the cached blocks that an account uses at a service where accounts share
+    /// them, unless they are isolated.
+    pub fn shared_salt(&self, account: &AccountId, service: &ServiceId) -> Salt {
+        match self.accounts.get(account) {
+            Some(account) if !account.isolated => {
+                let isolated = self.accounts.values().filter(|a| a.isolated);
+                Salt::shared(service, isolated.map(|a| &a.id))
+            }
+            _ => Salt::new(account, service, WeightsVersion::ZERO),
+        }
+    }
+
     /// Returns the account that has an API key with the digest `key`.
     pub fn account_of(&self, key: &KeyHash) -> Option<&ClientAccount> {
         // Checks every account, so that the time taken does not reveal which one matched.
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -129,6 +129,11 @@
         let best = placement.choose(policy, query, service, now)?;
         let mut dispatch = query.plan.dispatch_to(query.request, service, &best);
         dispatch.fetch_from = placement.fetch_source(query.request, service, &best, now);
+        if query.request.prompt.has_shared_salt() {
+            // The set of isolated accounts may have changed since the request was admitted.
+            let (account, service) = (&query.request.account, &query.request.service);
+            dispatch.salt = fleet.shared_salt(account, service);
+        }
         dispatch.expected_ttft =
             Estimate::new(query.profile(service), &best, now).time_to_first_token();
         self.track(query, service.pool.clone(), &dispatch, now);
--- a/azureway-core/tests/site_runs/step.rs
+++ b/azureway-core/tests/site_runs/step.rs
@@ -33,6 +33,8 @@
     LoadWeights(usize),
     /// The operator changes the configuration.
     Configure,
+    /// The operator isolates an account or ends its isolation.
+    Isolate(usize),
     /// An entry is cut off from the store.
     CutOff(usize),
     /// The store is unavailable for so long that its list of servers expires.
@@ -65,6 +67,7 @@
             1 => Just(Self::NameWeights),
             3 => index().prop_map(move |n| Self::LoadWeights(number(n))),
             1 => Just(Self::Configure),
+            1 => index().prop_map(move |n| Self::Isolate(number(n))),
             1 => index().prop_map(move |n| Self::CutOff(number(n))),
             1 => Just(Self::ExpireList),
             2 => Just(Self::Reconnect),
@@ -100,6 +103,7 @@
             "name" => Self::NameWeights,
             "load" => Self::LoadWeights(number(1)?),
             "configure" => Self::Configure,
+            "isolate" => Self::Isolate(number(1)?),
             "away" => Self::CutOff(number(1)?),
             "lapse" => Self::ExpireList,
             "back" => Self::Reconnect,
--- a/azureway-core/tests/site_runs/store.rs
+++ b/azureway-core/tests/site_runs/store.rs
@@ -12,6 +12,8 @@
     pub servers: BTreeMap<ServerId, ListedServer>,
     /// The newest weights version and the time when it was named.
     pub named: (WeightsVersion, Timestamp),
+    /// The time when the isolation of an account last changed.
+    pub isolated: Timestamp,
     /// For each server that is leaving, the time when the list first showed it as leaving.
     pub leaving: BTreeMap<ServerId, Timestamp>,
     /// Whether the store is unavailable to all entries and servers.
@@ -48,11 +50,23 @@
             },
             servers: BTreeMap::new(),
             named: (WeightsVersion::new(1), Timestamp::ZERO),
+            isolated: Timestamp::ZERO,
             leaving: BTreeMap::new(),
             unavailable: false,
         }
     }
 
+    /// Isolates an account, or ends its isolation, in a new version of the configuration. The last
+    /// account stays isolated.
+    pub fn toggle_isolated(&mut self, account: usize, now: Timestamp) {
+        if account + 1 < self.document.accounts.len() && !self.unavailable {
+            let account = &mut self.document.accounts[account];
+            account.isolated = !account.isolated;
+            self.document.version = self.document.version.next();
+            self.isolated = now;
+        }
+    }
+
     /// Marks a server as leaving in the list.
     pub fn mark_leaving(&mut self, id: &ServerId, now: Timestamp) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/azureway-core/tests/site_runs/world/mod.rs
+++ b/azureway-core/tests/site_runs/world/mod.rs
@@ -19,7 +19,7 @@
 const ENTRIES: usize = 3;
 /// The number of backend servers.
 const SERVERS: usize = 4;
-/// The client accounts; the last one is isolated, so it shares no cached prompt with another.
+/// The client accounts; the last one is always isolated, so it shares no cached prompt with another.
 const ACCOUNTS: [&str; 3] = ["open", "other", "walled"];
 /// The number of different prompts.
 const PROMPTS: usize = 3;
@@ -115,6 +115,10 @@
                 self.store.document.version = version.next();
                 Ok(())
             }
+            Step::Isolate(which) => {
+                self.store.toggle_isolated(which % ACCOUNTS.len(), self.now);
+                Ok(())
+            }
             Step::CutOff(which) => {
                 self.entries[which % ENTRIES].cut_off = true;
                 Ok(())
@@ -156,20 +160,16 @@
             return Ok(());
         };
         entry.sequence += 1;
-        let owner = if ACCOUNTS[account] == "walled" {
-            "walled"
-        } else {
-            ""
-        };
-        let salt = Salt::new(&AccountId::new(owner), &service.id, WeightsVersion::ZERO);
+        let owner = AccountId::new(ACCOUNTS[account]);
+        let salt = entry.router.fleet().shared_salt(&owner, &service.id);
         let prompt_text = format!("prompt-{prompt}");
         let request = Request {
             id: RequestId::new(entry.epoch, entry.sequence),
             fingerprint: Fingerprint::of(ACCOUNTS[account], SERVICE, prompt_text.as_bytes()),
             max_attempts: Some(if at_most_once { 1 } else { 3 }),
             time_limit: None,
-            prompt: PromptBlocks::new(salt, [prompt_text.as_bytes()]),
-            account: AccountId::new(ACCOUNTS[account]),
+            prompt: PromptBlocks::new(salt, [prompt_text.as_bytes()]).with_shared_salt(),
+            account: owner,
             service: service.id,
             rank: Rank::Drafting,
             kind: if at_most_once {
@@ -310,7 +310,7 @@
         if server.id != dispatch.server || server.weights != dispatch.weights {
             return self.fail(at, dispatch, FailureKind::Mismatch, SendState::Rejected);
         }
-        self.check_cached(dispatch)?;
+        self.check_cached(at, dispatch)?;
         if let Some(record) = self.records.get_mut(&dispatch.attempt.id) {
             record.runs += 1;
             prop_assert!(
--- a/azureway-core/tests/site_runs/world/rules.rs
+++ b/azureway-core/tests/site_runs/world/rules.rs
@@ -49,7 +49,7 @@
 
     /// Checks that the cached prompt that the server finds may serve the request: it has the weights
     /// of the attempt, and an isolated account shares it with no other account.
-    pub(super) fn check_cached(&self, dispatch: &Dispatch) -> Result<(), TestCaseError> {
+    pub(super) fn check_cached(&self, at: usize, dispatch: &Dispatch) -> Result<(), TestCaseError> {
         let record = &self.records[&dispatch.attempt.id];
         let server = self.servers.iter().find(|s| s.id == dispatch.server);
         let found = server.and_then(|s| s.cached.get(&(cache_key(dispatch), record.prompt)));
@@ -59,7 +59,13 @@
                 dispatch.weights,
                 "a cached prompt has other weights than the attempt"
             );
-            let isolated = [*account, record.account].map(|a| ACCOUNTS[a] == "walled");
+            // An entry has up to a read to hear of a change.
+            let entry = &self.entries[at];
+            let connected = entry.held_up.is_none() && entry.connected_for(self.now, READ_GAP);
+            let current = connected && self.now.since(self.store.isolated) > READ_GAP;
+            let accounts = &self.store.document.accounts;
+            let is_isolated = |a: usize| ACCOUNTS[a] == "walled" || current && accounts[a].isolated;
+            let isolated = [*account, record.account].map(is_isolated);
             let shared = isolated.contains(&true) && *account != record.account;
             prop_assert!(!shared, "an isolated account shares a cached prompt");
         }
--- a/azureway-entry/src/routed/call_reader.rs
+++ b/azureway-entry/src/routed/call_reader.rs
@@ -68,12 +68,7 @@
             )
         };
         let service = service.ok_or_else(no_service)?;
-        let owner = if account.isolated {
-            account.id.as_str()
-        } else {
-            ANONYMOUS
-        };
-        let salt = Salt::new(&AccountId::new(owner), &service.id, WeightsVersion::ZERO);
+        let salt = fleet.shared_salt(&account.id, &service.id);
         let target = format!("{} {}", call.head.method, call.head.path);
         let timeout = metadata
             .timeout
@@ -219,6 +214,7 @@
     let shared = metadata.shared_part_ids().into_iter();
     PromptBlocks::from_blocks(salt, blocks, prefix_blocks)
         .with_shared_parts(shared.map(|id| PartKey::of(id.as_bytes())))
+        .with_shared_salt()
 }
 
 fn malformed(detail: &'static str) -> Refusal {
