Hear of the platform through other instances when it turns this one away

Callers were sent to a backend server 12.4 s after it had left. The platform turned some instances away and was up for others. Such an instance heard of nothing, and when its calls were answered again it kept missing servers for 2 s, as after an outage of the platform itself, in which registrations expire.

After a failed call an instance now asks another one for what the platform has told it since, changes or all objects. If the platform has answered that one meanwhile, no registration has expired for want of it, and nothing that is missing is kept.

The new tests use the new request and cannot run before; without a peer the test still shows the 2 s.

--- a/azureway-core/src/site/mod.rs
+++ b/azureway-core/src/site/mod.rs
@@ -14,4 +14,4 @@
 pub use listed_server::ListedServer;
 pub use named_weights::NamedWeights;
 pub use service::SiteService;
-pub use state::{ANONYMOUS, SiteState};
+pub use state::{ANONYMOUS, EXPIRY_TIMEOUT, SiteState};
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -46,6 +46,8 @@
 /// The time within which the platform guarantees to list a server again whose registration expired
 /// while the platform was unavailable.
 const RELIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// The shortest silence after which the platform drops a server's registration: three of its heartbeats.
+pub const EXPIRY_TIMEOUT: Duration = Duration::from_millis(3_600);
 /// The time after an outage of the platform within which it lists the restarts of the outage, and no
 /// longer the servers that ended in it.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/azureway-core/src/watch/watch_schedule.rs
+++ b/azureway-core/src/watch/watch_schedule.rs
@@ -100,6 +100,16 @@
         };
     }
 
+    /// Records that every change up to `version` became known in another way while calls failed.
+    pub fn record_relayed(&mut self, version: u64) {
+        self.version = self.version.map(|known| known.max(version));
+    }
+
+    /// Returns the version up to which every change is known, if changes after it can be asked for.
+    pub const fn version(&self) -> Option<u64> {
+        self.version
+    }
+
     /// Records a failed call. If the platform was neither unavailable nor limiting the rate, it may
     /// no longer know the version, so the next call lists all objects.
     pub fn record_failure(&mut self, kind: ErrorKind, now: Timestamp) {
--- a/azureway-core/src/watch/zone_readers.rs
+++ b/azureway-core/src/watch/zone_readers.rs
@@ -1,5 +1,7 @@
 //! Selection of the entries that read the platform for their availability zone.
 
+use smallvec::SmallVec;
+
 use super::EntrySelector;
 use crate::domain::{InstanceId, PrefixKey, ServerId};
 use crate::route::Rendezvous;
@@ -18,7 +20,30 @@
 /// The selector of the readers.
 const READERS: EntrySelector = EntrySelector::new(COUNT, SEED);
 
+/// The number of entries that an entry which has lost the platform asks by turns.
+const OTHERS: usize = 4;
+
 impl ZoneReaders {
+    /// Returns the entry that `me` asks when it cannot reach the platform itself: one of a few of
+    /// `near`, the other live entries of its zone, and else of `far`, those of other zones. Another
+    /// `attempt` asks another one.
+    pub fn choose_other<'a>(
+        me: &InstanceId,
+        near: &'a [InstanceId],
+        far: &'a [InstanceId],
+        attempt: usize,
+    ) -> Option<&'a InstanceId> {
+        let spread = Rendezvous::new(PrefixKey::new(SEED));
+        let offset = spread.weight(&ServerId::new(me.as_str())) as usize;
+        let turned = |all: &'a [InstanceId]| {
+            let start = offset.checked_rem(all.len()).unwrap_or_default();
+            all[start..].iter().chain(&all[..start])
+        };
+        let others: SmallVec<[_; OTHERS]> = turned(near).chain(turned(far)).take(OTHERS).collect();
+        let position = attempt.checked_rem(others.len())?;
+        Some(others[position])
+    }
+
     /// Returns the reader that `me` asks among `live`, the live entries of its zone, or `None` if it is a
     /// reader itself. Another `attempt` asks another reader.
     pub fn choose<'a>(
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -235,7 +235,7 @@
         );
         let relays = site_settings.change_limit >= ZoneLink::MIN_LIMIT;
         let client = ZoneClient::new(rings.peer.clone());
-        let zone = relays.then(|| ZoneLink::new(client, Arc::clone(&rings.zone)));
+        let zone = ZoneLink::new(client, Arc::clone(&rings.zone)).with_relays(relays);
         let (api, updates) = (api.clone(), update_tx.clone());
         let watcher = SiteWatcher::new(
             api,
@@ -246,7 +246,7 @@
             schedule,
             named_since,
         )
-        .with_zone(zone);
+        .with_zone(Some(zone));
         spawn(kind.as_str(), move || watcher.run())?;
     }
     let duty = SiteDuty::new(
--- a/azureway-entry/src/peer/peer_call.rs
+++ b/azureway-entry/src/peer/peer_call.rs
@@ -91,6 +91,7 @@
             era: request.era.map(StoreEra::get),
             after: request.after,
             wait_ms: u32::try_from(request.wait.as_millis()).unwrap_or(u32::MAX),
+            lost: request.lost,
         };
         let mut client = peer::PeerClient::new(self.channel.clone());
         let limit = request.wait + ZoneClient::TIMEOUT;
@@ -135,6 +136,7 @@
             version: reply.version,
             objects: objects.map(Into::into).collect(),
         },
+        whole: reply.whole,
         age: Duration::from_micros(reply.age_us),
         held: Duration::from_micros(reply.held_us),
         changed: reply.changed_us.map(Duration::from_micros),
--- a/azureway-entry/src/peer/peer_service.rs
+++ b/azureway-entry/src/peer/peer_service.rs
@@ -110,6 +110,7 @@
             changed_us: changes.changed.map(micros),
             recovered_us: changes.recovered.map(micros),
             objects: changes.list.objects.into_iter().map(Into::into).collect(),
+            whole: changes.whole,
         }))
     }
 }
@@ -122,6 +123,7 @@
         era: request.era.map(StoreEra::new),
         after: request.after,
         wait: Duration::from_millis(request.wait_ms.into()).min(WAIT_MAX),
+        lost: request.lost,
         attempt: 0,
     })
 }
--- a/azureway-entry/src/peer/zone_asker.rs
+++ b/azureway-entry/src/peer/zone_asker.rs
@@ -28,8 +28,8 @@
     readers: SmallVec<[(Instance, Channel); MAX_READERS]>,
 }
 
-/// The number of connections to readers that are kept: that of the readers of a zone.
-const MAX_READERS: usize = 2;
+/// The number of connections to readers that are kept: those of a zone and a few others.
+const MAX_READERS: usize = 4;
 
 impl ZoneAsker {
     /// Creates the state before the first list. Calls report to the ring `peer`.
@@ -83,12 +83,18 @@
         self.readers.retain(|(reader, _)| reader.id != *peer);
     }
 
-    /// Asks a peer that reads the platform for the zone, unless this instance does so.
+    /// Asks a peer that reads the platform for the zone, unless this instance does so, or any peer if
+    /// this instance has lost the platform.
     fn ask_reader(&mut self, request: ZoneRequest, reply: ZoneReply, membership: &Membership) {
         let me = membership.me();
         let near = known(membership).filter(|m| m.instance.zone == me.zone);
         let near: Vec<InstanceId> = near.map(|m| m.instance.id.clone()).collect();
-        let reader = ZoneReaders::choose(&me.id, &near, request.attempt);
+        let far = known(membership).filter(|m| request.lost && m.instance.zone != me.zone);
+        let far: Vec<InstanceId> = far.map(|m| m.instance.id.clone()).collect();
+        let reader = match request.lost {
+            true => ZoneReaders::choose_other(&me.id, &near, &far, request.attempt),
+            false => ZoneReaders::choose(&me.id, &near, request.attempt),
+        };
         let Some(member) = reader.and_then(|id| membership.peers().get(id)) else {
             let _ = reply.try_send(None);
             return;
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use azureway_core::prelude::*;
+use azureway_core::site::EXPIRY_TIMEOUT;
 use azureway_objects::ObjectApi;
 use azureway_wire::object::{ObjectBody, ObjectList};
 use azureway_wire::quarantine::QuarantineBody;
@@ -31,8 +32,10 @@
     /// The times of the last answer.
     times: ReadTimes,
     disturbances: DisturbanceMeter,
-    /// The link to the readers of the zone, if the platform may be read through them.
+    /// The link to other entries, if the platform may be read through them.
     zone: Option<ZoneLink>,
+    /// The time until which another entry knew of every change, after the last call that failed here.
+    peer_until: Option<Timestamp>,
     rejected: RefCell<RejectedObjects>,
 }
 
@@ -61,11 +64,12 @@
             times: ReadTimes::default(),
             disturbances: DisturbanceMeter::new(SITE_CALL_TIMEOUT),
             zone: None,
+            peer_until: None,
             rejected: RefCell::default(),
         }
     }
 
-    /// Sets the link to the readers of the zone.
+    /// Sets the link to other entries.
     #[must_use]
     pub fn with_zone(mut self, zone: Option<ZoneLink>) -> Self {
         self.zone = zone;
@@ -129,7 +133,7 @@
                 self.disturbances.record_failure(e.kind(), call);
                 let restored = e.kind() == ErrorKind::Restored;
                 let lost = restored && self.kind == SiteKind::Quarantines;
-                !lost || self.send(SiteUpdate::QuarantinesLost)
+                (!lost || self.send(SiteUpdate::QuarantinesLost)) && self.read_from_peer()
             }
         }
     }
@@ -143,21 +147,50 @@
     /// Handles the answer of a reader of the zone to a request that was sent at `asked`. Returns whether
     /// the site duty still receives updates.
     fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, asked: Timestamp) -> bool {
-        let (answered, until) = (changes.answered(asked), changes.known_until(asked));
         let now = self.clock.now();
+        // The platform has answered the reader since. This entry alone was turned away.
+        self.peer_until = Some(changes.known_until(asked));
         self.record_recovery(now);
-        // Calls that failed here do not show that the platform was disturbed for its readers.
+        self.schedule
+            .record_success(changes.list.version.max(after), now);
+        let sent = self.apply_changes(changes, asked);
+        if let Some(zone) = &mut self.zone {
+            zone.check_age(self.kind, self.times.until, now);
+        }
+        sent
+    }
+
+    /// Reads from another entry what the platform has told it since calls fail here. Returns whether the
+    /// site duty still receives updates.
+    fn read_from_peer(&mut self) -> bool {
+        let (Some(zone), Some(after), Some(lost)) =
+            (&mut self.zone, self.schedule.version(), self.lost)
+        else {
+            return true;
+        };
+        self.peer_until = None;
+        let answer = zone.ask_other(self.kind, self.api.era(), after, lost, self.clock);
+        let Some((asked, changes)) = answer else {
+            return true;
+        };
+        self.peer_until = Some(changes.known_until(asked));
+        self.schedule
+            .record_relayed(changes.list.version.max(after));
+        self.after = (!changes.whole).then_some(after);
+        self.apply_changes(&changes, asked)
+    }
+
+    /// Passes on what another entry answered to a request that was sent at `asked`. Returns whether the
+    /// site duty still receives updates.
+    fn apply_changes(&mut self, changes: &ZoneChanges, asked: Timestamp) -> bool {
+        let (answered, until) = (changes.answered(asked), changes.known_until(asked));
+        // Calls that failed here do not show that the platform was disturbed for others.
         let _ = self.disturbances.record_success();
         let since = changes.changed.map(|ago| answered.before(ago));
         self.times.since = self.bound.record_relayed(until, since);
         self.times.until = self.bound.reported_until();
         let recovered = changes.recovered.map(|ago| answered.before(ago));
         self.times.recovered = self.times.recovered.max(recovered);
-        self.schedule
-            .record_success(changes.list.version.max(after), now);
-        if let Some(zone) = &mut self.zone {
-            zone.check_age(self.kind, self.times.until, now);
-        }
         self.send_updates(&changes.list) && self.send_listed_until()
     }
 
@@ -188,8 +221,13 @@
     fn record_recovery(&mut self, now: Timestamp) {
         if let Some(since) = self.lost.take() {
             let millis = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
-            log::info!(step = "watch site", kind = self.kind.as_str(), away_ms = millis; "the platform is back");
-            self.times.recovered = Some(now);
+            // While another entry heard from the platform, no registration expired for want of it.
+            let known = self.peer_until.take();
+            let path = known.is_some_and(|until| now.since(until) < EXPIRY_TIMEOUT);
+            log::info!(step = "watch site", kind = self.kind.as_str(), away_ms = millis, path_only = path; "the platform is back");
+            if !path {
+                self.times.recovered = Some(now);
+            }
         }
     }
 
--- a/azureway-entry/src/zone/kind_cache.rs
+++ b/azureway-entry/src/zone/kind_cache.rs
@@ -13,6 +13,8 @@
     era: Option<StoreEra>,
     /// The version from which on every change is known. It is `None` before the first list.
     first: Option<u64>,
+    /// Whether a list was recorded, and every change since.
+    listed: bool,
     version: u64,
     /// The times of the last answer.
     times: ReadTimes,
@@ -42,6 +44,7 @@
             // A list does not tell what was deleted before, so changes are known from here on.
             let first = after.unwrap_or(list.version);
             self.first = (same_era || after.is_none()).then_some(first);
+            self.listed = after.is_none();
             self.changes = ChangeTimes::new(first);
         }
         self.era = era;
@@ -61,7 +64,7 @@
         }
         if self.objects.len() > MAX_OBJECTS {
             self.objects.clear();
-            self.first = None;
+            (self.first, self.listed) = (None, false);
         }
         (self.version, self.times) = (list.version, times);
     }
@@ -77,6 +80,18 @@
         })
     }
 
+    /// Returns all objects, or `None` if they are not all known, or the caller knows another era or a
+    /// version after that of the last answer.
+    pub fn all(&self, era: Option<StoreEra>, after: u64) -> Option<ObjectList> {
+        let listed = self.first.is_some() && self.listed;
+        let known = listed && era == self.era && self.version >= after;
+        let objects = self.objects.values().filter(|o| !o.deleted);
+        known.then(|| ObjectList {
+            version: self.version,
+            objects: objects.cloned().collect(),
+        })
+    }
+
     /// Returns the earliest time at which the changes after version `after` can have happened, if it is known.
     pub fn since(&self, after: u64) -> Option<Timestamp> {
         self.changes.since(after)
--- a/azureway-entry/src/zone/zone_cache.rs
+++ b/azureway-entry/src/zone/zone_cache.rs
@@ -46,19 +46,23 @@
         let mut signal = self.kinds[request.kind as usize].1.subscribe();
         loop {
             let now = self.clock.now();
-            let (list, since, times) = {
+            let (list, whole, since, times) = {
                 let known = self.lock(request.kind);
-                let list = known.changes(request.era, request.after)?;
-                (list, known.since(request.after), known.times())
+                let (list, whole) = match known.changes(request.era, request.after) {
+                    None if request.lost => (known.all(request.era, request.after)?, true),
+                    changes => (changes?, false),
+                };
+                (list, whole, known.since(request.after), known.times())
             };
             let overdue = times.until + request.kind.relay_limit();
             if now > overdue {
                 return None;
             }
             let end = received + request.wait;
-            if !list.objects.is_empty() || now >= end {
+            if whole || !list.objects.is_empty() || now >= end {
                 return Some(ZoneChanges {
                     list,
+                    whole,
                     age: now.since(times.until),
                     held: now.since(received),
                     changed: since.map(|at| now.since(at)),
--- a/azureway-entry/src/zone/zone_changes.rs
+++ b/azureway-entry/src/zone/zone_changes.rs
@@ -11,6 +11,8 @@
 pub struct ZoneChanges {
     /// The changed objects, and the version up to which they are complete.
     pub list: ObjectList,
+    /// Whether the objects are all that there are, rather than those that have changed.
+    pub whole: bool,
     /// The time since the platform was last known to have reported every change.
     pub age: Duration,
     /// The time for which the reader held the request.
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -19,6 +19,12 @@
     failures: usize,
     /// The time before which the platform is read without asking a reader.
     retry_at: Timestamp,
+    /// The number of requests to other entries that failed while the platform was lost.
+    refusals: usize,
+    /// Whether readers are asked also while the platform can be reached.
+    relays: bool,
+    /// Whether this entry reads the platform itself, by the last request to a reader.
+    reads: bool,
     /// Whether the last news came from a reader.
     relayed: bool,
 }
@@ -26,6 +32,8 @@
 /// The time for which a request can take longer than the wait that was asked for, unless this process is
 /// paused: the limit of [`ZoneClient::ask`], and as much for a busy machine.
 const MAX_WAIT: Duration = ZoneClient::TIMEOUT.saturating_mul(3);
+/// The number of other entries that are asked after a call to the platform that failed.
+const MAX_OTHERS: usize = 2;
 /// The time for which a watcher reads the platform itself after a reader failed.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
 
@@ -41,10 +49,21 @@
             cache,
             failures: 0,
             retry_at: Timestamp::ZERO,
+            refusals: 0,
+            relays: true,
+            reads: false,
             relayed: false,
         }
     }
 
+    /// Sets whether readers are asked also while the platform can be reached.
+    #[must_use]
+    pub const fn with_relays(mut self, relays: bool) -> Self {
+        self.relays = relays;
+        self.reads = !relays;
+        self
+    }
+
     /// Keeps an answer of the platform for the zone, as [`ZoneCache::record`] does.
     pub fn record(
         &self,
@@ -71,7 +90,7 @@
         clock: Clock,
     ) -> Option<(Timestamp, ZoneChanges)> {
         let mut asked = clock.now();
-        if asked < self.retry_at {
+        if !self.relays || asked < self.retry_at {
             return None;
         }
         let request = ZoneRequest {
@@ -80,6 +99,7 @@
             after,
             wait: lost.map_or(kind.relay_wait(), |_| Duration::ZERO),
             attempt: self.failures,
+            lost: false,
         };
         let mut answer = self.client.ask(request);
         if matches!(answer, Some(Err(()))) && clock.now() > asked + request.wait + MAX_WAIT {
@@ -99,6 +119,7 @@
             let failed = matches!(answer, Some(Err(())));
             log::info!(step = "watch site", kind = kind.as_str(), relayed = relayed, failed = failed, after = after; "the source of news has changed");
         }
+        self.reads = answer.is_none();
         let answer = answer?;
         if answer.is_err() {
             self.reject(asked + request.wait);
@@ -106,6 +127,40 @@
         answer.ok().map(|changes| (asked, changes))
     }
 
+    /// Asks another entry, of any zone, for the changes of `kind` after version `after`, since calls to
+    /// the platform fail since `lost`. Returns them with the time before they were asked for, or `None`
+    /// if the platform has told that entry nothing since, or if this entry has readers to ask.
+    pub fn ask_other(
+        &mut self,
+        kind: SiteKind,
+        era: Option<StoreEra>,
+        after: u64,
+        lost: Timestamp,
+        clock: Clock,
+    ) -> Option<(Timestamp, ZoneChanges)> {
+        let tries = if self.reads { MAX_OTHERS } else { 0 };
+        for _ in 0..tries {
+            let asked = clock.now();
+            let request = ZoneRequest {
+                kind,
+                era,
+                after,
+                wait: Duration::ZERO,
+                attempt: self.refusals,
+                lost: true,
+            };
+            let answer = self.client.ask(request)?.ok();
+            let news = answer.filter(|changes| changes.known_until(asked) >= lost);
+            if let Some(changes) = news {
+                let age = changes.age;
+                log::info!(step = "watch site", kind = kind.as_str(), after = after, age:? = age, whole = changes.whole; "another instance tells of the platform");
+                return Some((asked, changes));
+            }
+            self.refusals += 1;
+        }
+        None
+    }
+
     /// Records at `now` that the reader's news reach until `until`. If they are too old, the platform is read
     /// instead for a while.
     pub fn check_age(&mut self, kind: SiteKind, until: Timestamp, now: Timestamp) {
--- a/azureway-entry/src/zone/zone_request.rs
+++ b/azureway-entry/src/zone/zone_request.rs
@@ -19,4 +19,7 @@
     pub wait: Duration,
     /// The number of requests before this one that failed. Another reader is asked after each.
     pub attempt: usize,
+    /// Whether the caller cannot reach the platform. It then asks any entry, and takes all objects if
+    /// the changes are not known.
+    pub lost: bool,
 }
--- a/azureway-entry/tests/peer_call.rs
+++ b/azureway-entry/tests/peer_call.rs
@@ -79,6 +79,7 @@
         after: 1,
         wait: Duration::from_millis(10),
         attempt: 0,
+        lost: false,
     };
     block_on(async {
         let channel = PeerConnections::open_long(&silent.instance).expect("a channel");
@@ -140,6 +141,7 @@
         after,
         wait: Duration::from_secs(1),
         attempt: 0,
+        lost: false,
     };
     let channel = PeerConnections::open_long(&silent.instance).expect("a channel");
     silent.call(channel).changes(request, reply).await;
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -122,6 +122,7 @@
         after,
         wait: WAIT,
         attempt: 0,
+        lost: false,
     }
 }
 
@@ -224,8 +225,17 @@
         unreachable!("only weights are watched")
     }
 
-    fn server(&self, _: &ObjectBody) -> std::result::Result<ListedServer, Error> {
-        unreachable!("only weights are watched")
+    fn server(&self, object: &ObjectBody) -> std::result::Result<ListedServer, Error> {
+        Ok(ListedServer {
+            id: ServerId::new(&object.name),
+            service: ServiceId::new("orders"),
+            address: ([127, 0, 0, 1], 9_001).into(),
+            zone: ZoneId::new("a"),
+            slots: 4,
+            leaving: false,
+            incarnation: Incarnation::new(1),
+            weights: None,
+        })
     }
 
     fn weights(&self, object: &ObjectBody) -> std::result::Result<NamedWeights, Error> {
@@ -289,6 +299,7 @@
 ) -> Option<std::result::Result<ZoneChanges, ()>> {
     Some(Ok(ZoneChanges {
         list: list(version, &[object("m", version, false)]),
+        whole: false,
         age,
         held,
         changed: None,
@@ -514,3 +525,119 @@
     expect_that!(request.wait, eq(SiteKind::Weights.relay_wait()));
     // The watcher has nothing more to send, by which it would notice the end.
 }
+
+/// Runs the watcher of servers of an entry that reads the platform itself. The platform lists two
+/// servers, turns the entry away and then lists one. `peer` is what another entry knows meanwhile, if it
+/// is asked. Returns the updates of the list with the platform's recovery that the entry tells of.
+fn watch_servers(peer: Option<ZoneChanges>) -> Vec<(Vec<String>, bool)> {
+    let clock = Clock::new();
+    let (peer_tx, requests): (_, Receiver<PeerMessage>) = flume::bounded(1);
+    let link = ZoneLink::new(ZoneClient::new(peer_tx), Arc::new(ZoneCache::new(clock)));
+    let (tx, updates) = flume::bounded(64);
+    let (schedule, count) = (WatchSchedule::new(1), if peer.is_some() { 3 } else { 2 });
+    let (kind, since) = (SiteKind::Servers, clock.now());
+    let api = TurnedAway::default();
+    let watcher = SiteWatcher::new(api, PlainNumbers, kind, tx, clock, schedule, since)
+        .with_zone(Some(link.with_relays(false)));
+    thread::spawn(move || watcher.run());
+    thread::spawn(move || {
+        for message in requests {
+            let PeerMessage::AskZone(request, reply) = message else {
+                panic!("only changes are asked for");
+            };
+            assert_eq!((request.lost, request.after), (true, 10));
+            let _ = reply.send(Some(peer.clone().ok_or(())));
+        }
+    });
+    let lists = updates.iter().filter_map(|update| match update {
+        SiteUpdate::Servers(servers, recovered) => {
+            let names = servers.iter().map(|s| s.id.to_string()).collect();
+            Some((names, recovered.is_some()))
+        }
+        _ => None,
+    });
+    lists.take(count).collect()
+}
+
+/// A platform that answers a list with two servers, fails a watch, no longer knows the history, and then
+/// lists one server.
+#[derive(Clone, Default)]
+struct TurnedAway {
+    calls: Arc<AtomicUsize>,
+}
+
+impl TurnedAway {
+    fn answer(&self) -> std::result::Result<ObjectList, Error> {
+        let error = |kind| Err(Error::new(kind, Step::new("watch objects"), "turned away"));
+        let servers = [object("a", 9, false), object("b", 10, false)];
+        match self.calls.fetch_add(1, Ordering::AcqRel) {
+            0 => Ok(list(10, &servers)),
+            1 => error(ErrorKind::Unavailable),
+            2 => error(ErrorKind::Protocol),
+            _ => Ok(list(20, &servers[..1])),
+        }
+    }
+}
+
+impl ObjectApi for TurnedAway {
+    fn get(&self, _: &str, _: &str) -> std::result::Result<Option<ObjectBody>, Error> {
+        unreachable!("the watcher gets no single objects")
+    }
+
+    fn list(&self, _: &str) -> std::result::Result<ObjectList, Error> {
+        self.answer()
+    }
+
+    fn put(&self, _: &Put<'_>) -> std::result::Result<u64, Error> {
+        unreachable!("the watcher writes nothing")
+    }
+
+    fn delete(&self, _: &str, _: &str, _: u64) -> std::result::Result<(), Error> {
+        unreachable!("the watcher deletes nothing")
+    }
+
+    fn watch(&self, _: &str, _: u64, _: Duration) -> std::result::Result<ObjectList, Error> {
+        self.answer()
+    }
+}
+
+/// Guards against requests to a server that has left: an entry that the platform turned away took its own
+/// outage for one of the platform, in which registrations expire, and kept every server that was gone.
+#[gtest]
+fn an_entry_that_is_turned_away_hears_of_removed_servers_and_does_not_keep_them() {
+    let peer = ZoneChanges {
+        list: list(20, &[object("a", 9, false)]),
+        whole: true,
+        age: Duration::ZERO,
+        held: Duration::ZERO,
+        changed: None,
+        recovered: None,
+    };
+    let list = |names: &[&str], kept| {
+        let names = names.iter().map(ToString::to_string);
+        (names.collect::<Vec<_>>(), kept)
+    };
+    let all = list(&["a", "b"], false);
+    // The second list comes from the peer.
+    let expected = vec![all.clone(), list(&["a"], false), list(&["a"], false)];
+    expect_that!(watch_servers(Some(peer)), eq(&expected));
+    // Without a peer, the platform may have been away, and servers are kept that it may list again.
+    expect_that!(watch_servers(None), eq(&vec![all, list(&["a"], true)]));
+}
+
+#[gtest]
+fn a_cache_tells_all_objects_to_a_peer_that_has_missed_the_history() {
+    let mut cache = KindCache::default();
+    // Objects that do not change are not known without a list.
+    cache.record(None, Some(5), &list(9, &[object("b", 9, false)]), READ);
+    expect_that!(cache.all(None, 3), none());
+    cache.record(None, None, &list(10, &[object("a", 3, false)]), READ);
+    let changed = list(12, &[object("b", 11, false), object("a", 12, true)]);
+    cache.record(None, Some(10), &changed, READ);
+    let all = cache.all(None, 3).expect("known");
+    expect_that!(names(&all), elements_are![eq(&("b", false))]);
+    expect_that!(all.version, eq(12));
+    // The peer knows more, or another era.
+    expect_that!(cache.all(None, 13), none());
+    expect_that!(cache.all(Some(StoreEra::new(2)), 3), none());
+}
--- a/azureway-entry/tests/zone_pause.rs
+++ b/azureway-entry/tests/zone_pause.rs
@@ -38,6 +38,7 @@
         };
         let changes = ZoneChanges {
             list: ObjectList::default(),
+            whole: false,
             age: Duration::ZERO,
             held: Duration::ZERO,
             changed: None,
--- a/azureway-wire/src/gen/azureway.peer.v1.rs
+++ b/azureway-wire/src/gen/azureway.peer.v1.rs
@@ -147,6 +147,9 @@
     /// The time for which the callee waits while nothing changes, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub wait_ms: u32,
+    /// Whether the caller has lost the platform and takes all objects if the changes are not known.
+    #[prost(bool, tag = "5")]
+    pub lost: bool,
 }
 /// The changes of a kind of platform objects.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -169,6 +172,9 @@
     /// The longest time since the changes can have happened, in microseconds, if the callee knows it.
     #[prost(uint64, optional, tag = "6")]
     pub changed_us: ::core::option::Option<u64>,
+    /// Whether the objects are all that there are, rather than those that have changed.
+    #[prost(bool, tag = "7")]
+    pub whole: bool,
 }
 /// A platform object.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
