Stop attempts as soon as their callers are known to have left

Callers left, and their requests reached servers seconds later. Attempts that had not sent yet did not look. And a closed connection still delivered what its socket held, once the link recovered.

The watching thread now stops the attempt through a link between the caller's connection and its attempts, attempts of callers that have left send nothing, and connections to servers are reset when they are given up. Each watch has its own token, so a late event cannot stop a later request. Two metrics show the waits.

--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -25,6 +25,8 @@
     pub servers: BTreeMap<ServerId, BackendServer>,
     /// The time until which the platform's list of the servers is complete; zero if nothing is known of it.
     pub listed_until: Timestamp,
+    /// The time at which the latest of its changes was noticed; zero if it is not known.
+    pub noticed: Timestamp,
     /// The availability zones and the region of each; empty if no regions are configured.
     pub zones: BTreeMap<ZoneId, AvailabilityZone>,
     /// The rules for urgent and drafting requests.
@@ -83,6 +85,13 @@
         self
     }
 
+    /// Returns whether servers of this fleet that take requests leave or are gone in `next`.
+    pub fn loses_servers(&self, next: &Self) -> bool {
+        let stays = |id| next.servers.get(id).is_some_and(|s| !s.leaving);
+        let mut present = self.servers.values().filter(|s| !s.leaving);
+        present.any(|s| !stays(&s.id))
+    }
+
     /// Returns whether two availability zones are in the same region. All zones that the
     /// configuration does not name count as one further region.
     pub fn share_region(&self, one: &ZoneId, other: &ZoneId) -> bool {
--- a/azureway-entry/src/admin/explainer.rs
+++ b/azureway-entry/src/admin/explainer.rs
@@ -1,5 +1,6 @@
 //! Explanations of routing decisions for operators, without running a request.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use azureway_core::prelude::{AccountId, Rank};
@@ -71,6 +72,7 @@
             body,
             arrived: self.handles.clock.now(),
             updates,
+            link: Arc::default(),
         })
     }
 }
--- a/azureway-entry/src/admit/call.rs
+++ b/azureway-entry/src/admit/call.rs
@@ -1,9 +1,11 @@
 //! A complete HTTP call, which a caller's connection hands to the admitting duty.
 
+use std::sync::Arc;
+
 use azureway_core::prelude::{RequestId, Timestamp};
 use flume::Sender;
 
-use crate::caller::{Head, RequestUpdate};
+use crate::caller::{CallerLink, Head, RequestUpdate};
 
 /// An HTTP call of a caller, completely read and within the size limits.
 #[derive(Debug)]
@@ -18,4 +20,6 @@
     pub arrived: Timestamp,
     /// The ring to the connection of the caller.
     pub updates: Sender<RequestUpdate>,
+    /// The link by which the connection of the caller stops the attempts.
+    pub link: Arc<CallerLink>,
 }
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -1,6 +1,7 @@
 //! Authentication and parsing of chat-completions calls and plain-service calls.
 
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use azureway_core::prelude::*;
@@ -224,6 +225,7 @@
             account: request.account.clone(),
             idempotency_key: request.idempotency_key.clone(),
             body: body.into(),
+            link: Arc::clone(&self.call.link),
             passthrough: None,
         }
     }
--- a/azureway-entry/src/admit/upstream_request.rs
+++ b/azureway-entry/src/admit/upstream_request.rs
@@ -5,6 +5,7 @@
 use azureway_core::prelude::{AccountId, IdempotencyKey, ServiceKind};
 
 use super::Passthrough;
+use crate::caller::CallerLink;
 
 /// A request as it is sent to a backend server. The router never sees these bytes.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub idempotency_key: Option<IdempotencyKey>,
     /// The request body.
     pub body: Arc<[u8]>,
+    /// The link to the caller, which stops the attempts.
+    pub link: Arc<CallerLink>,
     /// The parts that are forwarded unchanged, if the request arrived on a configured route.
     pub passthrough: Option<Passthrough>,
 }
--- a/azureway-entry/src/caller/connection.rs
+++ b/azureway-entry/src/caller/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use azureway_config::settings::Bounds;
@@ -110,6 +111,7 @@
             body,
             arrived: self.handles.clock.now(),
             updates: sender,
+            link: Arc::default(),
         };
         if self
             .handles
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -113,7 +113,10 @@
         match message {
             DecideMessage::Arrived(admitted) => self.handle_arrival(*admitted),
             DecideMessage::CallerDisconnected(id) => {
-                self.requests.remove(id);
+                let wait = self.requests.remove(id);
+                let wait = wait.and_then(|r| r.upstream.link.since_disconnect());
+                wait.into_iter()
+                    .for_each(|w| self.record_metric(MetricEvent::CancelWait(w)));
                 self.handle_event(Event::CallerDisconnected(id));
             }
             DecideMessage::Started(attempt) => self.handle_start(attempt),
@@ -183,7 +186,12 @@
         if fleet.version <= self.router.fleet().version {
             return;
         }
+        let lost = fleet.noticed > Timestamp::ZERO && self.router.fleet().loses_servers(fleet);
         self.handle_event(Event::Configured(fleet));
+        if lost {
+            let wait = self.clock.now().since(fleet.noticed);
+            self.record_metric(MetricEvent::LeaveWait(wait));
+        }
         let held = self.held_servers();
         self.feeds.reconfigure(fleet, &held);
         self.orders.reconfigure(fleet);
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -48,6 +48,9 @@
         let socket = SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         socket.set_tcp_keepalive(&KEEPALIVE)?;
+        // Closing resets the connection, so that a request which is given up does not reach the server
+        // later, when a link that holds its bytes up recovers.
+        socket.set_linger(Some(Duration::ZERO))?;
         let reader = BufReader::with_capacity(READ_SIZE, TimedSocket::new(stream));
         Ok(Self {
             reader,
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -61,6 +61,9 @@
     /// Runs the attempt and reports its outcome to the deciding duty.
     pub fn run(mut self) {
         let attempt = self.dispatch.attempt;
+        if !self.upstream.link.attach(&self.handle) {
+            return;
+        }
         let result = match self.upstream.passthrough.clone() {
             Some(passthrough) => self.exchange(&passthrough),
             None => Err(AttemptError::Server(FailureKind::Faulty, SendState::Unsent)),
--- a/azureway-entry/src/exchange/server_call.rs
+++ b/azureway-entry/src/exchange/server_call.rs
@@ -11,6 +11,7 @@
 use hyper::http::request::Builder;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 
@@ -76,6 +77,9 @@
         let stream = stream.map_err(|e| not_sent(address, e))?;
         let stream = stream.map_err(|e| not_sent(address, e))?;
         stream.set_nodelay(true).map_err(|e| not_sent(address, e))?;
+        // A call that is given up must not arrive later, when a link that holds its bytes up recovers.
+        let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        reset.map_err(|e| not_sent(address, e))?;
         // Other work of the thread may have held it up. Nothing is sent after the limit.
         if Instant::now() >= deadline {
             return Err(not_sent(address, "the time limit has passed"));
--- a/azureway-entry/src/meter/control_metrics.rs
+++ b/azureway-entry/src/meter/control_metrics.rs
@@ -20,14 +20,16 @@
     platform_restores: Counter,
     gossip_bytes: Counter,
     ring_waits: Histogram,
+    cancel_waits: Histogram,
+    leave_waits: Histogram,
     ring_depths: Family<RingLabel, Gauge>,
     duty_cpu: Family<DutyLabel, Counter<f64, AtomicU64>>,
     rings: RingMonitor,
     calls: CallCounter,
 }
 
-/// The histogram bounds of the time from arrival to decision, in seconds.
-const WAIT_BOUNDS: [f64; 7] = [0.000_1, 0.000_5, 0.001, 0.005, 0.025, 0.1, 1.0];
+/// The histogram bounds of the times for which decisions wait, in seconds.
+const WAIT_BOUNDS: [f64; 8] = [0.000_1, 0.000_5, 0.001, 0.005, 0.025, 0.1, 0.5, 1.0];
 
 impl ControlMetrics {
     /// Creates the metrics and registers them in `r`. `calls` counts the calls to the platform.
@@ -38,6 +40,8 @@
             platform_restores: Counter::default(),
             gossip_bytes: Counter::default(),
             ring_waits: Histogram::new(WAIT_BOUNDS),
+            cancel_waits: Histogram::new(WAIT_BOUNDS),
+            leave_waits: Histogram::new(WAIT_BOUNDS),
             ring_depths: Family::default(),
             duty_cpu: Family::default(),
             rings,
@@ -55,6 +59,10 @@
         r.register("gossip_bytes", help, metrics.gossip_bytes.clone());
         let help = "Time from the arrival of a request until it was decided on";
         r.register("ring_wait_seconds", help, metrics.ring_waits.clone());
+        let help = "Time from noticing that a caller disconnected until its request was removed";
+        r.register("cancel_wait_seconds", help, metrics.cancel_waits.clone());
+        let help = "Time from noticing that backend servers leave until they get no more requests";
+        r.register("leave_wait_seconds", help, metrics.leave_waits.clone());
         let help = "Messages that wait in a ring";
         r.register("ring_depth", help, metrics.ring_depths.clone());
         let help = "Processor time of a duty's threads";
@@ -77,6 +85,16 @@
         self.ring_waits.observe(time.as_secs_f64());
     }
 
+    /// Observes the time from noticing that a caller disconnected until its request was removed.
+    pub fn observe_cancel_wait(&self, time: Duration) {
+        self.cancel_waits.observe(time.as_secs_f64());
+    }
+
+    /// Observes the time from noticing that backend servers leave until they get no more requests.
+    pub fn observe_leave_wait(&self, time: Duration) {
+        self.leave_waits.observe(time.as_secs_f64());
+    }
+
     /// Updates the metrics that are counted elsewhere, before a scrape is answered.
     pub fn refresh(&self) {
         self.platform_calls
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -50,6 +50,8 @@
     fn handle(&mut self, event: MetricEvent) {
         match event {
             MetricEvent::RingWait(time) => self.control.observe_ring_wait(time),
+            MetricEvent::CancelWait(time) => self.control.observe_cancel_wait(time),
+            MetricEvent::LeaveWait(time) => self.control.observe_leave_wait(time),
             MetricEvent::Sent(rank, time) => self.service.observe_queue_time(rank, time),
             MetricEvent::FirstToken(rank, time) => self.service.observe_first_token(rank, time),
             MetricEvent::TokenGaps(rank, gaps) => self.service.observe_token_gaps(rank, &gaps),
--- a/azureway-entry/src/meter/metric_event.rs
+++ b/azureway-entry/src/meter/metric_event.rs
@@ -24,6 +24,10 @@
     Refused(RefusalReason),
     /// Another attempt at a request was sent.
     Retried,
+    /// The time from noticing that a caller has disconnected until the deciding duty removed its request.
+    CancelWait(Duration),
+    /// The time from noticing that backend servers leave until they get no more requests.
+    LeaveWait(Duration),
     /// The caller disconnected during this attempt.
     Cancelled(Attempt),
     /// This version of the configuration is now in force.
--- a/azureway-entry/src/routed/call_reader.rs
+++ b/azureway-entry/src/routed/call_reader.rs
@@ -125,6 +125,7 @@
             account: account.id.clone(),
             idempotency_key: None,
             body: Arc::from(std::mem::take(&mut call.body)),
+            link: Arc::clone(&call.link),
             passthrough: Some(passthrough),
         }
     }
--- a/azureway-entry/src/routed/connection.rs
+++ b/azureway-entry/src/routed/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use azureway_core::prelude::{CallerLimits, Refusal, RefusalReason, RequestId};
@@ -11,7 +12,7 @@
     RoutedResponder, ServingState,
 };
 use crate::admit::{AdmitMessage, Call};
-use crate::caller::{BadInput, BodyReader, Head, HeadReader, TimedStream};
+use crate::caller::{BadInput, BodyReader, CallerLink, Head, HeadReader, TimedStream};
 use crate::daemon::Handles;
 use crate::decide::DecideMessage;
 
@@ -129,29 +130,39 @@
         let deadline = Instant::now() + timeout.unwrap_or(DEFAULT_TIMEOUT);
         let close = self.serving.is_draining() || wants_close(&head);
         let (sender, updates) = flume::bounded(UPDATE_CAPACITY);
+        let link = Arc::new(CallerLink::new());
         let call = Call {
             id,
             head,
             body,
             arrived: self.handles.clock.now(),
             updates: sender,
+            link: Arc::clone(&link),
         };
+        let watched = self.watch.begin(&self.stream, id, &link).inspect_err(|e| {
+            log::warn!(request:% = id, step = "watch callers", error:% = e; "watching for a disconnect failed");
+        });
         let message = AdmitMessage::Call(Box::new(call));
         if self.handles.admit.try_send(message).is_err() {
             log::info!(request:% = id, step = "admit", code = "overloaded"; "refused");
+            self.end_watch(watched);
             let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
             let written = RoutedResponder::new(&self.stream, close).refuse(&refusal);
             return written.map_or(AnswerEnd::Aborted, |()| AnswerEnd::complete(close));
         }
-        let watched = self.watch.begin(&self.stream, id).inspect_err(|e| {
-            log::warn!(request:% = id, step = "watch callers", error:% = e; "watching for a disconnect failed");
-        });
         let mut answer = RoutedAnswer::new(&self.stream, id, deadline, close);
         let result = answer.run(&updates, &self.handles.decide);
-        if let Ok(slot) = watched {
-            self.watch.end(&self.stream, slot);
+        self.end_watch(watched);
+        result.unwrap_or_else(|e| {
+            link.disconnect();
+            self.disconnected(id, &e)
+        })
+    }
+
+    fn end_watch(&self, watched: io::Result<usize>) {
+        if let Ok(token) = watched {
+            self.watch.end(&self.stream, token);
         }
-        result.unwrap_or_else(|e| self.disconnected(id, &e))
     }
 
     /// Cancels the request of a caller that has disconnected.
--- a/azureway-entry/src/routed/disconnect_watch.rs
+++ b/azureway-entry/src/routed/disconnect_watch.rs
@@ -1,20 +1,34 @@
 //! Registering connections with the duty that detects disconnects.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use azureway_core::prelude::RequestId;
 use mio::unix::SourceFd;
 use mio::{Interest, Registry, Token};
 
+use crate::caller::CallerLink;
+
 /// Registers the connections of callers that wait for an answer, so that disconnects are detected.
 #[derive(Clone, Debug)]
 pub struct DisconnectWatch {
     registry: Arc<Registry>,
-    /// The requests of the watched connections. The index of a slot is the token of its connection.
-    requests: Arc<Mutex<Vec<Option<RequestId>>>>,
+    /// The watched connections by their tokens.
+    callers: Arc<Mutex<WatchedCallers>>,
+}
+
+/// A request and the link of its caller.
+type WatchedCaller = (RequestId, Arc<CallerLink>);
+
+/// The watched connections. No token is given out twice, since an event may be handled after the watch of
+/// its connection has ended.
+#[derive(Debug, Default)]
+struct WatchedCallers {
+    callers: HashMap<usize, WatchedCaller>,
+    last_token: usize,
 }
 
 impl DisconnectWatch {
@@ -22,52 +36,57 @@
     pub fn new(registry: Registry) -> Self {
         Self {
             registry: Arc::new(registry),
-            requests: Arc::default(),
+            callers: Arc::default(),
         }
     }
 
-    /// Watches the connection of a request. Returns the slot to pass to [`end`](Self::end).
+    /// Watches the connection of a request. Returns the token to pass to [`end`](Self::end).
     ///
     /// # Errors
     ///
     /// Returns an error if the connection cannot be registered.
-    pub fn begin(&self, stream: &TcpStream, id: RequestId) -> io::Result<usize> {
-        let slot = self.with_requests(|requests| {
-            let free = requests.iter().position(Option::is_none);
-            let slot = free.unwrap_or_else(|| {
-                requests.push(None);
-                requests.len() - 1
-            });
-            requests[slot] = Some(id);
-            slot
-        });
+    pub fn begin(
+        &self,
+        stream: &TcpStream,
+        id: RequestId,
+        link: &Arc<CallerLink>,
+    ) -> io::Result<usize> {
+        let token = {
+            let mut watched = self.lock();
+            watched.last_token = watched.last_token.wrapping_add(1);
+            let token = watched.last_token;
+            watched.callers.insert(token, (id, Arc::clone(link)));
+            token
+        };
         let mut source = SourceFd(&stream.as_raw_fd());
         let registered = self
             .registry
-            .register(&mut source, Token(slot), Interest::READABLE);
+            .register(&mut source, Token(token), Interest::READABLE);
         if registered.is_err() {
-            self.with_requests(|requests| requests[slot] = None);
+            self.lock().callers.remove(&token);
         }
-        registered.map(|()| slot)
+        registered.map(|()| token)
     }
 
-    /// Stops watching a connection and frees its slot.
-    pub fn end(&self, stream: &TcpStream, slot: usize) {
+    /// Stops watching a connection.
+    pub fn end(&self, stream: &TcpStream, token: usize) {
         let mut source = SourceFd(&stream.as_raw_fd());
         if let Err(e) = self.registry.deregister(&mut source) {
             log::warn!(step = "watch callers", error:% = e; "deregistering a connection failed");
         }
-        self.with_requests(|requests| requests[slot] = None);
+        self.lock().callers.remove(&token);
     }
 
-    /// Returns the request in a slot.
-    pub fn request(&self, slot: usize) -> Option<RequestId> {
-        self.with_requests(|requests| requests.get(slot).copied().flatten())
+    /// Stops the attempt of a caller that has disconnected. Returns its request, if it is still watched.
+    pub fn disconnect(&self, token: usize) -> Option<RequestId> {
+        let caller = self.lock().callers.get(&token).cloned();
+        let (id, link) = caller?;
+        link.disconnect();
+        Some(id)
     }
 
-    fn with_requests<T>(&self, change: impl FnOnce(&mut Vec<Option<RequestId>>) -> T) -> T {
-        // The list is consistent even if a thread panicked while it held the lock.
-        let mut requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
-        change(&mut requests)
+    fn lock(&self) -> MutexGuard<'_, WatchedCallers> {
+        // The map is consistent even if a thread panicked while it held the lock.
+        self.callers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/azureway-entry/src/routed/disconnect_watcher.rs
+++ b/azureway-entry/src/routed/disconnect_watcher.rs
@@ -56,7 +56,7 @@
                 }
             }
             let disconnected = events.iter().filter(|e| e.is_read_closed() || e.is_error());
-            for id in disconnected.filter_map(|e| self.watch.request(e.token().0)) {
+            for id in disconnected.filter_map(|e| self.watch.disconnect(e.token().0)) {
                 log::info!(request:% = id, step = "watch callers"; "the caller hung up");
                 if self
                     .decide
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -65,7 +65,7 @@
                 changed |= self.apply(update, now);
             }
             if changed {
-                self.publish();
+                self.publish(now);
             }
         }
     }
@@ -147,11 +147,13 @@
         newer
     }
 
-    /// Builds the fleet and sends it to the admitting duty.
-    fn publish(&mut self) {
-        let Some(fleet) = self.state.build_fleet() else {
+    /// Builds the fleet from the updates that were received at `noticed`, and sends it to the admitting
+    /// duty.
+    fn publish(&mut self, noticed: Timestamp) {
+        let Some(mut fleet) = self.state.build_fleet() else {
             return;
         };
+        fleet.noticed = noticed;
         self.serving.set_limits(fleet.limits);
         log::info!(
             step = "read site", fleet:% = fleet.version, servers = fleet.servers.len(),
--- a/azureway-entry/tests/admit.rs
+++ b/azureway-entry/tests/admit.rs
@@ -58,6 +58,7 @@
         body: Vec::new(),
         arrived: Timestamp::ZERO,
         updates,
+        link: Arc::default(),
     };
     let fleet = Arc::new(Fleet::new().with_version(VERSION));
     admit
--- a/azureway-entry/tests/endless_answers.rs
+++ b/azureway-entry/tests/endless_answers.rs
@@ -67,6 +67,7 @@
         content_type: "".into(),
         account: AccountId::new("small"),
         idempotency_key: None,
+        link: Arc::default(),
         body: Arc::from(Vec::new()),
         passthrough: Some(Passthrough {
             attempt_id: Some("attempt-1".into()),
