Bound the memory of long requests and of streams for all of them together

Callers lost their requests when long bodies of others outgrew the machine's memory and the process was killed. Only the size of a single body was bounded, and each attempt copied it. A stream that never ends an event could hold 1 MiB for each attempt.

Bodies of requests now share a bound, as those of answers did, and so do events that have not ended. What exceeds it is refused at once as not run, or ends its attempt. A body is no longer copied for an attempt, a head has 16 KiB at most, and reads of streams are shorter.

--- a/azureway-entry/src/caller/bad_input.rs
+++ b/azureway-entry/src/caller/bad_input.rs
@@ -17,6 +17,8 @@
     BodyTooLarge,
     /// The body is malformed or shorter than declared.
     BadBody,
+    /// The bodies of all requests take too much memory.
+    Overloaded,
     /// The request did not arrive before its deadline.
     TooSlow,
 }
@@ -30,6 +32,7 @@
             BadInput::BadLength => (RefusalReason::Malformed, "the body's length is ambiguous"),
             BadInput::BodyTooLarge => (RefusalReason::TooLarge, "the body is too large"),
             BadInput::BadBody => (RefusalReason::Malformed, "the body is cut short or broken"),
+            BadInput::Overloaded => (RefusalReason::Overloaded, "too many long requests at once"),
             BadInput::TooSlow => (RefusalReason::TooSlow, "the request did not arrive in time"),
         };
         Self::not_run(reason, detail)
--- a/azureway-entry/src/caller/body_reader.rs
+++ b/azureway-entry/src/caller/body_reader.rs
@@ -88,6 +88,7 @@
     match source.take(count as u64).read_to_end(&mut body) {
         Ok(_) => Ok(body),
         Err(e) if e.kind() == io::ErrorKind::TimedOut => Err(BadInput::TooSlow),
+        Err(e) if e.kind() == io::ErrorKind::OutOfMemory => Err(BadInput::Overloaded),
         Err(_) => Err(BadInput::BadBody),
     }
 }
--- a/azureway-entry/src/exchange/answer_memory.rs
+++ b/azureway-entry/src/exchange/body_memory.rs
@@ -1,31 +1,31 @@
-//! The bound on the memory of all answers that are being read.
+//! The bound on the memory of all bodies that are held, of answers or of requests.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use super::AnswerReservation;
+use super::BodyReservation;
 
-/// Bounds the memory of the bodies that the attempts of an entry instance hold while they read
-/// them. Clones share the bound.
+/// Bounds the memory of the bodies that an entry instance holds: those of answers while attempts read
+/// them, or those of requests until they are answered. Clones share the bound.
 #[derive(Clone, Debug, Default)]
-pub struct AnswerMemory {
+pub struct BodyMemory {
     used: Arc<AtomicUsize>,
 }
 
-/// The largest total size of the bodies that are being read, apart from the part of each that needs
+/// The largest total size of the bodies that are held, apart from the part of each that needs
 /// no reservation, in bytes. It is also the largest size of a single one. The smallest instances
 /// have 88 MB of memory, of which a process needs about 20 MB otherwise.
 const MAX_TOTAL: usize = 16 * 1024 * 1024;
 
-impl AnswerMemory {
+impl BodyMemory {
     /// Creates an unused bound.
     pub fn new() -> Self {
         Self::default()
     }
 
     /// Returns the reservation of a body of which nothing has been read.
-    pub fn reserve(&self) -> AnswerReservation {
-        AnswerReservation::new(self.clone())
+    pub fn reserve(&self) -> BodyReservation {
+        BodyReservation::new(self.clone())
     }
 
     /// Adds `bytes` to the memory in use. Returns `false` if the bound would be exceeded.
--- a/azureway-entry/src/exchange/answer_reservation.rs
+++ b/azureway-entry/src/exchange/body_reservation.rs
@@ -1,24 +1,24 @@
-//! The memory that a body occupies while it is being read.
+//! The memory that a body occupies.
 
-use super::AnswerMemory;
+use super::BodyMemory;
 
-/// The memory that one body occupies of an [`AnswerMemory`]. Dropping it releases the memory.
+/// The memory that one body occupies of an [`BodyMemory`]. Dropping it releases the memory.
 #[derive(Debug)]
-pub struct AnswerReservation {
-    memory: AnswerMemory,
+pub struct BodyReservation {
+    memory: BodyMemory,
     /// The size of the body so far, in bytes.
     size: usize,
     /// The part of the size that counts towards the bound, in bytes.
     reserved: usize,
 }
 
-/// The size up to which a body needs no reservation, in bytes, so that a few endless bodies do not
-/// make short answers fail.
+/// The size up to which a body needs no reservation, in bytes, so that a few long bodies do not
+/// make short ones fail.
 const FREE_SIZE: usize = 64 * 1024;
 
-impl AnswerReservation {
+impl BodyReservation {
     /// Creates the reservation of an empty body.
-    pub(super) const fn new(memory: AnswerMemory) -> Self {
+    pub(super) const fn new(memory: BodyMemory) -> Self {
         Self {
             memory,
             size: 0,
@@ -40,7 +40,7 @@
     }
 }
 
-impl Drop for AnswerReservation {
+impl Drop for BodyReservation {
     fn drop(&mut self) {
         self.memory.remove(self.reserved);
     }
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -30,8 +30,10 @@
     .with_interval(Duration::from_secs(1));
 /// The size of the read buffer, in bytes.
 const READ_SIZE: usize = 8 * 1024;
+/// The size up to which a body is sent with its head, in bytes.
+const MAX_JOINED: usize = 8 * 1024;
 /// The maximum size of a response head, with the interim ones before it, in bytes.
-const MAX_HEAD_SIZE: usize = 64 * 1024;
+const MAX_HEAD_SIZE: usize = 16 * 1024;
 /// The maximum size of the body of an answer to a [`call`](BackendConnection::call), in bytes. A
 /// report of some hundred cached blocks has about 50 KB.
 const MAX_CALL_BODY: usize = 8 * 1024 * 1024;
@@ -136,6 +138,18 @@
         self.stream().write_all(bytes)
     }
 
+    /// Sends the head and the body of a request. Only a short body is copied, to be sent with its head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails or a write blocks for longer than `limit`.
+    pub fn send_parts(&self, mut head: Vec<u8>, body: &[u8], limit: Duration) -> io::Result<()> {
+        let (joined, rest) = body.split_at(body.len().min(MAX_JOINED));
+        head.extend_from_slice(joined);
+        self.send(&head, limit)?;
+        self.stream().write_all(rest)
+    }
+
     /// Sets how long a read waits for bytes.
     ///
     /// # Errors
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -8,7 +8,7 @@
 use flume::Sender;
 
 use super::{
-    AnswerHead, AnswerMemory, BackendConnection, BackendDialect, BodyStream, CancelHandle,
+    AnswerHead, BackendConnection, BackendDialect, BodyMemory, BodyStream, CancelHandle,
     ConnectionPool, EventSplitter, Framing,
 };
 use crate::admit::{Passthrough, UpstreamRequest};
@@ -33,7 +33,7 @@
     /// The idle connections to backend servers.
     pub pool: ConnectionPool,
     /// The bound on the memory of the answers that all attempts read.
-    pub memory: AnswerMemory,
+    pub memory: BodyMemory,
     /// The handle through which the attempt is cancelled.
     pub handle: Arc<CancelHandle>,
     /// The time limit for opening a connection.
@@ -56,6 +56,9 @@
 const MAX_EVENT_SIZE: usize = 1024 * 1024;
 /// The size of the buffer for reads from an answer, in bytes.
 const READ_SIZE: usize = 16 * 1024;
+/// The size of the buffer for reads from a stream, in bytes. What is read at once waits together for
+/// its caller.
+const STREAM_READ_SIZE: usize = 4 * 1024;
 
 impl<D: BackendDialect> ExchangeAttempt<D> {
     /// Runs the attempt and reports its outcome to the deciding duty.
@@ -179,8 +182,9 @@
         let mut start = Some(AnswerChunk::StreamHead(Box::new(head.clone())));
         let mut body = connection.body(framing);
         let mut splitter = EventSplitter::new();
-        let mut buffer = vec![0; READ_SIZE];
+        let mut buffer = vec![0; STREAM_READ_SIZE];
         let mut since_event = 0;
+        let mut held = self.memory.reserve();
         loop {
             let count = body
                 .read(&mut buffer)
@@ -195,6 +199,14 @@
             } else {
                 0
             };
+            if events.is_empty() {
+                if !held.grow(count) {
+                    log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = since_event; "the event takes too much memory");
+                    return Err(BROKEN);
+                }
+            } else {
+                held = self.memory.reserve();
+            }
             if since_event > MAX_EVENT_SIZE {
                 log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = since_event; "the stream has no new event");
                 return Err(BROKEN);
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -9,7 +9,7 @@
 use azureway_core::prelude::*;
 use flume::{Receiver, Sender};
 
-use super::{AnswerMemory, BackendDialect, CancelHandle, ConnectionPool, ExchangeAttempt};
+use super::{BackendDialect, BodyMemory, CancelHandle, ConnectionPool, ExchangeAttempt};
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::clock::Clock;
@@ -22,7 +22,7 @@
 pub struct ExchangeLauncher<D> {
     dialect: D,
     pool: ConnectionPool,
-    memory: AnswerMemory,
+    memory: BodyMemory,
     decide: Sender<DecideMessage>,
     bounds: Bounds,
     clock: Clock,
@@ -47,7 +47,7 @@
         Self {
             dialect,
             pool: ConnectionPool::new(bounds.idle_connections),
-            memory: AnswerMemory::new(),
+            memory: BodyMemory::new(),
             decide,
             bounds,
             clock,
--- a/azureway-entry/src/exchange/mod.rs
+++ b/azureway-entry/src/exchange/mod.rs
@@ -4,11 +4,11 @@
 //! and reads those. Sending, framing, classifying failures and pooling are the same for all sites.
 
 mod answer_head;
-mod answer_memory;
 mod answer_metadata;
-mod answer_reservation;
 mod attempt_reports;
 mod backend_dialect;
+mod body_memory;
+mod body_reservation;
 mod body_stream;
 mod call_answer;
 mod call_error;
@@ -30,10 +30,10 @@
 mod timed_socket;
 
 pub use answer_head::AnswerHead;
-pub use answer_memory::AnswerMemory;
 pub use answer_metadata::AnswerMetadata;
-pub use answer_reservation::AnswerReservation;
 pub use backend_dialect::BackendDialect;
+pub use body_memory::BodyMemory;
+pub use body_reservation::BodyReservation;
 pub use body_stream::BodyStream;
 pub use call_answer::CallAnswer;
 pub use call_error::CallError;
--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -106,8 +106,9 @@
             .set_read_timeout(timeout)
             .map_err(|e| failed(&e))?;
         connection.set_deadline(Some(self.clock.instant(passthrough.deadline)));
-        let bytes = self.encode(passthrough, left);
-        let unread = connection.send(&bytes, timeout).err();
+        let head = self.encode_head(passthrough, left);
+        let sent = connection.send_parts(head, &self.upstream.body, timeout);
+        let unread = sent.err();
         if let Some(e) = &unread {
             // A server that rejects a long request may answer before it has read all of it.
             connection
@@ -141,8 +142,8 @@
         passthrough.deadline.since(self.clock.now())
     }
 
-    /// Returns the bytes of the request. `left` is the time for which the caller still waits.
-    fn encode(&self, passthrough: &Passthrough, left: Duration) -> Vec<u8> {
+    /// Returns the bytes of the request's head. `left` is the time for which the caller still waits.
+    fn encode_head(&self, passthrough: &Passthrough, left: Duration) -> Vec<u8> {
         let upstream = &self.upstream;
         let mut head = format!("{} {} HTTP/1.1\r\n", upstream.method, upstream.path);
         let resumed = self.dispatch.position > StreamPosition::ZERO;
@@ -161,9 +162,7 @@
         self.dialect
             .write_headers(&self.dispatch, upstream, left, &mut head);
         head.push_str("\r\n");
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(&upstream.body);
-        bytes
+        head.into_bytes()
     }
 }
 
--- a/azureway-entry/src/routed/connection.rs
+++ b/azureway-entry/src/routed/connection.rs
@@ -8,13 +8,14 @@
 use azureway_core::prelude::{CallerLimits, Refusal, RefusalReason, RequestId};
 
 use super::{
-    AnswerEnd, CallerDialect, DisconnectWatch, IdleWait, PrefixedReader, RoutedAnswer,
-    RoutedResponder, ServingState,
+    AnswerEnd, CallerDialect, DisconnectWatch, IdleWait, PrefixedReader, ReservedReader,
+    RoutedAnswer, RoutedResponder, ServingState,
 };
 use crate::admit::{AdmitMessage, Call};
 use crate::caller::{BadInput, BodyReader, CallerLink, Head, HeadReader, TimedStream};
 use crate::daemon::Handles;
 use crate::decide::DecideMessage;
+use crate::exchange::BodyReservation;
 
 /// The duty of a routed caller's connection: reads requests one at a time and writes their answers.
 #[derive(Debug)]
@@ -84,13 +85,17 @@
     fn serve_request(&mut self) -> AnswerEnd {
         let limits = self.serving.limits();
         match self.read_request(limits) {
-            Ok((head, body)) => self.answer(head, body),
+            // The memory is reserved until the request is answered.
+            Ok((head, body, _reserved)) => self.answer(head, body),
             Err(BadInput::Closed) => AnswerEnd::Aborted,
             Err(input) => self.refuse(input),
         }
     }
 
-    fn read_request(&mut self, limits: CallerLimits) -> Result<(Head, Vec<u8>), BadInput> {
+    fn read_request(
+        &mut self,
+        limits: CallerLimits,
+    ) -> Result<(Head, Vec<u8>, BodyReservation), BadInput> {
         let mut stream = TimedStream::new(&self.stream, Instant::now() + limits.head_timeout);
         let buffered = std::mem::take(&mut self.buffered);
         let reader = HeadReader::new(limits.head_bytes).with_bytes(buffered);
@@ -103,10 +108,12 @@
             let sent = (&self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
             sent.map_err(|_| BadInput::Closed)?;
         }
-        let mut rest = PrefixedReader::new(buffered, stream);
+        let rest = PrefixedReader::new(buffered, stream);
+        let mut rest = ReservedReader::new(rest, self.serving.bodies.reserve());
         let body = body.read(&[], &mut rest, limits.body_bytes)?;
+        let (rest, reserved) = rest.into_parts();
         self.buffered = rest.into_unread();
-        Ok((head, body))
+        Ok((head, body, reserved))
     }
 
     /// Refuses a malformed request and closes the connection.
--- a/azureway-entry/src/routed/serving_state.rs
+++ b/azureway-entry/src/routed/serving_state.rs
@@ -6,6 +6,7 @@
 use azureway_core::prelude::CallerLimits;
 
 use super::InFlight;
+use crate::exchange::BodyMemory;
 
 /// The state that all callers' connections share: the limits in force, whether the daemon is
 /// draining, and the number of requests in flight.
@@ -15,6 +16,8 @@
     draining: Arc<AtomicBool>,
     /// The number of requests in flight.
     pub in_flight: InFlight,
+    /// The bound on the memory of the bodies of requests.
+    pub bodies: BodyMemory,
 }
 
 impl ServingState {
--- a/azureway-entry/tests/endless_answers.rs
+++ b/azureway-entry/tests/endless_answers.rs
@@ -4,7 +4,8 @@
 mod attempt;
 mod dialect;
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use azureway_entry::clock::Clock;
 use azureway_entry::decide::DecideMessage;
 use azureway_entry::exchange::{
-    AnswerMemory, BackendConnection, CancelHandle, ConnectionPool, ExchangeAttempt,
+    BackendConnection, BodyMemory, CancelHandle, ConnectionPool, ExchangeAttempt,
 };
 use azureway_entry::feed::{FeedSource, HttpFeed};
 use azureway_entry::order::{HttpOrders, OrderLink};
@@ -34,6 +35,14 @@
 /// Starts an attempt at `address` whose request's deadline is `left` from now. Returns the ring of
 /// its reports.
 fn start_attempt(address: SocketAddr, left: Duration) -> Receiver<DecideMessage> {
+    start_with_memory(address, left, BodyMemory::new())
+}
+
+fn start_with_memory(
+    address: SocketAddr,
+    left: Duration,
+    memory: BodyMemory,
+) -> Receiver<DecideMessage> {
     let (chunks, answer) = flume::bounded(64);
     let (decide, reports) = flume::bounded(64);
     let clock = Clock::new();
@@ -44,7 +53,7 @@
         decide,
         dialect: TestDialect,
         pool: ConnectionPool::new(8),
-        memory: AnswerMemory::new(),
+        memory,
         handle: Arc::new(CancelHandle::new()),
         connect_timeout: Duration::from_secs(1),
         resend_limit: Duration::ZERO,
@@ -200,12 +209,30 @@
     expect_that!(result.recv_timeout(TEST_TIMEOUT), ok(eq(true)));
 }
 
+// Guards against many events without an end that together fill the entry's memory.
+#[gtest]
+fn an_event_without_an_end_fails_its_attempt_when_the_memory_of_all_answers_is_used() {
+    const MIB: usize = 1024 * 1024;
+    let memory = BodyMemory::new();
+    let mut other = memory.reserve();
+    while other.grow(MIB) {}
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let reports = start_with_memory(address, Duration::from_secs(600), memory);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let head = "HTTP/1.1 200 OK\r\nx-sign: 1\r\ncontent-type: text/event-stream\r\n\r\ndata: ";
+    let event = [head.as_bytes(), &[b'a'; MIB / 4]].concat();
+    // The attempt may close the connection before it has read all.
+    let _ = stream.write_all(&event);
+    expect_that!(failure(&reports).as_str(), eq("Broken MaybeRun"));
+}
+
 // Guards against many large answers at once that together fill the entry's memory, and against
 // short answers that fail because of them.
 #[gtest]
 fn the_bodies_of_all_answers_share_one_bound_that_spares_short_ones() {
     const MIB: usize = 1024 * 1024;
-    let memory = AnswerMemory::new();
+    let memory = BodyMemory::new();
     let mut bodies: Vec<_> = (0..8).map(|_| memory.reserve()).collect();
     let mut total = 0;
     while bodies.iter_mut().all(|b| b.grow(MIB)) {
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -15,7 +15,7 @@
 use azureway_entry::caller::{AnswerChunk, CallerLink};
 use azureway_entry::clock::Clock;
 use azureway_entry::decide::DecideMessage;
-use azureway_entry::exchange::{AnswerMemory, CancelHandle, ConnectionPool, ExchangeAttempt};
+use azureway_entry::exchange::{BodyMemory, CancelHandle, ConnectionPool, ExchangeAttempt};
 use dialect::TestDialect;
 use flume::Receiver;
 use googletest::prelude::*;
@@ -75,7 +75,7 @@
         decide,
         dialect: TestDialect,
         pool: pool.clone(),
-        memory: AnswerMemory::new(),
+        memory: BodyMemory::new(),
         handle: Arc::clone(&handle),
         connect_timeout: Duration::from_secs(1),
         resend_limit,
--- a/azureway-entry/tests/gateway.rs
+++ b/azureway-entry/tests/gateway.rs
@@ -67,6 +67,30 @@
     expect_that!(without_time_left(second.expect("the second")), eq(&first));
 }
 
+// Guards against long requests that together outgrow the memory of the machine, which ends the process with
+// all that it has accepted.
+#[gtest]
+fn long_requests_beyond_the_memory_of_all_are_refused_at_once() {
+    const LENGTH: usize = 4 * 1024 * 1024;
+    let server = Server::start(|_, stream| support::answer(stream, "ok"));
+    let fixture = SiteFixture::start(Some(&server));
+    // The last byte of each body is missing, so none is answered for another reason.
+    let head = format!("POST /safe/x HTTP/1.1\r\nhost: one\r\ncontent-length: {LENGTH}\r\n\r\n");
+    let mut streams: Vec<_> = (0..6).map(|_| send(&fixture, &head)).collect();
+    let body = vec![b'a'; LENGTH - 1];
+    for stream in &mut streams {
+        // A refused request is read to its end for a second only.
+        let _ = stream.write_all(&body);
+    }
+    let refused = streams.iter_mut().any(|stream| {
+        let limit = stream.set_read_timeout(Some(Duration::from_millis(500)));
+        limit.expect("a timeout");
+        let mut line = [0; 12];
+        stream.read_exact(&mut line).is_ok() && line == *b"HTTP/1.1 503"
+    });
+    expect_that!(refused, eq(true));
+}
+
 /// Each row: a request and the status line of its answer.
 #[gtest]
 fn requests_that_cannot_be_routed_get_the_matching_status() {
