--- a/azureway-entry/src/caller/caller_link.rs
+++ b/azureway-entry/src/caller/caller_link.rs
@@ -1,8 +1,9 @@
 //! The link from a caller's connection to the attempt at its request.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use super::link_state::LinkState;
 use crate::exchange::CancelHandle;
 
 /// Stops the attempt at a request as soon as its caller is known to have disconnected. The deciding duty
@@ -12,13 +13,6 @@
     state: Mutex<LinkState>,
 }
 
-#[derive(Debug, Default)]
-struct LinkState {
-    /// When the disconnect was noticed.
-    disconnected: Option<Instant>,
-    attempt: Weak<CancelHandle>,
-}
-
 impl CallerLink {
     /// Creates the link of a caller that waits for its answer.
     pub fn new() -> Self {
--- a/azureway-entry/src/caller/mod.rs
+++ b/azureway-entry/src/caller/mod.rs
@@ -10,6 +10,7 @@
 mod head;
 mod head_reader;
 mod is_open;
+mod link_state;
 mod listener;
 mod request_update;
 mod responder;
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -112,13 +112,7 @@
     fn handle_message(&mut self, message: DecideMessage) {
         match message {
             DecideMessage::Arrived(admitted) => self.handle_arrival(*admitted),
-            DecideMessage::CallerDisconnected(id) => {
-                let wait = self.requests.remove(id);
-                let wait = wait.and_then(|r| r.upstream.link.since_disconnect());
-                wait.into_iter()
-                    .for_each(|w| self.record_metric(MetricEvent::CancelWait(w)));
-                self.handle_event(Event::CallerDisconnected(id));
-            }
+            DecideMessage::CallerDisconnected(id) => self.handle_disconnect(id),
             DecideMessage::Started(attempt) => self.handle_start(attempt),
             DecideMessage::Finished(finish) => self.handle_finish(&finish),
             DecideMessage::Answered(finish, answer) => {
@@ -162,6 +156,15 @@
         self.handle_event(Event::Arrived(&request));
     }
 
+    fn handle_disconnect(&mut self, id: RequestId) {
+        let pending = self.requests.remove(id);
+        let wait = pending.and_then(|r| r.upstream.link.since_disconnect());
+        if let Some(wait) = wait {
+            self.record_metric(MetricEvent::CancelWait(wait));
+        }
+        self.handle_event(Event::CallerDisconnected(id));
+    }
+
     fn handle_start(&mut self, attempt: Attempt) {
         let metric = self.requests.record_start(attempt, self.clock.now());
         metric.into_iter().for_each(|m| self.record_metric(m));
--- a/azureway-entry/src/routed/disconnect_watch.rs
+++ b/azureway-entry/src/routed/disconnect_watch.rs
@@ -1,6 +1,5 @@
 //! Registering connections with the duty that detects disconnects.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
@@ -10,6 +9,7 @@
 use mio::unix::SourceFd;
 use mio::{Interest, Registry, Token};
 
+use super::WatchedCallers;
 use crate::caller::CallerLink;
 
 /// Registers the connections of callers that wait for an answer, so that disconnects are detected.
@@ -20,17 +20,6 @@
     callers: Arc<Mutex<WatchedCallers>>,
 }
 
-/// A request and the link of its caller.
-type WatchedCaller = (RequestId, Arc<CallerLink>);
-
-/// The watched connections. No token is given out twice, since an event may be handled after the watch of
-/// its connection has ended.
-#[derive(Debug, Default)]
-struct WatchedCallers {
-    callers: HashMap<usize, WatchedCaller>,
-    last_token: usize,
-}
-
 impl DisconnectWatch {
     /// Creates a watch that registers connections with `registry`.
     pub fn new(registry: Registry) -> Self {
@@ -51,19 +40,13 @@
         id: RequestId,
         link: &Arc<CallerLink>,
     ) -> io::Result<usize> {
-        let token = {
-            let mut watched = self.lock();
-            watched.last_token = watched.last_token.wrapping_add(1);
-            let token = watched.last_token;
-            watched.callers.insert(token, (id, Arc::clone(link)));
-            token
-        };
+        let token = self.lock().insert(id, Arc::clone(link));
         let mut source = SourceFd(&stream.as_raw_fd());
         let registered = self
             .registry
             .register(&mut source, Token(token), Interest::READABLE);
         if registered.is_err() {
-            self.lock().callers.remove(&token);
+            self.lock().remove(token);
         }
         registered.map(|()| token)
     }
@@ -74,12 +57,12 @@
         if let Err(e) = self.registry.deregister(&mut source) {
             log::warn!(step = "watch callers", error:% = e; "deregistering a connection failed");
         }
-        self.lock().callers.remove(&token);
+        self.lock().remove(token);
     }
 
     /// Stops the attempt of a caller that has disconnected. Returns its request, if it is still watched.
     pub fn disconnect(&self, token: usize) -> Option<RequestId> {
-        let caller = self.lock().callers.get(&token).cloned();
+        let caller = self.lock().get(token);
         let (id, link) = caller?;
         link.disconnect();
         Some(id)
--- a/azureway-entry/src/routed/mod.rs
+++ b/azureway-entry/src/routed/mod.rs
@@ -22,6 +22,7 @@
 mod responder;
 mod response_head;
 mod serving_state;
+mod watched_callers;
 
 pub use answer::RoutedAnswer;
 pub use answer_end::AnswerEnd;
@@ -41,3 +42,4 @@
 pub use responder::RoutedResponder;
 pub use response_head::ResponseHead;
 pub use serving_state::ServingState;
+use watched_callers::WatchedCallers;
--- a/azureway-entry/src/site/mod.rs
+++ b/azureway-entry/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod duty;
 mod kind;
+mod peer_news;
 mod rejected_objects;
 mod update;
 mod watcher;
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -13,29 +13,29 @@
 
 use super::{RejectedObjects, SITE_CALL_TIMEOUT, SiteCodec, SiteKind, SiteUpdate};
 use crate::clock::Clock;
-use crate::zone::{ReadTimes, ZoneChanges, ZoneLink};
+use crate::zone::{ReadTimes, ZoneLink};
 
 /// Watches one kind of platform object of a site and sends the decoded updates to the site duty.
 #[derive(Debug)]
 pub struct SiteWatcher<A, C> {
-    api: A,
+    pub(super) api: A,
     codec: C,
-    kind: SiteKind,
+    pub(super) kind: SiteKind,
     updates: Sender<SiteUpdate>,
-    clock: Clock,
-    schedule: WatchSchedule,
+    pub(super) clock: Clock,
+    pub(super) schedule: WatchSchedule,
     /// The time at which the current outage of the platform began.
-    lost: Option<Timestamp>,
+    pub(super) lost: Option<Timestamp>,
     /// The version after which the last call asked for changes, or `None` if it asked for a list.
-    after: Option<u64>,
-    bound: ChangeBound,
+    pub(super) after: Option<u64>,
+    pub(super) bound: ChangeBound,
     /// The times of the last answer.
-    times: ReadTimes,
-    disturbances: DisturbanceMeter,
+    pub(super) times: ReadTimes,
+    pub(super) disturbances: DisturbanceMeter,
     /// The link to other entries, if the platform may be read through them.
-    zone: Option<ZoneLink>,
+    pub(super) zone: Option<ZoneLink>,
     /// The time until which another entry knew of every change, after the last call that failed here.
-    peer_until: Option<Timestamp>,
+    pub(super) peer_until: Option<Timestamp>,
     rejected: RefCell<RejectedObjects>,
 }
 
@@ -138,62 +138,6 @@
         }
     }
 
-    /// Asks a reader of the zone.
-    fn ask_zone(&mut self, after: u64) -> Option<(Timestamp, ZoneChanges)> {
-        let zone = self.zone.as_mut()?;
-        zone.ask(self.kind, self.api.era(), after, self.lost, self.clock)
-    }
-
-    /// Handles the answer of a reader of the zone to a request that was sent at `asked`. Returns whether
-    /// the site duty still receives updates.
-    fn handle_changes(&mut self, changes: &ZoneChanges, after: u64, asked: Timestamp) -> bool {
-        let now = self.clock.now();
-        // The platform has answered the reader since. This entry alone was turned away.
-        self.peer_until = Some(changes.known_until(asked));
-        self.record_recovery(now);
-        self.schedule
-            .record_success(changes.list.version.max(after), now);
-        let sent = self.apply_changes(changes, asked);
-        if let Some(zone) = &mut self.zone {
-            zone.check_age(self.kind, self.times.until, now);
-        }
-        sent
-    }
-
-    /// Reads from another entry what the platform has told it since calls fail here. Returns whether the
-    /// site duty still receives updates.
-    fn read_from_peer(&mut self) -> bool {
-        let (Some(zone), Some(after), Some(lost)) =
-            (&mut self.zone, self.schedule.version(), self.lost)
-        else {
-            return true;
-        };
-        self.peer_until = None;
-        let answer = zone.ask_other(self.kind, self.api.era(), after, lost, self.clock);
-        let Some((asked, changes)) = answer else {
-            return true;
-        };
-        self.peer_until = Some(changes.known_until(asked));
-        self.schedule
-            .record_relayed(changes.list.version.max(after));
-        self.after = (!changes.whole).then_some(after);
-        self.apply_changes(&changes, asked)
-    }
-
-    /// Passes on what another entry answered to a request that was sent at `asked`. Returns whether the
-    /// site duty still receives updates.
-    fn apply_changes(&mut self, changes: &ZoneChanges, asked: Timestamp) -> bool {
-        let (answered, until) = (changes.answered(asked), changes.known_until(asked));
-        // Calls that failed here do not show that the platform was disturbed for others.
-        let _ = self.disturbances.record_success();
-        let since = changes.changed.map(|ago| answered.before(ago));
-        self.times.since = self.bound.record_relayed(until, since);
-        self.times.until = self.bound.reported_until();
-        let recovered = changes.recovered.map(|ago| answered.before(ago));
-        self.times.recovered = self.times.recovered.max(recovered);
-        self.send_updates(&changes.list) && self.send_listed_until()
-    }
-
     /// Keeps an answer of the platform for the other entries of the zone.
     fn keep_for_zone(&self, list: &ObjectList) {
         if let Some(zone) = &self.zone {
@@ -218,7 +162,7 @@
         }
     }
 
-    fn record_recovery(&mut self, now: Timestamp) {
+    pub(super) fn record_recovery(&mut self, now: Timestamp) {
         if let Some(since) = self.lost.take() {
             let millis = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
             // While another entry heard from the platform, no registration expired for want of it.
@@ -231,7 +175,7 @@
         }
     }
 
-    fn send_updates(&self, list: &ObjectList) -> bool {
+    pub(super) fn send_updates(&self, list: &ObjectList) -> bool {
         match self.kind {
             SiteKind::Servers if self.after.is_none() => {
                 let objects = list.objects.iter().filter(|o| !o.deleted);
@@ -250,7 +194,7 @@
     }
 
     /// Sends the time until which the list of servers is complete.
-    fn send_listed_until(&self) -> bool {
+    pub(super) fn send_listed_until(&self) -> bool {
         let ReadTimes {
             until, recovered, ..
         } = self.times;
