Drop requests whose callers left before they were decided on

A watch begins before its request is admitted, so the message that the caller has left can reach the deciding duty first. The request would then be tracked until its time limit, and no attempt would report for it. It is dropped when it arrives.

--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -149,6 +149,11 @@
     }
 
     fn handle_arrival(&mut self, admitted: AdmittedRequest) {
+        // The message that the caller has left may have come before its request.
+        if admitted.upstream.link.since_disconnect().is_some() {
+            log::info!(request:% = admitted.request.id, step = "decide"; "the caller left before its request was decided on");
+            return;
+        }
         let request = admitted.request.clone();
         let wait = self.clock.now().since(request.arrived);
         self.record_metric(MetricEvent::RingWait(wait));
