Remove two races from the tests of the exchange

Since connections are reset when they are given up, a script that closes its side may find the connection gone already (NotConnected, in 2 of 48 runs, eight at once). And a request was cancelled before the part that waits was written, so there was nothing to discard and the end was a plain close (10 of 120 runs). What the tests assert has not changed.

--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -144,7 +144,11 @@
         .replace("{}", ATTEMPT);
     stream.write_all(text.as_bytes()).expect("sent");
     match end {
-        "close" => stream.shutdown(std::net::Shutdown::Write).expect("closed"),
+        "close" => match stream.shutdown(std::net::Shutdown::Write) {
+            // The attempt has rejected the answer and reset the connection before.
+            Err(e) if e.kind() == std::io::ErrorKind::NotConnected => {}
+            closed => closed.expect("closed"),
+        },
         "reset" => {
             // Gives the bytes time to arrive: a reset discards those not yet read.
             thread::sleep(Duration::from_millis(50));
@@ -466,6 +470,8 @@
 #[gtest]
 fn the_unsent_part_of_a_cancelled_request_is_discarded() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let small = SockRef::from(&listener).set_recv_buffer_size(4 * 1024);
+    small.expect("a small buffer");
     let address = listener.local_addr().expect("an address");
     let long = UpstreamRequest {
         body: Arc::from(vec![b'a'; UNREAD_SIZE]),
