Check the bytes of an unfinished event in one place

A stream's loop looked at its events three times and had two checks of one size. They are one function, and a cache's flag is no longer derived from another. Behaviour is as it was, but that both cases share one log line.

--- a/azureway-entry/src/exchange/body_reservation.rs
+++ b/azureway-entry/src/exchange/body_reservation.rs
@@ -2,7 +2,7 @@
 
 use super::BodyMemory;
 
-/// The memory that one body occupies of an [`BodyMemory`]. Dropping it releases the memory.
+/// The memory that one body occupies of a [`BodyMemory`]. Dropping it releases the memory.
 #[derive(Debug)]
 pub struct BodyReservation {
     memory: BodyMemory,
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -8,8 +8,8 @@
 use flume::Sender;
 
 use super::{
-    AnswerHead, BackendConnection, BackendDialect, BodyMemory, BodyStream, CancelHandle,
-    ConnectionPool, EventSplitter, Framing,
+    AnswerHead, BackendConnection, BackendDialect, BodyMemory, BodyReservation, BodyStream,
+    CancelHandle, ConnectionPool, EventSplitter, Framing,
 };
 use crate::admit::{Passthrough, UpstreamRequest};
 use crate::caller::AnswerChunk;
@@ -194,27 +194,15 @@
             }
             splitter.push(&buffer[..count]);
             let events = self.new_events(&mut splitter)?;
-            since_event = if events.is_empty() {
-                since_event + count
-            } else {
-                0
-            };
             if events.is_empty() {
-                if !held.grow(count) {
-                    log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = since_event; "the event takes too much memory");
-                    return Err(BROKEN);
-                }
-            } else {
-                held = self.memory.reserve();
-            }
-            if since_event > MAX_EVENT_SIZE {
-                log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = since_event; "the stream has no new event");
-                return Err(BROKEN);
-            }
-            if !events.is_empty() {
-                start.take().map_or(Ok(()), |head| self.send_chunk(head))?;
-                self.send_chunk(AnswerChunk::StreamBytes(events))?;
+                since_event += count;
+                self.check_event(&mut held, count, since_event)?;
+                continue;
             }
+            since_event = 0;
+            held = self.memory.reserve();
+            start.take().map_or(Ok(()), |head| self.send_chunk(head))?;
+            self.send_chunk(AnswerChunk::StreamBytes(events))?;
         }
         // A server that crashes as it begins to write ends the connection like a server that is done.
         let empty = framing == Framing::Closing && self.next_position == StreamPosition::ZERO;
@@ -227,6 +215,26 @@
         self.send_chunk(AnswerChunk::End)
     }
 
+    /// Adds `count` bytes without a new event to those that are `held`. `size` is the number of bytes since
+    /// the last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes take too much memory, or if there are too many.
+    fn check_event(
+        &self,
+        held: &mut BodyReservation,
+        count: usize,
+        size: usize,
+    ) -> Result<(), AttemptError> {
+        let reserved = held.grow(count);
+        if reserved && size <= MAX_EVENT_SIZE {
+            return Ok(());
+        }
+        log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = size, reserved = reserved; "the stream has no new event");
+        Err(BROKEN)
+    }
+
     /// Returns the bytes of the complete events that the caller has not received yet.
     fn new_events(&mut self, splitter: &mut EventSplitter) -> Result<Vec<u8>, AttemptError> {
         let mut bytes = Vec::new();
--- a/azureway-entry/src/zone/kind_cache.rs
+++ b/azureway-entry/src/zone/kind_cache.rs
@@ -83,8 +83,7 @@
     /// Returns all objects, or `None` if they are not all known, or the caller knows another era or a
     /// version after that of the last answer.
     pub fn all(&self, era: Option<StoreEra>, after: u64) -> Option<ObjectList> {
-        let listed = self.first.is_some() && self.listed;
-        let known = listed && era == self.era && self.version >= after;
+        let known = self.listed && era == self.era && self.version >= after;
         let objects = self.objects.values().filter(|o| !o.deleted);
         known.then(|| ObjectList {
             version: self.version,
