Add the interfaces of account limits, memory, speed and instance bounds

Cause: account limits over all entries, admission by the memory of servers, learned server speeds and bounds from an instance's memory are built side by side and share these types. Change: AccountLimit, LimitUnit and EngineCapacity; requests carry their stated usage and expected output; servers carry their capacity; RoomMeter and SpeedMeter stand in ServerState and are told of requests; the settings name memory and descriptors of the instance, which nothing enforces yet.

--- a/azureway-config/src/settings/bounds.rs
+++ b/azureway-config/src/settings/bounds.rs
@@ -29,6 +29,11 @@
     /// The capacity of the instance's link, in megabits per second, which bounds the traffic of
     /// feeds.
     pub link: f64,
+    /// The memory of the instance, in megabytes, of which the process keeps a part for what it holds
+    /// for callers and backend servers.
+    pub memory: u64,
+    /// The number of file descriptors that the process may have open.
+    pub descriptors: usize,
 }
 
 impl Bounds {
@@ -46,6 +51,8 @@
             ring_capacity: 1_024,
             load_rate: 4,
             link: 1_000.0,
+            memory: 512,
+            descriptors: 4_096,
         }
     }
 }
--- a/azureway-config/src/settings/parse.rs
+++ b/azureway-config/src/settings/parse.rs
@@ -165,6 +165,8 @@
     let queue_limit = reader.number("queue", base.queue_limit, 1, 1_000_000, "requests");
     let load_rate = reader.number("loads", base.load_rate, 1, 1_000, "loads a second");
     let link = reader.number("link", base.link, 1.0, 1_000_000.0, "megabits a second");
+    let memory = reader.number("memory", base.memory, 16, 1_048_576, "megabytes");
+    let descriptors = reader.number("files", base.descriptors, 64, 1_048_576, "descriptors");
     let ring_capacity = reader.number("ring", base.ring_capacity, 1, 1_000_000, "messages");
     let mut millis = |key, default: Duration| {
         let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
@@ -185,5 +187,7 @@
         ring_capacity,
         load_rate,
         link,
+        memory,
+        descriptors,
     }
 }
--- a/azureway-config/tests/settings.rs
+++ b/azureway-config/tests/settings.rs
@@ -94,7 +94,7 @@
 }
 
 /// The number of keys of the `[bounds]` section.
-const BOUNDS_KEYS: usize = 11;
+const BOUNDS_KEYS: usize = 13;
 
 /// Checks the values that are read from a valid `[site]` section, then replaces one value per row
 /// and checks the fault.
--- a/azureway-core/src/domain/backend_server.rs
+++ b/azureway-core/src/domain/backend_server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{ListedState, PoolId, ServerId, TokenRate, ZoneId};
+use super::{EngineCapacity, ListedState, PoolId, ServerId, TokenRate, ZoneId};
 
 /// A backend server as the configuration describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +28,8 @@
     pub leaving: bool,
     /// The state of the server in the platform's list, if it is listed there.
     pub listed: Option<ListedState>,
+    /// The memory and the link of the server, if the configuration states them.
+    pub capacity: Option<EngineCapacity>,
 }
 
 /// The number of slots of a server if the document sets none.
@@ -51,6 +53,7 @@
             deduplicates: false,
             leaving: false,
             listed: None,
+            capacity: None,
         }
     }
 
@@ -61,6 +64,13 @@
         self
     }
 
+    /// Sets the memory and the link of the server.
+    #[must_use]
+    pub fn with_capacity(mut self, capacity: Option<EngineCapacity>) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
     /// Sets the prefill rate.
     #[must_use]
     pub fn with_prefill(mut self, rate: TokenRate) -> Self {
--- a/azureway-core/src/domain/mod.rs
+++ b/azureway-core/src/domain/mod.rs
@@ -1,6 +1,7 @@
 //! The domain types: requests, services, backend servers, accounts and their quantities.
 
 mod account_id;
+mod account_limit;
 mod attempt;
 mod availability_zone;
 mod backend_server;
@@ -9,6 +10,7 @@
 mod client_account;
 mod config_version;
 mod deadline;
+mod engine_capacity;
 mod fencing_number;
 mod fingerprint;
 mod idempotency_key;
@@ -16,6 +18,7 @@
 mod instance;
 mod instance_id;
 mod key_hash;
+mod limit_unit;
 mod listed_state;
 mod model_id;
 mod model_service;
@@ -48,6 +51,7 @@
 mod zone_id;
 
 pub use account_id::AccountId;
+pub use account_limit::AccountLimit;
 pub use attempt::Attempt;
 pub use availability_zone::AvailabilityZone;
 pub use backend_server::BackendServer;
@@ -56,6 +60,7 @@
 pub use client_account::ClientAccount;
 pub use config_version::ConfigVersion;
 pub use deadline::Deadline;
+pub use engine_capacity::EngineCapacity;
 pub use fencing_number::FencingNumber;
 pub use fingerprint::Fingerprint;
 pub use idempotency_key::IdempotencyKey;
@@ -63,6 +68,7 @@
 pub use instance::Instance;
 pub use instance_id::InstanceId;
 pub use key_hash::KeyHash;
+pub use limit_unit::LimitUnit;
 pub use listed_state::ListedState;
 pub use model_id::ModelId;
 pub use model_service::ModelService;
--- a/azureway-core/src/domain/request.rs
+++ b/azureway-core/src/domain/request.rs
@@ -34,6 +34,10 @@
     pub prompt: PromptBlocks,
     /// The largest number of tokens in the answer.
     pub max_output: TokenCount,
+    /// The number of tokens that the answer is expected to have, at most `max_output`.
+    pub expected_output: TokenCount,
+    /// The tokens that the request states for itself, prompt and longest answer together.
+    pub usage: Option<TokenCount>,
     /// The caller's idempotency key, if it sent one.
     pub idempotency_key: Option<IdempotencyKey>,
     /// The digest that is equal for repetitions of the request.
@@ -54,4 +58,10 @@
     pub fn cost(&self) -> TokenCount {
         self.prompt.tokens() + self.max_output
     }
+
+    /// Returns the tokens that the request is expected to occupy in the memory of a server at its
+    /// end: its prompt and its answer.
+    pub fn footprint(&self) -> TokenCount {
+        self.prompt.tokens() + self.expected_output
+    }
 }
--- a/azureway-core/src/fleet/mod.rs
+++ b/azureway-core/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod pause_notice;
 mod rate_share;
 mod reported_work;
+mod room_meter;
 mod route_table;
 mod server_failure;
 mod server_leaving;
@@ -24,6 +25,7 @@
 mod server_state;
 mod server_table;
 mod slot_share;
+mod speed_meter;
 mod work;
 
 pub use configured::Fleet;
@@ -40,10 +42,12 @@
 pub use pause_notice::PauseNotice;
 pub use rate_share::RateShare;
 pub use reported_work::ReportedWork;
+pub use room_meter::RoomMeter;
 pub use route_table::RouteTable;
 pub use server_state::ServerState;
 pub use server_table::ServerTable;
 pub use slot_share::SlotShare;
+pub use speed_meter::SpeedMeter;
 pub use work::Work;
 
 use gone_server::GoneServer;
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Health, LoadReport, LoadSample, LocalWork, PaceMeter, PauseHold, RateShare, ReportedWork,
-    SlotShare, Work,
+    RoomMeter, SlotShare, SpeedMeter, Work,
 };
 use crate::domain::{
     BackendServer, Incarnation, ListedState, Rank, Timestamp, TokenCount, WeightsVersion,
@@ -38,6 +38,10 @@
     pub pause: PauseHold,
     /// The pace of the server's machine, if the server states it.
     pub pace: PaceMeter,
+    /// The memory of the server that requests occupy.
+    pub room: RoomMeter,
+    /// The speed of the server.
+    pub speed: SpeedMeter,
     local: LocalWork,
     pub(super) share: SlotShare,
     reported: ReportedWork,
@@ -61,6 +65,8 @@
             rate: RateShare::new(entries, seed, &server.id),
             pause: PauseHold::new(seed, &server.id),
             pace: PaceMeter::new(),
+            room: RoomMeter::new(server.capacity.map(|c| c.memory)),
+            speed: SpeedMeter::new(server.prefill),
             incarnation: server.listed.map_or(Incarnation::ZERO, |l| l.incarnation),
             weights: server.listed.and_then(|l| l.weights),
             server,
@@ -89,6 +95,8 @@
     pub fn reconfigure(&mut self, server: &BackendServer, entries: u32) -> bool {
         self.share.resize(server.slots, entries);
         self.rate.set_entries(entries);
+        self.room.set_capacity(server.capacity.map(|c| c.memory));
+        self.speed.set_configured(server.prefill);
         let old = std::mem::replace(&mut self.server, server.clone()).listed;
         match server.listed {
             Some(listed) if old != Some(listed) => self.apply_listing(listed),
@@ -202,10 +210,11 @@
         self.announced || self.health == Health::Leaving
     }
 
-    /// Records a request in flight with `pending` uncached prompt tokens, and returns the period
-    /// that it is counted in.
-    pub fn begin(&mut self, pending: TokenCount, now: Timestamp) -> u64 {
+    /// Records a request in flight that has `pending` uncached prompt tokens and occupies `footprint`
+    /// at its end, and returns the period that it is counted in.
+    pub fn begin(&mut self, pending: TokenCount, footprint: TokenCount, now: Timestamp) -> u64 {
         self.rate.spend(now);
+        self.room.begin(footprint);
         self.local.begin(pending)
     }
 
@@ -216,7 +225,8 @@
 
     /// Records that a request, with `pending` prompt tokens still to compute, is no longer in
     /// flight.
-    pub fn release(&mut self, period: u64, pending: TokenCount) {
+    pub fn release(&mut self, period: u64, pending: TokenCount, footprint: TokenCount) {
+        self.room.end(footprint);
         self.local.finish_prefill(period, pending);
         self.local.end(period);
     }
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -33,10 +33,10 @@
     /// Estimates the time to first token and the cost of a request at `candidate`.
     pub fn new(profile: RequestProfile, candidate: &Candidate<'_>, now: Timestamp) -> Self {
         let state = candidate.state;
-        let server = &state.server;
+        let (server, rate) = (&state.server, state.speed.prefill());
         let uncached = profile.prompt.saturating_sub(candidate.cached);
-        let prefill = state.pace.time_for(server.prefill.time_for(uncached), now);
-        let pending = server.prefill.time_for(state.pending_tokens());
+        let prefill = state.pace.time_for(rate.time_for(uncached), now);
+        let pending = rate.time_for(state.pending_tokens());
         let slowdown = match profile.prompt {
             TokenCount::ZERO => state.slowdown(now),
             _ => Duration::ZERO,
@@ -52,9 +52,7 @@
                 / server.slots.max(1),
             round_trip: candidate.link_latency * 2,
             traffic_cost: candidate.traffic_cost,
-            recompute: server
-                .prefill
-                .time_for(profile.fetchable.saturating_sub(candidate.cached)),
+            recompute: rate.time_for(profile.fetchable.saturating_sub(candidate.cached)),
         }
     }
 
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -160,7 +160,7 @@
     }
 
     fn start(&mut self, attempt: Attempt, now: Timestamp) {
-        if self.dispatcher.start(attempt) {
+        if self.dispatcher.start(attempt, now) {
             self.tally.start(attempt.id, now);
         }
     }
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -172,12 +172,15 @@
     }
 
     /// Records that a server began to answer. Returns whether the attempt is the current one.
-    pub fn start(&mut self, attempt: Attempt) -> bool {
+    pub fn start(&mut self, attempt: Attempt, now: Timestamp) -> bool {
         let Some((flight, pending)) = self.in_flight.start(attempt) else {
             return false;
         };
         if let Some(state) = self.servers.get_mut(&flight.server) {
             state.finish_prefill(flight.period, pending);
+            state
+                .speed
+                .observe_start(pending, now.since(flight.sent), now);
         }
         true
     }
@@ -262,7 +265,8 @@
     ) {
         let mut flight = InFlight::new(query.request, pool, dispatch, query.plan);
         if let Some(state) = self.servers.get_mut(&flight.server) {
-            flight.period = state.begin(flight.pending_prefill(), now);
+            let footprint = query.request.footprint();
+            flight.period = state.begin(flight.pending_prefill(), footprint, now);
             flight.sent = now;
             let blocks = query.request.prompt.blocks();
             self.index
@@ -276,7 +280,8 @@
     /// Releases the resources that a request in flight held.
     fn untrack(&mut self, flight: &InFlight, now: Timestamp) {
         if let Some(state) = self.servers.get_mut(&flight.server) {
-            state.release(flight.period, flight.pending_prefill());
+            let footprint = flight.request.footprint();
+            state.release(flight.period, flight.pending_prefill(), footprint);
         }
         self.scaler.end(flight.request.prompt.prefix(), now);
         self.guard.end(flight.attempt.id);
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -91,7 +91,10 @@
     /// Returns whether a server has a free slot for the request, is within the limit that it names and
     /// is taken up again after a pause. A stream that has begun may use any slot.
     pub fn has_capacity(&self, state: &ServerState, now: Timestamp) -> bool {
-        if !state.rate.allows(now) || now < state.next_after_pause() {
+        if !state.rate.allows(now)
+            || now < state.next_after_pause()
+            || !state.room.allows(self.request.footprint())
+        {
             false
         } else if self.is_begun() {
             state.in_flight() < state.server.slots
--- a/azureway-core/src/site/service.rs
+++ b/azureway-core/src/site/service.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::domain::{ModelId, ServiceId};
+use crate::domain::{EngineCapacity, ModelId, ServiceId};
 
 /// A service of a site, as the configuration defines it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub peer_fetch: bool,
     /// The number of polls of its feed that a server holds at once, if it is bounded.
     pub feed_limit: Option<u32>,
+    /// The memory and the link of each of its servers, if the configuration states them.
+    pub capacity: Option<EngineCapacity>,
     /// The address of the service if it is a store of cached blocks rather than a pool of servers.
     pub store: Option<SocketAddr>,
 }
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -245,7 +245,10 @@
             fleet = fleet.with_pool(BackendServerPool::new(pool).with_max_loads(loads));
             fleet = fleet.with_service(self.compose_service(service));
         }
-        let servers = self.servers.values().map(to_backend_server);
+        let servers = self.servers.values().map(|listed| {
+            let service = document.services.iter().find(|s| s.id == listed.service);
+            to_backend_server(listed).with_capacity(service.and_then(|s| s.capacity))
+        });
         Some(servers.fold(fleet, Fleet::with_server))
     }
 
--- a/azureway-core/tests/pace.rs
+++ b/azureway-core/tests/pace.rs
@@ -242,6 +242,8 @@
         arrived: millis(now),
         weights: WeightsVersion::ZERO,
         max_output: TokenCount::ZERO,
+        expected_output: TokenCount::ZERO,
+        usage: None,
         idempotency_key: None,
     }
 }
--- a/azureway-core/tests/routing/world.rs
+++ b/azureway-core/tests/routing/world.rs
@@ -69,6 +69,8 @@
             arrived: self.now,
             weights,
             max_output: TokenCount::new(10),
+            expected_output: TokenCount::new(10),
+            usage: None,
             idempotency_key: None,
         };
         self.requests.insert(request.id, request.clone());
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -151,6 +151,7 @@
     let mut state = SiteState::new(Vec::new(), Duration::ZERO);
     let service = SiteService {
         feed_limit: None,
+        capacity: None,
         id: ServiceId::new("orders"),
         model: Some(ModelId::new("m")),
         peer_fetch: true,
@@ -265,6 +266,7 @@
     let mut state = SiteState::new(Vec::new(), Duration::ZERO);
     let service = SiteService {
         feed_limit: None,
+        capacity: None,
         id: ServiceId::new("orders"),
         model: Some(ModelId::new("m")),
         peer_fetch: false,
@@ -319,3 +321,28 @@
     let fleet = state.build_fleet().expect("a fleet");
     expect_true!(fleet.servers["s"].leaving);
 }
+
+#[gtest]
+fn servers_have_the_capacity_of_their_service() {
+    let mut state = SiteState::new(Vec::new(), Duration::ZERO);
+    let capacity = EngineCapacity {
+        memory: TokenCount::new(90_000),
+        token_bytes: 4_096,
+        link: 400_000,
+    };
+    let service = SiteService {
+        feed_limit: None,
+        capacity: Some(capacity),
+        id: ServiceId::new("orders"),
+        model: Some(ModelId::new("m")),
+        peer_fetch: true,
+        store: None,
+    };
+    state.configure(SiteDocument {
+        services: vec![service],
+        ..document(4)
+    });
+    state.update_server(server("s", false));
+    let fleet = state.build_fleet().expect("a fleet");
+    expect_that!(fleet.servers["s"].capacity, some(eq(capacity)));
+}
--- a/azureway-core/tests/site_runs/store.rs
+++ b/azureway-core/tests/site_runs/store.rs
@@ -36,6 +36,7 @@
                 version: ConfigVersion::new(1),
                 services: vec![SiteService {
                     feed_limit: None,
+                    capacity: None,
                     id: ServiceId::new(SERVICE),
                     model: Some(ModelId::new(MODEL)),
                     peer_fetch: true,
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -144,6 +144,7 @@
 fn service() -> SiteService {
     SiteService {
         feed_limit: None,
+        capacity: None,
         id: ServiceId::new("advice"),
         model: Some(ModelId::new("m")),
         peer_fetch: true,
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -140,6 +140,7 @@
 fn service() -> SiteService {
     SiteService {
         feed_limit: None,
+        capacity: None,
         id: ServiceId::new("orders"),
         model: None,
         peer_fetch: false,
