--- a/azureway-core/src/lease/config.rs
+++ b/azureway-core/src/lease/config.rs
@@ -63,11 +63,16 @@
         self
     }
 
-    /// Returns the interval at which the holder renews the lease and others read it.
+    /// Returns the interval at which the holder renews the lease.
     pub fn renew_interval(&self) -> Duration {
         self.term / RENEWALS_PER_TERM
     }
 
+    /// Returns the interval at which other entries read a lease that is renewed.
+    pub fn observe_interval(&self) -> Duration {
+        self.renew_interval() * 2
+    }
+
     /// Returns the time from the last write of a previous holder until orders to servers that check
     /// no fencing number are safe. That holder stops one margin before the end of its term.
     pub fn handover_time(&self) -> Duration {
--- a/azureway-core/src/lease/holder.rs
+++ b/azureway-core/src/lease/holder.rs
@@ -230,7 +230,10 @@
             _ if !is_copy && !is_observed && (same_process || same_instance) => {
                 LeaseState::Reclaimable(version)
             }
-            _ => self.observe(version, now),
+            _ => {
+                self.next_call = now + self.config.observe_interval();
+                self.observe(version, now)
+            }
         };
     }
 }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -46,5 +46,5 @@
 pub use crate::tally::{Outcome, OutcomeCount, OutcomeTally};
 pub use crate::watch::{
     AnsweredCall, ChangeBound, ChangeTimes, Disturbance, DisturbanceMeter, EntrySelector,
-    FeedAudience, WatchSchedule, WatchStep, ZoneReaders,
+    FeedAudience, ReportTimes, WatchSchedule, WatchStep, ZoneReaders,
 };
--- a/azureway-core/src/watch/watch_schedule.rs
+++ b/azureway-core/src/watch/watch_schedule.rs
@@ -23,6 +23,8 @@
     check_timer: Backoff,
     poll_timeout: Duration,
     batch_delay: Duration,
+    /// The number of answers in a row that reported changes.
+    bursts: u32,
 }
 
 /// The time for which the platform holds a watch call open if nothing changes.
@@ -33,6 +35,8 @@
 const BACKOFF_CAP: Duration = Duration::from_secs(5);
 /// The longest interval between two checks of an entry that does not watch.
 const CHECK_INTERVAL: Duration = Duration::from_secs(60);
+/// The number of answers in a row with changes after which the batch delay no longer grows.
+const MAX_BURSTS: u32 = 3;
 
 impl WatchSchedule {
     /// Creates the schedule of an entry, which counts as selected until
@@ -47,6 +51,7 @@
             check_timer: Backoff::new(CHECK_INTERVAL, CHECK_INTERVAL, seed),
             poll_timeout: POLL_TIMEOUT,
             batch_delay: Duration::ZERO,
+            bursts: 0,
         }
     }
 
@@ -81,9 +86,10 @@
             None => WatchStep::List,
             // A platform that has just failed may accept a call and never respond. A call without a
             // poll timeout fails sooner then, so the entry notices a recovery sooner.
-            Some(version) if self.selected && !self.failing => {
-                WatchStep::Watch(version, self.poll_timeout)
-            }
+            Some(version) if self.selected && !self.failing => WatchStep::Watch(
+                version,
+                self.poll_timeout.saturating_sub(self.extra_delay()),
+            ),
             Some(version) => WatchStep::Watch(version, Duration::ZERO),
         }
     }
@@ -100,6 +106,24 @@
         };
     }
 
+    /// Records how many changes the last answer reported. While each answer reports some, the next
+    /// watch waits longer for them to accumulate.
+    pub fn record_changes(&mut self, count: usize) {
+        self.bursts = match count {
+            0 => 0,
+            _ => (self.bursts + 1).min(MAX_BURSTS),
+        };
+        if self.selected {
+            self.next_call = self.next_call + self.extra_delay();
+        }
+    }
+
+    /// Returns the time for which changes accumulate beyond the batch delay. The watch that follows is
+    /// shorter by as much, so that the time from one answer to the next stays bounded.
+    fn extra_delay(&self) -> Duration {
+        self.batch_delay * self.bursts.saturating_sub(1)
+    }
+
     /// Records that every change up to `version` became known in another way while calls failed.
     pub fn record_relayed(&mut self, version: u64) {
         self.version = self.version.map(|known| known.max(version));
--- a/azureway-core/src/watch/zone_readers.rs
+++ b/azureway-core/src/watch/zone_readers.rs
@@ -8,13 +8,16 @@
 
 /// Selects the entries of a zone that read the platform, and the one of them that another entry asks.
 ///
-/// Every entry computes the same readers from the same live entries. An entry whose readers do not answer
-/// reads the platform itself, so no bound depends on the selection.
+/// Every entry computes the same readers from the same live entries. In a small zone one reads and the
+/// other stands by: it reads from the moment at which the first does not answer it. An entry whose readers
+/// do not answer reads the platform itself, so no bound depends on the selection.
 #[derive(Clone, Copy, Debug)]
 pub struct ZoneReaders;
 
-/// The number of entries of a zone that read the platform. A second one goes on while the first is replaced.
+/// The number of entries of a zone that read the platform or stand by.
 const COUNT: usize = 2;
+/// The largest number of other entries of a zone that one reader answers.
+const MAX_ASKERS: usize = 24;
 /// The seed of the selection.
 const SEED: u128 = u128::from_be_bytes(*b"platform readers");
 /// The selector of the readers.
@@ -44,19 +47,24 @@
         Some(others[position])
     }
 
-    /// Returns the reader that `me` asks among `live`, the live entries of its zone, or `None` if it is a
-    /// reader itself. Another `attempt` asks another reader.
+    /// Returns the reader that `me` asks among `live`, the live entries of its zone, or `None` if it reads
+    /// the platform itself. Another `attempt` asks another reader.
     pub fn choose<'a>(
         me: &'a InstanceId,
         live: &'a [InstanceId],
         attempt: usize,
     ) -> Option<&'a InstanceId> {
         let readers = READERS.select(me, live);
-        if readers.contains(&me) {
+        let spread = Rendezvous::new(PrefixKey::new(SEED));
+        let both = live.iter().filter(|id| *id != me).count() > MAX_ASKERS;
+        if both && readers.contains(&me) {
             return None;
         }
-        let spread = Rendezvous::new(PrefixKey::new(SEED));
-        let offset = spread.weight(&ServerId::new(me.as_str())) as usize;
-        readers.get(offset.wrapping_add(attempt) % COUNT).copied()
+        let offset = match both {
+            true => spread.weight(&ServerId::new(me.as_str())) as usize,
+            false => 0,
+        };
+        let reader = readers.get(offset.wrapping_add(attempt) % readers.len())?;
+        (*reader != me).then_some(*reader)
     }
 }
--- a/azureway-core/tests/watch_schedule.rs
+++ b/azureway-core/tests/watch_schedule.rs
@@ -39,3 +39,24 @@
     schedule.record_success(6, now);
     expect_that!(schedule.next(now), eq(WatchStep::Watch(6, POLL_TIMEOUT)));
 }
+
+/// A burst of changes costs few calls, and the first change of it is reported without a delay.
+#[gtest]
+fn watches_wait_longer_while_each_answer_reports_changes() {
+    const DELAY: Duration = Duration::from_millis(200);
+    let mut schedule = WatchSchedule::new(7).with_timing(POLL_TIMEOUT, DELAY, BACKOFF_CAP);
+    for (changes, delays) in [(1, 1), (3, 2), (1, 3), (1, 3), (0, 1), (2, 1)] {
+        schedule.record_success(5, START);
+        schedule.record_changes(changes);
+        let due = START + DELAY * delays;
+        let before = START + (DELAY * delays).saturating_sub(Duration::from_millis(1));
+        expect_that!(schedule.next(before), eq(WatchStep::Wait(due)), "{changes}");
+        // The time from one answer to the next is bounded all the same.
+        let wait = (DELAY + POLL_TIMEOUT).saturating_sub(DELAY * delays);
+        expect_that!(
+            schedule.next(due),
+            eq(WatchStep::Watch(5, wait)),
+            "{changes}"
+        );
+    }
+}
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -1,7 +1,7 @@
 //! Start and shutdown of the daemon that serves a site.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use azureway_config::settings::{EntrySettings, SiteSettings};
@@ -227,6 +227,7 @@
         rings.clock.now(),
         site_settings.startup_grace.saturating_sub(ROLLOUT_MARGIN),
     );
+    let reports = Arc::new(Mutex::new(ReportTimes::new()));
     for kind in SiteKind::ALL {
         let schedule = WatchSchedule::new(process_id).with_timing(
             kind.poll_timeout(),
@@ -246,6 +247,7 @@
             schedule,
             named_since,
         )
+        .with_reports(Arc::clone(&reports))
         .with_zone(Some(zone));
         spawn(kind.as_str(), move || watcher.run())?;
     }
--- a/azureway-entry/src/daemon/parts.rs
+++ b/azureway-entry/src/daemon/parts.rs
@@ -35,6 +35,8 @@
     let me = Instance::new(settings.instance.clone(), settings.zone.clone(), address);
     let me = me.with_incarnation(incarnation);
     let selection = SelectionNotifier::new(me.id.clone(), rings.watch.clone(), rings.order.clone());
+    let zones = settings.site.as_ref().map_or(0, |s| s.zones.len());
+    let selection = selection.with_zones(zones);
     let now = rings.clock.now();
     let membership = Membership::new(
         MembershipConfig::new(),
