--- a/azureway-entry/src/meter/control_metrics.rs
+++ b/azureway-entry/src/meter/control_metrics.rs
@@ -3,20 +3,20 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use azureway_objects::CallCounter;
+use azureway_objects::{CallCounter, CallKind};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use super::{DutyCpu, DutyLabel, RingLabel, RingMonitor};
+use super::{CallLabel, DutyCpu, DutyLabel, RingLabel, RingMonitor};
 
 /// Metrics of the control plane: platform calls, retries, gossip, rings and processor time.
 #[derive(Debug)]
 pub struct ControlMetrics {
     retries: Counter,
-    platform_calls: Counter,
+    platform_calls: Family<CallLabel, Counter>,
     platform_restores: Counter,
     gossip_bytes: Counter,
     ring_waits: Histogram,
@@ -36,7 +36,7 @@
     pub fn new(r: &mut Registry, rings: RingMonitor, calls: CallCounter) -> Self {
         let metrics = Self {
             retries: Counter::default(),
-            platform_calls: Counter::default(),
+            platform_calls: Family::default(),
             platform_restores: Counter::default(),
             gossip_bytes: Counter::default(),
             ring_waits: Histogram::new(WAIT_BOUNDS),
@@ -97,8 +97,13 @@
 
     /// Updates the metrics that are counted elsewhere, before a scrape is answered.
     pub fn refresh(&self) {
-        self.platform_calls
-            .inc_by(self.calls.get() - self.platform_calls.get());
+        for kind in CallKind::ALL {
+            let label = CallLabel {
+                call: kind.as_str(),
+            };
+            let counter = self.platform_calls.get_or_create(&label);
+            counter.inc_by(self.calls.get(kind) - counter.get());
+        }
         self.platform_restores
             .inc_by(self.calls.restores() - self.platform_restores.get());
         for (ring, depth) in self.rings.depths() {
--- a/azureway-entry/src/meter/mod.rs
+++ b/azureway-entry/src/meter/mod.rs
@@ -5,6 +5,7 @@
 
 mod account_label;
 mod account_labels;
+mod call_label;
 mod config_metrics;
 mod control_metrics;
 mod duty_cpu;
@@ -23,6 +24,7 @@
 
 pub use account_label::AccountLabel;
 pub use account_labels::{ACCOUNTS_MAX, AccountLabels};
+pub use call_label::CallLabel;
 pub use config_metrics::ConfigMetrics;
 pub use control_metrics::ControlMetrics;
 pub use duty_cpu::DutyCpu;
--- a/azureway-objects/src/call_counter.rs
+++ b/azureway-objects/src/call_counter.rs
@@ -5,11 +5,14 @@
 
 use azureway_core::prelude::StoreEra;
 
+use super::CallKind;
+
 /// A counter of the calls made to the platform and of its restores. A watch counts as one call,
 /// however long it waits. Clones share the counts.
 #[derive(Clone, Debug, Default)]
 pub struct CallCounter {
-    calls: Arc<AtomicU64>,
+    /// The number of calls of each kind.
+    calls: Arc<[AtomicU64; CallKind::ALL.len()]>,
     restores: Arc<AtomicU64>,
     /// One more than the latest era, or zero before the first answer that reports one.
     latest: Arc<AtomicU64>,
@@ -22,13 +25,13 @@
     }
 
     /// Counts a call.
-    pub fn add(&self) {
-        self.calls.fetch_add(1, Ordering::Relaxed);
+    pub fn add(&self, kind: CallKind) {
+        self.calls[kind as usize].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Returns the number of calls made so far.
-    pub fn get(&self) -> u64 {
-        self.calls.load(Ordering::Relaxed)
+    /// Returns the number of calls of a kind made so far.
+    pub fn get(&self, kind: CallKind) -> u64 {
+        self.calls[kind as usize].load(Ordering::Relaxed)
     }
 
     /// Records the era of an answer, and counts the restores before it.
--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -10,7 +10,9 @@
 use azureway_core::prelude::{Error, ErrorKind, Step, StoreEra};
 use azureway_wire::object::{ObjectBody, ObjectList};
 
-use super::{CallCounter, ObjectAnswer, ObjectApi, ObjectCall, ObjectCodec, PlainCodec, Put};
+use super::{
+    CallCounter, CallKind, ObjectAnswer, ObjectApi, ObjectCall, ObjectCodec, PlainCodec, Put,
+};
 
 /// A client of the object API over HTTP, with the encoding `F`. Each call opens its own connection.
 ///
@@ -68,8 +70,14 @@
         &self.calls
     }
 
-    fn send(&self, step: Step, call: ObjectCall, wait: Duration) -> Result<ObjectAnswer, Error> {
-        self.calls.add();
+    fn send(
+        &self,
+        step: Step,
+        kind: CallKind,
+        call: ObjectCall,
+        wait: Duration,
+    ) -> Result<ObjectAnswer, Error> {
+        self.calls.add(kind);
         let url = format!("http://{}/{}", self.address, call.path);
         let method = Method::from_bytes(call.method.as_bytes());
         let method = method.map_err(|e| self.error(ErrorKind::Invalid, step, e))?;
@@ -134,7 +142,11 @@
         loop {
             let after = all.objects.last().map(|o| o.name.as_str());
             let call = self.codec.list(kind, after, stale);
-            let answer = self.send(STEP, call, Duration::ZERO)?;
+            let count_as = match stale {
+                true => CallKind::ListStale,
+                false => CallKind::List,
+            };
+            let answer = self.send(STEP, count_as, call, Duration::ZERO)?;
             let (page, more) = self.check_decoded(STEP, self.codec.read_list(&answer.body))?;
             // The list has the version of its first page, so that a watch from there returns the
             // changes made while the other pages were read.
@@ -174,7 +186,12 @@
 
     fn get(&self, kind: &str, name: &str) -> Result<Option<ObjectBody>, Error> {
         const STEP: Step = Step::new("get object");
-        let answer = self.send(STEP, self.codec.get(kind, name), Duration::ZERO)?;
+        let answer = self.send(
+            STEP,
+            CallKind::Get,
+            self.codec.get(kind, name),
+            Duration::ZERO,
+        )?;
         if answer.status == 404 {
             return Ok(None);
         }
@@ -192,7 +209,7 @@
 
     fn put(&self, put: &Put<'_>) -> Result<u64, Error> {
         const STEP: Step = Step::new("put object");
-        let answer = self.send(STEP, self.codec.put(put), Duration::ZERO)?;
+        let answer = self.send(STEP, CallKind::Put, self.codec.put(put), Duration::ZERO)?;
         if answer.status == 404 {
             return Err(self.error(ErrorKind::Conflict, STEP, "the object does not exist"));
         }
@@ -203,7 +220,7 @@
     fn delete(&self, kind: &str, name: &str, expected: u64) -> Result<(), Error> {
         const STEP: Step = Step::new("delete object");
         let call = self.codec.delete(kind, name, expected);
-        let answer = self.send(STEP, call, Duration::ZERO)?;
+        let answer = self.send(STEP, CallKind::Delete, call, Duration::ZERO)?;
         match answer.status {
             404 => Err(self.error(ErrorKind::Conflict, STEP, "the object does not exist")),
             _ => Ok(()),
@@ -212,7 +229,8 @@
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> Result<ObjectList, Error> {
         const STEP: Step = Step::new("watch objects");
-        let answer = self.send(STEP, self.codec.watch(kind, after, wait), wait)?;
+        let call = self.codec.watch(kind, after, wait);
+        let answer = self.send(STEP, CallKind::Watch, call, wait)?;
         self.check_decoded(STEP, self.codec.read_changes(&answer.body))
     }
 }
--- a/azureway-objects/src/lib.rs
+++ b/azureway-objects/src/lib.rs
@@ -7,6 +7,7 @@
 //! have been written.
 
 mod call_counter;
+mod call_kind;
 mod http_objects;
 mod object_answer;
 mod object_api;
@@ -16,6 +17,7 @@
 mod put;
 
 pub use call_counter::CallCounter;
+pub use call_kind::CallKind;
 pub use http_objects::HttpObjects;
 pub use object_answer::ObjectAnswer;
 pub use object_api::ObjectApi;
