Date changes only by complete answers, and let the first reader always read

Change: such answers are dated by their own watch alone; the first reader of a zone reads whatever has failed; weights are watched for 1 s; a first list is no burst; only sites read the lease each second renewal. Not mended: a candidate that an entry outranks lets the lease run out.

--- a/azureway-core/src/lease/config.rs
+++ b/azureway-core/src/lease/config.rs
@@ -13,6 +13,8 @@
     /// The time that a new holder waits after the last possible order of the previous holder before
     /// it sends orders to servers that check no fencing number.
     pub cooldown: Duration,
+    /// The number of renewals after which other entries read the lease again.
+    pub observed: u32,
     /// Whether an instance runs one process at a time, so that a process may take over the lease
     /// of an earlier process of its instance.
     pub single_process: bool,
@@ -35,6 +37,7 @@
             term: DEFAULT_TERM,
             margin: DEFAULT_MARGIN,
             cooldown: Duration::ZERO,
+            observed: 1,
             single_process: false,
         }
     }
@@ -55,6 +58,13 @@
         self
     }
 
+    /// Sets the number of renewals after which other entries read the lease again.
+    #[must_use]
+    pub const fn with_observed(mut self, renewals: u32) -> Self {
+        self.observed = renewals;
+        self
+    }
+
     /// Allows a process to take over the lease of an earlier process of its instance at once. This
     /// is safe only if the platform runs one process of an instance at a time.
     #[must_use]
@@ -70,7 +80,7 @@
 
     /// Returns the interval at which other entries read a lease that is renewed.
     pub fn observe_interval(&self) -> Duration {
-        self.renew_interval() * 2
+        self.renew_interval() * self.observed
     }
 
     /// Returns the time from the last write of a previous holder until orders to servers that check
--- a/azureway-core/src/watch/zone_readers.rs
+++ b/azureway-core/src/watch/zone_readers.rs
@@ -57,7 +57,8 @@
         let readers = READERS.select(me, live);
         let spread = Rendezvous::new(PrefixKey::new(SEED));
         let both = live.iter().filter(|id| *id != me).count() > MAX_ASKERS;
-        if both && readers.contains(&me) {
+        // The first reader reads whatever has failed, so that no two entries wait for one another.
+        if readers.first() == Some(&me) || (both && readers.contains(&me)) {
             return None;
         }
         let offset = match both {
--- a/azureway-core/tests/zone_readers.rs
+++ b/azureway-core/tests/zone_readers.rs
@@ -51,10 +51,12 @@
     expect_that!(asked.len(), eq(1));
     let standby = asked.first().expect("a standby");
     expect_that!(standby, not(eq(reader)));
-    expect_that!(
-        ZoneReaders::choose(standby, &others(&all, standby), 1),
-        none()
-    );
+    for attempt in 0..4 {
+        let choose = |me| ZoneReaders::choose(me, &others(&all, me), attempt).cloned();
+        expect_that!(choose(reader), none(), "{attempt}");
+        let asked = (attempt % 2 == 0).then(|| reader.clone());
+        expect_that!(choose(standby), eq(&asked), "{attempt}");
+    }
 }
 
 #[gtest]
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -46,6 +46,8 @@
 /// The divisor of the lease term that gives the safety margin before the lease expires. Within the
 /// margin the holder sends no more orders. An order call takes less time than the margin.
 const MARGIN_DIVISOR: u32 = 3;
+/// The number of renewals of the lease after which candidates read it again.
+const LEASE_READS: u32 = 2;
 /// The time that a request waits for a server of its own region while another region has a free
 /// one. This is much shorter than every latency target, since a late answer costs more than the
 /// traffic to another region.
@@ -276,6 +278,7 @@
     let config = LeaseConfig::new()
         .with_term(site_settings.lease_term, margin)
         .with_cooldown(site_settings.lease_term)
+        .with_observed(LEASE_READS)
         .with_single_process();
     let lease = Lease::new(config, settings.instance.clone(), process_id);
     let config = OrderConfig::new()
--- /dev/null
+++ b/azureway-entry/src/site/change_dates.rs
@@ -0,0 +1,44 @@
+//! Dating the changes in an answer by the answers to the watches of other kinds.
+
+use std::sync::{MutexGuard, PoisonError};
+use std::time::Duration;
+
+use azureway_core::prelude::*;
+use azureway_objects::ObjectApi;
+use azureway_wire::object::{ObjectBody, ObjectList};
+
+use super::{SiteCodec, SiteWatcher};
+
+/// The longest wait of a watch whose end dates the changes of other kinds. A longer watch may have
+/// been cut off long before its answer was read.
+const MAX_WAIT: Duration = Duration::from_secs(2);
+
+impl<A: ObjectApi, C: SiteCodec> SiteWatcher<A, C> {
+    /// Returns the earliest time at which the changes in the answer to `call` can have happened, by
+    /// what the platform has answered to watches of any kind.
+    ///
+    /// A list, and a watch after a failure, may hold only the last of several changes of an object,
+    /// of which the first is not dated by the last.
+    pub(super) fn reported_since(&self, call: &AnsweredCall, list: &ObjectList) -> Timestamp {
+        let complete = self.after.is_some() && !call.wait.is_zero() && !call.is_late();
+        let (reports, era) = (self.lock_reports(), self.api.era());
+        let since = |o: &ObjectBody| reports.since(era, o.version).unwrap_or(Timestamp::ZERO);
+        let earliest = list.objects.iter().map(since).min();
+        earliest.filter(|_| complete).unwrap_or(Timestamp::ZERO)
+    }
+
+    /// Records the answer to `call` for the watches of the other kinds.
+    pub(super) fn record_report(&self, call: &AnsweredCall, list: &ObjectList) {
+        let until = match call.wait <= MAX_WAIT {
+            true => self.times.until,
+            false => call.started,
+        };
+        self.lock_reports()
+            .record(self.api.era(), list.version, until);
+    }
+
+    fn lock_reports(&self) -> MutexGuard<'_, ReportTimes> {
+        // The record is whole even if a thread panicked while it held the lock.
+        self.reports.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/azureway-entry/src/site/kind.rs
+++ b/azureway-entry/src/site/kind.rs
@@ -21,6 +21,8 @@
 /// The time for which the platform holds a watch call open when nothing changes. It is short enough
 /// that a connection that fails silently is noticed within the time limit of a change.
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same for named weights, whose readers must answer again soon after a change.
+const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(1);
 /// The same for quarantined parts, which peers also tell of. Fewer calls cost less.
 const QUARANTINE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -39,15 +41,16 @@
     /// Returns the time for which the platform holds a watch call open when nothing changes.
     pub const fn poll_timeout(self) -> Duration {
         match self {
-            Self::Document | Self::Servers | Self::Weights => POLL_TIMEOUT,
+            Self::Document | Self::Servers => POLL_TIMEOUT,
+            Self::Weights => WEIGHTS_TIMEOUT,
             Self::Quarantines => QUARANTINE_TIMEOUT,
         }
     }
 
     /// Returns the time for which an entry that reads the platform for its zone holds a request open when
-    /// nothing changes.
-    pub const fn relay_wait(self) -> Duration {
-        self.poll_timeout()
+    /// nothing changes. Waiting there costs the platform nothing, so it is not as short as some watches.
+    pub fn relay_wait(self) -> Duration {
+        self.poll_timeout().max(POLL_TIMEOUT)
     }
 
     /// Returns the time for which an entry that reads the platform for its zone answers by its last watch. A
--- a/azureway-entry/src/site/mod.rs
+++ b/azureway-entry/src/site/mod.rs
@@ -4,6 +4,7 @@
 //! site's [`SiteCodec`]. The [`SiteDuty`] builds one fleet from their updates and sends it to the
 //! other duties.
 
+mod change_dates;
 mod codec;
 mod duty;
 mod kind;
--- a/azureway-entry/src/site/peer_news.rs
+++ b/azureway-entry/src/site/peer_news.rs
@@ -27,6 +27,7 @@
         self.record_recovery(now);
         self.schedule
             .record_success(changes.list.version.max(after), now);
+        self.schedule.record_changes(0);
         let sent = self.apply_changes(changes, asked);
         if let Some(zone) = &mut self.zone {
             zone.check_age(self.kind, self.times.until, now);
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -1,7 +1,7 @@
 //! The thread that lists and watches one kind of platform object, also across outages.
 
 use std::cell::RefCell;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -33,7 +33,7 @@
     /// The times of the last answer.
     pub(super) times: ReadTimes,
     /// The answers to the watches of all kinds.
-    reports: Arc<Mutex<ReportTimes>>,
+    pub(super) reports: Arc<Mutex<ReportTimes>>,
     pub(super) disturbances: DisturbanceMeter,
     /// The link to other entries, if the platform may be read through them.
     pub(super) zone: Option<ZoneLink>,
@@ -133,11 +133,13 @@
                 self.record_recovery(now);
                 self.log_lateness(call, list.objects.len());
                 let since = self.bound.record(call, list.objects.len());
-                self.times.since = since.max(self.reported_since(&list));
+                self.times.since = since.max(self.reported_since(call, &list));
                 self.times.until = self.bound.reported_until();
-                self.record_report(&list);
+                self.record_report(call, &list);
                 self.schedule.record_success(list.version, now);
-                self.schedule.record_changes(list.objects.len());
+                // A first list is no burst of changes.
+                let changes = self.after.map_or(0, |_| list.objects.len());
+                self.schedule.record_changes(changes);
                 self.keep_for_zone(&list);
                 self.send_disturbance() && self.send_updates(&list) && self.send_listed_until()
             }
@@ -152,21 +154,6 @@
         }
     }
 
-    /// Returns the earliest time at which the changes in an answer can have happened, by what the
-    /// platform has answered to watches of any kind.
-    fn reported_since(&self, list: &ObjectList) -> Timestamp {
-        let reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
-        let era = self.api.era();
-        let since = |o: &ObjectBody| reports.since(era, o.version).unwrap_or(Timestamp::ZERO);
-        let earliest = list.objects.iter().map(since).min();
-        earliest.unwrap_or(Timestamp::ZERO)
-    }
-
-    fn record_report(&self, list: &ObjectList) {
-        let mut reports = self.reports.lock().unwrap_or_else(PoisonError::into_inner);
-        reports.record(self.api.era(), list.version, self.times.until);
-    }
-
     /// Keeps an answer of the platform for the other entries of the zone.
     fn keep_for_zone(&self, list: &ObjectList) {
         if let Some(zone) = &self.zone {
