Make the sharing of prefixes a type of its own

placement.rs and sharing.rs depended on each other. Both need the configuration and the servers; Sharing holds them now and no longer knows the placement. The behaviour is unchanged.

--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -128,7 +128,9 @@
         let (mut placement, policy) = self.placement(config, fleet);
         let best = placement.choose(policy, query, service, now)?;
         let mut dispatch = query.plan.dispatch_to(query.request, service, &best);
-        dispatch.fetch_from = placement.fetch_source(query.request, service, &best, now);
+        let sharing = placement.sharing();
+        dispatch.fetch_from =
+            sharing.fetch_source(placement.index, query.request, service, &best, now);
         if query.request.prompt.has_shared_salt() {
             // The set of isolated accounts may have changed since the request was admitted.
             let (account, service) = (&query.request.account, &query.request.service);
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -49,3 +49,4 @@
 pub use retry_decision::RetryDecision;
 pub use retry_queue::RetryQueue;
 pub use route_option::RouteOption;
+pub use sharing::Sharing;
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -4,8 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::sharing::assume_replicas_cached;
-use super::{ExclusionReason, PlacementRequest, RouteOption, RouterConfig};
+use super::{ExclusionReason, PlacementRequest, RouteOption, RouterConfig, Sharing};
 use crate::cache::CacheIndex;
 use crate::domain::{ModelService, Request, Timestamp};
 use crate::fleet::{Fleet, ServerState, ServerTable};
@@ -32,7 +31,7 @@
 }
 
 /// Candidates on the stack for up to 16 servers.
-pub(super) type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
+type Candidates<'a> = SmallVec<[Candidate<'a>; 16]>;
 
 /// The estimated time to first token above which servers of the next locality are considered:
 /// a fifth of the target.
@@ -154,7 +153,7 @@
         now: Timestamp,
         candidates: &mut Candidates<'a>,
     ) -> bool {
-        if self.is_global(query.request, service) {
+        if self.sharing().is_global(query.request, service) {
             return self.add_candidates(None, stale, query, service, now, candidates);
         }
         let mut alive = false;
@@ -219,9 +218,8 @@
             }
             candidates.push(candidate);
         }
-        if self.config.shared_servers {
-            assume_replicas_cached(candidates, query.request);
-        }
+        self.sharing()
+            .assume_replicas_cached(candidates, query.request);
         threshold < u64::MAX
     }
 
@@ -270,7 +268,10 @@
         let (link_latency, traffic_cost) = match locality {
             Locality::Zone => (Duration::ZERO, Duration::ZERO),
             Locality::Region => (self.config.zone_latency, Duration::ZERO),
-            Locality::Remote => (self.config.remote_latency, self.traffic_cost(request)),
+            Locality::Remote => (
+                self.config.remote_latency,
+                self.sharing().traffic_cost(request),
+            ),
         };
         Candidate {
             state,
@@ -282,6 +283,11 @@
         }
     }
 
+    /// Returns the decision which servers share the cached blocks of a prefix.
+    pub const fn sharing(&self) -> Sharing<'a> {
+        Sharing::new(self.config, self.servers)
+    }
+
     fn locality(&self, state: &ServerState) -> Locality {
         let (own, zone) = (&self.config.zone, &state.server.zone);
         if own == zone {
