Fetch shared prompt parts from, and save them to, the cache stores

Entries that do not read the feed of a server, have restarted or find the usual server full do not know which server holds a shared part, and had it computed again. Servers now save the parts that they compute to the store in the region that the prefix prefers, and fetch from there what no server nearby is confirmed to hold. The store is used only at servers with the newest known weights. Without a store and stated links all is as before.

--- a/azureway-core/src/domain/model_service.rs
+++ b/azureway-core/src/domain/model_service.rs
@@ -1,6 +1,8 @@
 //! A service that callers request by name.
 
-use super::{PoolId, RequestKind, Rollout, ServiceId, ServiceKind, Timestamp, WeightsVersion};
+use super::{
+    CacheStore, PoolId, RequestKind, Rollout, ServiceId, ServiceKind, Timestamp, WeightsVersion,
+};
 
 /// A model service or a plain service as the configuration describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -22,6 +24,8 @@
     pub peer_fetch: bool,
     /// The number of polls of its feed that a server holds at once, if it is bounded.
     pub feed_limit: Option<u32>,
+    /// The stores in which its servers keep cached blocks.
+    pub stores: Vec<CacheStore>,
 }
 
 impl ModelService {
@@ -37,6 +41,7 @@
             rollout: None,
             peer_fetch: false,
             feed_limit: None,
+            stores: Vec::new(),
         }
     }
 
@@ -82,6 +87,13 @@
         self
     }
 
+    /// Sets the stores in which its servers keep cached blocks.
+    #[must_use]
+    pub fn with_stores(mut self, stores: Vec<CacheStore>) -> Self {
+        self.stores = stores;
+        self
+    }
+
     /// Returns the time at which requests may no longer begin on weights `loaded`, if there is one.
     pub fn start_limit(&self, loaded: WeightsVersion) -> Option<Timestamp> {
         let rollout = self.rollout.as_ref();
--- a/azureway-core/src/event/dispatch.rs
+++ b/azureway-core/src/event/dispatch.rs
@@ -33,6 +33,8 @@
     /// The address of a server to fetch cached blocks from, if one is believed to hold more of
     /// the prompt.
     pub fetch_from: Option<SocketAddr>,
+    /// The address of the store that the server saves the blocks of the prompt to.
+    pub save_to: Option<SocketAddr>,
     /// The estimated time to first token.
     pub expected_ttft: Duration,
     /// The time at which the request may no longer begin on the weights, if newer ones are named.
--- a/azureway-core/src/route/mod.rs
+++ b/azureway-core/src/route/mod.rs
@@ -13,6 +13,7 @@
 mod request_profile;
 mod round_robin;
 mod static_split;
+mod transfer;
 
 pub use candidate::Candidate;
 pub use decaying_peak::DecayingPeak;
@@ -27,5 +28,6 @@
 pub use request_profile::RequestProfile;
 pub use round_robin::RoundRobin;
 pub use static_split::StaticSplit;
+pub use transfer::Transfer;
 
 use rendezvous::mix;
--- a/azureway-core/src/router/attempt_plan.rs
+++ b/azureway-core/src/router/attempt_plan.rs
@@ -57,6 +57,7 @@
             position: self.position,
             cached: best.cached,
             fetch_from: None,
+            save_to: None,
             expected_ttft: Duration::ZERO,
             start_limit,
         }
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -129,8 +129,8 @@
         let best = placement.choose(policy, query, service, now)?;
         let mut dispatch = query.plan.dispatch_to(query.request, service, &best);
         let sharing = placement.sharing();
-        dispatch.fetch_from =
-            sharing.fetch_source(placement.index, query.request, service, &best, now);
+        let plan = sharing.fetch_plan(placement.index, query.request, service, &best, now);
+        (dispatch.fetch_from, dispatch.save_to) = (plan.source, plan.save_to);
         if query.request.prompt.has_shared_salt() {
             // The set of isolated accounts may have changed since the request was admitted.
             let (account, service) = (&query.request.account, &query.request.service);
--- a/azureway-core/src/router/placement.rs
+++ b/azureway-core/src/router/placement.rs
@@ -285,17 +285,10 @@
 
     /// Returns the decision which servers share the cached blocks of a prefix.
     pub const fn sharing(&self) -> Sharing<'a> {
-        Sharing::new(self.config, self.servers)
+        Sharing::new(self.config, self.fleet, self.servers)
     }
 
     fn locality(&self, state: &ServerState) -> Locality {
-        let (own, zone) = (&self.config.zone, &state.server.zone);
-        if own == zone {
-            Locality::Zone
-        } else if self.fleet.share_region(own, zone) {
-            Locality::Region
-        } else {
-            Locality::Remote
-        }
+        Locality::between(self.fleet, &self.config.zone, &state.server.zone)
     }
 }
--- a/azureway-core/src/router/sharing.rs
+++ b/azureway-core/src/router/sharing.rs
@@ -3,71 +3,129 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
-use super::RouterConfig;
+use super::{FetchPlan, RouterConfig};
 use crate::cache::CacheIndex;
-use crate::domain::{ModelService, Request, Timestamp};
-use crate::fleet::{ServerState, ServerTable};
-use crate::route::{Candidate, Rendezvous};
+use crate::domain::{CacheStore, ModelService, Request, Timestamp, TokenCount, ZoneId};
+use crate::fleet::{Fleet, ServerState, ServerTable};
+use crate::route::{Candidate, Locality, Rendezvous, Transfer};
 
-/// Decides which servers share the cached blocks of a prefix.
+/// Decides which servers and stores share the cached blocks of a prefix.
 #[derive(Clone, Copy, Debug)]
 pub struct Sharing<'a> {
     config: &'a RouterConfig,
+    fleet: &'a Fleet,
     servers: &'a ServerTable,
 }
 
 impl<'a> Sharing<'a> {
     /// Creates the decision over the state of the servers.
-    pub const fn new(config: &'a RouterConfig, servers: &'a ServerTable) -> Self {
-        Self { config, servers }
+    pub const fn new(config: &'a RouterConfig, fleet: &'a Fleet, servers: &'a ServerTable) -> Self {
+        Self {
+            config,
+            fleet,
+            servers,
+        }
     }
 
-    /// Returns the address of a server to fetch cached blocks from: the one that holds the most
-    /// of the prompt, if that is more than the chosen server holds.
+    /// Returns the transfers that save most for a request at the chosen server.
     ///
-    /// If no server is known to hold more and the chosen server lacks part of the prefix, returns
-    /// the one with the highest rendezvous weight, since a fetch that finds nothing costs far less
-    /// than recomputing the prefix.
-    pub fn fetch_source(
+    /// Blocks that no server is known to hold come from the store of the prefix, if the service has
+    /// one, and are saved there by the server that computes them.
+    pub fn fetch_plan(
         &self,
         index: &mut CacheIndex,
         request: &Request,
         service: &ModelService,
         best: &Candidate<'_>,
         now: Timestamp,
-    ) -> Option<SocketAddr> {
+    ) -> FetchPlan {
         if !service.peer_fetch || request.prompt.blocks().is_empty() {
-            return None;
+            return FetchPlan::default();
         }
         let chosen = best.state;
+        let blocks = request.prompt.blocks();
+        let cached = index.cached_tokens(&chosen.server.id, chosen.incarnation, blocks);
+        let peer = self.peer(index, request, service, chosen, cached, now);
+        let confirmed = index.confirmed_tokens(&chosen.server.id, chosen.incarnation, blocks);
+        let gain = |store: &CacheStore, held: TokenCount| {
+            let missing = request.prompt.prefix_tokens().saturating_sub(held);
+            let transfer = self.transfer(missing, chosen, &store.zone);
+            transfer.gain(chosen.speed.prefill())
+        };
+        let store = self.store(request, service, chosen);
+        let kept = store.filter(|s| {
+            let known = peer.map_or(Duration::ZERO, |(_, known)| known);
+            gain(s, confirmed) > known
+        });
+        let saved = store.filter(|s| !gain(s, cached).is_zero());
+        FetchPlan {
+            source: kept.map(|s| s.address).or(peer.map(|(address, _)| address)),
+            save_to: saved.map(|s| s.address),
+        }
+    }
+
+    /// Returns the address of the server from which to fetch blocks, and what the transfer is known to
+    /// save: the server that holds the most of the prompt, if that is more than the chosen one holds.
+    ///
+    /// If no server is known to hold more and the chosen server lacks part of the prefix, returns
+    /// the one with the highest rendezvous weight, since a fetch that finds nothing costs far less
+    /// than recomputing the prefix.
+    fn peer(
+        &self,
+        index: &mut CacheIndex,
+        request: &Request,
+        service: &ModelService,
+        chosen: &ServerState,
+        cached: TokenCount,
+        now: Timestamp,
+    ) -> Option<(SocketAddr, Duration)> {
         let is_source =
             |s: &&ServerState| s.server.id != chosen.server.id && s.weights == chosen.weights;
         let others = self.servers.in_pool(&service.pool);
-        let others: SmallVec<[&ServerState; 16]> = others
-            .filter(is_source)
-            .filter(|s| s.accepts(now))
-            .collect();
+        let others = others.filter(is_source).filter(|s| s.accepts(now));
         let rendezvous = Rendezvous::new(request.prompt.prefix());
         let blocks = request.prompt.blocks();
-        let cached = index.cached_tokens(&chosen.server.id, chosen.incarnation, blocks);
-        // Only confirmed blocks count: a server that was sent the prompt may not have computed
-        // it yet.
-        let mut confirmed =
-            |s: &ServerState| index.confirmed_tokens(&s.server.id, s.incarnation, blocks);
-        let fullest = others
-            .into_iter()
-            .map(|s| {
-                (
-                    confirmed(s),
-                    rendezvous.weight(&s.server.id),
-                    s.server.address,
-                )
-            })
-            .max_by_key(|(tokens, weight, _)| (*tokens, *weight))?;
-        let worthwhile = fullest.0 > cached || cached < request.prompt.prefix_tokens();
-        worthwhile.then_some(fullest.2)
+        let rate = chosen.speed.prefill();
+        let lacks_prefix = cached < request.prompt.prefix_tokens();
+        let options = others.filter_map(|s| {
+            // Only confirmed blocks count: a server that was sent the prompt may not have computed
+            // it yet.
+            let held = index.confirmed_tokens(&s.server.id, s.incarnation, blocks);
+            let missing = held.saturating_sub(cached);
+            let gain = self.transfer(missing, chosen, &s.server.zone).gain(rate);
+            let useful = !gain.is_zero() || (missing == TokenCount::ZERO && lacks_prefix);
+            let weight = rendezvous.weight(&s.server.id);
+            useful.then_some((gain, weight, s.server.address))
+        });
+        let best = options.max_by_key(|(gain, weight, _)| (*gain, *weight));
+        best.map(|(gain, _, address)| (address, gain))
+    }
+
+    /// Returns the store that keeps the blocks of a prompt: one in the region of the server that the
+    /// prefix prefers, so that every entry chooses the same.
+    ///
+    /// The store checks no weights, and a server that loads others while it computes could save blocks
+    /// of those. So it is used only for the newest weights, which no server is about to replace.
+    fn store(
+        &self,
+        request: &Request,
+        service: &'a ModelService,
+        chosen: &ServerState,
+    ) -> Option<&'a CacheStore> {
+        if chosen.weights != Some(service.weights) {
+            return None;
+        }
+        let rendezvous = Rendezvous::new(request.prompt.prefix());
+        let servers = self.servers.in_pool(&service.pool);
+        let home = servers.max_by_key(|s| rendezvous.weight(&s.server.id))?;
+        let distance = |s: &&CacheStore| Locality::between(self.fleet, &home.server.zone, &s.zone);
+        service.stores.iter().min_by_key(distance)
+    }
+
+    /// Returns the transfer of blocks between the chosen server and `zone`.
+    fn transfer(&self, tokens: TokenCount, chosen: &ServerState, zone: &ZoneId) -> Transfer {
+        let distance = Locality::between(self.fleet, &chosen.server.zone, zone);
+        Transfer::new(tokens, chosen.server.capacity, distance)
     }
 
     /// Returns whether the prefix has one set of replicas for all regions. That is so if entries
--- a/azureway-core/src/site/service.rs
+++ b/azureway-core/src/site/service.rs
@@ -1,8 +1,6 @@
 //! The definition from which a site's model services and plain services are built.
 
-use std::net::SocketAddr;
-
-use crate::domain::{EngineCapacity, ModelId, ServiceId};
+use crate::domain::{CacheStore, EngineCapacity, ModelId, ServiceId};
 
 /// A service of a site, as the configuration defines it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +15,6 @@
     pub feed_limit: Option<u32>,
     /// The memory and the link of each of its servers, if the configuration states them.
     pub capacity: Option<EngineCapacity>,
-    /// The address of the service if it is a store of cached blocks rather than a pool of servers.
-    pub store: Option<SocketAddr>,
+    /// The store of cached blocks, if the service is one rather than a pool of servers.
+    pub store: Option<CacheStore>,
 }
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -243,7 +243,7 @@
             let loads = servers.count().div_ceil(LOAD_ROUNDS);
             let loads = u32::try_from(loads).unwrap_or(u32::MAX).max(MIN_LOADS);
             fleet = fleet.with_pool(BackendServerPool::new(pool).with_max_loads(loads));
-            fleet = fleet.with_service(self.compose_service(service));
+            fleet = fleet.with_service(self.compose_service(service, document));
         }
         let servers = self.servers.values().map(|listed| {
             let service = document.services.iter().find(|s| s.id == listed.service);
@@ -252,12 +252,13 @@
         Some(servers.fold(fleet, Fleet::with_server))
     }
 
-    fn compose_service(&self, site: &SiteService) -> ModelService {
+    fn compose_service(&self, site: &SiteService, document: &SiteDocument) -> ModelService {
         let service = ModelService::new(site.id.clone(), PoolId::new(site.id.as_str()));
         let Some(model) = &site.model else {
             return service.with_kind(ServiceKind::Plain);
         };
         let named = self.named.get(model).cloned().unwrap_or_default();
+        let stores = document.services.iter().filter_map(|s| s.store.clone());
         let rollout = Rollout {
             model: model.clone(),
             versions: named,
@@ -270,6 +271,7 @@
             .with_rollout(rollout)
             .with_peer_fetch(site.peer_fetch)
             .with_feed_limit(site.feed_limit)
+            .with_stores(stores.collect())
     }
 
     /// Returns the weights that a service should use. A server may already have newer ones than
--- a/azureway-entry/src/decide/decision_log.rs
+++ b/azureway-entry/src/decide/decision_log.rs
@@ -84,7 +84,7 @@
         waited = pending.elapsed_ms(now), expected:? = dispatch.expected_ttft, left:? = left, peer:% = dispatch.server,
         weights:% = dispatch.weights, prompt = pending.prompt.get(), prefix:% = pending.prefix,
         cached = dispatch.cached.get(), position:% = dispatch.position,
-        source:? = dispatch.fetch_from;
+        source:? = dispatch.fetch_from, store:? = dispatch.save_to;
         "sent"
     );
 }
--- a/azureway-entry/tests/attempt/mod.rs
+++ b/azureway-entry/tests/attempt/mod.rs
@@ -19,6 +19,7 @@
         position,
         cached: TokenCount::ZERO,
         fetch_from: None,
+        save_to: None,
         expected_ttft: Duration::ZERO,
         start_limit: None,
     }
