Rank requests by route among accounts of the same priority

Cause: the entry took the rank from the account's priority alone. On sites whose accounts all have the same priority every request became drafting, so that urgent routes waited behind patient ones and were refused first, while servers already received both priorities. Change: Fleet::rank_of lets the route decide among the accounts of the highest priority; accounts whose own rank is urgent still go before lower ones. The line of an admitted request states rank and precedence.

--- a/azureway-core/src/fleet/configured.rs
+++ b/azureway-core/src/fleet/configured.rs
@@ -6,8 +6,8 @@
 use crate::cache::Salt;
 use crate::domain::{
     AccountId, AvailabilityZone, BackendServer, BackendServerPool, CallerLimits, ClientAccount,
-    ConfigVersion, KeyHash, ModelService, PoolId, RankRules, ServerId, ServiceId, ServiceKind,
-    Timestamp, WeightsVersion, ZoneId,
+    ConfigVersion, KeyHash, ModelService, PoolId, Rank, RankRules, Route, ServerId, ServiceId,
+    ServiceKind, Timestamp, WeightsVersion, ZoneId,
 };
 
 /// The accounts, services, servers and rules of one version of the configuration.
@@ -122,6 +122,24 @@
         }
     }
 
+    /// Returns the rank of an account's requests on a route.
+    ///
+    /// The account's priority takes precedence over the route's. Among the accounts with the highest
+    /// priority the route decides, unless other accounts come after them and the rank of their own is
+    /// urgent: then all of their requests go first.
+    pub fn rank_of(&self, route: &Route, account: &ClientAccount) -> Rank {
+        let Some((rank, priority)) = account.priority else {
+            return route.rank;
+        };
+        let priorities = || self.accounts.values().filter_map(|a| a.priority);
+        let lower = priorities().any(|(_, other)| priority < other);
+        match (rank, lower) {
+            (Rank::Urgent, true) => Rank::Urgent,
+            _ if priorities().any(|(_, other)| other < priority) => Rank::Drafting,
+            _ => route.rank,
+        }
+    }
+
     /// Returns the account that has an API key with the digest `key`.
     pub fn account_of(&self, key: &KeyHash) -> Option<&ClientAccount> {
         // Checks every account, so that the time taken does not reveal which one matched.
--- a/azureway-entry/src/routed/call_reader.rs
+++ b/azureway-entry/src/routed/call_reader.rs
@@ -73,7 +73,7 @@
         let timeout = metadata
             .timeout
             .map_or(route.timeout, |t| t.min(route.timeout));
-        let rank = account.priority.map_or(route.rank, |(rank, _)| rank);
+        let rank = fleet.rank_of(route, account);
         Ok(Request {
             id: call.id,
             account: account.id.clone(),
@@ -157,6 +157,7 @@
         log::info!(
             request:% = call.id, step = "admit", caller = metadata.attempt_id.unwrap_or_default(),
             route:% = route.id, service:% = request.service, account:% = account.id,
+            rank:% = request.rank, precedence = route.precedence(account),
             prompt = request.prompt.tokens().get(), parts:? = metadata.shared_part_ids(),
             fingerprint:% = request.fingerprint, wait:? = metadata.timeout,
             limit:? = route.timeout, fleet:% = fleet.version;
