Admit requests by the memory of backend servers

Cause: servers hold fewer tokens than their slots times a long prompt, and the first form of the meter counted only this entry's prompts, each whole. Change: a request occupies its blocks and its expected answer in units of 16 tokens, blocks in use by other requests of this entry once; the other entries' requests count by the load figure and the mean size. Drafting leaves a quarter of the memory to urgent work unless its share is due. A prompt that no server can hold is refused at once as too large. Only where the configuration states the memory.

--- a/azureway-core/src/fleet/mod.rs
+++ b/azureway-core/src/fleet/mod.rs
@@ -24,8 +24,10 @@
 mod server_pauses;
 mod server_state;
 mod server_table;
+mod size_meter;
 mod slot_share;
 mod speed_meter;
+mod used_block;
 mod work;
 
 pub use configured::Fleet;
@@ -46,9 +48,11 @@
 pub use route_table::RouteTable;
 pub use server_state::ServerState;
 pub use server_table::ServerTable;
+pub use size_meter::SizeMeter;
 pub use slot_share::SlotShare;
 pub use speed_meter::SpeedMeter;
 pub use work::Work;
 
 use gone_server::GoneServer;
 use gone_servers::GoneServers;
+use used_block::UsedBlock;
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -7,7 +7,7 @@
     RoomMeter, SlotShare, SpeedMeter, Work,
 };
 use crate::domain::{
-    BackendServer, Incarnation, ListedState, Rank, Timestamp, TokenCount, WeightsVersion,
+    BackendServer, Incarnation, ListedState, Rank, Request, Timestamp, TokenCount, WeightsVersion,
 };
 use crate::member::LoadNotice;
 
@@ -210,11 +210,11 @@
         self.announced || self.health == Health::Leaving
     }
 
-    /// Records a request in flight that has `pending` uncached prompt tokens and occupies `footprint`
-    /// at its end, and returns the period that it is counted in.
-    pub fn begin(&mut self, pending: TokenCount, footprint: TokenCount, now: Timestamp) -> u64 {
+    /// Records a request in flight that has `pending` uncached prompt tokens, and returns the period
+    /// that it is counted in.
+    pub fn begin(&mut self, pending: TokenCount, request: &Request, now: Timestamp) -> u64 {
         self.rate.spend(now);
-        self.room.begin(footprint);
+        self.room.begin(request);
         self.local.begin(pending)
     }
 
@@ -225,8 +225,8 @@
 
     /// Records that a request, with `pending` prompt tokens still to compute, is no longer in
     /// flight.
-    pub fn release(&mut self, period: u64, pending: TokenCount, footprint: TokenCount) {
-        self.room.end(footprint);
+    pub fn release(&mut self, period: u64, pending: TokenCount, request: &Request) {
+        self.room.end(request);
         self.local.finish_prefill(period, pending);
         self.local.end(period);
     }
@@ -281,6 +281,25 @@
         allowed && (reserved == 0 || self.load(now).saturating_add(reserved) < self.server.slots)
     }
 
+    /// Returns whether the memory of the server has room for a request, if those of the other entries
+    /// are of `typical` size. With `use_reserved`, a drafting request may use the memory that is
+    /// otherwise reserved for urgent ones.
+    pub fn has_room(
+        &self,
+        request: &Request,
+        typical: TokenCount,
+        use_reserved: bool,
+        now: Timestamp,
+    ) -> bool {
+        if self.room.capacity().is_none() {
+            return true;
+        }
+        let others = self.load(now).saturating_sub(self.in_flight());
+        let others = typical.get().saturating_mul(u64::from(others));
+        let reserved = request.rank == Rank::Drafting && !use_reserved;
+        self.room.allows(request, TokenCount::new(others), reserved)
+    }
+
     /// Returns the number of this entry's requests in flight at the server.
     pub fn in_flight(&self) -> u32 {
         self.local.total().in_flight
--- a/azureway-core/src/router/admission_check.rs
+++ b/azureway-core/src/router/admission_check.rs
@@ -59,6 +59,10 @@
         if self.servers.all_leave(&service.pool) {
             return Err(all_leave());
         }
+        if !self.servers.can_hold(&service.pool, request) {
+            let detail = "the prompt is larger than the memory of every backend server";
+            return Err(refusal(RefusalReason::TooLarge, detail));
+        }
         if self.queues.pool_len(&service.pool) >= self.queue_limit {
             return Err(refusal(RefusalReason::Overloaded, "too many requests wait"));
         }
--- a/azureway-core/src/router/exclusion_reason.rs
+++ b/azureway-core/src/router/exclusion_reason.rs
@@ -17,6 +17,8 @@
     WeightsNotLoaded,
     /// The server has no free slot for this request, by this entry's share of its slots.
     NoCapacity,
+    /// The memory of the server has no room for this request.
+    NoRoom,
     /// A nearer server is fast enough.
     NearerAvailable,
     /// The policy preferred another candidate.
@@ -41,9 +43,10 @@
         if !query.is_served_by(state, service, now) {
             return Self::WeightsNotLoaded;
         }
-        match query.has_capacity(state, now) {
-            true => Self::NearerAvailable,
-            false => Self::NoCapacity,
+        match (query.has_slot(state, now), query.has_room(state, now)) {
+            (true, true) => Self::NearerAvailable,
+            (true, false) => Self::NoRoom,
+            (false, _) => Self::NoCapacity,
         }
     }
 
@@ -55,6 +58,7 @@
             Self::Paused => "paused",
             Self::WeightsNotLoaded => "weights",
             Self::NoCapacity => "full",
+            Self::NoRoom => "room",
             Self::NearerAvailable => "far",
             Self::Outranked => "behind",
         }
