Add tests of the daemons under crowds of slow clients

Real processes with a memory of 40 MB and 256 descriptors in their settings, and 96 clients. Checked: the process lives, its peak resident memory and its descriptors stay under the settings, and an ordinary request is answered while the clients are still connected.

Callers' answers are not relayed between entries, so that variant has no test.

--- a/azureway-dev/src/lib.rs
+++ b/azureway-dev/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod bench;
 pub mod bench_relay;
+pub mod crowd;
 pub mod engine;
 pub mod generate;
 pub mod http;
