--- a/azureway-core/src/lib.rs
+++ b/azureway-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod fleet;
 pub mod lease;
 pub mod member;
+pub mod memory;
 pub mod order;
 pub mod prelude;
 pub mod quarantine;
--- /dev/null
+++ b/azureway-core/src/memory/memory_limits.rs
@@ -0,0 +1,42 @@
+//! The limits that follow from the memory and the descriptors of the instance.
+
+/// The limits on what a process holds for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryLimits {
+    /// The memory that all holders share, in bytes.
+    pub total: usize,
+    /// The part of `total` that only small holders may use, in bytes.
+    pub reserve: usize,
+    /// The largest number of callers' connections.
+    pub connections: usize,
+}
+
+/// The memory that a process needs for itself, in bytes.
+const BASE: u64 = 16 * 1024 * 1024;
+/// The least memory that holders share, in bytes: a request of 4 MiB, the largest that the platform
+/// lets through, and an answer as long, besides the reserve.
+const MIN_TOTAL: u64 = 10 * 1024 * 1024;
+/// The part of the memory beyond [`BASE`] that holders share, in eighths. The rest covers copies in the
+/// making and what the allocator cannot return.
+const SHARED_EIGHTHS: u64 = 5;
+/// The part of the shared memory that is reserved for small holders.
+const RESERVE_DIVISOR: u64 = 8;
+/// The part of the descriptors that callers' connections and their attempts may take, in quarters.
+const SOCKET_QUARTERS: usize = 3;
+/// The descriptors of a caller's connection: its own and that to the backend server.
+const CONNECTION_DESCRIPTORS: usize = 2;
+
+impl MemoryLimits {
+    /// Returns the limits of an instance with `memory` megabytes and `descriptors` descriptors, of
+    /// which no more than `connections` callers may use some.
+    pub fn new(memory: u64, descriptors: usize, connections: usize) -> Self {
+        let beyond = memory.saturating_mul(1_000_000).saturating_sub(BASE);
+        let total = (beyond / 8 * SHARED_EIGHTHS).max(MIN_TOTAL);
+        let sockets = descriptors / 4 * SOCKET_QUARTERS;
+        Self {
+            total: usize::try_from(total).unwrap_or(usize::MAX),
+            reserve: usize::try_from(total / RESERVE_DIVISOR).unwrap_or(usize::MAX),
+            connections: connections.min(sockets / CONNECTION_DESCRIPTORS).max(1),
+        }
+    }
+}
