--- a/azureway-core/src/memory/memory_ledger.rs
+++ b/azureway-core/src/memory/memory_ledger.rs
@@ -142,8 +142,17 @@
         Some(id)
     }
 
-    /// Returns the time until some caller may be closed, if one is behind.
-    pub fn next_stall(&self, now: Timestamp) -> Option<Duration> {
+    /// Returns whether a holder's caller is being closed.
+    pub fn is_closing(&self, id: HolderId) -> bool {
+        self.holders.get(&id).is_none_or(|h| h.closing)
+    }
+
+    /// Returns the time until some caller may be closed so that `bytes` more fit. Returns `None` if enough
+    /// is released already, or if no caller is behind.
+    pub fn next_stall(&self, bytes: usize, now: Timestamp) -> Option<Duration> {
+        if self.closing >= bytes {
+            return None;
+        }
         let stalls = self.holders.values();
         let longest = stalls.filter_map(|h| h.stall(Self::BEHIND, now)).max()?;
         Some(Self::MIN_STALL.saturating_sub(longest))
--- a/azureway-core/src/memory/memory_limits.rs
+++ b/azureway-core/src/memory/memory_limits.rs
@@ -16,9 +16,9 @@
 /// The least memory that holders share, in bytes: a request of 4 MiB, the largest that the platform
 /// lets through, and an answer as long, besides the reserve.
 const MIN_TOTAL: u64 = 10 * 1024 * 1024;
-/// The part of the memory beyond [`BASE`] that holders share, in eighths. The rest covers copies in the
+/// The divisor of the memory beyond [`BASE`] that gives what holders share. The rest covers copies in the
 /// making and what the allocator cannot return.
-const SHARED_EIGHTHS: u64 = 5;
+const SHARED_DIVISOR: u64 = 2;
 /// The part of the shared memory that is reserved for small holders.
 const RESERVE_DIVISOR: u64 = 8;
 /// The part of the descriptors that callers' connections and their attempts may take, in quarters.
@@ -31,7 +31,7 @@
     /// which no more than `connections` callers may use some.
     pub fn new(memory: u64, descriptors: usize, connections: usize) -> Self {
         let beyond = memory.saturating_mul(1_000_000).saturating_sub(BASE);
-        let total = (beyond / 8 * SHARED_EIGHTHS).max(MIN_TOTAL);
+        let total = (beyond / SHARED_DIVISOR).max(MIN_TOTAL);
         let sockets = descriptors / 4 * SOCKET_QUARTERS;
         Self {
             total: usize::try_from(total).unwrap_or(usize::MAX),
--- a/azureway-core/tests/memory.rs
+++ b/azureway-core/tests/memory.rs
@@ -87,7 +87,7 @@
     let mut ledger = ledger();
     reader(&mut ledger, MemoryLedger::BEHIND - 1, second(1));
     expect_that!(ledger.close_slowest(MIB, second(100)), none());
-    expect_that!(ledger.next_stall(second(100)), none());
+    expect_that!(ledger.next_stall(MIB, second(100)), none());
 }
 
 #[gtest]
@@ -98,7 +98,7 @@
     ledger.queue(id, MIB, second(50));
     expect_that!(ledger.close_slowest(MIB, second(50)), none());
     expect_that!(
-        ledger.next_stall(second(50)),
+        ledger.next_stall(MIB, second(50)),
         some(eq(MemoryLedger::MIN_STALL))
     );
 }
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -90,9 +90,9 @@
         let output = chat.max_tokens.map_or(DEFAULT_OUTPUT, TokenCount::new);
         let request = self.request(id, account, service, chat.prompt_blocks(salt), output)?;
         let body = if chat.stream {
-            self.call.body.clone()
+            Arc::from(self.call.body.as_slice())
         } else {
-            streaming_body(&self.call.body)?
+            streaming_body(&self.call.body)?.into()
         };
         let upstream = self.upstream(&request, ServiceKind::Model, CHAT_PATH, body);
         Ok((request, upstream.with_streamed(chat.stream)))
@@ -110,7 +110,7 @@
         let prompt = PromptBlocks::new(salt, []);
         let request = self.request(id, account, service, prompt, TokenCount::new(1))?;
         let path = format!("/{}", &rest[name.len()..].trim_start_matches('/'));
-        let body = self.call.body.clone();
+        let body = Arc::from(self.call.body.as_slice());
         let upstream = self.upstream(&request, ServiceKind::Plain, &path, body);
         Ok((request, upstream))
     }
@@ -212,7 +212,7 @@
         request: &Request,
         kind: ServiceKind,
         path: &str,
-        body: Vec<u8>,
+        body: Arc<[u8]>,
     ) -> UpstreamRequest {
         let head = &self.call.head;
         UpstreamRequest {
@@ -226,7 +226,7 @@
                 .into(),
             account: request.account.clone(),
             idempotency_key: request.idempotency_key.clone(),
-            body: body.into(),
+            body,
             link: Arc::clone(&self.call.link),
             passthrough: None,
         }
--- a/azureway-entry/src/caller/answer.rs
+++ b/azureway-entry/src/caller/answer.rs
@@ -1,7 +1,7 @@
 //! Writing of the answer to a caller while attempts start, fail and complete.
 
 use std::io::{self, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 
 use azureway_core::prelude::*;
 use azureway_wire::error::ErrorBody;
@@ -9,6 +9,7 @@
 use flume::Receiver;
 
 use super::{AnswerChunk, CompletionBuilder, RequestUpdate, Responder, is_open};
+use crate::memory::{CHUNK_COST, MemoryHold};
 
 /// The answer to one request over all its attempts, written as a stream or as one completion.
 pub struct Answer<'a> {
@@ -18,6 +19,7 @@
     progress: Option<StreamProgress>,
     writer: Option<Encoder<&'a TcpStream>>,
     id: Option<RequestId>,
+    hold: Option<&'a MemoryHold>,
 }
 
 impl<'a> Answer<'a> {
@@ -32,9 +34,17 @@
             progress: None,
             writer: None,
             id: None,
+            hold: None,
         }
     }
 
+    /// Sets the memory that is held for the request.
+    #[must_use]
+    pub const fn with_hold(mut self, hold: &'a MemoryHold) -> Self {
+        self.hold = Some(hold);
+        self
+    }
+
     /// Returns the ID of the request once it is known.
     pub const fn id(&self) -> Option<RequestId> {
         self.id
@@ -46,6 +56,16 @@
     ///
     /// Returns an error if the caller disconnects or the stream has a gap.
     pub fn run(&mut self, updates: &Receiver<RequestUpdate>) -> io::Result<()> {
+        let result = self.follow(updates);
+        if result.is_err() {
+            // Dropping the writer writes the last chunk, which would make an interrupted stream look
+            // complete. Closing the connection first keeps that chunk from the caller.
+            let _ = self.stream.shutdown(Shutdown::Both);
+        }
+        result
+    }
+
+    fn follow(&mut self, updates: &Receiver<RequestUpdate>) -> io::Result<()> {
         loop {
             match next(updates) {
                 RequestUpdate::Refused(id, refusal) => return self.refuse(id, &refusal),
@@ -89,7 +109,10 @@
     ) -> io::Result<bool> {
         while let Ok(chunk) = chunks.recv() {
             match chunk {
-                AnswerChunk::Event(position, data) => self.write_event(attempt, position, &data)?,
+                AnswerChunk::Event(position, data) => {
+                    self.write_event(attempt, position, &data)?;
+                    self.release(data.len() + CHUNK_COST);
+                }
                 AnswerChunk::Complete(status, media, body) => {
                     self.responder().write_complete(status, &media, &body)?;
                     return Ok(true);
@@ -106,6 +129,16 @@
         Ok(false)
     }
 
+    /// Records that an event was taken. The events of an answer that is assembled stay in memory.
+    fn release(&self, size: usize) {
+        if let Some(hold) = self.hold {
+            hold.take(size);
+            if self.streamed {
+                hold.shrink(size);
+            }
+        }
+    }
+
     fn write_event(
         &mut self,
         attempt: Attempt,
@@ -133,6 +166,9 @@
             return self.write("");
         }
         let body = std::mem::take(&mut self.completion).into_body();
+        if let Some(hold) = self.hold {
+            hold.queue(body.len());
+        }
         self.responder()
             .write_complete(200, "application/json", &body)
     }
@@ -159,9 +195,11 @@
     }
 
     fn responder(&self) -> Responder<'a> {
-        let responder = Responder::new(self.stream);
-        self.id
-            .map_or(responder, |id| Responder::new(self.stream).with_id(id))
+        let responder = Responder::new(self.stream).with_hold(self.hold);
+        match self.id {
+            Some(id) => responder.with_id(id),
+            None => responder,
+        }
     }
 }
 
--- a/azureway-entry/src/caller/connection.rs
+++ b/azureway-entry/src/caller/connection.rs
@@ -6,18 +6,19 @@
 use std::time::{Duration, Instant};
 
 use azureway_config::settings::Bounds;
-use azureway_core::prelude::{Refusal, RefusalReason};
+use azureway_core::prelude::{Refusal, RefusalReason, RequestId};
 
-use super::{Answer, BadInput, BodyReader, Head, HeadReader, Responder, TimedStream};
+use super::{Answer, BadInput, BodyReader, CallerLink, Head, HeadReader, Responder, TimedStream};
 use crate::admit::{AdmitMessage, Call};
 use crate::daemon::Handles;
 use crate::decide::DecideMessage;
+use crate::memory::{ATTEMPT_COST, HeldReader, MemoryHold};
 use crate::meter::MetricEvent;
 
 /// The duty of a caller's connection, which reads one request and writes its answer.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     handles: Handles,
     bounds: Bounds,
 }
@@ -32,9 +33,9 @@
 
 impl Connection {
     /// Creates the duty.
-    pub const fn new(stream: TcpStream, handles: Handles, bounds: Bounds) -> Self {
+    pub fn new(stream: TcpStream, handles: Handles, bounds: Bounds) -> Self {
         Self {
-            stream,
+            stream: Arc::new(stream),
             handles,
             bounds,
         }
@@ -45,14 +46,15 @@
         let _ = self.stream.set_nodelay(true);
         let _ = self.stream.set_write_timeout(Some(WRITE_TIMEOUT));
         let deadline = Instant::now() + self.bounds.request_timeout;
-        match self.receive(deadline) {
-            Ok((head, body)) => self.answer(head, body),
+        let hold = self.handles.memory.open();
+        match self.receive(deadline, &hold) {
+            Ok((head, body)) => self.answer(head, body, hold),
             Err(BadInput::Closed) => {}
             Err(input) => self.reject(input),
         }
     }
 
-    fn receive(&self, deadline: Instant) -> Result<(Head, Vec<u8>), BadInput> {
+    fn receive(&self, deadline: Instant, hold: &MemoryHold) -> Result<(Head, Vec<u8>), BadInput> {
         let mut stream = TimedStream::new(&self.stream, deadline);
         let (head, early) = HeadReader::new(self.bounds.head_bytes).read(&mut stream)?;
         let body = BodyReader::new(&head)?;
@@ -60,8 +62,9 @@
             .get("expect")
             .is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
         {
-            let _ = (&self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            let _ = (&*self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
+        let mut stream = HeldReader::new(stream, hold);
         let body = body.read(&early, &mut stream, self.bounds.body_bytes)?;
         Ok((head, body))
     }
@@ -76,7 +79,7 @@
         let _ = io::copy(&mut unread, &mut io::sink());
     }
 
-    fn answer(&self, head: Head, body: Vec<u8>) {
+    fn answer(&self, head: Head, body: Vec<u8>, hold: MemoryHold) {
         let responder = Responder::new(&self.stream);
         let text = "text/plain; charset=utf-8";
         let _ = match (head.method.as_ref(), head.path.as_ref()) {
@@ -86,7 +89,7 @@
             }
             ("GET", "/readyz") => responder.write_complete(503, text, b"not ready\n"),
             ("GET", "/metrics") => self.scrape(&responder),
-            _ => self.route(head, body),
+            _ => self.route(head, body, hold),
         };
         responder.close();
     }
@@ -103,15 +106,20 @@
     }
 
     /// Sends the request to the admitting duty and writes its answer.
-    fn route(&self, head: Head, body: Vec<u8>) -> io::Result<()> {
+    fn route(&self, head: Head, body: Vec<u8>, hold: MemoryHold) -> io::Result<()> {
+        if !hold.try_grow(ATTEMPT_COST) {
+            return self.refuse_overload();
+        }
+        let id = self.handles.ids.next();
+        let link = CallerLink::with_hold(id, Arc::clone(&self.stream), hold);
         let (sender, updates) = flume::bounded(UPDATE_RING);
         let call = Call {
-            id: self.handles.ids.next(),
+            id,
             head,
             body,
             arrived: self.handles.clock.now(),
             updates: sender,
-            link: Arc::default(),
+            link: Arc::clone(&link),
         };
         if self
             .handles
@@ -119,17 +127,27 @@
             .try_send(AdmitMessage::Call(Box::new(call)))
             .is_err()
         {
-            let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
-            return Responder::new(&self.stream).refuse(&refusal);
+            return self.refuse_overload();
         }
-        let mut answer = Answer::new(&self.stream);
+        let mut answer = Answer::new(&self.stream).with_hold(link.hold());
         let result = answer.run(&updates);
         if let (Err(_), Some(id)) = (&result, answer.id()) {
-            let _ = self
-                .handles
-                .decide
-                .send(DecideMessage::CallerDisconnected(id));
+            self.disconnected(id);
         }
         result
     }
+
+    /// Cancels the request of a caller that has disconnected.
+    fn disconnected(&self, id: RequestId) {
+        let _ = self
+            .handles
+            .decide
+            .send(DecideMessage::CallerDisconnected(id));
+    }
+
+    /// Refuses a request for which there is no room.
+    fn refuse_overload(&self) -> io::Result<()> {
+        let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
+        Responder::new(&self.stream).refuse(&refusal)
+    }
 }
--- a/azureway-entry/src/caller/listener.rs
+++ b/azureway-entry/src/caller/listener.rs
@@ -1,5 +1,6 @@
 //! The accepting duty, which starts the callers' connections.
 
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -7,9 +8,11 @@
 
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::{Error, ErrorKind, Refusal, RefusalReason, Step};
+use flume::Sender;
 
-use super::{Connection, Responder};
+use super::{Connection, Refuser, Responder};
 use crate::daemon::Handles;
+use crate::memory::{CONNECTION_COST, MemoryHold};
 
 /// The accepting duty, which runs each connection in a thread of its own up to a limit.
 #[derive(Debug)]
@@ -19,6 +22,7 @@
     bounds: Bounds,
     open: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
+    refusals: Sender<TcpStream>,
 }
 
 /// The stack size of a connection's thread, in bytes.
@@ -33,9 +37,10 @@
     pub fn new(
         address: SocketAddr,
         handles: Handles,
-        bounds: Bounds,
+        mut bounds: Bounds,
         stop: Arc<AtomicBool>,
     ) -> Result<Self, Error> {
+        bounds.connections = handles.memory.limits().connections;
         let failed = |e| {
             Error::new(ErrorKind::System, Step::new("listen for callers"), e).with_peer(address)
         };
@@ -46,6 +51,7 @@
             bounds,
             open: Arc::default(),
             stop,
+            refusals: Refuser::start(refuse)?,
         })
     }
 
@@ -74,13 +80,11 @@
 
     /// Starts the thread of a connection, or refuses it if too many are open.
     fn start(&self, stream: TcpStream) {
-        let is_full = self.open.fetch_add(1, Ordering::AcqRel) >= self.bounds.connections;
-        if is_full {
-            self.open.fetch_sub(1, Ordering::AcqRel);
-            let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many connections");
-            let _ = Responder::new(&stream).refuse(&refusal);
+        let Some(hold) = self.admit() else {
+            // If too many wait for their refusal, the connection is closed without one.
+            let _ = self.refusals.try_send(stream);
             return;
-        }
+        };
         let open = Arc::clone(&self.open);
         let connection = Connection::new(stream, self.handles.clone(), self.bounds.clone());
         let thread = thread::Builder::new()
@@ -89,6 +93,7 @@
         let count = Arc::clone(&open);
         let spawned = thread.spawn(move || {
             connection.run();
+            drop(hold);
             count.fetch_sub(1, Ordering::AcqRel);
         });
         if let Err(e) = spawned {
@@ -96,4 +101,23 @@
             log::error!(step = "accept", error:% = e; "starting the thread of a connection failed");
         }
     }
+
+    /// Counts a connection and returns the memory that is held for it. If there is no room, the slowest reader
+    /// is closed, for those that come later.
+    fn admit(&self) -> Option<MemoryHold> {
+        let hold = self.handles.memory.open();
+        let limit = self.bounds.connections;
+        if self.open.fetch_add(1, Ordering::AcqRel) < limit && hold.try_grow(CONNECTION_COST) {
+            return Some(hold);
+        }
+        let open = self.open.fetch_sub(1, Ordering::AcqRel);
+        log::warn!(step = "accept", connections = open, limit = limit; "refused a connection");
+        self.handles.memory.close_slowest();
+        None
+    }
+}
+
+fn refuse(stream: &TcpStream) -> io::Result<()> {
+    let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many connections");
+    Responder::new(stream).refuse(&refusal)
 }
--- a/azureway-entry/src/caller/responder.rs
+++ b/azureway-entry/src/caller/responder.rs
@@ -3,19 +3,25 @@
 use std::fmt::Write as _;
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
+use std::time::Duration;
 
-use azureway_core::prelude::{Refusal, RequestId};
+use azureway_core::prelude::{Refusal, RefusalReason, RequestId};
 use azureway_wire::error::{ErrorBody, reason_phrase, status_of};
 use azureway_wire::header;
 use chunked_transfer::Encoder;
 
+use crate::memory::{HeldWriter, MemoryHold};
+
 /// Writes the answer to one request. The connection is closed after it.
 #[derive(Debug)]
 pub struct Responder<'a> {
     stream: &'a TcpStream,
     id: Option<RequestId>,
+    hold: Option<&'a MemoryHold>,
 }
 
+/// The time after which a caller that was refused for lack of room may come back.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The media type of JSON.
 const JSON: &str = "application/json";
 /// The media type of an event stream.
@@ -24,7 +30,18 @@
 impl<'a> Responder<'a> {
     /// Creates a responder that writes to `stream`.
     pub const fn new(stream: &'a TcpStream) -> Self {
-        Self { stream, id: None }
+        Self {
+            stream,
+            id: None,
+            hold: None,
+        }
+    }
+
+    /// Sets the memory that is held for the request.
+    #[must_use]
+    pub const fn with_hold(mut self, hold: Option<&'a MemoryHold>) -> Self {
+        self.hold = hold;
+        self
     }
 
     /// Sets the request ID, which the answer carries in a header.
@@ -50,7 +67,10 @@
     /// Returns an error if the caller has disconnected.
     pub fn refuse(&self, refusal: &Refusal) -> io::Result<()> {
         let body = serde_json::to_vec(&ErrorBody::from(refusal))?;
-        let seconds = refusal.retry_after.map(|t| t.as_millis().div_ceil(1000));
+        let overloaded = refusal.not_run && refusal.reason == RefusalReason::Overloaded;
+        let after = refusal.retry_after;
+        let after = after.or_else(|| overloaded.then_some(OVERLOAD_RETRY_AFTER));
+        let seconds = after.map(|t| t.as_millis().div_ceil(1000));
         let retry_after = seconds
             .map(|s| format!("retry-after: {s}\r\n"))
             .unwrap_or_default();
@@ -78,10 +98,8 @@
     fn send(&self, status: u16, media: &str, body: &[u8], extra: &str) -> io::Result<()> {
         let mut head = self.head(status, media);
         let _ = write!(head, "content-length: {}\r\n{extra}\r\n", body.len());
-        let mut bytes = head.into_bytes();
-        bytes.extend_from_slice(body);
-        let mut stream = self.stream;
-        stream.write_all(&bytes)
+        let none = MemoryHold::default();
+        HeldWriter::new(self.stream, self.hold.unwrap_or(&none)).write(head.into_bytes(), body)
     }
 
     fn head(&self, status: u16, media: &str) -> String {
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -80,7 +80,7 @@
         shutdown: Sender<()>,
     ) -> Result<Self, Error> {
         let process_id = process_id(settings);
-        let rings = Rings::new(settings.bounds.ring_capacity);
+        let rings = Rings::new(settings.bounds.ring_capacity).with_memory(&settings.bounds);
         let stop = Arc::new(AtomicBool::new(false));
         let mut threads = Vec::new();
         let ids = RequestIds::new(process_id);
@@ -112,7 +112,7 @@
             rings.watch_messages,
             process_id,
         );
-        let meter = MeterDuty::new(rings.metric_events, monitor, calls);
+        let meter = MeterDuty::new(rings.metric_events, monitor, calls).with_memory(rings.memory);
         threads.push(spawn("decide", move || decider.run())?);
         threads.push(spawn("accept", move || listener.run())?);
         // A shutdown does not join these threads: they have no work to finish, and a watch call
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -84,7 +84,7 @@
         let error = |e| Error::new(ErrorKind::System, STEP, e).with_peer(settings.peer);
         let peers = peers.map_err(error)?;
         let process_id = process_id(settings);
-        let rings = Rings::new(settings.bounds.ring_capacity);
+        let rings = Rings::new(settings.bounds.ring_capacity).with_memory(&settings.bounds);
         let ids = RequestIds::new(process_id);
         let (serving, ready) = (ServingState::new(), Arc::clone(&rings.ready));
         let watcher = DisconnectWatcher::new(rings.decide.clone())?;
@@ -129,7 +129,8 @@
             rings.metric_events.clone(),
             rings.monitor(),
             api.calls().clone(),
-        );
+        )
+        .with_memory(rings.memory.clone());
         let admitter = Admitter::new(
             calls,
             rings.admit_messages,
--- a/azureway-entry/src/daemon/handles.rs
+++ b/azureway-entry/src/daemon/handles.rs
@@ -8,6 +8,7 @@
 use crate::admit::{AdmitMessage, RequestIds};
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
+use crate::memory::MemoryAccount;
 use crate::meter::MetricEvent;
 
 /// The rings and shared state of the daemon that a connection uses.
@@ -21,6 +22,8 @@
     pub meter: Sender<MetricEvent>,
     /// The generator of request IDs.
     pub ids: RequestIds,
+    /// The account of the memory that is held for others.
+    pub memory: MemoryAccount,
     /// The daemon's monotonic clock.
     pub clock: Clock,
     /// A ring on which nothing is sent. It disconnects when the last connection is closed.
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
+use azureway_config::settings::Bounds;
+use azureway_core::prelude::MemoryLimits;
 use flume::{Receiver, Sender};
 
 use super::Handles;
@@ -10,6 +12,7 @@
 use crate::claim::ClaimRings;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
+use crate::memory::MemoryAccount;
 use crate::meter::{MetricEvent, RingMonitor};
 use crate::order::OrderMessage;
 use crate::peer::{PeerMessage, PeerRings};
@@ -57,6 +60,8 @@
     pub ready: Arc<AtomicBool>,
     /// What the entry reads of the platform, for its zone.
     pub zone: Arc<ZoneCache>,
+    /// The account of the memory that is held for others.
+    pub memory: MemoryAccount,
     /// The daemon's monotonic clock.
     pub clock: Clock,
 }
@@ -79,6 +84,7 @@
         let clock = Clock::new();
         Self {
             zone: Arc::new(ZoneCache::new(clock)),
+            memory: memory_account(&Bounds::new(), clock),
             admit,
             admit_messages,
             decide,
@@ -101,6 +107,13 @@
         }
     }
 
+    /// Sets the bounds from which the account of memory follows.
+    #[must_use]
+    pub fn with_memory(mut self, bounds: &Bounds) -> Self {
+        self.memory = memory_account(bounds, self.clock);
+        self
+    }
+
     /// Returns the rings whose depth the measuring duty reports.
     pub fn monitor(&self) -> RingMonitor {
         RingMonitor {
@@ -130,9 +143,15 @@
             admit: self.admit.clone(),
             decide: self.decide.clone(),
             meter: self.meter.clone(),
+            memory: self.memory.clone(),
             clock: self.clock,
             guard: self.guard.clone(),
             ready: Arc::clone(&self.ready),
         }
     }
 }
+
+fn memory_account(bounds: &Bounds, clock: Clock) -> MemoryAccount {
+    let limits = MemoryLimits::new(bounds.memory, bounds.descriptors, bounds.connections);
+    MemoryAccount::new(limits, clock)
+}
--- a/azureway-entry/src/exchange/cancel_handle.rs
+++ b/azureway-entry/src/exchange/cancel_handle.rs
@@ -1,8 +1,7 @@
 //! A handle by which the deciding duty's thread stops an attempt that is blocked in a read.
 
-use std::io;
 use std::net::TcpStream;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use azureway_core::prelude::RecallCause;
 
@@ -23,15 +22,10 @@
 
     /// Stores the connection that the attempt uses. Returns `false` if the attempt was cancelled or
     /// recalled.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the socket cannot be duplicated.
-    pub fn attach(&self, stream: &TcpStream) -> io::Result<bool> {
-        let duplicate = stream.try_clone()?;
+    pub fn attach(&self, stream: &Arc<TcpStream>) -> bool {
         let mut state = self.lock();
-        state.stream = Some(duplicate);
-        Ok(!state.is_stopped())
+        state.stream = Some(Arc::clone(stream));
+        !state.is_stopped()
     }
 
     /// Removes the connection from the handle, so that it can return to the pool. Returns `false`
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use azureway_core::prelude::Incarnation;
@@ -90,6 +91,11 @@
         self.reader.get_ref().stream()
     }
 
+    /// Returns the socket, to be closed by another thread.
+    pub fn shared_stream(&self) -> &Arc<TcpStream> {
+        self.reader.get_ref().shared_stream()
+    }
+
     /// Sends a `GET` or `POST` request and returns the response head and the body, read into
     /// memory.
     ///
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -15,6 +15,7 @@
 use crate::caller::AnswerChunk;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
+use crate::memory::{BodyBuffer, CHUNK_COST};
 use crate::relay::{AttemptError, BROKEN};
 
 /// One attempt at a request: sends it unchanged to a backend server and forwards the answer.
@@ -64,6 +65,7 @@
     /// Runs the attempt and reports its outcome to the deciding duty.
     pub fn run(mut self) {
         let attempt = self.dispatch.attempt;
+        self.upstream.link.set_account(&self.upstream.account);
         if !self.upstream.link.attach(&self.handle) {
             return;
         }
@@ -128,7 +130,7 @@
         framing: Framing,
     ) -> Result<(), AttemptError> {
         self.report_start()?;
-        let body = self.read_body(connection.body(framing))?;
+        let body = self.read_body(connection.body(framing), framing)?;
         self.release(connection, &head)?;
         if matches!(head.status, 200..=299) {
             self.output += TokenCount::new(1);
@@ -149,7 +151,7 @@
         framing: Framing,
         signed: bool,
     ) -> Result<(), AttemptError> {
-        let body = self.read_body(connection.body(framing))?;
+        let body = self.read_body(connection.body(framing), framing)?;
         self.release(connection, &head)?;
         // These statuses would tell the caller that the request did not run, which the server has
         // not stated.
@@ -202,7 +204,7 @@
             since_event = 0;
             held = self.memory.reserve();
             start.take().map_or(Ok(()), |head| self.send_chunk(head))?;
-            self.send_chunk(AnswerChunk::StreamBytes(events))?;
+            self.send_bytes(events)?;
         }
         // A server that crashes as it begins to write ends the connection like a server that is done.
         let empty = framing == Framing::Closing && self.next_position == StreamPosition::ZERO;
@@ -254,24 +256,39 @@
     }
 
     /// Reads a body into memory.
-    fn read_body(&self, mut body: BodyStream<'_>) -> Result<Vec<u8>, AttemptError> {
+    fn read_body(
+        &self,
+        mut body: BodyStream<'_>,
+        framing: Framing,
+    ) -> Result<Vec<u8>, AttemptError> {
         let mut reservation = self.memory.reserve();
-        let (mut bytes, mut buffer) = (Vec::new(), vec![0; READ_SIZE]);
+        let mut bytes = BodyBuffer::new(self.upstream.link.hold());
+        let mut buffer = vec![0; READ_SIZE];
+        if let Framing::Sized(length) = framing {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            bytes.reserve(length).map_err(|_| self.full(length))?;
+        }
         loop {
             let count = body
                 .read(&mut buffer)
                 .map_err(|e| AttemptError::from_read(&e))?;
             if count == 0 {
-                return Ok(bytes);
+                return Ok(bytes.finish());
             }
             if !reservation.grow(count) {
-                log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server, bytes = bytes.len(); "the answer takes too much memory");
-                return Err(BROKEN);
+                return Err(self.full(bytes.len()));
             }
-            bytes.extend_from_slice(&buffer[..count]);
+            let pushed = bytes.push(&buffer[..count]);
+            pushed.map_err(|_| self.full(bytes.len()))?;
         }
     }
 
+    /// Returns the error of an answer of `size` bytes for which there is no memory.
+    fn full(&self, size: usize) -> AttemptError {
+        log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", account:% = self.upstream.account, peer:% = self.dispatch.server, bytes = size; "the answer takes too much memory");
+        BROKEN
+    }
+
     /// Reports that the answer has begun.
     ///
     /// # Errors
@@ -287,6 +304,17 @@
         Ok(())
     }
 
+    /// Sends bytes of a stream, which count towards the memory of the process until the caller has taken
+    /// them.
+    fn send_bytes(&self, events: Vec<u8>) -> Result<(), AttemptError> {
+        let (hold, size) = (self.upstream.link.hold(), events.capacity() + CHUNK_COST);
+        if !hold.grow(size) {
+            return Err(self.full(size));
+        }
+        hold.queue(size);
+        self.send_chunk(AnswerChunk::StreamBytes(events))
+    }
+
     fn send_chunk(&self, chunk: AnswerChunk) -> Result<(), AttemptError> {
         self.chunks
             .send(chunk)
--- a/azureway-entry/src/exchange/handle_state.rs
+++ b/azureway-entry/src/exchange/handle_state.rs
@@ -1,6 +1,7 @@
 //! The state of an attempt that another thread may stop.
 
 use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
 
 /// The state that a [`CancelHandle`](super::CancelHandle) guards.
 #[derive(Debug, Default)]
@@ -14,7 +15,7 @@
     /// Whether the answer has begun.
     pub begun: bool,
     /// The connection that the attempt uses.
-    pub stream: Option<TcpStream>,
+    pub stream: Option<Arc<TcpStream>>,
 }
 
 impl HandleState {
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -30,9 +30,6 @@
     sweep_at: usize,
 }
 
-/// The capacity of the ring to a caller's connection. An attempt that finds it full blocks, which
-/// slows the backend server down through TCP flow control.
-const CHUNK_CAPACITY: usize = 64;
 /// The stack size of an attempt's thread, in bytes.
 const STACK_SIZE: usize = 128 * 1024;
 /// The time within which a request breaks that was sent as the server closed the idle connection: a
@@ -73,7 +70,8 @@
         dispatch: Dispatch,
         upstream: Arc<UpstreamRequest>,
     ) -> Receiver<AnswerChunk> {
-        let (sender, chunks) = flume::bounded(CHUNK_CAPACITY);
+        // Bounded in bytes by the memory account, so that the server is not held up by a slow caller.
+        let (sender, chunks) = flume::unbounded();
         let attempt = dispatch.attempt;
         let handle = Arc::new(CancelHandle::new());
         self.track(attempt.id, &handle);
--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -85,12 +85,7 @@
         mut connection: BackendConnection,
         passthrough: &Passthrough,
     ) -> Result<(BackendConnection, AnswerHead), AttemptError> {
-        let unsent = AttemptError::Server(FailureKind::Unreachable, SendState::Unsent);
-        if !self
-            .handle
-            .attach(connection.stream())
-            .map_err(|_| unsent)?
-        {
+        if !self.handle.attach(connection.shared_stream()) {
             return Err(AttemptError::CallerDisconnected);
         }
         let left = self.time_left(passthrough);
--- a/azureway-entry/src/exchange/timed_socket.rs
+++ b/azureway-entry/src/exchange/timed_socket.rs
@@ -2,13 +2,14 @@
 
 use std::io::{self, Read};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The reading side of a connection to a backend server, with a time limit for each read and a
 /// deadline for all reads of an answer together.
 #[derive(Debug)]
 pub struct TimedSocket {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     /// The time limit of the socket for a read, or zero if none has been set.
     timeout: Duration,
     deadline: Option<Instant>,
@@ -16,16 +17,21 @@
 
 impl TimedSocket {
     /// Creates the reading side of `stream`, without limits.
-    pub const fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream) -> Self {
         Self {
-            stream,
+            stream: Arc::new(stream),
             timeout: Duration::ZERO,
             deadline: None,
         }
     }
 
     /// Returns the socket.
-    pub const fn stream(&self) -> &TcpStream {
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Returns the socket, to be closed by another thread.
+    pub const fn shared_stream(&self) -> &Arc<TcpStream> {
         &self.stream
     }
 
@@ -56,7 +62,7 @@
                 self.set_timeout(left)?;
             }
         }
-        self.stream.read(buffer)
+        (&*self.stream).read(buffer)
     }
 }
 
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod exchange;
 pub mod feed;
 pub mod logs;
+pub mod memory;
 pub mod meter;
 pub mod order;
 pub mod peer;
--- a/azureway-entry/src/main.rs
+++ b/azureway-entry/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use azureway_entry::daemon::Entry;
-use azureway_entry::{logs, program};
+use azureway_entry::{logs, memory, program};
 use clap::ArgMatches;
 use flume::{Receiver, Sender};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -14,6 +14,7 @@
 const ABOUT: &str = "Routes requests from callers to backend servers";
 
 fn main() -> Result<()> {
+    memory::limit_allocator();
     let logs = logs::start("info")?;
     let result = run(&program::command("azureway-entry", ABOUT).get_matches());
     logs.flush();
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -6,10 +6,11 @@
 use prometheus_client::registry::Registry;
 
 use super::{
-    ConfigMetrics, ControlMetrics, MetricEvent, PromptMetrics, RingMonitor, RouterMetrics,
-    ServiceMetrics,
+    ConfigMetrics, ControlMetrics, MemoryMetrics, MetricEvent, PromptMetrics, RingMonitor,
+    RouterMetrics, ServiceMetrics,
 };
 use crate::decide::DecideMessage;
+use crate::memory::MemoryAccount;
 
 /// The measuring duty: updates the metrics and encodes them for scrapes.
 #[derive(Debug)]
@@ -21,6 +22,7 @@
     config: ConfigMetrics,
     control: ControlMetrics,
     router: RouterMetrics,
+    memory: Option<MemoryMetrics>,
     decide: WeakSender<DecideMessage>,
 }
 
@@ -36,10 +38,18 @@
             router: RouterMetrics::new(&mut registry),
             decide: rings.decide.clone(),
             control: ControlMetrics::new(&mut registry, rings, calls),
+            memory: None,
             registry,
         }
     }
 
+    /// Adds the metrics of the memory that is held for others.
+    #[must_use]
+    pub fn with_memory(mut self, account: MemoryAccount) -> Self {
+        self.memory = Some(MemoryMetrics::new(&mut self.registry, account));
+        self
+    }
+
     /// Runs until every sender of metric events is dropped.
     pub fn run(mut self) {
         while let Ok(event) = self.events.recv() {
@@ -73,6 +83,7 @@
 
     fn encode(&self) -> String {
         self.control.refresh();
+        self.memory.iter().for_each(MemoryMetrics::refresh);
         self.router.refresh(&self.decide);
         let mut text = String::new();
         // Writing to a string cannot fail.
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -16,6 +16,7 @@
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::decide::DecideMessage;
+use crate::memory::{BodyBuffer, CHUNK_COST};
 
 /// One attempt at a backend server: sends the request and forwards the answer.
 #[derive(Debug)]
@@ -34,6 +35,8 @@
 
 /// The largest body of an answer that is not streamed, in bytes.
 const MAX_BODY_SIZE: u64 = 16 * 1024 * 1024;
+/// The size of the buffer for reads from a body, in bytes.
+const READ_SIZE: usize = 8 * 1024;
 
 impl RelayAttempt {
     /// Creates an attempt that has not sent anything.
@@ -63,6 +66,7 @@
 
     /// Runs the attempt and reports its outcome to the deciding duty.
     pub fn run(mut self) {
+        self.upstream.link.set_account(&self.upstream.account);
         let attempt = self.dispatch.attempt;
         match self.relay() {
             Ok(()) => {
@@ -178,9 +182,7 @@
         let (status, headers, reader) = answer.split();
         let content_type = headers.get("content-type").and_then(|v| v.to_str().ok());
         let content_type = content_type.unwrap_or("application/octet-stream");
-        let mut body = Vec::new();
-        let read = reader.take(MAX_BODY_SIZE + 1).read_to_end(&mut body);
-        read.map_err(|e| AttemptError::from_read(&e))?;
+        let body = self.read_body(reader)?;
         let length = headers.get("content-length").and_then(|v| v.to_str().ok());
         let cut_short = length.is_some_and(|l| l.parse() != Ok(body.len()));
         if cut_short || body.len() as u64 > MAX_BODY_SIZE {
@@ -197,6 +199,31 @@
         Ok(())
     }
 
+    /// Reads a body into memory.
+    fn read_body(&self, mut body: impl Read) -> Result<Vec<u8>, AttemptError> {
+        let mut bytes = BodyBuffer::new(self.upstream.link.hold());
+        let mut buffer = vec![0; READ_SIZE];
+        loop {
+            let count = body
+                .read(&mut buffer)
+                .map_err(|e| AttemptError::from_read(&e))?;
+            if count == 0 {
+                return Ok(bytes.finish());
+            }
+            let pushed = bytes.push(&buffer[..count]);
+            pushed.map_err(|_| self.full(bytes.len()))?;
+            if bytes.len() as u64 > MAX_BODY_SIZE {
+                return Err(BROKEN);
+            }
+        }
+    }
+
+    /// Returns the error of an answer of `size` bytes for which there is no memory.
+    fn full(&self, size: usize) -> AttemptError {
+        log::warn!(request:% = self.dispatch.attempt.id, step = "relay", account:% = self.upstream.account, peer:% = self.dispatch.server, bytes = size; "the answer takes too much memory");
+        BROKEN
+    }
+
     /// Returns the answer in the form that the request's claim stores, or `None` if the request has
     /// no idempotency key or the answer cannot be stored.
     fn storable(&self, status: u16, content_type: &str, body: &[u8]) -> Option<ShortAnswer> {
@@ -251,6 +278,12 @@
         }
         self.gap_meter.record_event();
         self.record_usage(data);
+        // The data counts towards the memory of the process until the caller has taken it.
+        let (hold, size) = (self.upstream.link.hold(), data.len() + CHUNK_COST);
+        if !hold.grow(size) {
+            return Err(self.full(size));
+        }
+        hold.queue(size);
         self.send_chunk(AnswerChunk::Event(position, data.into()))?;
         self.next_position = position.next();
         self.output += TokenCount::new(1);
--- a/azureway-entry/src/relay/relay_launcher.rs
+++ b/azureway-entry/src/relay/relay_launcher.rs
@@ -22,9 +22,6 @@
     bounds: Bounds,
 }
 
-/// The capacity of the ring to a caller's connection. An attempt that finds it full blocks, which
-/// slows the backend server down through TCP flow control.
-const CHUNK_CAPACITY: usize = 64;
 /// The stack size of an attempt's thread, in bytes.
 const STACK_SIZE: usize = 256 * 1024;
 
@@ -49,7 +46,8 @@
         dispatch: Dispatch,
         upstream: Arc<UpstreamRequest>,
     ) -> Receiver<AnswerChunk> {
-        let (sender, chunks) = flume::bounded(CHUNK_CAPACITY);
+        // Bounded in bytes by the memory account, so that the server is not held up by a slow caller.
+        let (sender, chunks) = flume::unbounded();
         let attempt = dispatch.attempt;
         let gap_meter = GapMeter::new(dispatch.rank, self.meter.clone());
         let (bounds, decide) = (self.bounds.clone(), self.decide.clone());
--- a/azureway-entry/src/routed/answer.rs
+++ b/azureway-entry/src/routed/answer.rs
@@ -12,6 +12,7 @@
 use crate::caller::{AnswerChunk, RequestUpdate, is_open};
 use crate::decide::DecideMessage;
 use crate::exchange::AnswerHead;
+use crate::memory::{CHUNK_COST, MemoryHold};
 
 /// Writes the answer to one request, over all its attempts.
 pub struct RoutedAnswer<'a> {
@@ -22,6 +23,7 @@
     attempted: bool,
     fallback: Option<(Box<AnswerHead>, Vec<u8>)>,
     writer: Option<Encoder<&'a TcpStream>>,
+    hold: Option<&'a MemoryHold>,
 }
 
 impl<'a> RoutedAnswer<'a> {
@@ -36,9 +38,17 @@
             attempted: false,
             fallback: None,
             writer: None,
+            hold: None,
         }
     }
 
+    /// Sets the memory that is held for the request.
+    #[must_use]
+    pub const fn with_hold(mut self, hold: &'a MemoryHold) -> Self {
+        self.hold = Some(hold);
+        self
+    }
+
     /// Writes the answer as the updates of the request arrive. A request that reaches its deadline
     /// is cancelled through `decide`.
     ///
@@ -81,7 +91,7 @@
                     return Ok(Some(AnswerEnd::Aborted));
                 }
                 AnswerChunk::Forwarded(head, body) => {
-                    RoutedResponder::new(self.stream, self.close).write_complete(&head, &body)?;
+                    self.responder().write_complete(&head, &body)?;
                     return Ok(Some(AnswerEnd::complete(self.close)));
                 }
                 AnswerChunk::Fallback(head, body) => self.fallback = Some((head, body)),
@@ -90,6 +100,10 @@
                     if let Some(writer) = &mut self.writer {
                         writer.write_all(&bytes)?;
                     }
+                    if let Some(hold) = self.hold {
+                        hold.take(bytes.capacity() + CHUNK_COST);
+                        hold.shrink(bytes.capacity() + CHUNK_COST);
+                    }
                 }
                 AnswerChunk::End => {
                     // Dropping the writer writes the last chunk.
@@ -107,17 +121,20 @@
     /// Writes the response head of a stream, unless an earlier attempt has written it.
     fn start_stream(&mut self, head: &AnswerHead) -> io::Result<()> {
         if self.writer.is_none() {
-            let responder = RoutedResponder::new(self.stream, self.close);
-            self.writer = Some(responder.start_stream(head)?);
+            self.writer = Some(self.responder().start_stream(head)?);
         }
         Ok(())
     }
 
+    fn responder(&self) -> RoutedResponder<'a> {
+        RoutedResponder::new(self.stream, self.close).with_hold(self.hold)
+    }
+
     fn refuse(&mut self, refusal: &Refusal) -> io::Result<AnswerEnd> {
         if self.writer.is_some() {
             return Ok(AnswerEnd::Aborted);
         }
-        let responder = RoutedResponder::new(self.stream, self.close);
+        let responder = self.responder();
         match self.fallback.take() {
             Some((head, body)) if !refusal.not_run => responder.write_complete(&head, &body)?,
             _ => responder.refuse(refusal)?,
--- a/azureway-entry/src/routed/connection.rs
+++ b/azureway-entry/src/routed/connection.rs
@@ -16,11 +16,12 @@
 use crate::daemon::Handles;
 use crate::decide::DecideMessage;
 use crate::exchange::BodyReservation;
+use crate::memory::{ATTEMPT_COST, HeldReader, MemoryHold};
 
 /// The duty of a routed caller's connection: reads requests one at a time and writes their answers.
 #[derive(Debug)]
 pub struct RoutedConnection<D> {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     dialect: D,
     handles: Handles,
     serving: ServingState,
@@ -40,7 +41,7 @@
 
 impl<D: CallerDialect> RoutedConnection<D> {
     /// Creates the duty of `stream`.
-    pub const fn new(
+    pub fn new(
         stream: TcpStream,
         dialect: D,
         handles: Handles,
@@ -48,7 +49,7 @@
         watch: DisconnectWatch,
     ) -> Self {
         Self {
-            stream,
+            stream: Arc::new(stream),
             dialect,
             handles,
             serving,
@@ -84,9 +85,10 @@
 
     fn serve_request(&mut self) -> AnswerEnd {
         let limits = self.serving.limits();
-        match self.read_request(limits) {
+        let hold = self.handles.memory.open();
+        match self.read_request(limits, &hold) {
             // The memory is reserved until the request is answered.
-            Ok((head, body, _reserved)) => self.answer(head, body),
+            Ok((head, body, _reserved)) => self.answer(head, body, hold),
             Err(BadInput::Closed) => AnswerEnd::Aborted,
             Err(input) => self.refuse(input),
         }
@@ -95,6 +97,7 @@
     fn read_request(
         &mut self,
         limits: CallerLimits,
+        hold: &MemoryHold,
     ) -> Result<(Head, Vec<u8>, BodyReservation), BadInput> {
         let mut stream = TimedStream::new(&self.stream, Instant::now() + limits.head_timeout);
         let buffered = std::mem::take(&mut self.buffered);
@@ -105,13 +108,14 @@
             .get("expect")
             .is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
         {
-            let sent = (&self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
+            let sent = (&*self.stream).write_all(b"HTTP/1.1 100 Continue\r\n\r\n");
             sent.map_err(|_| BadInput::Closed)?;
         }
         let rest = PrefixedReader::new(buffered, stream);
-        let mut rest = ReservedReader::new(rest, self.serving.bodies.reserve());
+        let rest = ReservedReader::new(rest, self.serving.bodies.reserve());
+        let mut rest = HeldReader::new(rest, hold);
         let body = body.read(&[], &mut rest, limits.body_bytes)?;
-        let (rest, reserved) = rest.into_parts();
+        let (rest, reserved) = rest.into_inner().into_parts();
         self.buffered = rest.into_unread();
         Ok((head, body, reserved))
     }
@@ -131,13 +135,16 @@
         AnswerEnd::Aborted
     }
 
-    fn answer(&mut self, head: Head, body: Vec<u8>) -> AnswerEnd {
+    fn answer(&mut self, head: Head, body: Vec<u8>, hold: MemoryHold) -> AnswerEnd {
         let id = self.handles.ids.next();
         let timeout = self.dialect.read(&head).ok().and_then(|m| m.timeout);
         let deadline = Instant::now() + timeout.unwrap_or(DEFAULT_TIMEOUT);
         let close = self.serving.is_draining() || wants_close(&head);
+        if !hold.try_grow(ATTEMPT_COST) {
+            return self.refuse_overload(id, close);
+        }
         let (sender, updates) = flume::bounded(UPDATE_CAPACITY);
-        let link = Arc::new(CallerLink::new());
+        let link = CallerLink::with_hold(id, Arc::clone(&self.stream), hold);
         let call = Call {
             id,
             head,
@@ -151,13 +158,11 @@
         });
         let message = AdmitMessage::Call(Box::new(call));
         if self.handles.admit.try_send(message).is_err() {
-            log::info!(request:% = id, step = "admit", code = "overloaded"; "refused");
             self.end_watch(watched);
-            let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
-            let written = RoutedResponder::new(&self.stream, close).refuse(&refusal);
-            return written.map_or(AnswerEnd::Aborted, |()| AnswerEnd::complete(close));
+            return self.refuse_overload(id, close);
         }
-        let mut answer = RoutedAnswer::new(&self.stream, id, deadline, close);
+        let mut answer =
+            RoutedAnswer::new(&self.stream, id, deadline, close).with_hold(link.hold());
         let result = answer.run(&updates, &self.handles.decide);
         self.end_watch(watched);
         result.unwrap_or_else(|e| {
@@ -166,6 +171,14 @@
         })
     }
 
+    /// Refuses a request for which there is no room.
+    fn refuse_overload(&self, id: RequestId, close: bool) -> AnswerEnd {
+        log::info!(request:% = id, step = "admit", code = "overloaded"; "refused");
+        let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many requests at once");
+        let written = RoutedResponder::new(&self.stream, close).refuse(&refusal);
+        written.map_or(AnswerEnd::Aborted, |()| AnswerEnd::complete(close))
+    }
+
     fn end_watch(&self, watched: io::Result<usize>) {
         if let Ok(token) = watched {
             self.watch.end(&self.stream, token);
--- a/azureway-entry/src/routed/listener.rs
+++ b/azureway-entry/src/routed/listener.rs
@@ -1,5 +1,6 @@
 //! The thread that accepts routed callers and limits the number of their connections.
 
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -7,9 +8,12 @@
 
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::{Error, ErrorKind, Refusal, RefusalReason, Step};
+use flume::Sender;
 
 use super::{CallerDialect, DisconnectWatch, RoutedConnection, RoutedResponder, ServingState};
+use crate::caller::Refuser;
 use crate::daemon::Handles;
+use crate::memory::{CONNECTION_COST, MemoryHold};
 
 /// The accepting duty of routed callers: starts a thread for each connection, up to a limit.
 #[derive(Debug)]
@@ -21,6 +25,7 @@
     serving: ServingState,
     watch: DisconnectWatch,
     connections: Arc<AtomicUsize>,
+    refusals: Sender<TcpStream>,
 }
 
 /// The stack size of a connection's thread, in bytes.
@@ -36,10 +41,11 @@
         address: SocketAddr,
         dialect: D,
         handles: Handles,
-        bounds: Bounds,
+        mut bounds: Bounds,
         serving: ServingState,
         watch: DisconnectWatch,
     ) -> Result<Self, Error> {
+        bounds.connections = handles.memory.limits().connections;
         let failed = |e| {
             Error::new(ErrorKind::System, Step::new("listen for callers"), e).with_peer(address)
         };
@@ -51,6 +57,7 @@
             serving,
             watch,
             connections: Arc::default(),
+            refusals: Refuser::start(refuse)?,
         })
     }
 
@@ -76,14 +83,11 @@
 
     /// Starts a thread for a connection, or refuses it if too many are open.
     fn serve(&self, stream: TcpStream) {
-        if self.connections.fetch_add(1, Ordering::AcqRel) >= self.bounds.connections {
-            self.connections.fetch_sub(1, Ordering::AcqRel);
-            let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many connections");
-            if let Err(e) = RoutedResponder::new(&stream, true).refuse(&refusal) {
-                log::debug!(step = "accept", error:% = e; "sending a refusal failed");
-            }
+        let Some(hold) = self.admit() else {
+            // If too many wait for their refusal, the connection is closed without one.
+            let _ = self.refusals.try_send(stream);
             return;
-        }
+        };
         let connection = RoutedConnection::new(
             stream,
             self.dialect.clone(),
@@ -97,6 +101,7 @@
             .stack_size(STACK_SIZE);
         let spawned = thread.spawn(move || {
             connection.run();
+            drop(hold);
             connections.fetch_sub(1, Ordering::AcqRel);
         });
         if let Err(e) = spawned {
@@ -104,4 +109,24 @@
             log::error!(step = "accept", error:% = e; "starting a thread failed");
         }
     }
+
+    /// Counts a connection and returns the memory that is held for it. If there is no room, the slowest reader
+    /// is closed, for those that come later.
+    fn admit(&self) -> Option<MemoryHold> {
+        let hold = self.handles.memory.open();
+        let limit = self.bounds.connections;
+        if self.connections.fetch_add(1, Ordering::AcqRel) < limit && hold.try_grow(CONNECTION_COST)
+        {
+            return Some(hold);
+        }
+        let open = self.connections.fetch_sub(1, Ordering::AcqRel);
+        log::warn!(step = "accept", connections = open, limit = limit; "refused a connection");
+        self.handles.memory.close_slowest();
+        None
+    }
+}
+
+fn refuse(stream: &TcpStream) -> io::Result<()> {
+    let refusal = Refusal::not_run(RefusalReason::Overloaded, "too many connections");
+    RoutedResponder::new(stream, true).refuse(&refusal)
 }
--- a/azureway-entry/src/routed/responder.rs
+++ b/azureway-entry/src/routed/responder.rs
@@ -10,12 +10,14 @@
 
 use super::ResponseHead;
 use crate::exchange::AnswerHead;
+use crate::memory::{HeldWriter, MemoryHold};
 
 /// Writes the answer to one request of a routed caller.
 #[derive(Debug)]
 pub struct RoutedResponder<'a> {
     stream: &'a TcpStream,
     close: bool,
+    hold: Option<&'a MemoryHold>,
 }
 
 /// The `retry-after` time of a request that has not run, if the refusal states none. Callers wait
@@ -30,7 +32,18 @@
     /// Creates a writer to `stream`. With `close`, the answer states that the connection closes
     /// after it.
     pub const fn new(stream: &'a TcpStream, close: bool) -> Self {
-        Self { stream, close }
+        Self {
+            stream,
+            close,
+            hold: None,
+        }
+    }
+
+    /// Sets the memory that is held for the request.
+    #[must_use]
+    pub const fn with_hold(mut self, hold: Option<&'a MemoryHold>) -> Self {
+        self.hold = hold;
+        self
     }
 
     /// Writes a complete answer of a backend server.
@@ -78,10 +91,9 @@
 
     fn write(&self, head: ResponseHead, body: &[u8]) -> io::Result<()> {
         let head = head.with("content-length", &body.len().to_string());
-        let mut bytes = head.with_close(self.close).into_bytes();
-        bytes.extend_from_slice(body);
-        let mut stream = self.stream;
-        stream.write_all(&bytes)
+        let bytes = head.with_close(self.close).into_bytes();
+        let none = MemoryHold::default();
+        HeldWriter::new(self.stream, self.hold.unwrap_or(&none)).write(bytes, body)
     }
 }
 
