Hold answers and requests within the memory of the instance

Cause: nothing bounded the memory that a process holds for all callers together. Answers that wait for their callers, copies of them, and bodies of the chat interface grew with the crowd.

--- a/azureway-entry/src/caller/answer.rs
+++ b/azureway-entry/src/caller/answer.rs
@@ -206,7 +206,7 @@
 /// Waits for the next update. If the deciding duty has ended, the request counts as refused.
 fn next(updates: &Receiver<RequestUpdate>) -> RequestUpdate {
     updates.recv().unwrap_or_else(|_| {
-        let refusal = Refusal::maybe_run(RefusalReason::ServerFailed, "the instance has stopped");
+        let refusal = Refusal::maybe_run(RefusalReason::ServerFailed, "the request was given up");
         RequestUpdate::Refused(RequestId::new(0, 0), refusal)
     })
 }
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -286,7 +286,8 @@
     /// Returns the error of an answer of `size` bytes for which there is no memory.
     fn full(&self, size: usize) -> AttemptError {
         log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", account:% = self.upstream.account, peer:% = self.dispatch.server, bytes = size; "the answer takes too much memory");
-        BROKEN
+        // The server is sound.
+        AttemptError::Server(FailureKind::Declined, SendState::MaybeRun)
     }
 
     /// Reports that the answer has begun.
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -218,10 +218,14 @@
         }
     }
 
-    /// Returns the error of an answer of `size` bytes for which there is no memory.
+    /// Gives up the request, since there is no memory for an answer of `size` bytes. Another server would
+    /// send as much, so that it is not tried again.
     fn full(&self, size: usize) -> AttemptError {
         log::warn!(request:% = self.dispatch.attempt.id, step = "relay", account:% = self.upstream.account, peer:% = self.dispatch.server, bytes = size; "the answer takes too much memory");
-        BROKEN
+        let given_up = DecideMessage::CallerDisconnected(self.dispatch.attempt.id);
+        // The send fails only if the deciding duty has ended.
+        let _ = self.decide.send(given_up);
+        AttemptError::CallerDisconnected
     }
 
     /// Returns the answer in the form that the request's claim stores, or `None` if the request has
