Keep the fault of a server that sends too much apart from a lack of memory

An answer beyond the largest size is the server's fault as before; one for which there is no room is not. endless_answers had failed by this, and passes with exchange and gateway.

--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -266,7 +266,7 @@
         let mut buffer = vec![0; READ_SIZE];
         if let Framing::Sized(length) = framing {
             let length = usize::try_from(length).unwrap_or(usize::MAX);
-            bytes.reserve(length).map_err(|_| self.full(length))?;
+            bytes.reserve(length).map_err(|e| self.unread(&e, length))?;
         }
         loop {
             let count = body
@@ -276,10 +276,20 @@
                 return Ok(bytes.finish());
             }
             if !reservation.grow(count) {
-                return Err(self.full(bytes.len()));
+                let error = io::ErrorKind::InvalidData.into();
+                return Err(self.unread(&error, bytes.len()));
             }
             let pushed = bytes.push(&buffer[..count]);
-            pushed.map_err(|_| self.full(bytes.len()))?;
+            pushed.map_err(|e| self.unread(&e, bytes.len()))?;
+        }
+    }
+
+    /// Returns the error of an answer that is not read beyond `size` bytes.
+    fn unread(&self, error: &io::Error, size: usize) -> AttemptError {
+        let full = self.full(size);
+        match error.kind() {
+            io::ErrorKind::OutOfMemory => full,
+            _ => BROKEN,
         }
     }
 
--- a/azureway-entry/src/memory/body_buffer.rs
+++ b/azureway-entry/src/memory/body_buffer.rs
@@ -29,10 +29,13 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if there is no room.
+    /// Returns an error of the kind `OutOfMemory` if there is no room, and of another if the body is too large.
     pub fn reserve(&mut self, length: usize) -> io::Result<()> {
         let more = length.saturating_sub(self.bytes.capacity());
-        if length > MAX_SIZE || (more > 0 && !self.hold.grow(more)) {
+        if length > MAX_SIZE {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        if more > 0 && !self.hold.grow(more) {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         self.bytes.reserve_exact(length - self.bytes.len());
