Bound the chunk rings, and use stores of blocks only while no weights are loaded

Cause: reviews found chunk rings without a bound; a server that computes while it loads newer weights could save blocks of those; a store was preferred to a server that told of the whole prefix, and a guess to a source whose transfer takes too long. Change: rings of 16,384 chunks, bounded in bytes by the memory account before; a store is used only while no server of the pool is known to have or to load newer weights; a known whole holder goes before the store; guesses keep to the rule of gain. The test of slow links now expects no source. Measured: the tests of shared parts pass.

--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -32,6 +32,8 @@
     pub incarnation: Incarnation,
     /// The weights version that the server has loaded, if known.
     pub weights: Option<WeightsVersion>,
+    /// The newer weights version that the server is about to load, if it was announced.
+    loading: Option<WeightsVersion>,
     /// This entry's share of the rate that the server names as its limit, if it names one.
     pub rate: RateShare,
     /// This entry's hold on the server, if the server asked for a pause.
@@ -69,6 +71,7 @@
             speed: SpeedMeter::new(server.prefill),
             incarnation: server.listed.map_or(Incarnation::ZERO, |l| l.incarnation),
             weights: server.listed.and_then(|l| l.weights),
+            loading: None,
             server,
             local: LocalWork::new(),
             reported: ReportedWork::default(),
@@ -125,6 +128,11 @@
         restarted || newer
     }
 
+    /// Returns the newest weights version that the server is known to have or to be loading.
+    pub fn newest_weights(&self) -> Option<WeightsVersion> {
+        self.weights.max(self.loading)
+    }
+
     /// Applies a notice that the server is about to load weights, and takes no requests
     /// meanwhile, or has loaded them. Returns whether the cached blocks known for the server are
     /// invalid.
@@ -137,6 +145,7 @@
         }
         if newer || done {
             self.held_until = now + loading.duration;
+            self.loading = (!done).then_some(loading.weights);
         }
         newer && done
     }
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod expiry;
 mod failures;
 mod fetch_plan;
+mod fetch_source;
 mod in_flight;
 mod in_flight_table;
 mod leaving;
--- a/azureway-core/src/router/sharing.rs
+++ b/azureway-core/src/router/sharing.rs
@@ -1,8 +1,8 @@
 //! Placement of prefixes that backend servers can fetch from one another.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::fetch_source::FetchSource;
 use super::{FetchPlan, RouterConfig};
 use crate::cache::CacheIndex;
 use crate::domain::{CacheStore, ModelService, Request, Timestamp, TokenCount, ZoneId};
@@ -29,8 +29,8 @@
 
     /// Returns the transfers that save most for a request at the chosen server.
     ///
-    /// Blocks that no server is known to hold come from the store of the prefix, if the service has
-    /// one, and are saved there by the server that computes them.
+    /// A prefix that no server is known to hold whole comes from its store, if the service has one, and
+    /// is saved there by the server that computes it.
     pub fn fetch_plan(
         &self,
         index: &mut CacheIndex,
@@ -53,23 +53,26 @@
             transfer.gain(chosen.speed.prefill())
         };
         let store = self.store(request, service, chosen);
+        // The store may have dropped the prefix, which a server that told of it has.
+        let lacking = peer
+            .as_ref()
+            .is_none_or(|p| p.held < request.prompt.prefix_tokens());
         let kept = store.filter(|s| {
-            let known = peer.map_or(Duration::ZERO, |(_, known)| known);
-            gain(s, confirmed) > known
+            let known = peer.as_ref().map_or(Duration::ZERO, |p| p.gain);
+            lacking && gain(s, confirmed) > known
         });
         let saved = store.filter(|s| !gain(s, cached).is_zero());
         FetchPlan {
-            source: kept.map(|s| s.address).or(peer.map(|(address, _)| address)),
+            source: kept.map(|s| s.address).or(peer.map(|p| p.address)),
             save_to: saved.map(|s| s.address),
         }
     }
 
-    /// Returns the address of the server from which to fetch blocks, and what the transfer is known to
-    /// save: the server that holds the most of the prompt, if that is more than the chosen one holds.
+    /// Returns the server from which to fetch blocks: the server that holds the most of the prompt, if that is more than the chosen one holds.
     ///
     /// If no server is known to hold more and the chosen server lacks part of the prefix, returns
     /// the one with the highest rendezvous weight, since a fetch that finds nothing costs far less
-    /// than recomputing the prefix.
+    /// than recomputing the prefix, unless its transfer takes longer.
     fn peer(
         &self,
         index: &mut CacheIndex,
@@ -78,7 +81,7 @@
         chosen: &ServerState,
         cached: TokenCount,
         now: Timestamp,
-    ) -> Option<(SocketAddr, Duration)> {
+    ) -> Option<FetchSource> {
         let is_source =
             |s: &&ServerState| s.server.id != chosen.server.id && s.weights == chosen.weights;
         let others = self.servers.in_pool(&service.pool);
@@ -86,33 +89,41 @@
         let rendezvous = Rendezvous::new(request.prompt.prefix());
         let blocks = request.prompt.blocks();
         let rate = chosen.speed.prefill();
-        let lacks_prefix = cached < request.prompt.prefix_tokens();
+        let lacking = request.prompt.prefix_tokens().saturating_sub(cached);
         let options = others.filter_map(|s| {
             // Only confirmed blocks count: a server that was sent the prompt may not have computed
             // it yet.
             let held = index.confirmed_tokens(&s.server.id, s.incarnation, blocks);
             let missing = held.saturating_sub(cached);
             let gain = self.transfer(missing, chosen, &s.server.zone).gain(rate);
-            let useful = !gain.is_zero() || (missing == TokenCount::ZERO && lacks_prefix);
-            let weight = rendezvous.weight(&s.server.id);
-            useful.then_some((gain, weight, s.server.address))
+            let guess = self.transfer(lacking, chosen, &s.server.zone).gain(rate);
+            let useful = !gain.is_zero() || (missing == TokenCount::ZERO && !guess.is_zero());
+            let source = FetchSource {
+                address: s.server.address,
+                held,
+                gain,
+            };
+            useful.then_some((rendezvous.weight(&s.server.id), source))
         });
-        let best = options.max_by_key(|(gain, weight, _)| (*gain, *weight));
-        best.map(|(gain, _, address)| (address, gain))
+        let best = options.max_by_key(|(weight, source)| (source.gain, *weight));
+        best.map(|(_, source)| source)
     }
 
     /// Returns the store that keeps the blocks of a prompt: one in the region of the server that the
     /// prefix prefers, so that every entry chooses the same.
     ///
     /// The store checks no weights, and a server that loads others while it computes could save blocks
-    /// of those. So it is used only for the newest weights, which no server is about to replace.
+    /// of those. So it is used only for the newest weights, while no server is known to have or to load
+    /// newer ones.
     fn store(
         &self,
         request: &Request,
         service: &'a ModelService,
         chosen: &ServerState,
     ) -> Option<&'a CacheStore> {
-        if chosen.weights != Some(service.weights) {
+        let newest = Some(service.weights);
+        let mut servers = self.servers.in_pool(&service.pool);
+        if chosen.weights != newest || servers.any(|s| s.newest_weights() > newest) {
             return None;
         }
         let rendezvous = Rendezvous::new(request.prompt.prefix());
--- a/azureway-core/tests/shared_parts.rs
+++ b/azureway-core/tests/shared_parts.rs
@@ -142,7 +142,7 @@
 fn blocks_are_computed_where_the_link_is_slower() {
     let (_, dispatch) = send(&mut fixture(&shared_fleet(SLOW, 2)));
     expect_that!(dispatch.save_to, none());
-    expect_that!(dispatch.fetch_from, not(eq(store_address(1))));
+    expect_that!(dispatch.fetch_from, none());
 }
 
 #[gtest]
@@ -196,3 +196,25 @@
     expect_that!(addresses.contains(&source), eq(true));
     expect_that!(dispatch.save_to, none());
 }
+
+/// A server that computes while it loads newer weights could save blocks of those.
+#[gtest]
+fn no_store_is_used_while_a_server_is_about_to_load_newer_weights() {
+    let mut fixture = fixture(&shared_fleet(FAST, 2));
+    let (_, before) = send(&mut fixture);
+    expect_that!(before.save_to, some(anything()));
+    let mut notice = LoadNotice {
+        server: ServerId::new("engine-2"),
+        weights: WeightsVersion::new(2),
+        duration: Duration::from_secs(3),
+    };
+    fixture.handle(Event::Loading(&notice));
+    let (_, during) = send(&mut fixture);
+    expect_that!(during.save_to, none());
+    expect_that!(during.fetch_from, not(eq(store_address(1))));
+    // A notice without weights and time withdraws the first.
+    (notice.weights, notice.duration) = (WeightsVersion::ZERO, Duration::ZERO);
+    fixture.handle(Event::Loading(&notice));
+    let (_, after) = send(&mut fixture);
+    expect_that!(after.fetch_from, eq(store_address(1)));
+}
--- a/azureway-entry/src/exchange/launcher.rs
+++ b/azureway-entry/src/exchange/launcher.rs
@@ -30,6 +30,9 @@
     sweep_at: usize,
 }
 
+/// The capacity of the ring to a caller's connection. The memory account bounds its bytes long before, so
+/// that a slow caller holds up no backend server.
+const CHUNK_CAPACITY: usize = 16_384;
 /// The stack size of an attempt's thread, in bytes.
 const STACK_SIZE: usize = 128 * 1024;
 /// The time within which a request breaks that was sent as the server closed the idle connection: a
@@ -70,8 +73,7 @@
         dispatch: Dispatch,
         upstream: Arc<UpstreamRequest>,
     ) -> Receiver<AnswerChunk> {
-        // Bounded in bytes by the memory account, so that the server is not held up by a slow caller.
-        let (sender, chunks) = flume::unbounded();
+        let (sender, chunks) = flume::bounded(CHUNK_CAPACITY);
         let attempt = dispatch.attempt;
         let handle = Arc::new(CancelHandle::new());
         self.track(attempt.id, &handle);
--- a/azureway-entry/src/relay/relay_launcher.rs
+++ b/azureway-entry/src/relay/relay_launcher.rs
@@ -22,6 +22,9 @@
     bounds: Bounds,
 }
 
+/// The capacity of the ring to a caller's connection. The memory account bounds its bytes long before, so
+/// that a slow caller holds up no backend server.
+const CHUNK_CAPACITY: usize = 16_384;
 /// The stack size of an attempt's thread, in bytes.
 const STACK_SIZE: usize = 256 * 1024;
 
@@ -46,8 +49,7 @@
         dispatch: Dispatch,
         upstream: Arc<UpstreamRequest>,
     ) -> Receiver<AnswerChunk> {
-        // Bounded in bytes by the memory account, so that the server is not held up by a slow caller.
-        let (sender, chunks) = flume::unbounded();
+        let (sender, chunks) = flume::bounded(CHUNK_CAPACITY);
         let attempt = dispatch.attempt;
         let gap_meter = GapMeter::new(dispatch.rank, self.meter.clone());
         let (bounds, decide) = (self.bounds.clone(), self.decide.clone());
