Count only own requests for urgent work, and mend what a review of the memory account found

A review of the memory account found that a stream could lose events and go on elsewhere when memory ran out, that error answers that wait for a retry counted as unread, that failed bodies stayed held, and that 900 connections left no room for a long body. Change: urgent requests and streams that have begun go by this entry's own requests; no slots beyond the share where memory is stated; a request larger than the usable part goes to a server without requests of this entry. A request whose answer has no room is given up and not tried again, and is refused as possibly run where nothing was written; bodies count as unread when they are written; streams are written by pieces; a connection counts as 16 KiB; refusals beyond the ring are written by the accepting duty.

--- a/azureway-core/src/fleet/room_meter.rs
+++ b/azureway-core/src/fleet/room_meter.rs
@@ -97,18 +97,19 @@
     /// Returns whether there is room for one more request beside this entry's requests and `others`
     /// tokens of other entries. With `reserved`, a part of the memory is left free.
     ///
-    /// A server without requests has room for each one that [`RoomMeter::can_hold`].
+    /// A server without requests of this entry has room for each one that exceeds the usable part and
+    /// that [`RoomMeter::can_hold`]. It would wait for ever beside those of other entries.
     pub fn allows(&self, request: &Request, others: TokenCount, reserved: bool) -> bool {
         let Some(capacity) = self.capacity else {
             return true;
         };
-        let occupied = self.own + others;
-        if occupied == TokenCount::ZERO {
-            return self.can_hold(request);
-        }
         let reserve = if reserved { URGENT_RESERVE } else { 0 };
         let usable = capacity.get() - capacity.get().saturating_mul(reserve) / 100;
-        (occupied + self.added_by(request)).get() <= usable
+        let added = self.added_by(request);
+        if self.own == TokenCount::ZERO && (others == TokenCount::ZERO || added.get() > usable) {
+            return self.can_hold(request);
+        }
+        (self.own + others + added).get() <= usable
     }
 }
 
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -280,8 +280,12 @@
     /// drafting request may use the slots that are otherwise reserved for urgent ones.
     pub fn has_capacity(&self, rank: Rank, use_reserved: bool, now: Timestamp) -> bool {
         let reserve = self.server.slots.saturating_mul(URGENT_RESERVE) / 100;
-        // The server runs queued urgent requests before the drafting requests of other entries.
-        let extra = if rank == Rank::Urgent { reserve } else { 0 };
+        // The server runs queued urgent requests before the drafting requests of other entries. Where
+        // its memory is bounded, it would preempt those.
+        let extra = match rank {
+            Rank::Urgent if self.room.capacity().is_none() => reserve,
+            Rank::Drafting | Rank::Urgent => 0,
+        };
         let allowed = self.share.allows(self.in_flight(), extra, now);
         let reserved = match rank {
             Rank::Drafting if !use_reserved => reserve,
@@ -293,19 +297,27 @@
     /// Returns whether the memory of the server has room for a request, if those of the other entries
     /// are of `typical` size. With `use_reserved`, a drafting request may use the memory that is
     /// otherwise reserved for urgent ones.
+    ///
+    /// An urgent request goes before the drafting ones of other entries at the server, and a stream that
+    /// has `begun` has nowhere else to go, so that only this entry's requests count for them.
     pub fn has_room(
         &self,
         request: &Request,
         typical: TokenCount,
         use_reserved: bool,
+        begun: bool,
         now: Timestamp,
     ) -> bool {
         if self.room.capacity().is_none() {
             return true;
         }
-        let others = self.load(now).saturating_sub(self.in_flight());
+        let drafting = request.rank == Rank::Drafting;
+        let others = match drafting && !begun {
+            true => self.load(now).saturating_sub(self.in_flight()),
+            false => 0,
+        };
         let others = typical.get().saturating_mul(u64::from(others));
-        let reserved = request.rank == Rank::Drafting && !use_reserved;
+        let reserved = drafting && !use_reserved && !begun;
         self.room.allows(request, TokenCount::new(others), reserved)
     }
 
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -106,8 +106,8 @@
 
     /// Returns whether the memory of a server has room for the request.
     pub fn has_room(&self, state: &ServerState, now: Timestamp) -> bool {
-        let use_reserved = self.use_reserved || self.is_begun();
-        state.has_room(self.request, self.typical_size, use_reserved, now)
+        let (reserved, begun) = (self.use_reserved, self.is_begun());
+        state.has_room(self.request, self.typical_size, reserved, begun, now)
     }
 
     /// Returns whether a server has a free slot for the request, whatever its memory. A stream that has
--- a/azureway-entry/src/caller/answer.rs
+++ b/azureway-entry/src/caller/answer.rs
@@ -166,9 +166,6 @@
             return self.write("");
         }
         let body = std::mem::take(&mut self.completion).into_body();
-        if let Some(hold) = self.hold {
-            hold.queue(body.len());
-        }
         self.responder()
             .write_complete(200, "application/json", &body)
     }
--- a/azureway-entry/src/caller/connection.rs
+++ b/azureway-entry/src/caller/connection.rs
@@ -107,7 +107,7 @@
 
     /// Sends the request to the admitting duty and writes its answer.
     fn route(&self, head: Head, body: Vec<u8>, hold: MemoryHold) -> io::Result<()> {
-        if !hold.try_grow(ATTEMPT_COST) {
+        if !hold.grow(ATTEMPT_COST) {
             return self.refuse_overload();
         }
         let id = self.handles.ids.next();
--- a/azureway-entry/src/caller/listener.rs
+++ b/azureway-entry/src/caller/listener.rs
@@ -8,7 +8,7 @@
 
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::{Error, ErrorKind, Refusal, RefusalReason, Step};
-use flume::Sender;
+use flume::{Sender, TrySendError};
 
 use super::{Connection, Refuser, Responder};
 use crate::daemon::Handles;
@@ -81,8 +81,10 @@
     /// Starts the thread of a connection, or refuses it if too many are open.
     fn start(&self, stream: TcpStream) {
         let Some(hold) = self.admit() else {
-            // If too many wait for their refusal, the connection is closed without one.
-            let _ = self.refusals.try_send(stream);
+            if let Err(TrySendError::Full(stream)) = self.refusals.try_send(stream) {
+                // A new connection has room for so little, and the caller may come too late to read it.
+                let _ = refuse(&stream);
+            }
             return;
         };
         let open = Arc::clone(&self.open);
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -286,16 +286,19 @@
 
     /// Returns the error of an answer that is not read beyond `size` bytes.
     fn unread(&self, error: &io::Error, size: usize) -> AttemptError {
-        let full = self.full(size);
         match error.kind() {
-            io::ErrorKind::OutOfMemory => full,
+            io::ErrorKind::OutOfMemory => self.full(size),
             _ => BROKEN,
         }
     }
 
-    /// Returns the error of an answer of `size` bytes for which there is no memory.
+    /// Gives up the request, since there is no memory for `size` bytes of its answer. Another server would
+    /// send as much, so that it is not tried again.
     fn full(&self, size: usize) -> AttemptError {
         log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", account:% = self.upstream.account, peer:% = self.dispatch.server, bytes = size; "the answer takes too much memory");
+        let given_up = DecideMessage::CallerDisconnected(self.dispatch.attempt.id);
+        // The send fails only if the deciding duty has ended.
+        let _ = self.decide.send(given_up);
         // The server is sound.
         AttemptError::Server(FailureKind::Declined, SendState::MaybeRun)
     }
--- a/azureway-entry/src/memory/body_buffer.rs
+++ b/azureway-entry/src/memory/body_buffer.rs
@@ -66,9 +66,14 @@
         self.bytes.is_empty()
     }
 
-    /// Returns the body, which waits for its caller from now on.
-    pub fn finish(self) -> Vec<u8> {
-        self.hold.queue(self.bytes.len());
-        self.bytes
+    /// Returns the body, whose memory stays in the hold.
+    pub fn finish(mut self) -> Vec<u8> {
+        std::mem::take(&mut self.bytes)
+    }
+}
+
+impl Drop for BodyBuffer<'_> {
+    fn drop(&mut self) {
+        self.hold.shrink(self.bytes.capacity());
     }
 }
--- a/azureway-entry/src/memory/held_writer.rs
+++ b/azureway-entry/src/memory/held_writer.rs
@@ -28,6 +28,7 @@
     ///
     /// Returns an error if the caller has disconnected.
     pub fn write(mut self, mut head: Vec<u8>, body: &[u8]) -> io::Result<()> {
+        self.hold.queue(body.len());
         let (joined, rest) = body.split_at(body.len().min(PIECE));
         head.extend_from_slice(joined);
         self.stream.write_all(&head)?;
--- a/azureway-entry/src/memory/memory_account.rs
+++ b/azureway-entry/src/memory/memory_account.rs
@@ -64,6 +64,10 @@
             if state.ledger.grow(id, bytes) {
                 return true;
             }
+            if state.ledger.is_closing(id) {
+                state.refused += 1;
+                return false;
+            }
             let now = self.clock.now();
             if let Some((link, held)) = state.choose(bytes, now) {
                 drop(state);
@@ -74,7 +78,7 @@
                 continue;
             }
             let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() || state.ledger.is_closing(id) {
+            if left.is_zero() {
                 state.refused += 1;
                 return false;
             }
--- a/azureway-entry/src/memory/mod.rs
+++ b/azureway-entry/src/memory/mod.rs
@@ -21,7 +21,7 @@
 
 /// The memory of a caller's connection apart from bodies, in bytes: the used part of its thread's stack,
 /// its socket, and the head of a request.
-pub const CONNECTION_COST: usize = 32 * 1024;
+pub const CONNECTION_COST: usize = 16 * 1024;
 /// The memory of an attempt apart from bodies, in bytes: the used part of its thread's stack, its socket
 /// and its buffers.
 pub const ATTEMPT_COST: usize = 32 * 1024;
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -225,7 +225,8 @@
         let given_up = DecideMessage::CallerDisconnected(self.dispatch.attempt.id);
         // The send fails only if the deciding duty has ended.
         let _ = self.decide.send(given_up);
-        AttemptError::CallerDisconnected
+        // The server is sound, and the claim of the request hears of its end.
+        AttemptError::Server(FailureKind::Declined, SendState::MaybeRun)
     }
 
     /// Returns the answer in the form that the request's claim stores, or `None` if the request has
--- a/azureway-entry/src/routed/answer.rs
+++ b/azureway-entry/src/routed/answer.rs
@@ -14,6 +14,9 @@
 use crate::exchange::AnswerHead;
 use crate::memory::{CHUNK_COST, MemoryHold};
 
+/// The size of a piece of a stream, in bytes, after which the caller counts as having taken it.
+const PIECE: usize = 16 * 1024;
+
 /// Writes the answer to one request, over all its attempts.
 pub struct RoutedAnswer<'a> {
     stream: &'a TcpStream,
@@ -73,8 +76,7 @@
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => return self.cancel(updates, decide),
-                // The request was cancelled because its caller disconnected.
-                Err(RecvTimeoutError::Disconnected) => return Ok(AnswerEnd::Aborted),
+                Err(RecvTimeoutError::Disconnected) => return self.end_given_up(),
             }
         }
     }
@@ -97,12 +99,11 @@
                 AnswerChunk::Fallback(head, body) => self.fallback = Some((head, body)),
                 AnswerChunk::StreamHead(head) => self.start_stream(&head)?,
                 AnswerChunk::StreamBytes(bytes) => {
-                    if let Some(writer) = &mut self.writer {
-                        writer.write_all(&bytes)?;
-                    }
+                    self.write_events(&bytes)?;
                     if let Some(hold) = self.hold {
-                        hold.take(bytes.capacity() + CHUNK_COST);
-                        hold.shrink(bytes.capacity() + CHUNK_COST);
+                        let size = bytes.capacity() + CHUNK_COST;
+                        hold.take(size - bytes.len());
+                        hold.shrink(size);
                     }
                 }
                 AnswerChunk::End => {
@@ -118,6 +119,19 @@
         Ok(None)
     }
 
+    /// Writes events piece by piece, and records what the caller takes.
+    fn write_events(&mut self, bytes: &[u8]) -> io::Result<()> {
+        for piece in bytes.chunks(PIECE) {
+            if let Some(writer) = &mut self.writer {
+                writer.write_all(piece)?;
+            }
+            if let Some(hold) = self.hold {
+                hold.take(piece.len());
+            }
+        }
+        Ok(())
+    }
+
     /// Writes the response head of a stream, unless an earlier attempt has written it.
     fn start_stream(&mut self, head: &AnswerHead) -> io::Result<()> {
         if self.writer.is_none() {
@@ -126,6 +140,16 @@
         Ok(())
     }
 
+    /// Ends a request that was cancelled: its caller has disconnected, or there was no memory for its
+    /// answer.
+    fn end_given_up(&mut self) -> io::Result<AnswerEnd> {
+        if self.writer.is_some() || !is_open(self.stream)? {
+            return Ok(AnswerEnd::Aborted);
+        }
+        let detail = "the answer was given up";
+        self.refuse(&Refusal::maybe_run(RefusalReason::ServerFailed, detail))
+    }
+
     fn responder(&self) -> RoutedResponder<'a> {
         RoutedResponder::new(self.stream, self.close).with_hold(self.hold)
     }
--- a/azureway-entry/src/routed/connection.rs
+++ b/azureway-entry/src/routed/connection.rs
@@ -140,7 +140,7 @@
         let timeout = self.dialect.read(&head).ok().and_then(|m| m.timeout);
         let deadline = Instant::now() + timeout.unwrap_or(DEFAULT_TIMEOUT);
         let close = self.serving.is_draining() || wants_close(&head);
-        if !hold.try_grow(ATTEMPT_COST) {
+        if !hold.grow(ATTEMPT_COST) {
             return self.refuse_overload(id, close);
         }
         let (sender, updates) = flume::bounded(UPDATE_CAPACITY);
--- a/azureway-entry/src/routed/listener.rs
+++ b/azureway-entry/src/routed/listener.rs
@@ -8,7 +8,7 @@
 
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::{Error, ErrorKind, Refusal, RefusalReason, Step};
-use flume::Sender;
+use flume::{Sender, TrySendError};
 
 use super::{CallerDialect, DisconnectWatch, RoutedConnection, RoutedResponder, ServingState};
 use crate::caller::Refuser;
@@ -84,8 +84,10 @@
     /// Starts a thread for a connection, or refuses it if too many are open.
     fn serve(&self, stream: TcpStream) {
         let Some(hold) = self.admit() else {
-            // If too many wait for their refusal, the connection is closed without one.
-            let _ = self.refusals.try_send(stream);
+            if let Err(TrySendError::Full(stream)) = self.refusals.try_send(stream) {
+                // A new connection has room for so little, and the caller may come too late to read it.
+                let _ = refuse(&stream);
+            }
             return;
         };
         let connection = RoutedConnection::new(
