Take the admission by memory out again

Change: entries hold nothing back for memory; a prompt that no server of its pool holds is still refused at once, and servers that cannot hold it are left out.

--- a/azureway-core/src/domain/request.rs
+++ b/azureway-core/src/domain/request.rs
@@ -58,10 +58,4 @@
     pub fn cost(&self) -> TokenCount {
         self.prompt.tokens() + self.max_output
     }
-
-    /// Returns the tokens that the request is expected to occupy in the memory of a server at its
-    /// end: its prompt and its answer.
-    pub fn footprint(&self) -> TokenCount {
-        self.prompt.tokens() + self.expected_output
-    }
 }
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Health, LoadReport, LoadSample, LocalWork, PaceMeter, PauseHold, RateShare, ReportedWork,
-    RoomMeter, SlotShare, SpeedMeter, Work,
+    SlotShare, SpeedMeter, Work,
 };
 use crate::domain::{
     BackendServer, Incarnation, ListedState, Rank, Request, Timestamp, TokenCount, WeightsVersion,
@@ -40,8 +40,6 @@
     pub pause: PauseHold,
     /// The pace of the server's machine, if the server states it.
     pub pace: PaceMeter,
-    /// The memory of the server that requests occupy.
-    pub room: RoomMeter,
     /// The speed of the server.
     pub speed: SpeedMeter,
     local: LocalWork,
@@ -67,7 +65,6 @@
             rate: RateShare::new(entries, seed, &server.id),
             pause: PauseHold::new(seed, &server.id),
             pace: PaceMeter::new(),
-            room: RoomMeter::new(server.capacity.map(|c| c.memory)),
             speed: SpeedMeter::new(server.prefill),
             incarnation: server.listed.map_or(Incarnation::ZERO, |l| l.incarnation),
             weights: server.listed.and_then(|l| l.weights),
@@ -98,7 +95,6 @@
     pub fn reconfigure(&mut self, server: &BackendServer, entries: u32) -> bool {
         self.share.resize(server.slots, entries);
         self.rate.set_entries(entries);
-        self.room.set_capacity(server.capacity.map(|c| c.memory));
         self.speed.set_configured(server.prefill);
         let old = std::mem::replace(&mut self.server, server.clone()).listed;
         match server.listed {
@@ -221,9 +217,8 @@
 
     /// Records a request in flight that has `pending` uncached prompt tokens, and returns the period
     /// that it is counted in.
-    pub fn begin(&mut self, pending: TokenCount, request: &Request, now: Timestamp) -> u64 {
+    pub fn begin(&mut self, pending: TokenCount, now: Timestamp) -> u64 {
         self.rate.spend(now);
-        self.room.begin(request);
         self.local.begin(pending)
     }
 
@@ -234,8 +229,7 @@
 
     /// Records that a request, with `pending` prompt tokens still to compute, is no longer in
     /// flight.
-    pub fn release(&mut self, period: u64, pending: TokenCount, request: &Request) {
-        self.room.end(request);
+    pub fn release(&mut self, period: u64, pending: TokenCount) {
         self.local.finish_prefill(period, pending);
         self.local.end(period);
     }
@@ -280,12 +274,8 @@
     /// drafting request may use the slots that are otherwise reserved for urgent ones.
     pub fn has_capacity(&self, rank: Rank, use_reserved: bool, now: Timestamp) -> bool {
         let reserve = self.server.slots.saturating_mul(URGENT_RESERVE) / 100;
-        // The server runs queued urgent requests before the drafting requests of other entries. Where
-        // its memory is bounded, it would preempt those.
-        let extra = match rank {
-            Rank::Urgent if self.room.capacity().is_none() => reserve,
-            Rank::Drafting | Rank::Urgent => 0,
-        };
+        // The server runs queued urgent requests before the drafting requests of other entries.
+        let extra = if rank == Rank::Urgent { reserve } else { 0 };
         let allowed = self.share.allows(self.in_flight(), extra, now);
         let reserved = match rank {
             Rank::Drafting if !use_reserved => reserve,
@@ -294,31 +284,10 @@
         allowed && (reserved == 0 || self.load(now).saturating_add(reserved) < self.server.slots)
     }
 
-    /// Returns whether the memory of the server has room for a request, if those of the other entries
-    /// are of `typical` size. With `use_reserved`, a drafting request may use the memory that is
-    /// otherwise reserved for urgent ones.
-    ///
-    /// An urgent request goes before the drafting ones of other entries at the server, and a stream that
-    /// has `begun` has nowhere else to go, so that only this entry's requests count for them.
-    pub fn has_room(
-        &self,
-        request: &Request,
-        typical: TokenCount,
-        use_reserved: bool,
-        begun: bool,
-        now: Timestamp,
-    ) -> bool {
-        if self.room.capacity().is_none() {
-            return true;
-        }
-        let drafting = request.rank == Rank::Drafting;
-        let others = match drafting && !begun {
-            true => self.load(now).saturating_sub(self.in_flight()),
-            false => 0,
-        };
-        let others = typical.get().saturating_mul(u64::from(others));
-        let reserved = drafting && !use_reserved && !begun;
-        self.room.allows(request, TokenCount::new(others), reserved)
+    /// Returns whether the memory of the server holds the prompt of a request.
+    pub fn can_hold(&self, request: &Request) -> bool {
+        let capacity = self.server.capacity;
+        capacity.is_none_or(|c| request.prompt.tokens() < c.memory)
     }
 
     /// Returns the number of this entry's requests in flight at the server.
--- a/azureway-core/src/fleet/server_table.rs
+++ b/azureway-core/src/fleet/server_table.rs
@@ -3,10 +3,8 @@
 use std::collections::HashMap;
 use std::ops::Range;
 
-use super::{
-    Fleet, GoneServer, GoneServers, LeavingCause, LeavingMarks, LoadReport, ServerState, SizeMeter,
-};
-use crate::domain::{PoolId, Request, ServerId, Timestamp, TokenCount};
+use super::{Fleet, GoneServer, GoneServers, LeavingCause, LeavingMarks, LoadReport, ServerState};
+use crate::domain::{PoolId, Request, ServerId, Timestamp};
 use crate::member::LoadNotice;
 
 /// The runtime state of every backend server. The servers of a pool are stored contiguously, in
@@ -19,8 +17,6 @@
     entries: u32,
     seed: u64,
     leaving: Vec<ServerId>,
-    /// The sizes of this entry's requests by pool.
-    sizes: HashMap<PoolId, SizeMeter>,
     /// The servers that the configuration no longer has.
     pub(super) gone: GoneServers,
     /// The number of holds that began.
@@ -136,24 +132,10 @@
         rates.filter(|r| !r.is_empty()).map(|r| r.iter().sum())
     }
 
-    /// Records the memory that a request of this entry occupies at a server of `pool`.
-    pub fn record_size(&mut self, pool: &PoolId, size: TokenCount) {
-        match self.sizes.get_mut(pool) {
-            Some(meter) => meter.record(size),
-            None => self.sizes.entry(pool.clone()).or_default().record(size),
-        }
-    }
-
-    /// Returns the memory that a request of `pool` typically occupies, or zero if it is not known.
-    pub fn typical_size(&self, pool: &PoolId) -> TokenCount {
-        let meter = self.sizes.get(pool);
-        meter.map_or(TokenCount::ZERO, SizeMeter::typical)
-    }
-
     /// Returns whether some server of a pool, or one that may be added, can hold the prompt of a request.
     pub fn can_hold(&self, pool: &PoolId, request: &Request) -> bool {
         let mut servers = self.in_pool(pool).peekable();
-        servers.peek().is_none() || servers.any(|s| s.room.can_hold(request))
+        servers.peek().is_none() || servers.any(|s| s.can_hold(request))
     }
 
     /// Returns the state of a server.
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -217,11 +217,13 @@
             let mut blocked = BlockedClasses::new();
             while let Some((queued, use_reserved)) = self.queues.peek(&pool, &blocked) {
                 let queued = queued.clone();
-                let query = PlacementRequest::new(&queued.request, queued.plan, use_reserved);
-                if self.dispatch(query, now, out) {
+                if self.dispatch(
+                    PlacementRequest::new(&queued.request, queued.plan, use_reserved),
+                    now,
+                    out,
+                ) {
                     self.queues.take(queued.request.id, now);
                 } else {
-                    self.dispatcher.count_room_wait(query, &self.fleet, now);
                     self.defer(&pool, &queued, &mut blocked, now, out);
                 }
             }
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -19,8 +19,6 @@
     scaler: ReplicaScaler,
     in_flight: InFlightTable,
     guard: CrashGuard,
-    /// The decisions that left a request waiting because only memory was lacking.
-    room_waits: u64,
 }
 
 impl<P: Policy> Dispatcher<P> {
@@ -33,7 +31,6 @@
             scaler: ReplicaScaler::new(),
             in_flight: InFlightTable::new(),
             guard: CrashGuard::new(),
-            room_waits: 0,
         }
     }
 
@@ -47,24 +44,6 @@
         &mut self.servers
     }
 
-    /// Returns the number of decisions that left a request waiting because only memory was lacking.
-    pub const fn room_waits(&self) -> u64 {
-        self.room_waits
-    }
-
-    /// Counts a request that found no server, if some server has a slot but no room for it.
-    pub fn count_room_wait(&mut self, query: PlacementRequest<'_>, fleet: &Fleet, now: Timestamp) {
-        let Some(service) = fleet.services.get(&query.request.service) else {
-            return;
-        };
-        let query = query.with_typical_size(self.servers.typical_size(&service.pool));
-        let mut servers = self.servers.in_pool(&service.pool);
-        let lacks_room = servers.any(|s| {
-            !query.has_room(s, now) && query.has_slot(s, now) && query.is_served_by(s, service, now)
-        });
-        self.room_waits += u64::from(lacks_room);
-    }
-
     /// Returns the requests in flight.
     pub const fn in_flight(&self) -> &InFlightTable {
         &self.in_flight
@@ -146,7 +125,6 @@
         now: Timestamp,
     ) -> Option<Dispatch> {
         let service = fleet.services.get(&query.request.service)?;
-        let query = query.with_typical_size(self.servers.typical_size(&service.pool));
         let (mut placement, policy) = self.placement(config, fleet);
         let best = placement.choose(policy, query, service, now)?;
         let mut dispatch = query.plan.dispatch_to(query.request, service, &best);
@@ -174,7 +152,6 @@
         now: Timestamp,
     ) -> Option<Vec<RouteOption>> {
         let service = fleet.services.get(&query.request.service)?;
-        let query = query.with_typical_size(self.servers.typical_size(&service.pool));
         let (mut placement, policy) = self.placement(config, fleet);
         Some(placement.explain(policy, query, service, now))
     }
@@ -289,12 +266,8 @@
         now: Timestamp,
     ) {
         let mut flight = InFlight::new(query.request, pool, dispatch, query.plan);
-        if let Some(state) = self.servers.get(&flight.server) {
-            let size = state.room.added_by(query.request);
-            self.servers.record_size(&flight.pool, size);
-        }
         if let Some(state) = self.servers.get_mut(&flight.server) {
-            flight.period = state.begin(flight.pending_prefill(), query.request, now);
+            flight.period = state.begin(flight.pending_prefill(), now);
             flight.sent = now;
             let blocks = query.request.prompt.blocks();
             self.index
@@ -308,7 +281,7 @@
     /// Releases the resources that a request in flight held.
     fn untrack(&mut self, flight: &InFlight, now: Timestamp) {
         if let Some(state) = self.servers.get_mut(&flight.server) {
-            state.release(flight.period, flight.pending_prefill(), &flight.request);
+            state.release(flight.period, flight.pending_prefill());
         }
         self.scaler.end(flight.request.prompt.prefix(), now);
         self.guard.end(flight.attempt.id);
--- a/azureway-core/src/router/exclusion_reason.rs
+++ b/azureway-core/src/router/exclusion_reason.rs
@@ -17,8 +17,6 @@
     WeightsNotLoaded,
     /// The server has no free slot for this request, by this entry's share of its slots.
     NoCapacity,
-    /// The memory of the server has no room for this request.
-    NoRoom,
     /// A nearer server is fast enough.
     NearerAvailable,
     /// The policy preferred another candidate.
@@ -43,10 +41,9 @@
         if !query.is_served_by(state, service, now) {
             return Self::WeightsNotLoaded;
         }
-        match (query.has_slot(state, now), query.has_room(state, now)) {
-            (true, true) => Self::NearerAvailable,
-            (true, false) => Self::NoRoom,
-            (false, _) => Self::NoCapacity,
+        match query.has_capacity(state, now) {
+            true => Self::NearerAvailable,
+            false => Self::NoCapacity,
         }
     }
 
@@ -58,7 +55,6 @@
             Self::Paused => "paused",
             Self::WeightsNotLoaded => "weights",
             Self::NoCapacity => "full",
-            Self::NoRoom => "room",
             Self::NearerAvailable => "far",
             Self::Outranked => "behind",
         }
--- a/azureway-core/src/router/overview.rs
+++ b/azureway-core/src/router/overview.rs
@@ -32,10 +32,6 @@
     pub paused: usize,
     /// The number of incarnations of backend servers that have announced their leaving.
     pub announced: u64,
-    /// The tokens of memory that this entry's requests occupy at backend servers.
-    pub occupied: u64,
-    /// The number of decisions that left a request waiting because only memory was lacking.
-    pub room_waits: u64,
     /// The counts of ended requests by rank, kind and outcome.
     pub counts: Vec<(Rank, RequestKind, Outcome, OutcomeCount)>,
 }
--- a/azureway-core/src/router/placement_request.rs
+++ b/azureway-core/src/router/placement_request.rs
@@ -19,8 +19,6 @@
     /// Whether drafting work may use the slots reserved for urgent work, because its guaranteed
     /// share is due.
     pub use_reserved: bool,
-    /// The memory that a request of the pool typically occupies.
-    pub typical_size: TokenCount,
 }
 
 impl<'a> PlacementRequest<'a> {
@@ -31,7 +29,6 @@
             plan,
             failed_server: None,
             use_reserved,
-            typical_size: TokenCount::ZERO,
         }
     }
 
@@ -42,13 +39,6 @@
         self
     }
 
-    /// Sets the memory that a request of the pool typically occupies.
-    #[must_use]
-    pub const fn with_typical_size(mut self, size: TokenCount) -> Self {
-        self.typical_size = size;
-        self
-    }
-
     /// Returns the properties of the request that a routing policy uses.
     pub fn profile(&self, service: &ModelService) -> RequestProfile {
         let shared = self.request.prompt.prefix_tokens();
@@ -98,22 +88,11 @@
         })
     }
 
-    /// Returns whether a server has a free slot and room for the request, is within the limit that it
-    /// names and is taken up again after a pause.
+    /// Returns whether a server has a free slot for the request and can hold it, is within the limit that it
+    /// names and is taken up again after a pause. A stream that has begun may use any slot.
     pub fn has_capacity(&self, state: &ServerState, now: Timestamp) -> bool {
-        self.has_slot(state, now) && self.has_room(state, now)
-    }
-
-    /// Returns whether the memory of a server has room for the request.
-    pub fn has_room(&self, state: &ServerState, now: Timestamp) -> bool {
-        let (reserved, begun) = (self.use_reserved, self.is_begun());
-        state.has_room(self.request, self.typical_size, reserved, begun, now)
-    }
-
-    /// Returns whether a server has a free slot for the request, whatever its memory. A stream that has
-    /// begun may use any slot.
-    pub fn has_slot(&self, state: &ServerState, now: Timestamp) -> bool {
-        if !state.rate.allows(now) || now < state.next_after_pause() {
+        let held_up = !state.rate.allows(now) || now < state.next_after_pause();
+        if held_up || !state.can_hold(self.request) {
             false
         } else if self.is_begun() {
             state.in_flight() < state.server.slots
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -74,8 +74,6 @@
             pauses: self.dispatcher.servers().pauses(),
             paused: self.count_paused(),
             announced: self.servers().leaving_marks().announced(),
-            occupied: self.servers().iter().map(|s| s.room.own().get()).sum(),
-            room_waits: self.dispatcher.room_waits(),
             counts: self.counts(),
         }
     }
--- a/azureway-entry/src/meter/router_metrics.rs
+++ b/azureway-entry/src/meter/router_metrics.rs
@@ -26,8 +26,6 @@
     paused: Gauge,
     entries: Gauge,
     announced: Counter,
-    occupied: Gauge,
-    room_waits: Counter,
 }
 
 /// The time that a scrape waits for the deciding duty's state before it uses the last values.
@@ -48,8 +46,6 @@
             paused: Gauge::default(),
             entries: Gauge::default(),
             announced: Counter::default(),
-            occupied: Gauge::default(),
-            room_waits: Counter::default(),
         };
         let help = "Every request once, by how it ended";
         r.register("requests", help, metrics.requests.clone());
@@ -73,10 +69,6 @@
         r.register("zone_entries", help, metrics.entries.clone());
         let help = "Incarnations of backend servers that have announced their leaving";
         r.register("servers_leaving", help, metrics.announced.clone());
-        let help = "Tokens of memory that this entry's requests occupy at backend servers";
-        r.register("servers_occupied_tokens", help, metrics.occupied.clone());
-        let help = "Decisions that left a request waiting because only memory was lacking";
-        r.register("room_waits", help, metrics.room_waits.clone());
         metrics
     }
 
@@ -116,8 +108,6 @@
         set_gauge(&self.paused, overview.paused);
         set_gauge(&self.entries, overview.entries);
         raise_to(&self.announced, overview.announced);
-        set_gauge(&self.occupied, overview.occupied);
-        raise_to(&self.room_waits, overview.room_waits);
     }
 }
 
