--- a/azureway-cli/src/report/account_report.rs
+++ b/azureway-cli/src/report/account_report.rs
@@ -21,7 +21,7 @@
             name: account.id.as_str().into(),
             team: team.into(),
             weight: account.weight,
-            limit: account.limit.get(),
+            limit: account.limit.map_or(0, |l| l.rate),
             keys: account.keys.len(),
         }
     }
--- a/azureway-config/src/document/parse.rs
+++ b/azureway-config/src/document/parse.rs
@@ -8,6 +8,10 @@
 use crate::ini::{self, Faults, Section, SectionReader};
 
 /// The known kinds of sections.
+/// The limit of a client account that sets none, in tokens a second.
+const DEFAULT_LIMIT: u64 = 1_000_000;
+/// The burst of an account's limit, as seconds of its rate.
+const BURST_SECONDS: u64 = 2;
 const KINDS: [&str; 6] = ["account", "service", "pool", "server", "zone", "ranks"];
 
 /// Parses the text of the document, which is stored as `version`.
@@ -84,18 +88,14 @@
 fn read_account(name: &str, reader: &mut SectionReader<'_, '_>) -> ClientAccount {
     let base = ClientAccount::new(AccountId::new(name));
     let weight = reader.number("weight", base.weight, 1, 1_000, "shares");
-    let limit = reader.number(
-        "limit",
-        base.limit.get(),
-        1,
-        1_000_000_000,
-        "tokens a second",
-    );
+    let limit = reader.number("limit", DEFAULT_LIMIT, 1, 1_000_000_000, "tokens a second");
     let expected = "SHA-256 digests of 64 hexadecimal digits, split by commas";
     let keys = reader.secret("keys", Vec::new(), expected, |text| {
         text.split(',').map(|k| KeyHash::parse(k.trim())).collect()
     });
-    let account = base.with_weight(weight).with_limit(TokenRate::new(limit));
+    let account = base
+        .with_weight(weight)
+        .with_limit(AccountLimit::new(limit).with_burst(BURST_SECONDS * limit));
     keys.into_iter().fold(account, ClientAccount::with_key)
 }
 
--- a/azureway-config/tests/document.rs
+++ b/azureway-config/tests/document.rs
@@ -35,7 +35,10 @@
     expect_that!(fleet.version, eq(ConfigVersion::new(7)));
     expect_that!(fleet.servers["kranj-1"].slots, eq(4));
     expect_that!(fleet.services["advice"].weights, eq(WeightsVersion::new(3)));
-    expect_that!(fleet.accounts["wax-desk"].limit, eq(TokenRate::new(500)));
+    expect_that!(
+        fleet.accounts["wax-desk"].limit.map(|l| l.rate),
+        some(eq(500))
+    );
     expect_that!(fleet.rules.drafting_share, eq(15));
 }
 
--- a/azureway-core/src/admit/account_limits.rs
+++ b/azureway-core/src/admit/account_limits.rs
@@ -1,69 +1,159 @@
-//! Refuses requests of client accounts that have used up their token limits.
+//! Refuses requests of client accounts that have used up their limits.
 
 use std::collections::HashMap;
-use std::time::Duration;
 
-use super::{Demand, DemandMeter, LimitShare, TokenBucket};
-use crate::domain::{AccountId, ClientAccount, InstanceId, Timestamp, TokenCount, TokenRate};
+use super::{AccountLevel, AccountUse, Charge, Demand, LimitRefusal, LimitShare, ZoneDemand};
+use crate::domain::{
+    AccountId, AccountLimit, ClientAccount, InstanceId, Request, RequestId, Timestamp, TokenRate,
+};
+use crate::util::Xorshift;
 
-/// Enforces the token limits of client accounts at this entry.
+/// Enforces the limits of client accounts at this entry.
 ///
-/// The limits hold over all entry instances together: each enforces its [`LimitShare`] of them.
-#[derive(Clone, Debug, Default)]
+/// The limits hold over all entry instances together: each enforces its [`LimitShare`] of them. A
+/// request is charged when it is admitted and for each further attempt that may run it twice. The
+/// charge is given back if it did not run.
+#[derive(Clone, Debug)]
 pub struct AccountLimits {
-    accounts: HashMap<AccountId, (DemandMeter, TokenBucket)>,
+    accounts: HashMap<AccountId, (AccountLimit, AccountLevel)>,
+    /// The unsettled charges of requests.
+    charges: HashMap<RequestId, Charge>,
     share: LimitShare,
+    rng: Xorshift,
 }
 
 impl AccountLimits {
-    /// Creates limits without accounts, for an entry instance that knows of no other.
-    pub fn new() -> Self {
+    /// Creates limits without accounts, for an entry instance that knows of no other. `seed` differs
+    /// between entries.
+    pub fn new(seed: u64) -> Self {
         Self {
             accounts: HashMap::new(),
+            charges: HashMap::new(),
             share: LimitShare::new(),
+            rng: Xorshift::new(seed),
         }
     }
 
-    /// Returns the share of the limits that this entry enforces, for updates.
-    pub fn share_mut(&mut self) -> &mut LimitShare {
-        &mut self.share
+    /// Returns the share of the limits that this entry enforces.
+    pub const fn share(&self) -> &LimitShare {
+        &self.share
     }
 
-    /// Removes the state of every account for which `keep` returns `false`.
-    pub fn retain(&mut self, keep: impl Fn(&AccountId) -> bool) {
-        self.accounts.retain(|id, _| keep(id));
+    /// Sets the number of listed entries, including silent ones and this one.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.share.set_entries(entries);
     }
 
-    /// Charges `account` for a request that costs `cost` tokens.
+    /// Applies the limits of a configuration. The use of an account whose limit has changed counts on.
+    pub fn reconfigure<'a>(
+        &mut self,
+        accounts: impl IntoIterator<Item = &'a ClientAccount>,
+        now: Timestamp,
+    ) {
+        let mut known = std::mem::take(&mut self.accounts);
+        for account in accounts {
+            let Some(limit) = account.limit else { continue };
+            let level = known.remove(&account.id).map(|(_, level)| level);
+            let level = level.unwrap_or_else(|| AccountLevel::new(now));
+            self.accounts.insert(account.id.clone(), (limit, level));
+        }
+    }
+
+    /// Records the use of the accounts in availability zones, after bringing the estimates up to date
+    /// with what was known before.
+    pub fn record(&mut self, zones: &[ZoneDemand], now: Timestamp) {
+        self.refill_all(now);
+        self.share.record(zones, now);
+    }
+
+    /// Charges the account of `request`, if it has a limit.
     ///
     /// # Errors
     ///
-    /// Returns the time after which the account may retry, if it has used up its limit.
-    pub fn charge(
-        &mut self,
-        account: &ClientAccount,
-        cost: TokenCount,
-        now: Timestamp,
-    ) -> Result<(), Duration> {
-        let (limit, share) = (account.limit.get() as f64, &self.share);
-        let entry = self.accounts.entry(account.id.clone());
-        let (meter, bucket) = entry.or_insert_with(|| {
-            let rate = limit * share.fraction(&account.id, 0.0, now);
-            (DemandMeter::new(), TokenBucket::new(rate, now))
-        });
-        meter.add(cost, now);
-        let rate = limit * share.fraction(&account.id, meter.rate(now), now);
-        bucket.spend(cost, rate, now)
+    /// Returns the refusal if the account has used up its limit.
+    pub fn admit(&mut self, request: &Request, now: Timestamp) -> Result<(), LimitRefusal> {
+        let (share, rng) = (&self.share, &mut self.rng);
+        let Some((limit, level)) = self.accounts.get_mut(&request.account) else {
+            return Ok(());
+        };
+        let cost = limit.cost(request) as f64;
+        let entries = share.entries(now);
+        let fraction = share.fraction(&request.account, now);
+        let group = share.group_use(&request.account, now);
+        level.refill(limit, fraction, group, entries, now);
+        match level.spend(cost, rng.next_f64(), entries, now) {
+            Ok(()) => {
+                let charge = Charge::new(request.account.clone(), cost);
+                self.charges.insert(request.id, charge);
+                Ok(())
+            }
+            Err(wait) => Err(LimitRefusal {
+                wait,
+                fraction,
+                part: level.part(),
+                whole: level.whole(),
+                age: group.map(|g| g.age),
+            }),
+        }
     }
 
-    /// Returns the demand of the accounts at this entry, for broadcast to the other entries.
-    pub fn demand(&self, instance: InstanceId, now: Timestamp) -> Demand {
-        let rates = self.accounts.iter().map(|(id, (meter, _))| {
-            // A rate is never negative, and the cast saturates.
-            (id.clone(), TokenRate::new(meter.rate(now) as u64))
+    /// Charges a request again for an attempt that may run it once more.
+    pub fn charge_again(&mut self, id: RequestId, now: Timestamp) {
+        if let Some(charge) = self.charges.get(&id)
+            && let Some((_, level)) = self.accounts.get_mut(&charge.account)
+        {
+            level.charge(charge.cost, now);
+        }
+    }
+
+    /// Records that a request may have run, so that its charge is not given back.
+    pub fn keep_charge(&mut self, id: RequestId) {
+        if let Some(charge) = self.charges.get_mut(&id) {
+            charge.kept = true;
+        }
+    }
+
+    /// Ends the charge of a request, and gives it back if the request did not run.
+    pub fn settle(&mut self, id: RequestId, not_run: bool, now: Timestamp) {
+        let charge = self.charges.remove(&id);
+        let Some(charge) = charge.filter(|c| not_run && !c.kept) else {
+            return;
+        };
+        if let Some((_, level)) = self.accounts.get_mut(&charge.account) {
+            level.charge(-charge.cost, now);
+        }
+    }
+
+    /// Returns the use of the limited accounts at this entry, for the other entries.
+    pub fn demand(&mut self, instance: InstanceId, now: Timestamp) -> Demand {
+        self.refill_all(now);
+        let accounts = self.accounts.iter().map(|(id, (_, level))| {
+            // Rates are not negative, and the casts saturate.
+            let demand = TokenRate::new(level.demand.rate(now) as u64);
+            AccountUse::new(
+                id.clone(),
+                demand,
+                TokenRate::new(level.used.rate(now) as u64),
+            )
         });
-        let mut rates: Vec<_> = rates.filter(|(_, r)| *r > TokenRate::ZERO).collect();
-        rates.sort_unstable();
-        Demand { instance, rates }
+        let mut accounts: Vec<_> = accounts.collect();
+        accounts.sort_unstable_by(|a, b| a.account.cmp(&b.account));
+        self.share.record_own(&accounts, now);
+        Demand { instance, accounts }
+    }
+
+    /// Returns each limited account with its limit and its level here.
+    pub fn levels(&self) -> impl Iterator<Item = (&AccountId, &AccountLimit, &AccountLevel)> {
+        self.accounts
+            .iter()
+            .map(|(id, (limit, level))| (id, limit, level))
+    }
+
+    fn refill_all(&mut self, now: Timestamp) {
+        let (share, entries) = (&self.share, self.share.entries(now));
+        for (id, (limit, level)) in &mut self.accounts {
+            let fraction = share.fraction(id, now);
+            level.refill(limit, fraction, share.group_use(id, now), entries, now);
+        }
     }
 }
--- a/azureway-core/src/admit/demand.rs
+++ b/azureway-core/src/admit/demand.rs
@@ -1,12 +1,13 @@
-//! The figures that entry instances exchange to divide account limits by demand.
+//! The figures that entry instances exchange to keep account limits together.
 
-use crate::domain::{AccountId, InstanceId, TokenRate};
+use super::AccountUse;
+use crate::domain::InstanceId;
 
-/// The demand of client accounts at one entry instance, as broadcast to the other entries.
+/// The use of limited client accounts at one entry instance, as it tells the other entries.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Demand {
-    /// The entry instance that measured the demand.
+    /// The entry instance that measured the use.
     pub instance: InstanceId,
-    /// The demand of each account, in tokens per second.
-    pub rates: Vec<(AccountId, TokenRate)>,
+    /// The use of each account.
+    pub accounts: Vec<AccountUse>,
 }
--- a/azureway-core/src/domain/account_limit.rs
+++ b/azureway-core/src/domain/account_limit.rs
@@ -11,18 +11,20 @@
     pub rate: u64,
     /// The units that the account may use at once beyond the rate.
     pub burst: u64,
-    /// The tokens that a request without a token count of its own counts as.
-    pub uncounted: TokenCount,
+    /// The tokens that a request which states no usage counts as. If there are none, it counts as the
+    /// most that it may cost.
+    pub uncounted: Option<TokenCount>,
 }
 
 impl AccountLimit {
-    /// Creates a limit in tokens without a burst, in which requests without a token count are free.
+    /// Creates a limit in tokens without a burst, in which a request that states no usage counts as the
+    /// most that it may cost.
     pub const fn new(rate: u64) -> Self {
         Self {
             unit: LimitUnit::Tokens,
             rate,
             burst: 0,
-            uncounted: TokenCount::ZERO,
+            uncounted: None,
         }
     }
 
@@ -40,10 +42,10 @@
         self
     }
 
-    /// Sets the tokens that a request without a token count counts as.
+    /// Sets the tokens that a request which states no usage counts as.
     #[must_use]
     pub const fn with_uncounted(mut self, uncounted: TokenCount) -> Self {
-        self.uncounted = uncounted;
+        self.uncounted = Some(uncounted);
         self
     }
 
@@ -51,7 +53,10 @@
     pub fn cost(&self, request: &Request) -> u64 {
         match self.unit {
             LimitUnit::Requests => 1,
-            LimitUnit::Tokens => request.usage.unwrap_or(self.uncounted).get(),
+            LimitUnit::Tokens => {
+                let stated = request.usage.or(self.uncounted);
+                stated.unwrap_or_else(|| request.cost()).get()
+            }
         }
     }
 }
--- a/azureway-core/src/domain/client_account.rs
+++ b/azureway-core/src/domain/client_account.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::{AccountId, KeyHash, Rank, TokenRate};
+use super::{AccountId, AccountLimit, KeyHash, Rank};
 
 /// A client account as the configuration describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -13,8 +13,8 @@
     pub keys: SmallVec<[KeyHash; 2]>,
     /// The weight of the account's share among the accounts of the same rank.
     pub weight: u32,
-    /// The rate limit, in tokens per second, over all entries together.
-    pub limit: TokenRate,
+    /// The limit over all entries together, if there is one.
+    pub limit: Option<AccountLimit>,
     /// Whether the account shares no cached block with another account.
     pub isolated: bool,
     /// The rank and the priority of the account's requests, which take precedence over those of
@@ -22,17 +22,14 @@
     pub priority: Option<(Rank, u8)>,
 }
 
-/// The rate limit of an account, in tokens per second, if the document sets none.
-const DEFAULT_LIMIT: TokenRate = TokenRate::new(1_000_000);
-
 impl ClientAccount {
-    /// Creates an account without keys, with a weight of 1 and the default rate limit.
+    /// Creates an account without keys, with a weight of 1 and no limit.
     pub fn new(id: AccountId) -> Self {
         Self {
             id,
             keys: SmallVec::new(),
             weight: 1,
-            limit: DEFAULT_LIMIT,
+            limit: None,
             isolated: false,
             priority: None,
         }
@@ -45,10 +42,10 @@
         self
     }
 
-    /// Sets the rate limit in tokens per second.
+    /// Sets the limit over all entries together.
     #[must_use]
-    pub fn with_limit(mut self, limit: TokenRate) -> Self {
-        self.limit = limit;
+    pub fn with_limit(mut self, limit: AccountLimit) -> Self {
+        self.limit = Some(limit);
         self
     }
 
--- a/azureway-core/src/event/input.rs
+++ b/azureway-core/src/event/input.rs
@@ -1,7 +1,7 @@
 //! The input of the router: everything that its driver reports.
 
 use super::{Failure, Finish};
-use crate::admit::Demand;
+use crate::admit::ZoneDemand;
 use crate::cache::CacheUpdate;
 use crate::claim::ClaimOutcome;
 use crate::domain::{Attempt, Request, RequestId, ServerId, Timestamp};
@@ -40,8 +40,9 @@
     /// The number of entry instances that the platform lists in all availability zones changed.
     /// This instance is included, and so are instances that send no heartbeats.
     ListedEntries(u32),
-    /// Another entry instance reported the demand of client accounts there.
-    Demand(&'a Demand),
+    /// The use of client accounts at the entry instances of availability zones, as far as they have
+    /// reported it.
+    Demand(&'a [ZoneDemand]),
     /// A backend server said with an answer that one of its incarnations leaves.
     Announced(&'a ServerUpdate),
     /// Another entry instance reported a status change of a backend server.
--- a/azureway-core/src/member/broadcast.rs
+++ b/azureway-core/src/member/broadcast.rs
@@ -48,6 +48,7 @@
             full: false,
             updates,
             demand: Vec::new(),
+            zones: Vec::new(),
         };
         let members = self.peers.iter().filter(|m| !m.latest.liveness.is_gone());
         let peers = members.map(|m| m.latest.instance.clone());
--- a/azureway-core/src/member/heartbeat.rs
+++ b/azureway-core/src/member/heartbeat.rs
@@ -1,7 +1,8 @@
 //! The message that membership rounds exchange: updates, configuration versions and demand.
 
 use super::GossipUpdate;
-use crate::domain::{AccountId, ConfigVersion, Instance, TokenRate};
+use crate::admit::{AccountUse, ZoneDemand};
+use crate::domain::{ConfigVersion, Instance};
 
 /// The gossip message between peers, used for a heartbeat and for the reply to one.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +17,8 @@
     pub full: bool,
     /// The updates that the sender passes on.
     pub updates: Vec<GossipUpdate>,
-    /// The demand of client accounts at the sender, in tokens per second, highest first.
-    pub demand: Vec<(AccountId, TokenRate)>,
+    /// The use of limited client accounts at the sender, highest demand first.
+    pub demand: Vec<AccountUse>,
+    /// The use of limited client accounts in availability zones, as far as the sender has heard of it.
+    pub zones: Vec<ZoneDemand>,
 }
--- a/azureway-core/src/member/membership.rs
+++ b/azureway-core/src/member/membership.rs
@@ -1,13 +1,15 @@
 //! The membership protocol, which an entry's peer duty drives.
 
 use super::{
-    ConfigFetcher, Gossip, GossipUpdate, Heartbeat, Liveness, MemberUpdate, MembershipConfig,
-    PeerAction, PeerEvent, PeerTable, ReportAnnouncer, RoundTimer, SyncTimers, TargetSelector,
-    TopDemand,
+    ConfigFetcher, DemandTable, Gossip, GossipUpdate, Heartbeat, Liveness, MemberUpdate,
+    MembershipConfig, PeerAction, PeerEvent, PeerTable, ReportAnnouncer, RoundTimer, SyncTimers,
+    TargetSelector,
 };
-use crate::admit::Demand;
 use crate::domain::{ConfigVersion, Instance, InstanceId, Timestamp};
 
+/// The largest number of client accounts whose use is relayed.
+const RELAY_ACCOUNTS: usize = 16;
+
 /// The membership protocol of one instance, which tracks the liveness of its peers.
 ///
 /// It is a state machine without I/O: events and the time go in, actions come out.
@@ -20,7 +22,9 @@
     targets: TargetSelector,
     pub(super) config_fetcher: ConfigFetcher,
     sync_timers: SyncTimers,
-    demand: TopDemand,
+    pub(super) demand: DemandTable,
+    /// The time of the last round of demand.
+    pub(super) relayed: Timestamp,
     pub(super) round_timer: RoundTimer,
     pub(super) announcer: ReportAnnouncer,
     pub(super) last_event: Timestamp,
@@ -44,13 +48,14 @@
         others.for_each(|p| peers.add_listed(p, now));
         Self {
             config,
-            me,
             peers,
             gossip: Gossip::new(),
             targets: TargetSelector::new(seed),
             config_fetcher: ConfigFetcher::new(seed, now),
             sync_timers: SyncTimers::new(),
-            demand: TopDemand::new(),
+            demand: DemandTable::new(me.zone.clone()),
+            relayed: now,
+            me,
             round_timer: RoundTimer::new(seed, now),
             announcer: ReportAnnouncer::new(),
             last_event: now,
@@ -71,7 +76,7 @@
             PeerEvent::FetchFailed(_) => self.config_fetcher.record_failure(now),
             PeerEvent::Listed(list) => self.add_listed(list, now),
             PeerEvent::Version(version) => self.config_fetcher.adopt(version),
-            PeerEvent::Demand(demand) => self.demand.update(demand, self.config.max_accounts),
+            PeerEvent::Demand(demand) => self.demand.update(demand, RELAY_ACCOUNTS, now),
             PeerEvent::Server(update) => self.publish(GossipUpdate::Server(update.clone()), now),
             PeerEvent::CrashReport(report) => self.publish_report(report, now),
             PeerEvent::Loading(loading) => self.announce_load(loading, out),
@@ -89,7 +94,7 @@
             return Timestamp::MAX;
         }
         let fetch = self.config_fetcher.next_wakeup();
-        let times = [fetch, self.announcer.next_wakeup()];
+        let times = [fetch, self.announcer.next_wakeup(), self.next_relay()];
         let round = self.round_timer.next_round();
         times.into_iter().flatten().fold(round, Timestamp::min)
     }
@@ -128,7 +133,11 @@
 
     fn handle_heartbeat(&mut self, beat: &Heartbeat, now: Timestamp, out: &mut Vec<PeerAction>) {
         self.apply_heartbeat(beat, now, out);
-        let reply = self.compose(Some(&beat.from.id), beat.full, now);
+        let mut reply = self.compose(Some(&beat.from.id), beat.full, now);
+        if !beat.zones.is_empty() {
+            reply.demand = self.demand.own().to_vec();
+            reply.zones = self.known_demand(now);
+        }
         out.push(PeerAction::Reply(reply));
     }
 
@@ -136,6 +145,9 @@
         self.resuming = false;
         self.peers.record_reply(&beat.from.id);
         self.apply_heartbeat(beat, now, out);
+        if beat.from.zone == self.me.zone && !beat.zones.is_empty() {
+            out.push(PeerAction::Demand(self.demand.zones(now)));
+        }
         let same = beat.digest == self.peers.digest(&self.me);
         self.sync_timers
             .for_peer(&self.me, &beat.from)
@@ -177,6 +189,7 @@
             }
         }
         self.announce_reports(now, out);
+        self.relay_demand(now, out);
         if self.round_timer.is_due(now) {
             self.send_round(now, out);
         }
@@ -230,7 +243,8 @@
             digest: self.peers.digest(&self.me),
             full,
             updates,
-            demand: self.demand.rates().to_vec(),
+            demand: Vec::new(),
+            zones: Vec::new(),
         }
     }
 
@@ -258,12 +272,7 @@
         }
         self.config_fetcher
             .record_offer(&beat.from.id, beat.version, now);
-        if !beat.demand.is_empty() {
-            out.push(PeerAction::Demand(Demand {
-                instance: beat.from.id.clone(),
-                rates: beat.demand.clone(),
-            }));
-        }
+        self.demand.record(beat, now);
     }
 
     /// Merges an update about a peer, and queues it for gossip if it was new.
--- a/azureway-core/src/member/mod.rs
+++ b/azureway-core/src/member/mod.rs
@@ -2,6 +2,8 @@
 
 mod broadcast;
 mod config_fetcher;
+mod demand_relay;
+mod demand_table;
 mod gossip;
 mod gossip_update;
 mod heartbeat;
@@ -27,6 +29,7 @@
 mod top_demand;
 
 pub use config_fetcher::ConfigFetcher;
+pub use demand_table::DemandTable;
 pub use gossip::Gossip;
 pub use gossip_update::GossipUpdate;
 pub use heartbeat::Heartbeat;
--- a/azureway-core/src/member/peer_action.rs
+++ b/azureway-core/src/member/peer_action.rs
@@ -1,7 +1,7 @@
 //! The output of the membership: what the peer duty must send or pass on.
 
 use super::{GossipUpdate, Heartbeat, LoadNotice, ServerUpdate};
-use crate::admit::Demand;
+use crate::admit::ZoneDemand;
 use crate::domain::{ConfigVersion, Instance};
 use crate::quarantine::CrashReport;
 
@@ -19,8 +19,11 @@
     Fetch(Instance, ConfigVersion),
     /// Use this number of live entry instances of the zone, including this one.
     LiveCount(u32),
-    /// Apply the demand of client accounts at a peer.
-    Demand(Demand),
+    /// Send a heartbeat about the use of client accounts to a peer. Its reply is handled as that of any
+    /// heartbeat, but it belongs to no round of heartbeats.
+    Relay(Instance, Heartbeat),
+    /// Apply the use of client accounts in the availability zones.
+    Demand(Vec<ZoneDemand>),
     /// Apply an update about a backend server.
     Server(ServerUpdate),
     /// Apply a crash report against a request.
--- a/azureway-core/src/member/top_demand.rs
+++ b/azureway-core/src/member/top_demand.rs
@@ -1,29 +1,30 @@
 //! The part of an entry's demand that its heartbeats report.
 
-use crate::admit::Demand;
-use crate::domain::{AccountId, TokenRate};
+use crate::admit::{AccountUse, Demand};
 
 /// The client accounts with the highest demand at an entry, as many as fit in a heartbeat.
 #[derive(Clone, Debug, Default)]
 pub struct TopDemand {
-    rates: Vec<(AccountId, TokenRate)>,
+    accounts: Vec<AccountUse>,
 }
 
 impl TopDemand {
     /// Creates an empty list.
-    pub fn new() -> Self {
-        Self::default()
+    pub const fn new() -> Self {
+        Self {
+            accounts: Vec::new(),
+        }
     }
 
     /// Keeps the `count` accounts with the highest demand.
     pub fn update(&mut self, demand: &Demand, count: usize) {
-        self.rates = demand.rates.clone();
-        self.rates.sort_by_key(|(_, rate)| std::cmp::Reverse(*rate));
-        self.rates.truncate(count);
+        self.accounts = demand.accounts.clone();
+        self.accounts.sort_by_key(|a| std::cmp::Reverse(a.demand));
+        self.accounts.truncate(count);
     }
 
-    /// Returns the accounts and their demand, highest first.
-    pub fn rates(&self) -> &[(AccountId, TokenRate)] {
-        &self.rates
+    /// Returns the accounts and their use, highest demand first.
+    pub fn accounts(&self) -> &[AccountUse] {
+        &self.accounts
     }
 }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -1,6 +1,8 @@
 //! The commonly used types, for a glob import.
 
-pub use crate::admit::{AccountLimits, Demand, FairQueue, LimitShare, PoolQueue};
+pub use crate::admit::{
+    AccountLimits, AccountUse, Demand, FairQueue, LimitShare, PoolQueue, ZoneDemand,
+};
 pub use crate::cache::{Block, BlockKey, CacheIndex, CacheOp, CacheUpdate, PromptBlocks, Salt};
 pub use crate::claim::{
     ClaimClosing, ClaimCommand, ClaimCreation, ClaimDecision, ClaimHandle, ClaimName, ClaimNonce,
--- a/azureway-core/src/route/static_split.rs
+++ b/azureway-core/src/route/static_split.rs
@@ -36,7 +36,7 @@
         candidates: &[Candidate<'_>],
         now: Timestamp,
     ) -> Option<usize> {
-        self.arrivals.add(profile.prompt, now);
+        self.arrivals.add(profile.prompt.get() as f64, now);
         let entries = candidates.first()?.state.entries();
         let arrivals = self.arrivals.rate(now) * f64::from(entries);
         let shares = shares(candidates, arrivals);
--- a/azureway-core/src/router/admission_check.rs
+++ b/azureway-core/src/router/admission_check.rs
@@ -66,7 +66,7 @@
         self.check_outlook(service, request, now)?;
         self.check_wait(service, request, now)?;
         // The limit is checked last, so that a request refused for another reason is not charged.
-        self.check_limit(account, request, now)?;
+        self.check_limit(request, now)?;
         Ok((service, account))
     }
 
@@ -153,16 +153,10 @@
         Some(wait.unwrap_or(Duration::MAX))
     }
 
-    fn check_limit(
-        &mut self,
-        account: &ClientAccount,
-        request: &Request,
-        now: Timestamp,
-    ) -> Result<(), Refusal> {
-        let charged = self.limits.charge(account, request.cost(), now);
-        charged.map_err(|wait: Duration| {
-            let detail = "the client account has used up its limit";
-            refusal(RefusalReason::AccountLimit, detail).with_retry(wait)
+    fn check_limit(&mut self, request: &Request, now: Timestamp) -> Result<(), Refusal> {
+        self.limits.admit(request, now).map_err(|limit| {
+            let detail = limit.to_string();
+            refusal(RefusalReason::AccountLimit, &detail).with_retry(limit.wait)
         })
     }
 }
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -36,9 +36,9 @@
             budgets: RetryBudgets::new(config.retry_percent, config.retry_slack),
             retries: RetryQueue::new(),
             dispatcher: Dispatcher::new(policy, config.seed),
-            config,
             fleet: Fleet::new(),
-            limits: AccountLimits::new(),
+            limits: AccountLimits::new(config.seed),
+            config,
             queues: Queues::new(),
             claims: ClaimTable::new(),
             tally: OutcomeTally::new(),
@@ -67,7 +67,7 @@
             Event::ZoneEntries(_) if self.config.shared_servers => {}
             Event::ZoneEntries(count) => self.dispatcher.servers_mut().set_entries(count),
             Event::ListedEntries(count) => self.set_listed_entries(count),
-            Event::Demand(demand) => self.limits.share_mut().record(demand, now),
+            Event::Demand(zones) => self.limits.record(zones, now),
             Event::Announced(update) => self.apply_announcement(update, now, out),
             Event::Server(update) => self.apply_server_update(update, now),
             Event::Loading(notice) => self.apply_loading(notice, now),
@@ -87,6 +87,7 @@
         self.broadcast_crash_reports(out);
         self.store_quarantines(now, out);
         self.claims.apply_actions(start, out);
+        self.settle_refused(&out[start..], now);
         self.tally.apply_actions(&out[start..], now);
     }
 
@@ -151,11 +152,13 @@
             let whole = self.fleet.is_plain(&flight.request.service);
             self.claims.caller_disconnected(id, whole);
             self.queues.mark_dirty(&flight.pool);
+            self.limits.settle(id, false, now);
             return out.push(Action::Cancel(flight.attempt));
         }
         if self.retries.remove(id).is_none() {
             self.queues.remove(id);
         }
+        self.limits.settle(id, true, now);
         self.claims.cancel(id, out);
     }
 
@@ -167,6 +170,7 @@
 
     fn finish(&mut self, finish: &Finish, now: Timestamp, out: &mut Vec<Action>) {
         self.claims.finish(finish.attempt, out);
+        self.limits.settle(finish.attempt.id, false, now);
         if let Some(flight) = self.dispatcher.finish(finish, now) {
             self.tally.finish(finish.attempt.id, now);
             self.queues.mark_dirty(&flight.pool);
@@ -180,7 +184,7 @@
         }
         self.fleet = fleet.clone();
         self.dispatcher.reconfigure(fleet, now);
-        self.limits.retain(|id| fleet.accounts.contains_key(id));
+        self.limits.reconfigure(fleet.accounts.values(), now);
         self.queues.set_drafting_share(fleet.rules.drafting_share);
         self.queues.mark_all_dirty();
     }
@@ -246,6 +250,9 @@
             .dispatcher
             .dispatch(query, &self.config, &self.fleet, now);
         let sent = dispatch.is_some();
+        if sent && !query.plan.not_run {
+            self.limits.charge_again(query.request.id, now);
+        }
         out.extend(dispatch.map(Action::Dispatch));
         sent
     }
--- a/azureway-core/src/router/failures.rs
+++ b/azureway-core/src/router/failures.rs
@@ -9,6 +9,7 @@
 impl<P: Policy> Router<P> {
     pub(super) fn fail(&mut self, failure: &Failure, now: Timestamp, out: &mut Vec<Action>) {
         self.claims.fail(failure, out);
+        self.keep_charge(failure);
         let Some((flight, cache_lost)) = self.dispatcher.fail(failure, now) else {
             return;
         };
--- a/azureway-core/src/router/mod.rs
+++ b/azureway-core/src/router/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission_check;
 mod attempt_plan;
+mod charges;
 mod config;
 mod decider;
 mod dispatcher;
--- a/azureway-core/src/router/reports.rs
+++ b/azureway-core/src/router/reports.rs
@@ -44,7 +44,7 @@
 
     /// Sets the number of listed entries of all availability zones.
     pub(super) fn set_listed_entries(&mut self, count: u32) {
-        self.limits.share_mut().set_entries(count);
+        self.limits.set_entries(count);
         self.budgets.set_entries(count);
         if self.config.shared_servers && self.dispatcher.servers().entries() != count {
             self.dispatcher.servers_mut().set_entries(count);
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -96,8 +96,8 @@
         &self.tally
     }
 
-    /// Returns the demand of the client accounts here, as `instance` sends it to other entries.
-    pub fn demand(&self, instance: InstanceId, now: Timestamp) -> Demand {
+    /// Returns the use of the limited client accounts here, as `instance` tells it to other entries.
+    pub fn demand(&mut self, instance: InstanceId, now: Timestamp) -> Demand {
         self.limits.demand(instance, now)
     }
 
--- a/azureway-core/src/site/document.rs
+++ b/azureway-core/src/site/document.rs
@@ -1,7 +1,7 @@
 //! The part of a site's state that the configuration defines.
 
 use super::SiteService;
-use crate::domain::{CallerLimits, ClientAccount, ConfigVersion};
+use crate::domain::{AccountId, CallerLimits, ClientAccount, ConfigVersion};
 use crate::fleet::RouteTable;
 
 /// One version of the configuration of a site, without its servers.
@@ -15,6 +15,8 @@
     pub services: Vec<SiteService>,
     /// The client accounts. If there are none, requests need no API key.
     pub accounts: Vec<ClientAccount>,
+    /// The accounts whose limits could not be read, with the reasons. Their last limits stay in force.
+    pub limit_faults: Vec<(AccountId, Box<str>)>,
     /// The size and time limits of callers' requests.
     pub limits: CallerLimits,
 }
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -53,9 +53,6 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// The client account of requests without a key, on routes that require none.
 pub const ANONYMOUS: &str = "";
-/// The limit of every account, in tokens per second. It exceeds the capacity of any site, because
-/// the platform's configuration defines no limits.
-const UNLIMITED: TokenRate = TokenRate::new(1 << 40);
 /// The number of rounds of concurrent loads in which a pool changes to new weights. A round takes
 /// about a second, and the platform requires a rollout to end within some seconds.
 const LOAD_ROUNDS: usize = 5;
@@ -109,11 +106,22 @@
         self.undisturbed = self.undisturbed.max(disturbance.until + settle);
     }
 
-    /// Adopts a configuration if it is newer, so that a slow read cannot restore an old one.
-    /// Returns whether it is.
-    pub fn configure(&mut self, document: SiteDocument) -> bool {
+    /// Adopts a configuration if it is newer, so that a slow read cannot restore an old one. An account
+    /// whose limit could not be read keeps the one that it had. Returns whether it is newer.
+    pub fn configure(&mut self, mut document: SiteDocument) -> bool {
         let newer = self.version() < Some(document.version);
         if newer {
+            let known = self.document.iter().flat_map(|d| &d.accounts);
+            let known: BTreeMap<_, _> = known.map(|a| (&a.id, a.limit)).collect();
+            for account in &mut document.accounts {
+                if document
+                    .limit_faults
+                    .iter()
+                    .any(|(id, _)| *id == account.id)
+                {
+                    account.limit = known.get(&account.id).copied().flatten();
+                }
+            }
             self.document = Some(document);
         }
         newer
@@ -229,10 +237,10 @@
         fleet.routes = document.routes.clone();
         fleet.limits = document.limits;
         fleet.listed_until = self.listed_until;
-        let anonymous = ClientAccount::new(AccountId::new(ANONYMOUS)).with_limit(UNLIMITED);
+        let anonymous = ClientAccount::new(AccountId::new(ANONYMOUS));
         fleet = fleet.with_account(anonymous);
         for account in &document.accounts {
-            fleet = fleet.with_account(account.clone().with_limit(UNLIMITED));
+            fleet = fleet.with_account(account.clone());
         }
         for zone in &self.zones {
             fleet = fleet.with_zone(zone.clone());
--- a/azureway-core/tests/announce.rs
+++ b/azureway-core/tests/announce.rs
@@ -80,6 +80,7 @@
         full: false,
         updates: vec![GossipUpdate::CrashReport(report.clone())],
         demand: Vec::new(),
+        zones: Vec::new(),
     };
     member.handle(PeerEvent::Heartbeat(&beat), now, &mut out);
     let applied = |a: &PeerAction| *a == PeerAction::CrashReport(report.clone());
--- a/azureway-core/tests/floods.rs
+++ b/azureway-core/tests/floods.rs
@@ -58,7 +58,8 @@
     let mut fixture = RouterFixture::new(1, SLOTS);
     let mut fleet = fleet(1, SLOTS).with_version(ConfigVersion::new(2));
     for source in sources.iter().filter(|s| s[0] == "limit") {
-        let limit = TokenRate::new(source[2].parse().expect("a rate"));
+        let rate = source[2].parse().expect("a rate");
+        let limit = AccountLimit::new(rate).with_burst(2 * rate);
         let account = ClientAccount::new(AccountId::new(source[1]));
         fleet = fleet.with_account(account.with_limit(limit));
     }
--- a/azureway-core/tests/group/mod.rs
+++ b/azureway-core/tests/group/mod.rs
@@ -31,7 +31,7 @@
     pub paused_until: Timestamp,
     pub crash_reports: Vec<CrashReport>,
     pub server_updates: Vec<ServerUpdate>,
-    pub demand: BTreeMap<InstanceId, Demand>,
+    pub demand: BTreeMap<ZoneId, ZoneDemand>,
     pub ready_at: Option<Timestamp>,
     pub started: Timestamp,
     run_number: u64,
@@ -285,7 +285,9 @@
 
     fn execute(&mut self, id: &InstanceId, action: PeerAction) {
         match action {
-            PeerAction::Send(peer, beat) | PeerAction::Announce(peer, beat) => {
+            PeerAction::Send(peer, beat)
+            | PeerAction::Announce(peer, beat)
+            | PeerAction::Relay(peer, beat) => {
                 let cross_zone = self.nodes[id].core.me().zone != peer.zone;
                 self.cross_zone_sent += usize::from(cross_zone);
                 self.sent.entry(id.clone()).or_default().push(beat.clone());
@@ -294,8 +296,9 @@
             PeerAction::Fetch(peer, version) => self.fetch(id, &peer.id, version),
             PeerAction::CrashReport(report) => self.node(id).crash_reports.push(report),
             PeerAction::Server(update) => self.node(id).server_updates.push(update),
-            PeerAction::Demand(demand) => {
-                self.node(id).demand.insert(demand.instance.clone(), demand);
+            PeerAction::Demand(zones) => {
+                let zones = zones.into_iter().map(|z| (z.zone.clone(), z));
+                self.node(id).demand.extend(zones);
             }
             PeerAction::Reply(_) | PeerAction::LiveCount(_) | PeerAction::Loading(_) => {}
         }
--- a/azureway-core/tests/sharing.rs
+++ b/azureway-core/tests/sharing.rs
@@ -28,10 +28,6 @@
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &SEED))
 }
 
-fn instance(number: usize) -> InstanceId {
-    InstanceId::new(&format!("entry-{number}"))
-}
-
 /// Exchanges the demands of the entries within each group, and returns the sum of their fractions
 /// of an account's limit.
 fn exchange_demands(
@@ -41,18 +37,26 @@
     now: Timestamp,
 ) -> f64 {
     let account = AccountId::new("x");
-    for sender in 0..ENTRIES {
-        let rates = vec![(account.clone(), TokenRate::new(demands[sender]))];
-        let demand = Demand {
-            instance: instance(sender),
-            rates,
+    for side in [false, true] {
+        let members = (0..ENTRIES).filter(|n| groups[*n] == side);
+        let members: Vec<_> = members.collect();
+        let total = members.iter().map(|n| demands[*n]).sum();
+        let zone = ZoneDemand {
+            zone: ZoneId::new("zone"),
+            entries: u32::try_from(members.len()).expect("few"),
+            age: Duration::ZERO,
+            accounts: vec![account_use(&account, total)],
         };
-        for receiver in (0..ENTRIES).filter(|r| *r != sender && groups[*r] == groups[sender]) {
-            shares[receiver].record(&demand, now);
+        for member in members {
+            shares[member].record_own(&[account_use(&account, demands[member])], now);
+            shares[member].record(std::slice::from_ref(&zone), now);
         }
     }
-    let fraction = |(n, s): (usize, &LimitShare)| s.fraction(&account, demands[n] as f64, now);
-    shares.iter().enumerate().map(fraction).sum()
+    shares.iter().map(|s| s.fraction(&account, now)).sum()
+}
+
+fn account_use(account: &AccountId, demand: u64) -> AccountUse {
+    AccountUse::new(account.clone(), TokenRate::new(demand), TokenRate::ZERO)
 }
 
 #[gtest]
@@ -84,7 +88,7 @@
     let mut demands = [0; ENTRIES];
     demands[0] = 1_000;
     exchange_demands(&mut shares, &demands, &[true; ENTRIES], Timestamp::ZERO);
-    let fraction = shares[0].fraction(&AccountId::new("x"), 1_000.0, Timestamp::ZERO);
+    let fraction = shares[0].fraction(&AccountId::new("x"), Timestamp::ZERO);
     expect_that!(fraction, gt(0.75));
 }
 
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -346,3 +346,27 @@
     let fleet = state.build_fleet().expect("a fleet");
     expect_that!(fleet.servers["s"].capacity, some(eq(capacity)));
 }
+
+#[gtest]
+fn a_limit_that_cannot_be_read_leaves_the_last_one_in_force() {
+    let limit = AccountLimit::new(1_000).with_burst(500);
+    let account = ClientAccount::new(AccountId::new("x"));
+    let mut state = state();
+    state.configure(SiteDocument {
+        accounts: vec![account.clone().with_limit(limit)],
+        ..document(5)
+    });
+    state.configure(SiteDocument {
+        accounts: vec![account.clone()],
+        limit_faults: vec![(account.id.clone(), "rate -1".into())],
+        ..document(6)
+    });
+    let fleet = state.build_fleet().expect("a fleet");
+    expect_that!(fleet.accounts["x"].limit, some(eq(limit)));
+    state.configure(SiteDocument {
+        accounts: vec![account],
+        ..document(7)
+    });
+    let fleet = state.build_fleet().expect("a fleet");
+    expect_that!(fleet.accounts["x"].limit, none());
+}
--- a/azureway-dev/benches/decisions.rs
+++ b/azureway-dev/benches/decisions.rs
@@ -1,9 +1,11 @@
 //! Benchmarks of the routing decisions and of the messages that feed them.
 
-use azureway_core::admit::{Demand, LimitShare};
+use std::time::Duration;
+
+use azureway_core::admit::{AccountUse, LimitShare, ZoneDemand};
 use azureway_core::prelude::{
-    Block, BlockKey, CacheOp, CacheUpdate, ConfigVersion, Event, Incarnation, InstanceId,
-    Timestamp, TokenCount, TokenRate,
+    Block, BlockKey, CacheOp, CacheUpdate, ConfigVersion, Event, Incarnation, Timestamp,
+    TokenCount, TokenRate, ZoneId,
 };
 use azureway_dev::bench::{FleetSize, RouterFixture};
 use azureway_dev::slopes::{BlockProbe, MembershipProbe};
@@ -113,16 +115,19 @@
     });
 }
 
-/// Records a peer's demand report on 350 accounts.
+/// Records the use of 350 accounts in an availability zone.
 #[divan::bench]
 fn peer_demand(bencher: Bencher<'_, '_>) {
     let accounts = (0..350).map(RouterFixture::account_id);
-    let demand = Demand {
-        instance: InstanceId::new("entry-1"),
-        rates: accounts.map(|a| (a, TokenRate::new(1_000))).collect(),
+    let accounts = accounts.map(|a| AccountUse::new(a, TokenRate::new(1_000), TokenRate::ZERO));
+    let zone = ZoneDemand {
+        zone: ZoneId::new("z"),
+        entries: 1,
+        age: Duration::ZERO,
+        accounts: accounts.collect(),
     };
     let mut share = LimitShare::new();
-    bencher.bench_local(|| share.record(&demand, Timestamp::from_millis(1)));
+    bencher.bench_local(|| share.record(std::slice::from_ref(&zone), Timestamp::from_millis(1)));
 }
 
 /// Encodes a heartbeat with updates on 8 members and the demand of 12 accounts.
--- a/azureway-dev/src/slopes/membership_probe.rs
+++ b/azureway-dev/src/slopes/membership_probe.rs
@@ -25,7 +25,7 @@
             .with_incarnation(Incarnation::new(1_700_000_000_000))
     }
 
-    /// Returns a peer's heartbeat with updates on `members` members and the demand of 12 accounts.
+    /// Returns a peer's heartbeat with updates on `members` members and the demand of 16 accounts.
     pub fn heartbeat(number: u64, members: u64) -> Heartbeat {
         let alive = |n| GossipUpdate::Member(MemberUpdate::new(Self::peer(n), Liveness::Alive));
         let accounts =
@@ -36,7 +36,10 @@
             digest: u64::MAX,
             full: false,
             updates: (0..members).map(alive).collect(),
-            demand: accounts.map(|a| (a, TokenRate::new(1_000_000))).collect(),
+            demand: accounts
+                .map(|a| AccountUse::new(a, TokenRate::new(1_000_000), TokenRate::ZERO))
+                .collect(),
+            zones: Vec::new(),
         }
     }
 }
--- a/azureway-entry/src/decide/decider.rs
+++ b/azureway-entry/src/decide/decider.rs
@@ -176,17 +176,20 @@
         self.handle_event(Event::Started(attempt));
     }
 
-    /// Applies an update from other entry instances. After a round of heartbeats, sends the demand
-    /// at this instance to the peer duty, for the next round.
+    /// Applies an update from other entry instances. After a round of heartbeats or of reports of demand,
+    /// sends the demand at this instance to the peer duty, for the next round.
     fn handle_peer_update(&mut self, update: &PeerUpdate) {
         if let PeerUpdate::CrashReport(report) = update {
             log_crash_report(report, "peer");
         }
         self.handle_event(update.event());
-        if let PeerUpdate::HeartbeatRound(_) = update {
+        if let PeerUpdate::HeartbeatRound(_) | PeerUpdate::Demand(_) = update {
             let me = self.peers.me().clone();
-            self.peers
-                .send_demand(self.router.demand(me, self.clock.now()));
+            let demand = self.router.demand(me, self.clock.now());
+            if let PeerUpdate::HeartbeatRound(_) = update {
+                self.record_metric(MetricEvent::AccountUse(demand.accounts.clone()));
+            }
+            self.peers.send_demand(demand);
         }
     }
 
--- a/azureway-entry/src/decide/peer_update.rs
+++ b/azureway-entry/src/decide/peer_update.rs
@@ -1,6 +1,6 @@
 //! An update that the peer duty passes on to the deciding duty.
 
-use azureway_core::prelude::{CrashReport, Demand, Event, LoadNotice, ServerUpdate};
+use azureway_core::prelude::{CrashReport, Event, LoadNotice, ServerUpdate, ZoneDemand};
 
 /// An update from other entry instances, or one derived from their heartbeats.
 #[derive(Clone, Debug)]
@@ -10,8 +10,8 @@
     /// A round of heartbeats was sent. This many entry instances are known in all availability
     /// zones.
     HeartbeatRound(u32),
-    /// Another entry instance reported the demand of the client accounts that call it.
-    Demand(Demand),
+    /// The use of limited client accounts in the availability zones.
+    Demand(Vec<ZoneDemand>),
     /// Another entry instance reported a status change of a backend server.
     Server(ServerUpdate),
     /// Another entry instance reported a request that was running when a backend server failed.
@@ -27,7 +27,7 @@
         match self {
             Self::ZoneEntries(count) => Event::ZoneEntries(*count),
             Self::HeartbeatRound(known) => Event::ListedEntries(*known),
-            Self::Demand(demand) => Event::Demand(demand),
+            Self::Demand(zones) => Event::Demand(zones.as_slice()),
             Self::Server(update) => Event::Server(update),
             Self::CrashReport(report) => Event::CrashReport(report),
             Self::Loading(loading) => Event::Loading(loading),
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -59,6 +59,7 @@
                 self.service.record_finished(&request);
                 self.prompts.record_finished(&request);
             }
+            MetricEvent::AccountUse(accounts) => self.service.set_account_use(&accounts),
             MetricEvent::Refused(reason) => self.service.count_refusal(reason),
             MetricEvent::Gossip(bytes) => self.control.add_gossip(bytes),
             MetricEvent::Retried => self.control.count_retry(),
--- a/azureway-entry/src/meter/metric_event.rs
+++ b/azureway-entry/src/meter/metric_event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use azureway_core::prelude::{Attempt, ConfigVersion, Rank, RefusalReason};
+use azureway_core::prelude::{AccountUse, Attempt, ConfigVersion, Rank, RefusalReason};
 use flume::Sender;
 
 use super::FinishedRequest;
@@ -22,6 +22,8 @@
     Finished(Box<FinishedRequest>),
     /// A request was refused.
     Refused(RefusalReason),
+    /// The use of the client accounts that have limits, at this entry.
+    AccountUse(Vec<AccountUse>),
     /// Another attempt at a request was sent.
     Retried,
     /// The time from noticing that a caller has disconnected until the deciding duty removed its request.
--- a/azureway-entry/src/meter/service_metrics.rs
+++ b/azureway-entry/src/meter/service_metrics.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use azureway_core::prelude::{Rank, RefusalReason};
+use azureway_core::prelude::{AccountUse, Rank, RefusalReason};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -25,6 +26,8 @@
     cancelled: Counter,
     requests: Family<AccountLabel, Counter>,
     tokens: Family<AccountLabel, Counter>,
+    demand: Family<AccountLabel, Gauge>,
+    used: Family<AccountLabel, Gauge>,
     accounts: AccountLabels,
 }
 
@@ -47,6 +50,8 @@
             cancelled: Counter::default(),
             requests: Family::default(),
             tokens: Family::default(),
+            demand: Family::default(),
+            used: Family::default(),
             accounts: AccountLabels::new(),
         };
         metrics.register(registry);
@@ -79,6 +84,10 @@
         r.register("account_requests", help, self.requests.clone());
         let help = "Tokens of prompts and answers of a client account";
         r.register("account_tokens", help, self.tokens.clone());
+        let help = "What a limited client account asks for here, per second";
+        r.register("account_limit_demand", help, self.demand.clone());
+        let help = "What a limited client account is charged here, per second";
+        r.register("account_limit_used", help, self.used.clone());
     }
 
     /// Observes the time to first token of a request.
@@ -112,6 +121,19 @@
         self.tokens.get_or_create(&account).inc_by(tokens);
     }
 
+    /// Sets the use of the client accounts that have limits.
+    pub fn set_account_use(&mut self, accounts: &[AccountUse]) {
+        let gauge = |rate: u64| i64::try_from(rate).unwrap_or(i64::MAX);
+        for account in accounts {
+            let label = self.accounts.label(&account.account);
+            let demand = gauge(account.demand.get());
+            self.demand.get_or_create(&label).set(demand);
+            self.used
+                .get_or_create(&label)
+                .set(gauge(account.used.get()));
+        }
+    }
+
     /// Counts a refusal.
     pub fn count_refusal(&self, reason: RefusalReason) {
         self.refused.get_or_create(&reason.into()).inc();
--- a/azureway-entry/src/peer/peer_duty.rs
+++ b/azureway-entry/src/peer/peer_duty.rs
@@ -144,7 +144,9 @@
         let sent_round = actions.iter().any(|a| matches!(a, PeerAction::Send(..)));
         for action in actions {
             match action {
-                PeerAction::Send(peer, heartbeat) => self.send(peer, &heartbeat),
+                PeerAction::Send(peer, heartbeat) | PeerAction::Relay(peer, heartbeat) => {
+                    self.send(peer, &heartbeat)
+                }
                 PeerAction::Announce(peer, heartbeat) => self.announce(peer, &heartbeat),
                 PeerAction::Fetch(peer, known) => self.fetch(peer, known),
                 PeerAction::Reply(_) => {}
@@ -153,7 +155,7 @@
                     self.send_update(PeerUpdate::ZoneEntries(count)).await;
                     self.notify_selection();
                 }
-                PeerAction::Demand(demand) => self.send_update(PeerUpdate::Demand(demand)).await,
+                PeerAction::Demand(zones) => self.send_update(PeerUpdate::Demand(zones)).await,
                 PeerAction::Server(update) => self.send_update(PeerUpdate::Server(update)).await,
                 PeerAction::Loading(loading) => {
                     self.send_update(PeerUpdate::Loading(loading)).await
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -138,6 +138,9 @@
         let (version, known) = (document.version, self.state.version());
         let (routes, accounts) = (document.routes.len(), document.accounts.len());
         let idle = document.limits.idle_timeout;
+        for (account, fault) in &document.limit_faults {
+            log::warn!(step = "read site", version:% = version, account:% = account, fault:% = fault; "the limit of a client account cannot be read, and its last one stays in force");
+        }
         let newer = self.state.configure(document);
         log::info!(
             step = "read site", version:% = version, known:? = known, newer = newer,
--- a/azureway-entry/tests/peer_call.rs
+++ b/azureway-entry/tests/peer_call.rs
@@ -28,6 +28,7 @@
         full: false,
         updates: Vec::new(),
         demand: Vec::new(),
+        zones: Vec::new(),
     }
 }
 
--- a/azureway-entry/tests/support/mod.rs
+++ b/azureway-entry/tests/support/mod.rs
@@ -108,6 +108,7 @@
             routes,
             services: vec![service()],
             accounts: vec![account],
+            limit_faults: Vec::new(),
             limits: CallerLimits::new(),
         }))
     }
--- a/azureway-wire/src/gen/azureway.peer.v1.rs
+++ b/azureway-wire/src/gen/azureway.peer.v1.rs
@@ -16,9 +16,12 @@
     /// The updates that the sender passes on.
     #[prost(message, repeated, tag = "5")]
     pub news: ::prost::alloc::vec::Vec<News>,
-    /// The demand of client accounts at the sender.
+    /// The use of client accounts at the sender.
     #[prost(message, repeated, tag = "6")]
     pub demand: ::prost::alloc::vec::Vec<Demand>,
+    /// The use of client accounts in availability zones, as far as the sender has heard of it.
+    #[prost(message, repeated, tag = "7")]
+    pub zones: ::prost::alloc::vec::Vec<ZoneDemand>,
 }
 /// An entry instance.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -107,14 +110,31 @@
     #[prost(bytes = "vec", tag = "6")]
     pub part: ::prost::alloc::vec::Vec<u8>,
 }
-/// The demand of a client account at the sender.
+/// The use of a client account, in the unit of its limit.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Demand {
     #[prost(string, tag = "1")]
     pub account: ::prost::alloc::string::String,
-    /// The demand, in tokens per second.
+    /// What the account asks for, per second.
     #[prost(uint64, tag = "2")]
     pub rate: u64,
+    /// What the account is charged, per second.
+    #[prost(uint64, tag = "3")]
+    pub used: u64,
+}
+/// The sum of the demand at the entry instances of an availability zone.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct ZoneDemand {
+    #[prost(string, tag = "1")]
+    pub zone: ::prost::alloc::string::String,
+    /// The number of entry instances that the sums cover.
+    #[prost(uint32, tag = "2")]
+    pub entries: u32,
+    /// The mean age of their reports, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    #[prost(message, repeated, tag = "4")]
+    pub demand: ::prost::alloc::vec::Vec<Demand>,
 }
 /// A request for a newer configuration document.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
--- a/azureway-wire/src/peer/mod.rs
+++ b/azureway-wire/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod invalid_field;
 mod news;
 mod object;
+mod zone_demand;
 
 #[path = "../gen/azureway.peer.v1.rs"]
 #[allow(
@@ -20,5 +21,5 @@
 pub use generated::peer_server::{Peer, PeerServer};
 pub use generated::{
     ChangesReply, ChangesRequest, Demand, FetchReply, FetchRequest, Heartbeat, Instance, Loading,
-    Member, News, Object, Server, Strike, news::Subject,
+    Member, News, Object, Server, Strike, ZoneDemand, news::Subject,
 };
--- a/azureway-wire/tests/peer.rs
+++ b/azureway-wire/tests/peer.rs
@@ -39,7 +39,7 @@
     let updates = (0..config.max_updates as u64).map(member);
     let demand = (0..config.max_accounts as u64).map(|n| {
         let account = AccountId::new(&format!("distributor-of-the-north-{n}"));
-        (account, TokenRate::new(100_000))
+        AccountUse::new(account, TokenRate::new(100_000), TokenRate::new(90_000))
     });
     Heartbeat {
         from: instance(1),
@@ -48,6 +48,7 @@
         full: false,
         updates: updates.collect(),
         demand: demand.collect(),
+        zones: Vec::new(),
     }
 }
 
