Let the debts of parts fade, and report rates in thousandths

The wait of refusals grew with callers that do not return, and limits in requests were rounded to none in the reports of many entries. Change: the debt of a part fades over 4 s while nine tenths of the whole are unused; the promise of refused requests is at most 4 s of refill; rates are reported in thousandths; the number of entries in reports cannot overflow.

--- a/azureway-core/src/admit/account_level.rs
+++ b/azureway-core/src/admit/account_level.rs
@@ -62,6 +62,10 @@
 const COLD_REFILL: f64 = 0.5;
 /// The largest debt of the whole, as seconds of the limit's rate.
 const MAX_DEBT: f64 = 4.0;
+/// The time constant with which the debt of a part fades while the whole is not used up, in seconds.
+const SETTLE_TIME: f64 = 4.0;
+/// The refill that is promised to refused requests at most, in seconds. Not all of them come back.
+const PROMISE_TIME: f64 = 4.0;
 /// The smallest fraction to which a debt of the whole reduces the refill.
 const MIN_REFILL: f64 = 0.5;
 /// The debt of the whole at which the refill is smallest, as seconds of the limit's rate.
@@ -129,6 +133,9 @@
             None if entries <= 1.0 => self.part,
             None => self.whole.min(0.0),
         };
+        if warm && group.is_some_and(|g| g.entries >= entries) {
+            self.settle(time);
+        }
         let demand = match group {
             Some(group) if warm => group.demand * (entries / group.entries).max(1.0),
             None if entries <= 1.0 => self.demand.rate(now),
@@ -137,6 +144,14 @@
         self.below = self.whole > 0.0 && demand <= DEMAND_FACTOR * rate;
     }
 
+    /// Lets the debt of the part fade while much of the whole is unused, which has paid for it.
+    fn settle(&mut self, time: f64) {
+        let unused = self.whole - (WHOLE_FACTOR - 1.0) * self.capacity;
+        if self.part < 0.0 && unused > 0.9 * self.capacity {
+            self.part *= (-time / SETTLE_TIME).exp();
+        }
+    }
+
     /// Takes `cost` out of the part. `draw`, from 0 to 1, is the random fraction of a request's cost
     /// that has to be there while the account is not known to be below its limit, so that parts that
     /// are smaller than a request are used in the mean.
@@ -162,7 +177,7 @@
             return Ok(());
         }
         let missing = cost - self.part + self.promised;
-        self.promised += cost;
+        self.promised = (self.promised + cost).min(self.rate * PROMISE_TIME);
         let wait = Duration::try_from_secs_f64(missing / self.rate);
         Err(wait.unwrap_or(Duration::MAX))
     }
--- a/azureway-core/src/admit/account_limits.rs
+++ b/azureway-core/src/admit/account_limits.rs
@@ -129,12 +129,9 @@
         self.refill_all(now);
         let accounts = self.accounts.iter().map(|(id, (_, level))| {
             // Rates are not negative, and the casts saturate.
-            let demand = TokenRate::new(level.demand.rate(now) as u64);
-            AccountUse::new(
-                id.clone(),
-                demand,
-                TokenRate::new(level.used.rate(now) as u64),
-            )
+            let scaled = |rate: f64| TokenRate::new((rate * AccountUse::SCALE) as u64);
+            let (demand, used) = (level.demand.rate(now), level.used.rate(now));
+            AccountUse::new(id.clone(), scaled(demand), scaled(used))
         });
         let mut accounts: Vec<_> = accounts.collect();
         accounts.sort_unstable_by(|a, b| a.account.cmp(&b.account));
--- a/azureway-core/src/admit/account_use.rs
+++ b/azureway-core/src/admit/account_use.rs
@@ -4,7 +4,8 @@
 
 /// The demand and the use of a client account over one or more entry instances.
 ///
-/// The rates are in the unit of the account's limit, per second.
+/// The rates are in thousandths of the unit of the account's limit, per second, so that a few requests
+/// over many entries are not rounded to none.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AccountUse {
     /// The client account.
@@ -16,6 +17,9 @@
 }
 
 impl AccountUse {
+    /// The multiple of a rate that is reported.
+    pub const SCALE: f64 = 1_000.0;
+
     /// Creates the report of an account.
     pub const fn new(account: AccountId, demand: TokenRate, used: TokenRate) -> Self {
         Self {
--- a/azureway-core/src/admit/limit_share.rs
+++ b/azureway-core/src/admit/limit_share.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{AccountUse, GroupUse, ZoneDemand};
-use crate::domain::{AccountId, Timestamp, ZoneId};
+use crate::domain::{AccountId, Timestamp, TokenRate, ZoneId};
 
 /// Computes the fraction of each account's limit that this entry instance enforces.
 ///
@@ -56,15 +56,15 @@
     /// Returns the number of entries that share the limits.
     pub fn entries(&self, now: Timestamp) -> f64 {
         // The list can lag behind, so more entries may report than are listed.
-        let reporting: u32 = self.fresh(now).map(|z| z.entries).sum();
-        f64::from(self.entries.max(reporting))
+        let reporting: f64 = self.fresh(now).map(|z| f64::from(z.entries)).sum();
+        f64::from(self.entries).max(reporting)
     }
 
     /// Records the use in availability zones, this entry's own one included.
     pub fn record(&mut self, zones: &[ZoneDemand], now: Timestamp) {
         for zone in zones {
             let measured = Timestamp::ZERO + now.since(Timestamp::ZERO).saturating_sub(zone.age);
-            let figures = |a: &AccountUse| (a.demand.get() as f64, a.used.get() as f64);
+            let figures = |a: &AccountUse| (per_second(a.demand), per_second(a.used));
             let accounts = zone.accounts.iter();
             let report = ZoneReport {
                 measured,
@@ -78,7 +78,7 @@
     /// Records what this entry reports to the others.
     pub fn record_own(&mut self, accounts: &[AccountUse], now: Timestamp) {
         let rates = accounts.iter();
-        let rates = rates.map(|a| (a.account.clone(), a.demand.get() as f64));
+        let rates = rates.map(|a| (a.account.clone(), per_second(a.demand)));
         self.history.push_back((now, rates.collect()));
         while self
             .history
@@ -141,3 +141,8 @@
         self.zones.values().filter(fresh)
     }
 }
+
+/// Returns a reported rate in units per second.
+fn per_second(rate: TokenRate) -> f64 {
+    rate.get() as f64 / AccountUse::SCALE
+}
--- a/azureway-entry/src/meter/service_metrics.rs
+++ b/azureway-entry/src/meter/service_metrics.rs
@@ -123,7 +123,8 @@
 
     /// Sets the use of the client accounts that have limits.
     pub fn set_account_use(&mut self, accounts: &[AccountUse]) {
-        let gauge = |rate: u64| i64::try_from(rate).unwrap_or(i64::MAX);
+        // The cast saturates.
+        let gauge = |rate: u64| (rate as f64 / AccountUse::SCALE) as i64;
         for account in accounts {
             let label = self.accounts.label(&account.account);
             let demand = gauge(account.demand.get());
--- a/azureway-wire/src/gen/azureway.peer.v1.rs
+++ b/azureway-wire/src/gen/azureway.peer.v1.rs
@@ -110,7 +110,7 @@
     #[prost(bytes = "vec", tag = "6")]
     pub part: ::prost::alloc::vec::Vec<u8>,
 }
-/// The use of a client account, in the unit of its limit.
+/// The use of a client account, in thousandths of the unit of its limit.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Demand {
     #[prost(string, tag = "1")]
