--- a/azureway-core/src/domain/request.rs
+++ b/azureway-core/src/domain/request.rs
@@ -34,8 +34,6 @@
     pub prompt: PromptBlocks,
     /// The largest number of tokens in the answer.
     pub max_output: TokenCount,
-    /// The number of tokens that the answer is expected to have, at most `max_output`.
-    pub expected_output: TokenCount,
     /// The tokens that the request states for itself, prompt and longest answer together.
     pub usage: Option<TokenCount>,
     /// The caller's idempotency key, if it sent one.
--- a/azureway-core/src/fleet/mod.rs
+++ b/azureway-core/src/fleet/mod.rs
@@ -24,7 +24,6 @@
 mod server_state;
 mod server_table;
 mod slot_share;
-mod speed_meter;
 mod work;
 
 pub use configured::Fleet;
@@ -45,7 +44,6 @@
 pub use server_state::ServerState;
 pub use server_table::ServerTable;
 pub use slot_share::SlotShare;
-pub use speed_meter::SpeedMeter;
 pub use work::Work;
 
 use gone_server::GoneServer;
--- a/azureway-core/src/fleet/server_state.rs
+++ b/azureway-core/src/fleet/server_state.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Health, LoadReport, LoadSample, LocalWork, PaceMeter, PauseHold, RateShare, ReportedWork,
-    SlotShare, SpeedMeter, Work,
+    SlotShare, Work,
 };
 use crate::domain::{
     BackendServer, Incarnation, ListedState, Rank, Request, Timestamp, TokenCount, WeightsVersion,
@@ -40,8 +40,6 @@
     pub pause: PauseHold,
     /// The pace of the server's machine, if the server states it.
     pub pace: PaceMeter,
-    /// The speed of the server.
-    pub speed: SpeedMeter,
     local: LocalWork,
     pub(super) share: SlotShare,
     reported: ReportedWork,
@@ -65,7 +63,6 @@
             rate: RateShare::new(entries, seed, &server.id),
             pause: PauseHold::new(seed, &server.id),
             pace: PaceMeter::new(),
-            speed: SpeedMeter::new(server.prefill),
             incarnation: server.listed.map_or(Incarnation::ZERO, |l| l.incarnation),
             weights: server.listed.and_then(|l| l.weights),
             loading: None,
@@ -95,7 +92,6 @@
     pub fn reconfigure(&mut self, server: &BackendServer, entries: u32) -> bool {
         self.share.resize(server.slots, entries);
         self.rate.set_entries(entries);
-        self.speed.set_configured(server.prefill);
         let old = std::mem::replace(&mut self.server, server.clone()).listed;
         match server.listed {
             Some(listed) if old != Some(listed) => self.apply_listing(listed),
--- a/azureway-core/src/route/estimate.rs
+++ b/azureway-core/src/route/estimate.rs
@@ -33,7 +33,8 @@
     /// Estimates the time to first token and the cost of a request at `candidate`.
     pub fn new(profile: RequestProfile, candidate: &Candidate<'_>, now: Timestamp) -> Self {
         let state = candidate.state;
-        let (server, rate) = (&state.server, state.speed.prefill());
+        let server = &state.server;
+        let rate = server.prefill;
         let uncached = profile.prompt.saturating_sub(candidate.cached);
         let prefill = state.pace.time_for(rate.time_for(uncached), now);
         let pending = rate.time_for(state.pending_tokens());
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -163,7 +163,7 @@
     }
 
     fn start(&mut self, attempt: Attempt, now: Timestamp) {
-        if self.dispatcher.start(attempt, now) {
+        if self.dispatcher.start(attempt) {
             self.tally.start(attempt.id, now);
         }
     }
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -174,15 +174,12 @@
     }
 
     /// Records that a server began to answer. Returns whether the attempt is the current one.
-    pub fn start(&mut self, attempt: Attempt, now: Timestamp) -> bool {
+    pub fn start(&mut self, attempt: Attempt) -> bool {
         let Some((flight, pending)) = self.in_flight.start(attempt) else {
             return false;
         };
         if let Some(state) = self.servers.get_mut(&flight.server) {
             state.finish_prefill(flight.period, pending);
-            state
-                .speed
-                .observe_start(pending, now.since(flight.sent), now);
         }
         true
     }
--- a/azureway-core/src/router/sharing.rs
+++ b/azureway-core/src/router/sharing.rs
@@ -50,7 +50,7 @@
         let gain = |store: &CacheStore, held: TokenCount| {
             let missing = request.prompt.prefix_tokens().saturating_sub(held);
             let transfer = self.transfer(missing, chosen, &store.zone);
-            transfer.gain(chosen.speed.prefill())
+            transfer.gain(chosen.server.prefill)
         };
         let store = self.store(request, service, chosen);
         // The store may have dropped the prefix, which a server that told of it has.
@@ -88,7 +88,7 @@
         let others = others.filter(is_source).filter(|s| s.accepts(now));
         let rendezvous = Rendezvous::new(request.prompt.prefix());
         let blocks = request.prompt.blocks();
-        let rate = chosen.speed.prefill();
+        let rate = chosen.server.prefill;
         let lacking = request.prompt.prefix_tokens().saturating_sub(cached);
         let options = others.filter_map(|s| {
             // Only confirmed blocks count: a server that was sent the prompt may not have computed
--- a/azureway-core/tests/pace.rs
+++ b/azureway-core/tests/pace.rs
@@ -242,7 +242,6 @@
         arrived: millis(now),
         weights: WeightsVersion::ZERO,
         max_output: TokenCount::ZERO,
-        expected_output: TokenCount::ZERO,
         usage: None,
         idempotency_key: None,
     }
--- a/azureway-core/tests/routing/world.rs
+++ b/azureway-core/tests/routing/world.rs
@@ -69,7 +69,6 @@
             arrived: self.now,
             weights,
             max_output: TokenCount::new(10),
-            expected_output: TokenCount::new(10),
             usage: None,
             idempotency_key: None,
         };
--- a/azureway-core/tests/site_runs/world/mod.rs
+++ b/azureway-core/tests/site_runs/world/mod.rs
@@ -182,7 +182,6 @@
             arrived: self.now,
             weights: service.weights,
             max_output: TokenCount::new(100),
-            expected_output: TokenCount::new(100),
             usage: None,
             idempotency_key: None,
         };
--- a/azureway-core/tests/support/mod.rs
+++ b/azureway-core/tests/support/mod.rs
@@ -67,7 +67,6 @@
             arrived: self.now,
             weights,
             max_output: TokenCount::new(100),
-            expected_output: TokenCount::new(100),
             usage: None,
             idempotency_key: None,
         }
--- a/azureway-dev/src/bench/router_fixture.rs
+++ b/azureway-dev/src/bench/router_fixture.rs
@@ -97,7 +97,6 @@
             weights,
             prompt: PromptBlocks::from_blocks(salt, blocks(prefix * PROMPT_BLOCKS), 2),
             max_output: TokenCount::new(100),
-            expected_output: TokenCount::new(100),
             usage: None,
             idempotency_key: None,
             fingerprint: Fingerprint::from_bytes(u128::from(self.sequence).to_be_bytes()),
--- a/azureway-dev/src/replay/request_factory.rs
+++ b/azureway-dev/src/replay/request_factory.rs
@@ -61,7 +61,6 @@
             time_limit: None,
             prompt,
             max_output: TokenCount::new(request.output),
-            expected_output: TokenCount::new(request.output),
             usage: None,
             idempotency_key: at_most_once.then(|| IdempotencyKey::new(&unique)),
         }
--- a/azureway-entry/src/admit/reader.rs
+++ b/azureway-entry/src/admit/reader.rs
@@ -149,7 +149,6 @@
             weights: service.weights,
             prompt,
             max_output: output,
-            expected_output: output,
             usage: None,
             idempotency_key: self.header(header::IDEMPOTENCY_KEY, "a non-empty key", |t| {
                 (!t.is_empty()).then(|| IdempotencyKey::new(t))
--- a/azureway-entry/src/routed/call_metadata.rs
+++ b/azureway-entry/src/routed/call_metadata.rs
@@ -20,8 +20,6 @@
     pub parts: SmallVec<[PromptPart<'a>; 6]>,
     /// The largest number of tokens that the answer may have.
     pub max_output: TokenCount,
-    /// The caller's estimate of the number of tokens of the answer, if it sent one.
-    pub length_hint: Option<TokenCount>,
     /// The tokens that the caller states for the prompt and the longest answer together.
     pub usage: Option<TokenCount>,
 }
--- a/azureway-entry/src/routed/call_reader.rs
+++ b/azureway-entry/src/routed/call_reader.rs
@@ -86,9 +86,6 @@
             weights: service.weights,
             prompt: prompt_blocks(salt, metadata),
             max_output: metadata.max_output,
-            expected_output: metadata
-                .length_hint
-                .map_or(metadata.max_output, |hint| hint.min(metadata.max_output)),
             usage: metadata.usage,
             idempotency_key: None,
             fingerprint: Fingerprint::of(account.id.as_str(), &target, &call.body),
