--- a/azureway-core/src/router/sharing.rs
+++ b/azureway-core/src/router/sharing.rs
@@ -130,7 +130,11 @@
         let servers = self.servers.in_pool(&service.pool);
         let home = servers.max_by_key(|s| rendezvous.weight(&s.server.id))?;
         let distance = |s: &&CacheStore| Locality::between(self.fleet, &home.server.zone, &s.zone);
-        service.stores.iter().min_by_key(distance)
+        let store = service.stores.iter().min_by_key(distance)?;
+        // Many servers share the link of a store, which transfers to other regions would fill.
+        let zone = &chosen.server.zone;
+        let near = Locality::between(self.fleet, zone, &store.zone) != Locality::Remote;
+        near.then_some(store)
     }
 
     /// Returns the transfer of blocks between the chosen server and `zone`.
--- a/azureway-core/src/watch/watch_schedule.rs
+++ b/azureway-core/src/watch/watch_schedule.rs
@@ -23,6 +23,8 @@
     check_timer: Backoff,
     poll_timeout: Duration,
     batch_delay: Duration,
+    /// Whether the batch delay grows while each answer reports changes.
+    gathers: bool,
     /// The number of answers in a row that reported changes.
     bursts: u32,
 }
@@ -51,6 +53,7 @@
             check_timer: Backoff::new(CHECK_INTERVAL, CHECK_INTERVAL, seed),
             poll_timeout: POLL_TIMEOUT,
             batch_delay: Duration::ZERO,
+            gathers: false,
             bursts: 0,
         }
     }
@@ -69,6 +72,13 @@
         self
     }
 
+    /// Sets whether the batch delay grows while each answer reports changes.
+    #[must_use]
+    pub const fn with_gathering(mut self, gathers: bool) -> Self {
+        self.gathers = gathers;
+        self
+    }
+
     /// Records whether the entry is selected to watch.
     pub fn set_selected(&mut self, selected: bool, now: Timestamp) {
         if selected && !self.selected {
@@ -110,6 +120,7 @@
     /// watch waits longer for them to accumulate.
     pub fn record_changes(&mut self, count: usize) {
         self.bursts = match count {
+            _ if !self.gathers => 0,
             0 => 0,
             _ => (self.bursts + 1).min(MAX_BURSTS),
         };
--- a/azureway-core/tests/watch_schedule.rs
+++ b/azureway-core/tests/watch_schedule.rs
@@ -44,7 +44,8 @@
 #[gtest]
 fn watches_wait_longer_while_each_answer_reports_changes() {
     const DELAY: Duration = Duration::from_millis(200);
-    let mut schedule = WatchSchedule::new(7).with_timing(POLL_TIMEOUT, DELAY, BACKOFF_CAP);
+    let schedule = WatchSchedule::new(7).with_timing(POLL_TIMEOUT, DELAY, BACKOFF_CAP);
+    let mut schedule = schedule.with_gathering(true);
     for (changes, delays) in [(1, 1), (3, 2), (1, 3), (1, 3), (0, 1), (2, 1)] {
         schedule.record_success(5, START);
         schedule.record_changes(changes);
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -230,14 +230,16 @@
         rings.clock.now(),
         site_settings.startup_grace.saturating_sub(ROLLOUT_MARGIN),
     );
+    let relays = ZoneLink::relays(site_settings.change_limit);
     let reports = Arc::new(Mutex::new(ReportTimes::new()));
     for kind in SiteKind::ALL {
-        let schedule = WatchSchedule::new(process_id).with_timing(
-            kind.poll_timeout(),
-            BATCH_DELAY,
-            BACKOFF_CAP,
-        );
-        let relays = site_settings.change_limit >= ZoneLink::MIN_LIMIT;
+        let wait = match relays {
+            true => kind.poll_timeout(),
+            false => kind.own_timeout(),
+        };
+        let schedule = WatchSchedule::new(process_id)
+            .with_timing(wait, BATCH_DELAY, BACKOFF_CAP)
+            .with_gathering(relays);
         let client = ZoneClient::new(rings.peer.clone());
         let zone = ZoneLink::new(client, Arc::clone(&rings.zone)).with_relays(relays);
         let (api, updates) = (api.clone(), update_tx.clone());
@@ -276,10 +278,14 @@
     process_id: u64,
 ) -> Result<(), Error> {
     let margin = site_settings.lease_term / MARGIN_DIVISOR;
+    let observed = match ZoneLink::relays(site_settings.change_limit) {
+        true => LEASE_READS,
+        false => 1,
+    };
     let config = LeaseConfig::new()
         .with_term(site_settings.lease_term, margin)
         .with_cooldown(site_settings.lease_term)
-        .with_observed(LEASE_READS)
+        .with_observed(observed)
         .with_single_process();
     let lease = Lease::new(config, settings.instance.clone(), process_id);
     let config = OrderConfig::new()
--- a/azureway-entry/src/daemon/parts.rs
+++ b/azureway-entry/src/daemon/parts.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::{QuarantineClient, QuarantineWriter};
 use crate::runtime;
 use crate::watch::{Registrar, SelectionNotifier};
+use crate::zone::ZoneLink;
 
 /// The capacity of the ring to the duty that stores quarantined parts. Parts that crash servers are
 /// few, and during an outage of the platform they wait there.
@@ -35,7 +36,9 @@
     let me = Instance::new(settings.instance.clone(), settings.zone.clone(), address);
     let me = me.with_incarnation(incarnation);
     let selection = SelectionNotifier::new(me.id.clone(), rings.watch.clone(), rings.order.clone());
-    let zones = settings.site.as_ref().map_or(0, |s| s.zones.len());
+    let site = settings.site.as_ref();
+    let site = site.filter(|s| ZoneLink::relays(s.change_limit));
+    let zones = site.map_or(0, |s| s.zones.len());
     let selection = selection.with_zones(zones);
     let now = rings.clock.now();
     let membership = Membership::new(
--- a/azureway-entry/src/site/kind.rs
+++ b/azureway-entry/src/site/kind.rs
@@ -23,6 +23,9 @@
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The same for named weights, whose readers must answer again soon after a change.
 const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(1);
+/// The same for named weights where each entry reads the platform for itself. Weights count as named since the end
+/// of the last watch that reported none, and the time until then is lost to their rollout.
+const OWN_WEIGHTS_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same for quarantined parts, which peers also tell of. Fewer calls cost less.
 const QUARANTINE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -47,6 +50,14 @@
         }
     }
 
+    /// Returns the same where each entry reads the platform for itself.
+    pub const fn own_timeout(self) -> Duration {
+        match self {
+            Self::Weights => OWN_WEIGHTS_TIMEOUT,
+            _ => self.poll_timeout(),
+        }
+    }
+
     /// Returns the time for which an entry that reads the platform for its zone holds a request open when
     /// nothing changes. Waiting there costs the platform nothing, so it is not as short as some watches.
     pub fn relay_wait(self) -> Duration {
--- a/azureway-entry/src/zone/zone_link.rs
+++ b/azureway-entry/src/zone/zone_link.rs
@@ -42,6 +42,11 @@
     /// watch of the reader hangs, its answer is late, and then this entry reads the platform itself.
     pub const MIN_LIMIT: Duration = Duration::from_millis(3_100);
 
+    /// Returns whether news may come through a reader where changes must be in force within `limit`.
+    pub fn relays(limit: Duration) -> bool {
+        limit >= Self::MIN_LIMIT
+    }
+
     /// Creates a link that asks through `client` and keeps what is read in `cache`.
     pub const fn new(client: ZoneClient, cache: Arc<ZoneCache>) -> Self {
         Self {
