Give the figures of a zone a file of their own, and skip dates that do not count

Cause: two types stood in one file; the dates of an answer that cannot be dated by others were computed, under the lock that all watchers share, and dropped. Change: ZoneReport moves to its own file; such answers return before the lock. Behaviour is as before.

--- a/azureway-core/src/admit/limit_share.rs
+++ b/azureway-core/src/admit/limit_share.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
+use super::zone_report::ZoneReport;
 use super::{AccountUse, GroupUse, ZoneDemand};
 use crate::domain::{AccountId, Timestamp, TokenRate, ZoneId};
 
@@ -24,14 +25,6 @@
     history: VecDeque<(Timestamp, HashMap<AccountId, f64>)>,
 }
 
-/// The figures of one availability zone.
-#[derive(Clone, Debug)]
-struct ZoneReport {
-    measured: Timestamp,
-    entries: u32,
-    accounts: HashMap<AccountId, (f64, f64)>,
-}
-
 /// The fraction of a limit that is divided equally over all entries.
 const EQUAL_SHARE: f64 = 0.1;
 /// The time after which the figures of a zone are stale.
--- a/azureway-core/src/admit/mod.rs
+++ b/azureway-core/src/admit/mod.rs
@@ -17,6 +17,7 @@
 mod service_rate;
 mod token_bucket;
 mod zone_demand;
+mod zone_report;
 
 pub use account_level::AccountLevel;
 pub use account_limits::AccountLimits;
--- a/azureway-entry/src/site/change_dates.rs
+++ b/azureway-entry/src/site/change_dates.rs
@@ -20,11 +20,13 @@
     /// A list, and a watch after a failure, may hold only the last of several changes of an object,
     /// of which the first is not dated by the last.
     pub(super) fn reported_since(&self, call: &AnsweredCall, list: &ObjectList) -> Timestamp {
-        let complete = self.after.is_some() && !call.wait.is_zero() && !call.is_late();
+        if self.after.is_none() || call.wait.is_zero() || call.is_late() {
+            return Timestamp::ZERO;
+        }
         let (reports, era) = (self.lock_reports(), self.api.era());
         let since = |o: &ObjectBody| reports.since(era, o.version).unwrap_or(Timestamp::ZERO);
         let earliest = list.objects.iter().map(since).min();
-        earliest.filter(|_| complete).unwrap_or(Timestamp::ZERO)
+        earliest.unwrap_or(Timestamp::ZERO)
     }
 
     /// Records the answer to `call` for the watches of the other kinds.
