Show that a resumed stream without an event counts as complete

Cause: an answer without a length that ends before its first event is taken for broken only at the first position of the stream. A server that crashes as it resumes a stream ends it for the caller.

--- a/review/stand2/main.rs
+++ b/review/stand2/main.rs
@@ -5,6 +5,7 @@
 //! of its own so that it can be killed.
 
 mod case_parts;
+mod case_resume;
 mod client;
 mod deployment;
 mod entry;
@@ -59,6 +60,7 @@
     process::end_after(TIME_LIMIT);
     let result = match name {
         "parts" => case_parts::play(&record, trouble),
+        "resume" => case_resume::play(&record, trouble),
         _ => Err(format!("no case {name}")),
     };
     let (status, text) = match result {
