Show that new prompt parts in answered requests hold up an entry

Cause: when the record of answered parts is full of recent ones, each further part goes through all of them and drops none, on the deciding thread.

--- a/review/stand2/main.rs
+++ b/review/stand2/main.rs
@@ -4,6 +4,7 @@
 //! broken, 0 if it held and 2 if the case could not run. `stand2 server ...` is one backend server, a process
 //! of its own so that it can be killed.
 
+mod case_answers;
 mod case_head;
 mod case_memory;
 mod case_parts;
@@ -64,6 +65,7 @@
         "parts" => case_parts::play(&record, trouble),
         "resume" => case_resume::play(&record, trouble),
         "memory" => case_memory::play(&record, trouble),
+        "answers" => case_answers::play(&record, trouble),
         "head" => case_head::play(&record, trouble),
         _ => Err(format!("no case {name}")),
     };
