Show that requests that crash servers are forgotten when all entries restart

Cause: crash reports about whole requests are told to peers alone, while those about parts of prompts are stored at the platform. When all entries are killed at once, a request that was quarantined is sent to servers again.

Change: case 10 of the review, a script, with several entries in the stand-ins.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/review/stand2 ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review/stand2 case answers "$folder"
+exec target/review/stand2 case forget "$folder"
--- a/review/stand2/case_answers.rs
+++ b/review/stand2/case_answers.rs
@@ -27,7 +27,7 @@
 /// Plays the case. The disruption is that the clients' prompts have many parts instead of two.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let deployment = Deployment::start(record, &SERVERS)?;
-    let address = deployment.entry.address;
+    let address = deployment.entries[0].address;
     let ordinary = Ordinary::start(address, record);
     let (end, numbers) = (Instant::now() + TIME, Arc::new(AtomicU64::new(0)));
     let clients = (0..CLIENTS).map(|_| {
--- a/review/stand2/case_head.rs
+++ b/review/stand2/case_head.rs
@@ -16,7 +16,7 @@
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let deployment = Deployment::start(record, &[("i-app-1", "app")])?;
     let mut client =
-        Client::connect(deployment.entry.address, PATIENCE).map_err(|e| e.to_string())?;
+        Client::connect(deployment.entries[0].address, PATIENCE).map_err(|e| e.to_string())?;
     if trouble {
         deployment.store.put("config", "main", &config(2, false));
         record.note("the configuration no longer has the path /status/");
--- a/review/stand2/case_memory.rs
+++ b/review/stand2/case_memory.rs
@@ -32,7 +32,7 @@
         false => "5c1e07a2:119,91bd3f06:79".to_owned(),
     };
     let parts = generation(&parts);
-    let process = deployment.entry.process;
+    let process = deployment.entries[0].process;
     let parts_bytes = parts.len() - generation("").len();
     record.note(format!(
         "{CLIENTS} clients send requests of {} bytes",
@@ -40,7 +40,7 @@
     ));
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
-        let client = Client::connect(deployment.entry.address, Duration::from_secs(16));
+        let client = Client::connect(deployment.entries[0].address, Duration::from_secs(16));
         let mut client = client.map_err(|e| e.to_string())?;
         let (id, body) = (format!("p{number:04}"), format!("prompt {number:04}"));
         client
@@ -56,7 +56,7 @@
     }
     let most = process.status("VmHWM").unwrap_or(0) * 1_024;
     let alive = process.is_alive();
-    let mut client = Client::connect(deployment.entry.address, Duration::from_secs(4))
+    let mut client = Client::connect(deployment.entries[0].address, Duration::from_secs(4))
         .map_err(|e| e.to_string())?;
     let sent = client.send("GET /plain/1", "o1", 3_000, "", "");
     let answer = sent.and_then(|()| client.read_head()).ok().flatten();
--- a/review/stand2/case_parts.rs
+++ b/review/stand2/case_parts.rs
@@ -21,7 +21,7 @@
 /// Plays the case. The disruption is that servers crash, each while it runs a request of this kind.
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let mut deployment = Deployment::start(record, &SERVERS)?;
-    let address = deployment.entry.address;
+    let address = deployment.entries[0].address;
     let used = request("POST /hold/1", "p00", 15_000, &generation(""), "prompt 00").len();
     let parts = generation(&long_prefix(HEAD_BYTES, used, 0));
     record.note(format!(
--- a/review/stand2/case_resume.rs
+++ b/review/stand2/case_resume.rs
@@ -18,7 +18,7 @@
 pub fn play(record: &Record, trouble: bool) -> Result<Verdict, String> {
     let deployment = Deployment::start(record, &SERVERS)?;
     let mut client =
-        Client::connect(deployment.entry.address, PATIENCE).map_err(|e| e.to_string())?;
+        Client::connect(deployment.entries[0].address, PATIENCE).map_err(|e| e.to_string())?;
     let parts = generation("5c1e07a2:119,91bd3f06:79");
     client
         .send("POST /draft/1", "c1", 15_000, &parts, "notes")
--- a/review/stand2/deployment.rs
+++ b/review/stand2/deployment.rs
@@ -1,4 +1,4 @@
-//! A small deployment: a store, backend servers and an entry instance.
+//! A small deployment: a store, backend servers and entry instances.
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -17,12 +17,12 @@
 pub struct Deployment {
     /// The store.
     pub store: Store,
-    /// The entry instance.
-    pub entry: Entry,
+    /// The entry instances.
+    pub entries: Vec<Entry>,
     record: Record,
     servers: BTreeMap<String, Running>,
     _guard: Guard,
-    _folder: Folder,
+    folder: Folder,
 }
 
 /// A backend server that runs or was killed.
@@ -59,8 +59,17 @@
 const START_LIMIT: Duration = Duration::from_secs(15);
 
 impl Deployment {
-    /// Starts the servers of `services`, each with a name and its service, and an entry instance.
+    /// Starts the servers of `services`, each with a name and its service, and one entry instance.
     pub fn start(record: &Record, services: &[(&str, &'static str)]) -> Result<Self, String> {
+        Self::start_with(record, services, 1)
+    }
+
+    /// Starts the servers of `services` and `count` entry instances.
+    pub fn start_with(
+        record: &Record,
+        services: &[(&str, &'static str)],
+        count: usize,
+    ) -> Result<Self, String> {
         let guard = Guard;
         let store = Store::start().map_err(|e| e.to_string())?;
         store.put("config", "main", &config(1, true));
@@ -82,31 +91,48 @@
             store.put("servers", name, &running.spec());
             servers.insert((*name).to_owned(), running);
         }
-        let entry = Entry::start("front-kranj-a-1", store.address(), &folder.0)?;
-        let deployment = Self {
+        let mut deployment = Self {
             store,
-            entry,
+            entries: Vec::new(),
             record: record.clone(),
             servers,
+            folder,
             _guard: guard,
-            _folder: folder,
         };
-        deployment.wait_ready()?;
+        deployment.start_entries(count)?;
         Ok(deployment)
     }
 
+    fn start_entries(&mut self, count: usize) -> Result<(), String> {
+        for number in 1..=count {
+            let name = format!("front-kranj-a-{number}");
+            let entry = Entry::start(&name, self.store.address(), &self.folder.0)?;
+            self.entries.push(entry);
+        }
+        self.wait_ready()
+    }
+
+    /// Kills all entry instances at once, and starts them again after `down`.
+    pub fn kill_entries(&mut self, down: Duration) -> Result<(), String> {
+        let entries = std::mem::take(&mut self.entries);
+        entries.iter().for_each(|e| e.process.kill());
+        self.record.note("all entry instances were killed");
+        sleep(down);
+        self.start_entries(entries.len())
+    }
+
     fn wait_ready(&self) -> Result<(), String> {
         let end = Instant::now() + START_LIMIT;
         while Instant::now() < end {
-            if client::is_ready(self.entry.ready) {
-                self.record.note("the entry instance is ready");
+            if self.entries.iter().all(|e| client::is_ready(e.ready)) {
+                self.record.note("the entry instances are ready");
                 // The readers of cache events connect, and the first lists are read.
                 sleep(Duration::from_millis(1_500));
                 return Ok(());
             }
             sleep(Duration::from_millis(100));
         }
-        Err("the entry instance is not ready".to_owned())
+        Err("an entry instance is not ready".to_owned())
     }
 
     /// Kills a backend server.
@@ -199,6 +225,7 @@
         ),
         route("plain", "safe", "app", 1_500, 2, ""),
     ];
+    routes.push(route("order", "unsafe", "app", 1_500, 1, ""));
     if with_status {
         routes.push(route("status", "safe", "app", 1_500, 2, ""));
     }
--- a/review/stand2/main.rs
+++ b/review/stand2/main.rs
@@ -5,6 +5,7 @@
 //! of its own so that it can be killed.
 
 mod case_answers;
+mod case_forget;
 mod case_head;
 mod case_memory;
 mod case_parts;
@@ -66,6 +67,7 @@
         "resume" => case_resume::play(&record, trouble),
         "memory" => case_memory::play(&record, trouble),
         "answers" => case_answers::play(&record, trouble),
+        "forget" => case_forget::play(&record, trouble),
         "head" => case_head::play(&record, trouble),
         _ => Err(format!("no case {name}")),
     };
--- a/review/stand2/server.rs
+++ b/review/stand2/server.rs
@@ -2,6 +2,8 @@
 //!
 //! - `/plain/...`, `/status/...`: a short answer after 20 ms.
 //! - `/hold/...`: an event stream whose first event comes after [`HOLD`].
+//! - `/order/...`: a short answer after 300 ms.
+//! - `/order/poison/...`: the server crashes as it begins to run the request.
 //! - `/quick/...`: a stream of one event, at once.
 //! - `/draft/...`: a stream of [`EVENTS`] events. A run that is resumed sends its head, reads the prompt again
 //!   for [`PREFILL`] and goes on after `Last-Event-Id`; its answer has no length and ends with its connection.
@@ -15,6 +17,8 @@
 use crate::http::{Head, json, read_sized};
 use crate::record::Record;
 
+/// The time that an order takes.
+const ORDER: Duration = Duration::from_millis(300);
 /// The time until the first event of a held request.
 const HOLD: Duration = Duration::from_secs(8);
 /// The number of events of a stream.
@@ -91,6 +95,20 @@
         );
         let stream_head =
             format!("{signed}Content-Type: text/event-stream\r\nAzureway-Weight-Versions: 1\r\n");
+        if path.starts_with("/order/poison/") {
+            self.record
+                .note(format!("server {} crashes on {id}", self.name));
+            std::process::exit(1);
+        }
+        if path.starts_with("/order/") {
+            sleep(ORDER);
+            self.record.note(format!("server {} ends {id}", self.name));
+            let body = format!("the answer to {id}");
+            let length = body.len();
+            stream
+                .write_all(format!("{signed}Content-Length: {length}\r\n\r\n{body}").as_bytes())?;
+            return Ok(true);
+        }
         if path.starts_with("/plain/") || path.starts_with("/status/") {
             sleep(Duration::from_millis(20));
             let body = format!("the answer to {id}");
