Fail an unsized answer whose connection was reset

Callers received the first part of an answer as the whole one. The backend server had answered a long upload at once without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the write failed with ECONNRESET, which the system reports once. The reads that followed returned the bytes received so far and then the end of the connection, which is also the end of a body without a length.

Change: the connection records that a write failed with an error other than a time limit or EPIPE. A body without a length then ends with an error. EPIPE is left out because Linux returns it only once the peer has closed its side, so a body that ended before the reset is still delivered.

Measured: an_early_answer_without_a_length_is_incomplete_if_its_connection_is_reset failed before. The attempt forwarded "par" with 200 and with 404, held it as the fallback of a 500, and ended a stream as complete after its first event. It passes now. an_early_answer_without_a_length_is_complete_if_its_connection_ends_before_the_reset passed before and passes now.

--- a/azureway-entry/src/exchange/body_stream.rs
+++ b/azureway-entry/src/exchange/body_stream.rs
@@ -13,6 +13,8 @@
     Chunked(ChunkedBody<'a>),
     /// A body that ends when the connection closes.
     Closing(&'a mut BufReader<TimedSocket>),
+    /// A body that would end when the connection closes, on a connection that was reset.
+    Reset(EofAsError<&'a mut BufReader<TimedSocket>>),
 }
 
 impl<'a> BodyStream<'a> {
@@ -32,6 +34,7 @@
             Self::Sized(body) => body.read(buffer),
             Self::Chunked(body) => body.read(buffer),
             Self::Closing(body) => body.read(buffer),
+            Self::Reset(body) => body.read(buffer),
         }
     }
 }
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -9,12 +9,14 @@
 use socket2::{SockRef, TcpKeepalive};
 
 use super::timed_socket::nonzero;
-use super::{AnswerHead, BodyStream, Framing, TimedSocket};
+use super::{AnswerHead, BodyStream, EofAsError, Framing, TimedSocket};
 
 /// A connection to a backend server, which carries one request at a time.
 #[derive(Debug)]
 pub struct BackendConnection {
     reader: BufReader<TimedSocket>,
+    /// Whether a failed write has reported the error of the connection, so that reads do not.
+    reset: bool,
     /// The attempt ID of the last request, if the server rejected it.
     rejected: Option<Box<str>>,
     /// The incarnation of the server that the connection was opened to, if known.
@@ -57,6 +59,7 @@
         let reader = BufReader::with_capacity(READ_SIZE, TimedSocket::new(stream));
         Ok(Self {
             reader,
+            reset: false,
             rejected: None,
             incarnation: None,
         })
@@ -139,9 +142,9 @@
     /// # Errors
     ///
     /// Returns an error if the connection fails or a write blocks for longer than `limit`.
-    pub fn send(&self, bytes: &[u8], limit: Duration) -> io::Result<()> {
+    pub fn send(&mut self, bytes: &[u8], limit: Duration) -> io::Result<()> {
         self.stream().set_write_timeout(Some(nonzero(limit)))?;
-        self.stream().write_all(bytes)
+        self.write(bytes)
     }
 
     /// Sends the head and the body of a request. Only a short body is copied, to be sent with its head.
@@ -149,11 +152,22 @@
     /// # Errors
     ///
     /// Returns an error if the connection fails or a write blocks for longer than `limit`.
-    pub fn send_parts(&self, mut head: Vec<u8>, body: &[u8], limit: Duration) -> io::Result<()> {
+    pub fn send_parts(
+        &mut self,
+        mut head: Vec<u8>,
+        body: &[u8],
+        limit: Duration,
+    ) -> io::Result<()> {
         let (joined, rest) = body.split_at(body.len().min(MAX_JOINED));
         head.extend_from_slice(joined);
         self.send(&head, limit)?;
-        self.stream().write_all(rest)
+        self.write(rest)
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let written = self.stream().write_all(bytes);
+        self.reset |= written.as_ref().is_err_and(hides_reset);
+        written
     }
 
     /// Sets how long a read waits for bytes.
@@ -217,7 +231,10 @@
 
     /// Returns a reader of the body that follows a response head.
     pub fn body(&mut self, framing: Framing) -> BodyStream<'_> {
-        BodyStream::new(framing, &mut self.reader)
+        match framing {
+            Framing::Closing if self.reset => BodyStream::Reset(EofAsError(&mut self.reader)),
+            framing => BodyStream::new(framing, &mut self.reader),
+        }
     }
 
     /// Returns whether the connection can carry another request: the server has neither closed it
@@ -233,6 +250,17 @@
     }
 }
 
+/// Returns whether reads after a write that failed with `error` end as if the server had closed the
+/// connection, although it was reset or lost: the system reports the error of a connection once. A
+/// write that only reached its time limit leaves the connection as it is, and `EPIPE` means that the
+/// server had closed its side before.
+fn hides_reset(error: &io::Error) -> bool {
+    !matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::BrokenPipe
+    )
+}
+
 fn head_too_large() -> io::Error {
     io::Error::other("the response head is too large")
 }
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -444,6 +444,68 @@
     expect_that!(outcome(&reports).as_str(), eq("Busy Rejected"));
 }
 
+/// Starts an attempt whose request no socket buffers whole, and runs `script` of a server that reads only
+/// the beginning of it.
+fn answer_early(listener: &TcpListener, script: &str) -> (TcpStream, Started) {
+    let long = UpstreamRequest {
+        body: Arc::from(vec![b'a'; UNREAD_SIZE]),
+        ..upstream(true, Clock::new().now() + TEST_TIMEOUT)
+    };
+    let address = listener.local_addr().expect("an address");
+    let dispatch = dispatch(address, StreamPosition::ZERO);
+    let started = start_upstream(dispatch, long, &ConnectionPool::new(8), TEST_TIMEOUT);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let read = stream.read_exact(&mut [0; 64]);
+    read.expect("a part of the request");
+    run_script(&mut stream, script);
+    (stream, started)
+}
+
+// Guards against a part of an answer that counts as complete: the error of the connection is reported to
+// the write that fails, and later reads return the end of the connection.
+#[gtest]
+fn an_early_answer_without_a_length_is_incomplete_if_its_connection_is_reset() {
+    const STREAM: &str = "x-sign: 1~content-type: text/event-stream";
+    let rows = [
+        ("HTTP/1.1 200 OK~x-sign: 1~~par", "", "Broken MaybeRun"),
+        ("HTTP/1.1 404 None~x-sign: 1~~par", "", "Broken MaybeRun"),
+        ("HTTP/1.1 500 Error~x-sign: 1~~par", "", "Broken MaybeRun"),
+        (
+            &format!("HTTP/1.1 200 OK~{STREAM}~~id: 0#data: a##"),
+            "head; bytes id: 0#data: a##",
+            "Broken MaybeRun 1",
+        ),
+        ("HTTP/1.1 503 Full~x-not-run: 1~~par", "", "Busy Rejected"),
+        (
+            "HTTP/1.1 200 OK~x-sign: 1~content-length: 2~~ok",
+            "full ok",
+            "finished",
+        ),
+    ];
+    for (text, received, end) in rows {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (_stream, (answer, reports, _)) = answer_early(&listener, &format!("{text} reset"));
+        let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
+        expect_that!(join_chunks(&chunks).as_str(), eq(received), "{text}");
+        expect_that!(outcome(&reports).as_str(), eq(end), "{text}");
+    }
+}
+
+// Guards against the loss of a complete answer. A server that ends its answer and then closes the
+// connection without having read the request sends a reset after the end.
+#[gtest]
+fn an_early_answer_without_a_length_is_complete_if_its_connection_ends_before_the_reset() {
+    let script = "HTTP/1.1 200 OK~x-sign: 1~~ok close";
+    for resets in [true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (stream, (answer, reports, _)) = answer_early(&listener, script);
+        let _open = (!resets).then_some(stream);
+        let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
+        expect_that!(chunks, elements_are![eq("full ok")], "{resets}");
+        expect_that!(outcome(&reports).as_str(), eq("finished"), "{resets}");
+    }
+}
+
 #[gtest]
 fn a_request_to_an_unreachable_server_is_unsent() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
