Reject answers with differing lengths or several codings

Callers received an answer that was cut at the wrong place as complete. The response head of a backend server in trouble held two lengths, or two transfer codings.

Cause: the framing of a body was taken from the first Content-Length and the first Transfer-Encoding of the head. Later fields with the same name were ignored.

Change: the framing is ambiguous, and the attempt fails, if the lengths differ or if there is more than one coding. A length that is repeated unchanged is still accepted, as RFC 9112 allows.

--- a/azureway-entry/src/exchange/answer_head.rs
+++ b/azureway-entry/src/exchange/answer_head.rs
@@ -42,11 +42,13 @@
 
     /// Returns the first value of a header, ignoring the case of its name.
     pub fn get(&self, name: &str) -> Option<&str> {
-        let header = self
-            .headers
-            .iter()
-            .find(|(n, _)| n.eq_ignore_ascii_case(name));
-        header.map(|(_, value)| value.as_ref())
+        self.get_all(name).next()
+    }
+
+    /// Returns the values of all headers with a name, ignoring its case.
+    pub fn get_all<'a>(&'a self, name: &str) -> impl Iterator<Item = &'a str> {
+        let named = move |(n, _): &&(Box<str>, Box<str>)| n.eq_ignore_ascii_case(name);
+        self.headers.iter().filter(named).map(|(_, v)| v.as_ref())
     }
 
     /// Returns whether the status is a success (2xx).
--- a/azureway-entry/src/exchange/framing.rs
+++ b/azureway-entry/src/exchange/framing.rs
@@ -20,15 +20,18 @@
         if method == "HEAD" || matches!(head.status, 204 | 304) {
             return Some(Self::Sized(0));
         }
-        let length = head.get("content-length");
-        match (length, head.get("transfer-encoding")) {
+        let mut lengths = head.get_all("content-length");
+        let mut codings = head.get_all("transfer-encoding");
+        match (lengths.next(), codings.next()) {
             (None, None) => Some(Self::Closing),
-            (Some(length), None) => {
+            (Some(length), None) if lengths.all(|l| l == length) => {
                 let digits_only = length.bytes().all(|b| b.is_ascii_digit());
                 length.parse().ok().filter(|_| digits_only).map(Self::Sized)
             }
-            (None, Some(coding)) if coding.eq_ignore_ascii_case("chunked") => Some(Self::Chunked),
-            (_, Some(_)) => None,
+            (None, Some(coding)) if codings.next().is_none() => coding
+                .eq_ignore_ascii_case("chunked")
+                .then_some(Self::Chunked),
+            _ => None,
         }
     }
 }
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -1,6 +1,7 @@
 //! Tests of the outcome of an attempt for good and faulty answers of a backend server.
 
 mod attempt;
+mod broken_heads;
 mod dialect;
 
 use std::io::{Read, Write};
@@ -223,6 +224,26 @@
     }
 }
 
+#[gtest]
+fn an_answer_with_a_broken_head_reaches_no_caller() {
+    for row in broken_heads::read() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (answer, reports, _) = start_attempt(address, &ConnectionPool::new(8), true, 0);
+        let (mut stream, _) = serve(&listener, "hold");
+        stream.write_all(&row.bytes).expect("sent");
+        run_script(&mut stream, "close");
+        let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
+        expect_that!(chunks, is_empty(), "{}", row.fault);
+        expect_that!(
+            outcome(&reports).as_str(),
+            eq("Broken MaybeRun"),
+            "{}",
+            row.fault
+        );
+    }
+}
+
 /// The answer of a server that keeps the connection.
 const GOOD: &str = "HTTP/1.1 200 OK~x-sign: 1~content-length: 2~~ok hold";
 
