Trim only blanks and tabs from field values

Callers received the answer to a head whose length was damaged as complete.

Cause: field values were trimmed by Unicode's definition of white space, which includes the no-break space and the next-line character. A length next to such a character was read as a number.

Change: the values are taken as the parser returns them, without blanks and tabs around them. These are the only white space that RFC 9110 allows there.

--- a/azureway-entry/src/exchange/answer_head.rs
+++ b/azureway-entry/src/exchange/answer_head.rs
@@ -29,7 +29,7 @@
         };
         let owned = |h: &httparse::Header<'_>| {
             let value = std::str::from_utf8(h.value).map_err(|_| httparse::Error::HeaderValue)?;
-            Ok((h.name.into(), value.trim().into()))
+            Ok((h.name.into(), value.into()))
         };
         let headers: Result<_, httparse::Error> = answer.headers.iter().map(owned).collect();
         let head = Self {
