Reject response heads that mix CRLF and LF

Callers received the rest of a response head as the body of a complete answer.

Cause: the parser accepts a bare LF as the end of a line, as RFC 9112 allows, also in a head whose other lines end in CRLF. A damaged line that consisted of an LF ended the head, and the Content-Length behind it became part of a body without a length.

Change: a head is an error unless all its lines end in the same way. Heads in which every line ends in LF are still accepted.

Measured: three rows of the table of broken heads failed before. One of them forwarded the body "content-length: 2\r\n\r\nok" as complete. All pass now, and so does a head that has only LFs.

--- a/azureway-entry/src/exchange/answer_head.rs
+++ b/azureway-entry/src/exchange/answer_head.rs
@@ -27,6 +27,9 @@
         let httparse::Status::Complete(length) = answer.parse(bytes)? else {
             return Ok(None);
         };
+        if !has_uniform_lines(&bytes[..length]) {
+            return Err(httparse::Error::NewLine);
+        }
         let owned = |h: &httparse::Header<'_>| {
             let value = std::str::from_utf8(h.value).map_err(|_| httparse::Error::HeaderValue)?;
             Ok((h.name.into(), value.into()))
@@ -68,3 +71,11 @@
         connection.eq_ignore_ascii_case("close")
     }
 }
+
+/// Returns whether the lines of a head all end in CRLF or all in LF. The parser accepts both, also in one
+/// head, where a damaged line could end the head early and turn the fields after it into a body.
+fn has_uniform_lines(head: &[u8]) -> bool {
+    let lines = || head.split_inclusive(|b| *b == b'\n');
+    let crlf = lines().filter(|l| l.ends_with(b"\r\n")).count();
+    crlf == 0 || crlf == lines().count()
+}
