Reject answers whose status is not one of HTTP

Callers received answers whose status is not defined, such as 600 and 999. Answers with a status below 100 were skipped like interim ones, so that what followed was taken for the answer.

Cause: the parser accepts any three digits. Every status below 200 counted as interim, and every other one as final.

Change: a head is an error if its status is not within 100 to 599, or if it is 101, which no request asks for.

--- a/azureway-entry/src/exchange/answer_head.rs
+++ b/azureway-entry/src/exchange/answer_head.rs
@@ -20,7 +20,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the bytes are not an HTTP/1.1 response head.
+    /// Returns an error if the bytes are not an HTTP/1.1 response head with a valid status.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, httparse::Error> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut answer = httparse::Response::new(&mut headers);
@@ -35,8 +35,10 @@
             Ok((h.name.into(), value.into()))
         };
         let headers: Result<_, httparse::Error> = answer.headers.iter().map(owned).collect();
+        // No request asks for another protocol, so 101 is not an answer to one.
+        let status = answer.code.filter(|s| matches!(s, 100 | 102..=599));
         let head = Self {
-            status: answer.code.ok_or(httparse::Error::Status)?,
+            status: status.ok_or(httparse::Error::Status)?,
             reason: answer.reason.unwrap_or_default().into(),
             headers: headers?,
         };
