Relay answers through the exchange's strict connections

Callers of the product's own interface received answers with broken response heads as complete, with a body that ended elsewhere than the backend server meant. Among them were heads with a blank or a control byte in the name of the length, heads with an unknown transfer coding, statuses such as 600, and answers in other protocols.

Cause: the relay read answers with attohttpc, which drops header lines whose name is not valid, does not check the protocol, ignores unknown codings, and accepts any status from 100 to 999. A length that was dropped left a body that ends with the connection.

Change: the relay sends its requests on the connections of the exchange and reads answers with the same parser and framing. A head that is not valid is still reported as Faulty, the weaker evidence of a crash. The path of a plain request is now sent as the caller wrote it, without normalization, the headers `accept` and `user-agent` are no longer added, and connections have the exchange's limits on unacknowledged bytes.

--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -189,7 +189,7 @@
     /// # Errors
     ///
     /// Returns an error if no complete response head is received. Its kind is `UnexpectedEof` if
-    /// the connection closed before the first byte.
+    /// the connection closed before the first byte, and `Other` if the head is not valid.
     pub fn read_head(&mut self) -> io::Result<AnswerHead> {
         let mut limit = MAX_HEAD_SIZE;
         loop {
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
 use crate::memory::{BodyBuffer, CHUNK_COST};
-use crate::relay::{AttemptError, BROKEN};
+use crate::relay::{AttemptError, BROKEN, FAULTY};
 
 /// One attempt at a request: sends it unchanged to a backend server and forwards the answer.
 #[derive(Debug)]
@@ -354,9 +354,6 @@
     }
 }
 
-/// The answer violates the interface of backend servers.
-const FAULTY: AttemptError = AttemptError::Server(FailureKind::Faulty, SendState::MaybeRun);
-
 /// Reads and drops a body of at most `limit` bytes.
 pub(super) fn discard_body(body: BodyStream<'_>, limit: u64) -> io::Result<()> {
     let count = io::copy(&mut body.take(limit + 1), &mut io::sink())?;
--- a/azureway-entry/src/relay/attempt_error.rs
+++ b/azureway-entry/src/relay/attempt_error.rs
@@ -16,16 +16,25 @@
 /// The answer was cut short, or its end cannot be determined.
 pub const BROKEN: AttemptError = AttemptError::Server(FailureKind::Broken, SendState::MaybeRun);
 
+/// The answer violates the interface of backend servers.
+pub const FAULTY: AttemptError = AttemptError::Server(FailureKind::Faulty, SendState::MaybeRun);
+
 impl AttemptError {
-    /// Returns the error of a request that was not sent or whose response head was not received.
-    pub fn from_send(error: &attohttpc::Error) -> Self {
+    /// Returns the error of a connection that was not established.
+    pub fn from_connect(error: &io::Error) -> Self {
         match error.kind() {
-            // Only a refused connection proves that the server received nothing.
-            attohttpc::ErrorKind::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            io::ErrorKind::ConnectionRefused => {
                 Self::Server(FailureKind::Unreachable, SendState::Unsent)
             }
-            attohttpc::ErrorKind::Io(e) => Self::from_read(e),
-            _ => Self::Server(FailureKind::Faulty, SendState::MaybeRun),
+            _ => Self::from_read(error),
+        }
+    }
+
+    /// Returns the error of a response head that was not received whole or is not valid.
+    pub fn from_head(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::Other => FAULTY,
+            _ => Self::from_read(error),
         }
     }
 
--- a/azureway-entry/src/relay/event_reader.rs
+++ b/azureway-entry/src/relay/event_reader.rs
@@ -2,7 +2,6 @@
 
 use std::io::{BufRead, BufReader, Read};
 
-use attohttpc::ResponseReader;
 use azureway_core::prelude::{ServerId, StreamPosition};
 use azureway_wire::sse::SseLine;
 
@@ -10,8 +9,8 @@
 
 /// Reads the events of one stream. The bytes from one new event to the next are bounded.
 #[derive(Debug)]
-pub struct EventReader {
-    reader: BufReader<ResponseReader>,
+pub struct EventReader<R> {
+    reader: BufReader<R>,
     line: String,
     data: String,
     /// The number of bytes since the last new event.
@@ -22,9 +21,9 @@
 /// and the events that a resumed stream repeats.
 const MAX_EVENT_SIZE: usize = 1024 * 1024;
 
-impl EventReader {
+impl<R: Read> EventReader<R> {
     /// Creates a reader of the events in a response body.
-    pub fn new(body: ResponseReader) -> Self {
+    pub fn new(body: R) -> Self {
         Self {
             reader: BufReader::new(body),
             line: String::new(),
--- a/azureway-entry/src/relay/mod.rs
+++ b/azureway-entry/src/relay/mod.rs
@@ -8,7 +8,7 @@
 mod relay_launcher;
 mod report_failure;
 
-pub use attempt_error::{AttemptError, BROKEN};
+pub use attempt_error::{AttemptError, BROKEN, FAULTY};
 pub use event_reader::EventReader;
 pub use gap_meter::GapMeter;
 pub use launch::Launch;
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -1,10 +1,9 @@
 //! One attempt of the relay, from sending the request to reporting the outcome.
 
+use std::fmt::Write as _;
 use std::io::Read;
 use std::sync::Arc;
 
-use attohttpc::header::HeaderMap;
-use attohttpc::{Method, RequestBuilder, Response};
 use azureway_config::settings::Bounds;
 use azureway_core::prelude::*;
 use azureway_wire::chat::UsageFrame;
@@ -12,10 +11,11 @@
 use azureway_wire::sse::SseLine;
 use flume::Sender;
 
-use super::{AttemptError, BROKEN, EventReader, GapMeter};
+use super::{AttemptError, BROKEN, EventReader, FAULTY, GapMeter};
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::decide::DecideMessage;
+use crate::exchange::{AnswerHead, BackendConnection, BodyStream, Framing};
 use crate::memory::{BodyBuffer, CHUNK_COST};
 
 /// One attempt at a backend server: sends the request and forwards the answer.
@@ -95,29 +95,42 @@
     }
 
     fn relay(&mut self) -> Result<(), AttemptError> {
-        let answer = self
-            .build_request()?
-            .send()
-            .map_err(|e| AttemptError::from_send(&e))?;
-        self.report_pause(answer.status().as_u16(), answer.headers());
-        self.report_leaving(answer.headers());
+        let (mut connection, head) = self.send_request()?;
+        self.report_pause(&head);
+        self.report_leaving(&head);
+        let framing = Framing::from_head(&head, &self.upstream.method).ok_or(FAULTY)?;
+        let body = connection.body(framing);
         match self.upstream.kind {
-            ServiceKind::Plain => self.forward_complete(answer),
-            ServiceKind::Model => match AttemptError::from_status(answer.status().as_u16()) {
+            ServiceKind::Plain => self.forward_complete(&head, body),
+            ServiceKind::Model => match AttemptError::from_status(head.status) {
                 Some(error) => Err(error),
-                None if answer.is_success() => self.forward_stream(answer),
-                None => self.forward_complete(answer),
+                None if head.is_success() => self.forward_stream(&head, body),
+                None => self.forward_complete(&head, body),
             },
         }
     }
 
+    /// Sends the request on a new connection. Returns the connection with the response head.
+    fn send_request(&self) -> Result<(BackendConnection, AnswerHead), AttemptError> {
+        let (address, limit) = (self.dispatch.address, self.bounds.event_timeout);
+        let connection = BackendConnection::open(address, self.bounds.connect_timeout);
+        let mut connection = connection.map_err(|e| AttemptError::from_connect(&e))?;
+        let failed = |e| AttemptError::from_read(&e);
+        connection.set_read_timeout(limit).map_err(failed)?;
+        let sent = connection.send_parts(self.encode_head(), &self.upstream.body, limit);
+        sent.map_err(failed)?;
+        let head = connection.read_head();
+        let head = head.map_err(|e| AttemptError::from_head(&e))?;
+        Ok((connection, head))
+    }
+
     /// Reports that the server asks for a pause. The report goes first, so that it holds for the
     /// decision about this request too.
-    fn report_pause(&self, status: u16, headers: &HeaderMap) {
-        let named = headers.get_all(header::PAUSE).iter();
-        let named = named.filter_map(|v| v.to_str().ok()?.trim().parse().ok());
+    fn report_pause(&self, head: &AnswerHead) {
+        let named = head.get_all(header::PAUSE);
+        let named = named.filter_map(|v| v.parse().ok());
         let pause = named.filter_map(|ms: u64| Pause::from_seconds(ms as f64 / 1_000.0));
-        if let Some(pause) = pause.max().filter(|_| status == 503) {
+        if let Some(pause) = pause.max().filter(|_| head.status == 503) {
             let notice = PauseNotice {
                 server: self.dispatch.server.clone(),
                 incarnation: self.dispatch.incarnation,
@@ -129,9 +142,8 @@
 
     /// Reports that a model engine leaves, if its answer says so. Plain services say nothing of
     /// themselves.
-    fn report_leaving(&self, headers: &HeaderMap) {
-        let value = headers.get(header::LEAVING).and_then(|v| v.to_str().ok());
-        let incarnation = value.and_then(|v| v.trim().parse().ok());
+    fn report_leaving(&self, head: &AnswerHead) {
+        let incarnation = head.get(header::LEAVING).and_then(|v| v.parse().ok());
         if let (Some(incarnation), ServiceKind::Model) = (incarnation, self.upstream.kind) {
             let _ = self.decide.send(DecideMessage::Announced(ServerUpdate {
                 server: self.dispatch.server.clone(),
@@ -141,61 +153,48 @@
         }
     }
 
-    fn build_request(
-        &self,
-    ) -> Result<RequestBuilder<attohttpc::body::Bytes<Arc<[u8]>>>, AttemptError> {
-        let faulty = AttemptError::Server(FailureKind::Faulty, SendState::Unsent);
-        let method = Method::from_bytes(self.upstream.method.as_bytes()).map_err(|_| faulty)?;
-        let url = format!("http://{}{}", self.dispatch.address, self.upstream.path);
-        let dispatch = &self.dispatch;
-        let request = RequestBuilder::try_new(method, url).map_err(|_| faulty)?;
-        let mut request = request
-            .connect_timeout(self.bounds.connect_timeout)
-            .read_timeout(self.bounds.event_timeout)
-            .follow_redirects(false)
-            .proxy_settings(attohttpc::ProxySettings::builder().build())
-            .try_header("content-type", self.upstream.content_type.as_ref())
-            .map_err(|_| faulty)?
-            .header(header::ATTEMPT, dispatch.attempt.to_string())
-            .header(header::RANK, dispatch.rank.as_str())
-            .header(header::SALT, dispatch.salt.number().to_string())
-            .header(header::WEIGHTS, dispatch.weights.to_string())
-            .header(header::RESUME, dispatch.position.to_string());
+    /// Returns the bytes of the request's head.
+    fn encode_head(&self) -> Vec<u8> {
+        let (upstream, dispatch) = (&self.upstream, &self.dispatch);
+        let mut head = format!("{} {} HTTP/1.1\r\n", upstream.method, upstream.path);
+        // Writing to a string does not fail.
+        let _ = write!(
+            head,
+            "host: {}\r\nconnection: close\r\ncontent-type: {}\r\ncontent-length: {}\r\n",
+            dispatch.address,
+            upstream.content_type,
+            upstream.body.len()
+        );
+        let _ = write!(head, "{}: {}\r\n", header::ATTEMPT, dispatch.attempt);
+        let _ = write!(head, "{}: {}\r\n", header::RANK, dispatch.rank.as_str());
+        let _ = write!(head, "{}: {}\r\n", header::SALT, dispatch.salt.number());
+        let _ = write!(head, "{}: {}\r\n", header::WEIGHTS, dispatch.weights);
+        let _ = write!(head, "{}: {}\r\n", header::RESUME, dispatch.position);
         if let Some(incarnation) = dispatch.incarnation {
-            request = request.header(header::INCARNATION, incarnation.to_string());
+            let _ = write!(head, "{}: {incarnation}\r\n", header::INCARNATION);
         }
-        let account = self.upstream.account.as_str();
-        if is_header_text(account) {
-            request = request
-                .try_header(header::ACCOUNT, account)
-                .map_err(|_| faulty)?;
+        if is_header_text(upstream.account.as_str()) {
+            let _ = write!(head, "{}: {}\r\n", header::ACCOUNT, upstream.account);
         }
-        if let Some(key) = &self.upstream.idempotency_key {
-            request = request
-                .try_header(header::IDEMPOTENCY_KEY, key.as_str())
-                .map_err(|_| faulty)?;
+        if let Some(key) = &upstream.idempotency_key {
+            let _ = write!(head, "{}: {key}\r\n", header::IDEMPOTENCY_KEY);
         }
-        Ok(request.bytes(Arc::clone(&self.upstream.body)))
+        head.push_str("\r\n");
+        head.into_bytes()
     }
 
-    fn forward_complete(&mut self, answer: Response) -> Result<(), AttemptError> {
-        let (status, headers, reader) = answer.split();
-        let content_type = headers.get("content-type").and_then(|v| v.to_str().ok());
+    fn forward_complete(
+        &mut self,
+        head: &AnswerHead,
+        body: BodyStream<'_>,
+    ) -> Result<(), AttemptError> {
+        let (status, content_type) = (head.status, head.get("content-type"));
         let content_type = content_type.unwrap_or("application/octet-stream");
-        let body = self.read_body(reader)?;
-        let length = headers.get("content-length").and_then(|v| v.to_str().ok());
-        let cut_short = length.is_some_and(|l| l.parse() != Ok(body.len()));
-        if cut_short || body.len() as u64 > MAX_BODY_SIZE {
-            return Err(BROKEN);
-        }
+        let body = self.read_body(body)?;
         self.report_start();
-        self.stored_answer = self.storable(status.as_u16(), content_type, &body);
+        self.stored_answer = self.storable(status, content_type, &body);
         // The server has completed the request even if the caller has disconnected.
-        let _ = self.send_chunk(AnswerChunk::Complete(
-            status.as_u16(),
-            content_type.into(),
-            body,
-        ));
+        let _ = self.send_chunk(AnswerChunk::Complete(status, content_type.into(), body));
         Ok(())
     }
 
@@ -236,19 +235,17 @@
         ShortAnswer::new(status, content_type, body)
     }
 
-    fn forward_stream(&mut self, answer: Response) -> Result<(), AttemptError> {
-        let (_, headers, reader) = answer.split();
+    fn forward_stream(
+        &mut self,
+        head: &AnswerHead,
+        body: BodyStream<'_>,
+    ) -> Result<(), AttemptError> {
         // The answer to another request must not reach this caller.
-        if headers
-            .get(header::ATTEMPT)
-            .is_some_and(|a| *a != self.dispatch.attempt.to_string())
-        {
-            return Err(AttemptError::Server(
-                FailureKind::Faulty,
-                SendState::MaybeRun,
-            ));
+        let attempt = self.dispatch.attempt.to_string();
+        if head.get(header::ATTEMPT).is_some_and(|a| a != attempt) {
+            return Err(FAULTY);
         }
-        let mut events = EventReader::new(reader);
+        let mut events = EventReader::new(body);
         loop {
             let (position, data) = events.next_event(&self.dispatch.server)?;
             if self.chunks.is_disconnected() {
