Count orders with broken answers as unanswered

An order to load weights counted as rejected when its answer had a status such as 600 or 101, although the backend server may carry it out. It counted as accepted when the transfer coding of its answer was unknown.

Cause: the library that makes the calls accepts any status from 100 to 999, and reads a body with an unknown coding up to the end of the connection.

Change: such answers are errors, so that the order counts as unanswered.

In a trial with the table of broken heads, the library also accepted heads that mix CRLF and LF, and those with both a length and a coding. Orders take only the status from these, and a report must still be JSON.

--- a/azureway-entry/src/exchange/server_call.rs
+++ b/azureway-entry/src/exchange/server_call.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1;
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Builder;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -97,6 +98,7 @@
     let answer = async {
         let response = sender.send_request(request).await;
         let response: Response<Incoming> = response.map_err(|e| e.to_string())?;
+        check_head(&response)?;
         let status = response.status().as_u16();
         let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
         let body = body.map_err(|e| e.to_string())?.to_bytes();
@@ -115,6 +117,20 @@
     }
 }
 
+/// Checks what the library leaves to its users: the range of the status and the transfer codings.
+fn check_head(response: &Response<Incoming>) -> Result<(), String> {
+    if !(200..600).contains(&response.status().as_u16()) {
+        return Err(format!("the status {} is not valid", response.status()));
+    }
+    let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
+    let first = codings.next().map(HeaderValue::as_bytes);
+    let known = first.is_none_or(|coding| coding.eq_ignore_ascii_case(b"chunked"));
+    match known && codings.next().is_none() {
+        true => Ok(()),
+        false => Err("the transfer coding is not known".to_owned()),
+    }
+}
+
 fn not_sent(address: SocketAddr, cause: impl Display) -> CallError {
     CallError::NotSent(error(address, cause))
 }
