Share the fixtures of the new tests, and split the relay's sending

Change: the fixtures are modules, the relay sends its request in a file of its own as the exchange does, and the table of broken heads is also sent to the entry's own calls.

--- a/azureway-entry/src/exchange/chunked_body.rs
+++ b/azureway-entry/src/exchange/chunked_body.rs
@@ -46,7 +46,7 @@
         self.read_line()?;
         match self.line.is_empty() {
             true => Ok(()),
-            false => Err(invalid("a chunk is longer than its size")),
+            false => Err(invalid("a chunk does not end in a line break")),
         }
     }
 
--- a/azureway-entry/src/relay/mod.rs
+++ b/azureway-entry/src/relay/mod.rs
@@ -7,6 +7,7 @@
 mod relay_attempt;
 mod relay_launcher;
 mod report_failure;
+mod send_request;
 
 pub use attempt_error::{AttemptError, BROKEN, FAULTY};
 pub use event_reader::EventReader;
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt of the relay, from sending the request to reporting the outcome.
 
-use std::fmt::Write as _;
 use std::io::Read;
 use std::sync::Arc;
 
@@ -15,15 +14,15 @@
 use crate::admit::UpstreamRequest;
 use crate::caller::AnswerChunk;
 use crate::decide::DecideMessage;
-use crate::exchange::{AnswerHead, BackendConnection, BodyStream, Framing};
+use crate::exchange::{AnswerHead, BodyStream, Framing};
 use crate::memory::{BodyBuffer, CHUNK_COST};
 
 /// One attempt at a backend server: sends the request and forwards the answer.
 #[derive(Debug)]
 pub struct RelayAttempt {
-    dispatch: Dispatch,
-    upstream: Arc<UpstreamRequest>,
-    bounds: Bounds,
+    pub(super) dispatch: Dispatch,
+    pub(super) upstream: Arc<UpstreamRequest>,
+    pub(super) bounds: Bounds,
     chunks: Sender<AnswerChunk>,
     decide: Sender<DecideMessage>,
     gap_meter: GapMeter,
@@ -110,20 +109,6 @@
         }
     }
 
-    /// Sends the request on a new connection. Returns the connection with the response head.
-    fn send_request(&self) -> Result<(BackendConnection, AnswerHead), AttemptError> {
-        let (address, limit) = (self.dispatch.address, self.bounds.event_timeout);
-        let connection = BackendConnection::open(address, self.bounds.connect_timeout);
-        let mut connection = connection.map_err(|e| AttemptError::from_connect(&e))?;
-        let failed = |e| AttemptError::from_read(&e);
-        connection.set_read_timeout(limit).map_err(failed)?;
-        let sent = connection.send_parts(self.encode_head(), &self.upstream.body, limit);
-        sent.map_err(failed)?;
-        let head = connection.read_head();
-        let head = head.map_err(|e| AttemptError::from_head(&e))?;
-        Ok((connection, head))
-    }
-
     /// Reports that the server asks for a pause. The report goes first, so that it holds for the
     /// decision about this request too.
     fn report_pause(&self, head: &AnswerHead) {
@@ -153,36 +138,6 @@
         }
     }
 
-    /// Returns the bytes of the request's head.
-    fn encode_head(&self) -> Vec<u8> {
-        let (upstream, dispatch) = (&self.upstream, &self.dispatch);
-        let mut head = format!("{} {} HTTP/1.1\r\n", upstream.method, upstream.path);
-        // Writing to a string does not fail.
-        let _ = write!(
-            head,
-            "host: {}\r\nconnection: close\r\ncontent-type: {}\r\ncontent-length: {}\r\n",
-            dispatch.address,
-            upstream.content_type,
-            upstream.body.len()
-        );
-        let _ = write!(head, "{}: {}\r\n", header::ATTEMPT, dispatch.attempt);
-        let _ = write!(head, "{}: {}\r\n", header::RANK, dispatch.rank.as_str());
-        let _ = write!(head, "{}: {}\r\n", header::SALT, dispatch.salt.number());
-        let _ = write!(head, "{}: {}\r\n", header::WEIGHTS, dispatch.weights);
-        let _ = write!(head, "{}: {}\r\n", header::RESUME, dispatch.position);
-        if let Some(incarnation) = dispatch.incarnation {
-            let _ = write!(head, "{}: {incarnation}\r\n", header::INCARNATION);
-        }
-        if is_header_text(upstream.account.as_str()) {
-            let _ = write!(head, "{}: {}\r\n", header::ACCOUNT, upstream.account);
-        }
-        if let Some(key) = &upstream.idempotency_key {
-            let _ = write!(head, "{}: {key}\r\n", header::IDEMPOTENCY_KEY);
-        }
-        head.push_str("\r\n");
-        head.into_bytes()
-    }
-
     fn forward_complete(
         &mut self,
         head: &AnswerHead,
@@ -314,8 +269,3 @@
             .map_err(|_| AttemptError::CallerDisconnected)
     }
 }
-
-/// Returns whether a name can be sent in a header. The header is left out for other names.
-fn is_header_text(name: &str) -> bool {
-    name.bytes().all(|b| (b' '..=b'~').contains(&b))
-}
--- a/azureway-entry/tests/endless_answers.rs
+++ b/azureway-entry/tests/endless_answers.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod dialect;
+mod load_order;
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
@@ -25,6 +26,7 @@
 use dialect::TestDialect;
 use flume::Receiver;
 use googletest::prelude::*;
+use load_order::load_order;
 
 /// The bound on a wait, so that a failing test cannot hang. No result depends on it.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -99,21 +101,6 @@
     failure.unwrap_or_else(|| "no failure".to_owned())
 }
 
-fn load_order(address: SocketAddr) -> LoadOrder {
-    LoadOrder {
-        server: ServerId::new("s"),
-        address,
-        fenced: true,
-        model: None,
-        weights: WeightsVersion::new(1),
-        mode: LoadMode::Drain,
-        config: ConfigVersion::new(1),
-        incarnation: Incarnation::ZERO,
-        accepted: 0,
-        repeated: false,
-    }
-}
-
 // Guards against an answer that fills the entry's memory, or occupies an attempt until the deadline.
 #[gtest]
 fn an_answer_without_an_end_fails_its_attempt_after_a_bounded_number_of_bytes() {
--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod broken_heads;
 mod dialect;
+mod raw_request;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -20,6 +21,7 @@
 use dialect::TestDialect;
 use flume::Receiver;
 use googletest::prelude::*;
+use raw_request::{BODY, read_request};
 use socket2::SockRef;
 
 /// The caller's attempt ID in every case.
@@ -98,7 +100,7 @@
         account: AccountId::new("small"),
         idempotency_key: None,
         link: Arc::default(),
-        body: Arc::from(b"body".to_vec()),
+        body: Arc::from(BODY.to_vec()),
         passthrough: Some(Passthrough {
             attempt_id: Some(ATTEMPT.into()),
             once,
@@ -123,19 +125,6 @@
     (stream, request)
 }
 
-fn read_request(stream: &mut TcpStream) -> String {
-    stream
-        .set_read_timeout(Some(TEST_TIMEOUT))
-        .expect("a timeout");
-    let (mut bytes, mut buffer) = (Vec::new(), [0; 1024]);
-    while !bytes.ends_with(b"\r\n\r\nbody") {
-        let count = stream.read(&mut buffer).expect("the request");
-        assert!(count > 0, "the connection was closed");
-        bytes.extend_from_slice(&buffer[..count]);
-    }
-    String::from_utf8(bytes).expect("text")
-}
-
 fn run_script(stream: &mut TcpStream, script: &str) {
     let script = script.trim();
     let (text, end) = script.rsplit_once(' ').unwrap_or(("", script));
--- a/azureway-entry/tests/relay.rs
+++ b/azureway-entry/tests/relay.rs
@@ -2,12 +2,12 @@
 
 mod attempt;
 mod broken_heads;
+mod raw_request;
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
 
 use attempt::{describe_failure, dispatch};
 use azureway_config::settings::Bounds;
@@ -17,11 +17,7 @@
 use azureway_entry::decide::DecideMessage;
 use azureway_entry::relay::{GapMeter, RelayAttempt};
 use googletest::prelude::*;
-
-/// The bound on a wait, so that a failing test cannot hang. No result depends on it.
-const TEST_TIMEOUT: Duration = Duration::from_secs(30);
-/// The request body of every case.
-const BODY: &[u8] = b"body";
+use raw_request::{BODY, read_request};
 
 /// Runs an attempt at `address`. Returns what its caller received and its outcome.
 fn relay(address: SocketAddr, kind: ServiceKind) -> (Vec<AnswerChunk>, String) {
@@ -64,18 +60,6 @@
     })
 }
 
-fn read_request(stream: &mut TcpStream) -> String {
-    let limit = stream.set_read_timeout(Some(TEST_TIMEOUT));
-    limit.expect("a timeout");
-    let (mut bytes, mut buffer) = (Vec::new(), [0; 1024]);
-    while !bytes.ends_with(b"\r\n\r\nbody") {
-        let count = stream.read(&mut buffer).expect("the request");
-        assert!(count > 0, "the connection was closed");
-        bytes.extend_from_slice(&buffer[..count]);
-    }
-    String::from_utf8(bytes).expect("text")
-}
-
 /// Relays `answer`. Returns the request, what the caller received and the outcome.
 fn exchange(answer: &[u8], kind: ServiceKind) -> (String, Vec<AnswerChunk>, String) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
--- a/azureway-entry/tests/order_answers.rs
+++ b/azureway-entry/tests/server_calls.rs
@@ -1,42 +1,46 @@
-//! Tests of the answers of backend servers to orders.
+//! Tests of broken answers of backend servers to the entry's own calls.
+
+mod broken_heads;
+mod load_order;
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::thread;
+use std::time::Duration;
 
 use azureway_core::prelude::*;
+use azureway_entry::exchange::BackendConnection;
 use azureway_entry::order::{HttpOrders, OrderLink};
 use azureway_entry::runtime;
 use googletest::prelude::*;
+use load_order::load_order;
+
+/// The bound on a wait, so that a failing test cannot hang. No result depends on it.
+const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Reads an order, sends `answer` and closes the connection.
-fn serve_once(answer: String) -> SocketAddr {
+/// Reads a call, sends `answer` and closes the connection.
+fn serve_once(answer: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a connection");
         let mut buffer = [0; 4096];
-        let _ = stream.read(&mut buffer).expect("an order");
-        stream.write_all(answer.as_bytes()).expect("sent");
+        let _ = stream.read(&mut buffer).expect("a call");
+        stream.write_all(&answer).expect("sent");
         let _ = stream.shutdown(Shutdown::Write);
-        // Keeps the connection open until the order has its answer.
+        // Keeps the connection open until the call has ended.
         while stream.read(&mut buffer).is_ok_and(|count| count > 0) {}
     });
     address
 }
 
-fn load_order(address: SocketAddr) -> LoadOrder {
-    LoadOrder {
-        server: ServerId::new("s"),
-        address,
-        fenced: true,
-        model: None,
-        weights: WeightsVersion::new(1),
-        mode: LoadMode::Drain,
-        config: ConfigVersion::new(1),
-        incarnation: Incarnation::ZERO,
-        accepted: 0,
-        repeated: false,
+// Guards against cache events that are read from an answer which is not valid HTTP.
+#[gtest]
+fn a_call_whose_answer_has_a_broken_head_is_an_error() {
+    for row in broken_heads::read() {
+        let address = serve_once(row.bytes);
+        let answer = BackendConnection::get(address, "/events", TEST_TIMEOUT);
+        expect_that!(answer.is_err(), eq(true), "{}", row.fault);
     }
 }
 
@@ -79,7 +83,7 @@
         ),
     ];
     for (head, expected) in rows {
-        let address = serve_once(format!("HTTP/1.1 {head}\r\n\r\n0\r\n\r\n"));
+        let address = serve_once(format!("HTTP/1.1 {head}\r\n\r\n0\r\n\r\n").into_bytes());
         let runtime = runtime::create().expect("a runtime");
         let order = load_order(address);
         let answer = runtime.block_on(HttpOrders::new().send(&order, FencingNumber::new(1)));
