--- a/azureway-entry/tests/relay.rs
+++ b/azureway-entry/tests/relay.rs
@@ -4,10 +4,11 @@
 mod broken_heads;
 mod raw_request;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use attempt::{describe_failure, dispatch};
 use azureway_config::settings::Bounds;
@@ -18,9 +19,13 @@
 use azureway_entry::relay::{GapMeter, RelayAttempt};
 use googletest::prelude::*;
 use raw_request::{BODY, read_request};
+use socket2::SockRef;
 
-/// Runs an attempt at `address`. Returns what its caller received and its outcome.
-fn relay(address: SocketAddr, kind: ServiceKind) -> (Vec<AnswerChunk>, String) {
+/// The size of a body that no socket buffers whole, in bytes.
+const UNREAD_SIZE: usize = 64 * 1024 * 1024;
+
+/// Runs an attempt at `address` with a request body. Returns what its caller received and its outcome.
+fn relay(address: SocketAddr, kind: ServiceKind, body: &[u8]) -> (Vec<AnswerChunk>, String) {
     let upstream = UpstreamRequest {
         kind,
         streamed: false,
@@ -30,7 +35,7 @@
         account: AccountId::new("small"),
         idempotency_key: Some(IdempotencyKey::new("key-1")),
         link: Arc::default(),
-        body: Arc::from(BODY.to_vec()),
+        body: Arc::from(body),
         passthrough: None,
     };
     let (chunks, answer) = flume::bounded(64);
@@ -65,7 +70,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     let server = serve_once(listener, answer.to_vec());
-    let (chunks, outcome) = relay(address, kind);
+    let (chunks, outcome) = relay(address, kind, BODY);
     (server.join().expect("a request"), chunks, outcome)
 }
 
@@ -93,6 +98,45 @@
     }
 }
 
+#[gtest]
+fn a_valid_answer_reaches_its_caller_whole() {
+    for answer in [
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+    ] {
+        let (_, chunks, outcome) = exchange(answer.as_bytes(), ServiceKind::Plain);
+        let [AnswerChunk::Complete(200, _, body)] = &chunks[..] else {
+            panic!("one answer: {answer}");
+        };
+        expect_that!(body.as_slice(), eq(b"ok"), "{answer}");
+        expect_that!(outcome.as_str(), eq("finished"), "{answer}");
+    }
+}
+
+// Guards against a part of an answer that counts as complete.
+#[gtest]
+fn an_early_answer_without_a_length_is_incomplete_if_its_connection_is_reset() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let read = stream.read_exact(&mut [0; 64]);
+        read.expect("a part of the request");
+        let sent = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart");
+        sent.expect("sent");
+        // Gives the bytes time to arrive: a reset discards those not yet read.
+        thread::sleep(Duration::from_millis(50));
+        let reset = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        reset.expect("a reset");
+    });
+    let (chunks, outcome) = relay(address, ServiceKind::Plain, &vec![b'a'; UNREAD_SIZE]);
+    server.join().expect("the server ends");
+    expect_that!(chunks.len(), eq(0));
+    expect_that!(outcome.as_str(), eq("Broken MaybeRun"));
+}
+
 #[gtest]
 fn a_request_carries_the_headers_of_its_attempt() {
     let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
