Log response heads that are not valid

Cause: an operator could not tell a backend server that sends invalid heads from one that closes its connections. The outcome of the attempt names only the kind of failure.

Change: one line with the request, the server and the parser's error for each attempt that ends for this reason, on both interfaces. The framing returns the error that the calls of the entry already used.

--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -110,9 +110,7 @@
         self.set_deadline(Some(Instant::now() + limit));
         self.send(request, limit)?;
         let head = self.read_head()?;
-        let framing = Framing::from_head(&head, "GET");
-        let framing = framing
-            .ok_or_else(|| io::Error::other("the length of the answer's body is ambiguous"))?;
+        let framing = Framing::from_head(&head, "GET")?;
         let mut body = Vec::new();
         let limit = MAX_CALL_BODY as u64 + 1;
         self.body(framing).take(limit).read_to_end(&mut body)?;
--- a/azureway-entry/src/exchange/exchange_attempt.rs
+++ b/azureway-entry/src/exchange/exchange_attempt.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
 use crate::memory::{BodyBuffer, CHUNK_COST};
-use crate::relay::{AttemptError, BROKEN, FAULTY};
+use crate::relay::{AttemptError, BROKEN, FAULTY, log_invalid_head};
 
 /// One attempt at a request: sends it unchanged to a backend server and forwards the answer.
 #[derive(Debug)]
@@ -95,7 +95,10 @@
         let metadata = self.dialect.read(&head);
         self.report_metadata(&metadata);
         let framing = Framing::from_head(&head, &self.upstream.method);
-        let framing = framing.ok_or(BROKEN)?;
+        let framing = framing.map_err(|e| {
+            log_invalid_head(&self.dispatch, &e);
+            BROKEN
+        })?;
         let rejected = metadata.mismatch || metadata.rejected;
         connection.set_rejected(passthrough.attempt_id.as_deref().filter(|_| rejected));
         if rejected {
--- a/azureway-entry/src/exchange/framing.rs
+++ b/azureway-entry/src/exchange/framing.rs
@@ -1,5 +1,7 @@
 //! The end of an answer's body, as its response head determines it.
 
+use std::io;
+
 use super::AnswerHead;
 
 /// The rule that determines the end of an answer's body.
@@ -14,12 +16,20 @@
 }
 
 impl Framing {
-    /// Returns the framing of the answer to a request with `method`, or `None` if the response head
-    /// is ambiguous.
-    pub fn from_head(head: &AnswerHead, method: &str) -> Option<Self> {
+    /// Returns the framing of the answer to a request with `method`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the response head is ambiguous.
+    pub fn from_head(head: &AnswerHead, method: &str) -> io::Result<Self> {
         if method == "HEAD" || matches!(head.status, 204 | 304) {
-            return Some(Self::Sized(0));
+            return Ok(Self::Sized(0));
         }
+        Self::from_fields(head)
+            .ok_or_else(|| io::Error::other("the length of the answer's body is ambiguous"))
+    }
+
+    fn from_fields(head: &AnswerHead) -> Option<Self> {
         let mut lengths = head.get_all("content-length");
         let mut codings = head.get_all("transfer-encoding");
         match (lengths.next(), codings.next()) {
--- a/azureway-entry/src/exchange/send_request.rs
+++ b/azureway-entry/src/exchange/send_request.rs
@@ -9,7 +9,7 @@
 use super::exchange_attempt::discard_body;
 use super::{AnswerHead, BackendConnection, BackendDialect, ExchangeAttempt, Framing};
 use crate::admit::Passthrough;
-use crate::relay::{AttemptError, BROKEN};
+use crate::relay::{AttemptError, BROKEN, log_invalid_head};
 
 /// The read timeout is at least this multiple of the expected time to the first token, since a
 /// busy server may be silent for long.
@@ -112,7 +112,9 @@
         }
         let failed = |e: io::Error| failed(unread.as_ref().unwrap_or(&e));
         for _ in 0..MAX_ANSWERS {
-            let head = connection.read_head().map_err(failed)?;
+            let head = connection.read_head();
+            let head = head.inspect_err(|e| log_invalid_head(&self.dispatch, e));
+            let head = head.map_err(failed)?;
             let attempt_id = self.dialect.read(&head).attempt_id;
             if attempt_id.is_none_or(|a| Some(a) == self.attempt_id(passthrough)) {
                 let head = match unread {
@@ -123,7 +125,8 @@
             }
             log::warn!(request:% = self.dispatch.attempt.id, step = "exchange", peer:% = self.dispatch.server; "dropped an answer to another request");
             let framing = Framing::from_head(&head, &self.upstream.method);
-            let framing = framing.filter(|f| *f != Framing::Closing).ok_or(BROKEN)?;
+            let framing = framing.ok().filter(|f| *f != Framing::Closing);
+            let framing = framing.ok_or(BROKEN)?;
             discard_body(connection.body(framing), MAX_OTHER_SIZE).map_err(failed)?;
         }
         Err(BROKEN)
--- a/azureway-entry/src/relay/relay_attempt.rs
+++ b/azureway-entry/src/relay/relay_attempt.rs
@@ -97,7 +97,8 @@
         let (mut connection, head) = self.send_request()?;
         self.report_pause(&head);
         self.report_leaving(&head);
-        let framing = Framing::from_head(&head, &self.upstream.method).ok_or(FAULTY)?;
+        let framing = Framing::from_head(&head, &self.upstream.method);
+        let framing = framing.map_err(|e| self.invalid_head(&e))?;
         let body = connection.body(framing);
         match self.upstream.kind {
             ServiceKind::Plain => self.forward_complete(&head, body),
--- a/azureway-entry/src/relay/send_request.rs
+++ b/azureway-entry/src/relay/send_request.rs
@@ -1,10 +1,11 @@
 //! Sending the request of an attempt and receiving the response head.
 
 use std::fmt::Write as _;
+use std::io;
 
 use azureway_wire::header;
 
-use super::{AttemptError, RelayAttempt};
+use super::{AttemptError, RelayAttempt, log_invalid_head};
 use crate::exchange::{AnswerHead, BackendConnection};
 
 impl RelayAttempt {
@@ -18,10 +19,16 @@
         let sent = connection.send_parts(self.encode_head(), &self.upstream.body, limit);
         sent.map_err(failed)?;
         let head = connection.read_head();
-        let head = head.map_err(|e| AttemptError::from_head(&e))?;
+        let head = head.map_err(|e| self.invalid_head(&e))?;
         Ok((connection, head))
     }
 
+    /// Logs a response head that is not valid, and returns the error that it stands for.
+    pub(super) fn invalid_head(&self, error: &io::Error) -> AttemptError {
+        log_invalid_head(&self.dispatch, error);
+        AttemptError::from_head(error)
+    }
+
     /// Returns the bytes of the request's head.
     fn encode_head(&self) -> Vec<u8> {
         let (upstream, dispatch) = (&self.upstream, &self.dispatch);
