Send the broken heads on kept connections too

Cause: the test of broken heads used new connections only, and most requests go out on kept ones.

Change: tests only. Each head is sent on a new connection and on one that has carried an answer before.

The parser is the same on both, so that nothing else had to change.

--- a/azureway-entry/tests/exchange.rs
+++ b/azureway-entry/tests/exchange.rs
@@ -213,29 +213,43 @@
     }
 }
 
+/// The answer of a server that keeps the connection.
+const GOOD: &str = "HTTP/1.1 200 OK~x-sign: 1~content-length: 2~~ok hold";
+
+/// Sends a request on a connection that `pool` keeps, if `kept`, or else on a new one. Returns the server's
+/// side of the connection and the attempt.
+fn receive_on(listener: &TcpListener, pool: &ConnectionPool, kept: bool) -> (TcpStream, Started) {
+    let address = listener.local_addr().expect("an address");
+    if !kept {
+        let started = start_attempt(address, pool, true, 0);
+        return (serve(listener, "hold").0, started);
+    }
+    let (answer, reports, _) = start_attempt(address, pool, true, 0);
+    let (mut stream, _) = serve(listener, GOOD);
+    answer.iter().for_each(drop);
+    outcome(&reports);
+    let started = start_attempt(address, pool, true, 0);
+    read_request(&mut stream);
+    (stream, started)
+}
+
 #[gtest]
 fn an_answer_with_a_broken_head_reaches_no_caller() {
     for row in broken_heads::read() {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let (answer, reports, _) = start_attempt(address, &ConnectionPool::new(8), true, 0);
-        let (mut stream, _) = serve(&listener, "hold");
-        stream.write_all(&row.bytes).expect("sent");
-        run_script(&mut stream, "close");
-        let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
-        expect_that!(chunks, is_empty(), "{}", row.fault);
-        expect_that!(
-            outcome(&reports).as_str(),
-            eq("Broken MaybeRun"),
-            "{}",
-            row.fault
-        );
+        for kept in [false, true] {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let pool = ConnectionPool::new(8);
+            let (mut stream, (answer, reports, _)) = receive_on(&listener, &pool, kept);
+            stream.write_all(&row.bytes).expect("sent");
+            run_script(&mut stream, "close");
+            let chunks: Vec<String> = answer.iter().map(|c| describe(&c)).collect();
+            let (fault, end) = (row.fault, outcome(&reports));
+            expect_that!(chunks, is_empty(), "{fault}, kept: {kept}");
+            expect_that!(end.as_str(), eq("Broken MaybeRun"), "{fault}, kept: {kept}");
+        }
     }
 }
 
-/// The answer of a server that keeps the connection.
-const GOOD: &str = "HTTP/1.1 200 OK~x-sign: 1~content-length: 2~~ok hold";
-
 #[gtest]
 fn a_request_is_sent_unchanged_with_the_headers_of_the_dialect() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
