review: show that prompts of many parts take the memory of every machine

Cause: the memory account counts a fixed cost for each request. What the parts of its prompt take in tables and copies of the request is not counted, nor is the index of cached blocks. Nothing is fixed.

--- a/review/stand3/main.rs
+++ b/review/stand3/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and the cases of the third review. `stand CASE` runs one case.
 
 mod case_cut_body;
+mod case_prompt_parts;
 mod client;
 mod entry;
 mod http;
@@ -50,6 +51,13 @@
     )
 }
 
+/// A desired state of a service of model replicas, with a streaming route.
+pub fn engine_config(version: u64) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-notes\",\"host\":\"shop.example\",\"path_prefix\":\"/notes/\",\"kind\":\"streaming\",\"timeout_ms\":5000,\"target_latency_ms\":1500,\"priority\":2,\"service\":\"wax-llm\",\"max_attempts\":1,\"public\":false,\"sticky\":true,\"resumable\":false,\"gap_target_ms\":400}}],\"services\":[{{\"name\":\"wax-llm\",\"health_path\":\"/health\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":64,\"kv_capacity_tokens\":101825,\"kv_token_bytes\":163840,\"link_mbps\":550000.0,\"moves\":true,\"backups\":true,\"stride\":4,\"max_inflight\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"handle_s\":5.0,\"models\":[{{\"name\":\"wax\"}}]}}}}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[]}}"
+    )
+}
+
 fn main() {
     let mut words = env::args().skip(1);
     let case = words.next().unwrap_or_default();
@@ -67,6 +75,7 @@
         .line(format!("case {case}, trouble: {}", stand.trouble));
     let outcome = match case.as_str() {
         "cut-body" => case_cut_body::run(&stand),
+        "prompt-parts" => case_prompt_parts::run(&stand),
         _ => Outcome::NotRun("there is no such case".to_owned()),
     };
     let code = match &outcome {
