review: show that a stray answer without an ID makes a request run twice

Cause: an answer without an attempt ID counts as the answer to the request that waits, also on a connection that carried other requests. Nothing is fixed.

--- a/review/stand3/main.rs
+++ b/review/stand3/main.rs
@@ -2,6 +2,7 @@
 
 mod case_cut_body;
 mod case_prompt_parts;
+mod case_stray_answer;
 mod client;
 mod entry;
 mod http;
@@ -76,6 +77,7 @@
     let outcome = match case.as_str() {
         "cut-body" => case_cut_body::run(&stand),
         "prompt-parts" => case_prompt_parts::run(&stand),
+        "stray-answer" => case_stray_answer::run(&stand),
         _ => Outcome::NotRun("there is no such case".to_owned()),
     };
     let code = match &outcome {
