--- a/review/stand3/case_prompt_parts.rs
+++ b/review/stand3/case_prompt_parts.rs
@@ -22,7 +22,7 @@
 /// The size of the list of a prompt's parts. With the other headers it stays inside `max_header_bytes`.
 const PARTS_BYTES: usize = 15_500;
 /// The time until a replica's first event: less than the prompts of a wave take it to read.
-const FIRST_EVENT: Duration = Duration::from_millis(1_200);
+const FIRST_EVENT: Duration = Duration::from_millis(2_500);
 /// How often the platform looks at the memory of its processes.
 const LOOK: Duration = Duration::from_millis(20);
 /// The delay after which it starts a process again.
