--- a/review/stand3/case_cut_body.rs
+++ b/review/stand3/case_cut_body.rs
@@ -1,8 +1,8 @@
 //! Clients leave in the middle of a chunked body. A replica must never run what they had sent so far.
 
 use std::io::Write;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,14 +12,15 @@
 use crate::replica::{Handler, Replica, attempt_id};
 use crate::{Outcome, Stand, config};
 
-/// The clients that send whole requests, and those that leave: a share of 0.3, as in the site file.
-const STAYING: usize = 7;
-const LEAVING: usize = 3;
+/// The clients that send whole requests, and those that leave: a share of 0.28 of the 0.3 of the site file,
+/// and as many as a zone of the site has.
+const STAYING: usize = 18;
+const LEAVING: usize = 7;
 /// The time for which the clients send.
-const LENGTH: Duration = Duration::from_secs(30);
+const LENGTH: Duration = Duration::from_secs(90);
 /// The pause of a client between two requests.
 const STAYING_PAUSE: Duration = Duration::from_millis(100);
-const LEAVING_PAUSE: Duration = Duration::from_millis(40);
+const LEAVING_PAUSE: Duration = Duration::from_millis(60);
 /// The body of an order, and the part of it that a leaving client has sent.
 const ORDER: &str = "{\"ski\":\"4711\",\"deposit\":20}";
 const SENT: usize = 12;
@@ -64,12 +65,15 @@
         return Outcome::NotRun("the entry is not ready".to_owned());
     }
     let end = Instant::now() + LENGTH;
+    // Those that leave are connections of one program that ends, so they are closed together.
+    let together = Arc::new(Barrier::new(LEAVING));
     let clients: Vec<_> = (0..STAYING + LEAVING)
         .map(|number| {
             let (front, record) = (entry.front, stand.record.clone());
+            let together = Arc::clone(&together);
             let leaves = number >= STAYING && stand.trouble;
             thread::spawn(move || match leaves {
-                true => leave(number, front, end, &record),
+                true => leave(number, front, end, &together, &record),
                 false => stay(number, front, end, &record),
             })
         })
@@ -116,22 +120,33 @@
     answered
 }
 
-/// Sends a part of an order and closes the connection, again and again.
-fn leave(number: usize, front: std::net::SocketAddr, end: Instant, record: &Record) -> usize {
-    let mut sent = 0;
-    while Instant::now() < end {
-        let Ok(mut client) = Client::connect(front) else {
+/// Sends a part of an order and closes the connection, together with the others that leave, again and again.
+fn leave(
+    number: usize,
+    front: std::net::SocketAddr,
+    end: Instant,
+    together: &Barrier,
+    record: &Record,
+) -> usize {
+    let rounds = LENGTH.as_millis() / LEAVING_PAUSE.as_millis();
+    for round in 0..rounds {
+        let client = Client::connect(front);
+        together.wait();
+        if Instant::now() >= end {
+            // The others go on to the last round, so that nobody waits for this one.
+            continue;
+        }
+        let Ok(mut client) = client else {
             continue;
         };
-        sent += 1;
-        let id = format!("left-{number}-{sent}");
+        let id = format!("left-{number}-{round}");
         let body = format!("{:x}\r\n{}", ORDER.len(), &ORDER[..SENT]);
         let written = client.stream.write_all(&head(&id, &body));
+        drop(client);
         record.line(format!(
             "client {number} sends {SENT} of {} bytes of {id} and leaves ({written:?})",
             ORDER.len()
         ));
-        drop(client);
         thread::sleep(LEAVING_PAUSE);
     }
     0
