--- a/review/stand/entry.rs
+++ b/review/stand/entry.rs
@@ -78,6 +78,8 @@
             ("port_range.0", peer.to_string()),
             ("platform.address", store.to_string()),
             ("limits.link_mbps", "1000.0".to_owned()),
+            ("limits.memory_mb", "110".to_owned()),
+            ("limits.max_fds", "4100".to_owned()),
         ];
         values.extend(BOUNDS.map(|(k, v)| (k, v.to_owned())));
         let template = fs::read_to_string("deploy/entry.ini.template").unwrap();
