--- a/azureway-entry/src/zone/kind_cache.rs
+++ b/azureway-entry/src/zone/kind_cache.rs
@@ -8,7 +8,7 @@
 use super::ReadTimes;
 
 /// The objects of a kind with the versions at which they changed, deleted ones included.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct KindCache {
     era: Option<StoreEra>,
     /// The version from which on every change is known. It is `None` before the first list.
@@ -20,13 +20,37 @@
     times: ReadTimes,
     changes: ChangeTimes,
     objects: BTreeMap<String, ObjectBody>,
+    /// The largest size of all values that are kept, in bytes.
+    max_size: usize,
 }
 
-/// The largest number of objects that are kept, which bounds memory. Beyond it callers read the platform
-/// themselves.
+/// The largest number of objects that are kept, which bounds memory as the size of their values does. Beyond
+/// it callers read the platform themselves.
 const MAX_OBJECTS: usize = 8_192;
+/// The default of the largest size of all values that are kept, in bytes.
+const MAX_SIZE: usize = 8 * 1024 * 1024;
+
+impl Default for KindCache {
+    fn default() -> Self {
+        Self::new(MAX_SIZE)
+    }
+}
 
 impl KindCache {
+    /// Creates an empty cache that keeps values of `max_size` bytes together.
+    pub fn new(max_size: usize) -> Self {
+        Self {
+            era: None,
+            first: None,
+            listed: false,
+            version: 0,
+            times: ReadTimes::default(),
+            changes: ChangeTimes::default(),
+            objects: BTreeMap::new(),
+            max_size,
+        }
+    }
+
     /// Records an answer of the platform: the changes after version `after`, or a list of all objects if it
     /// is `None`.
     pub fn record(
@@ -62,7 +86,8 @@
             }
             self.objects.insert(object.name.clone(), object);
         }
-        if self.objects.len() > MAX_OBJECTS {
+        let size: usize = self.objects.values().map(|o| o.value.len()).sum();
+        if self.objects.len() > MAX_OBJECTS || size > self.max_size {
             self.objects.clear();
             (self.first, self.listed) = (None, false);
         }
--- a/azureway-entry/src/zone/zone_cache.rs
+++ b/azureway-entry/src/zone/zone_cache.rs
@@ -26,6 +26,16 @@
         }
     }
 
+    /// Sets the largest size of all values of a kind that are kept, in bytes.
+    #[must_use]
+    pub fn with_max_size(mut self, bytes: usize) -> Self {
+        self.kinds = std::array::from_fn(|_| {
+            let cache = Mutex::new(KindCache::new(bytes));
+            (cache, watch::Sender::new(()))
+        });
+        self
+    }
+
     /// Records an answer of the platform, as [`KindCache::record`] does.
     pub fn record(
         &self,
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -102,6 +102,18 @@
     expect_that!(cache.changes(None, 11), some(anything()));
 }
 
+/// Guards against large objects of another writer that take the memory of every entry that reads for its zone.
+#[gtest]
+fn a_cache_whose_values_outgrow_its_bound_keeps_none() {
+    let mut cache = KindCache::new(100);
+    let mut large = object("a", 3, false);
+    large.value = "v".repeat(101);
+    cache.record(None, None, &list(10, &[large]), READ);
+    expect_that!(cache.changes(None, 10), none());
+    cache.record(None, None, &list(11, &[object("a", 11, false)]), READ);
+    expect_that!(cache.changes(None, 11), some(anything()));
+}
+
 /// Guards against an answer across a restore: versions of two eras cannot be compared.
 #[gtest]
 fn a_cache_of_another_era_answers_nothing() {
--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -23,6 +23,8 @@
     address: SocketAddr,
     /// The time for which the platform may be silent.
     timeout: Duration,
+    /// The maximum size of the body of an answer, and of the values of a list, in bytes.
+    max_body: usize,
     calls: CallCounter,
     /// The era of the last answer.
     era: Cell<Option<StoreEra>>,
@@ -33,7 +35,8 @@
 /// The time limit for the body of an answer. The largest values have a mebibyte, which takes about a
 /// second on the slowest links (10 Mbit/s) if nothing else is sent there.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
-/// The largest body of an answer, in bytes: several times the largest page of a list.
+/// The default maximum size of the body of an answer, and of the values of a list, in bytes: several times the
+/// largest page of a list.
 const MAX_BODY_SIZE: usize = 16 * 1024 * 1024;
 /// The size of the buffer for reads from an answer, in bytes.
 const READ_SIZE: usize = 16 * 1024;
@@ -52,6 +55,7 @@
             codec,
             address,
             timeout: DEFAULT_TIMEOUT,
+            max_body: MAX_BODY_SIZE,
             calls: CallCounter::new(),
             era: Cell::new(None),
         }
@@ -65,6 +69,14 @@
         self
     }
 
+    /// Sets the maximum size of the body of an answer, in bytes. It is also that of the values of a list, whose
+    /// largest ones are left out beyond it.
+    #[must_use]
+    pub const fn with_max_body(mut self, bytes: usize) -> Self {
+        self.max_body = bytes;
+        self
+    }
+
     /// Returns the counter of calls, which clones of this client share.
     pub const fn calls(&self) -> &CallCounter {
         &self.calls
@@ -132,7 +144,13 @@
 
     fn read(&self, step: Step, status: u16, answer: Response) -> Result<ObjectAnswer, Error> {
         let (_, _, reader) = answer.split();
-        let body = read_body(reader).map_err(|e| self.error(ErrorKind::Unavailable, step, e))?;
+        // The platform is not asked for the same answer again: a list comes in pages.
+        let kind = |e: &io::Error| match e.kind() {
+            io::ErrorKind::FileTooLarge => ErrorKind::Protocol,
+            _ => ErrorKind::Unavailable,
+        };
+        let body = read_body(reader, self.max_body);
+        let body = body.map_err(|e| self.error(kind(&e), step, e))?;
         Ok(ObjectAnswer { status, body })
     }
 
@@ -160,6 +178,9 @@
                 return Err(self.error(ErrorKind::Protocol, STEP, detail));
             }
             all.objects.extend(page.objects);
+            for (name, bytes) in all.drop_largest(self.max_body) {
+                log::warn!(step = STEP.as_str(), kind = kind, name = name.as_str(), bytes = bytes; "a value has no room and is left out");
+            }
             if !more || is_empty {
                 return Ok(all);
             }
@@ -249,8 +270,8 @@
     era
 }
 
-/// Reads a body within [`TRANSFER_TIMEOUT`] and [`MAX_BODY_SIZE`].
-fn read_body(mut reader: impl Read) -> io::Result<Vec<u8>> {
+/// Reads a body of at most `max` bytes within [`TRANSFER_TIMEOUT`].
+fn read_body(mut reader: impl Read, max: usize) -> io::Result<Vec<u8>> {
     let deadline = Instant::now() + TRANSFER_TIMEOUT;
     let (mut body, mut buffer) = (Vec::new(), vec![0; READ_SIZE]);
     loop {
@@ -258,10 +279,11 @@
         if count == 0 {
             return Ok(body);
         }
-        body.extend_from_slice(&buffer[..count]);
-        if body.len() > MAX_BODY_SIZE {
-            return Err(io::Error::other("the answer is too large"));
+        if body.len() + count > max {
+            let detail = "the answer is too large";
+            return Err(io::Error::new(io::ErrorKind::FileTooLarge, detail));
         }
+        body.extend_from_slice(&buffer[..count]);
         if Instant::now() > deadline {
             return Err(io::ErrorKind::TimedOut.into());
         }
--- a/azureway-objects/tests/pages.rs
+++ b/azureway-objects/tests/pages.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
+use azureway_core::prelude::ErrorKind;
 use azureway_objects::{HttpObjects, ObjectApi, ObjectCall, ObjectCodec, PlainCodec, Put};
 use azureway_wire::object::{ObjectBody, ObjectList};
 use googletest::prelude::*;
@@ -57,10 +58,9 @@
 }
 
 /// Starts a platform that answers calls with the same page.
-fn start_platform() -> SocketAddr {
+fn start_platform(page: &str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
-    let page = r#"{"version":3,"objects":[{"name":"a","version":1,"value":""}]}"#;
     let answer = format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{page}");
     thread::spawn(move || {
         for stream in listener.incoming().take(PAGES) {
@@ -75,7 +75,52 @@
 /// Guards against a list that never ends and grows without bound.
 #[gtest]
 fn a_page_that_does_not_advance_is_an_error() {
-    let objects = HttpObjects::with_codec(start_platform(), Endless);
+    let page = r#"{"version":3,"objects":[{"name":"a","version":1,"value":""}]}"#;
+    let objects = HttpObjects::with_codec(start_platform(page), Endless);
     let list = objects.list("servers");
     expect_that!(list, err(displays_as(contains_substring("advance"))));
 }
+
+/// Returns a page of objects whose values have the given sizes in bytes.
+fn page(sizes: &[usize]) -> String {
+    let objects = sizes.iter().zip(1..).map(|(size, number)| {
+        let value = "v".repeat(*size);
+        format!(r#"{{"name":"o{number}","version":{number},"value":"{value}"}}"#)
+    });
+    let objects: Vec<_> = objects.collect();
+    format!(r#"{{"version":9,"objects":[{}]}}"#, objects.join(","))
+}
+
+/// Guards against a few large objects of another writer that take the memory of the instance, or the place of all
+/// others.
+#[gtest]
+fn a_list_beyond_its_bound_keeps_all_but_the_largest_values() {
+    let platform = start_platform(&page(&[10, 900, 20, 800, 30]));
+    let objects = HttpObjects::new(platform).with_max_body(4_000);
+    let sizes =
+        |list: ObjectList| -> Vec<_> { list.objects.iter().map(|o| o.value.len()).collect() };
+    let whole = objects.list("servers").map(sizes);
+    expect_that!(
+        whole,
+        ok(elements_are![eq(&10), eq(&900), eq(&20), eq(&800), eq(&30)])
+    );
+    let mut list: ObjectList =
+        serde_json::from_str(&page(&[10, 900, 20, 800, 30])).expect("a list");
+    let dropped = list.drop_largest(870);
+    expect_that!(dropped, elements_are![eq(&("o2".to_owned(), 900))]);
+    expect_that!(
+        sizes(list),
+        elements_are![eq(&10), eq(&0), eq(&20), eq(&800), eq(&30)]
+    );
+}
+
+/// Guards against an answer to a watch that is too large and is asked for again without end. After this error the
+/// objects are listed, in pages.
+#[gtest]
+fn an_answer_beyond_its_bound_is_not_worth_another_try() {
+    let platform = start_platform(&page(&[5_000]));
+    let objects = HttpObjects::new(platform).with_max_body(4_000);
+    let answer = objects.watch("config", 1, Duration::ZERO);
+    let kind = answer.map_err(|e| e.kind());
+    expect_that!(kind, err(eq(&ErrorKind::Protocol)));
+}
