--- a/azureway-core/src/cache/holders.rs
+++ b/azureway-core/src/cache/holders.rs
@@ -16,7 +16,19 @@
     pub referenced: bool,
 }
 
+/// The memory of an allocation apart from its content, in bytes.
+const ALLOCATION_COST: usize = 16;
+
 impl Holders {
+    /// Returns the memory that the lists take outside of this record, in bytes.
+    pub fn heap_size(&self) -> usize {
+        let size = |list: &SmallVec<[Holder; 2]>| match list.spilled() {
+            true => list.capacity() * size_of::<Holder>() + ALLOCATION_COST,
+            false => 0,
+        };
+        size(&self.all) + size(&self.confirmed)
+    }
+
     /// Adds a holder, replacing an older record of the same server. `confirmed` tells whether the
     /// server's own cache events report the block.
     pub fn add(&mut self, holder: Holder, confirmed: bool) {
@@ -29,8 +41,15 @@
 
     /// Removes the server at position `server`.
     pub fn remove(&mut self, server: u32) {
-        self.all.retain(|h| h.0 != server);
-        self.confirmed.retain(|h| h.0 != server);
+        self.retain(|h| h.0 != server);
+    }
+
+    /// Keeps the holders for which `keep` returns `true`.
+    pub fn retain(&mut self, keep: impl Fn(&Holder) -> bool) {
+        for list in [&mut self.all, &mut self.confirmed] {
+            list.retain(|h| keep(h));
+            list.shrink_to_fit();
+        }
     }
 }
 
--- a/azureway-core/src/cache/index.rs
+++ b/azureway-core/src/cache/index.rs
@@ -5,8 +5,9 @@
 use super::{Block, BlockKey, CacheOp, CacheUpdate, Holder, Holders, TrackedServer};
 use crate::domain::{Incarnation, ServerId, TokenCount};
 
-/// The default maximum number of blocks in an index.
-const DEFAULT_BOUND: usize = 256 * 1024;
+/// The memory of a block with up to two holders, in bytes: two slots of the table, which is half empty after
+/// it has grown, and two places in the sweep.
+const BLOCK_COST: usize = 200;
 
 /// The maximum number of blocks that the sweep visits per insertion. It bounds the time of each
 /// event.
@@ -18,15 +19,20 @@
 /// incarnation and weights, so that the server can reject it. A record is valid only for the
 /// generation and incarnation of its server in which it was made.
 ///
-/// The index is bounded. A sweep in insertion order (second chance) evicts blocks that were
-/// neither looked up nor stored again since its last visit, with a bounded number of visits per
-/// insertion.
+/// The memory of the index is bounded, whatever the servers report. A sweep in insertion order (second
+/// chance) evicts blocks that were neither looked up nor stored again since its last visit, with a bounded
+/// number of visits per insertion.
 #[derive(Debug)]
 pub struct CacheIndex {
     positions: HashMap<ServerId, u32>,
     servers: Vec<TrackedServer>,
+    /// The positions of servers that were removed, which others take over with their next generation.
+    free: Vec<u32>,
     blocks: HashMap<BlockKey, Holders>,
     sweep: VecDeque<BlockKey>,
+    /// The memory of the lists of holders that have outgrown their records, in bytes.
+    spilled: usize,
+    /// The maximum memory, in bytes.
     bound: usize,
 }
 
@@ -37,21 +43,32 @@
 }
 
 impl CacheIndex {
+    /// The default maximum memory, in bytes: that of some 250,000 blocks.
+    pub const DEFAULT_MEMORY: usize = 50 * 1024 * 1024;
+
     /// Creates an empty index with the default bound.
     pub fn new() -> Self {
         Self {
             positions: HashMap::new(),
             servers: Vec::new(),
+            free: Vec::new(),
             blocks: HashMap::new(),
             sweep: VecDeque::new(),
-            bound: DEFAULT_BOUND,
+            spilled: 0,
+            bound: Self::DEFAULT_MEMORY,
         }
     }
 
-    /// Sets the maximum number of blocks in the index.
+    /// Sets the maximum number of blocks in the index. Blocks with more than two holders count for more.
+    #[must_use]
+    pub fn with_bound(self, blocks: usize) -> Self {
+        self.with_memory(blocks.saturating_mul(BLOCK_COST))
+    }
+
+    /// Sets the maximum memory of the index, in bytes.
     #[must_use]
-    pub fn with_bound(mut self, bound: usize) -> Self {
-        self.bound = bound.max(1);
+    pub fn with_memory(mut self, bytes: usize) -> Self {
+        self.bound = bytes.max(BLOCK_COST);
         self
     }
 
@@ -60,6 +77,11 @@
         self.blocks.len()
     }
 
+    /// Returns the memory that the index takes at most, in bytes.
+    pub fn memory(&self) -> usize {
+        self.blocks.len() * BLOCK_COST + self.spilled
+    }
+
     /// Returns whether the index is empty.
     pub fn is_empty(&self) -> bool {
         self.blocks.is_empty()
@@ -170,6 +192,12 @@
         }
     }
 
+    /// Removes a server with all its records.
+    pub fn remove(&mut self, server: &ServerId) {
+        self.invalidate(server);
+        self.free.extend(self.positions.remove(server));
+    }
+
     fn holder(&self, server: &ServerId, incarnation: Incarnation) -> Option<Holder> {
         let &position = self.positions.get(server)?;
         let tracked = self.servers[position as usize];
@@ -182,9 +210,11 @@
         if let Some(&position) = self.positions.get(server) {
             return position;
         }
-        let position = u32::try_from(self.servers.len()).unwrap_or(u32::MAX);
+        let position = self.free.pop().unwrap_or_else(|| {
+            self.servers.push(TrackedServer::new());
+            u32::try_from(self.servers.len() - 1).unwrap_or(u32::MAX)
+        });
         self.positions.insert(server.clone(), position);
-        self.servers.push(TrackedServer::new());
         position
     }
 
@@ -194,20 +224,18 @@
             match *op {
                 CacheOp::Stored(key) => self.store(key, (position, generation), true),
                 CacheOp::Evicted(key) => {
-                    if let Some(held) = self.blocks.get_mut(&key) {
-                        held.remove(position);
-                    }
+                    self.change(key, |held| held.remove(position));
                 }
             }
         }
     }
 
     fn store(&mut self, key: BlockKey, holder: Holder, confirmed: bool) {
-        if let Some(held) = self.blocks.get_mut(&key) {
-            held.add(holder, confirmed);
+        if self.change(key, |held| held.add(holder, confirmed)) {
+            self.evict(0);
             return;
         }
-        self.evict();
+        self.evict(BLOCK_COST);
         // A new block must be looked up before the sweep first visits it, or it is evicted.
         let mut held = Holders::default();
         held.add(holder, confirmed);
@@ -216,22 +244,36 @@
         self.sweep.push_back(key);
     }
 
-    fn evict(&mut self) {
+    /// Changes the holders of a block. Returns whether the index has the block.
+    fn change(&mut self, key: BlockKey, change: impl FnOnce(&mut Holders)) -> bool {
+        let Some(held) = self.blocks.get_mut(&key) else {
+            return false;
+        };
+        self.spilled -= held.heap_size();
+        change(held);
+        self.spilled += held.heap_size();
+        true
+    }
+
+    /// Evicts blocks until the index has room for `more` bytes.
+    fn evict(&mut self, more: usize) {
         let mut visits = MAX_VISITS;
-        while self.blocks.len() >= self.bound {
+        while self.memory() + more > self.bound {
             let Some(key) = self.sweep.pop_front() else {
                 return;
             };
             visits = visits.saturating_sub(1);
             let servers = &self.servers;
             let keep = self.blocks.get_mut(&key).is_some_and(|held| {
-                held.all.retain(|h| servers[h.0 as usize].generation == h.1);
+                self.spilled -= held.heap_size();
+                held.retain(|h| servers[h.0 as usize].generation == h.1);
+                self.spilled += held.heap_size();
                 std::mem::take(&mut held.referenced) && visits > 0 && !held.all.is_empty()
             });
             if keep {
                 self.sweep.push_back(key);
-            } else {
-                self.blocks.remove(&key);
+            } else if let Some(held) = self.blocks.remove(&key) {
+                self.spilled -= held.heap_size();
             }
         }
     }
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -29,7 +29,7 @@
     GossipUpdate, Heartbeat, Liveness, LoadNotice, MemberUpdate, Membership, MembershipConfig,
     PeerAction, PeerEvent, ServerStatus, ServerUpdate,
 };
-pub use crate::memory::{HolderId, MemoryLedger, MemoryLimits};
+pub use crate::memory::{HolderId, MemoryLedger, MemoryLimits, OwnLimits};
 pub use crate::order::{
     LoadMode, LoadOrder, LoadProgress, OrderAnswer, OrderConfig, OrderPlanner, OrderStatus,
     StoreLimiter,
--- a/azureway-core/src/router/config.rs
+++ b/azureway-core/src/router/config.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::cache::CacheIndex;
 use crate::domain::{TokenRate, ZoneId};
 use crate::retry::RetrySlack;
 
@@ -12,6 +13,8 @@
     pub zone: ZoneId,
     /// The maximum number of queued requests per pool.
     pub queue_limit: usize,
+    /// The maximum memory of the index of cached blocks, in bytes.
+    pub index_memory: usize,
     /// The maximum number of attempts per request.
     pub max_attempts: u32,
     /// The retry budget, in percent of requests.
@@ -56,6 +59,7 @@
         Self {
             zone,
             queue_limit: DEFAULT_QUEUE_LIMIT,
+            index_memory: CacheIndex::DEFAULT_MEMORY,
             max_attempts: DEFAULT_MAX_ATTEMPTS,
             retry_percent: DEFAULT_RETRY_PERCENT,
             retry_slack: None,
@@ -82,6 +86,13 @@
         self
     }
 
+    /// Sets the maximum memory of the index of cached blocks, in bytes.
+    #[must_use]
+    pub const fn with_index_memory(mut self, bytes: usize) -> Self {
+        self.index_memory = bytes;
+        self
+    }
+
     /// Sets the retry budget, in percent of requests, and the retries that all entries together
     /// may make beyond it.
     #[must_use]
--- a/azureway-core/src/router/decider.rs
+++ b/azureway-core/src/router/decider.rs
@@ -35,7 +35,7 @@
         Self {
             budgets: RetryBudgets::new(config.retry_percent, config.retry_slack),
             retries: RetryQueue::new(),
-            dispatcher: Dispatcher::new(policy, config.seed),
+            dispatcher: Dispatcher::new(policy, &config),
             fleet: Fleet::new(),
             limits: AccountLimits::new(config.seed),
             config,
--- a/azureway-core/src/router/dispatcher.rs
+++ b/azureway-core/src/router/dispatcher.rs
@@ -22,12 +22,12 @@
 }
 
 impl<P: Policy> Dispatcher<P> {
-    /// Creates a dispatcher without servers. `seed` differs between entries.
-    pub fn new(policy: P, seed: u64) -> Self {
+    /// Creates a dispatcher without servers.
+    pub fn new(policy: P, config: &RouterConfig) -> Self {
         Self {
             policy,
-            servers: ServerTable::new().with_seed(seed),
-            index: CacheIndex::new(),
+            servers: ServerTable::new().with_seed(config.seed),
+            index: CacheIndex::new().with_memory(config.index_memory),
             scaler: ReplicaScaler::new(),
             in_flight: InFlightTable::new(),
             guard: CrashGuard::new(),
@@ -59,10 +59,15 @@
         &mut self.guard
     }
 
+    /// Returns the memory of the index of cached blocks, in bytes.
+    pub fn index_memory(&self) -> usize {
+        self.index.memory()
+    }
+
     /// Applies the servers of a new configuration.
     pub fn reconfigure(&mut self, fleet: &Fleet, now: Timestamp) {
         for gone in self.servers.reconfigure(fleet) {
-            self.index.invalidate(&gone);
+            self.index.remove(&gone);
         }
         // A server known only from the platform's list has sent no report of its own yet, so its
         // cache is tracked from the listed incarnation.
--- a/azureway-core/src/router/overview.rs
+++ b/azureway-core/src/router/overview.rs
@@ -30,6 +30,8 @@
     pub pauses: u64,
     /// The number of backend servers that are held now.
     pub paused: usize,
+    /// The memory of the index of cached blocks, in bytes.
+    pub index_memory: usize,
     /// The number of incarnations of backend servers that have announced their leaving.
     pub announced: u64,
     /// The counts of ended requests by rank, kind and outcome.
--- a/azureway-core/src/router/views.rs
+++ b/azureway-core/src/router/views.rs
@@ -73,6 +73,7 @@
             quarantined: self.count_with_status(SuspectStatus::Quarantined),
             pauses: self.dispatcher.servers().pauses(),
             paused: self.count_paused(),
+            index_memory: self.dispatcher.index_memory(),
             announced: self.servers().leaving_marks().announced(),
             counts: self.counts(),
         }
--- a/azureway-core/tests/cache.rs
+++ b/azureway-core/tests/cache.rs
@@ -119,3 +119,33 @@
     expect_that!(index.update(&snapshot), eq(false));
     expect_that!(cached(&mut index), eq(prompt.tokens()));
 }
+
+/// Guards against an index that fills the memory of the instance: many servers that hold the same blocks, each
+/// of which is one record with a long list of holders.
+#[gtest]
+fn holders_of_the_same_blocks_count_towards_the_memory_of_the_index() {
+    const BOUND: usize = 1024 * 1024;
+    let mut index = CacheIndex::new().with_memory(BOUND);
+    let ops: Vec<_> = (0..2_000)
+        .map(|n| CacheOp::Stored(BlockKey::new(n)))
+        .collect();
+    for number in 0..256 {
+        let server = ServerId::new(&format!("engine-{number}"));
+        index.update(&update(&server, 1, 0, &ops));
+        expect_that!(index.memory(), le(BOUND));
+    }
+    expect_that!(index.len(), gt(0));
+}
+
+#[gtest]
+fn a_server_in_the_place_of_a_removed_one_has_none_of_its_blocks() {
+    let mut index = CacheIndex::new();
+    let (gone, new) = (ServerId::new("gone"), ServerId::new("new"));
+    let prompt = prompt_blocks("a", 1, &["house"]);
+    let ops = [CacheOp::Stored(prompt.blocks()[0].key)];
+    index.update(&update(&gone, 1, 0, &ops));
+    index.remove(&gone);
+    index.update(&update(&new, 1, 0, &[]));
+    let cached = index.cached_tokens(&new, Incarnation::new(1), prompt.blocks());
+    expect_that!(cached, eq(TokenCount::ZERO));
+}
--- a/azureway-core/tests/memory.rs
+++ b/azureway-core/tests/memory.rs
@@ -139,3 +139,17 @@
     let slow = reader(&mut ledger, MIB, second(9));
     expect_that!(ledger.close_slowest(MIB, second(12)), some(eq(slow)));
 }
+
+// Guards against bounds each of which holds while all of them together exceed the memory of the instance.
+#[gtest]
+fn the_limits_of_callers_and_of_own_work_fit_together() {
+    for memory in [88, 110, 128, 512] {
+        let (callers, own) = (
+            MemoryLimits::new(memory, 4_100, 900),
+            OwnLimits::new(memory),
+        );
+        let all = callers.total + own.calls + own.index + own.objects;
+        let bytes = usize::try_from(memory * 1_000_000).expect("a size");
+        expect_that!(all + 16 * MIB, le(bytes), "{memory} MB");
+    }
+}
--- a/azureway-dev/benches/decisions.rs
+++ b/azureway-dev/benches/decisions.rs
@@ -160,7 +160,7 @@
     let text = serde_json::to_string(&engine_message()).expect("a valid message");
     bencher.bench_local(|| {
         let decoded: FeedBody = serde_json::from_str(black_box(&text)).expect("a valid message");
-        decoded.cache_ops().map(|ops| ops.len())
+        decoded.into_cache_ops().len()
     });
 }
 
--- a/azureway-dev/src/slopes/cache_event_probe.rs
+++ b/azureway-dev/src/slopes/cache_event_probe.rs
@@ -33,7 +33,7 @@
         let text = serde_json::to_string(&message).unwrap_or_default();
         let time = mean_nanos(MESSAGES, |_| {
             let decoded: Option<FeedBody> = serde_json::from_str(&text).ok();
-            drop(std::hint::black_box(decoded.map(|n| n.cache_ops())));
+            drop(std::hint::black_box(decoded.map(|n| n.into_cache_ops())));
         });
         Sample {
             size,
--- a/azureway-entry/src/daemon/entry.rs
+++ b/azureway-entry/src/daemon/entry.rs
@@ -90,7 +90,8 @@
         // Logged before any duty starts, so that it precedes the log lines of the duties.
         log::info!(step = "start", peer:% = address, instance:% = settings.instance; "listening");
         let admin = spawn_admin(settings, &rings, &ids, shutdown)?;
-        let api = HttpObjects::new(settings.platform);
+        let own_limits = OwnLimits::new(settings.bounds.memory);
+        let api = HttpObjects::new(settings.platform).with_max_body(own_limits.objects);
         let calls = api.calls().clone();
         spawn_claimers(&api, &rings, process_id)?;
         let orderer = orderer(settings, &rings, api.clone(), process_id);
@@ -112,7 +113,8 @@
             rings.watch_messages,
             process_id,
         );
-        let meter = MeterDuty::new(rings.metric_events, monitor, calls).with_memory(rings.memory);
+        let meter = MeterDuty::new(rings.metric_events, monitor, calls)
+            .with_memory(rings.memory, rings.calls);
         threads.push(spawn("decide", move || decider.run())?);
         threads.push(spawn("accept", move || listener.run())?);
         // A shutdown does not join these threads: they have no work to finish, and a watch call
@@ -207,8 +209,9 @@
     rings: &Rings,
     process_id: u64,
 ) -> Decider<PrefixLoad, RelayLauncher, FeedReaders<HttpFeed>> {
-    let config =
-        RouterConfig::new(settings.zone.clone()).with_queue_limit(settings.bounds.queue_limit);
+    let config = RouterConfig::new(settings.zone.clone())
+        .with_queue_limit(settings.bounds.queue_limit)
+        .with_index_memory(OwnLimits::new(settings.bounds.memory).index);
     let router = Router::new(config, PrefixLoad::new());
     let launcher = RelayLauncher::new(
         rings.decide.clone(),
@@ -216,7 +219,8 @@
         settings.bounds.clone(),
     );
     let budget = FeedBudget::new(settings.bounds.link, rings.clock);
-    let readers = FeedReaders::new(HttpFeed, rings.decide.clone(), budget, process_id);
+    let readers = FeedReaders::new(HttpFeed, rings.decide.clone(), budget, process_id)
+        .with_memory(rings.calls.clone());
     Decider::new(router, rings, launcher, readers, settings.instance.clone())
 }
 
@@ -231,7 +235,9 @@
     let config = OrderConfig::new().with_store_rate(settings.bounds.load_rate);
     let (link, messages) = (HttpOrders::new(), rings.order_messages.clone());
     let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
-    orderer.with_sweeps(api, process_id)
+    orderer
+        .with_sweeps(api, process_id)
+        .with_memory(rings.calls.clone())
 }
 
 /// Starts the claiming threads. They end with the deciding duty, which waits for their outcomes.
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -108,10 +108,14 @@
         )?;
         let ready_address = balancer.address();
         let api = HttpObjects::with_codec(settings.platform, codec);
-        let api = api.with_timeout(SITE_CALL_TIMEOUT.as_secs());
+        let own_limits = OwnLimits::new(settings.bounds.memory);
+        let api = api
+            .with_timeout(SITE_CALL_TIMEOUT.as_secs())
+            .with_max_body(own_limits.objects);
         spawn_peer(settings, &rings, peers, process_id)?;
         let budget = FeedBudget::new(settings.bounds.link, rings.clock);
-        let readers = FeedReaders::new(feed, rings.decide.clone(), budget, process_id);
+        let readers = FeedReaders::new(feed, rings.decide.clone(), budget, process_id)
+            .with_memory(rings.calls.clone());
         let quarantines = spawn_quarantine_writer(&api, process_id)?;
         let decider = decider(
             settings,
@@ -132,7 +136,7 @@
             rings.monitor(),
             api.calls().clone(),
         )
-        .with_memory(rings.memory.clone());
+        .with_memory(rings.memory.clone(), rings.calls.clone());
         let admitter = Admitter::new(
             calls,
             rings.admit_messages,
@@ -201,6 +205,7 @@
     };
     let config = RouterConfig::new(settings.zone.clone())
         .with_queue_limit(settings.bounds.queue_limit)
+        .with_index_memory(OwnLimits::new(settings.bounds.memory).index)
         .with_retry_budget(site_settings.retry_percent, slack)
         .with_remote_delay(REMOTE_DELAY)
         .with_traffic_rate(TRAFFIC_RATE)
@@ -294,7 +299,9 @@
         .with_mode(LoadMode::Swap);
     let messages = rings.order_messages.clone();
     let orderer = Orderer::new(api.clone(), link, messages, rings.clock, lease, config);
-    let orderer = orderer.with_peers(rings.peer.clone());
+    let orderer = orderer
+        .with_peers(rings.peer.clone())
+        .with_memory(rings.calls.clone());
     let runtime = runtime::create()?;
     spawn("order", move || orderer.run(&runtime))?;
     Ok(())
--- a/azureway-entry/src/daemon/rings.rs
+++ b/azureway-entry/src/daemon/rings.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::AtomicBool;
 
 use azureway_config::settings::Bounds;
-use azureway_core::prelude::MemoryLimits;
+use azureway_core::prelude::{MemoryLimits, OwnLimits};
 use flume::{Receiver, Sender};
 
 use super::Handles;
@@ -12,7 +12,7 @@
 use crate::claim::ClaimRings;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
-use crate::memory::MemoryAccount;
+use crate::memory::{CallMemory, MemoryAccount};
 use crate::meter::{MetricEvent, RingMonitor};
 use crate::order::OrderMessage;
 use crate::peer::{PeerMessage, PeerRings};
@@ -62,6 +62,8 @@
     pub zone: Arc<ZoneCache>,
     /// The account of the memory that is held for others.
     pub memory: MemoryAccount,
+    /// The memory of the instance's own calls to backend servers.
+    pub calls: CallMemory,
     /// The daemon's monotonic clock.
     pub clock: Clock,
 }
@@ -85,6 +87,7 @@
         Self {
             zone: Arc::new(ZoneCache::new(clock)),
             memory: memory_account(&Bounds::new(), clock),
+            calls: CallMemory::new(OwnLimits::new(Bounds::new().memory).calls, clock),
             admit,
             admit_messages,
             decide,
@@ -107,10 +110,13 @@
         }
     }
 
-    /// Sets the bounds from which the account of memory follows.
+    /// Sets the bounds from which the memory for others and for own calls follows.
     #[must_use]
     pub fn with_memory(mut self, bounds: &Bounds) -> Self {
         self.memory = memory_account(bounds, self.clock);
+        let own = OwnLimits::new(bounds.memory);
+        self.calls = CallMemory::new(own.calls, self.clock);
+        self.zone = Arc::new(ZoneCache::new(self.clock).with_max_size(own.objects));
         self
     }
 
--- a/azureway-entry/src/decide/owned_cache_update.rs
+++ b/azureway-entry/src/decide/owned_cache_update.rs
@@ -2,8 +2,10 @@
 
 use azureway_core::prelude::{CacheOp, CacheUpdate, Incarnation, ServerId};
 
+use crate::memory::MemoryHold;
+
 /// An owned run of consecutive cache events of one backend server, for messages between duties.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct OwnedCacheUpdate {
     /// The server that the events are from.
     pub server: ServerId,
@@ -15,9 +17,18 @@
     pub snapshot: bool,
     /// The events in order.
     pub ops: Vec<CacheOp>,
+    /// The memory of the events.
+    pub hold: MemoryHold,
 }
 
 impl OwnedCacheUpdate {
+    /// Sets the hold that the memory of the events is in.
+    #[must_use]
+    pub fn with_hold(mut self, hold: MemoryHold) -> Self {
+        self.hold = hold;
+        self
+    }
+
     /// Returns a borrowed view of the run.
     pub fn view(&self) -> CacheUpdate<'_> {
         CacheUpdate {
--- a/azureway-entry/src/exchange/call_answer.rs
+++ b/azureway-entry/src/exchange/call_answer.rs
@@ -1,12 +1,10 @@
 //! The answer to a call to a backend server.
 
-use hyper::body::Bytes;
-
 /// The whole answer to a call to a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallAnswer {
     /// The status code.
     pub status: u16,
     /// The body.
-    pub body: Bytes,
+    pub body: Vec<u8>,
 }
--- a/azureway-entry/src/exchange/connection.rs
+++ b/azureway-entry/src/exchange/connection.rs
@@ -10,6 +10,7 @@
 
 use super::timed_socket::nonzero;
 use super::{AnswerHead, BodyStream, EofAsError, Framing, TimedSocket};
+use crate::memory::{BodyBuffer, MemoryHold};
 
 /// A connection to a backend server, which carries one request at a time.
 #[derive(Debug)]
@@ -38,7 +39,7 @@
 /// The maximum size of a response head, with the interim ones before it, in bytes.
 const MAX_HEAD_SIZE: usize = 16 * 1024;
 /// The maximum size of the body of an answer to a [`call`](BackendConnection::call), in bytes. A
-/// report of some hundred cached blocks has about 50 KB.
+/// report of some hundred cached blocks has about 50 KB, and the whole cache of a large engine some megabytes.
 const MAX_CALL_BODY: usize = 8 * 1024 * 1024;
 
 impl BackendConnection {
@@ -100,24 +101,34 @@
     }
 
     /// Sends a `GET` or `POST` request and returns the response head and the body, read into
-    /// memory.
+    /// memory that stays in `hold`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the answer is not received whole within `limit` or is too large.
-    pub fn call(&mut self, request: &[u8], limit: Duration) -> io::Result<(AnswerHead, Vec<u8>)> {
+    /// Returns an error if the answer is not received whole within `limit`, is too large, or has no room.
+    pub fn call(
+        &mut self,
+        request: &[u8],
+        limit: Duration,
+        hold: &MemoryHold,
+    ) -> io::Result<(AnswerHead, Vec<u8>)> {
         self.set_read_timeout(limit)?;
         self.set_deadline(Some(Instant::now() + limit));
         self.send(request, limit)?;
         let head = self.read_head()?;
         let framing = Framing::from_head(&head, "GET")?;
-        let mut body = Vec::new();
-        let limit = MAX_CALL_BODY as u64 + 1;
-        self.body(framing).take(limit).read_to_end(&mut body)?;
-        if body.len() > MAX_CALL_BODY {
-            return Err(io::Error::other("the body of the answer is too large"));
+        let (mut body, mut buffer) = (BodyBuffer::new(hold), [0; READ_SIZE]);
+        let mut source = self.body(framing);
+        loop {
+            let count = source.read(&mut buffer)?;
+            if count == 0 {
+                return Ok((head, body.finish()));
+            }
+            if body.len() + count > MAX_CALL_BODY {
+                return Err(io::Error::other("the body of the answer is too large"));
+            }
+            body.push(&buffer[..count])?;
         }
-        Ok((head, body))
     }
 
     /// Makes a `GET` [`call`](Self::call) on a new connection to `address`.
@@ -129,10 +140,11 @@
         address: SocketAddr,
         path: &str,
         limit: Duration,
+        hold: &MemoryHold,
     ) -> io::Result<(AnswerHead, Vec<u8>)> {
         let request =
             format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n\r\n");
-        Self::open(address, limit)?.call(request.as_bytes(), limit)
+        Self::open(address, limit)?.call(request.as_bytes(), limit, hold)
     }
 
     /// Sends the bytes of a request.
--- a/azureway-entry/src/exchange/server_call.rs
+++ b/azureway-entry/src/exchange/server_call.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{CallAnswer, CallError};
+use crate::memory::MemoryHold;
 
 /// One call to a backend server, on a connection of its own.
 #[derive(Debug)]
@@ -31,6 +32,8 @@
 const STEP: Step = Step::new("call server");
 /// The largest answer body, in bytes. A report of a server's orders and runs has some kilobytes.
 const MAX_BODY: usize = 1024 * 1024;
+/// The memory that each byte of an answer counts for: the buffer of the body may be half empty.
+const BODY_COST: usize = 2;
 
 impl ServerCall {
     /// Creates a `GET` call, which ends `limit` from now, also if it is made later.
@@ -61,7 +64,7 @@
         self
     }
 
-    /// Makes the call and reads the whole answer.
+    /// Makes the call and reads the whole answer into memory that stays in `hold`.
     ///
     /// # Errors
     ///
@@ -70,7 +73,7 @@
     /// # Panics
     ///
     /// Panics outside a runtime with sockets and timers.
-    pub async fn run(self) -> Result<CallAnswer, CallError> {
+    pub async fn run(self, hold: &MemoryHold) -> Result<CallAnswer, CallError> {
         let (address, deadline) = (self.address, self.deadline);
         let request = self.request.body(Full::new(self.body));
         let request = request.map_err(|e| not_sent(address, e))?;
@@ -85,14 +88,18 @@
         if Instant::now() >= deadline {
             return Err(not_sent(address, "the time limit has passed"));
         }
-        let answer = timeout_at(deadline, exchange(stream, request)).await;
+        let answer = timeout_at(deadline, exchange(stream, request, hold)).await;
         let answer = answer.map_err(|e| unanswered(address, e))?;
         answer.map_err(|e| unanswered(address, e))
     }
 }
 
 /// Sends a request and reads the answer. The connection ends with the returned future.
-async fn exchange(stream: TcpStream, request: Request<Full<Bytes>>) -> Result<CallAnswer, String> {
+async fn exchange(
+    stream: TcpStream,
+    request: Request<Full<Bytes>>,
+    hold: &MemoryHold,
+) -> Result<CallAnswer, String> {
     let opened = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = opened.map_err(|e| e.to_string())?;
     let answer = async {
@@ -100,8 +107,7 @@
         let response: Response<Incoming> = response.map_err(|e| e.to_string())?;
         check_head(&response)?;
         let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_BODY).collect().await;
-        let body = body.map_err(|e| e.to_string())?.to_bytes();
+        let body = read_body(response.into_body(), hold).await?;
         Ok(CallAnswer { status, body })
     };
     tokio::pin!(connection, answer);
@@ -117,6 +123,27 @@
     }
 }
 
+/// Reads the body of an answer. A call that waited for memory would hold up the others of its thread, so it
+/// fails if there is none.
+async fn read_body(body: Incoming, hold: &MemoryHold) -> Result<Vec<u8>, String> {
+    let mut body = Limited::new(body, MAX_BODY);
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| e.to_string())?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if !hold.try_grow(data.len() * BODY_COST) {
+            return Err(format!(
+                "no room for an answer of over {} bytes",
+                bytes.len()
+            ));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes)
+}
+
 /// Checks what the library leaves to its users: the range of the status and the transfer codings.
 fn check_head(response: &Response<Incoming>) -> Result<(), String> {
     if !(200..600).contains(&response.status().as_u16()) {
--- a/azureway-entry/src/feed/feed_reader.rs
+++ b/azureway-entry/src/feed/feed_reader.rs
@@ -8,6 +8,7 @@
 
 use super::{FeedBatch, FeedBudget, FeedSource, ReaderControl};
 use crate::decide::{DecideMessage, OwnedCacheUpdate};
+use crate::memory::{CallMemory, MemoryHold};
 
 /// Reads the load reports and cache events of one model engine and sends them to the deciding
 /// duty.
@@ -25,6 +26,7 @@
     next: u64,
     /// The number of the next cache event of this epoch, if the feed does not number them.
     next_event: u64,
+    memory: CallMemory,
 }
 
 /// The expected size of a server's first answer, in bytes: it may tell of its whole cache.
@@ -40,7 +42,7 @@
 impl<S: FeedSource> FeedReader<S> {
     /// Creates the reader of `server`'s feed. `seed` randomizes retries, so that instances do not
     /// poll a server together.
-    pub const fn new(
+    pub fn new(
         source: S,
         server: ServerId,
         control: Arc<ReaderControl>,
@@ -59,9 +61,17 @@
             epoch: 0,
             next: 0,
             next_event: 0,
+            memory: CallMemory::default(),
         }
     }
 
+    /// Sets the memory that answers take until they are applied.
+    #[must_use]
+    pub fn with_memory(mut self, memory: CallMemory) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Polls the feed until the control stops the reader.
     pub fn run(mut self) {
         let seed = self.seed ^ Rendezvous::new(PrefixKey::new(0)).weight(&self.server);
@@ -69,7 +79,8 @@
         let mut limited = Backoff::new(LIMITED_BACKOFF_BASE, BACKOFF_CAP, seed);
         let mut failing = false;
         while self.wait_turn() {
-            match self.poll() {
+            let hold = self.memory.open();
+            match self.poll(&hold) {
                 Ok(batch) => {
                     if failing {
                         log::info!(step = "news", peer:% = self.server, epoch = batch.epoch; "a server's feed recovered");
@@ -77,7 +88,7 @@
                     failing = false;
                     backoff.reset();
                     limited.reset();
-                    self.handle_batch(batch);
+                    self.handle_batch(batch, hold);
                     if !S::INTERVAL.is_zero() {
                         std::thread::park_timeout(S::INTERVAL);
                     }
@@ -107,10 +118,12 @@
     }
 
     /// Polls the server once the budget allows it.
-    fn poll(&mut self) -> Result<FeedBatch, Error> {
+    fn poll(&mut self, hold: &MemoryHold) -> Result<FeedBatch, Error> {
         self.budget.reserve(self.expected);
         let (address, snapshot) = (self.control.address(), self.control.take_resync());
-        let answer = self.source.poll(&self.server, address, self.next, snapshot);
+        let answer = self
+            .source
+            .poll(&self.server, address, self.next, snapshot, hold);
         let received = answer.as_ref().map_or(0, |batch| batch.bytes);
         self.budget.settle(self.expected, received);
         if answer.is_ok() {
@@ -119,7 +132,8 @@
         answer
     }
 
-    fn handle_batch(&mut self, batch: FeedBatch) {
+    /// Sends a batch on, whose memory stays in `hold` until it is applied.
+    fn handle_batch(&mut self, batch: FeedBatch, hold: MemoryHold) {
         let incarnation = batch.incarnation.unwrap_or_else(|| self.control.listed());
         if batch.epoch != self.epoch {
             let restarted = self.epoch != 0;
@@ -130,7 +144,8 @@
             if restarted && batch.first.is_none() {
                 // The server restarted, but the platform's list may still show the previous
                 // incarnation. An empty snapshot drops the cache content of that incarnation.
-                self.send_update(incarnation, true, Vec::new(), 0);
+                let update = self.update(incarnation, true, Vec::new(), 0);
+                self.send_update(update);
             }
         }
         self.next = batch.next;
@@ -139,17 +154,28 @@
         }
         let first = batch.first.unwrap_or(self.next_event);
         self.next_event += batch.ops.len() as u64;
-        self.send_update(incarnation, batch.snapshot, batch.ops, first);
+        let update = self.update(incarnation, batch.snapshot, batch.ops, first);
+        self.send_update(update.with_hold(hold));
     }
 
-    fn send_update(&self, incarnation: Incarnation, snapshot: bool, ops: Vec<CacheOp>, first: u64) {
-        let update = OwnedCacheUpdate {
+    fn update(
+        &self,
+        incarnation: Incarnation,
+        snapshot: bool,
+        ops: Vec<CacheOp>,
+        first: u64,
+    ) -> OwnedCacheUpdate {
+        OwnedCacheUpdate {
             server: self.server.clone(),
             incarnation,
             first,
             snapshot,
             ops,
-        };
+            hold: MemoryHold::default(),
+        }
+    }
+
+    fn send_update(&self, update: OwnedCacheUpdate) {
         // An error needs no handling: the deciding duty ends only with the process or after it
         // has stopped this reader.
         let _ = self.decide.send(DecideMessage::Cache(update));
--- a/azureway-entry/src/feed/feed_readers.rs
+++ b/azureway-entry/src/feed/feed_readers.rs
@@ -10,6 +10,7 @@
 
 use super::{FeedBudget, FeedReader, FeedSource, ReaderControl, Subscribe};
 use crate::decide::DecideMessage;
+use crate::memory::CallMemory;
 
 /// The threads that read feeds, one for each model engine of the configuration.
 #[derive(Debug)]
@@ -20,6 +21,7 @@
     seed: u64,
     controls: BTreeMap<ServerId, Arc<ReaderControl>>,
     audience: Option<FeedAudience>,
+    memory: CallMemory,
 }
 
 /// The stack size of a reader thread, in bytes.
@@ -36,9 +38,17 @@
             seed,
             controls: BTreeMap::new(),
             audience: None,
+            memory: CallMemory::default(),
         }
     }
 
+    /// Sets the memory that the answers of all servers take until they are applied.
+    #[must_use]
+    pub fn with_memory(mut self, memory: CallMemory) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Starts the reader of a server, which waits until `held` if the server asked for a pause.
     fn start(&mut self, server: &BackendServer, held: Option<Instant>) {
         let control = Arc::new(ReaderControl::new(server.address));
@@ -53,7 +63,8 @@
             self.decide.clone(),
             Arc::clone(&self.budget),
             self.seed,
-        );
+        )
+        .with_memory(self.memory.clone());
         let thread = thread::Builder::new()
             .name("news".to_owned())
             .stack_size(STACK_SIZE);
--- a/azureway-entry/src/feed/feed_source.rs
+++ b/azureway-entry/src/feed/feed_source.rs
@@ -6,6 +6,7 @@
 use azureway_core::prelude::{Error, ServerId};
 
 use super::FeedBatch;
+use crate::memory::MemoryHold;
 
 /// Polls the feed of a backend server: its load reports and cache events.
 pub trait FeedSource: Clone + Send + 'static {
@@ -16,16 +17,17 @@
     const PAUSES: bool;
 
     /// Requests the events from position `next` on, or a full snapshot of the cache if `snapshot`
-    /// is set, and waits for the answer.
+    /// is set, and waits for the answer. What the batch takes stays in `hold`.
     ///
     /// # Errors
     ///
-    /// Returns an error if the server does not answer or its answer is malformed.
+    /// Returns an error if the server does not answer, its answer is malformed, or there is no room for it.
     fn poll(
         &mut self,
         server: &ServerId,
         address: SocketAddr,
         next: u64,
         snapshot: bool,
+        hold: &MemoryHold,
     ) -> Result<FeedBatch, Error>;
 }
--- a/azureway-entry/src/memory/mod.rs
+++ b/azureway-entry/src/memory/mod.rs
@@ -1,4 +1,4 @@
-//! The account of the memory that the process holds for callers and backend servers.
+//! The accounts of the memory that the process holds for callers and backend servers, and for its own calls.
 //!
 //! The decisions are those of [`MemoryLedger`](azureway_core::prelude::MemoryLedger). This module waits
 //! for room and closes the callers that it chooses.
@@ -6,6 +6,7 @@
 mod account_state;
 mod allocator;
 mod body_buffer;
+mod call_memory;
 mod held_reader;
 mod held_writer;
 mod memory_account;
@@ -14,6 +15,7 @@
 use account_state::AccountState;
 pub use allocator::limit_allocator;
 pub use body_buffer::BodyBuffer;
+pub use call_memory::CallMemory;
 pub use held_reader::HeldReader;
 pub use held_writer::HeldWriter;
 pub use memory_account::MemoryAccount;
--- a/azureway-entry/src/meter/meter_duty.rs
+++ b/azureway-entry/src/meter/meter_duty.rs
@@ -10,7 +10,7 @@
     RouterMetrics, ServiceMetrics,
 };
 use crate::decide::DecideMessage;
-use crate::memory::MemoryAccount;
+use crate::memory::{CallMemory, MemoryAccount};
 
 /// The measuring duty: updates the metrics and encodes them for scrapes.
 #[derive(Debug)]
@@ -43,10 +43,10 @@
         }
     }
 
-    /// Adds the metrics of the memory that is held for others.
+    /// Adds the metrics of the memory that is held for others and for the instance's own calls.
     #[must_use]
-    pub fn with_memory(mut self, account: MemoryAccount) -> Self {
-        self.memory = Some(MemoryMetrics::new(&mut self.registry, account));
+    pub fn with_memory(mut self, account: MemoryAccount, calls: CallMemory) -> Self {
+        self.memory = Some(MemoryMetrics::new(&mut self.registry, account, calls));
         self
     }
 
--- a/azureway-entry/src/meter/router_metrics.rs
+++ b/azureway-entry/src/meter/router_metrics.rs
@@ -26,6 +26,7 @@
     paused: Gauge,
     entries: Gauge,
     announced: Counter,
+    index_memory: Gauge,
 }
 
 /// The time that a scrape waits for the deciding duty's state before it uses the last values.
@@ -46,6 +47,7 @@
             paused: Gauge::default(),
             entries: Gauge::default(),
             announced: Counter::default(),
+            index_memory: Gauge::default(),
         };
         let help = "Every request once, by how it ended";
         r.register("requests", help, metrics.requests.clone());
@@ -69,6 +71,8 @@
         r.register("zone_entries", help, metrics.entries.clone());
         let help = "Incarnations of backend servers that have announced their leaving";
         r.register("servers_leaving", help, metrics.announced.clone());
+        let help = "Bytes of the index of cached blocks, at most";
+        r.register("cache_index_bytes", help, metrics.index_memory.clone());
         metrics
     }
 
@@ -108,6 +112,7 @@
         set_gauge(&self.paused, overview.paused);
         set_gauge(&self.entries, overview.entries);
         raise_to(&self.announced, overview.announced);
+        set_gauge(&self.index_memory, overview.index_memory);
     }
 }
 
--- a/azureway-entry/src/order/http_orders.rs
+++ b/azureway-entry/src/order/http_orders.rs
@@ -8,6 +8,7 @@
 
 use super::OrderLink;
 use crate::exchange::ServerCall;
+use crate::memory::MemoryHold;
 
 /// Sends load orders over HTTP, as `POST /v1/orders`.
 ///
@@ -31,6 +32,7 @@
         &self,
         order: &LoadOrder,
         number: FencingNumber,
+        hold: MemoryHold,
     ) -> impl Future<Output = OrderAnswer> + Send + 'static {
         let body = serde_json::to_string(&OrderBody::new(order, number));
         let (server, address) = (order.server.clone(), order.address);
@@ -43,7 +45,7 @@
                     return OrderAnswer::Failed;
                 }
             };
-            match call.run().await {
+            match call.run(&hold).await {
                 Ok(answer) if (200..300).contains(&answer.status) => OrderAnswer::Taken,
                 Ok(answer) if answer.status == 409 => OrderAnswer::Fenced,
                 Ok(answer) => {
@@ -60,7 +62,11 @@
 
     /// Returns `None`, since the servers of this interface report new weights at once by
     /// themselves.
-    fn status(&self, _: &LoadOrder) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
+    fn status(
+        &self,
+        _: &LoadOrder,
+        _: MemoryHold,
+    ) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
         future::ready(None)
     }
 }
--- a/azureway-entry/src/order/order_calls.rs
+++ b/azureway-entry/src/order/order_calls.rs
@@ -6,6 +6,7 @@
 use tokio::task::JoinSet;
 
 use super::{OrderLink, OrderReply};
+use crate::memory::CallMemory;
 
 /// The calls of the ordering duty that wait for an answer, so that no server holds up the orders to the
 /// others.
@@ -15,6 +16,7 @@
     calls: JoinSet<OrderReply>,
     /// The servers that are being asked for the state of their orders.
     checked: BTreeSet<ServerId>,
+    memory: CallMemory,
 }
 
 impl<L: OrderLink> OrderCalls<L> {
@@ -24,16 +26,22 @@
             link,
             calls: JoinSet::new(),
             checked: BTreeSet::new(),
+            memory: CallMemory::default(),
         }
     }
 
+    /// Sets the memory that the answers take.
+    pub fn set_memory(&mut self, memory: CallMemory) {
+        self.memory = memory;
+    }
+
     /// Starts to send an order.
     ///
     /// # Panics
     ///
     /// Panics outside a runtime.
     pub fn send(&mut self, order: LoadOrder, number: FencingNumber) {
-        let call = self.link.send(&order, number);
+        let call = self.link.send(&order, number, self.memory.open());
         self.calls
             .spawn(async move { OrderReply::Ordered(order, call.await) });
     }
@@ -45,7 +53,7 @@
     /// Panics outside a runtime.
     pub fn check(&mut self, order: LoadOrder) {
         if self.checked.insert(order.server.clone()) {
-            let call = self.link.status(&order);
+            let call = self.link.status(&order, self.memory.open());
             self.calls
                 .spawn(async move { OrderReply::Checked(order, call.await) });
         }
--- a/azureway-entry/src/order/orderer.rs
+++ b/azureway-entry/src/order/orderer.rs
@@ -11,6 +11,7 @@
 use super::{LeaseStore, LoadChecks, OrderCalls, OrderLink, OrderMessage};
 use crate::claim::Sweeper;
 use crate::clock::Clock;
+use crate::memory::CallMemory;
 use crate::peer::PeerMessage;
 
 /// The ordering duty: contends for the lease and, while it holds the lease, sends load orders and
@@ -73,6 +74,13 @@
         self
     }
 
+    /// Sets the memory that the answers of servers take.
+    #[must_use]
+    pub fn with_memory(mut self, memory: CallMemory) -> Self {
+        self.calls.set_memory(memory);
+        self
+    }
+
     /// Enables the announcement of each load to all peers before it is ordered.
     #[must_use]
     pub fn with_peers(mut self, peers: Sender<PeerMessage>) -> Self {
--- a/azureway-entry/tests/endless_answers.rs
+++ b/azureway-entry/tests/endless_answers.rs
@@ -21,6 +21,7 @@
     BackendConnection, BodyMemory, CancelHandle, ConnectionPool, ExchangeAttempt,
 };
 use azureway_entry::feed::{FeedSource, HttpFeed};
+use azureway_entry::memory::MemoryHold;
 use azureway_entry::order::{HttpOrders, OrderLink};
 use azureway_entry::runtime;
 use dialect::TestDialect;
@@ -150,7 +151,11 @@
         let server = EndlessServer::new(start, "a").expect("a server");
         let opened = BackendConnection::open(server.address(), TEST_TIMEOUT);
         let mut connection = opened.expect("a connection");
-        let answer = connection.call(b"GET / HTTP/1.1\r\n\r\n", TEST_TIMEOUT);
+        let answer = connection.call(
+            b"GET / HTTP/1.1\r\n\r\n",
+            TEST_TIMEOUT,
+            &MemoryHold::default(),
+        );
         expect_that!(answer.is_err(), eq(true), "{start}");
         drop(connection);
         expect_that!(
@@ -159,7 +164,13 @@
             "{start}"
         );
 
-        let polled = HttpFeed.poll(&ServerId::new("s"), server.address(), 0, false);
+        let polled = HttpFeed.poll(
+            &ServerId::new("s"),
+            server.address(),
+            0,
+            false,
+            &MemoryHold::default(),
+        );
         expect_that!(polled.is_err(), eq(true), "{start}");
         expect_that!(
             server.wait_closed(TEST_TIMEOUT),
@@ -169,7 +180,11 @@
 
         let order = load_order(server.address());
         let runtime = runtime::create().expect("a runtime");
-        let answer = runtime.block_on(HttpOrders::new().send(&order, FencingNumber::new(1)));
+        let answer = runtime.block_on(HttpOrders::new().send(
+            &order,
+            FencingNumber::new(1),
+            MemoryHold::default(),
+        ));
         expect_that!(answer, eq(OrderAnswer::Unanswered), "{start}");
         expect_that!(
             server.wait_closed(TEST_TIMEOUT),
@@ -190,7 +205,11 @@
     thread::spawn(move || {
         let opened = BackendConnection::open(address, TEST_TIMEOUT);
         let mut connection = opened.expect("a connection");
-        let answer = connection.call(b"GET / HTTP/1.1\r\n\r\n", Duration::from_millis(200));
+        let answer = connection.call(
+            b"GET / HTTP/1.1\r\n\r\n",
+            Duration::from_millis(200),
+            &MemoryHold::default(),
+        );
         ended.send(answer.is_err()).expect("the test waits");
     });
     expect_that!(result.recv_timeout(TEST_TIMEOUT), ok(eq(true)));
--- a/azureway-entry/tests/feed.rs
+++ b/azureway-entry/tests/feed.rs
@@ -14,6 +14,7 @@
 use azureway_entry::feed::{
     FeedBatch, FeedBudget, FeedReader, FeedReaders, FeedSource, ReaderControl,
 };
+use azureway_entry::memory::{CallMemory, MemoryHold};
 use azureway_entry::relay::Launch;
 use flume::{Receiver, Sender};
 use googletest::prelude::*;
@@ -35,7 +36,7 @@
     const INTERVAL: Duration = Duration::ZERO;
     const PAUSES: bool = true;
 
-    fn poll(&mut self, _: &ServerId, _: SocketAddr, _: u64, _: bool) -> PollResult {
+    fn poll(&mut self, _: &ServerId, _: SocketAddr, _: u64, _: bool, _: &MemoryHold) -> PollResult {
         // The test has ended if nobody receives.
         let _ = self.polled.send(Instant::now());
         (self.answer)()
@@ -160,6 +161,58 @@
     expect_that!(poll, gt(held));
 }
 
+/// A feed each of whose answers takes a thousand bytes of memory.
+#[derive(Clone)]
+struct HeavyFeed;
+
+impl FeedSource for HeavyFeed {
+    const INTERVAL: Duration = Duration::ZERO;
+    const PAUSES: bool = false;
+
+    fn poll(
+        &mut self,
+        _: &ServerId,
+        _: SocketAddr,
+        _: u64,
+        _: bool,
+        hold: &MemoryHold,
+    ) -> PollResult {
+        match hold.try_grow(1_000) {
+            true => answer_briefly(),
+            false => refuse(),
+        }
+    }
+}
+
+// Guards against batches of events that fill the memory while the deciding duty is held up.
+#[gtest]
+fn batches_that_wait_to_be_applied_keep_their_memory() {
+    let memory = CallMemory::new(3_500, Clock::new());
+    let (decide, updates) = flume::bounded(8);
+    let address = "127.0.0.1:9".parse().expect("an address");
+    let control = Arc::new(ReaderControl::new(address));
+    let budget = Arc::new(FeedBudget::new(1_000.0, Clock::new()));
+    let (server, shared) = (ServerId::new("s"), Arc::clone(&control));
+    let reader = FeedReader::new(HeavyFeed, server, shared, decide, budget, 1);
+    let reader = reader.with_memory(memory.clone());
+    thread::spawn(move || reader.run());
+    let start = Instant::now();
+    while memory.usage().2 == 0 {
+        assert!(start.elapsed() < TEST_TIMEOUT, "the memory runs out");
+        thread::yield_now();
+    }
+    expect_that!(memory.usage().1, eq(3_000));
+    expect_that!(updates.len(), eq(3));
+    control.stop();
+    updates.drain().for_each(drop);
+    let start = Instant::now();
+    while memory.usage().1 > 0 {
+        assert!(start.elapsed() < TEST_TIMEOUT, "the memory is released");
+        updates.drain().for_each(drop);
+        thread::yield_now();
+    }
+}
+
 /// Starts no attempt.
 struct NoLaunch;
 
--- a/azureway-entry/tests/order.rs
+++ b/azureway-entry/tests/order.rs
@@ -6,6 +6,7 @@
 
 use azureway_core::prelude::*;
 use azureway_entry::clock::Clock;
+use azureway_entry::memory::MemoryHold;
 use azureway_entry::order::{OrderLink, OrderMessage, Orderer};
 use azureway_entry::runtime;
 use azureway_objects::{ObjectApi, Put};
@@ -81,12 +82,17 @@
         &self,
         order: &LoadOrder,
         number: FencingNumber,
+        _: MemoryHold,
     ) -> impl Future<Output = OrderAnswer> + Send + 'static {
         let _ = self.1.try_send((order.server.clone(), number));
         future::ready(self.0)
     }
 
-    fn status(&self, _: &LoadOrder) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
+    fn status(
+        &self,
+        _: &LoadOrder,
+        _: MemoryHold,
+    ) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
         future::ready(None)
     }
 }
--- a/azureway-entry/tests/order_calls.rs
+++ b/azureway-entry/tests/order_calls.rs
@@ -10,6 +10,7 @@
 
 use azureway_core::prelude::*;
 use azureway_entry::clock::Clock;
+use azureway_entry::memory::MemoryHold;
 use azureway_entry::order::{OrderLink, OrderMessage, Orderer};
 use azureway_entry::peer::PeerMessage;
 use azureway_entry::runtime;
@@ -31,6 +32,7 @@
         &self,
         order: &LoadOrder,
         _: FencingNumber,
+        _: MemoryHold,
     ) -> impl Future<Output = OrderAnswer> + Send + 'static {
         let _ = self.orders.send(order.clone());
         let silent = order.server.as_str().starts_with("silent");
@@ -43,7 +45,11 @@
         }
     }
 
-    fn status(&self, _: &LoadOrder) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
+    fn status(
+        &self,
+        _: &LoadOrder,
+        _: MemoryHold,
+    ) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
         std::future::pending()
     }
 }
--- a/azureway-entry/tests/order_holds.rs
+++ b/azureway-entry/tests/order_holds.rs
@@ -8,6 +8,7 @@
 
 use azureway_core::prelude::*;
 use azureway_entry::clock::Clock;
+use azureway_entry::memory::MemoryHold;
 use azureway_entry::order::{LoadChecks, OrderClient, OrderLink, OrderMessage, Orderer};
 use azureway_entry::runtime;
 use flume::Sender;
@@ -32,6 +33,7 @@
     fn status(
         &self,
         order: &LoadOrder,
+        _: MemoryHold,
     ) -> impl Future<Output = Option<OrderStatus>> + Send + 'static {
         let mut polls = self.polls.lock().expect("the lock");
         let mut messages = self.messages.lock().expect("the lock");
@@ -52,6 +54,7 @@
         &self,
         _: &LoadOrder,
         _: FencingNumber,
+        _: MemoryHold,
     ) -> impl Future<Output = OrderAnswer> + Send + 'static {
         future::ready(OrderAnswer::Taken)
     }
--- a/azureway-entry/tests/server_calls.rs
+++ b/azureway-entry/tests/server_calls.rs
@@ -10,6 +10,7 @@
 
 use azureway_core::prelude::*;
 use azureway_entry::exchange::BackendConnection;
+use azureway_entry::memory::MemoryHold;
 use azureway_entry::order::{HttpOrders, OrderLink};
 use azureway_entry::runtime;
 use googletest::prelude::*;
@@ -39,7 +40,8 @@
 fn a_call_whose_answer_has_a_broken_head_is_an_error() {
     for row in broken_heads::read() {
         let address = serve_once(row.bytes);
-        let answer = BackendConnection::get(address, "/events", TEST_TIMEOUT);
+        let answer =
+            BackendConnection::get(address, "/events", TEST_TIMEOUT, &MemoryHold::default());
         expect_that!(answer.is_err(), eq(true), "{}", row.fault);
     }
 }
@@ -86,7 +88,11 @@
         let address = serve_once(format!("HTTP/1.1 {head}\r\n\r\n0\r\n\r\n").into_bytes());
         let runtime = runtime::create().expect("a runtime");
         let order = load_order(address);
-        let answer = runtime.block_on(HttpOrders::new().send(&order, FencingNumber::new(1)));
+        let answer = runtime.block_on(HttpOrders::new().send(
+            &order,
+            FencingNumber::new(1),
+            MemoryHold::default(),
+        ));
         expect_that!(answer, eq(expected), "{head}");
     }
 }
--- a/azureway-wire/src/engine/cache_event.rs
+++ b/azureway-wire/src/engine/cache_event.rs
@@ -1,35 +1,34 @@
 //! The stored and evicted blocks that an engine reports.
 
-use azureway_core::prelude::{BlockKey, CacheOp};
+use azureway_core::prelude::CacheOp;
 use serde::{Deserialize, Serialize};
 
+use super::HexKey;
+
 /// An event of an engine's prefix cache.
-#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheEvent {
-    /// The block with this key, a hexadecimal number, was stored.
-    Stored(String),
-    /// The block with this key, a hexadecimal number, was evicted.
-    Evicted(String),
+    /// The block with this key was stored.
+    Stored(HexKey),
+    /// The block with this key was evicted.
+    Evicted(HexKey),
 }
 
 impl From<CacheOp> for CacheEvent {
     fn from(op: CacheOp) -> Self {
         match op {
-            CacheOp::Stored(key) => Self::Stored(format!("{:x}", key.get())),
-            CacheOp::Evicted(key) => Self::Evicted(format!("{:x}", key.get())),
+            CacheOp::Stored(key) => Self::Stored(HexKey(key)),
+            CacheOp::Evicted(key) => Self::Evicted(HexKey(key)),
         }
     }
 }
 
-impl TryFrom<&CacheEvent> for CacheOp {
-    type Error = std::num::ParseIntError;
-
-    fn try_from(event: &CacheEvent) -> Result<Self, Self::Error> {
-        let key = |digits| u128::from_str_radix(digits, 16).map(BlockKey::new);
+impl From<CacheEvent> for CacheOp {
+    fn from(event: CacheEvent) -> Self {
         match event {
-            CacheEvent::Stored(digits) => key(digits).map(Self::Stored),
-            CacheEvent::Evicted(digits) => key(digits).map(Self::Evicted),
+            CacheEvent::Stored(key) => Self::Stored(key.0),
+            CacheEvent::Evicted(key) => Self::Evicted(key.0),
         }
     }
 }
--- a/azureway-wire/src/engine/feed_body.rs
+++ b/azureway-wire/src/engine/feed_body.rs
@@ -62,12 +62,8 @@
         }
     }
 
-    /// Returns the cache events as operations on the cache index.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if a key is not a hexadecimal number of at most 128 bits.
-    pub fn cache_ops(&self) -> Result<Vec<CacheOp>, std::num::ParseIntError> {
-        self.events.iter().map(CacheOp::try_from).collect()
+    /// Returns the cache events as operations on the cache index, in the memory of the events.
+    pub fn into_cache_ops(self) -> Vec<CacheOp> {
+        self.events.into_iter().map(CacheOp::from).collect()
     }
 }
