--- a/azureway-core/src/domain/rollout.rs
+++ b/azureway-core/src/domain/rollout.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{ModelId, Timestamp, WeightsVersion};
+use super::{ModelId, Retirement, Timestamp, WeightsVersion};
 
 /// The rollout of a service to newly named weights while requests run.
 ///
@@ -25,6 +25,9 @@
     /// The end of the platform's last disturbance. The grace period does not begin earlier, since
     /// nobody could order servers to load the newer weights.
     pub undisturbed: Timestamp,
+    /// The weights whose grace period has ended for good, if there are any: a later disturbance does not bring
+    /// them back.
+    pub retired: Option<Retirement>,
 }
 
 /// The time after newer weights are named for which answers from older ones keep their full worth.
@@ -80,8 +83,12 @@
     /// Returns the time at which requests may no longer be sent to weights `loaded`, or `None` if no
     /// newer ones are named.
     fn grace_end(&self, loaded: WeightsVersion) -> Option<Timestamp> {
-        let named = self.superseded_at(loaded)?;
-        Some(named.max(self.undisturbed) + self.grace)
+        let named = self.superseded_at(loaded);
+        let end = named.map(|at| at.max(self.undisturbed) + self.grace);
+        match self.retired.filter(|r| loaded < r.oldest) {
+            Some(retired) => Some(end.map_or(retired.ended, |end| end.min(retired.ended))),
+            None => end,
+        }
     }
 
     /// Returns the time at which the first weights newer than `loaded` were named.
--- a/azureway-core/src/prelude.rs
+++ b/azureway-core/src/prelude.rs
@@ -44,7 +44,7 @@
     ReplicaScaler, RequestProfile, RoundRobin, StaticSplit,
 };
 pub use crate::router::{ExclusionReason, Overview, RouteOption, Router, RouterConfig};
-pub use crate::site::{ListedServer, NamedWeights, SiteDocument, SiteService, SiteState};
+pub use crate::site::{ListedServer, NamedWeights, Rollouts, SiteDocument, SiteService, SiteState};
 pub use crate::stream::{Delivery, StreamProgress};
 pub use crate::tally::{Outcome, OutcomeCount, OutcomeTally};
 pub use crate::watch::{
--- a/azureway-core/src/site/mod.rs
+++ b/azureway-core/src/site/mod.rs
@@ -7,11 +7,15 @@
 mod document;
 mod listed_server;
 mod named_weights;
+mod retired_weights;
+mod rollouts;
 mod service;
 mod state;
 
 pub use document::SiteDocument;
 pub use listed_server::ListedServer;
 pub use named_weights::NamedWeights;
+use retired_weights::RetiredWeights;
+pub use rollouts::Rollouts;
 pub use service::SiteService;
 pub use state::{ANONYMOUS, EXPIRY_TIMEOUT, SiteState};
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -3,46 +3,28 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
-use super::{ListedServer, NamedWeights, SiteDocument, SiteService};
+use super::{ListedServer, Rollouts, SiteDocument, SiteService};
 use crate::domain::{
     AccountId, AvailabilityZone, BackendServer, BackendServerPool, ClientAccount, ConfigVersion,
-    ListedState, ModelId, ModelService, PoolId, Rollout, ServerId, ServiceKind, Timestamp,
-    TokenRate, WeightsVersion,
+    ListedState, ModelId, ModelService, PoolId, ServerId, ServiceKind, Timestamp, TokenRate,
+    WeightsVersion,
 };
 use crate::fleet::Fleet;
-use crate::watch::Disturbance;
 
 /// The latest state of a site, from which fleets are built.
 #[derive(Clone, Debug)]
 pub struct SiteState {
     zones: Vec<AvailabilityZone>,
-    grace: Duration,
-    /// The time from the end of the grace period to the limit, at which requests may no longer begin
-    /// on older weights.
-    margin: Duration,
     document: Option<SiteDocument>,
     servers: BTreeMap<ServerId, ListedServer>,
     listed_until: Timestamp,
     /// The servers that were no longer listed when the platform came back, with the time at which
     /// they count as removed.
     missing: BTreeMap<ServerId, Timestamp>,
-    named: BTreeMap<ModelId, NamedVersions>,
-    /// The time after a restore of the platform until it counts as stable.
-    settle: Duration,
-    /// The end of the platform's last disturbance.
-    undisturbed: Timestamp,
+    rollouts: Rollouts,
     revision: ConfigVersion,
 }
 
-/// The versions of a model's weights in the order in which they were named, each with the earliest
-/// time at which it can have been named.
-type NamedVersions = SmallVec<[(WeightsVersion, Timestamp); 4]>;
-
-/// The number of named versions that are kept per model. It exceeds the number of versions that are
-/// named while the oldest of them may still serve requests.
-const NAMED_MAX: usize = 32;
 /// The time within which the platform guarantees to list a server again whose registration expired
 /// while the platform was unavailable.
 const RELIST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -66,44 +48,30 @@
     /// Creates the state of a site before anything was read. Older weights may serve requests for
     /// `grace` after newer ones were named.
     pub fn new(zones: Vec<AvailabilityZone>, grace: Duration) -> Self {
+        Self::with_rollouts(zones, Rollouts::new(grace))
+    }
+
+    /// Creates the state of a site before anything was read but the times of its rollouts.
+    pub fn with_rollouts(zones: Vec<AvailabilityZone>, rollouts: Rollouts) -> Self {
         Self {
             zones,
-            grace,
-            margin: Duration::ZERO,
+            rollouts,
             document: None,
             servers: BTreeMap::new(),
             listed_until: Timestamp::ZERO,
             missing: BTreeMap::new(),
-            named: BTreeMap::new(),
-            settle: Duration::ZERO,
-            undisturbed: Timestamp::ZERO,
             revision: ConfigVersion::ZERO,
         }
     }
 
-    /// Sets the time after a restore of the platform until it counts as stable.
-    #[must_use]
-    pub const fn with_settle(mut self, settle: Duration) -> Self {
-        self.settle = settle;
-        self
+    /// Returns the rollouts of named weights.
+    pub const fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
     }
 
-    /// Sets the time from the end of the grace period of older weights to the limit, at which requests
-    /// may no longer begin on them.
-    #[must_use]
-    pub const fn with_rollout_margin(mut self, margin: Duration) -> Self {
-        self.margin = margin;
-        self
-    }
-
-    /// Records a disturbance of the platform, after which the grace period of older weights begins
-    /// anew. After a restore, which disturbs all entries alike, the platform first has to become stable.
-    pub fn record_disturbance(&mut self, disturbance: Disturbance) {
-        let settle = match disturbance.restored {
-            true => self.settle,
-            false => Duration::ZERO,
-        };
-        self.undisturbed = self.undisturbed.max(disturbance.until + settle);
+    /// Returns the rollouts of named weights for modification.
+    pub const fn rollouts_mut(&mut self) -> &mut Rollouts {
+        &mut self.rollouts
     }
 
     /// Adopts a configuration if it is newer, so that a slow read cannot restore an old one. An account
@@ -187,25 +155,24 @@
         }
     }
 
-    /// Adds weights that an operator named no earlier than at `since`. Returns whether they are
-    /// newer than the known ones.
-    pub fn add_named(&mut self, named: NamedWeights, since: Timestamp) -> bool {
-        let known = self.named.entry(named.model).or_default();
-        let newer = known.last().is_none_or(|(v, _)| *v < named.version);
-        if newer {
-            known.push((named.version, since));
-            let excess = known.len().saturating_sub(NAMED_MAX);
-            known.drain(..excess);
-        }
-        newer
+    /// Returns the retirements of weights that are to be stored: the platform's store does not hold them, and
+    /// some server still has older weights, which a process that starts later would use.
+    pub fn unstored_retirements(&self) -> Vec<(ModelId, WeightsVersion)> {
+        let unstored = self.rollouts.unstored();
+        let needed = unstored.filter(|(model, oldest)| self.has_older(model, *oldest));
+        needed
+            .map(|(model, oldest)| (model.clone(), oldest))
+            .collect()
     }
 
-    /// Returns the time at which weights count as named if a process finds them when it starts at
-    /// `start`. The process cannot know when they were named. The returned time lets older weights
-    /// serve requests for another `grace_left`.
-    pub fn named_since(&self, start: Timestamp, grace_left: Duration) -> Timestamp {
-        let grace = u64::try_from(self.grace.as_micros()).unwrap_or(u64::MAX);
-        Timestamp::from_micros((start + grace_left).as_micros().saturating_sub(grace))
+    /// Returns whether a listed server has weights of `model` that are older than `oldest`.
+    fn has_older(&self, model: &ModelId, oldest: WeightsVersion) -> bool {
+        let services = self.document.iter().flat_map(|d| &d.services);
+        let mut services = services.filter(|s| s.model.as_ref() == Some(model));
+        services.any(|service| {
+            let mut servers = self.servers.values().filter(|s| s.service == service.id);
+            servers.any(|s| s.weights.is_some_and(|w| w < oldest))
+        })
     }
 
     /// Removes the servers that were not listed again in time. Returns whether there were any.
@@ -265,18 +232,11 @@
         let Some(model) = &site.model else {
             return service.with_kind(ServiceKind::Plain);
         };
-        let named = self.named.get(model).cloned().unwrap_or_default();
         let stores = document.services.iter().filter_map(|s| s.store.clone());
-        let rollout = Rollout {
-            model: model.clone(),
-            versions: named,
-            grace: self.grace,
-            margin: self.margin,
-            undisturbed: self.undisturbed,
-        };
+        let required = self.required_weights(site, model);
         service
-            .with_weights(self.required_weights(site, model))
-            .with_rollout(rollout)
+            .with_weights(required)
+            .with_rollout(self.rollouts.rollout(model, required))
             .with_peer_fetch(site.peer_fetch)
             .with_feed_limit(site.feed_limit)
             .with_stores(stores.collect())
@@ -285,8 +245,10 @@
     /// Returns the weights that a service should use. A server may already have newer ones than
     /// those known here, and must not be ordered back to older ones.
     fn required_weights(&self, site: &SiteService, model: &ModelId) -> WeightsVersion {
-        let named = self.named.get(model).and_then(|n| n.last());
-        let named = named.map_or(WeightsVersion::new(1), |(version, _)| *version);
+        let named = self
+            .rollouts
+            .newest(model)
+            .unwrap_or(WeightsVersion::new(1));
         let servers = self.servers.values().filter(|s| s.service == site.id);
         let loaded = servers.filter_map(|s| s.weights).max();
         loaded.map_or(named, |l| l.max(named))
--- a/azureway-core/src/watch/disturbance_meter.rs
+++ b/azureway-core/src/watch/disturbance_meter.rs
@@ -16,6 +16,7 @@
     /// The time for which the platform may be silent.
     timeout: Duration,
     failures: u32,
+    first: Timestamp,
     last: Timestamp,
     restored: bool,
 }
@@ -30,6 +31,7 @@
         Self {
             timeout,
             failures: 0,
+            first: Timestamp::ZERO,
             last: Timestamp::ZERO,
             restored: false,
         }
@@ -41,6 +43,9 @@
             ErrorKind::Restored => self.restored = true,
             // The platform may limit this entry alone, without a disturbance.
             ErrorKind::Unavailable if call.failed_on_time(self.timeout) => {
+                if self.failures == 0 {
+                    self.first = call.started;
+                }
                 self.failures += 1;
                 self.last = call.started;
             }
@@ -51,6 +56,7 @@
     /// Records an answered call. Returns the disturbance that it ends, if there was one.
     pub fn record_success(&mut self) -> Option<Disturbance> {
         let ended = Disturbance {
+            since: self.first,
             until: self.last,
             restored: self.restored,
         };
--- a/azureway-core/tests/disturbance.rs
+++ b/azureway-core/tests/disturbance.rs
@@ -37,7 +37,10 @@
             None
         });
         let ended: Vec<_> = ended
-            .map(|d| format!("{} {}", d.until.as_micros() / 1_000, d.restored))
+            .map(|d| {
+                let [since, until] = [d.since, d.until].map(|t| t.as_micros() / 1_000);
+                format!("{since} {until} {}", d.restored)
+            })
             .collect();
         expect_that!(ended.join("; "), eq(expected), "{case}");
     }
--- a/azureway-core/tests/orders/unanswered.rs
+++ b/azureway-core/tests/orders/unanswered.rs
@@ -249,6 +249,7 @@
                 grace: GRACE,
                 margin: Duration::ZERO,
                 undisturbed: Timestamp::ZERO,
+                retired: None,
             });
         }
         planned.list(2, 2, 1);
--- a/azureway-core/tests/rollout_end.rs
+++ b/azureway-core/tests/rollout_end.rs
@@ -56,6 +56,7 @@
             grace: GRACE,
             margin: MARGIN,
             undisturbed: Timestamp::ZERO,
+            retired: None,
         };
         let service = &fleet.services[&ServiceId::new("advice")];
         let service = service.clone().with_weights(WeightsVersion::new(2));
--- a/azureway-core/tests/shared_parts.rs
+++ b/azureway-core/tests/shared_parts.rs
@@ -176,6 +176,7 @@
         grace: Duration::from_secs(10),
         margin: Duration::from_secs(1),
         undisturbed: Timestamp::ZERO,
+        retired: None,
     });
     let (_, dispatch) = send(&mut fixture(&newer));
     expect_that!(dispatch.weights, eq(WeightsVersion::new(1)));
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -108,6 +108,70 @@
     expect_that!(is_leaving(&mut state), eq(false));
 }
 
+/// Guards against a write for each rollout, and against a record of weights that were given up only since this
+/// process does not know when newer ones were named. Each row: when newer weights were named, the weights of the server
+/// when the older ones are given up, and whether that is stored.
+#[gtest]
+fn retirements_are_stored_if_a_server_still_has_older_weights() {
+    let (grace, start) = (Duration::from_secs(6), Timestamp::from_millis(60_000));
+    let rows = [(60_500, 1, true), (60_500, 2, false), (55_000, 1, false)];
+    for (named, loaded, expected) in rows {
+        let rollouts = Rollouts::new(grace).with_start(start);
+        let mut state = SiteState::with_rollouts(Vec::new(), rollouts);
+        let service = SiteService {
+            feed_limit: None,
+            capacity: None,
+            id: ServiceId::new("orders"),
+            model: Some(ModelId::new("m")),
+            peer_fetch: false,
+            store: None,
+        };
+        state.configure(SiteDocument {
+            services: vec![service],
+            ..document(4)
+        });
+        state.update_server(ListedServer {
+            weights: Some(WeightsVersion::new(loaded)),
+            ..server("s", false)
+        });
+        let weights = NamedWeights {
+            model: ModelId::new("m"),
+            version: WeightsVersion::new(2),
+        };
+        state
+            .rollouts_mut()
+            .add(weights, Timestamp::from_millis(named));
+        expect_that!(state.unstored_retirements(), is_empty());
+        let early = Timestamp::from_millis(61_000);
+        let retired = state.rollouts_mut().retire(early);
+        expect_that!(retired.is_empty(), eq(named > 60_000), "{named} {loaded}");
+        let until = start + Duration::from_millis(if named > 60_000 { 6_500 } else { 5_999 });
+        state.rollouts_mut().retire(until);
+        let unstored = state.unstored_retirements();
+        expect_that!(
+            unstored.len(),
+            eq(usize::from(expected)),
+            "{named} {loaded}"
+        );
+        for (model, oldest) in unstored {
+            state.rollouts_mut().record_stored(&model, oldest);
+        }
+        expect_that!(state.unstored_retirements(), is_empty());
+        // A copy of the store may lack it.
+        state.rollouts_mut().record_disturbance(Disturbance {
+            since: until,
+            until: until + Duration::from_secs(1),
+            restored: true,
+        });
+        let unstored = state.unstored_retirements();
+        expect_that!(
+            unstored.len(),
+            eq(usize::from(expected)),
+            "{named} {loaded}"
+        );
+    }
+}
+
 #[gtest]
 fn a_missing_server_that_is_not_listed_again_is_removed() {
     let (reconnected, now) = (Timestamp::from_millis(5_000), Timestamp::from_millis(5_010));
@@ -168,7 +232,7 @@
         model: ModelId::new("m"),
         version: WeightsVersion::new(2),
     };
-    state.add_named(named, Timestamp::ZERO);
+    state.rollouts_mut().add(named, Timestamp::ZERO);
     let fleet = state.build_fleet().expect("a fleet");
     expect_that!(fleet.services["orders"].weights, eq(WeightsVersion::new(3)));
 }
@@ -244,14 +308,14 @@
         // The grace period ends no later than for a process that saw the weights being named.
         (6_000, 6_000, false),
     ] {
-        let state = SiteState::new(Vec::new(), grace);
-        let since = state.named_since(start, Duration::from_millis(settle));
+        let since = Rollouts::new(grace).named_since(start, Duration::from_millis(settle));
         let rollout = Rollout {
             model: ModelId::new("m"),
             versions: [(WeightsVersion::new(2), since)].into_iter().collect(),
             grace,
             margin: Duration::ZERO,
             undisturbed: Timestamp::ZERO,
+            retired: None,
         };
         let now = start + Duration::from_millis(after);
         let allowed = rollout.allows(WeightsVersion::new(1), now);
--- a/azureway-core/tests/site_runs/entry.rs
+++ b/azureway-core/tests/site_runs/entry.rs
@@ -87,7 +87,7 @@
                 model: ModelId::new(MODEL),
                 version: store.named.0,
             };
-            self.site.add_named(named, since);
+            self.site.rollouts_mut().add(named, since);
             let servers = store.servers.values().cloned().collect();
             self.site.set_servers(servers, self.restored, now);
             let until = self.bound.reported_until();
--- a/azureway-core/tests/weights.rs
+++ b/azureway-core/tests/weights.rs
@@ -24,7 +24,7 @@
 
 impl Site {
     fn new() -> Self {
-        let mut state = SiteState::new(Vec::new(), GRACE).with_settle(SETTLE);
+        let mut state = SiteState::with_rollouts(Vec::new(), rollouts());
         state.configure(SiteDocument {
             version: ConfigVersion::new(4),
             services: vec![service()],
@@ -55,6 +55,16 @@
         self.fixture.handle(Event::Configured(&fleet));
     }
 
+    fn disturb(&mut self, since: Timestamp, until: Timestamp, restored: bool) {
+        let disturbance = Disturbance {
+            since,
+            until,
+            restored,
+        };
+        self.state.rollouts_mut().record_disturbance(disturbance);
+        self.reconfigure();
+    }
+
     fn apply(&mut self, step: &str) {
         let words: Vec<&str> = step.split_whitespace().collect();
         let number = |index: usize| words[index].parse::<u64>().expect("a number");
@@ -65,15 +75,28 @@
                     version: WeightsVersion::new(number(1)),
                 };
                 let since = self.fixture.now.as_micros() - number(2) * 1_000;
-                self.state.add_named(named, Timestamp::from_micros(since));
+                let since = Timestamp::from_micros(since);
+                self.state.rollouts_mut().add(named, since);
                 self.reconfigure();
             }
             "disturbed" => {
-                let until = self.fixture.now.as_micros() - number(1) * 1_000;
-                self.state.record_disturbance(Disturbance {
-                    until: Timestamp::from_micros(until),
-                    restored: words.get(2) == Some(&"restored"),
-                });
+                let until = self.fixture.now.before(Duration::from_millis(number(1)));
+                let restored = words.get(2) == Some(&"restored");
+                self.disturb(until, until, restored);
+            }
+            "away" => {
+                let since = self.fixture.now.before(Duration::from_millis(number(1)));
+                let until = self.fixture.now.before(Duration::from_millis(number(2)));
+                self.disturb(since, until, words.get(3) == Some(&"restored"));
+            }
+            "answered" => {
+                self.state.rollouts_mut().retire(self.fixture.now);
+                self.reconfigure();
+            }
+            "retired" => {
+                let oldest = WeightsVersion::new(number(1));
+                let model = ModelId::new("m");
+                self.state.rollouts_mut().add_retired(&model, oldest);
                 self.reconfigure();
             }
             "pass" => drop(self.fixture.advance(Duration::from_millis(number(1)))),
@@ -141,6 +164,10 @@
     }
 }
 
+fn rollouts() -> Rollouts {
+    Rollouts::new(GRACE).with_settle(SETTLE).with_start(START)
+}
+
 fn service() -> SiteService {
     SiteService {
         feed_limit: None,
--- a/azureway-dev/tests/restored.rs
+++ b/azureway-dev/tests/restored.rs
@@ -75,7 +75,7 @@
     let deadline = Instant::now() + TIME_LIMIT;
     loop {
         return match updates.recv_deadline(deadline).expect("an update") {
-            SiteUpdate::ListedUntil(..) => continue,
+            SiteUpdate::ListedUntil(..) | SiteUpdate::NamedUntil(_) => continue,
             SiteUpdate::Document(document) => document.version.get(),
             SiteUpdate::Servers(servers, _) => servers[0].incarnation.get(),
             SiteUpdate::Server(server) => server.incarnation.get(),
--- a/azureway-entry/src/daemon/gateway.rs
+++ b/azureway-entry/src/daemon/gateway.rs
@@ -18,6 +18,7 @@
 use crate::meter::MeterDuty;
 use crate::order::{OrderLink, Orderer};
 use crate::peer::PeerMessage;
+use crate::retirement::RetirementKeeper;
 use crate::routed::{DisconnectWatcher, RoutedCallReader, RoutedListener, ServingState};
 use crate::runtime;
 use crate::site::{SITE_CALL_TIMEOUT, SiteDuty, SiteKind, SiteUpdate, SiteWatcher};
@@ -41,6 +42,8 @@
 const BACKOFF_CAP: Duration = Duration::from_millis(500);
 /// The capacity of the ring from the site watchers to the site duty, in updates.
 const SITE_RING: usize = 256;
+/// The capacity of the ring to the duty that keeps retirements of weights, in messages. A site has a few models.
+const RETIREMENT_RING: usize = 16;
 /// The time for reading and refusing a request that arrives at the end of the accepting time.
 const REFUSE_TIME: Duration = Duration::from_millis(50);
 /// The divisor of the lease term that gives the safety margin before the lease expires. Within the
@@ -228,13 +231,14 @@
 ) -> Result<(), Error> {
     let (update_tx, update_rx): (Sender<SiteUpdate>, _) = flume::bounded(SITE_RING);
     let rollout_grace = site_settings.rollout_timeout.saturating_sub(ROLLOUT_MARGIN);
-    let state = SiteState::new(site_settings.zones.clone(), rollout_grace)
-        .with_rollout_margin(ROLLOUT_MARGIN.min(site_settings.rollout_timeout))
-        .with_settle(site_settings.startup_grace);
-    let named_since = state.named_since(
-        rings.clock.now(),
-        site_settings.startup_grace.saturating_sub(ROLLOUT_MARGIN),
-    );
+    let start = rings.clock.now();
+    let rollouts = Rollouts::new(rollout_grace)
+        .with_margin(ROLLOUT_MARGIN.min(site_settings.rollout_timeout))
+        .with_settle(site_settings.startup_grace)
+        .with_start(start);
+    let grace_left = site_settings.startup_grace.saturating_sub(ROLLOUT_MARGIN);
+    let named_since = rollouts.named_since(start, grace_left);
+    let state = SiteState::with_rollouts(site_settings.zones.clone(), rollouts);
     let relays = ZoneLink::relays(site_settings.change_limit);
     let reports = Arc::new(Mutex::new(ReportTimes::new()));
     for kind in SiteKind::ALL {
@@ -261,6 +265,9 @@
         .with_zone(Some(zone));
         spawn(kind.as_str(), move || watcher.run())?;
     }
+    let (retirements, messages) = flume::bounded(RETIREMENT_RING);
+    let keeper = RetirementKeeper::new(api.clone(), messages, update_tx, process_id);
+    spawn("retire", move || keeper.run())?;
     let duty = SiteDuty::new(
         state,
         update_rx,
@@ -268,7 +275,8 @@
         rings.decide.clone(),
         serving.clone(),
         rings.clock,
-    );
+    )
+    .with_retirements(retirements);
     spawn("site", move || duty.run())?;
     Ok(())
 }
--- a/azureway-entry/src/lib.rs
+++ b/azureway-entry/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod program;
 pub mod quarantine;
 pub mod relay;
+pub mod retirement;
 pub mod routed;
 pub mod runtime;
 pub mod site;
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -9,6 +9,7 @@
 use crate::admit::AdmitMessage;
 use crate::clock::Clock;
 use crate::decide::DecideMessage;
+use crate::retirement::RetirementMessage;
 use crate::routed::ServingState;
 
 /// The duty that builds the fleet from the updates of a site and sends it to the admitting duty.
@@ -20,6 +21,8 @@
     decide: Sender<DecideMessage>,
     serving: ServingState,
     clock: Clock,
+    /// The ring to the duty that keeps retirements of weights at the platform, if the daemon has one.
+    retirements: Option<Sender<RetirementMessage>>,
 }
 
 impl SiteDuty {
@@ -39,9 +42,17 @@
             decide,
             serving,
             clock,
+            retirements: None,
         }
     }
 
+    /// Sets the ring to the duty that keeps retirements of weights.
+    #[must_use]
+    pub fn with_retirements(mut self, retirements: Sender<RetirementMessage>) -> Self {
+        self.retirements = Some(retirements);
+        self
+    }
+
     /// Runs until every site watcher has ended.
     pub fn run(mut self) {
         loop {
@@ -65,6 +76,7 @@
                 changed |= self.apply(update, now);
             }
             if changed {
+                self.store_retirements();
                 self.publish(now);
             }
         }
@@ -103,6 +115,15 @@
                 return false;
             }
             SiteUpdate::Weights(named, since) => return self.add_named(named, since, now),
+            SiteUpdate::NamedUntil(until) => {
+                let retired = self.state.rollouts_mut().retire(until);
+                self.log_retired(&retired, now);
+                return !retired.is_empty();
+            }
+            SiteUpdate::Retired(model, oldest) => {
+                log::info!(step = "read site", model:% = model, oldest:% = oldest; "a retirement of weights was read");
+                return self.state.rollouts_mut().add_retired(&model, oldest);
+            }
         }
         true
     }
@@ -113,7 +134,37 @@
             step = "read site", age_ms = age, restored = disturbance.restored;
             "the grace period of older weights begins anew after a disturbance of the platform"
         );
-        self.state.record_disturbance(disturbance);
+        let retired = self.state.rollouts_mut().record_disturbance(disturbance);
+        self.log_retired(&retired, now);
+        if let Some(keeper) = &self.retirements {
+            // A keeper whose ring is full is about to read or write.
+            let _ = keeper.try_send(RetirementMessage::Read);
+        }
+    }
+
+    /// Logs weights that were given up, whatever disturbs the platform later.
+    fn log_retired(&self, retired: &[(ModelId, Retirement)], now: Timestamp) {
+        for (model, retirement) in retired {
+            let age = u64::try_from(now.since(retirement.ended).as_millis()).unwrap_or(u64::MAX);
+            log::info!(
+                step = "read site", model:% = model, oldest:% = retirement.oldest, age_ms = age;
+                "older weights were given up"
+            );
+        }
+    }
+
+    /// Passes the retirements on that the platform's store lacks. What does not fit into the ring is passed
+    /// on with the next change.
+    fn store_retirements(&mut self) {
+        let Some(keeper) = &self.retirements else {
+            return;
+        };
+        for (model, oldest) in self.state.unstored_retirements() {
+            let message = RetirementMessage::Store(model.clone(), oldest);
+            if keeper.try_send(message).is_ok() {
+                self.state.rollouts_mut().record_stored(&model, oldest);
+            }
+        }
     }
 
     fn update_server(&mut self, server: ListedServer) {
@@ -130,7 +181,7 @@
     fn add_named(&mut self, named: NamedWeights, since: Timestamp, now: Timestamp) -> bool {
         let age = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
         log::info!(step = "read site", model:% = named.model, weights:% = named.version, age_ms = age; "weights were named");
-        self.state.add_named(named, since)
+        self.state.rollouts_mut().add(named, since)
     }
 
     /// Applies a configuration. Returns whether it is newer than the known one.
--- a/azureway-entry/src/site/peer_news.rs
+++ b/azureway-entry/src/site/peer_news.rs
@@ -66,6 +66,6 @@
         self.times.until = self.bound.reported_until();
         let recovered = changes.recovered.map(|ago| answered.before(ago));
         self.times.recovered = self.times.recovered.max(recovered);
-        self.send_updates(&changes.list) && self.send_listed_until()
+        self.send_updates(&changes.list) && self.send_until()
     }
 }
--- a/azureway-entry/src/site/update.rs
+++ b/azureway-entry/src/site/update.rs
@@ -1,7 +1,8 @@
 //! The input of the site duty: configurations, backend servers and named weights.
 
 use azureway_core::prelude::{
-    Disturbance, ListedServer, NamedWeights, QuarantineChange, ServerId, SiteDocument, Timestamp,
+    Disturbance, ListedServer, ModelId, NamedWeights, QuarantineChange, ServerId, SiteDocument,
+    Timestamp, WeightsVersion,
 };
 
 /// An update from a site watcher. An optional time is when the platform last recovered from an
@@ -26,4 +27,9 @@
     Disturbed(Disturbance),
     /// Weights that an operator named, and the earliest time at which that can have happened.
     Weights(NamedWeights, Timestamp),
+    /// The time until which the updates before this one include all weights that were named, and every
+    /// disturbance of the platform.
+    NamedUntil(Timestamp),
+    /// The platform's store holds that the weights of a model older than these were given up.
+    Retired(ModelId, WeightsVersion),
 }
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -141,7 +141,7 @@
                 let changes = self.after.map_or(0, |_| list.objects.len());
                 self.schedule.record_changes(changes);
                 self.keep_for_zone(&list);
-                self.send_disturbance() && self.send_updates(&list) && self.send_listed_until()
+                self.send_disturbance() && self.send_updates(&list) && self.send_until()
             }
             Err(e) => {
                 self.record_outage(&e, now);
@@ -209,12 +209,16 @@
         ended.is_none_or(|d| self.send(SiteUpdate::Disturbed(d)))
     }
 
-    /// Sends the time until which the list of servers is complete.
-    pub(super) fn send_listed_until(&self) -> bool {
+    /// Sends the time until which the list of servers, or what is known of named weights, is complete.
+    pub(super) fn send_until(&self) -> bool {
         let ReadTimes {
             until, recovered, ..
         } = self.times;
-        self.kind != SiteKind::Servers || self.send(SiteUpdate::ListedUntil(until, recovered))
+        match self.kind {
+            SiteKind::Servers => self.send(SiteUpdate::ListedUntil(until, recovered)),
+            SiteKind::Weights => self.send(SiteUpdate::NamedUntil(until)),
+            SiteKind::Document | SiteKind::Quarantines => true,
+        }
     }
 
     fn send_update(&self, object: &ObjectBody) -> bool {
--- a/azureway-entry/tests/site_watcher.rs
+++ b/azureway-entry/tests/site_watcher.rs
@@ -123,9 +123,22 @@
     }
 }
 
-/// Runs the watcher of a kind until it has sent `count` updates. Returns them, and when each call was
-/// sent.
+/// Runs the watcher of a kind until it has sent `count` updates besides the times until which weights are known.
+/// Returns them, and when each call was sent.
 fn watch(kind: SiteKind, answers: &[Answer], count: usize) -> (Vec<SiteUpdate>, Vec<Timestamp>) {
+    watch_for(kind, answers, count, |u| {
+        !matches!(u, SiteUpdate::NamedUntil(_))
+    })
+}
+
+/// Runs the watcher of a kind until it has sent `count` updates that are `wanted`. Returns them, and when each call
+/// was sent.
+fn watch_for(
+    kind: SiteKind,
+    answers: &[Answer],
+    count: usize,
+    wanted: impl Fn(&SiteUpdate) -> bool,
+) -> (Vec<SiteUpdate>, Vec<Timestamp>) {
     let clock = Clock::new();
     let platform = ScriptedPlatform::new(answers, clock);
     let (tx, rx) = flume::bounded(1);
@@ -140,7 +153,7 @@
         clock.now(),
     );
     let thread = thread::spawn(move || watcher.run());
-    let updates: Vec<_> = rx.iter().take(count).collect();
+    let updates: Vec<_> = rx.iter().filter(wanted).take(count).collect();
     drop(rx);
     thread.join().expect("the watcher ends");
     let started = platform.started.lock().expect("the lock").clone();
@@ -219,3 +232,23 @@
     expect_that!(ended.restored, eq(false));
     expect_that!(named.version, eq(WeightsVersion::new(2)));
 }
+
+/// Guards against older weights that are given up for good by an answer from after an outage, before the outage
+/// itself counts.
+#[gtest]
+fn a_disturbance_is_told_before_the_time_until_which_weights_are_known() {
+    let away = (UNAVAILABLE, Duration::ZERO);
+    let answers: [Answer; 4] = [(&[], Duration::ZERO), away, away, (&[], Duration::ZERO)];
+    let (updates, started) = watch_for(SiteKind::Weights, &answers, 3, |_| true);
+    let [
+        SiteUpdate::NamedUntil(before),
+        SiteUpdate::Disturbed(disturbance),
+        SiteUpdate::NamedUntil(after),
+    ] = &updates[..]
+    else {
+        panic!("three updates: {updates:?}");
+    };
+    expect_that!(*before, le(started[0]));
+    expect_that!(disturbance.since, all!(ge(started[0]), le(started[1])));
+    expect_that!(*after, ge(disturbance.until));
+}
--- a/azureway-entry/tests/zone.rs
+++ b/azureway-entry/tests/zone.rs
@@ -259,6 +259,12 @@
     }
 }
 
+/// Returns the updates besides the times until which weights are known.
+fn changes(updates: &Receiver<SiteUpdate>) -> impl Iterator<Item = SiteUpdate> {
+    let is_change = |u: &SiteUpdate| !matches!(u, SiteUpdate::NamedUntil(_));
+    updates.iter().filter(is_change)
+}
+
 /// Runs the watcher of weights of an entry whose reader answers with `answers`, and then no more, until it
 /// has sent `count` updates. Returns them with the number of calls to the platform.
 fn watch(
@@ -296,7 +302,7 @@
         let _ = end_rx.recv();
         drop(held);
     });
-    let updates: Vec<_> = rx.iter().take(count).collect();
+    let updates: Vec<_> = changes(&rx).take(count).collect();
     let calls = platform.calls.load(Ordering::Acquire);
     drop((rx, end_tx));
     reader.join().expect("the reader ends");
@@ -386,7 +392,7 @@
         let watcher = SiteWatcher::new(api, PlainNumbers, kind, tx, clock, schedule, since);
         let watcher = watcher.with_zone(Some(link));
         let watcher = thread::spawn(move || watcher.run());
-        updates.recv().expect("the listed weights");
+        changes(&updates).next().expect("the listed weights");
         Self {
             requests,
             updates,
@@ -405,7 +411,7 @@
 
     /// Returns the earliest time at which the next weights can have been named.
     fn earliest(&self) -> Timestamp {
-        let update = self.updates.recv().expect("the changed weights");
+        let update = changes(&self.updates).next().expect("the changed weights");
         let SiteUpdate::Weights(_, earliest) = update else {
             panic!("weights are reported: {update:?}");
         };
@@ -531,7 +537,9 @@
     let _ = reply.send(relayed(11, old, Duration::ZERO));
     let (_, reply) = watched.request();
     let _ = reply.send(relayed(12, Duration::ZERO, Duration::ZERO));
-    let update = watched.updates.recv().expect("the changed weights");
+    let update = changes(&watched.updates)
+        .next()
+        .expect("the changed weights");
     expect_that!(versions(&[update]), elements_are![eq(&12)]);
     let (request, _reply) = watched.request();
     expect_that!(request.wait, eq(SiteKind::Weights.relay_wait()));
--- a/azureway-objects/src/http_objects.rs
+++ b/azureway-objects/src/http_objects.rs
@@ -38,6 +38,8 @@
 /// The default maximum size of the body of an answer, and of the values of a list, in bytes: several times the
 /// largest page of a list.
 const MAX_BODY_SIZE: usize = 16 * 1024 * 1024;
+/// The size of the part of an unexpected answer that its error tells, in bytes.
+const EXCERPT_SIZE: u64 = 200;
 /// The size of the buffer for reads from an answer, in bytes.
 const READ_SIZE: usize = 16 * 1024;
 
@@ -117,7 +119,11 @@
             409 => Err(self.error(ErrorKind::Conflict, step, "the object has another version")),
             429 => Err(self.error(ErrorKind::Limited, step, "too many calls")),
             status @ 500..=599 => Err(self.error(ErrorKind::Unavailable, step, status)),
-            status => Err(self.error(ErrorKind::Protocol, step, status)),
+            status => {
+                let (_, _, reader) = answer.split();
+                let detail = format!("{status}: {}", read_excerpt(reader));
+                Err(self.error(ErrorKind::Protocol, step, detail))
+            }
         }
     }
 
@@ -270,6 +276,14 @@
     era
 }
 
+/// Returns the beginning of the body of an answer that nobody decodes.
+fn read_excerpt(reader: impl Read) -> String {
+    let mut text = Vec::new();
+    // What cannot be read is left out.
+    let _ = reader.take(EXCERPT_SIZE).read_to_end(&mut text);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
 /// Reads a body of at most `max` bytes within [`TRANSFER_TIMEOUT`].
 fn read_body(mut reader: impl Read, max: usize) -> io::Result<Vec<u8>> {
     let deadline = Instant::now() + TRANSFER_TIMEOUT;
--- a/azureway-wire/src/lib.rs
+++ b/azureway-wire/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod order;
 pub mod peer;
 pub mod quarantine;
+pub mod retirement;
 pub mod sse;
