--- a/azureway-core/src/site/mod.rs
+++ b/azureway-core/src/site/mod.rs
@@ -5,6 +5,7 @@
 //! [`Fleet`](crate::fleet::Fleet).
 
 mod document;
+mod left_servers;
 mod listed_server;
 mod named_weights;
 mod retired_weights;
@@ -13,6 +14,7 @@
 mod state;
 
 pub use document::SiteDocument;
+use left_servers::LeftServers;
 pub use listed_server::ListedServer;
 pub use named_weights::NamedWeights;
 use retired_weights::RetiredWeights;
--- a/azureway-core/src/site/state.rs
+++ b/azureway-core/src/site/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::{ListedServer, Rollouts, SiteDocument, SiteService};
+use super::{LeftServers, ListedServer, Rollouts, SiteDocument, SiteService};
 use crate::domain::{
     AccountId, AvailabilityZone, BackendServer, BackendServerPool, ClientAccount, ConfigVersion,
     ListedState, ModelId, ModelService, PoolId, ServerId, ServiceKind, Timestamp, TokenRate,
@@ -21,6 +21,8 @@
     /// The servers that were no longer listed when the platform came back, with the time at which
     /// they count as removed.
     missing: BTreeMap<ServerId, Timestamp>,
+    /// The servers that were leaving when they were no longer listed.
+    left: LeftServers,
     rollouts: Rollouts,
     revision: ConfigVersion,
 }
@@ -60,6 +62,7 @@
             servers: BTreeMap::new(),
             listed_until: Timestamp::ZERO,
             missing: BTreeMap::new(),
+            left: LeftServers::default(),
             revision: ConfigVersion::ZERO,
         }
     }
@@ -107,6 +110,7 @@
         let known = self.servers.get(&server.id);
         let known = known.filter(|k| k.incarnation >= server.incarnation);
         server.leaving |= known.is_some_and(|k| k.leaving);
+        server.leaving |= self.left.contains(&server.id, server.incarnation);
         self.servers.insert(server.id.clone(), server);
     }
 
@@ -124,7 +128,10 @@
             }
             _ => {
                 self.missing.remove(id);
-                self.servers.remove(id);
+                let removed = self.servers.remove(id);
+                if let Some(server) = removed.filter(|s| s.leaving) {
+                    self.left.insert(id, server.incarnation);
+                }
             }
         }
     }
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -108,6 +108,32 @@
     expect_that!(is_leaving(&mut state), eq(false));
 }
 
+/// Guards against the same after the server has left: a copy that is older still lists it.
+#[gtest]
+fn a_server_that_has_left_comes_back_only_in_a_later_incarnation() {
+    let mut state = state();
+    state.update_server(server("s", true));
+    state.update_server(server("t", false));
+    state.set_servers(Vec::new(), None, Timestamp::ZERO);
+    expect_that!(server_names(&mut state), is_empty());
+    // A server whose entry lapsed, but which did not leave, is listed again as it was.
+    state.set_servers(
+        vec![server("s", false), server("t", false)],
+        None,
+        Timestamp::ZERO,
+    );
+    let leaving = |state: &mut SiteState, name| {
+        let fleet = state.build_fleet().expect("a configuration");
+        fleet.servers[&ServerId::new(name)].leaving
+    };
+    expect_that!(leaving(&mut state, "s"), eq(true));
+    expect_that!(leaving(&mut state, "t"), eq(false));
+    let mut restarted = server("s", false);
+    restarted.incarnation = Incarnation::new(8);
+    state.update_server(restarted);
+    expect_that!(leaving(&mut state, "s"), eq(false));
+}
+
 /// Guards against a write for each rollout, and against a record of weights that were given up only since this
 /// process does not know when newer ones were named. Each row: when newer weights were named, the weights of the server
 /// when the older ones are given up, and whether that is stored.
