--- a/azureway-core/src/site/rollouts.rs
+++ b/azureway-core/src/site/rollouts.rs
@@ -64,8 +64,8 @@
         self
     }
 
-    /// Sets the start of the process. Weights that were named before it are given up early, which processes
-    /// that start later are not told of.
+    /// Sets the start of the process. Weights older than those that it finds then are given up early. Processes
+    /// that start later are told only once this one has run for the whole grace period.
     #[must_use]
     pub const fn with_start(mut self, start: Timestamp) -> Self {
         self.started = start;
--- a/azureway-core/tests/site.rs
+++ b/azureway-core/tests/site.rs
@@ -29,6 +29,17 @@
     }
 }
 
+fn model_service() -> SiteService {
+    SiteService {
+        feed_limit: None,
+        capacity: None,
+        id: ServiceId::new("orders"),
+        model: Some(ModelId::new("m")),
+        peer_fetch: false,
+        store: None,
+    }
+}
+
 fn state() -> SiteState {
     let mut state = SiteState::new(Vec::new(), Duration::ZERO);
     state.configure(document(4));
@@ -144,16 +155,8 @@
     for (named, loaded, expected) in rows {
         let rollouts = Rollouts::new(grace).with_start(start);
         let mut state = SiteState::with_rollouts(Vec::new(), rollouts);
-        let service = SiteService {
-            feed_limit: None,
-            capacity: None,
-            id: ServiceId::new("orders"),
-            model: Some(ModelId::new("m")),
-            peer_fetch: false,
-            store: None,
-        };
         state.configure(SiteDocument {
-            services: vec![service],
+            services: vec![model_service()],
             ..document(4)
         });
         state.update_server(ListedServer {
@@ -354,16 +357,8 @@
 #[gtest]
 fn a_server_of_an_unknown_service_gets_no_requests_and_the_others_hold() {
     let mut state = SiteState::new(Vec::new(), Duration::ZERO);
-    let service = SiteService {
-        feed_limit: None,
-        capacity: None,
-        id: ServiceId::new("orders"),
-        model: Some(ModelId::new("m")),
-        peer_fetch: false,
-        store: None,
-    };
     state.configure(SiteDocument {
-        services: vec![service],
+        services: vec![model_service()],
         ..document(4)
     });
     state.update_server(server("known", false));
--- a/azureway-entry/src/daemon/mod.rs
+++ b/azureway-entry/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod shutdown_times;
 mod site;
 mod spawn;
+mod watchers;
 
 pub use entry::Entry;
 pub use gateway::Gateway;
--- a/azureway-entry/src/feed/http_feed.rs
+++ b/azureway-entry/src/feed/http_feed.rs
@@ -46,6 +46,7 @@
         }
         let body: FeedBody =
             serde_json::from_slice(&text).map_err(|e| error(ErrorKind::Protocol, e.to_string()))?;
+        hold.shrink(text.capacity());
         let (load, next) = (body.load_report(server.clone()), body.next_event());
         Ok(FeedBatch {
             incarnation: Some(Incarnation::new(body.incarnation)),
--- a/azureway-entry/src/site/change_dates.rs
+++ b/azureway-entry/src/site/change_dates.rs
@@ -1,4 +1,5 @@
-//! Dating the changes in an answer by the answers to the watches of other kinds.
+//! Dating the changes in an answer by the answers to the watches of other kinds, and telling until when changes
+//! are known.
 
 use std::sync::{MutexGuard, PoisonError};
 use std::time::Duration;
@@ -7,7 +8,8 @@
 use azureway_objects::ObjectApi;
 use azureway_wire::object::{ObjectBody, ObjectList};
 
-use super::{SiteCodec, SiteWatcher};
+use super::{SiteCodec, SiteKind, SiteUpdate, SiteWatcher};
+use crate::zone::ReadTimes;
 
 /// The longest wait of a watch whose end dates the changes of other kinds. A longer watch may have
 /// been cut off long before its answer was read.
@@ -39,6 +41,18 @@
             .record(self.api.era(), list.version, until);
     }
 
+    /// Sends the time until which the list of servers, or what is known of named weights, is complete.
+    pub(super) fn send_until(&self) -> bool {
+        let ReadTimes {
+            until, recovered, ..
+        } = self.times;
+        match self.kind {
+            SiteKind::Servers => self.send(SiteUpdate::ListedUntil(until, recovered)),
+            SiteKind::Weights => self.send(SiteUpdate::NamedUntil(until)),
+            SiteKind::Document | SiteKind::Quarantines => true,
+        }
+    }
+
     fn lock_reports(&self) -> MutexGuard<'_, ReportTimes> {
         // The record is whole even if a thread panicked while it held the lock.
         self.reports.lock().unwrap_or_else(PoisonError::into_inner)
--- a/azureway-entry/src/site/duty.rs
+++ b/azureway-entry/src/site/duty.rs
@@ -115,11 +115,7 @@
                 return false;
             }
             SiteUpdate::Weights(named, since) => return self.add_named(named, since, now),
-            SiteUpdate::NamedUntil(until) => {
-                let retired = self.state.rollouts_mut().retire(until);
-                self.log_retired(&retired, now);
-                return !retired.is_empty();
-            }
+            SiteUpdate::NamedUntil(until) => return self.retire(until, now),
             SiteUpdate::Retired(model, oldest) => {
                 log::info!(step = "read site", model:% = model, oldest:% = oldest; "a retirement of weights was read");
                 return self.state.rollouts_mut().add_retired(&model, oldest);
@@ -142,6 +138,13 @@
         }
     }
 
+    /// Gives up the weights whose grace period ended before `until`. Returns whether there are any.
+    fn retire(&mut self, until: Timestamp, now: Timestamp) -> bool {
+        let retired = self.state.rollouts_mut().retire(until);
+        self.log_retired(&retired, now);
+        !retired.is_empty()
+    }
+
     /// Logs weights that were given up, whatever disturbs the platform later.
     fn log_retired(&self, retired: &[(ModelId, Retirement)], now: Timestamp) {
         for (model, retirement) in retired {
--- a/azureway-entry/src/site/watcher.rs
+++ b/azureway-entry/src/site/watcher.rs
@@ -209,18 +209,6 @@
         ended.is_none_or(|d| self.send(SiteUpdate::Disturbed(d)))
     }
 
-    /// Sends the time until which the list of servers, or what is known of named weights, is complete.
-    pub(super) fn send_until(&self) -> bool {
-        let ReadTimes {
-            until, recovered, ..
-        } = self.times;
-        match self.kind {
-            SiteKind::Servers => self.send(SiteUpdate::ListedUntil(until, recovered)),
-            SiteKind::Weights => self.send(SiteUpdate::NamedUntil(until)),
-            SiteKind::Document | SiteKind::Quarantines => true,
-        }
-    }
-
     fn send_update(&self, object: &ObjectBody) -> bool {
         if object.deleted {
             self.rejected.borrow_mut().remove(&object.name);
@@ -292,7 +280,7 @@
         }
     }
 
-    fn send(&self, update: SiteUpdate) -> bool {
+    pub(super) fn send(&self, update: SiteUpdate) -> bool {
         self.updates.send(update).is_ok()
     }
 }
